--- /dev/null
+++ b/src/decide/mod.rs
@@ -0,0 +1,8 @@
+//! Decisions: plain structs and functions that take the present moment and return what to do next.
+//!
+//! Nothing here knows sockets, clocks, encodings or tasks, so any front end can drive it.
+
+pub mod config;
+pub mod ids;
+pub mod outcome;
+pub mod prefix;
--- /dev/null
+++ b/src/wire/mod.rs
@@ -0,0 +1,3 @@
+//! Wire types, each with `From` and `TryFrom` towards the types of the decisions.
+
+pub mod rpc;
