--- a/src/lib.rs
+++ b/src/lib.rs
@@ -5,4 +5,5 @@
 
 pub mod decide;
 pub mod kernel;
+pub mod platform;
 pub mod wire;
