Add the mail type shared by all services

Cause: the config service runs in entry and sidecar alike and needs one message type. Ruled out: one type for each binary, which would make every shared service generic.

--- a/src/lib.rs
+++ b/src/lib.rs
@@ -6,4 +6,5 @@
 pub mod decide;
 pub mod kernel;
 pub mod platform;
+pub mod services;
 pub mod wire;
