Add the ticket ledger and the attempt state machine

Cause: at-most-once start and truthful run status need one owner on each side. The ledger refuses a ticket below its watermark, so a late duplicate of a forgotten ticket never starts. A submission is retried only against the same incarnation; a lost one that meets a new incarnation is looked up at the engine instead. Ruled out: accepting submissions without an incarnation, since a lost first try and a restart in between would start the ticket twice.

--- /dev/null
+++ b/src/decide/attempt.rs
@@ -0,0 +1,413 @@
+//! One request at an entry: which call comes next, and what the caller may be told.
+
+use std::time::Duration;
+
+use super::config::UpstreamKey;
+use super::ids::{Incarnation, Repeatability, Ticket};
+use super::outcome::{RefusalReason, RunStatus, StreamEnd};
+use crate::kernel::Moment;
+
+/// Pause before a failed call is sent again.
+const RETRY_PAUSE: Duration = Duration::from_millis(20);
+
+/// Time that an unreachable sidecar is given when the request can run elsewhere.
+const IDEMPOTENT_RECOVERY: Duration = Duration::from_secs(1);
+
+/// Time that an unreachable sidecar is given when only it can tell what became of the request.
+const NON_IDEMPOTENT_RECOVERY: Duration = Duration::from_secs(20);
+
+/// What is fixed about a request for all of its attempts.
+#[derive(Debug, Clone, Copy)]
+pub struct AttemptPolicy {
+    /// Whether the request may run more than once.
+    pub repeatability: Repeatability,
+    /// Whether a lost answer can be continued on another upstream after its first part.
+    pub continuable: bool,
+    /// Deadline for the start.
+    pub start_by: Moment,
+    /// Upstreams that may be tried, at least 1.
+    pub max_submissions: u32,
+}
+
+/// A call to the sidecar of the chosen upstream.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum SidecarCall {
+    /// Submit the request under the ticket.
+    Submit(Ticket),
+    /// Read from the index.
+    Read(Ticket, u64),
+    /// Withdraw the ticket.
+    Withdraw(Ticket),
+    /// Look the ticket up at the engine after a restart of the sidecar.
+    Attach(Ticket),
+}
+
+/// What the request does next.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum AttemptStep {
+    /// Choose an upstream that is not excluded and mint a ticket.
+    Choose,
+    /// Call the sidecar, not before the moment.
+    Call {
+        /// The chosen upstream.
+        upstream: UpstreamKey,
+        /// Incarnation of its sidecar that the call is meant for.
+        incarnation: Incarnation,
+        /// The call.
+        call: SidecarCall,
+        /// Earliest moment of the call.
+        not_before: Moment,
+    },
+    /// Tell the caller.
+    Finish(RunStatus, Option<RefusalReason>),
+}
+
+/// What happened to the last step.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum AttemptEvent {
+    /// An upstream was chosen and a fresh ticket minted.
+    Chosen(UpstreamKey, Incarnation, Ticket),
+    /// No upstream can be chosen.
+    NoChoice(RefusalReason),
+    /// The submission was accepted.
+    Accepted,
+    /// The submission was refused without effect.
+    Refused(RefusalReason, Incarnation),
+    /// The call failed before anything was sent.
+    Unsent,
+    /// The call may have been acted on, but no answer came.
+    Lost,
+    /// Consecutive items from the index were received, and maybe the end.
+    Items {
+        /// Index of the first item.
+        from_index: u64,
+        /// Number of items.
+        count: u64,
+        /// How the stream ended, after these items.
+        end: Option<StreamEnd>,
+    },
+    /// The sidecar does not know the ticket; its present incarnation is given.
+    UnknownTicket(Incarnation),
+    /// The withdrawn ticket has not run and never will.
+    WithdrawnUnrun,
+    /// The withdrawn ticket ran or runs; its answer can be read.
+    WithdrawnLate,
+    /// The withdrawn ticket is older than the sidecar remembers.
+    WithdrawnForgotten,
+    /// The engine knows the ticket; it can be read from the given incarnation.
+    Attached(Incarnation),
+    /// The engine does not know the ticket.
+    NotAttached,
+    /// The caller has gone away.
+    CallerGone,
+}
+
+/// What is certain about the tickets of a request so far.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+enum RunEvidence {
+    NeverRan,
+    MayHaveRan,
+    Ran,
+}
+
+/// State of one request over all of its attempts.
+///
+/// The owner carries out each [`AttemptStep`] and reports what happened with
+/// [`RequestAttempt::handle`], until the step is [`AttemptStep::Finish`].
+#[derive(Debug, Clone)]
+pub struct RequestAttempt {
+    /// What is fixed about the request.
+    pub policy: AttemptPolicy,
+    /// Upstreams that are not to be chosen again.
+    pub excluded: Vec<UpstreamKey>,
+    /// Tickets submitted so far.
+    pub submissions: u32,
+    /// Whether an earlier ticket was cut after it had delivered part of the answer.
+    pub continues: bool,
+    evidence: RunEvidence,
+    last_refusal: Option<RefusalReason>,
+    target: Option<SubmitTarget>,
+}
+
+#[derive(Debug, Clone, Copy)]
+struct SubmitTarget {
+    upstream: UpstreamKey,
+    incarnation: Incarnation,
+    ticket: Ticket,
+    next_index: u64,
+    call: SidecarCall,
+    /// Whether a submission of this ticket may have arrived without its answer.
+    ambiguous: bool,
+    accepted: bool,
+    recover_by: Moment,
+}
+
+impl RequestAttempt {
+    /// Creates the state of a fresh request, whose first step is [`AttemptStep::Choose`].
+    #[must_use]
+    pub const fn new(policy: AttemptPolicy) -> Self {
+        Self {
+            policy,
+            excluded: Vec::new(),
+            submissions: 0,
+            continues: false,
+            evidence: RunEvidence::NeverRan,
+            last_refusal: None,
+            target: None,
+        }
+    }
+
+    /// Returns the ticket of the present attempt.
+    #[must_use]
+    pub fn ticket(&self) -> Option<Ticket> {
+        self.target.map(|target| target.ticket)
+    }
+
+    /// Returns the index of the next item wanted from the present ticket.
+    #[must_use]
+    pub fn next_index(&self) -> u64 {
+        self.target.map_or(0, |target| target.next_index)
+    }
+
+    /// Takes in what happened and returns the next step.
+    pub fn handle(&mut self, now: Moment, event: AttemptEvent) -> AttemptStep {
+        match event {
+            AttemptEvent::Chosen(upstream, incarnation, ticket) => {
+                self.submissions += 1;
+                let call = SidecarCall::Submit(ticket);
+                self.target = Some(SubmitTarget {
+                    upstream,
+                    incarnation,
+                    ticket,
+                    next_index: 0,
+                    call,
+                    ambiguous: false,
+                    accepted: false,
+                    recover_by: Moment::NEVER,
+                });
+                self.call(now, call)
+            }
+            AttemptEvent::NoChoice(reason) => {
+                let reason = self.last_refusal.unwrap_or(reason);
+                self.finish_without_answer(Some(reason))
+            }
+            AttemptEvent::CallerGone => {
+                if self
+                    .target
+                    .is_some_and(|target| target.accepted || target.ambiguous)
+                {
+                    self.evidence = self.evidence.max(RunEvidence::MayHaveRan);
+                }
+                self.finish_without_answer(None)
+            }
+            _ => self.handle_reply(now, event),
+        }
+    }
+
+    fn handle_reply(&mut self, now: Moment, event: AttemptEvent) -> AttemptStep {
+        let Some(target) = self.target.as_mut() else {
+            return AttemptStep::Choose;
+        };
+        if event != AttemptEvent::Lost && event != AttemptEvent::Unsent {
+            target.recover_by = Moment::NEVER;
+        }
+        match event {
+            AttemptEvent::Accepted | AttemptEvent::WithdrawnLate => {
+                target.accepted = true;
+                self.read(now)
+            }
+            AttemptEvent::Refused(reason, incarnation) => self.refused(now, reason, incarnation),
+            AttemptEvent::Items {
+                from_index,
+                count,
+                end,
+            } => self.items(now, from_index, count, end),
+            AttemptEvent::UnknownTicket(incarnation) => self.unknown_ticket(now, incarnation),
+            AttemptEvent::WithdrawnUnrun => self.not_run_here(now, RefusalReason::Withdrawn),
+            AttemptEvent::Attached(incarnation) => {
+                target.incarnation = incarnation;
+                target.accepted = true;
+                self.read(now)
+            }
+            AttemptEvent::WithdrawnForgotten | AttemptEvent::NotAttached => {
+                self.lost_here(now, RunEvidence::MayHaveRan)
+            }
+            AttemptEvent::Unsent => self.call_failed(now, false),
+            AttemptEvent::Lost => self.call_failed(now, true),
+            AttemptEvent::Chosen(..) | AttemptEvent::NoChoice(_) | AttemptEvent::CallerGone => {
+                AttemptStep::Choose
+            }
+        }
+    }
+
+    fn refused(
+        &mut self,
+        now: Moment,
+        reason: RefusalReason,
+        incarnation: Incarnation,
+    ) -> AttemptStep {
+        let Some(target) = self.target.as_mut() else {
+            return AttemptStep::Choose;
+        };
+        match reason {
+            RefusalReason::WrongIncarnation if target.ambiguous => {
+                // The earlier incarnation may have started the ticket at the engine.
+                target.incarnation = incarnation;
+                let call = SidecarCall::Attach(target.ticket);
+                self.call(now, call)
+            }
+            RefusalReason::WrongIncarnation if target.incarnation != incarnation => {
+                target.incarnation = incarnation;
+                let call = SidecarCall::Submit(target.ticket);
+                self.call(now, call)
+            }
+            RefusalReason::Forgotten => self.lost_here(now, RunEvidence::MayHaveRan),
+            _ => self.not_run_here(now, reason),
+        }
+    }
+
+    fn items(
+        &mut self,
+        now: Moment,
+        from_index: u64,
+        count: u64,
+        end: Option<StreamEnd>,
+    ) -> AttemptStep {
+        let Some(target) = self.target.as_mut() else {
+            return AttemptStep::Choose;
+        };
+        if from_index != target.next_index {
+            // A late or crossed reply; nothing of it is used.
+            return self.read(now);
+        }
+        target.next_index += count;
+        if count > 0 {
+            self.evidence = RunEvidence::Ran;
+        }
+        match end {
+            None => self.read(now),
+            Some(StreamEnd::Complete) => AttemptStep::Finish(RunStatus::Complete, None),
+            Some(StreamEnd::NotRun(RefusalReason::Forgotten)) => {
+                self.lost_here(now, RunEvidence::MayHaveRan)
+            }
+            Some(StreamEnd::NotRun(reason)) => self.not_run_here(now, reason),
+            Some(StreamEnd::EngineLost) => self.lost_here(now, RunEvidence::Ran),
+            Some(StreamEnd::Cancelled) => {
+                self.evidence = RunEvidence::Ran;
+                self.finish_without_answer(None)
+            }
+        }
+    }
+
+    fn unknown_ticket(&mut self, now: Moment, incarnation: Incarnation) -> AttemptStep {
+        let Some(target) = self.target.as_mut() else {
+            return AttemptStep::Choose;
+        };
+        if target.incarnation == incarnation && target.accepted {
+            // The sidecar has dropped an answer that nobody read in time.
+            return self.lost_here(now, RunEvidence::MayHaveRan);
+        }
+        target.incarnation = incarnation;
+        let call = SidecarCall::Attach(target.ticket);
+        self.call(now, call)
+    }
+
+    /// The present ticket is proved not to run; another upstream may be tried.
+    fn not_run_here(&mut self, now: Moment, reason: RefusalReason) -> AttemptStep {
+        self.last_refusal = Some(reason);
+        let another = self.submissions < self.policy.max_submissions;
+        let in_time = !self.policy.start_by.is_due(now);
+        // Another upstream would answer the same for these reasons.
+        let is_final = matches!(
+            reason,
+            RefusalReason::Poisonous | RefusalReason::CustomerLimit
+        );
+        if !another || !in_time || is_final {
+            return self.finish_without_answer(Some(reason));
+        }
+        self.choose_another()
+    }
+
+    /// The present ticket ran or may have run, and its answer cannot be had any more.
+    fn lost_here(&mut self, now: Moment, evidence: RunEvidence) -> AttemptStep {
+        self.evidence = self.evidence.max(evidence);
+        let delivered = self.next_index() > 0 || self.continues;
+        let may_repeat = self.policy.repeatability == Repeatability::Idempotent
+            && (self.policy.continuable || !delivered);
+        let another = self.submissions < self.policy.max_submissions;
+        let in_time = delivered || !self.policy.start_by.is_due(now);
+        if !may_repeat || !another || !in_time {
+            return self.finish_without_answer(None);
+        }
+        self.continues = delivered;
+        self.choose_another()
+    }
+
+    fn choose_another(&mut self) -> AttemptStep {
+        if let Some(target) = self.target.take() {
+            self.excluded.push(target.upstream);
+        }
+        AttemptStep::Choose
+    }
+
+    fn call_failed(&mut self, now: Moment, may_have_arrived: bool) -> AttemptStep {
+        let idempotent = self.policy.repeatability == Repeatability::Idempotent;
+        let Some(target) = self.target.as_mut() else {
+            return AttemptStep::Choose;
+        };
+        if may_have_arrived {
+            target.ambiguous = true;
+        }
+        let untouched = !target.ambiguous && !target.accepted;
+        if untouched {
+            return self.not_run_here(now, RefusalReason::EngineDown);
+        }
+        if target.recover_by == Moment::NEVER {
+            let recovery = if idempotent {
+                IDEMPOTENT_RECOVERY
+            } else {
+                NON_IDEMPOTENT_RECOVERY
+            };
+            target.recover_by = now.after(recovery);
+        }
+        if target.recover_by.is_due(now) {
+            return self.lost_here(now, RunEvidence::MayHaveRan);
+        }
+        let call = match target.call {
+            SidecarCall::Submit(ticket) if self.policy.start_by.is_due(now) => {
+                SidecarCall::Withdraw(ticket)
+            }
+            call => call,
+        };
+        self.call(now.after(RETRY_PAUSE), call)
+    }
+
+    fn finish_without_answer(&self, reason: Option<RefusalReason>) -> AttemptStep {
+        let status = match self.evidence {
+            RunEvidence::NeverRan => RunStatus::NotRun,
+            RunEvidence::MayHaveRan => RunStatus::Unknown,
+            RunEvidence::Ran => RunStatus::Incomplete,
+        };
+        AttemptStep::Finish(status, reason)
+    }
+
+    fn read(&mut self, now: Moment) -> AttemptStep {
+        let Some(target) = self.target else {
+            return AttemptStep::Choose;
+        };
+        self.call(now, SidecarCall::Read(target.ticket, target.next_index))
+    }
+
+    fn call(&mut self, not_before: Moment, call: SidecarCall) -> AttemptStep {
+        let Some(target) = self.target.as_mut() else {
+            return AttemptStep::Choose;
+        };
+        target.call = call;
+        AttemptStep::Call {
+            upstream: target.upstream,
+            incarnation: target.incarnation,
+            call,
+            not_before,
+        }
+    }
+}
--- /dev/null
+++ b/src/decide/ledger.rs
@@ -0,0 +1,438 @@
+//! Tickets of one sidecar: each is started at most once, and what was withdrawn never starts.
+
+use std::collections::{BTreeSet, HashMap};
+use std::time::Duration;
+
+use super::ids::{Incarnation, Repeatability, Ticket};
+use super::outcome::{RefusalReason, StreamEnd};
+use crate::kernel::{Arena, Key, Moment};
+
+/// Time that the end of a ticket or a tombstone is remembered.
+const REMEMBER: Duration = Duration::from_mins(1);
+
+/// Time without a read after which a ticket counts as orphaned.
+const ORPHAN_TIMEOUT: Duration = Duration::from_secs(10);
+
+/// Addresses one ticket of the ledger.
+pub type TicketKey = Key<TicketEntry>;
+
+/// What the ledger knows of one ticket.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum TicketState {
+    /// It waits for its start.
+    Queued,
+    /// It has been handed to the engine.
+    Running,
+    /// It has left the ledger's care with this end.
+    Ended(StreamEnd),
+}
+
+/// One ticket.
+#[derive(Debug, Clone, Copy)]
+pub struct TicketEntry {
+    /// The ticket.
+    pub ticket: Ticket,
+    /// Whether the request may run more than once.
+    pub repeatability: Repeatability,
+    /// Present state.
+    pub state: TicketState,
+    /// Deadline for the start.
+    pub start_by: Moment,
+    /// Unread until this moment, the ticket counts as orphaned; renewed by each read.
+    pub orphan_at: Moment,
+    /// When an ended ticket is forgotten.
+    pub forget_at: Moment,
+}
+
+/// What a submission leads to.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum SubmitStep {
+    /// The ticket is new and waits for its start.
+    Queued(TicketKey),
+    /// The ticket has been accepted before; nothing is to be done.
+    Known(TicketKey),
+    /// The ticket does not run, now or later.
+    Refused(RefusalReason),
+}
+
+/// What a withdrawal leads to.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum WithdrawStep {
+    /// The ticket has not run and never will; a queued one, if given, leaves the queue.
+    NotRun(Option<TicketKey>),
+    /// The ticket runs and is to be cancelled at the engine.
+    Cancel(TicketKey),
+    /// The ticket runs on, because it may not be repeated.
+    Running(TicketKey),
+    /// The ticket ran.
+    Done(TicketKey),
+    /// The ticket is older than the ledger remembers; it may have run.
+    Forgotten,
+}
+
+/// Whether a queued ticket may be handed to the engine.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum StartStep {
+    /// It is running now.
+    Start,
+    /// Its deadline has passed; it has been ended as not run.
+    TooLate,
+    /// It is no longer queued.
+    NotQueued,
+}
+
+/// What the passing of time led to for one ticket.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum ExpiryStep {
+    /// A queued ticket has passed its start deadline and was ended as not run.
+    NotStarted(TicketKey),
+    /// A running ticket is read by nobody and may be repeated: cancel it at the engine.
+    Cancel(TicketKey),
+    /// An ended ticket has been forgotten; its answer is to be dropped.
+    Forgotten(TicketKey),
+}
+
+/// Bounds of a ledger.
+#[derive(Debug, Clone, Copy)]
+pub struct LedgerBounds {
+    /// Tickets remembered at the same time; at the bound, the oldest ended ones are forgotten.
+    pub max_tickets: usize,
+    /// Entry incarnations whose forgotten tickets are remembered as a watermark.
+    pub max_incarnations: usize,
+}
+
+impl Default for LedgerBounds {
+    fn default() -> Self {
+        Self {
+            max_tickets: 100_000,
+            max_incarnations: 16_384,
+        }
+    }
+}
+
+#[derive(Debug, Clone, Copy)]
+struct TicketWatermark {
+    /// Tickets up to this sequence number may have been forgotten.
+    sequence: u64,
+    /// Order of the last change, to drop the incarnation heard of longest ago.
+    touched: u64,
+}
+
+/// The ledger: an arena of tickets, an index by ticket and by deadline, and watermarks.
+///
+/// Forgotten tickets raise a watermark for their entry incarnation; a ticket at or below it that
+/// the ledger does not hold is never accepted, so a late duplicate cannot run a second time.
+///
+/// ```
+/// use bulrushslip::decide::ids::{Incarnation, Repeatability, Ticket};
+/// use bulrushslip::decide::ledger::{LedgerBounds, SubmitStep, TicketLedger, WithdrawStep};
+/// use bulrushslip::decide::outcome::RefusalReason;
+/// use bulrushslip::kernel::Moment;
+///
+/// let mut ledger = TicketLedger::new(LedgerBounds::default());
+/// let ticket = Ticket { entry: Incarnation(1), sequence: 1 };
+/// let now = Moment::START;
+/// assert_eq!(ledger.withdraw(now, ticket), WithdrawStep::NotRun(None));
+/// let late = ledger.submit(now, ticket, Repeatability::NonIdempotent, Moment::NEVER);
+/// assert_eq!(late, SubmitStep::Refused(RefusalReason::Withdrawn));
+/// ```
+#[derive(Debug)]
+pub struct TicketLedger {
+    bounds: LedgerBounds,
+    tickets: Arena<TicketEntry>,
+    by_ticket: HashMap<Ticket, TicketKey>,
+    by_deadline: BTreeSet<(Moment, TicketKey)>,
+    watermarks: HashMap<Incarnation, TicketWatermark>,
+    touches: u64,
+}
+
+impl TicketLedger {
+    /// Creates an empty ledger.
+    #[must_use]
+    pub fn new(bounds: LedgerBounds) -> Self {
+        Self {
+            bounds,
+            tickets: Arena::new(),
+            by_ticket: HashMap::new(),
+            by_deadline: BTreeSet::new(),
+            watermarks: HashMap::new(),
+            touches: 0,
+        }
+    }
+
+    /// Takes in a submission; a repeated one has no further effect.
+    pub fn submit(
+        &mut self,
+        now: Moment,
+        ticket: Ticket,
+        repeatability: Repeatability,
+        start_by: Moment,
+    ) -> SubmitStep {
+        if let Some(key) = self.find(ticket) {
+            return match self.tickets.get(key).map(|entry| entry.state) {
+                Some(TicketState::Ended(StreamEnd::NotRun(reason))) => SubmitStep::Refused(reason),
+                _ => SubmitStep::Known(key),
+            };
+        }
+        if self.is_forgotten(ticket) {
+            return SubmitStep::Refused(RefusalReason::Forgotten);
+        }
+        if start_by.is_due(now) {
+            self.insert_tombstone(now, ticket, RefusalReason::StartDeadline);
+            return SubmitStep::Refused(RefusalReason::StartDeadline);
+        }
+        SubmitStep::Queued(self.insert(TicketEntry {
+            ticket,
+            repeatability,
+            state: TicketState::Queued,
+            start_by,
+            orphan_at: now.after(ORPHAN_TIMEOUT),
+            forget_at: Moment::NEVER,
+        }))
+    }
+
+    /// Takes in a ticket that already runs at the engine, found there after a restart.
+    pub fn adopt(
+        &mut self,
+        now: Moment,
+        ticket: Ticket,
+        repeatability: Repeatability,
+    ) -> TicketKey {
+        if let Some(key) = self.find(ticket) {
+            return key;
+        }
+        self.insert(TicketEntry {
+            ticket,
+            repeatability,
+            state: TicketState::Running,
+            start_by: Moment::NEVER,
+            orphan_at: now.after(ORPHAN_TIMEOUT),
+            forget_at: Moment::NEVER,
+        })
+    }
+
+    /// Marks a queued ticket as running, unless it is too late or no longer queued.
+    pub fn start(&mut self, now: Moment, key: TicketKey) -> StartStep {
+        let Some(entry) = self.tickets.get(key) else {
+            return StartStep::NotQueued;
+        };
+        if entry.state != TicketState::Queued {
+            return StartStep::NotQueued;
+        }
+        if entry.start_by.is_due(now) {
+            self.end(now, key, StreamEnd::NotRun(RefusalReason::StartDeadline));
+            return StartStep::TooLate;
+        }
+        self.change(key, |entry| entry.state = TicketState::Running);
+        StartStep::Start
+    }
+
+    /// Ends a ticket; a second end has no effect.
+    pub fn end(&mut self, now: Moment, key: TicketKey, end: StreamEnd) {
+        self.change(key, |entry| {
+            if !matches!(entry.state, TicketState::Ended(_)) {
+                entry.state = TicketState::Ended(end);
+                entry.forget_at = now.after(REMEMBER);
+            }
+        });
+        self.enforce_bound();
+    }
+
+    /// Withdraws a ticket; one never seen is remembered, so that a late submission is refused.
+    pub fn withdraw(&mut self, now: Moment, ticket: Ticket) -> WithdrawStep {
+        let Some(key) = self.find(ticket) else {
+            if self.is_forgotten(ticket) {
+                return WithdrawStep::Forgotten;
+            }
+            self.insert_tombstone(now, ticket, RefusalReason::Withdrawn);
+            return WithdrawStep::NotRun(None);
+        };
+        let Some(entry) = self.tickets.get(key).copied() else {
+            return WithdrawStep::Forgotten;
+        };
+        match entry.state {
+            TicketState::Queued => {
+                self.end(now, key, StreamEnd::NotRun(RefusalReason::Withdrawn));
+                WithdrawStep::NotRun(Some(key))
+            }
+            TicketState::Running if entry.repeatability == Repeatability::Idempotent => {
+                self.end(now, key, StreamEnd::Cancelled);
+                WithdrawStep::Cancel(key)
+            }
+            TicketState::Running => WithdrawStep::Running(key),
+            TicketState::Ended(StreamEnd::NotRun(_)) => WithdrawStep::NotRun(None),
+            TicketState::Ended(_) => WithdrawStep::Done(key),
+        }
+    }
+
+    /// Finds a ticket for reading and renews the deadlines that depend on its readers.
+    pub fn read(&mut self, now: Moment, ticket: Ticket) -> Option<TicketKey> {
+        let key = self.find(ticket)?;
+        self.change(key, |entry| {
+            entry.orphan_at = now.after(ORPHAN_TIMEOUT);
+            if matches!(entry.state, TicketState::Ended(_)) {
+                entry.forget_at = entry.forget_at.max(entry.orphan_at);
+            }
+        });
+        Some(key)
+    }
+
+    /// Returns the key of a ticket that is remembered.
+    #[must_use]
+    pub fn find(&self, ticket: Ticket) -> Option<TicketKey> {
+        self.by_ticket.get(&ticket).copied()
+    }
+
+    /// Returns a remembered ticket.
+    #[must_use]
+    pub fn get(&self, key: TicketKey) -> Option<&TicketEntry> {
+        self.tickets.get(key)
+    }
+
+    /// Returns the earliest deadline of any ticket.
+    #[must_use]
+    pub fn next_deadline(&self) -> Moment {
+        self.by_deadline
+            .keys()
+            .next()
+            .map_or(Moment::NEVER, |(deadline, _)| *deadline)
+    }
+
+    /// Handles one deadline that has come; `None` once there is no other.
+    pub fn expire(&mut self, now: Moment) -> Option<ExpiryStep> {
+        loop {
+            let (deadline, key) = self.by_deadline.first().copied()?;
+            if !deadline.is_due(now) {
+                return None;
+            }
+            let Some(entry) = self.tickets.get(key).copied() else {
+                self.by_deadline.remove(&(deadline, key));
+                continue;
+            };
+            match (entry.state, entry.repeatability) {
+                (TicketState::Queued, _) => {
+                    self.end(now, key, StreamEnd::NotRun(RefusalReason::StartDeadline));
+                    return Some(ExpiryStep::NotStarted(key));
+                }
+                (TicketState::Running, Repeatability::Idempotent) => {
+                    self.end(now, key, StreamEnd::Cancelled);
+                    return Some(ExpiryStep::Cancel(key));
+                }
+                (TicketState::Running, Repeatability::NonIdempotent) => {
+                    // It is finished whether or not anybody reads it.
+                    self.change(key, |entry| entry.orphan_at = Moment::NEVER);
+                }
+                (TicketState::Ended(_), _) => {
+                    self.forget(key);
+                    return Some(ExpiryStep::Forgotten(key));
+                }
+            }
+        }
+    }
+
+    /// Returns all tickets in the given state.
+    pub fn in_state(&self, state: TicketState) -> impl Iterator<Item = TicketKey> + '_ {
+        self.tickets
+            .iter()
+            .filter(move |(_, entry)| entry.state == state)
+            .map(|(key, _)| key)
+    }
+
+    /// Returns how many tickets are remembered.
+    #[must_use]
+    pub fn len(&self) -> usize {
+        self.tickets.len()
+    }
+
+    /// Tells whether no ticket is remembered.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.tickets.is_empty()
+    }
+
+    fn insert_tombstone(&mut self, now: Moment, ticket: Ticket, reason: RefusalReason) {
+        self.insert(TicketEntry {
+            ticket,
+            repeatability: Repeatability::NonIdempotent,
+            state: TicketState::Ended(StreamEnd::NotRun(reason)),
+            start_by: Moment::NEVER,
+            orphan_at: Moment::NEVER,
+            forget_at: now.after(REMEMBER),
+        });
+        self.enforce_bound();
+    }
+
+    fn insert(&mut self, entry: TicketEntry) -> TicketKey {
+        let key = self.tickets.insert(entry);
+        self.by_ticket.insert(entry.ticket, key);
+        self.by_deadline.insert((entry_deadline(&entry), key));
+        key
+    }
+
+    fn change(&mut self, key: TicketKey, change: impl FnOnce(&mut TicketEntry)) {
+        let Some(entry) = self.tickets.get_mut(key) else {
+            return;
+        };
+        let before = entry_deadline(entry);
+        change(entry);
+        let after = entry_deadline(entry);
+        if before != after {
+            self.by_deadline.remove(&(before, key));
+            self.by_deadline.insert((after, key));
+        }
+    }
+
+    fn is_forgotten(&self, ticket: Ticket) -> bool {
+        self.watermarks
+            .get(&ticket.entry)
+            .is_some_and(|mark| ticket.sequence <= mark.sequence)
+    }
+
+    fn forget(&mut self, key: TicketKey) {
+        let Some(entry) = self.tickets.remove(key) else {
+            return;
+        };
+        self.by_deadline.remove(&(entry_deadline(&entry), key));
+        self.by_ticket.remove(&entry.ticket);
+        self.raise_watermark(entry.ticket);
+    }
+
+    fn raise_watermark(&mut self, ticket: Ticket) {
+        self.touches += 1;
+        let touched = self.touches;
+        let mark = self
+            .watermarks
+            .entry(ticket.entry)
+            .or_insert(TicketWatermark {
+                sequence: 0,
+                touched,
+            });
+        mark.sequence = mark.sequence.max(ticket.sequence);
+        mark.touched = touched;
+        if self.watermarks.len() > self.bounds.max_incarnations {
+            let oldest = self.watermarks.iter().min_by_key(|(_, mark)| mark.touched);
+            if let Some(incarnation) = oldest.map(|(incarnation, _)| *incarnation) {
+                self.watermarks.remove(&incarnation);
+            }
+        }
+    }
+
+    fn enforce_bound(&mut self) {
+        while self.tickets.len() > self.bounds.max_tickets {
+            let ended = self.by_deadline.iter().copied().find(|(_, key)| {
+                let entry = self.tickets.get(*key);
+                entry.is_some_and(|entry| matches!(entry.state, TicketState::Ended(_)))
+            });
+            let Some((_, key)) = ended else { return };
+            self.forget(key);
+        }
+    }
+}
+
+fn entry_deadline(entry: &TicketEntry) -> Moment {
+    match entry.state {
+        TicketState::Queued => entry.start_by.min(entry.orphan_at),
+        TicketState::Running => entry.orphan_at,
+        TicketState::Ended(_) => entry.forget_at,
+    }
+}
--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -2,7 +2,9 @@
 //!
 //! Nothing here knows sockets, clocks, encodings or tasks, so any front end can drive it.
 
+pub mod attempt;
 pub mod config;
 pub mod ids;
+pub mod ledger;
 pub mod outcome;
 pub mod prefix;
