--- a/src/decide/ledger.rs
+++ b/src/decide/ledger.rs
@@ -293,7 +293,7 @@
     #[must_use]
     pub fn next_deadline(&self) -> Moment {
         self.by_deadline
-            .keys()
+            .iter()
             .next()
             .map_or(Moment::NEVER, |(deadline, _)| *deadline)
     }
