--- a/src/decide/attempt.rs
+++ b/src/decide/attempt.rs
@@ -291,6 +291,7 @@
                 self.lost_here(now, RunEvidence::MayHaveRan)
             }
             Some(StreamEnd::NotRun(reason)) => self.not_run_here(now, reason),
+            Some(StreamEnd::Uncertain) => self.lost_here(now, RunEvidence::MayHaveRan),
             Some(StreamEnd::EngineLost) => self.lost_here(now, RunEvidence::Ran),
             Some(StreamEnd::Cancelled) => {
                 self.evidence = RunEvidence::Ran;
--- a/src/decide/ledger.rs
+++ b/src/decide/ledger.rs
@@ -211,6 +211,13 @@
         })
     }
 
+    /// Drops an adopted ticket that the engine does not know, as if it had not been asked about.
+    pub fn release(&mut self, key: TicketKey) {
+        let Some(entry) = self.tickets.remove(key) else { return };
+        self.by_deadline.remove(&(entry_deadline(&entry), key));
+        self.by_ticket.remove(&entry.ticket);
+    }
+
     /// Marks a queued ticket as running, unless it is too late or no longer queued.
     pub fn start(&mut self, now: Moment, key: TicketKey) -> StartStep {
         let Some(entry) = self.tickets.get(key) else {
--- a/src/decide/outcome.rs
+++ b/src/decide/outcome.rs
@@ -112,6 +112,8 @@
     NotRun(RefusalReason),
     /// The engine was lost after the ticket had started.
     EngineLost,
+    /// The ticket may have started; the engine does not know or cannot tell.
+    Uncertain,
     /// The ticket was cancelled while it ran.
     Cancelled,
 }
--- a/src/kernel/tokio_kernel.rs
+++ b/src/kernel/tokio_kernel.rs
@@ -96,6 +96,21 @@
         self.post(key, Signal::Mail(mail))
     }
 
+    /// Sends a message, waiting for room in the mailbox; for I/O tasks, which may wait.
+    ///
+    /// # Panics
+    ///
+    /// Panics when no service has the name: the binary was put together wrongly.
+    pub async fn deliver(&self, name: &str, mail: M) -> SendOutcome {
+        let Some(key) = self.names.find(name) else {
+            panic!("no service is registered under the name {name}");
+        };
+        match self.senders[key.index()].send(Signal::Mail(mail)).await {
+            Ok(()) => SendOutcome::Delivered,
+            Err(_) => SendOutcome::Gone,
+        }
+    }
+
     /// Sends a question and waits for its reply; `None` when the service is gone or overloaded.
     pub async fn ask<T: Send + 'static>(
         &self,
--- /dev/null
+++ b/src/services/engine_task.rs
@@ -0,0 +1,162 @@
+//! I/O task `engine` of a sidecar: one child task for each running ticket.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use http_body_util::Full;
+use hyper::Method;
+use tokio::task::{AbortHandle, Id, JoinSet};
+
+use super::engine_stream::{EngineStream, StreamOrigin, resume_path};
+use super::mail::{EngineMail, LedgerMail, Mail};
+use crate::decide::ids::Ticket;
+use crate::decide::ledger::TicketKey;
+use crate::kernel::{Directory, Inbox, IoTask, Signal};
+use crate::platform::http_client;
+use crate::wire::rpc::AttachVerdict;
+
+/// Longest time for a cancellation or a lookup at the engine.
+const ORDER_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// What stands behind the sidecar.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum EngineKind {
+    /// A model engine: streams events, resumes and cancels by request id.
+    Model,
+    /// A plain service: one exchange for each request.
+    Plain,
+}
+
+/// Address and kind of the upstream.
+#[derive(Debug, Clone, Copy)]
+pub struct EngineTarget {
+    /// IP address and port.
+    pub address: SocketAddr,
+    /// What it is.
+    pub kind: EngineKind,
+}
+
+/// Creates the I/O task `engine`.
+#[must_use]
+pub fn engine_task(target: EngineTarget) -> IoTask<Mail> {
+    IoTask::new("engine", move |inbox, directory| run(target, inbox, directory))
+}
+
+struct RunningStreams {
+    target: EngineTarget,
+    directory: Directory<Mail>,
+    tasks: JoinSet<()>,
+    by_key: HashMap<TicketKey, AbortHandle>,
+    by_task: HashMap<Id, TicketKey>,
+}
+
+async fn run(target: EngineTarget, mut inbox: Inbox<Mail>, directory: Directory<Mail>) {
+    let mut streams = RunningStreams {
+        target,
+        directory,
+        tasks: JoinSet::new(),
+        by_key: HashMap::new(),
+        by_task: HashMap::new(),
+    };
+    loop {
+        tokio::select! {
+            signal = inbox.receive() => match signal {
+                Some(Signal::Mail(Mail::Engine(mail))) => streams.handle(mail),
+                Some(Signal::Dump(reply_to)) => reply_to.send(streams.dump()),
+                Some(Signal::Stop) | None => return,
+                Some(_) => {}
+            },
+            Some(ended) = streams.tasks.join_next_with_id() => streams.forget(ended),
+        }
+    }
+}
+
+impl RunningStreams {
+    fn handle(&mut self, mail: EngineMail) {
+        match mail {
+            EngineMail::Start(key, call) => {
+                let ticket = Ticket::from(call.ticket);
+                self.spawn(key, ticket, StreamOrigin::Submit(call));
+            }
+            EngineMail::Cancel(key, ticket) => {
+                if let Some(task) = self.by_key.remove(&key) {
+                    task.abort();
+                }
+                if self.target.kind == EngineKind::Model {
+                    tokio::spawn(cancel(self.target.address, ticket));
+                }
+            }
+            EngineMail::Attach(key, ticket, reply_to) => {
+                let stream = self.stream(key, ticket);
+                let target = self.target;
+                let directory = self.directory.clone();
+                let task = self.tasks.spawn(async move {
+                    let verdict = look_up(target, ticket).await;
+                    let mail = LedgerMail::Attached(key, verdict, reply_to);
+                    directory.deliver("ledger", Mail::Ledger(mail)).await;
+                    if verdict == AttachVerdict::Attached {
+                        stream.run(StreamOrigin::Resume).await;
+                    }
+                });
+                self.remember(key, task);
+            }
+        }
+    }
+
+    fn stream(&self, key: TicketKey, ticket: Ticket) -> EngineStream {
+        EngineStream::new(self.target, self.directory.clone(), key, ticket)
+    }
+
+    fn spawn(&mut self, key: TicketKey, ticket: Ticket, origin: StreamOrigin) {
+        let stream = self.stream(key, ticket);
+        let task = self.tasks.spawn(stream.run(origin));
+        self.remember(key, task);
+    }
+
+    fn remember(&mut self, key: TicketKey, task: AbortHandle) {
+        self.by_task.insert(task.id(), key);
+        self.by_key.insert(key, task);
+    }
+
+    fn forget(&mut self, ended: Result<(Id, ()), tokio::task::JoinError>) {
+        let id = match ended {
+            Ok((id, ())) => id,
+            Err(error) => error.id(),
+        };
+        if let Some(key) = self.by_task.remove(&id) {
+            self.by_key.remove(&key);
+        }
+    }
+
+    fn dump(&self) -> serde_json::Value {
+        serde_json::json!({
+            "address": self.target.address.to_string(),
+            "streams": self.by_key.len(),
+        })
+    }
+}
+
+async fn cancel(address: SocketAddr, ticket: Ticket) {
+    let path = format!("/requests/{ticket}");
+    let request = http_client::request(Method::DELETE, address, &path).body(Full::default());
+    let Ok(request) = request else { return };
+    // A cancellation that is lost costs the engine work and nobody an answer.
+    drop(http_client::call(address, request, ORDER_TIMEOUT).await);
+}
+
+async fn look_up(target: EngineTarget, ticket: Ticket) -> AttachVerdict {
+    if target.kind == EngineKind::Plain {
+        return AttachVerdict::NotFound;
+    }
+    let path = resume_path(ticket, 0);
+    let request = http_client::request(Method::GET, target.address, &path);
+    let Ok(request) = request.body(Full::default()) else {
+        return AttachVerdict::NotFound;
+    };
+    match http_client::open(target.address, request, ORDER_TIMEOUT).await {
+        Ok(open) if open.response.status().is_success() => AttachVerdict::Attached,
+        Ok(_) => AttachVerdict::NotFound,
+        Err(_) => AttachVerdict::EngineDown,
+    }
+}
--- /dev/null
+++ b/src/services/ledger.rs
@@ -0,0 +1,50 @@
+//! Service `ledger` of a sidecar: tickets, queue and answers of one upstream.
+
+use super::ledger_state::{LedgerSettings, LedgerState};
+use super::mail::{LedgerMail, Mail};
+use crate::kernel::{NextStep, Service, Signal, Turn};
+
+/// Creates the service `ledger`.
+#[must_use]
+pub fn ledger_service(settings: LedgerSettings) -> Service<Mail> {
+    let mut state = LedgerState::new(settings);
+    Service::new("ledger", move |turn, signal| {
+        match signal {
+            Signal::Start | Signal::Due => {}
+            Signal::Mail(Mail::Ledger(mail)) => handle(&mut state, turn, mail),
+            Signal::Mail(_) => {}
+            Signal::Dump(reply_to) => reply_to.send(state.dump()),
+            Signal::Stop => state.begin_stop(turn.now),
+        }
+        state.advance(turn)
+    })
+}
+
+fn handle(state: &mut LedgerState, turn: &mut Turn<'_, Mail>, mail: LedgerMail) {
+    let now = turn.now;
+    match mail {
+        LedgerMail::Quote(call, reply_to) => reply_to.send(state.quote(now, &call)),
+        LedgerMail::Submit(call, reply_to) => reply_to.send(state.submit(now, call)),
+        LedgerMail::Read(call, reply_to) => state.read(now, call, reply_to),
+        LedgerMail::Withdraw(ticket, reply_to) => {
+            let reply = state.withdraw(turn, ticket);
+            reply_to.send(reply);
+        }
+        LedgerMail::Attach(ticket, repeatability, reply_to) => {
+            state.attach(turn, ticket, repeatability, reply_to);
+        }
+        LedgerMail::Attached(key, verdict, reply_to) => state.attached(key, verdict, reply_to),
+        LedgerMail::Items(key, items) => state.items(now, key, items),
+        LedgerMail::Ended(key, end) => state.ended(now, key, end),
+        LedgerMail::EngineState(engine) => state.engine = engine,
+        LedgerMail::Configured(configuration) => state.configure(configuration),
+    }
+}
+
+/// Returns the step that waits for the earliest of the state's deadlines.
+pub(super) fn wait_until(deadline: crate::kernel::Moment) -> NextStep {
+    if deadline == crate::kernel::Moment::NEVER {
+        return NextStep::Wait;
+    }
+    NextStep::WaitUntil(deadline)
+}
--- /dev/null
+++ b/src/services/ledger_state.rs
@@ -0,0 +1,539 @@
+//! State of the service `ledger` and what each message does to it.
+
+use std::collections::{BTreeSet, HashMap};
+use std::sync::Arc;
+use std::time::Duration;
+
+use super::ledger::wait_until;
+use super::mail::{EngineMail, EngineState, Mail};
+use super::stream_buffer::{PushOutcome, StreamBuffer};
+use crate::decide::config::{Configuration, Upstream};
+use crate::decide::ids::{Incarnation, Rank, Repeatability, Ticket};
+use crate::decide::ledger::{
+    ExpiryStep, LedgerBounds, StartStep, SubmitStep, TicketKey, TicketLedger, TicketState,
+    WithdrawStep,
+};
+use crate::decide::outcome::{RefusalReason, StreamEnd};
+use crate::decide::queue::{
+    CustomerId, CustomerShare, FairQueue, OfferOutcome, QueueItem, QueuePolicy, QueueStep,
+    RunningSlots,
+};
+use crate::kernel::{Moment, NextStep, ReplyTo, Turn};
+use crate::wire::rpc::{
+    AttachReply, AttachVerdict, QuoteCall, QuoteReply, ReadCall, ReadReply, ReadVerdict, ReplyHead,
+    StreamItem, SubmitCall, SubmitReply, SubmitVerdict, WireEnd, WithdrawReply, WithdrawVerdict,
+};
+
+/// Estimated prefill time of one missing piece, in microseconds; the queue corrects estimates.
+const PREFILL_PIECE_US: u64 = 60_000;
+
+/// Estimated time of one output token, in microseconds.
+const OUTPUT_TOKEN_US: u64 = 5_000;
+
+/// Output tokens assumed when a request states none.
+const DEFAULT_OUTPUT_TOKENS: u64 = 64;
+
+/// Longest wait of a read for its first item.
+const MAX_READ_WAIT: Duration = Duration::from_secs(2);
+
+/// Settings of the service.
+#[derive(Debug, Clone)]
+pub struct LedgerSettings {
+    /// This life of the sidecar.
+    pub incarnation: Incarnation,
+    /// Name of the upstream that the sidecar stands before.
+    pub upstream: String,
+    /// Bounds of the ledger.
+    pub bounds: LedgerBounds,
+    /// Bounds and shares of the queue.
+    pub queue: QueuePolicy,
+}
+
+/// A read that waits for its first item.
+#[derive(Debug)]
+struct PendingRead {
+    from_index: u64,
+    deadline: Moment,
+    reply_to: ReplyTo<ReadReply>,
+}
+
+/// One accepted request.
+#[derive(Debug)]
+struct TicketJob {
+    ticket: Ticket,
+    rank: Rank,
+    call: Option<Arc<SubmitCall>>,
+    buffer: StreamBuffer,
+    reader: Option<PendingRead>,
+    started: Option<Moment>,
+    end_read: bool,
+    keep_all: bool,
+}
+
+/// State of the service.
+#[derive(Debug)]
+pub struct LedgerState {
+    /// The engine as it was last read.
+    pub engine: EngineState,
+    settings: LedgerSettings,
+    configuration: Option<Arc<Configuration>>,
+    upstream: Option<Upstream>,
+    ledger: TicketLedger,
+    queue: FairQueue,
+    queued: HashMap<Ticket, TicketKey>,
+    jobs: HashMap<TicketKey, TicketJob>,
+    read_deadlines: BTreeSet<(Moment, TicketKey)>,
+    customers: HashMap<String, CustomerId>,
+    running: [u32; 2],
+    stopping: bool,
+}
+
+impl LedgerState {
+    /// Creates the state of a sidecar that has just started.
+    #[must_use]
+    pub fn new(settings: LedgerSettings) -> Self {
+        Self {
+            engine: EngineState::Down,
+            configuration: None,
+            upstream: None,
+            ledger: TicketLedger::new(settings.bounds),
+            queue: FairQueue::new(settings.queue),
+            queued: HashMap::new(),
+            jobs: HashMap::new(),
+            read_deadlines: BTreeSet::new(),
+            customers: HashMap::new(),
+            running: [0; 2],
+            stopping: false,
+            settings,
+        }
+    }
+
+    /// Puts a configuration in force; an older one is ignored.
+    pub fn configure(&mut self, configuration: Arc<Configuration>) {
+        let known = self.configuration.as_ref().map(|known| known.next_offset);
+        if known.is_some_and(|offset| configuration.next_offset < offset) {
+            return;
+        }
+        let name = &self.settings.upstream;
+        let upstream = configuration.upstreams.iter().find(|(_, upstream)| upstream.name == *name);
+        self.upstream = upstream.map(|(_, upstream)| upstream.clone());
+        self.configuration = Some(configuration);
+    }
+
+    /// Answers what a request would cost.
+    pub fn quote(&mut self, now: Moment, call: &QuoteCall) -> QuoteReply {
+        let rank = Rank::try_from(call.rank).unwrap_or(Rank::Routine);
+        let missing = call.prefix_keys.len();
+        let item = self.queue_item(&call.customer, rank, missing, 0, Moment::NEVER);
+        let wait_us = self.queue.expected_wait_us(now, &item, &self.running_slots());
+        QuoteReply {
+            head: self.head(),
+            open: self.refusal(&call.version).is_none(),
+            wait_us: u32::try_from(wait_us).unwrap_or(u32::MAX),
+            missing_pieces: u32::try_from(missing).unwrap_or(u32::MAX),
+        }
+    }
+
+    /// Takes in a submission.
+    pub fn submit(&mut self, now: Moment, call: SubmitCall) -> SubmitReply {
+        let verdict = match self.admit(now, call) {
+            Ok(()) => SubmitVerdict::Accepted,
+            Err(reason) => {
+                SubmitVerdict::NotRun { reason: reason.into(), retry_after_ms: 0 }
+            }
+        };
+        SubmitReply { head: self.head(), verdict }
+    }
+
+    fn admit(&mut self, now: Moment, call: SubmitCall) -> Result<(), RefusalReason> {
+        if call.incarnation != self.settings.incarnation.0 {
+            return Err(RefusalReason::WrongIncarnation);
+        }
+        let ticket = Ticket::from(call.ticket);
+        let rank = Rank::try_from(call.rank).unwrap_or(Rank::Routine);
+        let start_by = now.after(Duration::from_micros(call.start_budget_us));
+        let repeatability = call.repeatability();
+        let key = match self.ledger.submit(now, ticket, repeatability, start_by) {
+            SubmitStep::Known(_) => return Ok(()),
+            SubmitStep::Refused(reason) => return Err(reason),
+            SubmitStep::Queued(key) => key,
+        };
+        if let Some(reason) = self.refusal(&call.version) {
+            self.ledger.end(now, key, StreamEnd::NotRun(reason));
+            return Err(reason);
+        }
+        let tokens = u64::from(call.output_tokens);
+        let missing = call.prefix_keys.len();
+        let mut item = self.queue_item(&call.customer, rank, missing, tokens, start_by);
+        item.ticket = ticket;
+        let slots = self.running_slots();
+        if let OfferOutcome::Refused(reason) =
+            self.queue.offer(now, item, call.wait_limit_us, &slots)
+        {
+            self.ledger.end(now, key, StreamEnd::NotRun(reason));
+            return Err(reason);
+        }
+        self.queued.insert(ticket, key);
+        let keep_all = repeatability == Repeatability::NonIdempotent;
+        self.jobs.insert(key, new_job(ticket, rank, Some(Arc::new(call)), keep_all));
+        Ok(())
+    }
+
+    /// Answers a read, now or once there is an item or its wait is over.
+    pub fn read(&mut self, now: Moment, call: ReadCall, reply_to: ReplyTo<ReadReply>) {
+        let ticket = Ticket::from(call.ticket);
+        let Some(key) = self.ledger.read(now, ticket) else {
+            let verdict = ReadVerdict::UnknownTicket;
+            reply_to.send(ReadReply { head: self.head(), from_index: call.from_index, verdict });
+            return;
+        };
+        let wait = Duration::from_micros(call.wait_us).min(MAX_READ_WAIT);
+        let reader =
+            PendingRead { from_index: call.from_index, deadline: now.after(wait), reply_to };
+        let Some(job) = self.jobs.get_mut(&key) else {
+            self.answer_read(key, reader, true);
+            return;
+        };
+        if !job.keep_all {
+            job.buffer.acknowledge(call.from_index);
+        }
+        let replaced = self.take_reader(key);
+        if let Some(replaced) = replaced {
+            self.answer_read(key, replaced, true);
+        }
+        self.answer_read(key, reader, false);
+    }
+
+    /// Withdraws a ticket.
+    pub fn withdraw(&mut self, turn: &mut Turn<'_, Mail>, ticket: Ticket) -> WithdrawReply {
+        let verdict = match self.ledger.withdraw(turn.now, ticket) {
+            WithdrawStep::NotRun(queued) => {
+                if let Some(key) = queued {
+                    self.leave_queue(key);
+                }
+                WithdrawVerdict::NotRun
+            }
+            WithdrawStep::Cancel(key) => {
+                self.cancel(turn, key);
+                WithdrawVerdict::Cancelled
+            }
+            WithdrawStep::Running(_) => WithdrawVerdict::Running,
+            WithdrawStep::Done(_) => WithdrawVerdict::Done,
+            WithdrawStep::Forgotten => WithdrawVerdict::Forgotten,
+        };
+        WithdrawReply { head: self.head(), verdict }
+    }
+
+    /// Looks a ticket up, here and then at the engine.
+    pub fn attach(
+        &mut self,
+        turn: &mut Turn<'_, Mail>,
+        ticket: Ticket,
+        repeatability: Repeatability,
+        reply_to: ReplyTo<AttachReply>,
+    ) {
+        if self.ledger.find(ticket).is_some() {
+            let verdict = AttachVerdict::Attached;
+            reply_to.send(AttachReply { head: self.head(), verdict });
+            return;
+        }
+        let key = self.ledger.adopt(turn.now, ticket, repeatability);
+        let keep_all = repeatability == Repeatability::NonIdempotent;
+        let mut job = new_job(ticket, Rank::Routine, None, keep_all);
+        job.started = Some(turn.now);
+        self.running[job.rank.index()] += 1;
+        self.jobs.insert(key, job);
+        turn.send("engine", Mail::Engine(EngineMail::Attach(key, ticket, reply_to)));
+    }
+
+    /// Takes in what the engine said about a ticket that was looked up.
+    pub fn attached(
+        &mut self,
+        key: TicketKey,
+        verdict: AttachVerdict,
+        reply_to: ReplyTo<AttachReply>,
+    ) {
+        if verdict != AttachVerdict::Attached {
+            self.ledger.release(key);
+            self.drop_job(key);
+        }
+        reply_to.send(AttachReply { head: self.head(), verdict });
+    }
+
+    /// Takes in items that the engine has produced.
+    pub fn items(&mut self, now: Moment, key: TicketKey, items: Vec<StreamItem>) {
+        let Some(job) = self.jobs.get_mut(&key) else { return };
+        for item in items {
+            if job.buffer.push(item) == PushOutcome::Overflow {
+                self.ended(now, key, StreamEnd::EngineLost);
+                return;
+            }
+        }
+        self.answer_pending(key);
+    }
+
+    /// Takes in the end of a ticket at the engine.
+    pub fn ended(&mut self, now: Moment, key: TicketKey, end: StreamEnd) {
+        self.ledger.end(now, key, end);
+        self.leave_slot(now, key);
+        self.answer_pending(key);
+    }
+
+    /// Refuses new work from now on and hands back what is queued.
+    pub fn begin_stop(&mut self, now: Moment) {
+        self.stopping = true;
+        for item in self.queue.drain() {
+            if let Some(key) = self.queued.remove(&item.ticket) {
+                self.ledger.end(now, key, StreamEnd::NotRun(RefusalReason::Leaving));
+                self.answer_pending(key);
+            }
+        }
+    }
+
+    /// Starts what may start, handles due deadlines, and says what to wait for.
+    pub fn advance(&mut self, turn: &mut Turn<'_, Mail>) -> NextStep {
+        let now = turn.now;
+        self.expire_tickets(turn);
+        self.expire_reads(now);
+        let queue_deadline = self.start_queued(turn);
+        if self.stopping && self.is_drained() {
+            return NextStep::Stopped;
+        }
+        let reads = self.read_deadlines.first().map_or(Moment::NEVER, |(deadline, _)| *deadline);
+        wait_until(self.ledger.next_deadline().min(reads).min(queue_deadline))
+    }
+
+    fn expire_tickets(&mut self, turn: &mut Turn<'_, Mail>) {
+        while let Some(step) = self.ledger.expire(turn.now) {
+            match step {
+                ExpiryStep::NotStarted(key) => {
+                    self.leave_queue(key);
+                    self.answer_pending(key);
+                }
+                ExpiryStep::Cancel(key) => self.cancel(turn, key),
+                ExpiryStep::Forgotten(key) => self.drop_job(key),
+            }
+        }
+    }
+
+    fn expire_reads(&mut self, now: Moment) {
+        while let Some((deadline, key)) = self.read_deadlines.first().copied() {
+            if !deadline.is_due(now) {
+                return;
+            }
+            match self.take_reader(key) {
+                Some(reader) => self.answer_read(key, reader, true),
+                None => {
+                    self.read_deadlines.remove(&(deadline, key));
+                }
+            }
+        }
+    }
+
+    fn start_queued(&mut self, turn: &mut Turn<'_, Mail>) -> Moment {
+        loop {
+            let slots = self.running_slots();
+            match self.queue.next(turn.now, &slots) {
+                QueueStep::Wait => return Moment::NEVER,
+                QueueStep::WaitUntil(deadline) => return deadline,
+                QueueStep::Expired(item) => {
+                    if let Some(key) = self.queued.remove(&item.ticket) {
+                        let end = StreamEnd::NotRun(RefusalReason::StartDeadline);
+                        self.ledger.end(turn.now, key, end);
+                        self.answer_pending(key);
+                    }
+                }
+                QueueStep::Start(item) => self.start(turn, item.ticket),
+            }
+        }
+    }
+
+    fn start(&mut self, turn: &mut Turn<'_, Mail>, ticket: Ticket) {
+        let Some(key) = self.queued.remove(&ticket) else {
+            self.queue.finished(ticket, 0);
+            return;
+        };
+        if self.ledger.start(turn.now, key) != StartStep::Start {
+            self.queue.finished(ticket, 0);
+            self.answer_pending(key);
+            return;
+        }
+        let Some(job) = self.jobs.get_mut(&key) else { return };
+        let Some(call) = job.call.take() else { return };
+        job.started = Some(turn.now);
+        self.running[job.rank.index()] += 1;
+        turn.send("engine", Mail::Engine(EngineMail::Start(key, call)));
+    }
+
+    fn cancel(&mut self, turn: &mut Turn<'_, Mail>, key: TicketKey) {
+        self.leave_slot(turn.now, key);
+        if let Some(job) = self.jobs.get(&key) {
+            let mail = EngineMail::Cancel(key, job.ticket);
+            turn.send("engine", Mail::Engine(mail));
+        }
+        self.answer_pending(key);
+    }
+
+    fn leave_queue(&mut self, key: TicketKey) {
+        let Some(job) = self.jobs.get(&key) else { return };
+        self.queue.remove(job.ticket);
+        self.queued.remove(&job.ticket);
+    }
+
+    fn leave_slot(&mut self, now: Moment, key: TicketKey) {
+        let Some(job) = self.jobs.get_mut(&key) else { return };
+        let Some(started) = job.started.take() else { return };
+        self.running[job.rank.index()] -= 1;
+        let actual = now.since(started).as_micros();
+        self.queue.finished(job.ticket, u64::try_from(actual).unwrap_or(u64::MAX));
+    }
+
+    fn drop_job(&mut self, key: TicketKey) {
+        drop(self.take_reader(key));
+        if let Some(job) = self.jobs.remove(&key)
+            && job.started.is_some()
+        {
+            self.running[job.rank.index()] -= 1;
+        }
+    }
+
+    fn take_reader(&mut self, key: TicketKey) -> Option<PendingRead> {
+        let reader = self.jobs.get_mut(&key)?.reader.take()?;
+        self.read_deadlines.remove(&(reader.deadline, key));
+        Some(reader)
+    }
+
+    fn answer_pending(&mut self, key: TicketKey) {
+        if let Some(reader) = self.take_reader(key) {
+            self.answer_read(key, reader, false);
+        }
+    }
+
+    /// Answers a read with what there is; without anything it waits, unless `now_or_never`.
+    fn answer_read(&mut self, key: TicketKey, reader: PendingRead, now_or_never: bool) {
+        let state = self.ledger.get(key).map(|entry| entry.state);
+        let head = self.head();
+        let mut items = Vec::new();
+        let mut end = match state {
+            Some(TicketState::Ended(end)) => Some(WireEnd::from(end)),
+            _ => None,
+        };
+        if let Some(job) = self.jobs.get_mut(&key) {
+            items = job.buffer.read(reader.from_index);
+            if reader.from_index + (items.len() as u64) < job.buffer.next_index() {
+                end = None;
+            }
+            if items.is_empty() && end.is_none() && !now_or_never {
+                self.read_deadlines.insert((reader.deadline, key));
+                job.reader = Some(reader);
+                return;
+            }
+            job.end_read |= end.is_some();
+        }
+        let verdict = ReadVerdict::Items { items, end };
+        reader.reply_to.send(ReadReply { head, from_index: reader.from_index, verdict });
+    }
+
+    fn refusal(&self, version: &str) -> Option<RefusalReason> {
+        let Some(upstream) = &self.upstream else {
+            return Some(RefusalReason::NoConfiguration);
+        };
+        if self.stopping || upstream.retired {
+            return Some(RefusalReason::Leaving);
+        }
+        match &self.engine {
+            EngineState::Down => Some(RefusalReason::EngineDown),
+            EngineState::Up { version: served, .. } => {
+                (served != version).then_some(RefusalReason::WrongVersion)
+            }
+        }
+    }
+
+    fn queue_item(
+        &mut self,
+        customer: &str,
+        rank: Rank,
+        missing: usize,
+        tokens: u64,
+        start_by: Moment,
+    ) -> QueueItem {
+        let next_id = CustomerId(u32::try_from(self.customers.len()).unwrap_or(u32::MAX));
+        let id = *self.customers.entry(customer.to_owned()).or_insert(next_id);
+        let declared = self.configuration.as_ref().and_then(|configuration| {
+            configuration.customers.iter().find(|(_, declared)| declared.name == customer)
+        });
+        let share = declared.map_or(CustomerShare { weight: 1, max_in_flight: 1 }, |(_, c)| {
+            CustomerShare { weight: c.weight, max_in_flight: c.max_in_flight }
+        });
+        let tokens = if tokens == 0 { DEFAULT_OUTPUT_TOKENS } else { tokens };
+        let prefill_us = PREFILL_PIECE_US * missing as u64;
+        QueueItem {
+            ticket: Ticket { entry: Incarnation(0), sequence: 0 },
+            customer: id,
+            share,
+            rank,
+            cost_us: prefill_us + OUTPUT_TOKEN_US * tokens,
+            start_by,
+        }
+    }
+
+    fn running_slots(&self) -> RunningSlots {
+        let slots = self.upstream.as_ref().map_or(0, |upstream| upstream.slots);
+        RunningSlots { slots, running: self.running }
+    }
+
+    fn is_drained(&self) -> bool {
+        self.jobs.values().all(|job| {
+            let running = job.started.is_some();
+            !running && (job.end_read || job.call.is_some())
+        })
+    }
+
+    fn head(&self) -> ReplyHead {
+        let epoch = match &self.engine {
+            EngineState::Up { epoch, .. } => epoch.0,
+            EngineState::Down => 0,
+        };
+        let offset = self.configuration.as_ref().map_or(0, |c| c.next_offset.0);
+        ReplyHead {
+            incarnation: self.settings.incarnation.0,
+            epoch,
+            next_offset: offset,
+            wait_us: 0,
+        }
+    }
+
+    /// Returns the state as JSON.
+    #[must_use]
+    pub fn dump(&self) -> serde_json::Value {
+        serde_json::json!({
+            "incarnation": format!("{:016x}", self.settings.incarnation.0),
+            "upstream": self.settings.upstream,
+            "engine": format!("{:?}", self.engine),
+            "next_offset": self.head().next_offset,
+            "tickets": self.ledger.len(),
+            "queued": self.queue.len(),
+            "running": {"urgent": self.running[0], "routine": self.running[1]},
+            "answer_bytes": self.jobs.values().map(|job| job.buffer.bytes()).sum::<usize>(),
+            "stopping": self.stopping,
+        })
+    }
+}
+
+fn new_job(
+    ticket: Ticket,
+    rank: Rank,
+    call: Option<Arc<SubmitCall>>,
+    keep_all: bool,
+) -> TicketJob {
+    TicketJob {
+        ticket,
+        rank,
+        call,
+        buffer: StreamBuffer::default(),
+        reader: None,
+        started: None,
+        end_read: false,
+        keep_all,
+    }
+}
--- a/src/services/mail.rs
+++ b/src/services/mail.rs
@@ -1,16 +1,31 @@
 //! Messages between the services of a process, one type for each receiving service.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 
 use crate::decide::config::Configuration;
-use crate::decide::ids::LogOffset;
+use crate::decide::ids::{EngineEpoch, LogOffset, Repeatability, Ticket};
+use crate::decide::ledger::TicketKey;
+use crate::decide::outcome::StreamEnd;
 use crate::kernel::ReplyTo;
+use crate::wire::rpc::{
+    AttachReply, AttachVerdict, QuoteCall, QuoteReply, ReadCall, ReadReply, SidecarRpcClient,
+    StreamItem, SubmitCall, SubmitReply, WithdrawReply,
+};
 
 /// Any message; the variant names the receiving service.
 #[derive(Debug)]
 pub enum Mail {
     /// To the service `config`.
     Config(ConfigMail),
+    /// To the sidecar's service `ledger`.
+    Ledger(LedgerMail),
+    /// To the sidecar's I/O task `engine`.
+    Engine(EngineMail),
+    /// To the entry's I/O task `dialer`.
+    Dialer(DialerMail),
+    /// To the entry's service `tickets`.
+    Tickets(TicketsMail),
 }
 
 /// Messages to the service `config`, which owns the configuration in force.
@@ -21,3 +36,87 @@
     /// Another process has been heard to have this offset in force.
     Heard(LogOffset),
 }
+
+/// Messages to the service `ledger`, which owns the upstream's tickets, queue and answers.
+#[derive(Debug)]
+pub enum LedgerMail {
+    /// Asks what a request would cost.
+    Quote(QuoteCall, ReplyTo<QuoteReply>),
+    /// Submits a request.
+    Submit(SubmitCall, ReplyTo<SubmitReply>),
+    /// Reads an answer by index.
+    Read(ReadCall, ReplyTo<ReadReply>),
+    /// Withdraws a ticket.
+    Withdraw(Ticket, ReplyTo<WithdrawReply>),
+    /// Looks a ticket up at the engine.
+    Attach(Ticket, Repeatability, ReplyTo<AttachReply>),
+    /// The engine has produced items of a running ticket.
+    Items(TicketKey, Vec<StreamItem>),
+    /// The engine has ended a ticket.
+    Ended(TicketKey, StreamEnd),
+    /// The engine was asked for a ticket after a restart.
+    Attached(TicketKey, AttachVerdict, ReplyTo<AttachReply>),
+    /// The engine's state was read.
+    EngineState(EngineState),
+    /// A new configuration is in force.
+    Configured(Arc<Configuration>),
+}
+
+/// State of an engine as it was last read.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum EngineState {
+    /// It answers.
+    Up {
+        /// Its present life.
+        epoch: EngineEpoch,
+        /// Weights version that it serves; empty for plain services.
+        version: String,
+    },
+    /// It does not answer.
+    Down,
+}
+
+/// Messages to the I/O task `engine`, which owns the connections to the upstream.
+#[derive(Debug)]
+pub enum EngineMail {
+    /// Starts a ticket.
+    Start(TicketKey, Arc<SubmitCall>),
+    /// Cancels a ticket and drops its connection.
+    Cancel(TicketKey, Ticket),
+    /// Looks a ticket up and streams it from the start if it is found.
+    Attach(TicketKey, Ticket, ReplyTo<AttachReply>),
+}
+
+/// Messages to the I/O task `dialer`, which owns the connections to the sidecars.
+#[derive(Debug)]
+pub enum DialerMail {
+    /// Asks for a connection to a sidecar, dialling it if there is none.
+    Connect(SocketAddr, ReplyTo<DialOutcome>),
+    /// A call on the numbered connection got no answer; it is not to be used again.
+    Broken(SocketAddr, u64),
+}
+
+/// What the dialer has for a sidecar.
+#[derive(Debug, Clone)]
+pub enum DialOutcome {
+    /// A connection and its number.
+    Connected(SidecarRpcClient, u64),
+    /// The sidecar cannot be reached at present.
+    Unreachable,
+}
+
+/// Messages to the service `tickets`, which mints tickets and grants retries.
+#[derive(Debug)]
+pub enum TicketsMail {
+    /// Asks for a fresh ticket of a request that is submitted for the n-th time, from 1.
+    Mint(u32, ReplyTo<MintOutcome>),
+}
+
+/// Answer to [`TicketsMail::Mint`].
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum MintOutcome {
+    /// A fresh ticket.
+    Minted(Ticket),
+    /// Retries are used up for now.
+    OverBudget,
+}
--- a/src/services/mod.rs
+++ b/src/services/mod.rs
@@ -1,3 +1,12 @@
 //! Services and I/O tasks that the binaries are put together from.
 
+pub mod dialer;
+pub mod engine_stream;
+pub mod engine_task;
+pub mod engine_watch;
+pub mod ledger;
+pub mod ledger_state;
 pub mod mail;
+pub mod sidecar_rpc;
+pub mod stream_buffer;
+pub mod tickets;
--- /dev/null
+++ b/src/services/sidecar_rpc.rs
@@ -0,0 +1,127 @@
+//! I/O task `rpc` of a sidecar: the server side of the calls from entries.
+
+use futures::{Future, StreamExt};
+use tarpc::context::Context;
+use tarpc::server::{BaseChannel, Channel};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::task::JoinSet;
+
+use super::mail::{LedgerMail, Mail};
+use crate::decide::ids::{Repeatability, Ticket};
+use crate::decide::outcome::RefusalReason;
+use crate::kernel::{Directory, Inbox, IoTask, ReplyTo, Signal};
+use crate::wire::rpc::{
+    AttachReply, AttachVerdict, QuoteCall, QuoteReply, ReadCall, ReadReply, ReadVerdict, ReplyHead,
+    SidecarRpc, SubmitCall, SubmitReply, SubmitVerdict, WireTicket, WithdrawReply, WithdrawVerdict,
+};
+use crate::wire::transport;
+
+/// Connections served at the same time; further ones wait in the listen queue.
+const MAX_CONNECTIONS: usize = 4_096;
+
+/// Creates the I/O task `rpc`, which serves the listener.
+#[must_use]
+pub fn rpc_task(listener: TcpListener) -> IoTask<Mail> {
+    IoTask::new("rpc", move |inbox, directory| run(listener, inbox, directory))
+}
+
+async fn run(listener: TcpListener, mut inbox: Inbox<Mail>, directory: Directory<Mail>) {
+    let mut connections = JoinSet::new();
+    loop {
+        tokio::select! {
+            accepted = listener.accept(), if connections.len() < MAX_CONNECTIONS => {
+                if let Ok((stream, _peer)) = accepted {
+                    connections.spawn(serve(stream, directory.clone()));
+                }
+            }
+            Some(_ended) = connections.join_next() => {}
+            signal = inbox.receive() => match signal {
+                Some(Signal::Dump(reply_to)) => {
+                    reply_to.send(serde_json::json!({"connections": connections.len()}));
+                }
+                Some(Signal::Stop) | None => return,
+                Some(_) => {}
+            },
+        }
+    }
+}
+
+async fn serve(stream: TcpStream, directory: Directory<Mail>) {
+    let channel = BaseChannel::with_defaults(transport::framed(stream));
+    let calls = CallHandler { directory };
+    let responses = channel.execute(calls.serve());
+    responses
+        .for_each(|response| async {
+            tokio::spawn(response);
+        })
+        .await;
+}
+
+/// Hands each call to the service `ledger` and its reply back.
+#[derive(Debug, Clone)]
+struct CallHandler {
+    directory: Directory<Mail>,
+}
+
+impl CallHandler {
+    async fn ask<T: Send + 'static>(
+        &self,
+        question: impl FnOnce(ReplyTo<T>) -> LedgerMail,
+    ) -> Option<T> {
+        self.directory.ask("ledger", |reply_to| Mail::Ledger(question(reply_to))).await
+    }
+}
+
+impl SidecarRpc for CallHandler {
+    async fn quote(self, _: Context, call: QuoteCall) -> QuoteReply {
+        let reply = self.ask(|reply_to| LedgerMail::Quote(call, reply_to)).await;
+        reply.unwrap_or_else(|| QuoteReply {
+            head: ReplyHead::default(),
+            open: false,
+            wait_us: u32::MAX,
+            missing_pieces: u32::MAX,
+        })
+    }
+
+    async fn submit(self, _: Context, call: SubmitCall) -> SubmitReply {
+        let reply = self.ask(|reply_to| LedgerMail::Submit(call, reply_to)).await;
+        // Without a reply the ledger has not taken the submission in.
+        reply.unwrap_or_else(|| SubmitReply {
+            head: ReplyHead::default(),
+            verdict: SubmitVerdict::NotRun {
+                reason: RefusalReason::Leaving.into(),
+                retry_after_ms: 0,
+            },
+        })
+    }
+
+    async fn read(self, _: Context, call: ReadCall) -> ReadReply {
+        let reply = self.ask(|reply_to| LedgerMail::Read(call, reply_to)).await;
+        reply.unwrap_or_else(|| ReadReply {
+            head: ReplyHead::default(),
+            from_index: call.from_index,
+            verdict: ReadVerdict::Items { items: Vec::new(), end: None },
+        })
+    }
+
+    async fn withdraw(self, _: Context, ticket: WireTicket) -> WithdrawReply {
+        let ticket = Ticket::from(ticket);
+        let reply = self.ask(|reply_to| LedgerMail::Withdraw(ticket, reply_to)).await;
+        reply.unwrap_or_else(|| WithdrawReply {
+            head: ReplyHead::default(),
+            verdict: WithdrawVerdict::Forgotten,
+        })
+    }
+
+    async fn attach(self, _: Context, ticket: WireTicket, idempotent: bool) -> AttachReply {
+        let ticket = Ticket::from(ticket);
+        let repeatability =
+            if idempotent { Repeatability::Idempotent } else { Repeatability::NonIdempotent };
+        let reply =
+            self.ask(|reply_to| LedgerMail::Attach(ticket, repeatability, reply_to)).await;
+        reply.unwrap_or_else(|| AttachReply {
+            head: ReplyHead::default(),
+            verdict: AttachVerdict::EngineDown,
+        })
+    }
+}
--- a/src/wire/mod.rs
+++ b/src/wire/mod.rs
@@ -4,3 +4,4 @@
 pub mod openai;
 pub mod rpc;
 pub mod sse;
+pub mod transport;
--- a/src/wire/rpc.rs
+++ b/src/wire/rpc.rs
@@ -174,6 +174,8 @@
     pub start_budget_us: u64,
     /// Longest expected wait in microseconds; a longer queue refuses as busy.
     pub wait_limit_us: u64,
+    /// Output tokens that the request may take; 0 when not stated.
+    pub output_tokens: u32,
     /// HTTP method towards the upstream.
     pub method: String,
     /// Path and query towards the upstream.
@@ -261,6 +263,8 @@
     NotRun(WireReason),
     /// The engine was lost after the start.
     EngineLost,
+    /// May have started.
+    Uncertain,
     /// Cancelled while it ran.
     Cancelled,
 }
@@ -271,6 +275,7 @@
             StreamEnd::Complete => Self::Complete,
             StreamEnd::NotRun(reason) => Self::NotRun(reason.into()),
             StreamEnd::EngineLost => Self::EngineLost,
+            StreamEnd::Uncertain => Self::Uncertain,
             StreamEnd::Cancelled => Self::Cancelled,
         }
     }
@@ -284,6 +289,7 @@
             WireEnd::Complete => Self::Complete,
             WireEnd::NotRun(reason) => Self::NotRun(reason.try_into()?),
             WireEnd::EngineLost => Self::EngineLost,
+            WireEnd::Uncertain => Self::Uncertain,
             WireEnd::Cancelled => Self::Cancelled,
         })
     }
