Replay configuration records and read them from the log

Cause: the configuration has to be the same at every process without a coordination service; the log's order decides and replay must be deterministic. A record carries a whole plan (several changes, all or nothing), the offset it was planned at, a plan identity by which its author finds it again, and whether it was forced. Ruled out: one record for each change (half a plan could stay in force when a racing record lands in between), and a list of grounds in the record for crossing plans (a retirement cannot name the customers that a later move brings; replay checks instead that no customer loses the last upstream that serves it). Ruled out: applying past a gap; a missing offset may hold anything, so nothing changes. Before: no replay. With the ground check made strictly-after and the stranding check off, of_two_plans_for_one_object_the_first_wins (refusal missing) and crossing_plans_for_different_objects_strand_nobody failed. The reader task and ctl apply have not met a running platform yet.

--- a/src/bin/ctl.rs
+++ b/src/bin/ctl.rs
@@ -1,2 +1,10 @@
-//! x
-fn main() {}
+//! Command line of the operators.
+
+use std::process::ExitCode;
+
+use bulrushslip::ctl;
+
+#[tokio::main(flavor = "current_thread")]
+async fn main() -> ExitCode {
+    ctl::run(argh::from_env()).await.into()
+}
--- a/src/decide/config.rs
+++ b/src/decide/config.rs
@@ -1,7 +1,8 @@
 //! Declared configuration: customers, models, upstreams, services and ranks.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, HashMap};
 
+use super::config_change::ObjectName;
 use super::ids::{LogOffset, Rank};
 use crate::kernel::{Arena, Key};
 
@@ -17,6 +18,18 @@
 /// Addresses one declared plain service.
 pub type ServiceKey = Key<PlainService>;
 
+/// Share of slots that urgent work keeps unless declared otherwise, in percent.
+const URGENT_FLOOR_PERCENT: u8 = 50;
+
+/// Share of slots that routine work keeps unless declared otherwise, in percent.
+const ROUTINE_FLOOR_PERCENT: u8 = 20;
+
+/// Milliseconds within which urgent work must start unless declared otherwise.
+const URGENT_START_TIMEOUT_MS: u32 = 5_000;
+
+/// Milliseconds within which routine work must start unless declared otherwise.
+const ROUTINE_START_TIMEOUT_MS: u32 = 60_000;
+
 /// BLAKE3 hash of a bearer key; configuration never holds the key itself.
 pub type BearerHash = [u8; 32];
 
@@ -86,6 +99,21 @@
     pub retired: bool,
 }
 
+impl Upstream {
+    /// Tells whether the upstream takes work for this version of a model.
+    #[must_use]
+    pub fn serves(&self, model: &str, version: &str) -> bool {
+        match &self.kind {
+            UpstreamKind::Engine {
+                model: own_model,
+                version: own_version,
+                ..
+            } => !self.retired && own_model == model && own_version == version,
+            UpstreamKind::Plain { .. } => false,
+        }
+    }
+}
+
 /// A plain service behind `/services/NAME/`.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct PlainService {
@@ -106,6 +134,22 @@
     pub start_timeout_ms: u32,
 }
 
+impl RankPolicy {
+    /// Returns the targets of a rank that none have been declared for.
+    #[must_use]
+    pub const fn default_for(rank: Rank) -> Self {
+        let (floor_percent, start_timeout_ms) = match rank {
+            Rank::Urgent => (URGENT_FLOOR_PERCENT, URGENT_START_TIMEOUT_MS),
+            Rank::Routine => (ROUTINE_FLOOR_PERCENT, ROUTINE_START_TIMEOUT_MS),
+        };
+        Self {
+            rank,
+            floor_percent,
+            start_timeout_ms,
+        }
+    }
+}
+
 /// The configuration in force: the outcome of replaying the log up to an offset.
 #[derive(Debug, Clone, Default)]
 pub struct Configuration {
@@ -121,4 +165,83 @@
     pub services: Arena<PlainService>,
     /// Targets by rank, at most one for each.
     pub ranks: Vec<RankPolicy>,
+    /// Offset of the last change of each object, also of removed ones.
+    pub changed: BTreeMap<ObjectName, LogOffset>,
+    /// Customers by the hashes of their bearer keys.
+    pub bearers: HashMap<BearerHash, CustomerKey>,
+}
+
+impl Configuration {
+    /// Returns the customer that a bearer key authenticates.
+    #[must_use]
+    pub fn customer_by_bearer(&self, hash: &BearerHash) -> Option<(CustomerKey, &Customer)> {
+        let key = *self.bearers.get(hash)?;
+        Some((key, self.customers.get(key)?))
+    }
+
+    /// Returns the customer of this name.
+    #[must_use]
+    pub fn customer(&self, name: &str) -> Option<(CustomerKey, &Customer)> {
+        self.customers
+            .iter()
+            .find(|(_, customer)| customer.name == name)
+    }
+
+    /// Returns the model of this name.
+    #[must_use]
+    pub fn model(&self, name: &str) -> Option<(ModelKey, &Model)> {
+        self.models.iter().find(|(_, model)| model.name == name)
+    }
+
+    /// Returns the upstream of this name.
+    #[must_use]
+    pub fn upstream(&self, name: &str) -> Option<(UpstreamKey, &Upstream)> {
+        self.upstreams
+            .iter()
+            .find(|(_, upstream)| upstream.name == name)
+    }
+
+    /// Returns the plain service of this name.
+    #[must_use]
+    pub fn service(&self, name: &str) -> Option<(ServiceKey, &PlainService)> {
+        self.services
+            .iter()
+            .find(|(_, service)| service.name == name)
+    }
+
+    /// Returns the targets of a rank, by default if none are declared.
+    #[must_use]
+    pub fn rank_policy(&self, rank: Rank) -> RankPolicy {
+        let declared = self.ranks.iter().find(|policy| policy.rank == rank);
+        declared
+            .copied()
+            .unwrap_or_else(|| RankPolicy::default_for(rank))
+    }
+
+    /// Returns the version of a model's weights that a customer's new requests run on.
+    #[must_use]
+    pub fn version_for<'a>(&'a self, customer: &'a Customer, model: &str) -> Option<&'a str> {
+        let (_, declared) = self.model(model)?;
+        Some(customer.versions.get(model).unwrap_or(&declared.version))
+    }
+
+    /// Iterates over the upstreams that take work for this version of a model.
+    pub fn engines(
+        &self,
+        model: &str,
+        version: &str,
+    ) -> impl Iterator<Item = (UpstreamKey, &Upstream)> {
+        self.upstreams
+            .iter()
+            .filter(move |(_, upstream)| upstream.serves(model, version))
+    }
+
+    /// Iterates over the upstreams that take work for a plain service.
+    pub fn plain_upstreams(&self, service: &str) -> impl Iterator<Item = (UpstreamKey, &Upstream)> {
+        self.upstreams.iter().filter(move |(_, upstream)| {
+            let runs =
+                matches!(&upstream.kind, UpstreamKind::Plain { service: own } if own == service);
+            runs && !upstream.retired
+        })
+    }
 }
--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -3,6 +3,9 @@
 //! Nothing here knows sockets, clocks, encodings or tasks, so any front end can drive it.
 
 pub mod config;
+pub mod config_change;
+pub mod config_check;
 pub mod ids;
 pub mod outcome;
 pub mod prefix;
+pub mod replay;
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -3,6 +3,7 @@
 //! The crate is laid out as a micro-kernel ([`kernel`]) with services that find each other by
 //! name; docs/DESIGN.md describes the parts.
 
+pub mod ctl;
 pub mod decide;
 pub mod kernel;
 pub mod platform;
--- a/src/platform/mod.rs
+++ b/src/platform/mod.rs
@@ -2,3 +2,4 @@
 
 pub mod http_client;
 pub mod http_server;
+pub mod log_client;
--- /dev/null
+++ b/src/wire/config_objects.rs
@@ -0,0 +1,328 @@
+//! JSON form of the declared objects of the configuration.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+
+use quick_error::quick_error;
+use serde::{Deserialize, Serialize};
+
+use crate::decide::config::{
+    BearerHash, Customer, Model, PlainService, RankPolicy, Upstream, UpstreamKind,
+};
+use crate::decide::ids::Rank;
+use crate::decide::prefix::DEFAULT_PIECE_BYTES;
+
+quick_error! {
+    /// Why a record on the log has no meaning.
+    #[derive(Debug, Clone, PartialEq, Eq)]
+    pub enum RecordError {
+        /// Not a record of a known kind.
+        Malformed(message: String) {
+            display("malformed record: {}", message)
+        }
+        /// A field holds a value that its type does not allow.
+        Field(field: &'static str, value: String) {
+            display("field {} cannot be {:?}", field, value)
+        }
+    }
+}
+
+/// Customer on the wire.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct WireCustomer {
+    /// Unique name.
+    pub name: String,
+    /// BLAKE3 hashes of bearer keys, in hexadecimal.
+    #[serde(default)]
+    pub bearer_hashes: Vec<String>,
+    /// Names of ranks.
+    pub ranks: Vec<String>,
+    /// Share relative to other customers.
+    #[serde(default = "default_weight")]
+    pub weight: u32,
+    /// Requests at one upstream at the same time.
+    pub max_in_flight: u32,
+    /// Prompt pieces that decide the placement.
+    #[serde(default = "default_placement_pieces")]
+    pub placement_pieces: u32,
+    /// Weights version by model name.
+    #[serde(default)]
+    pub versions: BTreeMap<String, String>,
+}
+
+/// Model on the wire.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct WireModel {
+    /// Unique name.
+    pub name: String,
+    /// Weights version by default.
+    pub version: String,
+    /// Bytes of prompt text in one cache piece.
+    #[serde(default = "default_piece_bytes")]
+    pub piece_bytes: u32,
+}
+
+/// Kind of an upstream on the wire.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case", deny_unknown_fields)]
+pub enum WireKind {
+    /// A model engine.
+    Engine {
+        /// Name of the model.
+        model: String,
+        /// Target version of the weights.
+        version: String,
+        /// Whether the engine refuses orders with an old fencing number.
+        #[serde(default)]
+        checks_fence: bool,
+    },
+    /// A plain service.
+    Plain {
+        /// Name of the service.
+        service: String,
+    },
+}
+
+/// Upstream on the wire.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct WireUpstream {
+    /// Unique name.
+    pub name: String,
+    /// Data centre in which it stands.
+    pub data_centre: String,
+    /// IP address and port of its sidecar.
+    pub sidecar: String,
+    /// What it runs.
+    pub kind: WireKind,
+    /// Requests that it runs at the same time.
+    pub slots: u32,
+    /// Whether it is to take no more work.
+    #[serde(default)]
+    pub retired: bool,
+}
+
+/// Plain service on the wire.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct WireService {
+    /// Unique name.
+    pub name: String,
+    /// HTTP methods that may be repeated, besides GET.
+    #[serde(default)]
+    pub idempotent_methods: Vec<String>,
+}
+
+/// Targets of a rank on the wire.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct WireRankPolicy {
+    /// Name of the rank.
+    pub rank: String,
+    /// Share of slots kept in a flood of the other rank, in percent.
+    pub floor_percent: u8,
+    /// Milliseconds within which a request must start.
+    pub start_timeout_ms: u32,
+}
+
+impl From<Customer> for WireCustomer {
+    fn from(customer: Customer) -> Self {
+        Self {
+            name: customer.name,
+            bearer_hashes: customer.bearer_hashes.iter().map(write_hash).collect(),
+            ranks: customer
+                .ranks
+                .iter()
+                .map(|rank| rank.name().to_owned())
+                .collect(),
+            weight: customer.weight,
+            max_in_flight: customer.max_in_flight,
+            placement_pieces: customer.placement_pieces,
+            versions: customer.versions,
+        }
+    }
+}
+
+impl TryFrom<WireCustomer> for Customer {
+    type Error = RecordError;
+
+    fn try_from(customer: WireCustomer) -> Result<Self, Self::Error> {
+        let hashes: Result<_, _> = customer
+            .bearer_hashes
+            .iter()
+            .map(|h| read_hash(h))
+            .collect();
+        let ranks: Result<_, _> = customer
+            .ranks
+            .iter()
+            .map(|rank| read_rank("ranks", rank))
+            .collect();
+        Ok(Self {
+            name: customer.name,
+            bearer_hashes: hashes?,
+            ranks: ranks?,
+            weight: customer.weight,
+            max_in_flight: customer.max_in_flight,
+            placement_pieces: customer.placement_pieces,
+            versions: customer.versions,
+        })
+    }
+}
+
+impl From<Model> for WireModel {
+    fn from(model: Model) -> Self {
+        Self {
+            name: model.name,
+            version: model.version,
+            piece_bytes: model.piece_bytes,
+        }
+    }
+}
+
+impl From<WireModel> for Model {
+    fn from(model: WireModel) -> Self {
+        Self {
+            name: model.name,
+            version: model.version,
+            piece_bytes: model.piece_bytes,
+        }
+    }
+}
+
+impl From<UpstreamKind> for WireKind {
+    fn from(kind: UpstreamKind) -> Self {
+        match kind {
+            UpstreamKind::Engine {
+                model,
+                version,
+                checks_fence,
+            } => Self::Engine {
+                model,
+                version,
+                checks_fence,
+            },
+            UpstreamKind::Plain { service } => Self::Plain { service },
+        }
+    }
+}
+
+impl From<WireKind> for UpstreamKind {
+    fn from(kind: WireKind) -> Self {
+        match kind {
+            WireKind::Engine {
+                model,
+                version,
+                checks_fence,
+            } => Self::Engine {
+                model,
+                version,
+                checks_fence,
+            },
+            WireKind::Plain { service } => Self::Plain { service },
+        }
+    }
+}
+
+impl From<Upstream> for WireUpstream {
+    fn from(upstream: Upstream) -> Self {
+        Self {
+            name: upstream.name,
+            data_centre: upstream.data_centre,
+            sidecar: upstream.sidecar.to_string(),
+            kind: upstream.kind.into(),
+            slots: upstream.slots,
+            retired: upstream.retired,
+        }
+    }
+}
+
+impl TryFrom<WireUpstream> for Upstream {
+    type Error = RecordError;
+
+    fn try_from(upstream: WireUpstream) -> Result<Self, Self::Error> {
+        let sidecar: SocketAddr = upstream
+            .sidecar
+            .parse()
+            .map_err(|_not_address| RecordError::Field("sidecar", upstream.sidecar))?;
+        Ok(Self {
+            name: upstream.name,
+            data_centre: upstream.data_centre,
+            sidecar,
+            kind: upstream.kind.into(),
+            slots: upstream.slots,
+            retired: upstream.retired,
+        })
+    }
+}
+
+impl From<PlainService> for WireService {
+    fn from(service: PlainService) -> Self {
+        Self {
+            name: service.name,
+            idempotent_methods: service.idempotent_methods,
+        }
+    }
+}
+
+impl From<WireService> for PlainService {
+    fn from(service: WireService) -> Self {
+        Self {
+            name: service.name,
+            idempotent_methods: service.idempotent_methods,
+        }
+    }
+}
+
+impl From<RankPolicy> for WireRankPolicy {
+    fn from(policy: RankPolicy) -> Self {
+        Self {
+            rank: policy.rank.name().to_owned(),
+            floor_percent: policy.floor_percent,
+            start_timeout_ms: policy.start_timeout_ms,
+        }
+    }
+}
+
+impl TryFrom<WireRankPolicy> for RankPolicy {
+    type Error = RecordError;
+
+    fn try_from(policy: WireRankPolicy) -> Result<Self, Self::Error> {
+        Ok(Self {
+            rank: read_rank("rank", &policy.rank)?,
+            floor_percent: policy.floor_percent,
+            start_timeout_ms: policy.start_timeout_ms,
+        })
+    }
+}
+
+fn read_rank(field: &'static str, text: &str) -> Result<Rank, RecordError> {
+    Rank::parse(text).ok_or_else(|| RecordError::Field(field, text.to_owned()))
+}
+
+fn read_hash(text: &str) -> Result<BearerHash, RecordError> {
+    let hash = blake3::Hash::from_hex(text);
+    let hash = hash.map_err(|_not_hex| RecordError::Field("bearer_hashes", text.to_owned()))?;
+    Ok(*hash.as_bytes())
+}
+
+fn write_hash(hash: &BearerHash) -> String {
+    blake3::Hash::from_bytes(*hash).to_string()
+}
+
+const fn default_weight() -> u32 {
+    1
+}
+
+const fn default_placement_pieces() -> u32 {
+    2
+}
+
+#[expect(
+    clippy::cast_possible_truncation,
+    reason = "the constant is far below the limit"
+)]
+const fn default_piece_bytes() -> u32 {
+    DEFAULT_PIECE_BYTES as u32
+}
