--- a/src/decide/ledger.rs
+++ b/src/decide/ledger.rs
@@ -213,7 +213,9 @@
 
     /// Drops an adopted ticket that the engine does not know, as if it had not been asked about.
     pub fn release(&mut self, key: TicketKey) {
-        let Some(entry) = self.tickets.remove(key) else { return };
+        let Some(entry) = self.tickets.remove(key) else {
+            return;
+        };
         self.by_deadline.remove(&(entry_deadline(&entry), key));
         self.by_ticket.remove(&entry.ticket);
     }
--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -4,7 +4,10 @@
 
 pub mod attempt;
 pub mod config;
+pub mod config_change;
+pub mod config_check;
 pub mod ids;
 pub mod ledger;
 pub mod outcome;
 pub mod prefix;
+pub mod replay;
--- a/src/services/dialer.rs
+++ b/src/services/dialer.rs
@@ -60,8 +60,10 @@
                 }
                 Some(SidecarLink::Dialling(askers)) => askers.push(reply_to),
                 None => {
-                    self.links.insert(address, SidecarLink::Dialling(vec![reply_to]));
-                    self.dials.spawn(async move { (address, dial(address).await) });
+                    self.links
+                        .insert(address, SidecarLink::Dialling(vec![reply_to]));
+                    self.dials
+                        .spawn(async move { (address, dial(address).await) });
                 }
             },
             DialerMail::Broken(address, number) => {
@@ -76,10 +78,13 @@
     fn dialled(&mut self, address: SocketAddr, client: Option<SidecarRpcClient>) {
         self.dialled += 1;
         let number = self.dialled;
-        let Some(SidecarLink::Dialling(askers)) = self.links.remove(&address) else { return };
+        let Some(SidecarLink::Dialling(askers)) = self.links.remove(&address) else {
+            return;
+        };
         let outcome = match client {
             Some(client) => {
-                self.links.insert(address, SidecarLink::Connected(client.clone(), number));
+                self.links
+                    .insert(address, SidecarLink::Connected(client.clone(), number));
                 DialOutcome::Connected(client, number)
             }
             None => DialOutcome::Unreachable,
@@ -95,6 +100,9 @@
 }
 
 async fn dial(address: SocketAddr) -> Option<SidecarRpcClient> {
-    let stream = timeout(DIAL_TIMEOUT, TcpStream::connect(address)).await.ok()?.ok()?;
+    let stream = timeout(DIAL_TIMEOUT, TcpStream::connect(address))
+        .await
+        .ok()?
+        .ok()?;
     Some(SidecarRpcClient::new(Config::default(), transport::framed(stream)).spawn())
 }
--- a/src/services/engine_stream.rs
+++ b/src/services/engine_stream.rs
@@ -117,7 +117,11 @@
             return NextTry::End(StreamEnd::NotRun(RefusalReason::EngineDown));
         };
         let is_model = self.target.kind == EngineKind::Model;
-        let limit = if is_model { HEAD_TIMEOUT } else { PLAIN_HEAD_TIMEOUT };
+        let limit = if is_model {
+            HEAD_TIMEOUT
+        } else {
+            PLAIN_HEAD_TIMEOUT
+        };
         match http_client::open(self.target.address, request, limit).await {
             Ok(open) if is_model => self.accept_model(open).await,
             Ok(open) => self.copy_plain(open).await,
@@ -138,24 +142,25 @@
         }
         builder = builder.header("x-request-id", self.ticket.to_string());
         if self.target.kind == EngineKind::Model {
-            let keys: Vec<String> =
-                call.prefix_keys.iter().map(|key| format!("{key:016x}")).collect();
+            let keys: Vec<String> = call
+                .prefix_keys
+                .iter()
+                .map(|key| format!("{key:016x}"))
+                .collect();
             builder = builder
                 .header("x-priority", call.rank.0.to_string())
                 .header("x-weights-version", &call.version)
                 .header("x-prefix-keys", keys.join(","));
         }
-        builder.body(Full::new(Bytes::from(call.body.clone()))).map_err(HttpError::Build)
+        builder
+            .body(Full::new(Bytes::from(call.body.clone())))
+            .map_err(HttpError::Build)
     }
 
     async fn accept_model(&mut self, open: OpenResponse) -> NextTry {
         match open.response.status() {
-            StatusCode::CONFLICT => {
-                NextTry::End(StreamEnd::NotRun(RefusalReason::WrongVersion))
-            }
-            StatusCode::SERVICE_UNAVAILABLE => {
-                NextTry::End(StreamEnd::NotRun(RefusalReason::Busy))
-            }
+            StatusCode::CONFLICT => NextTry::End(StreamEnd::NotRun(RefusalReason::WrongVersion)),
+            StatusCode::SERVICE_UNAVAILABLE => NextTry::End(StreamEnd::NotRun(RefusalReason::Busy)),
             status if status.is_success() => self.copy_events(open).await,
             _ => self.copy_plain(open).await,
         }
@@ -184,7 +189,11 @@
 
     /// Returns the end of a ticket that the engine does not know any more.
     const fn lost_end(&self) -> StreamEnd {
-        if self.head_sent { StreamEnd::EngineLost } else { StreamEnd::Uncertain }
+        if self.head_sent {
+            StreamEnd::EngineLost
+        } else {
+            StreamEnd::Uncertain
+        }
     }
 
     fn is_same_life(&self, response: &Response<Incoming>) -> bool {
@@ -194,7 +203,10 @@
     }
 
     async fn copy_events(&mut self, open: OpenResponse) -> NextTry {
-        let OpenResponse { response, connection } = open;
+        let OpenResponse {
+            response,
+            connection,
+        } = open;
         let (head, mut body) = response.into_parts();
         self.recover_by = Moment::NEVER;
         self.epoch = epoch_of(&head.headers);
@@ -207,7 +219,9 @@
                 Ok(None | Some(Err(_))) => break,
                 Ok(Some(Ok(frame))) => frame,
             };
-            let Ok(bytes) = frame.into_data() else { continue };
+            let Ok(bytes) = frame.into_data() else {
+                continue;
+            };
             decoder.push(&bytes);
             match self.take_events(&mut decoder).await {
                 EventsOutcome::More => {}
@@ -250,7 +264,10 @@
     }
 
     async fn copy_plain(&mut self, open: OpenResponse) -> NextTry {
-        let OpenResponse { response, connection } = open;
+        let OpenResponse {
+            response,
+            connection,
+        } = open;
         let (head, mut body) = response.into_parts();
         self.send_head(head.status, &head.headers).await;
         loop {
@@ -258,7 +275,9 @@
                 Err(_) | Ok(Some(Err(_))) => return NextTry::End(StreamEnd::EngineLost),
                 Ok(None) => break,
                 Ok(Some(Ok(frame))) => {
-                    let Ok(bytes) = frame.into_data() else { continue };
+                    let Ok(bytes) = frame.into_data() else {
+                        continue;
+                    };
                     let items = vec![StreamItem::Data(bytes.to_vec())];
                     self.report(LedgerMail::Items(self.key, items)).await;
                 }
@@ -277,7 +296,10 @@
             let value = headers.get(*name)?.to_str().ok()?;
             Some(((*name).to_owned(), value.to_owned()))
         });
-        let head = StreamItem::Head { status: status.as_u16(), headers: headers.collect() };
+        let head = StreamItem::Head {
+            status: status.as_u16(),
+            headers: headers.collect(),
+        };
         self.report(LedgerMail::Items(self.key, vec![head])).await;
     }
 
--- a/src/services/engine_task.rs
+++ b/src/services/engine_task.rs
@@ -40,7 +40,9 @@
 /// Creates the I/O task `engine`.
 #[must_use]
 pub fn engine_task(target: EngineTarget) -> IoTask<Mail> {
-    IoTask::new("engine", move |inbox, directory| run(target, inbox, directory))
+    IoTask::new("engine", move |inbox, directory| {
+        run(target, inbox, directory)
+    })
 }
 
 struct RunningStreams {
--- a/src/services/engine_watch.rs
+++ b/src/services/engine_watch.rs
@@ -31,7 +31,9 @@
 /// Creates the I/O task `engine-watch`.
 #[must_use]
 pub fn engine_watch_task(target: EngineTarget) -> IoTask<Mail> {
-    IoTask::new("engine-watch", move |inbox, directory| run(target, inbox, directory))
+    IoTask::new("engine-watch", move |inbox, directory| {
+        run(target, inbox, directory)
+    })
 }
 
 async fn run(target: EngineTarget, mut inbox: Inbox<Mail>, directory: Directory<Mail>) {
@@ -58,7 +60,10 @@
     match target.kind {
         EngineKind::Model => read_load(target).await.unwrap_or(EngineState::Down),
         EngineKind::Plain => match tokio::net::TcpStream::connect(target.address).await {
-            Ok(_) => EngineState::Up { epoch: EngineEpoch(1), version: String::new() },
+            Ok(_) => EngineState::Up {
+                epoch: EngineEpoch(1),
+                version: String::new(),
+            },
             Err(_) => EngineState::Down,
         },
     }
@@ -67,10 +72,15 @@
 async fn read_load(target: EngineTarget) -> Option<EngineState> {
     let request = http_client::request(Method::GET, target.address, "/load");
     let request = request.body(Full::default()).ok()?;
-    let response = http_client::call(target.address, request, WATCH_TIMEOUT).await.ok()?;
+    let response = http_client::call(target.address, request, WATCH_TIMEOUT)
+        .await
+        .ok()?;
     if !response.status.is_success() {
         return None;
     }
     let report: LoadReport = serde_json::from_slice(&response.body).ok()?;
-    Some(EngineState::Up { epoch: EngineEpoch(report.epoch), version: report.version })
+    Some(EngineState::Up {
+        epoch: EngineEpoch(report.epoch),
+        version: report.version,
+    })
 }
--- a/src/services/ledger_state.rs
+++ b/src/services/ledger_state.rs
@@ -115,7 +115,10 @@
             return;
         }
         let name = &self.settings.upstream;
-        let upstream = configuration.upstreams.iter().find(|(_, upstream)| upstream.name == *name);
+        let upstream = configuration
+            .upstreams
+            .iter()
+            .find(|(_, upstream)| upstream.name == *name);
         self.upstream = upstream.map(|(_, upstream)| upstream.clone());
         self.configuration = Some(configuration);
     }
@@ -125,7 +128,9 @@
         let rank = Rank::try_from(call.rank).unwrap_or(Rank::Routine);
         let missing = call.prefix_keys.len();
         let item = self.queue_item(&call.customer, rank, missing, 0, Moment::NEVER);
-        let wait_us = self.queue.expected_wait_us(now, &item, &self.running_slots());
+        let wait_us = self
+            .queue
+            .expected_wait_us(now, &item, &self.running_slots());
         QuoteReply {
             head: self.head(),
             open: self.refusal(&call.version).is_none(),
@@ -138,11 +143,15 @@
     pub fn submit(&mut self, now: Moment, call: SubmitCall) -> SubmitReply {
         let verdict = match self.admit(now, call) {
             Ok(()) => SubmitVerdict::Accepted,
-            Err(reason) => {
-                SubmitVerdict::NotRun { reason: reason.into(), retry_after_ms: 0 }
-            }
+            Err(reason) => SubmitVerdict::NotRun {
+                reason: reason.into(),
+                retry_after_ms: 0,
+            },
         };
-        SubmitReply { head: self.head(), verdict }
+        SubmitReply {
+            head: self.head(),
+            verdict,
+        }
     }
 
     fn admit(&mut self, now: Moment, call: SubmitCall) -> Result<(), RefusalReason> {
@@ -175,7 +184,8 @@
         }
         self.queued.insert(ticket, key);
         let keep_all = repeatability == Repeatability::NonIdempotent;
-        self.jobs.insert(key, new_job(ticket, rank, Some(Arc::new(call)), keep_all));
+        self.jobs
+            .insert(key, new_job(ticket, rank, Some(Arc::new(call)), keep_all));
         Ok(())
     }
 
@@ -184,12 +194,19 @@
         let ticket = Ticket::from(call.ticket);
         let Some(key) = self.ledger.read(now, ticket) else {
             let verdict = ReadVerdict::UnknownTicket;
-            reply_to.send(ReadReply { head: self.head(), from_index: call.from_index, verdict });
+            reply_to.send(ReadReply {
+                head: self.head(),
+                from_index: call.from_index,
+                verdict,
+            });
             return;
         };
         let wait = Duration::from_micros(call.wait_us).min(MAX_READ_WAIT);
-        let reader =
-            PendingRead { from_index: call.from_index, deadline: now.after(wait), reply_to };
+        let reader = PendingRead {
+            from_index: call.from_index,
+            deadline: now.after(wait),
+            reply_to,
+        };
         let Some(job) = self.jobs.get_mut(&key) else {
             self.answer_read(key, reader, true);
             return;
@@ -221,7 +238,10 @@
             WithdrawStep::Done(_) => WithdrawVerdict::Done,
             WithdrawStep::Forgotten => WithdrawVerdict::Forgotten,
         };
-        WithdrawReply { head: self.head(), verdict }
+        WithdrawReply {
+            head: self.head(),
+            verdict,
+        }
     }
 
     /// Looks a ticket up, here and then at the engine.
@@ -234,7 +254,10 @@
     ) {
         if self.ledger.find(ticket).is_some() {
             let verdict = AttachVerdict::Attached;
-            reply_to.send(AttachReply { head: self.head(), verdict });
+            reply_to.send(AttachReply {
+                head: self.head(),
+                verdict,
+            });
             return;
         }
         let key = self.ledger.adopt(turn.now, ticket, repeatability);
@@ -243,7 +266,10 @@
         job.started = Some(turn.now);
         self.running[job.rank.index()] += 1;
         self.jobs.insert(key, job);
-        turn.send("engine", Mail::Engine(EngineMail::Attach(key, ticket, reply_to)));
+        turn.send(
+            "engine",
+            Mail::Engine(EngineMail::Attach(key, ticket, reply_to)),
+        );
     }
 
     /// Takes in what the engine said about a ticket that was looked up.
@@ -257,12 +283,17 @@
             self.ledger.release(key);
             self.drop_job(key);
         }
-        reply_to.send(AttachReply { head: self.head(), verdict });
+        reply_to.send(AttachReply {
+            head: self.head(),
+            verdict,
+        });
     }
 
     /// Takes in items that the engine has produced.
     pub fn items(&mut self, now: Moment, key: TicketKey, items: Vec<StreamItem>) {
-        let Some(job) = self.jobs.get_mut(&key) else { return };
+        let Some(job) = self.jobs.get_mut(&key) else {
+            return;
+        };
         for item in items {
             if job.buffer.push(item) == PushOutcome::Overflow {
                 self.ended(now, key, StreamEnd::EngineLost);
@@ -284,7 +315,8 @@
         self.stopping = true;
         for item in self.queue.drain() {
             if let Some(key) = self.queued.remove(&item.ticket) {
-                self.ledger.end(now, key, StreamEnd::NotRun(RefusalReason::Leaving));
+                self.ledger
+                    .end(now, key, StreamEnd::NotRun(RefusalReason::Leaving));
                 self.answer_pending(key);
             }
         }
@@ -299,7 +331,10 @@
         if self.stopping && self.is_drained() {
             return NextStep::Stopped;
         }
-        let reads = self.read_deadlines.first().map_or(Moment::NEVER, |(deadline, _)| *deadline);
+        let reads = self
+            .read_deadlines
+            .first()
+            .map_or(Moment::NEVER, |(deadline, _)| *deadline);
         wait_until(self.ledger.next_deadline().min(reads).min(queue_deadline))
     }
 
@@ -358,7 +393,9 @@
             self.answer_pending(key);
             return;
         }
-        let Some(job) = self.jobs.get_mut(&key) else { return };
+        let Some(job) = self.jobs.get_mut(&key) else {
+            return;
+        };
         let Some(call) = job.call.take() else { return };
         job.started = Some(turn.now);
         self.running[job.rank.index()] += 1;
@@ -375,17 +412,24 @@
     }
 
     fn leave_queue(&mut self, key: TicketKey) {
-        let Some(job) = self.jobs.get(&key) else { return };
+        let Some(job) = self.jobs.get(&key) else {
+            return;
+        };
         self.queue.remove(job.ticket);
         self.queued.remove(&job.ticket);
     }
 
     fn leave_slot(&mut self, now: Moment, key: TicketKey) {
-        let Some(job) = self.jobs.get_mut(&key) else { return };
-        let Some(started) = job.started.take() else { return };
+        let Some(job) = self.jobs.get_mut(&key) else {
+            return;
+        };
+        let Some(started) = job.started.take() else {
+            return;
+        };
         self.running[job.rank.index()] -= 1;
         let actual = now.since(started).as_micros();
-        self.queue.finished(job.ticket, u64::try_from(actual).unwrap_or(u64::MAX));
+        self.queue
+            .finished(job.ticket, u64::try_from(actual).unwrap_or(u64::MAX));
     }
 
     fn drop_job(&mut self, key: TicketKey) {
@@ -431,7 +475,11 @@
             job.end_read |= end.is_some();
         }
         let verdict = ReadVerdict::Items { items, end };
-        reader.reply_to.send(ReadReply { head, from_index: reader.from_index, verdict });
+        reader.reply_to.send(ReadReply {
+            head,
+            from_index: reader.from_index,
+            verdict,
+        });
     }
 
     fn refusal(&self, version: &str) -> Option<RefusalReason> {
@@ -443,9 +491,9 @@
         }
         match &self.engine {
             EngineState::Down => Some(RefusalReason::EngineDown),
-            EngineState::Up { version: served, .. } => {
-                (served != version).then_some(RefusalReason::WrongVersion)
-            }
+            EngineState::Up {
+                version: served, ..
+            } => (served != version).then_some(RefusalReason::WrongVersion),
         }
     }
 
@@ -460,15 +508,32 @@
         let next_id = CustomerId(u32::try_from(self.customers.len()).unwrap_or(u32::MAX));
         let id = *self.customers.entry(customer.to_owned()).or_insert(next_id);
         let declared = self.configuration.as_ref().and_then(|configuration| {
-            configuration.customers.iter().find(|(_, declared)| declared.name == customer)
+            configuration
+                .customers
+                .iter()
+                .find(|(_, declared)| declared.name == customer)
         });
-        let share = declared.map_or(CustomerShare { weight: 1, max_in_flight: 1 }, |(_, c)| {
-            CustomerShare { weight: c.weight, max_in_flight: c.max_in_flight }
-        });
-        let tokens = if tokens == 0 { DEFAULT_OUTPUT_TOKENS } else { tokens };
+        let share = declared.map_or(
+            CustomerShare {
+                weight: 1,
+                max_in_flight: 1,
+            },
+            |(_, c)| CustomerShare {
+                weight: c.weight,
+                max_in_flight: c.max_in_flight,
+            },
+        );
+        let tokens = if tokens == 0 {
+            DEFAULT_OUTPUT_TOKENS
+        } else {
+            tokens
+        };
         let prefill_us = PREFILL_PIECE_US * missing as u64;
         QueueItem {
-            ticket: Ticket { entry: Incarnation(0), sequence: 0 },
+            ticket: Ticket {
+                entry: Incarnation(0),
+                sequence: 0,
+            },
             customer: id,
             share,
             rank,
@@ -479,7 +544,10 @@
 
     fn running_slots(&self) -> RunningSlots {
         let slots = self.upstream.as_ref().map_or(0, |upstream| upstream.slots);
-        RunningSlots { slots, running: self.running }
+        RunningSlots {
+            slots,
+            running: self.running,
+        }
     }
 
     fn is_drained(&self) -> bool {
@@ -520,12 +588,7 @@
     }
 }
 
-fn new_job(
-    ticket: Ticket,
-    rank: Rank,
-    call: Option<Arc<SubmitCall>>,
-    keep_all: bool,
-) -> TicketJob {
+fn new_job(ticket: Ticket, rank: Rank, call: Option<Arc<SubmitCall>>, keep_all: bool) -> TicketJob {
     TicketJob {
         ticket,
         rank,
--- a/src/services/mail.rs
+++ b/src/services/mail.rs
@@ -8,6 +8,7 @@
 use crate::decide::ledger::TicketKey;
 use crate::decide::outcome::StreamEnd;
 use crate::kernel::ReplyTo;
+use crate::platform::log_client::LogPage;
 use crate::wire::rpc::{
     AttachReply, AttachVerdict, QuoteCall, QuoteReply, ReadCall, ReadReply, SidecarRpcClient,
     StreamItem, SubmitCall, SubmitReply, WithdrawReply,
@@ -33,8 +34,22 @@
 pub enum ConfigMail {
     /// Asks for the configuration in force.
     Current(ReplyTo<Arc<Configuration>>),
+    /// Asks for a configuration beyond an offset; answered once there is one.
+    Newer {
+        /// The offset that the asker has.
+        than: LogOffset,
+        /// Takes the configuration.
+        reply_to: ReplyTo<Arc<Configuration>>,
+    },
     /// Another process has been heard to have this offset in force.
     Heard(LogOffset),
+    /// Replays records; answers with the offset that is needed next.
+    Apply {
+        /// Records of the configuration stream.
+        page: LogPage,
+        /// Takes the offset.
+        reply_to: ReplyTo<LogOffset>,
+    },
 }
 
 /// Messages to the service `ledger`, which owns the upstream's tickets, queue and answers.
--- a/src/services/sidecar_rpc.rs
+++ b/src/services/sidecar_rpc.rs
@@ -22,7 +22,9 @@
 /// Creates the I/O task `rpc`, which serves the listener.
 #[must_use]
 pub fn rpc_task(listener: TcpListener) -> IoTask<Mail> {
-    IoTask::new("rpc", move |inbox, directory| run(listener, inbox, directory))
+    IoTask::new("rpc", move |inbox, directory| {
+        run(listener, inbox, directory)
+    })
 }
 
 async fn run(listener: TcpListener, mut inbox: Inbox<Mail>, directory: Directory<Mail>) {
@@ -68,7 +70,9 @@
         &self,
         question: impl FnOnce(ReplyTo<T>) -> LedgerMail,
     ) -> Option<T> {
-        self.directory.ask("ledger", |reply_to| Mail::Ledger(question(reply_to))).await
+        self.directory
+            .ask("ledger", |reply_to| Mail::Ledger(question(reply_to)))
+            .await
     }
 }
 
@@ -84,7 +88,9 @@
     }
 
     async fn submit(self, _: Context, call: SubmitCall) -> SubmitReply {
-        let reply = self.ask(|reply_to| LedgerMail::Submit(call, reply_to)).await;
+        let reply = self
+            .ask(|reply_to| LedgerMail::Submit(call, reply_to))
+            .await;
         // Without a reply the ledger has not taken the submission in.
         reply.unwrap_or_else(|| SubmitReply {
             head: ReplyHead::default(),
@@ -100,13 +106,18 @@
         reply.unwrap_or_else(|| ReadReply {
             head: ReplyHead::default(),
             from_index: call.from_index,
-            verdict: ReadVerdict::Items { items: Vec::new(), end: None },
+            verdict: ReadVerdict::Items {
+                items: Vec::new(),
+                end: None,
+            },
         })
     }
 
     async fn withdraw(self, _: Context, ticket: WireTicket) -> WithdrawReply {
         let ticket = Ticket::from(ticket);
-        let reply = self.ask(|reply_to| LedgerMail::Withdraw(ticket, reply_to)).await;
+        let reply = self
+            .ask(|reply_to| LedgerMail::Withdraw(ticket, reply_to))
+            .await;
         reply.unwrap_or_else(|| WithdrawReply {
             head: ReplyHead::default(),
             verdict: WithdrawVerdict::Forgotten,
@@ -115,10 +126,14 @@
 
     async fn attach(self, _: Context, ticket: WireTicket, idempotent: bool) -> AttachReply {
         let ticket = Ticket::from(ticket);
-        let repeatability =
-            if idempotent { Repeatability::Idempotent } else { Repeatability::NonIdempotent };
-        let reply =
-            self.ask(|reply_to| LedgerMail::Attach(ticket, repeatability, reply_to)).await;
+        let repeatability = if idempotent {
+            Repeatability::Idempotent
+        } else {
+            Repeatability::NonIdempotent
+        };
+        let reply = self
+            .ask(|reply_to| LedgerMail::Attach(ticket, repeatability, reply_to))
+            .await;
         reply.unwrap_or_else(|| AttachReply {
             head: ReplyHead::default(),
             verdict: AttachVerdict::EngineDown,
--- a/src/services/stream_buffer.rs
+++ b/src/services/stream_buffer.rs
@@ -58,7 +58,9 @@
     /// Drops the items below the index, which have been received.
     pub fn acknowledge(&mut self, index: u64) {
         while self.first_index < index {
-            let Some(item) = self.items.pop_front() else { return };
+            let Some(item) = self.items.pop_front() else {
+                return;
+            };
             self.bytes -= item_bytes(&item);
             self.first_index += 1;
         }
@@ -83,9 +85,10 @@
 
 fn item_bytes(item: &StreamItem) -> usize {
     match item {
-        StreamItem::Head { headers, .. } => {
-            headers.iter().map(|(name, value)| name.len() + value.len()).sum()
-        }
+        StreamItem::Head { headers, .. } => headers
+            .iter()
+            .map(|(name, value)| name.len() + value.len())
+            .sum(),
         StreamItem::Data(bytes) => bytes.len(),
     }
 }
--- a/src/services/tickets.rs
+++ b/src/services/tickets.rs
@@ -12,7 +12,10 @@
         match signal {
             Signal::Mail(Mail::Tickets(TicketsMail::Mint(_submission, reply_to))) => {
                 sequence += 1;
-                reply_to.send(MintOutcome::Minted(Ticket { entry: incarnation, sequence }));
+                reply_to.send(MintOutcome::Minted(Ticket {
+                    entry: incarnation,
+                    sequence,
+                }));
             }
             Signal::Dump(reply_to) => reply_to.send(serde_json::json!({
                 "incarnation": format!("{:016x}", incarnation.0),
