--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -11,3 +11,4 @@
 pub mod outcome;
 pub mod prefix;
 pub mod replay;
+pub mod queue;
