--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -8,3 +8,5 @@
 pub mod ledger;
 pub mod outcome;
 pub mod prefix;
+pub mod retry_budget;
+pub mod suspects;
--- /dev/null
+++ b/tests/retry_budget.rs
@@ -0,0 +1,58 @@
+//! Properties of the retry budget.
+
+use bulrushslip::decide::retry_budget::{RetryBudget, RetryPolicy, RetryStep};
+
+#[test]
+fn retries_stay_under_the_share_of_fresh_traffic_in_any_order() {
+    bolero::check!()
+        .with_type::<(u8, u8, Vec<bool>)>()
+        .for_each(|(share, burst, calls)| {
+            let policy = RetryPolicy {
+                max_per_request: 3,
+                share_percent: u32::from(*share % 101),
+                burst: u32::from(*burst % 20),
+            };
+            let mut budget = RetryBudget::new(policy);
+            let (mut fresh, mut retries) = (0_u64, 0_u64);
+            for is_fresh in calls {
+                if *is_fresh {
+                    fresh += 1;
+                    budget.record_fresh();
+                } else if budget.try_retry(0) == RetryStep::Retry {
+                    retries += 1;
+                }
+                let bound = u64::from(policy.burst) * 100 + fresh * u64::from(policy.share_percent);
+                assert!(retries * 100 <= bound);
+            }
+        });
+}
+
+#[test]
+fn a_failing_half_of_the_fleet_costs_at_most_the_share() {
+    const REQUESTS: u32 = 10_000;
+    let policy = RetryPolicy::default();
+    let mut budget = RetryBudget::new(policy);
+    let (mut retries, mut unbounded) = (0, 0);
+    for request in 0..REQUESTS {
+        budget.record_fresh();
+        // Every attempt fails with one half, independent of the attempt before it.
+        let failures = (request.wrapping_mul(2_654_435_761) | 1 << 31).trailing_zeros();
+        unbounded += failures.min(policy.max_per_request);
+        for attempt in 0..failures {
+            match budget.try_retry(attempt) {
+                RetryStep::Retry => retries += 1,
+                RetryStep::RequestExhausted | RetryStep::BudgetExhausted => break,
+            }
+        }
+    }
+    println!("fresh {REQUESTS}, retries {retries}, without a budget {unbounded}");
+    assert!(retries <= REQUESTS * policy.share_percent / 100 + policy.burst);
+    assert!(unbounded > REQUESTS * 3 / 4);
+}
+
+#[test]
+fn one_request_gets_a_bounded_number_of_retries() {
+    let mut budget = RetryBudget::new(RetryPolicy::default());
+    assert_eq!(budget.try_retry(2), RetryStep::Retry);
+    assert_eq!(budget.try_retry(3), RetryStep::RequestExhausted);
+}
