--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -12,3 +12,5 @@
 pub mod prefix;
 pub mod replay;
 pub mod queue;
+pub mod retry_budget;
+pub mod suspects;
