--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -10,7 +10,7 @@
 pub mod ledger;
 pub mod outcome;
 pub mod prefix;
-pub mod replay;
 pub mod queue;
+pub mod replay;
 pub mod retry_budget;
 pub mod suspects;
--- a/src/services/config.rs
+++ b/src/services/config.rs
@@ -49,7 +49,7 @@
             owner.handle(mail);
             NextStep::Wait
         }
-        Signal::Start | Signal::Due => NextStep::Wait,
+        Signal::Start | Signal::Due | Signal::Mail(_) => NextStep::Wait,
         Signal::Dump(reply_to) => {
             reply_to.send(owner.dump());
             NextStep::Wait
--- /dev/null
+++ b/src/services/config_feed.rs
@@ -0,0 +1,43 @@
+//! I/O task `config-feed` of a sidecar: hands each new configuration to the service `ledger`.
+
+use super::config::CONFIG;
+use super::mail::{ConfigMail, LedgerMail, Mail};
+use crate::decide::ids::LogOffset;
+use crate::kernel::{Directory, Inbox, IoTask, Signal};
+
+/// Creates the I/O task `config-feed`.
+#[must_use]
+pub fn config_feed_task() -> IoTask<Mail> {
+    IoTask::new("config-feed", run)
+}
+
+async fn run(mut inbox: Inbox<Mail>, directory: Directory<Mail>) {
+    let mut feeding = Box::pin(feed(directory));
+    loop {
+        tokio::select! {
+            () = &mut feeding => return,
+            signal = inbox.receive() => match signal {
+                Some(Signal::Dump(reply_to)) => reply_to.send(serde_json::Value::Null),
+                Some(Signal::Stop) | None => return,
+                Some(_) => {}
+            },
+        }
+    }
+}
+
+async fn feed(directory: Directory<Mail>) {
+    let mut than = LogOffset::default();
+    loop {
+        let question = |reply_to| Mail::Config(ConfigMail::Newer { than, reply_to });
+        let Some(configuration) = directory.ask(CONFIG, question).await else {
+            return;
+        };
+        than = configuration.next_offset;
+        directory
+            .deliver(
+                "ledger",
+                Mail::Ledger(LedgerMail::Configured(configuration)),
+            )
+            .await;
+    }
+}
--- a/src/services/ledger.rs
+++ b/src/services/ledger.rs
@@ -10,9 +10,8 @@
     let mut state = LedgerState::new(settings);
     Service::new("ledger", move |turn, signal| {
         match signal {
-            Signal::Start | Signal::Due => {}
             Signal::Mail(Mail::Ledger(mail)) => handle(&mut state, turn, mail),
-            Signal::Mail(_) => {}
+            Signal::Start | Signal::Due | Signal::Mail(_) => {}
             Signal::Dump(reply_to) => reply_to.send(state.dump()),
             Signal::Stop => state.begin_stop(turn.now),
         }
--- a/src/services/mod.rs
+++ b/src/services/mod.rs
@@ -1,6 +1,7 @@
 //! Services and I/O tasks that the binaries are put together from.
 
 pub mod config;
+pub mod config_feed;
 pub mod dialer;
 pub mod engine_stream;
 pub mod engine_task;
--- a/src/services/sidecar_rpc.rs
+++ b/src/services/sidecar_rpc.rs
@@ -1,6 +1,6 @@
 //! I/O task `rpc` of a sidecar: the server side of the calls from entries.
 
-use futures::{Future, StreamExt};
+use futures::StreamExt;
 use tarpc::context::Context;
 use tarpc::server::{BaseChannel, Channel};
 use tokio::net::{TcpListener, TcpStream};
