--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -2,6 +2,7 @@
 //!
 //! Nothing here knows sockets, clocks, encodings or tasks, so any front end can drive it.
 
+pub mod admission;
 pub mod attempt;
 pub mod config;
 pub mod config_change;
--- a/src/services/mod.rs
+++ b/src/services/mod.rs
@@ -10,6 +10,7 @@
 pub mod ledger_state;
 pub mod log_reader;
 pub mod mail;
+pub mod sidecar_calls;
 pub mod sidecar_rpc;
 pub mod stream_buffer;
 pub mod tickets;
--- /dev/null
+++ b/src/services/sidecar_calls.rs
@@ -0,0 +1,195 @@
+//! Calls from an entry to sidecars, each with a deadline, and what they mean for an attempt.
+
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+use tarpc::context::{self, Context};
+
+use super::mail::{ConfigMail, DialOutcome, DialerMail, Mail};
+use crate::decide::attempt::AttemptEvent;
+use crate::decide::ids::{Incarnation, Repeatability, Ticket};
+use crate::decide::outcome::{RefusalReason, StreamEnd};
+use crate::kernel::Directory;
+use crate::wire::rpc::{
+    AttachVerdict, QuoteCall, QuoteReply, ReadCall, ReadVerdict, ReplyHead, SidecarRpcClient,
+    StreamItem, SubmitCall, SubmitVerdict, WithdrawVerdict,
+};
+
+/// Longest time for a call that the sidecar answers at once.
+const CALL_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// Time that a sidecar may hold back a read without items.
+const READ_WAIT: Duration = Duration::from_secs(1);
+
+/// Longest time for a read, its wait included.
+const READ_TIMEOUT: Duration = Duration::from_millis(2_500);
+
+/// What a read brought.
+#[derive(Debug)]
+pub struct ReadOutcome {
+    /// What it means for the attempt.
+    pub event: AttemptEvent,
+    /// The items that the event counts.
+    pub items: Vec<StreamItem>,
+}
+
+/// A sidecar as seen by one request.
+#[derive(Debug, Clone)]
+pub struct SidecarCalls {
+    /// Mailboxes of the entry.
+    pub directory: Directory<Mail>,
+    /// Address of the sidecar.
+    pub address: SocketAddr,
+}
+
+struct OpenLink {
+    client: SidecarRpcClient,
+    number: u64,
+}
+
+impl SidecarCalls {
+    /// Asks for a quote; `None` when none came within the limit.
+    pub async fn quote(&self, call: QuoteCall, limit: Duration) -> Option<QuoteReply> {
+        let asked = async {
+            let link = self.connect().await?;
+            let reply = link.client.quote(deadline(limit), call).await;
+            self.check(&link, reply, |reply| reply.head)
+        };
+        tokio::time::timeout(limit, asked).await.ok()?
+    }
+
+    /// Submits a request.
+    pub async fn submit(&self, call: SubmitCall) -> AttemptEvent {
+        let Some(link) = self.connect().await else {
+            return AttemptEvent::Unsent;
+        };
+        let reply = link.client.submit(deadline(CALL_TIMEOUT), call).await;
+        let Some(reply) = self.check(&link, reply, |reply| reply.head) else {
+            return AttemptEvent::Lost;
+        };
+        match reply.verdict {
+            SubmitVerdict::Accepted => AttemptEvent::Accepted,
+            SubmitVerdict::NotRun { reason, .. } => {
+                // A reason from a newer sidecar still means that nothing runs.
+                let reason = RefusalReason::try_from(reason).unwrap_or(RefusalReason::Busy);
+                AttemptEvent::Refused(reason, reply.head.incarnation())
+            }
+        }
+    }
+
+    /// Reads from an index.
+    pub async fn read(
+        &self,
+        ticket: Ticket,
+        incarnation: Incarnation,
+        from_index: u64,
+    ) -> ReadOutcome {
+        let event = |event| ReadOutcome {
+            event,
+            items: Vec::new(),
+        };
+        let Some(link) = self.connect().await else {
+            return event(AttemptEvent::Unsent);
+        };
+        let wait_us = u64::try_from(READ_WAIT.as_micros()).unwrap_or(0);
+        let call = ReadCall {
+            ticket: ticket.into(),
+            incarnation: incarnation.0,
+            from_index,
+            wait_us,
+        };
+        let reply = link.client.read(deadline(READ_TIMEOUT), call).await;
+        let Some(reply) = self.check(&link, reply, |reply| reply.head) else {
+            return event(AttemptEvent::Lost);
+        };
+        match reply.verdict {
+            ReadVerdict::UnknownTicket => {
+                event(AttemptEvent::UnknownTicket(reply.head.incarnation()))
+            }
+            ReadVerdict::Items { items, end } => {
+                let end = end.map(|end| StreamEnd::try_from(end).unwrap_or(StreamEnd::Uncertain));
+                let count = items.len() as u64;
+                let event = AttemptEvent::Items {
+                    from_index: reply.from_index,
+                    count,
+                    end,
+                };
+                ReadOutcome { event, items }
+            }
+        }
+    }
+
+    /// Withdraws a ticket.
+    pub async fn withdraw(&self, ticket: Ticket) -> AttemptEvent {
+        let Some(link) = self.connect().await else {
+            return AttemptEvent::Unsent;
+        };
+        let reply = link
+            .client
+            .withdraw(deadline(CALL_TIMEOUT), ticket.into())
+            .await;
+        let Some(reply) = self.check(&link, reply, |reply| reply.head) else {
+            return AttemptEvent::Lost;
+        };
+        match reply.verdict {
+            WithdrawVerdict::NotRun => AttemptEvent::WithdrawnUnrun,
+            WithdrawVerdict::Running | WithdrawVerdict::Done | WithdrawVerdict::Cancelled => {
+                AttemptEvent::WithdrawnLate
+            }
+            WithdrawVerdict::Forgotten => AttemptEvent::WithdrawnForgotten,
+        }
+    }
+
+    /// Looks a ticket up at the engine.
+    pub async fn attach(&self, ticket: Ticket, repeatability: Repeatability) -> AttemptEvent {
+        let Some(link) = self.connect().await else {
+            return AttemptEvent::Unsent;
+        };
+        let idempotent = repeatability == Repeatability::Idempotent;
+        let call = link
+            .client
+            .attach(deadline(READ_TIMEOUT), ticket.into(), idempotent);
+        let reply = call.await;
+        let Some(reply) = self.check(&link, reply, |reply| reply.head) else {
+            return AttemptEvent::Lost;
+        };
+        match reply.verdict {
+            AttachVerdict::Attached => AttemptEvent::Attached(reply.head.incarnation()),
+            AttachVerdict::NotFound => AttemptEvent::NotAttached,
+            AttachVerdict::EngineDown => AttemptEvent::Lost,
+        }
+    }
+
+    async fn connect(&self) -> Option<OpenLink> {
+        let address = self.address;
+        let question = |reply_to| Mail::Dialer(DialerMail::Connect(address, reply_to));
+        match self.directory.ask("dialer", question).await? {
+            DialOutcome::Connected(client, number) => Some(OpenLink { client, number }),
+            DialOutcome::Unreachable => None,
+        }
+    }
+
+    /// Passes on what a reply tells of its sender; an unanswered call retires the connection.
+    fn check<T, E>(
+        &self,
+        link: &OpenLink,
+        reply: Result<T, E>,
+        head: impl FnOnce(&T) -> ReplyHead,
+    ) -> Option<T> {
+        let Ok(reply) = reply else {
+            let mail = DialerMail::Broken(self.address, link.number);
+            self.directory.send("dialer", Mail::Dialer(mail));
+            return None;
+        };
+        let offset = head(&reply).next_offset();
+        self.directory
+            .send("config", Mail::Config(ConfigMail::Heard(offset)));
+        Some(reply)
+    }
+}
+
+fn deadline(limit: Duration) -> Context {
+    let mut context = context::current();
+    context.deadline = Instant::now() + limit;
+    context
+}
