--- a/src/decide/config.rs
+++ b/src/decide/config.rs
@@ -112,6 +112,13 @@
             UpstreamKind::Plain { .. } => false,
         }
     }
+
+    /// Tells whether the upstream takes work for a plain service.
+    #[must_use]
+    pub fn runs_service(&self, service: &str) -> bool {
+        let runs = matches!(&self.kind, UpstreamKind::Plain { service: own } if own == service);
+        runs && !self.retired
+    }
 }
 
 /// A plain service behind `/services/NAME/`.
@@ -238,10 +245,8 @@
 
     /// Iterates over the upstreams that take work for a plain service.
     pub fn plain_upstreams(&self, service: &str) -> impl Iterator<Item = (UpstreamKey, &Upstream)> {
-        self.upstreams.iter().filter(move |(_, upstream)| {
-            let runs =
-                matches!(&upstream.kind, UpstreamKind::Plain { service: own } if own == service);
-            runs && !upstream.retired
-        })
+        self.upstreams
+            .iter()
+            .filter(move |(_, upstream)| upstream.runs_service(service))
     }
 }
--- a/src/services/dialer.rs
+++ b/src/services/dialer.rs
@@ -10,7 +10,8 @@
 use tokio::time::timeout;
 
 use super::mail::{DialOutcome, DialerMail, Mail};
-use crate::kernel::{Inbox, IoTask, ReplyTo, Signal};
+use super::sidecar_calls::SidecarCalls;
+use crate::kernel::{Directory, Inbox, IoTask, ReplyTo, Signal};
 use crate::wire::rpc::SidecarRpcClient;
 use crate::wire::transport;
 
@@ -20,7 +21,7 @@
 /// Creates the I/O task `dialer`.
 #[must_use]
 pub fn dialer_task() -> IoTask<Mail> {
-    IoTask::new("dialer", |inbox, _directory| run(inbox))
+    IoTask::new("dialer", run)
 }
 
 #[derive(Debug)]
@@ -36,12 +37,12 @@
     dialled: u64,
 }
 
-async fn run(mut inbox: Inbox<Mail>) {
+async fn run(mut inbox: Inbox<Mail>, directory: Directory<Mail>) {
     let mut links = SidecarLinks::default();
     loop {
         tokio::select! {
             signal = inbox.receive() => match signal {
-                Some(Signal::Mail(Mail::Dialer(mail))) => links.handle(mail),
+                Some(Signal::Mail(Mail::Dialer(mail))) => links.handle(&directory, mail),
                 Some(Signal::Dump(reply_to)) => reply_to.send(links.dump()),
                 Some(Signal::Stop) | None => return,
                 Some(_) => {}
@@ -52,7 +53,7 @@
 }
 
 impl SidecarLinks {
-    fn handle(&mut self, mail: DialerMail) {
+    fn handle(&mut self, directory: &Directory<Mail>, mail: DialerMail) {
         match mail {
             DialerMail::Connect(address, reply_to) => match self.links.get_mut(&address) {
                 Some(SidecarLink::Connected(client, number)) => {
@@ -66,6 +67,10 @@
                         .spawn(async move { (address, dial(address).await) });
                 }
             },
+            DialerMail::Abandon(address, ticket) => {
+                let calls = SidecarCalls { directory: directory.clone(), address };
+                tokio::spawn(async move { calls.withdraw(ticket).await });
+            }
             DialerMail::Broken(address, number) => {
                 let link = self.links.get(&address);
                 if matches!(link, Some(SidecarLink::Connected(_, current)) if *current == number) {
--- a/src/services/mail.rs
+++ b/src/services/mail.rs
@@ -109,6 +109,8 @@
     Connect(SocketAddr, ReplyTo<DialOutcome>),
     /// A call on the numbered connection got no answer; it is not to be used again.
     Broken(SocketAddr, u64),
+    /// Withdraws a ticket whose caller has gone away.
+    Abandon(SocketAddr, Ticket),
 }
 
 /// What the dialer has for a sidecar.
--- /dev/null
+++ b/src/services/request_runner.rs
@@ -0,0 +1,217 @@
+//! Runs one admitted request: chooses upstreams, calls sidecars, yields the answer in order.
+
+use std::collections::VecDeque;
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use super::mail::{DialerMail, Mail, MintOutcome, TicketsMail};
+use super::sidecar_calls::SidecarCalls;
+use super::upstream_choice::UpstreamChooser;
+use crate::decide::admission::Admission;
+use crate::decide::attempt::{
+    AttemptEvent, AttemptPolicy, AttemptStep, RequestAttempt, SidecarCall,
+};
+use crate::decide::config::Configuration;
+use crate::decide::ids::{Incarnation, Repeatability, Ticket};
+use crate::decide::outcome::{RefusalReason, RunStatus};
+use crate::kernel::{Directory, Moment};
+use crate::wire::rpc::{StreamItem, SubmitCall};
+
+/// What is sent to the upstream.
+#[derive(Debug, Clone)]
+pub struct UpstreamRequest {
+    /// HTTP method.
+    pub method: String,
+    /// Path and query.
+    pub path: String,
+    /// Headers.
+    pub headers: Vec<(String, String)>,
+    /// Body.
+    pub body: Vec<u8>,
+    /// Output tokens that the request may take; 0 when not stated.
+    pub output_tokens: u32,
+    /// Identifies equal requests.
+    pub fingerprint: u64,
+}
+
+/// What a runner has for its caller.
+#[derive(Debug)]
+pub enum RunnerOutput {
+    /// The next item of the answer.
+    Item(StreamItem),
+    /// The answer was cut; a body that asks for the rest is needed before it can go on.
+    NeedsContinuation,
+    /// Nothing further comes.
+    Finished(RunStatus, Option<RefusalReason>),
+}
+
+/// One running request; dropping it unfinished withdraws its ticket.
+#[derive(Debug)]
+pub struct RequestRunner {
+    directory: Directory<Mail>,
+    configuration: Arc<Configuration>,
+    admission: Admission,
+    chooser: UpstreamChooser,
+    request: UpstreamRequest,
+    attempt: RequestAttempt,
+    step: AttemptStep,
+    address: Option<SocketAddr>,
+    wait_limit_us: u64,
+    items: VecDeque<StreamItem>,
+    continued: u32,
+    finished: bool,
+}
+
+impl RequestRunner {
+    /// Creates a runner for an admitted request.
+    #[must_use]
+    pub fn new(
+        directory: Directory<Mail>,
+        configuration: Arc<Configuration>,
+        admission: Admission,
+        chooser: UpstreamChooser,
+        request: UpstreamRequest,
+        policy: AttemptPolicy,
+    ) -> Self {
+        Self {
+            directory,
+            configuration,
+            admission,
+            chooser,
+            request,
+            attempt: RequestAttempt::new(policy),
+            step: AttemptStep::Choose,
+            address: None,
+            wait_limit_us: u64::MAX,
+            items: VecDeque::new(),
+            continued: 0,
+            finished: false,
+        }
+    }
+
+    /// Returns the next output; after [`RunnerOutput::Finished`] there is none.
+    pub async fn next(&mut self) -> RunnerOutput {
+        loop {
+            if let Some(item) = self.items.pop_front() {
+                return RunnerOutput::Item(item);
+            }
+            let event = match self.step {
+                AttemptStep::Finish(status, reason) => {
+                    self.finished = true;
+                    return RunnerOutput::Finished(status, reason);
+                }
+                AttemptStep::Choose if self.needs_continuation() => {
+                    return RunnerOutput::NeedsContinuation;
+                }
+                AttemptStep::Choose => self.choose().await,
+                AttemptStep::Call { incarnation, call, not_before, .. } => {
+                    self.wait_until(not_before).await;
+                    self.call(incarnation, call).await
+                }
+            };
+            self.step = self.attempt.handle(self.directory.now(), event);
+        }
+    }
+
+    /// Sets the body that asks for the rest of the answer.
+    pub fn continue_with(&mut self, body: Vec<u8>) {
+        self.request.body = body;
+        self.continued = self.attempt.submissions;
+    }
+
+    /// Gives up on an answer that cannot be continued.
+    pub fn abandon_rest(&mut self) {
+        let event = AttemptEvent::NoChoice(RefusalReason::NoUpstream);
+        self.step = self.attempt.handle(self.directory.now(), event);
+    }
+
+    fn needs_continuation(&self) -> bool {
+        self.attempt.continues && self.continued != self.attempt.submissions
+    }
+
+    async fn wait_until(&self, moment: Moment) {
+        if !moment.is_due(self.directory.now()) {
+            tokio::time::sleep_until(self.directory.clock().instant(moment).into()).await;
+        }
+    }
+
+    async fn choose(&mut self) -> AttemptEvent {
+        let excluded = self.attempt.excluded.clone();
+        let choice = self.chooser.next(&self.configuration, &self.admission, &excluded).await;
+        let Some(choice) = choice else {
+            return AttemptEvent::NoChoice(RefusalReason::NoUpstream);
+        };
+        let submission = self.attempt.submissions + 1;
+        let question = |reply_to| Mail::Tickets(TicketsMail::Mint(submission, reply_to));
+        match self.directory.ask("tickets", question).await {
+            Some(MintOutcome::Minted(ticket)) => {
+                self.address = Some(choice.address);
+                self.wait_limit_us = choice.wait_limit_us;
+                AttemptEvent::Chosen(choice.upstream, choice.incarnation, ticket)
+            }
+            Some(MintOutcome::OverBudget) | None => {
+                AttemptEvent::NoChoice(RefusalReason::RetryBudget)
+            }
+        }
+    }
+
+    async fn call(&mut self, incarnation: Incarnation, call: SidecarCall) -> AttemptEvent {
+        let Some(address) = self.address else {
+            return AttemptEvent::NoChoice(RefusalReason::NoUpstream);
+        };
+        let calls = SidecarCalls { directory: self.directory.clone(), address };
+        match call {
+            SidecarCall::Submit(ticket) => calls.submit(self.submission(ticket, incarnation)).await,
+            SidecarCall::Read(ticket, from_index) => {
+                let outcome = calls.read(ticket, incarnation, from_index).await;
+                if from_index == self.attempt.next_index() && is_from(&outcome.event, from_index) {
+                    self.items.extend(outcome.items);
+                }
+                outcome.event
+            }
+            SidecarCall::Withdraw(ticket) => calls.withdraw(ticket).await,
+            SidecarCall::Attach(ticket) => {
+                calls.attach(ticket, self.admission.repeatability).await
+            }
+        }
+    }
+
+    fn submission(&self, ticket: Ticket, incarnation: Incarnation) -> SubmitCall {
+        let now = self.directory.now();
+        let budget = self.attempt.policy.start_by.remaining(now);
+        let request = &self.request;
+        SubmitCall {
+            ticket: ticket.into(),
+            incarnation: incarnation.0,
+            customer: self.admission.customer.clone(),
+            rank: self.admission.rank.into(),
+            idempotent: self.admission.repeatability == Repeatability::Idempotent,
+            version: self.admission.version.clone(),
+            fingerprint: request.fingerprint,
+            prefix_keys: self.chooser.keys.iter().map(|key| key.0).collect(),
+            start_budget_us: u64::try_from(budget.as_micros()).unwrap_or(u64::MAX),
+            wait_limit_us: self.wait_limit_us,
+            output_tokens: request.output_tokens,
+            method: request.method.clone(),
+            path: request.path.clone(),
+            headers: request.headers.clone(),
+            body: request.body.clone(),
+        }
+    }
+}
+
+impl Drop for RequestRunner {
+    fn drop(&mut self) {
+        if self.finished {
+            return;
+        }
+        if let (Some(address), Some(ticket)) = (self.address, self.attempt.ticket()) {
+            let mail = Mail::Dialer(DialerMail::Abandon(address, ticket));
+            self.directory.send("dialer", mail);
+        }
+    }
+}
+
+fn is_from(event: &AttemptEvent, wanted: u64) -> bool {
+    matches!(event, AttemptEvent::Items { from_index, .. } if *from_index == wanted)
+}
