Add placement by rendezvous and the cache index

Cause: entries must place alike without a shared index, and quotes need to know what an engine holds although its events come late and with gaps. Ruled out: hashing with the standard library's hasher, whose seed or algorithm may differ between builds of two entries; a check that every batch reaches the engine's end, since a batch may be bounded and the sequence number keeps the rest exact. State before: none. After: `decide::placement` with four policies as plain structs of functions, and `decide::cache_index`. Conclusion: taken in; weights of the choice are to be measured on real processes.

--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -4,12 +4,14 @@
 
 pub mod admission;
 pub mod attempt;
+pub mod cache_index;
 pub mod config;
 pub mod config_change;
 pub mod config_check;
 pub mod ids;
 pub mod ledger;
 pub mod outcome;
+pub mod placement;
 pub mod prefix;
 pub mod queue;
 pub mod replay;
--- /dev/null
+++ b/tests/placement.rs
@@ -0,0 +1,141 @@
+//! Properties of placement and a comparison with a naive version.
+
+use bulrushslip::decide::config::UpstreamKey;
+use bulrushslip::decide::ids::{PrefixKey, Rank};
+use bulrushslip::decide::placement::{
+    CandidateQuote, POLICIES, PlacementRequest, PlacementTarget, QuoteWeights, STANDARD,
+};
+use bulrushslip::kernel::Arena;
+
+const WEIGHTS: QuoteWeights = QuoteWeights {
+    rank: Rank::Urgent,
+    prefill_us: 60_000,
+};
+
+fn targets(count: u64) -> Vec<PlacementTarget> {
+    let mut arena = Arena::new();
+    let upstream = bulrushslip::decide::config::Upstream {
+        name: String::new(),
+        data_centre: String::new(),
+        sidecar: "127.0.0.1:1".parse().expect("an address"),
+        kind: bulrushslip::decide::config::UpstreamKind::Plain {
+            service: String::new(),
+        },
+        slots: 1,
+        retired: false,
+    };
+    let target = |index: u64| PlacementTarget {
+        upstream: arena.insert(upstream.clone()),
+        name_hash: index * 0x1234_5678_9abc,
+        data_centre: u32::from(index.is_multiple_of(4)),
+        leaving: false,
+    };
+    (0..count).map(target).collect()
+}
+
+fn request(keys: &[PrefixKey], placement_pieces: u32) -> PlacementRequest<'_> {
+    PlacementRequest {
+        keys,
+        placement_pieces,
+        draw: 7,
+    }
+}
+
+#[test]
+fn every_entry_chooses_alike_whatever_the_order_of_its_list() {
+    bolero::check!()
+        .with_type::<(Vec<u64>, u8, u8)>()
+        .for_each(|(keys, depth, rotation)| {
+            let keys: Vec<PrefixKey> = keys.iter().copied().map(PrefixKey).collect();
+            let own = targets(12);
+            let mut other = own.clone();
+            other.rotate_left(usize::from(rotation % 12));
+            let request = request(&keys, u32::from(*depth));
+            for policy in POLICIES {
+                let chosen = policy.candidates(&request, &own);
+                assert_eq!(chosen, policy.candidates(&request, &other));
+                assert_eq!(chosen.len(), policy.candidates);
+            }
+        });
+}
+
+#[test]
+fn a_change_of_the_fleet_moves_only_what_it_must() {
+    let mut all = targets(12);
+    let keys: Vec<[PrefixKey; 1]> = (0..2_000).map(|key| [PrefixKey(key)]).collect();
+    let first = |all: &[PlacementTarget]| -> Vec<UpstreamKey> {
+        let pick = |key: &[PrefixKey; 1]| STANDARD.candidates(&request(key, 1), all)[0];
+        keys.iter().map(pick).collect()
+    };
+    let before = first(&all);
+    all[5].leaving = true;
+    let gone = all[5].upstream;
+    let after = first(&all);
+    let stays =
+        |(old, new): (&UpstreamKey, &UpstreamKey)| *new != gone && (old == new || *old == gone);
+    assert!(before.iter().zip(&after).all(stays));
+    for target in &all {
+        let share = before.iter().filter(|key| **key == target.upstream).count();
+        assert!(
+            (110..=230).contains(&share),
+            "{share} of 2,000 on one of 12"
+        );
+    }
+}
+
+#[test]
+fn the_first_candidates_do_not_share_one_data_centre() {
+    let all = targets(12);
+    for key in (0..500).map(PrefixKey) {
+        let chosen = STANDARD.candidates(&request(&[key], 1), &all);
+        let centre = |key: &UpstreamKey| {
+            all.iter()
+                .find(|t| t.upstream == *key)
+                .map(|t| t.data_centre)
+        };
+        assert!(chosen.iter().any(|key| centre(key) != centre(&chosen[0])));
+    }
+}
+
+#[test]
+fn prompts_of_one_site_share_their_candidates() {
+    let all = targets(12);
+    let unit = |last: u64| [1, 2, last].map(PrefixKey);
+    let chosen = |last| STANDARD.candidates(&request(&unit(last), 2), &all);
+    assert!((0..50).all(|last| chosen(last) == chosen(50)));
+}
+
+#[test]
+fn hops_are_bounded_and_agree_with_a_naive_choice() {
+    bolero::check!()
+        .with_type::<[(u16, u8, u8); 4]>()
+        .for_each(|rows| {
+            let all = targets(12);
+            let candidates = STANDARD.candidates(&request(&[PrefixKey(3)], 1), &all);
+            let rows = candidates.iter().zip(rows);
+            let quotes: Vec<CandidateQuote> = rows
+                .filter(|(_, (_, _, answered))| answered % 4 > 0)
+                .map(|(upstream, (wait, missing, answered))| CandidateQuote {
+                    upstream: *upstream,
+                    open: answered % 4 > 1,
+                    wait_us: u64::from(*wait) * 100,
+                    missing_pieces: u32::from(missing % 8),
+                })
+                .collect();
+            let hops = STANDARD.hops(&WEIGHTS, &candidates, &quotes);
+            assert!(hops.len() <= STANDARD.max_hops);
+            let mut naive = None;
+            for quote in quotes.iter().filter(|quote| quote.open) {
+                let cost = quote.wait_us + 60_000 * u64::from(quote.missing_pieces);
+                if naive.is_none_or(|(least, _)| cost < least) {
+                    naive = Some((cost, quote.upstream));
+                }
+            }
+            let Some((_, upstream)) = naive else {
+                let shut = |key| quotes.iter().any(|quote| quote.upstream == key);
+                return assert!(hops.iter().all(|hop| !shut(hop.upstream)));
+            };
+            assert_eq!(hops[0].upstream, upstream);
+            assert_eq!(hops[hops.len() - 1].wait_limit_us, u64::MAX);
+        });
+}
