Let a handler close its connection in place of an answer

Cause: stand-ins have to crash, refuse connections while down and lose the answer of an append that took effect; the server loop could only answer.

Ruled out: a body that fails at once (the caller would still read a 200 head and know that the append took effect); dropping and rebinding the listener (open connections would outlive it, and a lost answer concerns one connection only); a second server loop in src/standin.

Conclusion: additive, no handler needs a change.

--- a/src/platform/http_server.rs
+++ b/src/platform/http_server.rs
@@ -1,7 +1,7 @@
 //! HTTP server loop: one task for each connection, a bounded number of them.
 
-use std::convert::Infallible;
 use std::fmt;
+use std::io;
 use std::pin::Pin;
 use std::sync::Arc;
 use std::time::Duration;
@@ -31,6 +31,10 @@
 /// Future of one response.
 pub type ResponseFuture = Pin<Box<dyn Future<Output = Response<ResponseBody>> + Send>>;
 
+/// Marks, as an extension of a response, that the connection is closed in place of an answer.
+#[derive(Debug, Clone, Copy)]
+pub struct CutConnection;
+
 /// Answers requests; shared by all connections of a server.
 #[derive(Clone)]
 pub struct RequestHandler {
@@ -87,7 +91,13 @@
             let handler = handler.clone();
             let answer = service_fn(move |request| {
                 let response = (handler.handle)(request);
-                async move { Ok::<_, Infallible>(response.await) }
+                async move {
+                    let response = response.await;
+                    match response.extensions().get::<CutConnection>() {
+                        Some(_) => Err(io::Error::from(io::ErrorKind::ConnectionAborted)),
+                        None => Ok(response),
+                    }
+                }
             });
             let connection = http1::Builder::new()
                 .timer(TokioTimer::new())
@@ -110,6 +120,14 @@
     drop(timeout(Duration::from_millis(limits.drain_ms), graceful.shutdown()).await);
 }
 
+/// Returns a response that closes the connection in place of an answer.
+#[must_use]
+pub fn cut_response() -> Response<ResponseBody> {
+    let mut response = Response::new(whole_body(Bytes::new()));
+    response.extensions_mut().insert(CutConnection);
+    response
+}
+
 /// Wraps bytes as a whole body.
 #[must_use]
 pub fn whole_body(bytes: impl Into<Bytes>) -> ResponseBody {
