Add stand-ins for engine, plain service and platform

Cause: the thin path needs something to route to; docs/UPSTREAM-INTERFACES.md says what.

Each stand-in is a kernel service that owns its state (engine, plain, log, instances, weights, kept-cache) behind one HTTP front. Decisions (prefix cache, batch, cache feed, log, instance list, weight store) are plain structs that take the present moment and know no encoding.

Ruled out: storing stream events (they follow from the prompt and the event's number, so a request keeps a count only); one step for the whole batch (requests would share deadlines that a real engine's requests do not); a timer for the load report (a history is read a lag back, so an idle engine does not wake).

Conclusion: complete enough for the thin path; faults still need their tests.

--- a/src/lib.rs
+++ b/src/lib.rs
@@ -7,4 +7,5 @@
 pub mod kernel;
 pub mod platform;
 pub mod services;
+pub mod standin;
 pub mod wire;
--- /dev/null
+++ b/src/standin/log_service.rs
@@ -0,0 +1,170 @@
+//! Service `log`: owns the append log and the readers that wait for records.
+
+use std::time::Duration;
+
+use serde_json::json;
+
+use super::append_log::{AppendLog, AppendOutcome, LogLimits, LogPage};
+use super::mail::StandinMail;
+use crate::kernel::{Moment, NextStep, ReplyTo, Service, Signal};
+
+/// Messages to the service `log`.
+#[derive(Debug)]
+pub enum LogMail {
+    /// Append a record to a stream.
+    Append(String, String, ReplyTo<LogReply>),
+    /// Read records.
+    Read(LogReader),
+    /// Drop the records of a stream before an offset.
+    Retain(String, u64, ReplyTo<LogReply>),
+    /// Cause a fault.
+    Fault(LogFault, ReplyTo<LogReply>),
+}
+
+/// A reader of a stream.
+#[derive(Debug)]
+pub struct LogReader {
+    /// Name of the stream.
+    pub stream: String,
+    /// Offset to read from.
+    pub from: u64,
+    /// Most records.
+    pub limit: usize,
+    /// When it is answered in any case.
+    pub until: Moment,
+    /// Takes the reply.
+    pub reply: ReplyTo<LogReply>,
+}
+
+/// Faults of the log.
+#[derive(Debug, Clone, Copy)]
+pub enum LogFault {
+    /// Out of service for a time in milliseconds.
+    Outage(u64),
+    /// The answers of the next appends are lost.
+    LoseAnswers(u64),
+    /// All answers come late by a time in milliseconds.
+    Delay(u64),
+}
+
+/// A reply that must not be given before a moment.
+#[derive(Debug)]
+pub struct LogReply {
+    /// When the reply may be given.
+    pub not_before: Moment,
+    /// The answer.
+    pub answer: LogAnswer,
+}
+
+/// Answers of the log.
+#[derive(Debug)]
+pub enum LogAnswer {
+    /// The outcome of an append.
+    Append(AppendOutcome),
+    /// Records.
+    Page(LogPage),
+    /// The log is out of service.
+    Unavailable,
+    /// The fault is in effect.
+    Done,
+}
+
+struct LogState {
+    log: AppendLog,
+    readers: Vec<LogReader>,
+    delay_ms: u64,
+}
+
+/// Creates the service.
+#[must_use]
+pub fn log_service(limits: LogLimits) -> Service<StandinMail> {
+    let mut state = LogState {
+        log: AppendLog::new(limits),
+        readers: Vec::new(),
+        delay_ms: 0,
+    };
+    Service::new("log", move |turn, signal| {
+        match signal {
+            Signal::Mail(StandinMail::Log(mail)) => state.receive(turn.now, mail),
+            Signal::Dump(reply) => reply.send(state.dump()),
+            Signal::Stop => return NextStep::Stopped,
+            Signal::Start | Signal::Due | Signal::Mail(_) => {}
+        }
+        NextStep::WaitUntil(state.answer_readers(turn.now))
+    })
+}
+
+impl LogState {
+    fn receive(&mut self, now: Moment, mail: LogMail) {
+        match mail {
+            LogMail::Append(stream, body, reply) => {
+                let outcome = self.log.append(now, &stream, &body);
+                self.reply(now, reply, LogAnswer::Append(outcome));
+            }
+            LogMail::Read(reader) => self.readers.push(reader),
+            LogMail::Retain(stream, first, reply) => {
+                self.log.retain_from(&stream, first);
+                self.reply(now, reply, LogAnswer::Done);
+            }
+            LogMail::Fault(fault, reply) => {
+                self.cause(now, fault);
+                reply.send(LogReply {
+                    not_before: now,
+                    answer: LogAnswer::Done,
+                });
+            }
+        }
+    }
+
+    fn cause(&mut self, now: Moment, fault: LogFault) {
+        match fault {
+            LogFault::Outage(ms) => {
+                self.log.outage_until = now.after(Duration::from_millis(ms));
+            }
+            LogFault::LoseAnswers(count) => self.log.lost_answers = count,
+            LogFault::Delay(ms) => self.delay_ms = ms,
+        }
+    }
+
+    fn answer_readers(&mut self, now: Moment) -> Moment {
+        let mut due = Moment::NEVER;
+        for reader in std::mem::take(&mut self.readers) {
+            if let Some(answer) = self.answer_for(now, &reader) {
+                self.reply(now, reader.reply, answer);
+                continue;
+            }
+            due = due.min(reader.until);
+            self.readers.push(reader);
+        }
+        due
+    }
+
+    fn answer_for(&self, now: Moment, reader: &LogReader) -> Option<LogAnswer> {
+        if self.log.is_out(now) {
+            return Some(LogAnswer::Unavailable);
+        }
+        let LogReader {
+            stream,
+            from,
+            limit,
+            until,
+            ..
+        } = reader;
+        let page = self.log.read(stream, *from, *limit);
+        let timed_out = || {
+            let page = until.is_due(now);
+            page.then(|| self.log.page(stream, *from, *limit))
+        };
+        page.or_else(timed_out).map(LogAnswer::Page)
+    }
+
+    fn reply(&self, now: Moment, reply: ReplyTo<LogReply>, answer: LogAnswer) {
+        let not_before = now.after(Duration::from_millis(self.delay_ms));
+        reply.send(LogReply { not_before, answer });
+    }
+
+    fn dump(&self) -> serde_json::Value {
+        let next: std::collections::BTreeMap<&str, u64> = self.log.next_offsets().collect();
+        json!({ "next": next, "readers": self.readers.len(), "delay_ms": self.delay_ms })
+    }
+}
--- /dev/null
+++ b/src/standin/mail.rs
@@ -0,0 +1,25 @@
+//! Messages between the tasks of a stand-in, one variant for each receiving service.
+
+use super::engine_mail::EngineMail;
+use super::instance_service::InstanceMail;
+use super::kept_cache::KeptMail;
+use super::log_service::LogMail;
+use super::plain::PlainMail;
+use super::weight_service::WeightMail;
+
+/// Any message; the variant names the receiving service.
+#[derive(Debug)]
+pub enum StandinMail {
+    /// To the service `engine`.
+    Engine(EngineMail),
+    /// To the service `plain`.
+    Plain(PlainMail),
+    /// To the service `log`.
+    Log(LogMail),
+    /// To the service `instances`.
+    Instances(InstanceMail),
+    /// To the service `weights`.
+    Weights(WeightMail),
+    /// To the service `kept-cache`.
+    Kept(KeptMail),
+}
--- /dev/null
+++ b/src/standin/mod.rs
@@ -0,0 +1,30 @@
+//! Stand-ins: small fakes of the outside systems that docs/UPSTREAM-INTERFACES.md describes.
+//!
+//! Each is a kernel service that owns its state; an HTTP front turns calls into mail.
+
+pub mod append_log;
+pub mod batch;
+pub mod cache_feed;
+pub mod engine;
+pub mod engine_http;
+pub mod engine_life;
+pub mod engine_mail;
+pub mod engine_request;
+pub mod engine_service;
+pub mod engine_wire;
+pub mod front;
+pub mod instance_list;
+pub mod instance_service;
+pub mod kept_cache;
+pub mod load_history;
+pub mod log_service;
+pub mod mail;
+pub mod options;
+pub mod plain;
+pub mod plain_http;
+pub mod platform_http;
+pub mod prefix_cache;
+pub mod roles;
+pub mod token_text;
+pub mod weight_service;
+pub mod weight_store;
--- /dev/null
+++ b/src/standin/platform_http.rs
@@ -0,0 +1,262 @@
+//! HTTP front of the platform: log, instance list, weight store and kept-cache store.
+
+use hyper::body::Incoming;
+use hyper::{Request, Response, StatusCode};
+use serde::{Deserialize, Serialize};
+use serde_json::json;
+use tokio::time::sleep_until;
+
+use super::append_log::{AppendOutcome, LogPage};
+use super::front::{FrontError, FrontRequest, StandinDirectory, done_response, error_response};
+use super::instance_list::{InstanceEntry, InstanceState};
+use super::instance_service::InstanceMail;
+use super::kept_cache::KeptMail;
+use super::log_service::{LogAnswer, LogFault, LogMail, LogReader, LogReply};
+use super::mail::StandinMail;
+use super::weight_service::WeightMail;
+use crate::kernel::ReplyTo;
+use crate::platform::http_server::{
+    RequestHandler, ResponseBody, cut_response, json_response, whole_body,
+};
+
+/// Largest body of a record in bytes.
+const MAX_RECORD_BYTES: usize = 1024 * 1024;
+
+/// Records of one page when the caller sets no limit.
+const PAGE_RECORDS: u64 = 1_000;
+
+/// Creates the handler of the platform's calls.
+#[must_use]
+pub fn platform_handler(directory: StandinDirectory) -> RequestHandler {
+    RequestHandler::new(move |request| {
+        let directory = directory.clone();
+        async move {
+            let response = handle(&directory, request).await;
+            response.unwrap_or_else(cut_response)
+        }
+    })
+}
+
+async fn handle(
+    directory: &StandinDirectory,
+    request: Request<Incoming>,
+) -> Option<Response<ResponseBody>> {
+    let request = match FrontRequest::read(request).await {
+        Ok(request) => request,
+        Err(error) => return Some(error.into()),
+    };
+    let (method, path) = request.route();
+    match (method, path.as_slice()) {
+        ("POST", ["streams", stream, "append"]) => append(directory, stream, &request).await,
+        ("GET", ["streams", stream]) => read(directory, stream, &request).await,
+        ("GET", ["instances"]) => list_instances(directory).await,
+        ("PUT", ["instances", name]) => put_instance(directory, name, &request).await,
+        ("DELETE", ["instances", name]) => remove_instance(directory, name).await,
+        ("GET", ["weights", _model, _version]) => {
+            let mail = |reply| StandinMail::Weights(WeightMail::Fetch(reply));
+            directory.ask("weights", mail).await?;
+            Some(done_response())
+        }
+        ("PUT", ["kv", key]) => {
+            let (key, value) = ((*key).to_owned(), request.body.clone());
+            let mail = |reply| StandinMail::Kept(KeptMail::Put(key, value, reply));
+            directory.ask("kept-cache", mail).await?;
+            Some(done_response())
+        }
+        ("GET" | "HEAD", ["kv", key]) => get_value(directory, key).await,
+        ("POST", ["admin", fault]) => admin(directory, fault, &request).await,
+        _ => Some(FrontError::UnknownPath.into()),
+    }
+}
+
+async fn append(
+    directory: &StandinDirectory,
+    stream: &str,
+    request: &FrontRequest,
+) -> Option<Response<ResponseBody>> {
+    if request.body.len() > MAX_RECORD_BYTES {
+        let response = error_response(StatusCode::PAYLOAD_TOO_LARGE, "record_too_large");
+        return Some(response);
+    }
+    let Ok(body) = String::from_utf8(request.body.to_vec()) else {
+        return Some(FrontError::BadBody.into());
+    };
+    let stream = stream.to_owned();
+    ask_log(directory, |reply| LogMail::Append(stream, body, reply)).await
+}
+
+async fn read(
+    directory: &StandinDirectory,
+    stream: &str,
+    request: &FrontRequest,
+) -> Option<Response<ResponseBody>> {
+    let limit = request.number("limit", PAGE_RECORDS);
+    let reader = |reply| LogReader {
+        stream: stream.to_owned(),
+        from: request.number("from", 1),
+        limit: usize::try_from(limit).unwrap_or(usize::MAX),
+        until: request.deadline("wait_ms", directory.now()),
+        reply,
+    };
+    ask_log(directory, |reply| LogMail::Read(reader(reply))).await
+}
+
+async fn admin(
+    directory: &StandinDirectory,
+    fault: &str,
+    request: &FrontRequest,
+) -> Option<Response<ResponseBody>> {
+    let fault = match fault {
+        "outage" => LogFault::Outage(request.number("ms", 0)),
+        "lose-answers" => LogFault::LoseAnswers(request.number("next", 1)),
+        "delay" => LogFault::Delay(request.number("ms", 0)),
+        "retain" => {
+            let stream = request.parameter("stream").unwrap_or_default().to_owned();
+            let first = request.number("first", 1);
+            return ask_log(directory, |reply| LogMail::Retain(stream, first, reply)).await;
+        }
+        _ => return Some(FrontError::UnknownPath.into()),
+    };
+    ask_log(directory, |reply| LogMail::Fault(fault, reply)).await
+}
+
+async fn ask_log(
+    directory: &StandinDirectory,
+    mail: impl FnOnce(ReplyTo<LogReply>) -> LogMail,
+) -> Option<Response<ResponseBody>> {
+    let question = |reply| StandinMail::Log(mail(reply));
+    let LogReply { not_before, answer } = directory.ask("log", question).await?;
+    sleep_until(directory.clock().instant(not_before).into()).await;
+    match answer {
+        LogAnswer::Append(AppendOutcome::Appended(offset)) => {
+            Some(json_response(StatusCode::OK, &json!({ "offset": offset })))
+        }
+        LogAnswer::Append(AppendOutcome::AnswerLost) => None,
+        LogAnswer::Append(AppendOutcome::Unavailable) | LogAnswer::Unavailable => {
+            let response = error_response(StatusCode::SERVICE_UNAVAILABLE, "unavailable");
+            Some(response)
+        }
+        LogAnswer::Page(page) => Some(json_response(StatusCode::OK, &json!(PageBody::from(page)))),
+        LogAnswer::Done => Some(done_response()),
+    }
+}
+
+async fn list_instances(directory: &StandinDirectory) -> Option<Response<ResponseBody>> {
+    let mail = |reply| StandinMail::Instances(InstanceMail::List(reply));
+    let entries = directory.ask("instances", mail).await?;
+    let instances: Vec<InstanceBody> = entries.into_iter().map(InstanceBody::from).collect();
+    let list = json!({ "instances": instances });
+    Some(json_response(StatusCode::OK, &list))
+}
+
+async fn put_instance(
+    directory: &StandinDirectory,
+    name: &str,
+    request: &FrontRequest,
+) -> Option<Response<ResponseBody>> {
+    let Ok(body) = serde_json::from_slice::<InstanceBody>(&request.body) else {
+        return Some(FrontError::BadBody.into());
+    };
+    let mut entry = InstanceEntry::from(body);
+    name.clone_into(&mut entry.name);
+    let mail = |reply| StandinMail::Instances(InstanceMail::Put(entry, reply));
+    directory.ask("instances", mail).await?;
+    Some(done_response())
+}
+
+async fn remove_instance(
+    directory: &StandinDirectory,
+    name: &str,
+) -> Option<Response<ResponseBody>> {
+    let name = name.to_owned();
+    let mail = |reply| StandinMail::Instances(InstanceMail::Remove(name, reply));
+    if directory.ask("instances", mail).await? {
+        return Some(done_response());
+    }
+    Some(error_response(StatusCode::NOT_FOUND, "unknown_instance"))
+}
+
+async fn get_value(directory: &StandinDirectory, key: &str) -> Option<Response<ResponseBody>> {
+    let key = key.to_owned();
+    let mail = |reply| StandinMail::Kept(KeptMail::Get(key, reply));
+    match directory.ask("kept-cache", mail).await? {
+        Some(value) => Some(Response::new(whole_body(value))),
+        None => Some(error_response(StatusCode::NOT_FOUND, "unknown_key")),
+    }
+}
+
+#[derive(Debug, Serialize)]
+struct PageBody {
+    first: u64,
+    next: u64,
+    records: Vec<RecordBody>,
+}
+
+#[derive(Debug, Serialize)]
+struct RecordBody {
+    offset: u64,
+    body: String,
+}
+
+impl From<LogPage> for PageBody {
+    fn from(page: LogPage) -> Self {
+        let records = page.records.into_iter();
+        Self {
+            first: page.first,
+            next: page.next,
+            records: records
+                .map(|record| RecordBody {
+                    offset: record.offset,
+                    body: record.body.as_ref().to_owned(),
+                })
+                .collect(),
+        }
+    }
+}
+
+#[derive(Debug, Clone, Copy, Serialize, Deserialize)]
+#[serde(rename_all = "lowercase")]
+enum StateBody {
+    Live,
+    Leaving,
+}
+
+#[derive(Debug, Serialize, Deserialize)]
+struct InstanceBody {
+    #[serde(default)]
+    name: String,
+    role: String,
+    address: String,
+    data_centre: String,
+    state: StateBody,
+}
+
+impl From<InstanceBody> for InstanceEntry {
+    fn from(body: InstanceBody) -> Self {
+        Self {
+            name: body.name,
+            role: body.role,
+            address: body.address,
+            data_centre: body.data_centre,
+            state: match body.state {
+                StateBody::Live => InstanceState::Live,
+                StateBody::Leaving => InstanceState::Leaving,
+            },
+        }
+    }
+}
+
+impl From<InstanceEntry> for InstanceBody {
+    fn from(entry: InstanceEntry) -> Self {
+        Self {
+            name: entry.name,
+            role: entry.role,
+            address: entry.address,
+            data_centre: entry.data_centre,
+            state: match entry.state {
+                InstanceState::Live => StateBody::Live,
+                InstanceState::Leaving => StateBody::Leaving,
+            },
+        }
+    }
+}
--- /dev/null
+++ b/src/standin/token_text.rs
@@ -0,0 +1,64 @@
+//! Output text of the engine: a fixed sequence of tokens for each prompt.
+//!
+//! Token `k` is ` t{k}.{hash}`, where the hash depends on the prompt and on `k`. A reader can thus
+//! check that an answer is whole, in order and its own.
+
+/// Mixes two numbers into one that looks random.
+#[must_use]
+pub const fn mix(seed: u64, number: u64) -> u64 {
+    let mut word = seed ^ number.wrapping_add(1).wrapping_mul(0x9e37_79b9_7f4a_7c15);
+    word = (word ^ (word >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+    word = (word ^ (word >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+    word ^ (word >> 31)
+}
+
+/// Returns the seed of a prompt's token sequence.
+#[must_use]
+pub fn text_seed(prompt: &str) -> u64 {
+    let mut word = [0; 8];
+    word.copy_from_slice(&blake3::hash(prompt.as_bytes()).as_bytes()[..8]);
+    u64::from_le_bytes(word)
+}
+
+/// Returns one token of a sequence.
+#[must_use]
+pub fn token(seed: u64, index: u64) -> String {
+    format!(" t{index}.{:04x}", mix(seed, index) & 0xffff)
+}
+
+/// Returns how many leading tokens of the sequence the text consists of or begins with.
+#[must_use]
+pub fn count_tokens(seed: u64, text: &str) -> u64 {
+    let mut rest = text;
+    let mut count = 0;
+    while let Some(after) = rest.strip_prefix(token(seed, count).as_str()) {
+        rest = after;
+        count += 1;
+    }
+    count
+}
+
+/// Splits a prompt that ends with tokens already produced for its beginning.
+///
+/// Returns the seed of the beginning and the number of tokens present.
+///
+/// ```
+/// use bulrushslip::standin::token_text::{split_produced, text_seed, token};
+/// let seed = text_seed("Review unit 7.");
+/// let prompt = format!("Review unit 7.{}{}", token(seed, 0), token(seed, 1));
+/// assert_eq!(split_produced(&prompt), (seed, 2));
+/// assert_eq!(split_produced("Review unit 7."), (seed, 0));
+/// ```
+#[must_use]
+pub fn split_produced(prompt: &str) -> (u64, u64) {
+    for (start, _) in prompt.rmatch_indices(" t0.") {
+        let seed = text_seed(&prompt[..start]);
+        let produced = &prompt[start..];
+        let count = count_tokens(seed, produced);
+        let length: usize = (0..count).map(|index| token(seed, index).len()).sum();
+        if count > 0 && length == produced.len() {
+            return (seed, count);
+        }
+    }
+    (text_seed(prompt), 0)
+}
