Add checked settings for entry and sidecar, with their page

Cause: processes learn everything from flags and environment variables, and an operator needs every bad one named at once. Ruled out: argh's own type checks and from_env (it stops at the first bad value and exits with 1); flags are read as text, checked against one table, and all errors are reported with exit code 2. Tokens are never shown. Conclusion: a new setting is one row, one field and one flag.

--- /dev/null
+++ b/src/entry_cli.rs
@@ -0,0 +1,84 @@
+//! Flags of `bulrushslip-entry`, apart from its work.
+
+use argh::FromArgs;
+
+use crate::settings::{ENTRY_TABLE, EntrySettings, SettingReader, StartOutcome, read_flags};
+
+/// Takes callers' requests and sends each to an upstream that can answer it.
+#[derive(Debug, Clone, FromArgs)]
+struct EntryFlags {
+    /// address for callers
+    #[argh(option)]
+    listen: Option<String>,
+    /// address of the operator port
+    #[argh(option)]
+    operator_listen: Option<String>,
+    /// bearer token of the operator port, required unless the port is on loopback
+    #[argh(option)]
+    operator_token: Option<String>,
+    /// address of the platform's log, instance list and weight store
+    #[argh(option)]
+    platform: Option<String>,
+    /// name of this instance, unique in the fleet
+    #[argh(option)]
+    name: Option<String>,
+    /// data centre in which this instance runs
+    #[argh(option)]
+    data_centre: Option<String>,
+    /// longest request body, in bytes
+    #[argh(option)]
+    body_limit_bytes: Option<String>,
+    /// connections of callers that are served at the same time
+    #[argh(option)]
+    max_connections: Option<String>,
+    /// attempts to run one request, the first included
+    #[argh(option)]
+    max_attempts: Option<String>,
+    /// longest wait for open requests at a planned stop, in milliseconds
+    #[argh(option)]
+    drain_ms: Option<String>,
+    /// lowest level of events that are logged
+    #[argh(option)]
+    log_level: Option<String>,
+    /// format of log lines
+    #[argh(option)]
+    log_format: Option<String>,
+    /// UDP address that metrics are sent to, off when not given
+    #[argh(option)]
+    metrics: Option<String>,
+}
+
+impl EntryFlags {
+    fn given(&self) -> [(&'static str, Option<&String>); ENTRY_TABLE.len()] {
+        [
+            ("listen", self.listen.as_ref()),
+            ("operator-listen", self.operator_listen.as_ref()),
+            ("operator-token", self.operator_token.as_ref()),
+            ("platform", self.platform.as_ref()),
+            ("name", self.name.as_ref()),
+            ("data-centre", self.data_centre.as_ref()),
+            ("body-limit-bytes", self.body_limit_bytes.as_ref()),
+            ("max-connections", self.max_connections.as_ref()),
+            ("max-attempts", self.max_attempts.as_ref()),
+            ("drain-ms", self.drain_ms.as_ref()),
+            ("log-level", self.log_level.as_ref()),
+            ("log-format", self.log_format.as_ref()),
+            ("metrics", self.metrics.as_ref()),
+        ]
+    }
+}
+
+/// Reads and checks the settings from arguments (without the program) and variables.
+#[must_use]
+pub fn read(
+    arguments: &[&str],
+    variable: &dyn Fn(&str) -> Option<String>,
+) -> StartOutcome<EntrySettings> {
+    let flags = match read_flags::<EntryFlags>("bulrushslip-entry", arguments, &ENTRY_TABLE) {
+        Ok(flags) => flags,
+        Err((code, text)) => return StartOutcome::Exit { code, text },
+    };
+    let mut reader = SettingReader::new(&ENTRY_TABLE, &flags.given(), variable);
+    let settings = EntrySettings::read(&mut reader);
+    reader.finish(settings)
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -5,7 +5,10 @@
 
 pub mod ctl;
 pub mod decide;
+pub mod entry_cli;
 pub mod kernel;
 pub mod platform;
 pub mod services;
+pub mod settings;
+pub mod sidecar_cli;
 pub mod wire;
--- /dev/null
+++ b/src/settings/table.rs
@@ -0,0 +1,308 @@
+//! Tables of all settings; docs/SETTINGS.md is made from them.
+
+use std::fmt::Write;
+
+/// What values a setting takes.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum ValueKind {
+    /// IP address and port.
+    Address,
+    /// Name of 1 to 64 letters, digits, `-`, `_` or `.`.
+    Name,
+    /// Secret of at least 16 visible ASCII characters.
+    Token,
+    /// Integer in a closed range.
+    Integer {
+        /// Smallest value.
+        min: u64,
+        /// Largest value.
+        max: u64,
+    },
+    /// Level of the log.
+    LogLevel,
+    /// Format of the log.
+    LogFormat,
+}
+
+impl ValueKind {
+    /// Describes the accepted values.
+    #[must_use]
+    pub fn accepted(self) -> String {
+        match self {
+            Self::Address => "IP:PORT".to_owned(),
+            Self::Name => "1 to 64 letters, digits, '-', '_' or '.'".to_owned(),
+            Self::Token => "at least 16 visible ASCII characters".to_owned(),
+            Self::Integer { min, max } => format!("an integer from {min} to {max}"),
+            Self::LogLevel => "off, error, warn, info, debug or trace".to_owned(),
+            Self::LogFormat => "text or json".to_owned(),
+        }
+    }
+}
+
+/// What a setting has when neither flag nor variable is given.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Fallback {
+    /// This value.
+    Value(&'static str),
+    /// Nothing: what it describes is off.
+    Unset,
+    /// The process does not start.
+    Required,
+}
+
+/// One setting.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct SettingRow {
+    /// Flag without its dashes.
+    pub flag: &'static str,
+    /// Environment variable.
+    pub variable: &'static str,
+    /// What holds without flag and variable.
+    pub fallback: Fallback,
+    /// Accepted values.
+    pub kind: ValueKind,
+    /// What it sets.
+    pub doc: &'static str,
+}
+
+const fn row(
+    flag: &'static str,
+    variable: &'static str,
+    fallback: Fallback,
+    kind: ValueKind,
+    doc: &'static str,
+) -> SettingRow {
+    SettingRow {
+        flag,
+        variable,
+        fallback,
+        kind,
+        doc,
+    }
+}
+
+const OPERATOR_TOKEN: SettingRow = row(
+    "operator-token",
+    "BULRUSHSLIP_OPERATOR_TOKEN",
+    Fallback::Unset,
+    ValueKind::Token,
+    "bearer token of the operator port, required unless the port is on loopback",
+);
+
+const PLATFORM: SettingRow = row(
+    "platform",
+    "BULRUSHSLIP_PLATFORM",
+    Fallback::Required,
+    ValueKind::Address,
+    "address of the platform's log, instance list and weight store",
+);
+
+const NAME: SettingRow = row(
+    "name",
+    "BULRUSHSLIP_NAME",
+    Fallback::Required,
+    ValueKind::Name,
+    "name of this instance, unique in the fleet",
+);
+
+const DATA_CENTRE: SettingRow = row(
+    "data-centre",
+    "BULRUSHSLIP_DATA_CENTRE",
+    Fallback::Required,
+    ValueKind::Name,
+    "data centre in which this instance runs",
+);
+
+const DRAIN_MS: SettingRow = row(
+    "drain-ms",
+    "BULRUSHSLIP_DRAIN_MS",
+    Fallback::Value("60000"),
+    ValueKind::Integer {
+        min: 0,
+        max: 3_600_000,
+    },
+    "longest wait for open requests at a planned stop, in milliseconds",
+);
+
+const LOG_LEVEL: SettingRow = row(
+    "log-level",
+    "BULRUSHSLIP_LOG_LEVEL",
+    Fallback::Value("info"),
+    ValueKind::LogLevel,
+    "lowest level of events that are logged",
+);
+
+const LOG_FORMAT: SettingRow = row(
+    "log-format",
+    "BULRUSHSLIP_LOG_FORMAT",
+    Fallback::Value("text"),
+    ValueKind::LogFormat,
+    "format of log lines",
+);
+
+const METRICS: SettingRow = row(
+    "metrics",
+    "BULRUSHSLIP_METRICS",
+    Fallback::Unset,
+    ValueKind::Address,
+    "UDP address that metrics are sent to, off when not given",
+);
+
+/// Settings of `bulrushslip-entry`.
+pub const ENTRY_TABLE: [SettingRow; 13] = [
+    row(
+        "listen",
+        "BULRUSHSLIP_LISTEN",
+        Fallback::Value("127.0.0.1:8080"),
+        ValueKind::Address,
+        "address for callers",
+    ),
+    row(
+        "operator-listen",
+        "BULRUSHSLIP_OPERATOR_LISTEN",
+        Fallback::Value("127.0.0.1:8081"),
+        ValueKind::Address,
+        "address of the operator port",
+    ),
+    OPERATOR_TOKEN,
+    PLATFORM,
+    NAME,
+    DATA_CENTRE,
+    row(
+        "body-limit-bytes",
+        "BULRUSHSLIP_BODY_LIMIT_BYTES",
+        Fallback::Value("4194304"),
+        ValueKind::Integer {
+            min: 1_024,
+            max: 16_777_216,
+        },
+        "longest request body, in bytes",
+    ),
+    row(
+        "max-connections",
+        "BULRUSHSLIP_MAX_CONNECTIONS",
+        Fallback::Value("10000"),
+        ValueKind::Integer {
+            min: 1,
+            max: 1_000_000,
+        },
+        "connections of callers that are served at the same time",
+    ),
+    row(
+        "max-attempts",
+        "BULRUSHSLIP_MAX_ATTEMPTS",
+        Fallback::Value("3"),
+        ValueKind::Integer { min: 1, max: 10 },
+        "attempts to run one request, the first included",
+    ),
+    DRAIN_MS,
+    LOG_LEVEL,
+    LOG_FORMAT,
+    METRICS,
+];
+
+/// Settings of `bulrushslip-sidecar`.
+pub const SIDECAR_TABLE: [SettingRow; 17] = [
+    row(
+        "listen",
+        "BULRUSHSLIP_LISTEN",
+        Fallback::Value("127.0.0.1:9080"),
+        ValueKind::Address,
+        "address for entries",
+    ),
+    row(
+        "operator-listen",
+        "BULRUSHSLIP_OPERATOR_LISTEN",
+        Fallback::Value("127.0.0.1:9081"),
+        ValueKind::Address,
+        "address of the operator port",
+    ),
+    OPERATOR_TOKEN,
+    PLATFORM,
+    NAME,
+    DATA_CENTRE,
+    row(
+        "upstream",
+        "BULRUSHSLIP_UPSTREAM",
+        Fallback::Required,
+        ValueKind::Name,
+        "declared name of the upstream beside which this process runs",
+    ),
+    row(
+        "engine",
+        "BULRUSHSLIP_ENGINE",
+        Fallback::Unset,
+        ValueKind::Address,
+        "address of the model engine, if the upstream is one",
+    ),
+    row(
+        "plain",
+        "BULRUSHSLIP_PLAIN",
+        Fallback::Unset,
+        ValueKind::Address,
+        "address of the plain service, if the upstream is one",
+    ),
+    row(
+        "slots",
+        "BULRUSHSLIP_SLOTS",
+        Fallback::Value("8"),
+        ValueKind::Integer { min: 1, max: 4_096 },
+        "requests that run at the same time until the configuration says otherwise",
+    ),
+    row(
+        "queue-limit",
+        "BULRUSHSLIP_QUEUE_LIMIT",
+        Fallback::Value("256"),
+        ValueKind::Integer {
+            min: 1,
+            max: 100_000,
+        },
+        "requests that wait at the same time",
+    ),
+    row(
+        "kept-ms",
+        "BULRUSHSLIP_KEPT_MS",
+        Fallback::Value("60000"),
+        ValueKind::Integer {
+            min: 1_000,
+            max: 3_600_000,
+        },
+        "time for which a finished answer is kept, in milliseconds",
+    ),
+    row(
+        "kept-bytes",
+        "BULRUSHSLIP_KEPT_BYTES",
+        Fallback::Value("16777216"),
+        ValueKind::Integer {
+            min: 65_536,
+            max: 1_073_741_824,
+        },
+        "finished answers that are kept at the same time, in bytes",
+    ),
+    DRAIN_MS,
+    LOG_LEVEL,
+    LOG_FORMAT,
+    METRICS,
+];
+
+/// Renders a table as Markdown.
+#[must_use]
+pub fn markdown(table: &[SettingRow]) -> String {
+    let mut text =
+        String::from("| flag | variable | default | accepted | sets |\n|---|---|---|---|---|\n");
+    for row in table {
+        let default = match row.fallback {
+            Fallback::Value(value) => value,
+            Fallback::Unset => "none",
+            Fallback::Required => "required",
+        };
+        let accepted = row.kind.accepted();
+        writeln!(
+            text,
+            "| `--{}` | `{}` | {default} | {accepted} | {} |",
+            row.flag, row.variable, row.doc
+        )
+        .expect("a string can always be written to");
+    }
+    text
+}
--- /dev/null
+++ b/src/sidecar_cli.rs
@@ -0,0 +1,100 @@
+//! Flags of `bulrushslip-sidecar`, apart from its work.
+
+use argh::FromArgs;
+
+use crate::settings::{SIDECAR_TABLE, SettingReader, SidecarSettings, StartOutcome, read_flags};
+
+/// Runs beside one upstream and owns its queue and its orders.
+#[derive(Debug, Clone, FromArgs)]
+struct SidecarFlags {
+    /// address for entries
+    #[argh(option)]
+    listen: Option<String>,
+    /// address of the operator port
+    #[argh(option)]
+    operator_listen: Option<String>,
+    /// bearer token of the operator port, required unless the port is on loopback
+    #[argh(option)]
+    operator_token: Option<String>,
+    /// address of the platform's log, instance list and weight store
+    #[argh(option)]
+    platform: Option<String>,
+    /// name of this instance, unique in the fleet
+    #[argh(option)]
+    name: Option<String>,
+    /// data centre in which this instance runs
+    #[argh(option)]
+    data_centre: Option<String>,
+    /// declared name of the upstream beside which this process runs
+    #[argh(option)]
+    upstream: Option<String>,
+    /// address of the model engine, if the upstream is one
+    #[argh(option)]
+    engine: Option<String>,
+    /// address of the plain service, if the upstream is one
+    #[argh(option)]
+    plain: Option<String>,
+    /// requests that run at the same time until the configuration says otherwise
+    #[argh(option)]
+    slots: Option<String>,
+    /// requests that wait at the same time
+    #[argh(option)]
+    queue_limit: Option<String>,
+    /// time for which a finished answer is kept, in milliseconds
+    #[argh(option)]
+    kept_ms: Option<String>,
+    /// finished answers that are kept at the same time, in bytes
+    #[argh(option)]
+    kept_bytes: Option<String>,
+    /// longest wait for open requests at a planned stop, in milliseconds
+    #[argh(option)]
+    drain_ms: Option<String>,
+    /// lowest level of events that are logged
+    #[argh(option)]
+    log_level: Option<String>,
+    /// format of log lines
+    #[argh(option)]
+    log_format: Option<String>,
+    /// UDP address that metrics are sent to, off when not given
+    #[argh(option)]
+    metrics: Option<String>,
+}
+
+impl SidecarFlags {
+    fn given(&self) -> [(&'static str, Option<&String>); SIDECAR_TABLE.len()] {
+        [
+            ("listen", self.listen.as_ref()),
+            ("operator-listen", self.operator_listen.as_ref()),
+            ("operator-token", self.operator_token.as_ref()),
+            ("platform", self.platform.as_ref()),
+            ("name", self.name.as_ref()),
+            ("data-centre", self.data_centre.as_ref()),
+            ("upstream", self.upstream.as_ref()),
+            ("engine", self.engine.as_ref()),
+            ("plain", self.plain.as_ref()),
+            ("slots", self.slots.as_ref()),
+            ("queue-limit", self.queue_limit.as_ref()),
+            ("kept-ms", self.kept_ms.as_ref()),
+            ("kept-bytes", self.kept_bytes.as_ref()),
+            ("drain-ms", self.drain_ms.as_ref()),
+            ("log-level", self.log_level.as_ref()),
+            ("log-format", self.log_format.as_ref()),
+            ("metrics", self.metrics.as_ref()),
+        ]
+    }
+}
+
+/// Reads and checks the settings from arguments (without the program) and variables.
+#[must_use]
+pub fn read(
+    arguments: &[&str],
+    variable: &dyn Fn(&str) -> Option<String>,
+) -> StartOutcome<SidecarSettings> {
+    let flags = match read_flags::<SidecarFlags>("bulrushslip-sidecar", arguments, &SIDECAR_TABLE) {
+        Ok(flags) => flags,
+        Err((code, text)) => return StartOutcome::Exit { code, text },
+    };
+    let mut reader = SettingReader::new(&SIDECAR_TABLE, &flags.given(), variable);
+    let settings = SidecarSettings::read(&mut reader);
+    reader.finish(settings)
+}
