--- /dev/null
+++ b/src/events.rs
@@ -0,0 +1,227 @@
+//! Numbered log events; docs/EVENTS.md is made from [`CATALOGUE`].
+
+use std::fmt::{Display, Write};
+use std::sync::OnceLock;
+use std::time::{SystemTime, UNIX_EPOCH};
+
+use log::{Level, LevelFilter};
+use serde_json::{Map, Value};
+use simplelog::{ConfigBuilder, WriteLogger};
+
+use crate::settings::LogFormat;
+
+/// One kind of event.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct EventKind {
+    /// Stable number.
+    pub number: u16,
+    /// Level at which it is logged.
+    pub level: Level,
+    /// Stable name.
+    pub name: &'static str,
+    /// What it means.
+    pub text: &'static str,
+}
+
+/// A field of an event.
+pub type EventField<'a> = (&'static str, &'a dyn Display);
+
+const fn event(number: u16, level: Level, name: &'static str, text: &'static str) -> EventKind {
+    EventKind {
+        number,
+        level,
+        name,
+        text,
+    }
+}
+
+/// The process has started.
+pub const PROCESS_STARTED: EventKind = event(
+    101,
+    Level::Info,
+    "process_started",
+    "The process has started.",
+);
+
+/// A port is open.
+pub const LISTENING: EventKind = event(102, Level::Info, "listening", "A port is open.");
+
+/// A planned stop has begun.
+pub const STOP_BEGUN: EventKind = event(
+    103,
+    Level::Info,
+    "stop_begun",
+    "A signal has begun a planned stop; open requests are finished.",
+);
+
+/// The planned stop is over.
+pub const STOP_ENDED: EventKind = event(
+    104,
+    Level::Info,
+    "stop_ended",
+    "The planned stop is over and the process ends.",
+);
+
+/// A second signal has cut the planned stop short.
+pub const STOP_CUT: EventKind = event(
+    105,
+    Level::Warn,
+    "stop_cut",
+    "A second signal has cut the planned stop short; open requests are lost.",
+);
+
+/// An invariant is broken.
+pub const INVARIANT_BROKEN: EventKind = event(
+    106,
+    Level::Error,
+    "invariant_broken",
+    "An invariant is broken; the process ends with code 101.",
+);
+
+/// A port cannot be opened.
+pub const BIND_FAILED: EventKind = event(
+    107,
+    Level::Error,
+    "bind_failed",
+    "A port cannot be opened; the process ends with code 1.",
+);
+
+/// A configuration record was skipped.
+pub const RECORD_SKIPPED: EventKind = event(
+    201,
+    Level::Warn,
+    "record_skipped",
+    "A configuration record is not valid and was skipped; every process skips it alike.",
+);
+
+/// The log cannot be read.
+pub const LOG_UNREADABLE: EventKind = event(
+    202,
+    Level::Warn,
+    "log_unreadable",
+    "The platform's log cannot be read; the configuration in force stays.",
+);
+
+/// A call to the operator port without the token.
+pub const OPERATOR_DENIED: EventKind = event(
+    501,
+    Level::Warn,
+    "operator_denied",
+    "A call to the operator port without the right token was refused.",
+);
+
+/// Metrics cannot be sent.
+pub const METRICS_FAILED: EventKind = event(
+    502,
+    Level::Warn,
+    "metrics_failed",
+    "Metrics cannot be sent to the configured address; the counts of this interval are lost.",
+);
+
+/// All kinds of events in the order of their numbers.
+pub const CATALOGUE: [EventKind; 11] = [
+    PROCESS_STARTED,
+    LISTENING,
+    STOP_BEGUN,
+    STOP_ENDED,
+    STOP_CUT,
+    INVARIANT_BROKEN,
+    BIND_FAILED,
+    RECORD_SKIPPED,
+    LOG_UNREADABLE,
+    OPERATOR_DENIED,
+    METRICS_FAILED,
+];
+
+/// Format of this process's log, set once at its start.
+static FORMAT: OnceLock<LogFormat> = OnceLock::new();
+
+/// Starts the log of this process, on standard error; only the first call has an effect.
+pub fn start_log(level: LevelFilter, format: LogFormat) {
+    let mut config = ConfigBuilder::new();
+    config
+        .set_target_level(LevelFilter::Off)
+        .set_thread_level(LevelFilter::Off)
+        .set_location_level(LevelFilter::Off)
+        .set_time_format_rfc3339()
+        .add_filter_allow_str("bulrushslip");
+    if format == LogFormat::Json {
+        config
+            .set_time_level(LevelFilter::Off)
+            .set_max_level(LevelFilter::Off);
+    }
+    let started = WriteLogger::init(level, config.build(), std::io::stderr());
+    if started.is_ok() {
+        // A value is already there only if the log was started before.
+        drop(FORMAT.set(format));
+    }
+}
+
+/// Logs an event with its fields; costs one comparison when its level is off.
+///
+/// ```
+/// use bulrushslip::events::{LISTENING, log_event};
+/// log_event(&LISTENING, &[("role", &"entry"), ("address", &"127.0.0.1:8080")]);
+/// ```
+pub fn log_event(kind: &EventKind, fields: &[EventField<'_>]) {
+    if !log::log_enabled!(kind.level) {
+        return;
+    }
+    let line = match FORMAT.get() {
+        Some(LogFormat::Json) => json_line(kind, fields),
+        Some(LogFormat::Text) | None => text_line(kind, fields),
+    };
+    log::log!(kind.level, "{line}");
+}
+
+/// Renders an event as `key=value` fields; values with blanks or quotes are quoted.
+#[must_use]
+pub fn text_line(kind: &EventKind, fields: &[EventField<'_>]) -> String {
+    let mut line = format!("event={} name={}", kind.number, kind.name);
+    for (key, value) in fields {
+        let value = value.to_string();
+        let is_plain = !value.is_empty()
+            && value
+                .chars()
+                .all(|c| !c.is_whitespace() && !c.is_control() && c != '"' && c != '=');
+        let written = if is_plain {
+            write!(line, " {key}={value}")
+        } else {
+            write!(line, " {key}={}", Value::String(value))
+        };
+        written.expect("a string can always be written to");
+    }
+    line
+}
+
+/// Renders an event as a JSON object; times are milliseconds since 1970.
+#[must_use]
+pub fn json_line(kind: &EventKind, fields: &[EventField<'_>]) -> String {
+    let now = SystemTime::now().duration_since(UNIX_EPOCH);
+    let time_ms = now.map_or(0, |since| u64::try_from(since.as_millis()).unwrap_or(0));
+    let mut object = Map::new();
+    object.insert("time_ms".to_owned(), Value::from(time_ms));
+    object.insert("level".to_owned(), Value::from(kind.level.as_str()));
+    object.insert("event".to_owned(), Value::from(kind.number));
+    object.insert("name".to_owned(), Value::from(kind.name));
+    for (key, value) in fields {
+        object.insert((*key).to_owned(), Value::from(value.to_string()));
+    }
+    Value::Object(object).to_string()
+}
+
+/// Renders the catalogue as Markdown.
+#[must_use]
+pub fn markdown() -> String {
+    let mut text = String::from("| number | level | name | meaning |\n|---|---|---|---|\n");
+    for kind in CATALOGUE {
+        let level = kind.level.as_str().to_lowercase();
+        writeln!(
+            text,
+            "| {} | {level} | `{}` | {} |",
+            kind.number, kind.name, kind.text
+        )
+        .expect("a string can always be written to");
+    }
+    text
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -6,8 +6,10 @@
 pub mod ctl;
 pub mod decide;
 pub mod entry_cli;
+pub mod events;
 pub mod kernel;
 pub mod platform;
+pub mod process;
 pub mod services;
 pub mod settings;
 pub mod sidecar_cli;
--- /dev/null
+++ b/src/process.rs
@@ -0,0 +1,101 @@
+//! Start and ordered stop of a process.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use tokio::net::TcpListener;
+use tokio::signal::unix::{Signal, SignalKind, signal};
+
+use crate::events::{
+    BIND_FAILED, INVARIANT_BROKEN, LISTENING, PROCESS_STARTED, STOP_BEGUN, STOP_CUT, STOP_ENDED,
+    log_event, start_log,
+};
+use crate::kernel::{Clock, RunningKernel, TokioKernel};
+use crate::settings::CommonSettings;
+
+/// Exit code after a broken invariant.
+const PANIC_CODE: i32 = 101;
+
+/// Exit code when a planned stop is cut short.
+const CUT_CODE: i32 = 130;
+
+/// Time beyond the drain time in which the parts of a process end.
+const STOP_GRACE: Duration = Duration::from_secs(2);
+
+/// Starts the log and makes a broken invariant in any task end the process.
+pub fn start(role: &'static str, settings: &CommonSettings) {
+    start_log(settings.log_level, settings.log_format);
+    let print_panic = std::panic::take_hook();
+    std::panic::set_hook(Box::new(move |info| {
+        print_panic(info);
+        log_event(&INVARIANT_BROKEN, &[("panic", info)]);
+        std::process::exit(PANIC_CODE);
+    }));
+    let version = env!("CARGO_PKG_VERSION");
+    log_event(
+        &PROCESS_STARTED,
+        &[
+            ("role", &role),
+            ("name", &settings.name),
+            ("data_centre", &settings.data_centre),
+            ("version", &version),
+        ],
+    );
+}
+
+/// Opens a port and prints `listening ROLE ADDRESS` on standard output.
+///
+/// # Errors
+///
+/// Returns an error when the port cannot be opened.
+pub async fn listen(role: &'static str, address: SocketAddr) -> std::io::Result<TcpListener> {
+    let bound = TcpListener::bind(address).await;
+    let listener = bound.inspect_err(|error| {
+        let fields: [(&str, &dyn std::fmt::Display); 3] =
+            [("role", &role), ("address", &address), ("error", error)];
+        log_event(&BIND_FAILED, &fields);
+    })?;
+    let address = listener.local_addr()?;
+    println!("listening {role} {address}");
+    log_event(&LISTENING, &[("role", &role), ("address", &address)]);
+    Ok(listener)
+}
+
+/// Runs a kernel until SIGTERM or SIGINT, then stops its parts in order within the drain time.
+///
+/// A second signal ends the process at once.
+///
+/// # Errors
+///
+/// Returns an error when the signals cannot be watched.
+pub async fn run_until_signal<M: Send + 'static>(
+    kernel: TokioKernel<M>,
+    clock: Clock,
+    drain_ms: u64,
+) -> std::io::Result<()> {
+    let mut terminate = signal(SignalKind::terminate())?;
+    let mut interrupt = signal(SignalKind::interrupt())?;
+    let running = kernel.launch(clock);
+    wait_for_either(&mut terminate, &mut interrupt).await;
+    log_event(&STOP_BEGUN, &[("drain_ms", &drain_ms)]);
+    tokio::select! {
+        () = stop(running, clock, drain_ms) => log_event(&STOP_ENDED, &[]),
+        () = wait_for_either(&mut terminate, &mut interrupt) => {
+            log_event(&STOP_CUT, &[]);
+            std::process::exit(CUT_CODE);
+        }
+    }
+    Ok(())
+}
+
+async fn stop<M: Send + 'static>(running: RunningKernel<M>, clock: Clock, drain_ms: u64) {
+    let drain = Duration::from_millis(drain_ms) + STOP_GRACE;
+    running.stop(clock.now().after(drain)).await;
+}
+
+async fn wait_for_either(terminate: &mut Signal, interrupt: &mut Signal) {
+    tokio::select! {
+        _ = terminate.recv() => {}
+        _ = interrupt.recv() => {}
+    }
+}
--- a/src/services/mail.rs
+++ b/src/services/mail.rs
@@ -9,6 +9,7 @@
 use crate::decide::outcome::StreamEnd;
 use crate::kernel::ReplyTo;
 use crate::platform::log_client::LogPage;
+use crate::services::metrics::MetricSample;
 use crate::wire::rpc::{
     AttachReply, AttachVerdict, QuoteCall, QuoteReply, ReadCall, ReadReply, SidecarRpcClient,
     StreamItem, SubmitCall, SubmitReply, WithdrawReply,
@@ -27,6 +28,8 @@
     Dialer(DialerMail),
     /// To the entry's service `tickets`.
     Tickets(TicketsMail),
+    /// To the service `metrics`.
+    Metrics(MetricSample),
 }
 
 /// Messages to the service `config`, which owns the configuration in force.
--- a/src/services/mod.rs
+++ b/src/services/mod.rs
@@ -10,6 +10,8 @@
 pub mod ledger_state;
 pub mod log_reader;
 pub mod mail;
+pub mod metrics;
+pub mod operator;
 pub mod sidecar_rpc;
 pub mod stream_buffer;
 pub mod tickets;
