--- a/src/services/mod.rs
+++ b/src/services/mod.rs
@@ -12,6 +12,8 @@
 pub mod mail;
 pub mod request_runner;
 pub mod sidecar_calls;
+pub mod metrics;
+pub mod operator;
 pub mod sidecar_rpc;
 pub mod stream_buffer;
 pub mod tickets;
