--- /dev/null
+++ b/src/entry.rs
@@ -0,0 +1,59 @@
+//! Puts an entry together and runs it until it is told to stop.
+
+use std::io;
+
+use crate::decide::ids::Incarnation;
+use crate::decide::placement;
+use crate::kernel::{Clock, TokioKernel};
+use crate::platform::http_server::ServerLimits;
+use crate::process;
+use crate::services::callers::{CallerSettings, callers_task};
+use crate::services::config::config_service;
+use crate::services::dialer::dialer_task;
+use crate::services::log_reader::log_reader;
+use crate::services::metrics;
+use crate::services::operator::{self, OperatorIdentity};
+use crate::services::tickets::tickets_service;
+use crate::settings::EntrySettings;
+
+/// Runs an entry.
+///
+/// # Errors
+///
+/// Returns an error when a port cannot be opened or signals cannot be watched.
+pub async fn run(settings: EntrySettings) -> io::Result<()> {
+    let common = &settings.common;
+    process::start("entry", common);
+    let clock = Clock::start();
+    let callers = process::listen("entry", common.listen).await?;
+    let operators = process::listen("operator", common.operator_listen).await?;
+    let mut kernel = TokioKernel::new();
+    if let Some(address) = common.metrics {
+        let tags = [("role", "entry"), ("instance", common.name.as_str())];
+        kernel.add(metrics::service(address, &tags)?);
+    }
+    kernel.add(config_service());
+    kernel.add_task(log_reader(common.platform));
+    kernel.add(tickets_service(Incarnation(rand::random())));
+    kernel.add_task(dialer_task());
+    let caller_settings = CallerSettings {
+        limits: ServerLimits {
+            max_connections: settings.max_connections,
+            drain_ms: common.drain_ms,
+        },
+        body_limit_bytes: settings.body_limit_bytes,
+        max_attempts: settings.max_attempts,
+        policy: placement::STANDARD,
+    };
+    kernel.add_task(operator::task(
+        operators,
+        OperatorIdentity {
+            role: "entry",
+            name: common.name.clone(),
+            data_centre: common.data_centre.clone(),
+            token: common.operator_token.clone(),
+        },
+    ));
+    kernel.add_task(callers_task(callers, caller_settings));
+    process::run_until_signal(kernel, clock, common.drain_ms).await
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -5,13 +5,15 @@
 
 pub mod ctl;
 pub mod decide;
+pub mod entry;
 pub mod entry_cli;
 pub mod events;
 pub mod kernel;
 pub mod platform;
 pub mod process;
 pub mod services;
-pub mod standin;
 pub mod settings;
+pub mod sidecar;
 pub mod sidecar_cli;
+pub mod standin;
 pub mod wire;
--- a/src/process.rs
+++ b/src/process.rs
@@ -1,9 +1,11 @@
 //! Start and ordered stop of a process.
 
 use std::net::SocketAddr;
+use std::process::ExitCode;
 use std::time::Duration;
 
 use tokio::net::TcpListener;
+use tokio::runtime::Builder;
 use tokio::signal::unix::{Signal, SignalKind, signal};
 
 use crate::events::{
@@ -11,7 +13,10 @@
     log_event, start_log,
 };
 use crate::kernel::{Clock, RunningKernel, TokioKernel};
-use crate::settings::CommonSettings;
+use crate::settings::{CommonSettings, StartOutcome};
+
+/// Threads that run the tasks of a process.
+const WORKER_THREADS: usize = 2;
 
 /// Exit code after a broken invariant.
 const PANIC_CODE: i32 = 101;
@@ -99,3 +104,36 @@
         _ = interrupt.recv() => {}
     }
 }
+
+/// Reads the settings of a binary from arguments and variables, and runs it on a runtime.
+///
+/// Bad settings end the process with exit code 2, a failed start with 1.
+pub fn main_with<T, F: Future<Output = std::io::Result<()>>>(
+    read: fn(&[&str], &dyn Fn(&str) -> Option<String>) -> StartOutcome<T>,
+    run: fn(T) -> F,
+) -> ExitCode {
+    let arguments: Vec<String> = std::env::args().skip(1).collect();
+    let arguments: Vec<&str> = arguments.iter().map(String::as_str).collect();
+    let settings = match read(&arguments, &|name| std::env::var(name).ok()) {
+        StartOutcome::Run(settings) => settings,
+        StartOutcome::Exit { code: 0, text } => {
+            println!("{text}");
+            return ExitCode::SUCCESS;
+        }
+        StartOutcome::Exit { code, text } => {
+            eprintln!("{text}");
+            return ExitCode::from(u8::try_from(code).unwrap_or(1));
+        }
+    };
+    let runtime = Builder::new_multi_thread()
+        .worker_threads(WORKER_THREADS)
+        .enable_all()
+        .build();
+    match runtime.and_then(|runtime| runtime.block_on(run(settings))) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("{error}");
+            ExitCode::FAILURE
+        }
+    }
+}
--- a/src/services/mod.rs
+++ b/src/services/mod.rs
@@ -1,5 +1,7 @@
 //! Services and I/O tasks that the binaries are put together from.
 
+pub mod caller_answer;
+pub mod callers;
 pub mod config;
 pub mod config_feed;
 pub mod dialer;
@@ -10,10 +12,10 @@
 pub mod ledger_state;
 pub mod log_reader;
 pub mod mail;
-pub mod request_runner;
-pub mod sidecar_calls;
 pub mod metrics;
 pub mod operator;
+pub mod request_runner;
+pub mod sidecar_calls;
 pub mod sidecar_rpc;
 pub mod stream_buffer;
 pub mod tickets;
--- /dev/null
+++ b/src/sidecar.rs
@@ -0,0 +1,76 @@
+//! Puts a sidecar together and runs it until it is told to stop.
+
+use std::io;
+
+use crate::decide::ids::Incarnation;
+use crate::decide::ledger::LedgerBounds;
+use crate::decide::queue::{QueueDiscipline, QueuePolicy};
+use crate::kernel::{Clock, TokioKernel};
+use crate::process;
+use crate::services::config::config_service;
+use crate::services::config_feed::config_feed_task;
+use crate::services::engine_task::{EngineKind, EngineTarget, engine_task};
+use crate::services::engine_watch::engine_watch_task;
+use crate::services::ledger::ledger_service;
+use crate::services::ledger_state::LedgerSettings;
+use crate::services::log_reader::log_reader;
+use crate::services::metrics;
+use crate::services::operator::{self, OperatorIdentity};
+use crate::services::sidecar_rpc::rpc_task;
+use crate::settings::{SidecarSettings, TargetKind};
+
+/// Floors of the two ranks until the configuration says otherwise, in percent.
+const DEFAULT_FLOOR_PERCENT: [u8; 2] = [20, 20];
+
+/// Runs a sidecar.
+///
+/// # Errors
+///
+/// Returns an error when a port cannot be opened or signals cannot be watched.
+pub async fn run(settings: SidecarSettings) -> io::Result<()> {
+    let common = &settings.common;
+    process::start("sidecar", common);
+    let clock = Clock::start();
+    let entries = process::listen("sidecar", common.listen).await?;
+    let operators = process::listen("operator", common.operator_listen).await?;
+    let target = EngineTarget {
+        address: settings.target,
+        kind: match settings.target_kind {
+            TargetKind::Engine => EngineKind::Model,
+            TargetKind::Plain => EngineKind::Plain,
+        },
+    };
+    let ledger_settings = LedgerSettings {
+        incarnation: Incarnation(rand::random()),
+        upstream: settings.upstream.clone(),
+        bounds: LedgerBounds::default(),
+        queue: QueuePolicy {
+            discipline: QueueDiscipline::RankedFair,
+            rank_capacity: settings.queue_limit,
+            floor_percent: DEFAULT_FLOOR_PERCENT,
+        },
+    };
+    let mut kernel = TokioKernel::new();
+    if let Some(address) = common.metrics {
+        let tags = [("role", "sidecar"), ("instance", common.name.as_str())];
+        kernel.add(metrics::service(address, &tags)?);
+    }
+    kernel.add(config_service());
+    kernel.add_task(log_reader(common.platform));
+    kernel.add_task(engine_task(target));
+    kernel.add_task(engine_watch_task(target));
+    kernel.add_task(rpc_task(entries));
+    kernel.add_task(operator::task(
+        operators,
+        OperatorIdentity {
+            role: "sidecar",
+            name: common.name.clone(),
+            data_centre: common.data_centre.clone(),
+            token: common.operator_token.clone(),
+        },
+    ));
+    // The ledger stops before the tasks that its last answers pass through.
+    kernel.add(ledger_service(ledger_settings));
+    kernel.add_task(config_feed_task());
+    process::run_until_signal(kernel, clock, common.drain_ms).await
+}
--- /dev/null
+++ b/src/wire/headers.rs
@@ -0,0 +1,36 @@
+//! Headers that pass between callers and upstreams.
+
+use hyper::HeaderMap;
+
+/// Headers that concern one connection or the router only.
+const WITHHELD: [&str; 16] = [
+    "authorization",
+    "connection",
+    "content-length",
+    "expect",
+    "host",
+    "idempotency-key",
+    "keep-alive",
+    "proxy-authorization",
+    "te",
+    "trailer",
+    "transfer-encoding",
+    "upgrade",
+    "x-idempotent",
+    "x-rank",
+    "x-request-id",
+    "x-run-status",
+];
+
+/// Returns the headers that are passed on; values that are no text are left out.
+#[must_use]
+pub fn forwarded_headers(headers: &HeaderMap) -> Vec<(String, String)> {
+    let forwarded = headers
+        .iter()
+        .filter(|(name, _)| !WITHHELD.contains(&name.as_str()));
+    forwarded
+        .filter_map(|(name, value)| {
+            Some((name.as_str().to_owned(), value.to_str().ok()?.to_owned()))
+        })
+        .collect()
+}
--- a/src/wire/openai/request.rs
+++ b/src/wire/openai/request.rs
@@ -123,6 +123,17 @@
         })
     }
 
+    /// Returns the most output tokens that the caller allows, if it states a number.
+    #[must_use]
+    pub fn output_limit(&self) -> Option<u32> {
+        let limits = LIMIT_FIELDS
+            .iter()
+            .filter_map(|name| self.body.get(*name)?.as_u64());
+        limits
+            .min()
+            .map(|limit| u32::try_from(limit).unwrap_or(u32::MAX))
+    }
+
     /// Returns the body for the upstream: always streamed, always with usage.
     #[must_use]
     pub fn upstream_body(&self) -> Vec<u8> {
