--- a/src/standin/engine.rs
+++ b/src/standin/engine.rs
@@ -4,7 +4,7 @@
 
 use super::batch::{BatchLimits, BatchStep};
 use super::cache_feed::FeedFaults;
-use super::engine_life::EngineLife;
+use super::engine_life::{EngineLife, OpenEnds};
 use super::engine_mail::{
     EngineAdmin, EngineAnswer, EngineMail, EngineQuestion, EngineRefusal, EngineReply, EngineStats,
     LoadOrder, LoadReport, RunCounts,
@@ -54,7 +54,7 @@
     down_until: Moment,
     frozen: Option<(Moment, Moment)>,
     held: Vec<EngineMail>,
-    silent: Vec<super::engine_life::OpenEnds>,
+    silent: Vec<OpenEnds>,
     runs: RunCounts,
     stats: EngineStats,
 }
--- a/src/standin/engine_http.rs
+++ b/src/standin/engine_http.rs
@@ -18,7 +18,9 @@
 };
 use super::engine_request::{ChunkKind, OpenStream, RunOrder, StreamPart};
 use super::engine_wire::{CompletionCall, OrderBody, encode_event};
-use super::front::{FrontError, FrontRequest, StandinDirectory, done_response, error_response};
+use super::front::{
+    FrontError, FrontRequest, StandinDirectory, done_response, dump_response, error_response,
+};
 use super::mail::StandinMail;
 use super::prefix_cache::CacheChange;
 use crate::platform::http_client;
@@ -30,6 +32,8 @@
 /// What the front tells of an engine beside what the engine itself knows.
 #[derive(Debug, Clone)]
 pub struct EngineFront {
+    /// Name of the engine.
+    pub name: String,
     /// Weight store to ask before a load, if there is one.
     pub weights: Option<SocketAddr>,
     /// Time in milliseconds that a load takes without a weight store.
@@ -61,6 +65,9 @@
         Ok(request) => request,
         Err(error) => return error.into(),
     };
+    if request.method == Method::GET && request.path == "/admin/dump" {
+        return dump_response(directory).await;
+    }
     let question = match question(directory, &request) {
         Ok(question) => question,
         Err(error) => return error.into(),
@@ -140,28 +147,34 @@
     order: LoadOrder,
 ) -> Option<EngineReply> {
     let reply = ask(directory, EngineQuestion::BeginLoad(order)).await?;
+    let epoch = reply.epoch;
     let EngineAnswer::Accepted(order) = reply.answer else {
         return Some(reply);
     };
     let directory = directory.clone();
     let front = front.clone();
     let loading = tokio::spawn(async move {
-        fetch_weights(&front, &order).await?;
-        ask(&directory, EngineQuestion::FinishLoad(order, reply.epoch)).await
+        if !fetch_weights(&front, &order).await {
+            let answer = EngineAnswer::Refused(EngineRefusal::NoWeights);
+            return Some(EngineReply { epoch, answer });
+        }
+        ask(&directory, EngineQuestion::FinishLoad(order, epoch)).await
     });
     loading.await.ok().flatten()
 }
 
-async fn fetch_weights(front: &EngineFront, order: &LoadOrder) -> Option<()> {
+async fn fetch_weights(front: &EngineFront, order: &LoadOrder) -> bool {
     let Some(address) = front.weights else {
         tokio::time::sleep(Duration::from_millis(front.load_ms)).await;
-        return Some(());
+        return true;
     };
     let path = format!("/weights/{}/{}", order.model, order.version);
     let request = http_client::request(Method::GET, address, &path);
-    let request = request.body(Full::default()).ok()?;
+    let Ok(request) = request.body(Full::default()) else {
+        return false;
+    };
     let fetched = http_client::call(address, request, WEIGHTS_TIMEOUT).await;
-    fetched.ok()?.status.is_success().then_some(())
+    fetched.is_ok_and(|response| response.status.is_success())
 }
 
 fn encode(front: &EngineFront, reply: EngineReply) -> Response<ResponseBody> {
@@ -179,7 +192,7 @@
         EngineAnswer::Refused(refusal) => refusal_response(refusal),
         EngineAnswer::Done => done_response(),
         EngineAnswer::Runs(runs) => ok(&runs_json(&runs)),
-        EngineAnswer::Stats(stats) => ok(&stats_json(stats)),
+        EngineAnswer::Stats(stats) => ok(&stats_json(front, stats)),
     };
     let headers = response.headers_mut();
     headers.insert("x-engine-epoch", HeaderValue::from(epoch));
@@ -200,6 +213,7 @@
         EngineRefusal::OldFence => (StatusCode::CONFLICT, "old_fence"),
         EngineRefusal::UnknownRequest => (StatusCode::NOT_FOUND, "unknown_request"),
         EngineRefusal::Cancelled => (StatusCode::GONE, "cancelled"),
+        EngineRefusal::NoWeights => (StatusCode::SERVICE_UNAVAILABLE, "no_weights"),
     };
     error_response(status, code)
 }
@@ -270,9 +284,10 @@
     json!({ "runs": counts, "order": runs.order })
 }
 
-fn stats_json(stats: EngineStats) -> Value {
+fn stats_json(front: &EngineFront, stats: EngineStats) -> Value {
     let loads: Vec<OrderBody> = stats.loads.into_iter().map(OrderBody::from).collect();
     json!({
+        "name": front.name,
         "hit_pieces": stats.hit_pieces,
         "missing_pieces": stats.missing_pieces,
         "started": stats.started,
--- a/src/standin/engine_mail.rs
+++ b/src/standin/engine_mail.rs
@@ -108,6 +108,8 @@
     UnknownRequest,
     /// The request was cancelled.
     Cancelled,
+    /// The weight store did not deliver.
+    NoWeights,
 }
 
 /// Load of the engine at one moment.
--- a/src/standin/front.rs
+++ b/src/standin/front.rs
@@ -137,3 +137,8 @@
 pub fn done_response() -> Response<ResponseBody> {
     json_response(StatusCode::OK, &json!({}))
 }
+
+/// Builds the response that shows the state of each service.
+pub async fn dump_response(directory: &StandinDirectory) -> Response<ResponseBody> {
+    json_response(StatusCode::OK, &directory.dump().await)
+}
--- a/src/standin/plain_http.rs
+++ b/src/standin/plain_http.rs
@@ -4,7 +4,7 @@
 use hyper::{Request, Response, StatusCode};
 use serde_json::json;
 
-use super::front::{FrontRequest, StandinDirectory, done_response, error_response};
+use super::front::{FrontRequest, StandinDirectory, done_response, dump_response, error_response};
 use super::mail::StandinMail;
 use super::plain::{PlainMail, PlainOutcome};
 use crate::platform::http_server::{RequestHandler, ResponseBody, cut_response, json_response};
@@ -33,6 +33,7 @@
     };
     let (method, path) = request.route();
     match (method, path.as_slice()) {
+        ("GET", ["admin", "dump"]) => Some(dump_response(directory).await),
         ("POST", ["admin", "fail"]) => {
             let count = request.number("next", 1);
             let mail = |reply| StandinMail::Plain(PlainMail::Fail(count, reply));
--- a/src/standin/platform_http.rs
+++ b/src/standin/platform_http.rs
@@ -7,7 +7,9 @@
 use tokio::time::sleep_until;
 
 use super::append_log::{AppendOutcome, LogPage};
-use super::front::{FrontError, FrontRequest, StandinDirectory, done_response, error_response};
+use super::front::{
+    FrontError, FrontRequest, StandinDirectory, done_response, dump_response, error_response,
+};
 use super::instance_list::{InstanceEntry, InstanceState};
 use super::instance_service::InstanceMail;
 use super::kept_cache::KeptMail;
@@ -47,6 +49,7 @@
     };
     let (method, path) = request.route();
     match (method, path.as_slice()) {
+        ("GET", ["admin", "dump"]) => Some(dump_response(directory).await),
         ("POST", ["streams", stream, "append"]) => append(directory, stream, &request).await,
         ("GET", ["streams", stream]) => read(directory, stream, &request).await,
         ("GET", ["instances"]) => list_instances(directory).await,
--- a/src/standin/roles.rs
+++ b/src/standin/roles.rs
@@ -52,6 +52,7 @@
 
 async fn run_engine(options: EngineOptions) -> io::Result<()> {
     let front = EngineFront {
+        name: options.name.clone(),
         weights: options.weights,
         load_ms: options.load_ms,
         slots: options.slots,
