--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -2,7 +2,18 @@
 //!
 //! Nothing here knows sockets, clocks, encodings or tasks, so any front end can drive it.
 
+pub mod admission;
+pub mod attempt;
+pub mod cache_index;
 pub mod config;
+pub mod config_change;
+pub mod config_check;
 pub mod ids;
+pub mod ledger;
 pub mod outcome;
+pub mod placement;
 pub mod prefix;
+pub mod queue;
+pub mod replay;
+pub mod retry_budget;
+pub mod suspects;
--- a/src/services/mod.rs
+++ b/src/services/mod.rs
@@ -1,3 +1,18 @@
 //! Services and I/O tasks that the binaries are put together from.
 
+pub mod config;
+pub mod config_feed;
+pub mod dialer;
+pub mod engine_stream;
+pub mod engine_task;
+pub mod engine_watch;
+pub mod ledger;
+pub mod ledger_state;
+pub mod log_reader;
 pub mod mail;
+pub mod request_runner;
+pub mod sidecar_calls;
+pub mod sidecar_rpc;
+pub mod stream_buffer;
+pub mod tickets;
+pub mod upstream_choice;
--- a/src/wire/mod.rs
+++ b/src/wire/mod.rs
@@ -1,3 +1,9 @@
 //! Wire types, each with `From` and `TryFrom` towards the types of the decisions.
 
+pub mod config_objects;
+pub mod config_record;
+pub mod models;
+pub mod openai;
 pub mod rpc;
+pub mod sse;
+pub mod transport;
