--- a/src/services/dialer.rs
+++ b/src/services/dialer.rs
@@ -68,7 +68,10 @@
                 }
             },
             DialerMail::Abandon(address, ticket) => {
-                let calls = SidecarCalls { directory: directory.clone(), address };
+                let calls = SidecarCalls {
+                    directory: directory.clone(),
+                    address,
+                };
                 tokio::spawn(async move { calls.withdraw(ticket).await });
             }
             DialerMail::Broken(address, number) => {
--- a/src/services/request_runner.rs
+++ b/src/services/request_runner.rs
@@ -104,7 +104,12 @@
                     return RunnerOutput::NeedsContinuation;
                 }
                 AttemptStep::Choose => self.choose().await,
-                AttemptStep::Call { incarnation, call, not_before, .. } => {
+                AttemptStep::Call {
+                    incarnation,
+                    call,
+                    not_before,
+                    ..
+                } => {
                     self.wait_until(not_before).await;
                     self.call(incarnation, call).await
                 }
@@ -137,7 +142,10 @@
 
     async fn choose(&mut self) -> AttemptEvent {
         let excluded = self.attempt.excluded.clone();
-        let choice = self.chooser.next(&self.configuration, &self.admission, &excluded).await;
+        let choice = self
+            .chooser
+            .next(&self.configuration, &self.admission, &excluded)
+            .await;
         let Some(choice) = choice else {
             return AttemptEvent::NoChoice(RefusalReason::NoUpstream);
         };
@@ -159,7 +167,10 @@
         let Some(address) = self.address else {
             return AttemptEvent::NoChoice(RefusalReason::NoUpstream);
         };
-        let calls = SidecarCalls { directory: self.directory.clone(), address };
+        let calls = SidecarCalls {
+            directory: self.directory.clone(),
+            address,
+        };
         match call {
             SidecarCall::Submit(ticket) => calls.submit(self.submission(ticket, incarnation)).await,
             SidecarCall::Read(ticket, from_index) => {
@@ -170,9 +181,7 @@
                 outcome.event
             }
             SidecarCall::Withdraw(ticket) => calls.withdraw(ticket).await,
-            SidecarCall::Attach(ticket) => {
-                calls.attach(ticket, self.admission.repeatability).await
-            }
+            SidecarCall::Attach(ticket) => calls.attach(ticket, self.admission.repeatability).await,
         }
     }
 
--- a/src/services/upstream_choice.rs
+++ b/src/services/upstream_choice.rs
@@ -92,14 +92,23 @@
             draw: self.draw,
         };
         let candidates = self.policy.candidates(&request, &targets);
-        let calls = candidates.iter().map(|upstream| self.quote(configuration, admission, *upstream));
+        let calls = candidates
+            .iter()
+            .map(|upstream| self.quote(configuration, admission, *upstream));
         let replies = join_all(calls).await;
-        let quotes: Vec<CandidateQuote> = replies.iter().flatten().map(|(quote, _)| *quote).collect();
-        let weights = QuoteWeights { rank: admission.rank, prefill_us: PREFILL_PIECE_US };
+        let quotes: Vec<CandidateQuote> =
+            replies.iter().flatten().map(|(quote, _)| *quote).collect();
+        let weights = QuoteWeights {
+            rank: admission.rank,
+            prefill_us: PREFILL_PIECE_US,
+        };
         let hops = self.policy.hops(&weights, &candidates, &quotes);
         let choose = |hop: &PlacementHop| {
             let upstream = configuration.upstreams.get(hop.upstream)?;
-            let reply = replies.iter().flatten().find(|(quote, _)| quote.upstream == hop.upstream);
+            let reply = replies
+                .iter()
+                .flatten()
+                .find(|(quote, _)| quote.upstream == hop.upstream);
             Some(UpstreamChoice {
                 upstream: hop.upstream,
                 address: upstream.sidecar,
@@ -152,7 +161,10 @@
         key: UpstreamKey,
     ) -> Option<(CandidateQuote, Incarnation)> {
         let address = configuration.upstreams.get(key)?.sidecar;
-        let calls = SidecarCalls { directory: self.directory.clone(), address };
+        let calls = SidecarCalls {
+            directory: self.directory.clone(),
+            address,
+        };
         let call = QuoteCall {
             prefix_keys: self.keys.iter().map(|key| key.0).collect(),
             rank: admission.rank.into(),
--- a/src/standin/engine_wire.rs
+++ b/src/standin/engine_wire.rs
@@ -5,7 +5,7 @@
 use super::engine_mail::LoadOrder;
 use super::engine_request::{ChunkKind, RunOrder, StreamEvent};
 use super::prefix_cache::PieceKey;
-use super::token_text::{count_tokens, split_produced, text_seed};
+use super::token_text::{count_produced, split_produced, text_seed};
 
 /// Text whose presence in a body crashes the engine.
 const CRASH_TEXT: &[u8] = b"crash-engine";
@@ -107,7 +107,7 @@
     }
 }
 
-// A trailing message of the assistant is output that the engine continues.
+// Tokens at the end of a trailing message of the assistant are output that the engine continues.
 fn chat_seed(messages: &[ChatMessage]) -> (u64, u64) {
     let Some((last, before)) = messages.split_last() else {
         return (text_seed(""), 0);
@@ -116,7 +116,7 @@
         return (text_seed(&chat_text(messages)), 0);
     }
     let seed = text_seed(&chat_text(before));
-    (seed, count_tokens(seed, &plain_text(&last.content)))
+    (seed, count_produced(seed, &plain_text(&last.content)))
 }
 
 fn chat_text(messages: &[ChatMessage]) -> String {
--- a/src/standin/token_text.rs
+++ b/src/standin/token_text.rs
@@ -3,6 +3,9 @@
 //! Token `k` is ` t{k}.{hash}`, where the hash depends on the prompt and on `k`. A reader can thus
 //! check that an answer is whole, in order and its own.
 
+/// Beginning of every sequence's first token.
+const FIRST_TOKEN: &str = " t0.";
+
 /// Mixes two numbers into one that looks random.
 #[must_use]
 pub const fn mix(seed: u64, number: u64) -> u64 {
@@ -26,16 +29,23 @@
     format!(" t{index}.{:04x}", mix(seed, index) & 0xffff)
 }
 
-/// Returns how many leading tokens of the sequence the text consists of or begins with.
+/// Returns how many tokens of the sequence a text ends with.
 #[must_use]
-pub fn count_tokens(seed: u64, text: &str) -> u64 {
+pub fn count_produced(seed: u64, text: &str) -> u64 {
+    let starts = text.rmatch_indices(FIRST_TOKEN);
+    let mut counts = starts.filter_map(|(start, _)| count_whole(seed, &text[start..]));
+    counts.next().unwrap_or(0)
+}
+
+// Counts the tokens of a text that consists of the sequence's first tokens and nothing else.
+fn count_whole(seed: u64, text: &str) -> Option<u64> {
     let mut rest = text;
     let mut count = 0;
     while let Some(after) = rest.strip_prefix(token(seed, count).as_str()) {
         rest = after;
         count += 1;
     }
-    count
+    rest.is_empty().then_some(count)
 }
 
 /// Splits a prompt that ends with tokens already produced for its beginning.
@@ -51,12 +61,9 @@
 /// ```
 #[must_use]
 pub fn split_produced(prompt: &str) -> (u64, u64) {
-    for (start, _) in prompt.rmatch_indices(" t0.") {
+    for (start, _) in prompt.rmatch_indices(FIRST_TOKEN) {
         let seed = text_seed(&prompt[..start]);
-        let produced = &prompt[start..];
-        let count = count_tokens(seed, produced);
-        let length: usize = (0..count).map(|index| token(seed, index).len()).sum();
-        if count > 0 && length == produced.len() {
+        if let Some(count) = count_whole(seed, &prompt[start..]) {
             return (seed, count);
         }
     }
--- /dev/null
+++ b/tests/standin.rs
@@ -0,0 +1,303 @@
+//! The stand-ins as separate processes: engine, plain service and platform.
+
+mod standin_harness;
+
+use std::time::Duration;
+
+use bulrushslip::platform::http_client::{self, HttpError};
+use bulrushslip::standin::token_text::{text_seed, token};
+use hyper::{Method, StatusCode};
+use serde_json::{Value, json};
+use standin_harness::{LIMIT, Standin};
+use tokio::time::timeout;
+
+/// How long a connection that must stay silent is watched.
+const WATCH: Duration = Duration::from_millis(100);
+
+fn chat(content: &str) -> Value {
+    json!({ "model": "m", "messages": [{ "role": "user", "content": content }] })
+}
+
+/// Text of the tokens that follow the given ones.
+fn answer(content: &str, tokens: std::ops::Range<u64>) -> String {
+    let seed = text_seed(&format!("user: {content}\n"));
+    tokens.map(|index| token(seed, index)).collect()
+}
+
+#[tokio::test]
+async fn a_stream_is_whole_after_a_lost_connection_and_runs_once() {
+    let engine = Standin::start("engine", "--tokens 30 --decode-us 2000");
+    let mut first = engine.run("r1", "", &chat("gate 7")).await;
+    let mut begun = String::new();
+    for number in 0..3 {
+        let (found, data) = first.next().await.expect("an event");
+        assert_eq!(found, number);
+        let chunk: Value = serde_json::from_str(&data).expect("a chunk");
+        assert_eq!(chunk["object"], "chat.completion.chunk");
+        begun += chunk["choices"][0]["delta"]["content"]
+            .as_str()
+            .expect("text");
+    }
+    drop(first);
+    let (rest, whole) = engine.resume("r1", 3).await.rest(3).await;
+    assert!(whole);
+    assert_eq!(begun + &rest, answer("gate 7", 0..30));
+    let again = engine.run("r1", "", &chat("gate 7")).await.rest(0).await;
+    assert_eq!(again, (answer("gate 7", 0..30), true));
+    let runs = engine.json("GET", "/admin/runs", "").await;
+    assert_eq!(runs, json!({ "runs": { "r1": 1 }, "order": ["r1"] }));
+    let unknown = engine.call("DELETE", "/requests/r2", "").await;
+    assert_eq!(unknown.expect("an answer").status, StatusCode::NOT_FOUND);
+}
+
+#[tokio::test]
+async fn a_crash_cuts_streams_empties_the_cache_and_an_answer_can_be_continued() {
+    let engine = Standin::start("engine", "--tokens 400 --decode-us 5000 --restart-ms 50");
+    let mut stream = engine.run("r1", "a,b", &chat("audit")).await;
+    let old_epoch = stream.header("x-engine-epoch").to_owned();
+    stream.next().await.expect("an event");
+    engine.json("POST", "/admin/crash", "").await;
+    let (_, whole) = stream.rest(1).await;
+    assert!(!whole, "a crash cuts the stream before its end");
+    let keys = engine.wait_up().await;
+    assert_ne!(keys["epoch"].to_string(), old_epoch);
+    assert_eq!(keys["keys"], json!([]));
+    let path = "/requests/r1/stream?from=1";
+    let forgotten = engine.call("GET", path, "").await.expect("an answer");
+    assert_eq!(forgotten.status, StatusCode::NOT_FOUND);
+    let mut body = chat("audit");
+    let delivered = json!({ "role": "assistant", "content": answer("audit", 0..395) });
+    body["messages"]
+        .as_array_mut()
+        .expect("a list")
+        .push(delivered);
+    let continued = engine.run("r2", "", &body).await.rest(0).await;
+    assert_eq!(continued, (answer("audit", 395..400), true));
+}
+
+#[tokio::test]
+async fn a_request_that_crashes_the_engine_counts_as_one_start() {
+    let engine = Standin::start("engine", "--decode-us 50000 --restart-ms 20");
+    let (_, whole) = engine
+        .run("bad", "", &chat("crash-engine"))
+        .await
+        .rest(0)
+        .await;
+    assert!(!whole);
+    engine.wait_up().await;
+    let stats = engine.json("GET", "/admin/stats", "").await;
+    assert_eq!(
+        (&stats["crashes"], &stats["started"]),
+        (&json!(1), &json!(1))
+    );
+    let runs = engine.json("GET", "/admin/runs", "").await;
+    assert_eq!(runs["runs"], json!({ "bad": 1 }));
+}
+
+#[tokio::test]
+async fn the_cache_finds_leading_pieces_and_its_feed_shows_gaps() {
+    let flags = "--tokens 1 --prefill-us 0 --decode-us 0 --cache-pieces 40";
+    let engine = Standin::start("engine", &format!("{flags} --event-loss-percent 50"));
+    let keys: Vec<String> = (1..=50).map(|key| format!("{key:x}")).collect();
+    let mut found = Vec::new();
+    for (id, last) in [("r1", 30), ("r2", 40), ("r3", 50), ("r4", 50)] {
+        let stream = engine.run(id, &keys[..last].join(","), &chat("x")).await;
+        found.push(stream.header("x-cached-pieces").to_owned());
+        stream.rest(0).await;
+    }
+    assert_eq!(found, ["0", "30", "40", "40"]);
+    let stranger = engine.run("r5", "ff", &chat("x")).await;
+    assert_eq!(stranger.header("x-cached-pieces"), "0");
+    stranger.rest(0).await;
+    let feed = engine
+        .json("GET", "/cache/events?from=1&wait_ms=0", "")
+        .await;
+    // 40 pieces were stored, then the stranger's took the place of the innermost.
+    assert_eq!(feed["next"], 43);
+    let events = feed["events"].as_array().expect("a list");
+    assert!(
+        !events.is_empty() && events.len() < 42,
+        "some events are lost, not all"
+    );
+    let cached = engine.json("GET", "/cache/keys", "").await;
+    assert_eq!(cached["next"], 43);
+    assert_eq!(cached["keys"].as_array().map(Vec::len), Some(40));
+    let load = engine.json("GET", "/load", "").await;
+    assert_eq!(
+        (&load["cached_pieces"], &load["capacity_pieces"]),
+        (&json!(40), &json!(40))
+    );
+}
+
+#[tokio::test]
+async fn urgent_requests_leave_the_queue_first() {
+    let engine = Standin::start("engine", "--slots 1 --tokens 1000000 --decode-us 1000000");
+    let running = engine.run("running", "", &chat("x")).await;
+    let open = |id, priority| {
+        let headers = [("x-request-id", id), ("x-priority", priority)];
+        let request = engine.request(Method::POST, "/v1/completions", &headers, "{}");
+        tokio::spawn(http_client::open(engine.address, request, LIMIT))
+    };
+    let mut pace = tokio::time::interval(Duration::from_millis(2));
+    let mut waiting = Vec::new();
+    for (id, priority) in [("routine", "1"), ("urgent", "0")] {
+        waiting.push(open(id, priority));
+        while engine.json("GET", "/load", "").await["waiting"] != waiting.len() {
+            pace.tick().await;
+        }
+    }
+    for id in ["running", "urgent", "routine"] {
+        let cancelled = engine.json("DELETE", &format!("/requests/{id}"), "").await;
+        assert_eq!(cancelled["started"], true, "{id} had its turn");
+    }
+    let runs = engine.json("GET", "/admin/runs", "").await;
+    assert_eq!(runs["order"], json!(["running", "urgent", "routine"]));
+    drop(running);
+}
+
+#[tokio::test]
+async fn orders_change_the_version_and_old_fences_are_refused() {
+    let engine = Standin::start("engine", "--checks-fence --load-ms 0 --tokens 1");
+    let order = |fence| json!({ "model": "m", "version": "v2", "fence": fence }).to_string();
+    assert_eq!(
+        engine.json("POST", "/orders/load", &order(5)).await["version"],
+        "v2"
+    );
+    let refused = engine.json("POST", "/orders/load", &order(4)).await;
+    assert_eq!(refused["error"]["code"], "old_fence");
+    let run = |id, version| {
+        let headers = [("x-request-id", id), ("x-weights-version", version)];
+        let request = engine.request(Method::POST, "/v1/completions", &headers, "{}");
+        http_client::call(engine.address, request, LIMIT)
+    };
+    assert_eq!(
+        run("old", "v1").await.expect("an answer").status,
+        StatusCode::CONFLICT
+    );
+    assert_eq!(
+        run("new", "v2").await.expect("an answer").status,
+        StatusCode::OK
+    );
+    assert_eq!(
+        engine.json("GET", "/admin/runs", "").await["order"],
+        json!(["new"])
+    );
+}
+
+#[tokio::test]
+async fn silent_streams_stay_silent_while_new_connections_work_until_a_freeze() {
+    let engine = Standin::start("engine", "--tokens 100000 --decode-us 5000");
+    let mut silent = engine.run("r1", "", &chat("x")).await;
+    silent.next().await.expect("an event");
+    engine.json("POST", "/admin/silence", "").await;
+    let mut resumed = engine.resume("r1", 0).await;
+    for number in 0..40 {
+        assert_eq!(resumed.next().await.expect("an event").0, number);
+    }
+    // What was sent before the silence is read first; an event each 5 ms would never let it end.
+    while let Ok(event) = timeout(WATCH, silent.next()).await {
+        event.expect("a silent connection stays open");
+    }
+    engine.json("POST", "/admin/freeze?ms=60000", "").await;
+    let request = engine.request(Method::GET, "/load", &[], "");
+    let frozen = http_client::call(engine.address, request, WATCH).await;
+    assert!(matches!(frozen, Err(HttpError::Timeout)));
+    engine.json("GET", "/admin/stats", "").await;
+    engine.json("POST", "/admin/freeze?ms=0", "").await;
+    engine.json("GET", "/load", "").await;
+}
+
+#[tokio::test]
+async fn a_plain_service_counts_every_run_and_fails_on_demand() {
+    let plain = Standin::start("plain", "--name certificates");
+    plain.json("POST", "/admin/fail?next=1", "").await;
+    let run = || {
+        let request = plain.request(Method::POST, "/file", &[("x-request-id", "r1")], "record");
+        http_client::call(plain.address, request, LIMIT)
+    };
+    let failed = run().await.expect("an answer").status;
+    assert_eq!(failed, StatusCode::INTERNAL_SERVER_ERROR);
+    let answer = run().await.expect("an answer").body;
+    let answer: Value = serde_json::from_slice(&answer).expect("a JSON body");
+    assert_eq!(
+        (&answer["service"], &answer["count"]),
+        (&json!("certificates"), &json!(2))
+    );
+    assert_eq!(answer["echo"]["body"], "record");
+    assert_eq!(plain.json("GET", "/admin/runs", "").await["runs"]["r1"], 2);
+}
+
+#[tokio::test]
+async fn the_log_numbers_records_wakes_readers_and_fails_on_demand() {
+    let platform = Standin::start("platform", "--retention-records 3");
+    let append = |body| platform.call("POST", "/streams/s/append", body);
+    let (page, offset) = tokio::join!(
+        platform.json("GET", "/streams/s?from=1&wait_ms=10000", ""),
+        async { append("one").await.expect("an answer").body }
+    );
+    assert_eq!(offset, r#"{"offset":1}"#);
+    assert_eq!(page["records"], json!([{ "offset": 1, "body": "one" }]));
+    platform
+        .json("POST", "/admin/lose-answers?next=1", "")
+        .await;
+    let lost = append("two").await.expect_err("the answer is lost");
+    assert!(!lost.is_unsent());
+    let page = platform.json("GET", "/streams/s?from=2", "").await;
+    assert_eq!(
+        page,
+        json!({ "first": 1, "next": 3, "records": [{ "offset": 2, "body": "two" }] })
+    );
+    platform.json("POST", "/admin/outage?ms=60000", "").await;
+    assert_eq!(
+        append("no").await.expect("an answer").status,
+        StatusCode::SERVICE_UNAVAILABLE
+    );
+    let read = platform
+        .call("GET", "/streams/s", "")
+        .await
+        .expect("an answer");
+    assert_eq!(read.status, StatusCode::SERVICE_UNAVAILABLE);
+    platform.json("POST", "/admin/outage?ms=0", "").await;
+    for body in ["three", "four", "five"] {
+        append(body).await.expect("an answer");
+    }
+    let page = platform.json("GET", "/streams/s?from=1&limit=1", "").await;
+    let records = json!([{ "offset": 3, "body": "three" }]);
+    assert_eq!(page, json!({ "first": 3, "next": 6, "records": records }));
+    platform
+        .json("POST", "/admin/retain?stream=s&first=5", "")
+        .await;
+    assert_eq!(platform.json("GET", "/streams/s", "").await["first"], 5);
+}
+
+#[tokio::test]
+async fn the_platform_lists_instances_and_keeps_values() {
+    let platform = Standin::start("platform", "--load-ms 0");
+    let entry = json!({ "name": "s1", "role": "sidecar", "address": "127.0.0.1:9",
+        "data_centre": "Bangor", "state": "leaving" });
+    platform
+        .json("PUT", "/instances/s1", &entry.to_string())
+        .await;
+    let list = platform.json("GET", "/instances", "").await;
+    assert_eq!(list, json!({ "instances": [entry] }));
+    platform.json("DELETE", "/instances/s1", "").await;
+    assert_eq!(
+        platform.json("GET", "/instances", "").await["instances"],
+        json!([])
+    );
+    platform.json("GET", "/weights/m/v2", "").await;
+    platform.json("PUT", "/kv/piece", "bytes").await;
+    assert_eq!(
+        platform
+            .call("GET", "/kv/piece", "")
+            .await
+            .expect("an answer")
+            .body,
+        "bytes"
+    );
+    let head = platform
+        .call("HEAD", "/kv/other", "")
+        .await
+        .expect("an answer");
+    assert_eq!(head.status, StatusCode::NOT_FOUND);
+}
