--- a/src/events.rs
+++ b/src/events.rs
@@ -153,7 +153,7 @@
     let started = WriteLogger::init(level, config.build(), std::io::stderr());
     if started.is_ok() {
         // A value is already there only if the log was started before.
-        drop(FORMAT.set(format));
+        let _ = FORMAT.set(format);
     }
 }
 
@@ -184,12 +184,14 @@
             && value
                 .chars()
                 .all(|c| !c.is_whitespace() && !c.is_control() && c != '"' && c != '=');
-        let written = if is_plain {
-            write!(line, " {key}={value}")
+        line.push(' ');
+        line.push_str(key);
+        line.push('=');
+        if is_plain {
+            line.push_str(&value);
         } else {
-            write!(line, " {key}={}", Value::String(value))
-        };
-        written.expect("a string can always be written to");
+            line.push_str(&Value::String(value).to_string());
+        }
     }
     line
 }
--- a/src/services/config.rs
+++ b/src/services/config.rs
@@ -8,6 +8,7 @@
 use crate::decide::config::Configuration;
 use crate::decide::config_change::ApplyOutcome;
 use crate::decide::ids::LogOffset;
+use crate::events::{RECORD_SKIPPED, log_event};
 use crate::kernel::{NextStep, ReplyTo, Service, Signal};
 use crate::platform::log_client::{LogPage, LogRecord};
 use crate::wire::config_record::decode_record;
@@ -94,7 +95,8 @@
             }
             Err(_) => return,
         };
-        log::warn!("config record {} skipped: {reason}", record.offset.0);
+        let offset = record.offset.0;
+        log_event(&RECORD_SKIPPED, &[("offset", &offset), ("reason", &reason)]);
         if self.skipped.len() == MAX_SHOWN_SKIPS {
             self.skipped.remove(0);
         }
--- a/src/services/log_reader.rs
+++ b/src/services/log_reader.rs
@@ -9,6 +9,7 @@
 use super::config::CONFIG;
 use super::mail::{ConfigMail, Mail};
 use crate::decide::ids::LogOffset;
+use crate::events::{LOG_UNREADABLE, log_event};
 use crate::kernel::{Directory, Inbox, IoTask, Signal};
 use crate::platform::log_client::{LogClient, LogPage, ReadOutcome, ReadWindow};
 use crate::wire::config_record::CONFIG_STREAM;
@@ -58,7 +59,7 @@
         let next = match log.read(window).await {
             ReadOutcome::Page(page) => hand_over(directory, page).await,
             ReadOutcome::Unavailable(reason) => {
-                log::warn!("the configuration stream cannot be read: {reason}");
+                log_event(&LOG_UNREADABLE, &[("reason", &reason)]);
                 None
             }
         };
--- a/src/services/operator.rs
+++ b/src/services/operator.rs
@@ -71,7 +71,7 @@
         }
     }
     // A server that has ended already needs no stop.
-    drop(stop.send(()));
+    let _ = stop.send(());
     drop(server.await);
 }
 
--- /dev/null
+++ b/tests/events.rs
@@ -0,0 +1,47 @@
+//! Log events: catalogue, rendering and the page.
+
+#[path = "common/pages.rs"]
+mod pages;
+
+use bulrushslip::events::{CATALOGUE, LOG_UNREADABLE, json_line, markdown, text_line};
+
+#[test]
+fn numbers_rise_and_names_are_unique() {
+    for pair in CATALOGUE.windows(2) {
+        assert!(pair[0].number < pair[1].number, "{}", pair[1].name);
+    }
+    let mut names: Vec<&str> = CATALOGUE.iter().map(|kind| kind.name).collect();
+    names.sort_unstable();
+    names.dedup();
+    assert_eq!(names.len(), CATALOGUE.len());
+}
+
+#[test]
+fn values_cannot_forge_fields_or_lines() {
+    let reason = "a=b \"c\"\nevent=101";
+    let line = text_line(&LOG_UNREADABLE, &[("reason", &reason), ("tries", &3)]);
+    assert_eq!(
+        line,
+        "event=202 name=log_unreadable reason=\"a=b \\\"c\\\"\\nevent=101\" tries=3"
+    );
+    let line = json_line(&LOG_UNREADABLE, &[("reason", &reason)]);
+    let object: serde_json::Value = serde_json::from_str(&line).expect("a JSON object");
+    assert_eq!(object["reason"], reason);
+    assert_eq!(
+        (&object["event"], &object["level"]),
+        (&202.into(), &"WARN".into())
+    );
+}
+
+#[test]
+fn the_page_of_events_equals_the_catalogue() {
+    let page = format!(
+        "# Events\n\n\
+         Every log line is a numbered event on standard error, as `key=value` fields or, with\n\
+         `--log-format json`, as a JSON object. Numbers and names stay; 1xx process,\n\
+         2xx configuration, 3xx entry, 4xx sidecar, 5xx operators. This page is made from\n\
+         `src/events.rs`.\n\n{}",
+        markdown()
+    );
+    pages::check_page("docs/EVENTS.md", &page);
+}
