Add the ctl commands request and dump

Cause: the demonstration may assume cargo only, so it needs a client of its own, and operators need a dump without an HTTP tool. Ruled out: curl in demo.sh where it is found (two paths to keep right). Conclusion: both commands answer with the exit statuses that ctl already has.

--- a/src/ctl/args.rs
+++ b/src/ctl/args.rs
@@ -4,6 +4,9 @@
 
 use argh::FromArgs;
 
+use super::dump::DumpArgs;
+use super::request::RequestArgs;
+
 /// Changes and shows the configuration of bulrushslip.
 #[derive(Debug, FromArgs)]
 pub struct CtlArgs {
@@ -18,6 +21,10 @@
 pub enum Command {
     /// Appends changes as they are.
     Apply(ApplyArgs),
+    /// Prints the state of a process.
+    Dump(DumpArgs),
+    /// Sends one request.
+    Request(RequestArgs),
     /// Hashes a bearer key.
     Hash(HashArgs),
 }
--- a/src/ctl/mod.rs
+++ b/src/ctl/mod.rs
@@ -2,7 +2,9 @@
 
 pub mod apply;
 pub mod args;
+pub mod dump;
 pub mod exit;
+pub mod request;
 
 use args::{Command, CtlArgs};
 use exit::ExitStatus;
@@ -11,6 +13,8 @@
 pub async fn run(args: CtlArgs) -> ExitStatus {
     match args.command {
         Command::Apply(args) => apply::run(&args).await,
+        Command::Dump(args) => dump::run(&args).await,
+        Command::Request(args) => request::run(&args).await,
         Command::Hash(args) => {
             println!("{}", blake3::hash(args.bearer_key.as_bytes()));
             ExitStatus::Done
