Register instances and obey a platform that marks one as leaving

Cause: an upstream that is to leave must get no new work within a few seconds. Ruled out: every entry reading the whole list, which at 1,140 instances of about 130 bytes every 2 s is 70 KB/s a node against a bound of 2 KB/s.

--- a/src/entry.rs
+++ b/src/entry.rs
@@ -6,6 +6,7 @@
 use crate::decide::placement;
 use crate::kernel::{Clock, TokioKernel};
 use crate::platform::http_server::ServerLimits;
+use crate::platform::instance_client::{InstanceClient, WireInstance, WireInstanceState};
 use crate::process;
 use crate::services::callers::{CallerSettings, callers_task};
 use crate::services::config::config_service;
@@ -13,6 +14,7 @@
 use crate::services::log_reader::log_reader;
 use crate::services::metrics;
 use crate::services::operator::{self, OperatorIdentity};
+use crate::services::registration::registration_task;
 use crate::services::tickets::tickets_service;
 use crate::settings::EntrySettings;
 
@@ -27,6 +29,17 @@
     let clock = Clock::start();
     let callers = process::listen("entry", common.listen).await?;
     let operators = process::listen("operator", common.operator_listen).await?;
+    let instance = WireInstance {
+        name: common.name.clone(),
+        role: "entry".to_owned(),
+        address: callers.local_addr()?,
+        operator: Some(operators.local_addr()?),
+        data_centre: common.data_centre.clone(),
+        state: WireInstanceState::Live,
+    };
+    let client = InstanceClient {
+        platform: common.platform,
+    };
     let mut kernel = TokioKernel::new();
     if let Some(address) = common.metrics {
         let tags = [("role", "entry"), ("instance", common.name.as_str())];
@@ -55,5 +68,6 @@
         },
     ));
     kernel.add_task(callers_task(callers, caller_settings));
+    kernel.add_task(registration_task(client, instance));
     process::run_until_signal(kernel, clock, common.drain_ms).await
 }
--- a/src/platform/mod.rs
+++ b/src/platform/mod.rs
@@ -2,4 +2,5 @@
 
 pub mod http_client;
 pub mod http_server;
+pub mod instance_client;
 pub mod log_client;
--- a/src/services/ledger.rs
+++ b/src/services/ledger.rs
@@ -36,6 +36,7 @@
         LedgerMail::Items(key, items) => state.items(now, key, items),
         LedgerMail::Ended(key, end) => state.ended(now, key, end),
         LedgerMail::EngineState(engine) => state.engine = engine,
+        LedgerMail::Leaving => state.begin_leaving(now),
         LedgerMail::Configured(configuration) => state.configure(configuration),
     }
 }
--- a/src/services/ledger_state.rs
+++ b/src/services/ledger_state.rs
@@ -85,6 +85,7 @@
     read_deadlines: BTreeSet<(Moment, TicketKey)>,
     customers: HashMap<String, CustomerId>,
     running: [u32; 2],
+    leaving: bool,
     stopping: bool,
 }
 
@@ -103,6 +104,7 @@
             read_deadlines: BTreeSet::new(),
             customers: HashMap::new(),
             running: [0; 2],
+            leaving: false,
             stopping: false,
             settings,
         }
@@ -232,6 +234,8 @@
             }
             WithdrawStep::Cancel(key) => {
                 self.cancel(turn, key);
+                // Whoever withdraws reads no end.
+                self.jobs.entry(key).and_modify(|job| job.end_read = true);
                 WithdrawVerdict::Cancelled
             }
             WithdrawStep::Running(_) => WithdrawVerdict::Running,
@@ -310,9 +314,15 @@
         self.answer_pending(key);
     }
 
-    /// Refuses new work from now on and hands back what is queued.
+    /// Refuses new work from now on, hands back what is queued, and ends once all is read.
     pub fn begin_stop(&mut self, now: Moment) {
         self.stopping = true;
+        self.begin_leaving(now);
+    }
+
+    /// Refuses new work from now on and hands back what is queued.
+    pub fn begin_leaving(&mut self, now: Moment) {
+        self.leaving = true;
         for item in self.queue.drain() {
             if let Some(key) = self.queued.remove(&item.ticket) {
                 self.ledger
@@ -486,7 +496,7 @@
         let Some(upstream) = &self.upstream else {
             return Some(RefusalReason::NoConfiguration);
         };
-        if self.stopping || upstream.retired {
+        if self.leaving || upstream.retired {
             return Some(RefusalReason::Leaving);
         }
         match &self.engine {
@@ -583,7 +593,7 @@
             "queued": self.queue.len(),
             "running": {"urgent": self.running[0], "routine": self.running[1]},
             "answer_bytes": self.jobs.values().map(|job| job.buffer.bytes()).sum::<usize>(),
-            "stopping": self.stopping,
+            "leaving": self.leaving,
         })
     }
 }
--- a/src/services/mail.rs
+++ b/src/services/mail.rs
@@ -76,6 +76,8 @@
     Attached(TicketKey, AttachVerdict, ReplyTo<AttachReply>),
     /// The engine's state was read.
     EngineState(EngineState),
+    /// The platform wants the instance to go.
+    Leaving,
     /// A new configuration is in force.
     Configured(Arc<Configuration>),
 }
--- a/src/services/mod.rs
+++ b/src/services/mod.rs
@@ -14,6 +14,7 @@
 pub mod mail;
 pub mod metrics;
 pub mod operator;
+pub mod registration;
 pub mod request_runner;
 pub mod sidecar_calls;
 pub mod sidecar_rpc;
--- a/src/sidecar.rs
+++ b/src/sidecar.rs
@@ -6,6 +6,7 @@
 use crate::decide::ledger::LedgerBounds;
 use crate::decide::queue::{QueueDiscipline, QueuePolicy};
 use crate::kernel::{Clock, TokioKernel};
+use crate::platform::instance_client::{InstanceClient, WireInstance, WireInstanceState};
 use crate::process;
 use crate::services::config::config_service;
 use crate::services::config_feed::config_feed_task;
@@ -16,6 +17,7 @@
 use crate::services::log_reader::log_reader;
 use crate::services::metrics;
 use crate::services::operator::{self, OperatorIdentity};
+use crate::services::registration::registration_task;
 use crate::services::sidecar_rpc::rpc_task;
 use crate::settings::{SidecarSettings, TargetKind};
 
@@ -50,6 +52,17 @@
             floor_percent: DEFAULT_FLOOR_PERCENT,
         },
     };
+    let instance = WireInstance {
+        name: common.name.clone(),
+        role: "sidecar".to_owned(),
+        address: entries.local_addr()?,
+        operator: Some(operators.local_addr()?),
+        data_centre: common.data_centre.clone(),
+        state: WireInstanceState::Live,
+    };
+    let client = InstanceClient {
+        platform: common.platform,
+    };
     let mut kernel = TokioKernel::new();
     if let Some(address) = common.metrics {
         let tags = [("role", "sidecar"), ("instance", common.name.as_str())];
@@ -72,5 +85,6 @@
     // The ledger stops before the tasks that its last answers pass through.
     kernel.add(ledger_service(ledger_settings));
     kernel.add_task(config_feed_task());
+    kernel.add_task(registration_task(client, instance));
     process::run_until_signal(kernel, clock, common.drain_ms).await
 }
--- a/src/standin/instance_list.rs
+++ b/src/standin/instance_list.rs
@@ -26,6 +26,8 @@
     pub role: String,
     /// Address as IP and port.
     pub address: String,
+    /// Address of its operator port as IP and port.
+    pub operator: Option<String>,
     /// Data centre.
     pub data_centre: String,
     /// Whether it is there to stay.
@@ -56,17 +58,38 @@
         }
     }
 
-    /// Registers or renews an instance.
-    pub fn put(&mut self, now: Moment, entry: InstanceEntry) {
+    /// Registers or renews an instance and returns what is registered now.
+    ///
+    /// An instance that is leaving stays so until it is removed.
+    pub fn put(&mut self, now: Moment, mut entry: InstanceEntry) -> InstanceEntry {
         self.expire(now);
+        let known = self
+            .registered
+            .get(&entry.name)
+            .map(|(known, _)| known.state);
+        if known == Some(InstanceState::Leaving) {
+            entry.state = InstanceState::Leaving;
+        }
         let renew_by = now.after(RENEWAL_TIME);
         let name = entry.name.clone();
         let previous = self
             .registered
             .insert(name.clone(), (entry.clone(), renew_by));
         if previous.is_none_or(|(known, _)| known != entry) {
-            self.change(now, name, Some(entry));
+            self.change(now, name, Some(entry.clone()));
         }
+        entry
+    }
+
+    /// Marks an instance as leaving.
+    pub fn leave(&mut self, now: Moment, name: &str) {
+        self.expire(now);
+        let Some((entry, _)) = self.registered.get_mut(name) else {
+            return;
+        };
+        entry.state = InstanceState::Leaving;
+        let entry = entry.clone();
+        self.change(now, name.to_owned(), Some(entry));
     }
 
     /// Deregisters an instance; tells whether it was there.
--- a/src/standin/instance_service.rs
+++ b/src/standin/instance_service.rs
@@ -9,8 +9,10 @@
 /// Messages to the service `instances`.
 #[derive(Debug)]
 pub enum InstanceMail {
-    /// Register or renew an instance.
-    Put(InstanceEntry, ReplyTo<()>),
+    /// Register or renew an instance; the reply is what is registered now.
+    Put(InstanceEntry, ReplyTo<InstanceEntry>),
+    /// Mark an instance as leaving, whatever it says of itself.
+    Leave(String, ReplyTo<()>),
     /// Deregister an instance; the reply tells whether it was there.
     Remove(String, ReplyTo<bool>),
     /// List the instances.
@@ -24,8 +26,9 @@
     Service::new("instances", move |turn, signal| {
         match signal {
             Signal::Mail(StandinMail::Instances(mail)) => match mail {
-                InstanceMail::Put(entry, reply) => {
-                    list.put(turn.now, entry);
+                InstanceMail::Put(entry, reply) => reply.send(list.put(turn.now, entry)),
+                InstanceMail::Leave(name, reply) => {
+                    list.leave(turn.now, &name);
                     reply.send(());
                 }
                 InstanceMail::Remove(name, reply) => reply.send(list.remove(turn.now, &name)),
--- a/src/standin/platform_http.rs
+++ b/src/standin/platform_http.rs
@@ -96,7 +96,7 @@
     let limit = request.number("limit", PAGE_RECORDS);
     let reader = |reply| LogReader {
         stream: stream.to_owned(),
-        from: request.number("from", 1),
+        from: request.number("from", 0),
         limit: usize::try_from(limit).unwrap_or(usize::MAX),
         until: request.deadline("wait_ms", directory.now()),
         reply,
@@ -113,9 +113,15 @@
         "outage" => LogFault::Outage(request.number("ms", 0)),
         "lose-answers" => LogFault::LoseAnswers(request.number("next", 1)),
         "delay" => LogFault::Delay(request.number("ms", 0)),
+        "leave" => {
+            let name = request.parameter("name").unwrap_or_default().to_owned();
+            let mail = |reply| StandinMail::Instances(InstanceMail::Leave(name, reply));
+            directory.ask("instances", mail).await?;
+            return Some(done_response());
+        }
         "retain" => {
             let stream = request.parameter("stream").unwrap_or_default().to_owned();
-            let first = request.number("first", 1);
+            let first = request.number("first", 0);
             return ask_log(directory, |reply| LogMail::Retain(stream, first, reply)).await;
         }
         _ => return Some(FrontError::UnknownPath.into()),
@@ -163,8 +169,9 @@
     let mut entry = InstanceEntry::from(body);
     name.clone_into(&mut entry.name);
     let mail = |reply| StandinMail::Instances(InstanceMail::Put(entry, reply));
-    directory.ask("instances", mail).await?;
-    Some(done_response())
+    let entry = directory.ask("instances", mail).await?;
+    let body = json!(InstanceBody::from(entry));
+    Some(json_response(StatusCode::OK, &body))
 }
 
 async fn remove_instance(
@@ -230,6 +237,8 @@
     name: String,
     role: String,
     address: String,
+    #[serde(default)]
+    operator: Option<String>,
     data_centre: String,
     state: StateBody,
 }
@@ -240,6 +249,7 @@
             name: body.name,
             role: body.role,
             address: body.address,
+            operator: body.operator,
             data_centre: body.data_centre,
             state: match body.state {
                 StateBody::Live => InstanceState::Live,
@@ -255,6 +265,7 @@
             name: entry.name,
             role: entry.role,
             address: entry.address,
+            operator: entry.operator,
             data_centre: entry.data_centre,
             state: match entry.state {
                 InstanceState::Live => StateBody::Live,
--- a/tests/standin_decisions.rs
+++ b/tests/standin_decisions.rs
@@ -58,6 +58,7 @@
         name: "s1".to_owned(),
         role: "sidecar".to_owned(),
         address: "127.0.0.1:9".to_owned(),
+        operator: None,
         data_centre: "Bangor".to_owned(),
         state: InstanceState::Live,
     };
