Name the type of a settings reader and keep one way to start

Cause: clippy refused the type of process::main_with on main, and settings::from_process did the same work a second time. Ruled out: an expectation for the lint; the type has a meaning of its own. Conclusion: process::main_with is the one start.

--- a/src/process.rs
+++ b/src/process.rs
@@ -13,7 +13,7 @@
     log_event, start_log,
 };
 use crate::kernel::{Clock, RunningKernel, TokioKernel};
-use crate::settings::{CommonSettings, StartOutcome};
+use crate::settings::{CommonSettings, ReadSettings, StartOutcome};
 
 /// Threads that run the tasks of a process.
 const WORKER_THREADS: usize = 2;
@@ -109,19 +109,24 @@
 ///
 /// Bad settings end the process with exit code 2, a failed start with 1.
 pub fn main_with<T, F: Future<Output = std::io::Result<()>>>(
-    read: fn(&[&str], &dyn Fn(&str) -> Option<String>) -> StartOutcome<T>,
+    read: ReadSettings<T>,
     run: fn(T) -> F,
 ) -> ExitCode {
-    let arguments: Vec<String> = std::env::args().skip(1).collect();
+    let arguments: Vec<String> = std::env::args_os()
+        .skip(1)
+        .map(|argument| argument.to_string_lossy().into_owned())
+        .collect();
     let arguments: Vec<&str> = arguments.iter().map(String::as_str).collect();
-    let settings = match read(&arguments, &|name| std::env::var(name).ok()) {
+    let variable =
+        |name: &str| std::env::var_os(name).map(|value| value.to_string_lossy().into_owned());
+    let settings = match read(&arguments, &variable) {
         StartOutcome::Run(settings) => settings,
         StartOutcome::Exit { code: 0, text } => {
-            println!("{text}");
+            println!("{}", text.trim_end());
             return ExitCode::SUCCESS;
         }
         StartOutcome::Exit { code, text } => {
-            eprintln!("{text}");
+            eprintln!("{}", text.trim_end());
             return ExitCode::from(u8::try_from(code).unwrap_or(1));
         }
     };
--- a/src/settings/mod.rs
+++ b/src/settings/mod.rs
@@ -8,6 +8,6 @@
 
 pub use common::{CommonSettings, LogFormat};
 pub use entry::EntrySettings;
-pub use reader::{SettingError, SettingReader, StartOutcome, from_process, read_flags};
+pub use reader::{ReadSettings, SettingError, SettingReader, StartOutcome, read_flags};
 pub use sidecar::{SidecarSettings, TargetKind};
 pub use table::{ENTRY_TABLE, Fallback, SIDECAR_TABLE, SettingRow, ValueKind, markdown};
--- a/src/settings/reader.rs
+++ b/src/settings/reader.rs
@@ -35,6 +35,9 @@
     }
 }
 
+/// Reads settings from arguments (without the program) and a look-up of variables.
+pub type ReadSettings<T> = fn(&[&str], &dyn Fn(&str) -> Option<String>) -> StartOutcome<T>;
+
 /// What the start of a process comes to.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum StartOutcome<T> {
@@ -243,27 +246,3 @@
     }
     Err((0, text))
 }
-
-/// Reads the settings of this process, or prints what is wrong and ends it.
-pub fn from_process<T>(
-    read: impl FnOnce(&[&str], &dyn Fn(&str) -> Option<String>) -> StartOutcome<T>,
-) -> T {
-    let arguments: Vec<String> = std::env::args_os()
-        .skip(1)
-        .map(|argument| argument.to_string_lossy().into_owned())
-        .collect();
-    let arguments: Vec<&str> = arguments.iter().map(String::as_str).collect();
-    let variable =
-        |name: &str| std::env::var_os(name).map(|value| value.to_string_lossy().into_owned());
-    match read(&arguments, &variable) {
-        StartOutcome::Run(settings) => settings,
-        StartOutcome::Exit { code: 0, text } => {
-            println!("{}", text.trim_end());
-            std::process::exit(0);
-        }
-        StartOutcome::Exit { code, text } => {
-            eprintln!("{}", text.trim_end());
-            std::process::exit(code);
-        }
-    }
-}
