Add claims on idempotency keys: replay, home and log records

Ruled out: a lease for the home, one partition, one append a claim, and letting the loser submit the holder's ticket (its entry may have told the caller that it did not run). A claim names the one sidecar incarnation that its ticket goes to, since a withdrawal at another one proves nothing. The record carries no planned offset: the order on the partition decides alone.

--- /dev/null
+++ b/src/decide/claims.rs
@@ -0,0 +1,367 @@
+//! Claims on idempotency keys: the first claim on a partition of the log wins.
+//!
+//! Replaying a partition in offset order gives the same winners everywhere, whoever appended the
+//! records, so safety needs no leader. A key is released only by a record that names the ticket
+//! whose owner has proved that it never ran and never will.
+
+use std::collections::{HashMap, VecDeque};
+
+use super::ids::{Incarnation, LogOffset, Ticket};
+use super::suspects::Fingerprint;
+use crate::kernel::{Arena, Key};
+
+/// Partitions of the claims, each a stream of its own on the log.
+pub const PARTITION_COUNT: u16 = 16;
+
+/// Tickets released for one key at most; further releases are ignored, so the key stays held.
+pub const MAX_RELEASES: usize = 16;
+
+/// Hash of a customer and its idempotency key.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct KeyHash(pub u128);
+
+impl KeyHash {
+    /// Hashes a key within the scope of its customer.
+    ///
+    /// ```
+    /// use bulrushslip::decide::claims::KeyHash;
+    /// assert_ne!(KeyHash::of("a", "bc"), KeyHash::of("ab", "c"));
+    /// ```
+    #[must_use]
+    pub fn of(customer: &str, key: &str) -> Self {
+        let mut hasher = blake3::Hasher::new();
+        hasher.update(&(customer.len() as u64).to_le_bytes());
+        hasher.update(customer.as_bytes());
+        hasher.update(key.as_bytes());
+        let mut word = [0; 16];
+        word.copy_from_slice(&hasher.finalize().as_bytes()[..16]);
+        Self(u128::from_le_bytes(word))
+    }
+
+    /// Returns the partition that decides on the key.
+    #[must_use]
+    pub fn partition(self) -> PartitionId {
+        let remainder = self.0 % u128::from(PARTITION_COUNT);
+        PartitionId(u16::try_from(remainder).unwrap_or_default())
+    }
+}
+
+/// Number of a partition, below [`PARTITION_COUNT`].
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct PartitionId(pub u16);
+
+impl PartitionId {
+    /// Iterates over all partitions.
+    pub fn all() -> impl Iterator<Item = Self> {
+        (0..PARTITION_COUNT).map(Self)
+    }
+
+    /// Returns the name of the stream on the log.
+    #[must_use]
+    pub fn stream(self) -> String {
+        format!("claims-{:02}", self.0)
+    }
+
+    /// Orders sidecars by their rendezvous hash: the first is the home, the others stand in.
+    #[must_use]
+    pub fn home_order<'a>(self, sidecars: &[&'a str]) -> Vec<&'a str> {
+        let mut order: Vec<([u8; 32], &str)> = sidecars
+            .iter()
+            .map(|name| (self.rendezvous_hash(name), *name))
+            .collect();
+        order.sort_unstable();
+        order.into_iter().map(|(_, name)| name).collect()
+    }
+
+    fn rendezvous_hash(self, name: &str) -> [u8; 32] {
+        let mut hasher = blake3::Hasher::new();
+        hasher.update(&self.0.to_le_bytes());
+        hasher.update(name.as_bytes());
+        *hasher.finalize().as_bytes()
+    }
+}
+
+/// How long idempotency keys are honoured.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct WindowPolicy {
+    /// Seconds after its creation for which a key is accepted; well below the log's retention.
+    pub window_s: u64,
+    /// Seconds by which the clocks of callers and entries may differ.
+    pub skew_s: u64,
+}
+
+/// Whether a key may still be claimed.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum KeyAge {
+    /// It may, until this time in Unix seconds.
+    Valid(u64),
+    /// Its records may have left the log, so nobody can tell whether it ran.
+    Expired,
+    /// It claims to have been created in the future.
+    Future,
+}
+
+/// Judges the age of a key; without a stated creation time it counts as created now.
+#[must_use]
+pub const fn key_age(policy: WindowPolicy, now_s: u64, created_s: Option<u64>) -> KeyAge {
+    let Some(created_s) = created_s else {
+        return KeyAge::Valid(now_s.saturating_add(policy.window_s));
+    };
+    if created_s > now_s.saturating_add(policy.skew_s) {
+        return KeyAge::Future;
+    }
+    let expires_s = created_s.saturating_add(policy.window_s);
+    if expires_s <= now_s {
+        return KeyAge::Expired;
+    }
+    KeyAge::Valid(expires_s)
+}
+
+/// The attempt that a key is claimed for.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct ClaimTarget {
+    /// Ticket that will be submitted once the claim has won.
+    pub ticket: Ticket,
+    /// Name of the upstream that it will be submitted to.
+    pub upstream: String,
+    /// The only incarnation of its sidecar that it will be submitted to, so that a withdrawal
+    /// there proves that it never runs.
+    pub sidecar: Incarnation,
+    /// Fingerprint of the request, to find keys used for different requests.
+    pub fingerprint: Fingerprint,
+}
+
+/// One record of a partition: a release, a claim, or both at once.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct ClaimRecord {
+    /// Name of the customer, for those who read the log.
+    pub customer: String,
+    /// The key.
+    pub key: KeyHash,
+    /// A ticket that is proved never to have run and never to run.
+    pub released: Option<Ticket>,
+    /// The claim that is made.
+    pub target: Option<ClaimTarget>,
+    /// End of the key's validity, in Unix seconds.
+    pub expires_s: u64,
+}
+
+/// What became of a claim or a release.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum ClaimVerdict {
+    /// The claim holds the key.
+    Won,
+    /// Another ticket holds the key.
+    Held(ClaimTarget),
+    /// The ticket of the claim has been released and can not hold a key again.
+    Released,
+    /// The claim could not be recorded or confirmed in time; it may still appear on the log.
+    Unavailable,
+}
+
+/// Name of an upstream that holds claims.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct HolderName(pub String);
+
+#[derive(Debug, Clone, Copy)]
+struct ClaimHolder {
+    ticket: Ticket,
+    upstream: Key<HolderName>,
+    sidecar: Incarnation,
+    fingerprint: Fingerprint,
+}
+
+#[derive(Debug, Clone)]
+struct ClaimEntry {
+    key: KeyHash,
+    holder: Option<ClaimHolder>,
+    released: Vec<Ticket>,
+    last_offset: LogOffset,
+}
+
+/// The outcome of replaying one partition up to an offset.
+#[derive(Debug, Clone, Default)]
+pub struct ClaimTable {
+    next_offset: LogOffset,
+    entries: Arena<ClaimEntry>,
+    by_key: HashMap<KeyHash, Key<ClaimEntry>>,
+    by_offset: VecDeque<(LogOffset, Key<ClaimEntry>)>,
+    names: Arena<HolderName>,
+    by_name: HashMap<String, Key<HolderName>>,
+}
+
+impl ClaimTable {
+    /// Returns the offset below which every record has been applied.
+    #[must_use]
+    pub const fn next_offset(&self) -> LogOffset {
+        self.next_offset
+    }
+
+    /// Applies the records that one append brought; offsets applied before are ignored.
+    pub fn apply(&mut self, offset: LogOffset, records: &[ClaimRecord]) {
+        if offset < self.next_offset {
+            return;
+        }
+        self.next_offset = LogOffset(offset.0 + 1);
+        for record in records {
+            self.apply_record(offset, record);
+        }
+    }
+
+    /// Forgets keys whose records have left the log, all of which are below `first`.
+    ///
+    /// A table that has missed records starts again from `first`.
+    pub fn trim(&mut self, first: LogOffset) {
+        if first > self.next_offset {
+            *self = Self {
+                next_offset: first,
+                ..Self::default()
+            };
+            return;
+        }
+        while let Some((offset, key)) = self.by_offset.front().copied() {
+            if offset >= first {
+                return;
+            }
+            self.by_offset.pop_front();
+            self.forget_unless_newer(key, offset);
+        }
+    }
+
+    /// Returns the holder of a key.
+    #[must_use]
+    pub fn holder(&self, key: KeyHash) -> Option<ClaimTarget> {
+        let entry = self.entry(key)?;
+        let holder = entry.holder?;
+        let HolderName(name) = self.names.get(holder.upstream)?;
+        Some(ClaimTarget {
+            ticket: holder.ticket,
+            upstream: name.clone(),
+            sidecar: holder.sidecar,
+            fingerprint: holder.fingerprint,
+        })
+    }
+
+    /// Says what a record leads to that changes nothing any more, or `None` if it has to be
+    /// appended.
+    #[must_use]
+    pub fn settled(&self, record: &ClaimRecord) -> Option<ClaimVerdict> {
+        let entry = self.entry(record.key)?;
+        let Some(target) = &record.target else {
+            let ticket = record.released?;
+            return release_verdict(entry, ticket);
+        };
+        if entry.released.contains(&target.ticket) {
+            return Some(ClaimVerdict::Released);
+        }
+        let holder = entry.holder?;
+        if holder.ticket == target.ticket {
+            return Some(ClaimVerdict::Won);
+        }
+        if record.released == Some(holder.ticket) && entry.released.len() < MAX_RELEASES {
+            return None;
+        }
+        self.holder(record.key).map(ClaimVerdict::Held)
+    }
+
+    /// Returns how many keys are known.
+    #[must_use]
+    pub fn len(&self) -> usize {
+        self.entries.len()
+    }
+
+    /// Tells whether no key is known.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.entries.is_empty()
+    }
+
+    fn entry(&self, key: KeyHash) -> Option<&ClaimEntry> {
+        self.entries.get(*self.by_key.get(&key)?)
+    }
+
+    fn apply_record(&mut self, offset: LogOffset, record: &ClaimRecord) {
+        let target = record.target.as_ref();
+        let upstream = target.map(|target| self.intern(&target.upstream));
+        let entry_key = self.entry_key(offset, record.key);
+        let Some(entry) = self.entries.get_mut(entry_key) else {
+            return;
+        };
+        if let Some(ticket) = record.released {
+            release(entry, ticket);
+        }
+        if let (Some(target), Some(upstream)) = (target, upstream) {
+            claim(entry, target, upstream);
+        }
+        if entry.last_offset != offset {
+            entry.last_offset = offset;
+            self.by_offset.push_back((offset, entry_key));
+        }
+    }
+
+    fn entry_key(&mut self, offset: LogOffset, key: KeyHash) -> Key<ClaimEntry> {
+        if let Some(entry_key) = self.by_key.get(&key) {
+            return *entry_key;
+        }
+        let entry_key = self.entries.insert(ClaimEntry {
+            key,
+            holder: None,
+            released: Vec::new(),
+            last_offset: offset,
+        });
+        self.by_key.insert(key, entry_key);
+        self.by_offset.push_back((offset, entry_key));
+        entry_key
+    }
+
+    fn intern(&mut self, name: &str) -> Key<HolderName> {
+        if let Some(key) = self.by_name.get(name) {
+            return *key;
+        }
+        let key = self.names.insert(HolderName(name.to_owned()));
+        self.by_name.insert(name.to_owned(), key);
+        key
+    }
+
+    fn forget_unless_newer(&mut self, key: Key<ClaimEntry>, offset: LogOffset) {
+        let is_last = self
+            .entries
+            .get(key)
+            .is_some_and(|entry| entry.last_offset == offset);
+        if !is_last {
+            return;
+        }
+        if let Some(entry) = self.entries.remove(key) {
+            self.by_key.remove(&entry.key);
+        }
+    }
+}
+
+fn release_verdict(entry: &ClaimEntry, ticket: Ticket) -> Option<ClaimVerdict> {
+    if entry.released.contains(&ticket) {
+        return Some(ClaimVerdict::Released);
+    }
+    (entry.released.len() >= MAX_RELEASES).then_some(ClaimVerdict::Unavailable)
+}
+
+fn release(entry: &mut ClaimEntry, ticket: Ticket) {
+    if entry.released.contains(&ticket) || entry.released.len() >= MAX_RELEASES {
+        return;
+    }
+    entry.released.push(ticket);
+    if entry.holder.is_some_and(|holder| holder.ticket == ticket) {
+        entry.holder = None;
+    }
+}
+
+fn claim(entry: &mut ClaimEntry, target: &ClaimTarget, upstream: Key<HolderName>) {
+    if entry.holder.is_some() || entry.released.contains(&target.ticket) {
+        return;
+    }
+    entry.holder = Some(ClaimHolder {
+        ticket: target.ticket,
+        upstream,
+        sidecar: target.sidecar,
+        fingerprint: target.fingerprint,
+    });
+}
--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -5,6 +5,8 @@
 pub mod admission;
 pub mod attempt;
 pub mod cache_index;
+pub mod claim_home;
+pub mod claims;
 pub mod config;
 pub mod config_change;
 pub mod config_check;
--- a/src/wire/mod.rs
+++ b/src/wire/mod.rs
@@ -5,6 +5,7 @@
 pub mod headers;
 pub mod models;
 pub mod openai;
+pub mod claim_record;
 pub mod rpc;
 pub mod sse;
 pub mod transport;
