--- a/src/decide/claim_home.rs
+++ b/src/decide/claim_home.rs
@@ -37,7 +37,7 @@
 impl Default for HomeBounds {
     fn default() -> Self {
         Self {
-            max_keys: 100_000,
+            max_keys: 65_536,
             max_pending: 4096,
         }
     }
--- /dev/null
+++ b/src/services/claim_log.rs
@@ -0,0 +1,105 @@
+//! I/O task `claim-log` of a sidecar: appends to and reads from the claim partitions.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use tokio::task::JoinSet;
+use tokio::time::timeout;
+
+use super::claims::CLAIMS;
+use super::mail::{ClaimLogMail, ClaimsMail, Mail};
+use crate::decide::claim_home::ClaimPage;
+use crate::decide::claims::{ClaimRecord, PartitionId};
+use crate::decide::ids::LogOffset;
+use crate::kernel::{Directory, Inbox, IoTask, Signal};
+use crate::platform::log_client::{AppendOutcome, LogClient, LogPage, ReadOutcome, ReadWindow};
+use crate::wire::claim_record::{decode_batch, encode_batch};
+
+/// Name of the task.
+pub const CLAIM_LOG: &str = "claim-log";
+
+/// Time for one call; an append without an answer by then is settled by reading.
+const CALL_TIMEOUT: Duration = Duration::from_millis(300);
+
+/// Most appends in one page.
+const PAGE_RECORDS: u32 = 256;
+
+/// Creates the task `claim-log` for the platform at an address.
+#[must_use]
+pub fn claim_log_task(platform: SocketAddr) -> IoTask<Mail> {
+    IoTask::new(CLAIM_LOG, move |inbox, directory| {
+        run(platform, inbox, directory)
+    })
+}
+
+async fn run(platform: SocketAddr, mut inbox: Inbox<Mail>, directory: Directory<Mail>) {
+    // The service has one call for each of its few partitions under way at most.
+    let mut calls = JoinSet::new();
+    loop {
+        tokio::select! {
+            Some(_ended) = calls.join_next() => {}
+            signal = inbox.receive() => match signal {
+                Some(Signal::Mail(Mail::ClaimLog(mail))) => {
+                    calls.spawn(answer(platform, mail, directory.clone()));
+                }
+                Some(Signal::Dump(reply_to)) => {
+                    reply_to.send(serde_json::json!({"calls": calls.len()}));
+                }
+                Some(Signal::Stop) | None => return,
+                Some(_) => {}
+            },
+        }
+    }
+}
+
+async fn answer(platform: SocketAddr, mail: ClaimLogMail, directory: Directory<Mail>) {
+    let answer = match mail {
+        ClaimLogMail::Append(id, records) => {
+            ClaimsMail::Appended(id, append(platform, id, &records).await)
+        }
+        ClaimLogMail::Read(id, from) => ClaimsMail::Page(id, read(platform, id, from).await),
+    };
+    directory.deliver(CLAIMS, Mail::Claims(answer)).await;
+}
+
+async fn append(
+    platform: SocketAddr,
+    id: PartitionId,
+    records: &[ClaimRecord],
+) -> Option<LogOffset> {
+    let client = LogClient::new(platform, &id.stream());
+    match timeout(CALL_TIMEOUT, client.append(encode_batch(records))).await {
+        Ok(AppendOutcome::Appended(offset)) => Some(offset),
+        Ok(AppendOutcome::Refused(_) | AppendOutcome::Unknown(_)) | Err(_) => None,
+    }
+}
+
+async fn read(platform: SocketAddr, id: PartitionId, from: LogOffset) -> Option<ClaimPage> {
+    let client = LogClient::new(platform, &id.stream());
+    let window = ReadWindow {
+        from,
+        limit: PAGE_RECORDS,
+        wait: Duration::ZERO,
+    };
+    match timeout(CALL_TIMEOUT, client.read(window)).await {
+        Ok(ReadOutcome::Page(page)) => Some(page.into()),
+        Ok(ReadOutcome::Unavailable(_)) | Err(_) => None,
+    }
+}
+
+impl From<LogPage> for ClaimPage {
+    fn from(page: LogPage) -> Self {
+        let batches = page.records.into_iter().map(|record| {
+            // Every reader ignores an append that is no batch, so all replays agree.
+            (
+                record.offset,
+                decode_batch(&record.body).unwrap_or_default(),
+            )
+        });
+        Self {
+            first: page.first,
+            next: page.next,
+            batches: batches.collect(),
+        }
+    }
+}
--- a/src/services/mail.rs
+++ b/src/services/mail.rs
@@ -3,11 +3,13 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
+use crate::decide::claim_home::ClaimPage;
+use crate::decide::claims::{ClaimRecord, ClaimVerdict, PartitionId};
 use crate::decide::config::Configuration;
 use crate::decide::ids::{EngineEpoch, LogOffset, Repeatability, Ticket};
 use crate::decide::ledger::TicketKey;
 use crate::decide::outcome::StreamEnd;
-use crate::kernel::ReplyTo;
+use crate::kernel::{Moment, ReplyTo};
 use crate::platform::log_client::LogPage;
 use crate::services::metrics::MetricSample;
 use crate::wire::rpc::{
@@ -28,6 +30,10 @@
     Dialer(DialerMail),
     /// To the entry's service `tickets`.
     Tickets(TicketsMail),
+    /// To the sidecar's service `claims`.
+    Claims(ClaimsMail),
+    /// To the sidecar's I/O task `claim-log`.
+    ClaimLog(ClaimLogMail),
     /// To the service `metrics`.
     Metrics(MetricSample),
 }
@@ -140,3 +146,30 @@
     /// Retries are used up for now.
     OverBudget,
 }
+
+/// Messages to the service `claims`, which owns the claim partitions that this sidecar is home of.
+#[derive(Debug)]
+pub enum ClaimsMail {
+    /// Asks for a verdict on a claim or a release.
+    Claim {
+        /// What is to be recorded.
+        record: ClaimRecord,
+        /// When the asker wants a verdict at the latest.
+        deadline: Moment,
+        /// Takes the verdict.
+        reply_to: ReplyTo<ClaimVerdict>,
+    },
+    /// An append was answered with its offset, or failed or was lost.
+    Appended(PartitionId, Option<LogOffset>),
+    /// A read was answered, or failed.
+    Page(PartitionId, Option<ClaimPage>),
+}
+
+/// Messages to the I/O task `claim-log`, which calls the log.
+#[derive(Debug)]
+pub enum ClaimLogMail {
+    /// Appends records in one go.
+    Append(PartitionId, Vec<ClaimRecord>),
+    /// Reads from an offset.
+    Read(PartitionId, LogOffset),
+}
--- a/src/services/mod.rs
+++ b/src/services/mod.rs
@@ -2,6 +2,8 @@
 
 pub mod caller_answer;
 pub mod callers;
+pub mod claim_log;
+pub mod claims;
 pub mod config;
 pub mod config_feed;
 pub mod dialer;
--- a/src/wire/mod.rs
+++ b/src/wire/mod.rs
@@ -1,11 +1,11 @@
 //! Wire types, each with `From` and `TryFrom` towards the types of the decisions.
 
+pub mod claim_record;
 pub mod config_objects;
 pub mod config_record;
 pub mod headers;
 pub mod models;
 pub mod openai;
-pub mod claim_record;
 pub mod rpc;
 pub mod sse;
 pub mod transport;
