--- a/src/services/sidecar_calls.rs
+++ b/src/services/sidecar_calls.rs
@@ -11,8 +11,9 @@
 use crate::decide::outcome::{RefusalReason, StreamEnd};
 use crate::kernel::Directory;
 use crate::wire::rpc::{
-    AttachVerdict, QuoteCall, QuoteReply, ReadCall, ReadVerdict, ReplyHead, SidecarRpcClient,
-    StreamItem, SubmitCall, SubmitVerdict, WithdrawVerdict,
+    AttachReply, AttachVerdict, QuoteCall, QuoteReply, ReadCall, ReadReply, ReadVerdict, ReplyHead,
+    SidecarRpcClient, StreamItem, SubmitCall, SubmitReply, SubmitVerdict, WithdrawReply,
+    WithdrawVerdict,
 };
 
 /// Longest time for a call that the sidecar answers at once.
@@ -67,14 +68,7 @@
         let Some(reply) = self.check(&link, reply, |reply| reply.head) else {
             return AttemptEvent::Lost;
         };
-        match reply.verdict {
-            SubmitVerdict::Accepted => AttemptEvent::Accepted,
-            SubmitVerdict::NotRun { reason, .. } => {
-                // A reason from a newer sidecar still means that nothing runs.
-                let reason = RefusalReason::try_from(reason).unwrap_or(RefusalReason::Busy);
-                AttemptEvent::Refused(reason, reply.head.incarnation())
-            }
-        }
+        submit_event(&reply)
     }
 
     /// Reads from an index.
@@ -102,21 +96,7 @@
         let Some(reply) = self.check(&link, reply, |reply| reply.head) else {
             return event(AttemptEvent::Lost);
         };
-        match reply.verdict {
-            ReadVerdict::UnknownTicket => {
-                event(AttemptEvent::UnknownTicket(reply.head.incarnation()))
-            }
-            ReadVerdict::Items { items, end } => {
-                let end = end.map(|end| StreamEnd::try_from(end).unwrap_or(StreamEnd::Uncertain));
-                let count = items.len() as u64;
-                let event = AttemptEvent::Items {
-                    from_index: reply.from_index,
-                    count,
-                    end,
-                };
-                ReadOutcome { event, items }
-            }
-        }
+        read_outcome(reply)
     }
 
     /// Withdraws a ticket.
@@ -131,13 +111,7 @@
         let Some(reply) = self.check(&link, reply, |reply| reply.head) else {
             return AttemptEvent::Lost;
         };
-        match reply.verdict {
-            WithdrawVerdict::NotRun => AttemptEvent::WithdrawnUnrun,
-            WithdrawVerdict::Running | WithdrawVerdict::Done | WithdrawVerdict::Cancelled => {
-                AttemptEvent::WithdrawnLate
-            }
-            WithdrawVerdict::Forgotten => AttemptEvent::WithdrawnForgotten,
-        }
+        withdraw_event(&reply)
     }
 
     /// Looks a ticket up at the engine.
@@ -153,11 +127,7 @@
         let Some(reply) = self.check(&link, reply, |reply| reply.head) else {
             return AttemptEvent::Lost;
         };
-        match reply.verdict {
-            AttachVerdict::Attached => AttemptEvent::Attached(reply.head.incarnation()),
-            AttachVerdict::NotFound => AttemptEvent::NotAttached,
-            AttachVerdict::EngineDown => AttemptEvent::Lost,
-        }
+        attach_event(&reply)
     }
 
     async fn connect(&self) -> Option<OpenLink> {
@@ -188,6 +158,61 @@
     }
 }
 
+/// Returns what a reply to a submission means for the attempt.
+#[must_use]
+pub fn submit_event(reply: &SubmitReply) -> AttemptEvent {
+    match reply.verdict {
+        SubmitVerdict::Accepted => AttemptEvent::Accepted,
+        SubmitVerdict::NotRun { reason, .. } => {
+            // A reason from a newer sidecar still means that nothing runs.
+            let reason = RefusalReason::try_from(reason).unwrap_or(RefusalReason::Busy);
+            AttemptEvent::Refused(reason, reply.head.incarnation())
+        }
+    }
+}
+
+/// Returns what a reply to a read means for the attempt, and its items.
+#[must_use]
+pub fn read_outcome(reply: ReadReply) -> ReadOutcome {
+    match reply.verdict {
+        ReadVerdict::UnknownTicket => ReadOutcome {
+            event: AttemptEvent::UnknownTicket(reply.head.incarnation()),
+            items: Vec::new(),
+        },
+        ReadVerdict::Items { items, end } => {
+            let end = end.map(|end| StreamEnd::try_from(end).unwrap_or(StreamEnd::Uncertain));
+            let event = AttemptEvent::Items {
+                from_index: reply.from_index,
+                count: items.len() as u64,
+                end,
+            };
+            ReadOutcome { event, items }
+        }
+    }
+}
+
+/// Returns what a reply to a withdrawal means for the attempt.
+#[must_use]
+pub const fn withdraw_event(reply: &WithdrawReply) -> AttemptEvent {
+    match reply.verdict {
+        WithdrawVerdict::NotRun => AttemptEvent::WithdrawnUnrun,
+        WithdrawVerdict::Running | WithdrawVerdict::Done | WithdrawVerdict::Cancelled => {
+            AttemptEvent::WithdrawnLate
+        }
+        WithdrawVerdict::Forgotten => AttemptEvent::WithdrawnForgotten,
+    }
+}
+
+/// Returns what a reply to an attachment means for the attempt.
+#[must_use]
+pub const fn attach_event(reply: &AttachReply) -> AttemptEvent {
+    match reply.verdict {
+        AttachVerdict::Attached => AttemptEvent::Attached(reply.head.incarnation()),
+        AttachVerdict::NotFound => AttemptEvent::NotAttached,
+        AttachVerdict::EngineDown => AttemptEvent::Lost,
+    }
+}
+
 fn deadline(limit: Duration) -> Context {
     let mut context = context::current();
     context.deadline = Instant::now() + limit;
--- /dev/null
+++ b/tests/outcome_world/upstream.rs
@@ -0,0 +1,262 @@
+//! A sidecar with the real service `ledger`, before an engine that counts what it ran.
+
+use std::collections::HashMap;
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use bulrushslip::decide::config::{Configuration, Customer, Upstream, UpstreamKey, UpstreamKind};
+use bulrushslip::decide::ids::{EngineEpoch, Incarnation, LogOffset, Rank, Ticket};
+use bulrushslip::decide::ledger::{LedgerBounds, TicketKey};
+use bulrushslip::decide::outcome::{RefusalReason, StreamEnd};
+use bulrushslip::decide::queue::{QueueDiscipline, QueuePolicy};
+use bulrushslip::kernel::{MailboxKey, Moment, NextStep, Service, Signal, SteppedKernel, Turn};
+use bulrushslip::services::ledger::ledger_service;
+use bulrushslip::services::ledger_state::LedgerSettings;
+use bulrushslip::services::mail::{EngineMail, EngineState, LedgerMail, Mail};
+use bulrushslip::wire::rpc::{AttachVerdict, StreamItem};
+
+/// Items of every whole answer.
+pub const ANSWER_ITEMS: u64 = 4;
+
+/// Time that the engine takes for one item.
+const ITEM_TIME: Duration = Duration::from_millis(150);
+
+/// Time between two looks at the engine.
+const POLL_TIME: Duration = Duration::from_millis(20);
+
+/// Upstreams of the model.
+pub const UPSTREAMS: usize = 3;
+
+/// What an engine has done; it outlives the sidecar.
+#[derive(Default)]
+pub struct Engine {
+    /// Whether it answers.
+    pub up: bool,
+    /// Its life.
+    pub epoch: u64,
+    /// Whether a request id that it knows is attached to instead of being run again.
+    pub dedupes: bool,
+    /// How often each ticket was run, over all lives.
+    pub runs: HashMap<Ticket, u32>,
+    started: HashMap<Ticket, Moment>,
+}
+
+impl Engine {
+    /// Loses everything but the count of runs.
+    pub fn crash(&mut self) {
+        self.up = false;
+        self.epoch += 1;
+        self.started.clear();
+    }
+
+    fn run(&mut self, now: Moment, ticket: Ticket) {
+        if self.dedupes && self.started.contains_key(&ticket) {
+            return;
+        }
+        *self.runs.entry(ticket).or_default() += 1;
+        self.started.insert(ticket, now);
+    }
+
+    fn produced(&self, now: Moment, ticket: Ticket) -> Option<u64> {
+        let started = *self.started.get(&ticket)?;
+        let items = now.since(started).as_micros() / ITEM_TIME.as_micros();
+        u64::try_from(items)
+            .ok()
+            .map(|items| items.min(ANSWER_ITEMS))
+    }
+}
+
+/// The part of the task `engine` that the ledger sees.
+#[derive(Default)]
+struct EngineLink {
+    streams: Vec<(TicketKey, Ticket, u64)>,
+}
+
+impl EngineLink {
+    fn handle(&mut self, turn: &mut Turn<'_, Mail>, engine: &mut Engine, mail: EngineMail) {
+        match mail {
+            EngineMail::Start(key, call) if !engine.up => {
+                drop(call);
+                let end = StreamEnd::NotRun(RefusalReason::EngineDown);
+                turn.send("ledger", Mail::Ledger(LedgerMail::Ended(key, end)));
+            }
+            EngineMail::Start(key, call) => {
+                let ticket = Ticket::from(call.ticket);
+                engine.run(turn.now, ticket);
+                self.streams.push((key, ticket, 0));
+            }
+            EngineMail::Cancel(key, _) => self.streams.retain(|(known, ..)| *known != key),
+            EngineMail::Attach(key, ticket, reply_to) => {
+                let verdict = if !engine.up {
+                    AttachVerdict::EngineDown
+                } else if engine.dedupes && engine.started.contains_key(&ticket) {
+                    self.streams.push((key, ticket, 0));
+                    AttachVerdict::Attached
+                } else {
+                    AttachVerdict::NotFound
+                };
+                let mail = LedgerMail::Attached(key, verdict, reply_to);
+                turn.send("ledger", Mail::Ledger(mail));
+            }
+        }
+    }
+
+    fn poll(&mut self, turn: &mut Turn<'_, Mail>, engine: &Engine) {
+        for (key, ticket, next) in std::mem::take(&mut self.streams) {
+            let Some(produced) = engine.produced(turn.now, ticket) else {
+                let end = match next {
+                    0 => StreamEnd::Uncertain,
+                    _ => StreamEnd::EngineLost,
+                };
+                turn.send("ledger", Mail::Ledger(LedgerMail::Ended(key, end)));
+                continue;
+            };
+            let items: Vec<StreamItem> =
+                (next..produced).map(|index| item(ticket, index)).collect();
+            if !items.is_empty() {
+                turn.send("ledger", Mail::Ledger(LedgerMail::Items(key, items)));
+            }
+            if produced < ANSWER_ITEMS {
+                self.streams.push((key, ticket, produced));
+            } else {
+                let end = LedgerMail::Ended(key, StreamEnd::Complete);
+                turn.send("ledger", Mail::Ledger(end));
+            }
+        }
+    }
+}
+
+/// Returns the item that an engine produces at an index.
+pub fn item(ticket: Ticket, index: u64) -> StreamItem {
+    StreamItem::Data(format!("{ticket}:{index}").into_bytes())
+}
+
+fn engine_link(engine: Arc<Mutex<Engine>>) -> Service<Mail> {
+    let mut link = EngineLink::default();
+    Service::new("engine", move |turn, signal| {
+        let mut engine = engine.lock().expect("one thread");
+        match signal {
+            Signal::Mail(Mail::Engine(mail)) => link.handle(turn, &mut engine, mail),
+            Signal::Due => link.poll(turn, &engine),
+            _ => {}
+        }
+        if link.streams.is_empty() {
+            return NextStep::Wait;
+        }
+        NextStep::WaitUntil(turn.now.after(POLL_TIME))
+    })
+}
+
+/// One upstream: the engine, and the sidecar while it lives.
+pub struct UpstreamModel {
+    /// The engine.
+    pub engine: Arc<Mutex<Engine>>,
+    /// The sidecar's process.
+    pub sidecar: Option<SidecarProcess>,
+}
+
+/// One life of a sidecar.
+pub struct SidecarProcess {
+    /// Its incarnation.
+    pub incarnation: Incarnation,
+    /// Runs its services.
+    pub kernel: SteppedKernel<Mail>,
+    /// Mailbox of its ledger.
+    pub ledger: MailboxKey,
+    /// It handles nothing before this moment.
+    pub paused_until: Moment,
+}
+
+impl UpstreamModel {
+    /// Creates an upstream whose engine is up and whose sidecar is to be started.
+    pub fn new(dedupes: bool) -> Self {
+        let engine = Engine {
+            up: true,
+            epoch: 1,
+            dedupes,
+            ..Engine::default()
+        };
+        Self {
+            engine: Arc::new(Mutex::new(engine)),
+            sidecar: None,
+        }
+    }
+
+    /// Starts a sidecar with an empty ledger; one that runs is killed.
+    pub fn start_sidecar(&mut self, seed: u64, index: usize) {
+        let incarnation = Incarnation(seed | 1);
+        let mut kernel = SteppedKernel::new(seed);
+        let ledger = kernel.add(ledger_service(LedgerSettings {
+            incarnation,
+            upstream: format!("upstream-{index}"),
+            bounds: LedgerBounds::default(),
+            queue: QueuePolicy {
+                discipline: QueueDiscipline::RankedFair,
+                rank_capacity: 4,
+                floor_percent: [25, 20],
+            },
+        }));
+        kernel.add(engine_link(Arc::clone(&self.engine)));
+        let (configuration, _) = configuration();
+        let mail = LedgerMail::Configured(Arc::new(configuration));
+        kernel.post(ledger, Signal::Mail(Mail::Ledger(mail)));
+        self.sidecar = Some(SidecarProcess {
+            incarnation,
+            kernel,
+            ledger,
+            paused_until: Moment::START,
+        });
+    }
+
+    /// Runs the sidecar up to the moment, unless it is paused.
+    pub fn run_until(&mut self, now: Moment) {
+        let engine = self.engine.lock().expect("one thread");
+        let state = match engine.up {
+            true => EngineState::Up {
+                epoch: EngineEpoch(engine.epoch),
+                version: String::new(),
+            },
+            false => EngineState::Down,
+        };
+        drop(engine);
+        let Some(sidecar) = self.sidecar.as_mut() else {
+            return;
+        };
+        if sidecar.paused_until.is_due(now) {
+            let mail = Mail::Ledger(LedgerMail::EngineState(state));
+            sidecar.kernel.post(sidecar.ledger, Signal::Mail(mail));
+            sidecar.kernel.run_until(now);
+        }
+    }
+}
+
+/// Returns the configuration of the model and the keys of its upstreams.
+pub fn configuration() -> (Configuration, Vec<UpstreamKey>) {
+    let mut configuration = Configuration {
+        next_offset: LogOffset(1),
+        ..Configuration::default()
+    };
+    configuration.customers.insert(Customer {
+        name: "wales".to_owned(),
+        bearer_hashes: Vec::new(),
+        ranks: vec![Rank::Routine],
+        weight: 1,
+        max_in_flight: 100,
+        placement_pieces: 1,
+        versions: std::collections::BTreeMap::new(),
+    });
+    let keys = (0..UPSTREAMS).map(|index| {
+        configuration.upstreams.insert(Upstream {
+            name: format!("upstream-{index}"),
+            data_centre: "bangor".to_owned(),
+            sidecar: std::net::SocketAddr::from(([127, 0, 0, 1], 1)),
+            kind: UpstreamKind::Plain {
+                service: "gates".to_owned(),
+            },
+            slots: 2,
+            retired: false,
+        })
+    });
+    let keys = keys.collect();
+    (configuration, keys)
+}
