Leave the operator address out of the list where there is none

Cause: the stand-in's list showed a null that its test does not expect; the instance was registered without one. Also settles the merge of two names for one type.

--- a/src/process.rs
+++ b/src/process.rs
@@ -105,17 +105,10 @@
     }
 }
 
-/// Looks an environment variable up.
-pub type VariableLookup<'a> = &'a dyn Fn(&str) -> Option<String>;
-
-/// Reads settings from arguments (without the program) and variables.
-pub type SettingsReader<T> = fn(&[&str], VariableLookup<'_>) -> StartOutcome<T>;
-
 /// Reads the settings of a binary from arguments and variables, and runs it on a runtime.
 ///
 /// Bad settings end the process with exit code 2, a failed start with 1.
 pub fn main_with<T, F: Future<Output = std::io::Result<()>>>(
-    read: SettingsReader<T>,
     read: ReadSettings<T>,
     run: fn(T) -> F,
 ) -> ExitCode {
--- a/src/standin/platform_http.rs
+++ b/src/standin/platform_http.rs
@@ -237,7 +237,7 @@
     name: String,
     role: String,
     address: String,
-    #[serde(default)]
+    #[serde(default, skip_serializing_if = "Option::is_none")]
     operator: Option<String>,
     data_centre: String,
     state: StateBody,
