--- /dev/null
+++ b/tests/common/process.rs
@@ -0,0 +1,91 @@
+//! One child process and the ports that it printed.
+
+use std::collections::HashMap;
+use std::io::{BufRead, BufReader};
+use std::net::SocketAddr;
+use std::process::{Child, Command, Stdio};
+use std::sync::mpsc;
+use std::time::{Duration, Instant};
+
+/// Time within which a process must have opened its ports.
+const START_LIMIT: Duration = Duration::from_secs(20);
+
+/// A running binary; it is killed on drop.
+#[derive(Debug)]
+pub struct ChildProcess {
+    child: Child,
+    /// Addresses by role, as printed in `listening ROLE ADDRESS`.
+    pub ports: HashMap<String, SocketAddr>,
+}
+
+impl ChildProcess {
+    /// Starts a binary and waits until it has printed the given roles.
+    pub fn start(binary: &str, arguments: &[&str], roles: &[&str]) -> Self {
+        let mut child = Command::new(binary)
+            .args(arguments)
+            .stdin(Stdio::null())
+            .stdout(Stdio::piped())
+            .spawn()
+            .unwrap_or_else(|error| panic!("{binary}: {error}"));
+        let output = child.stdout.take().expect("the output is piped");
+        let (sender, lines) = mpsc::channel();
+        // The reader outlives the start, so that the process never blocks on a full pipe.
+        std::thread::spawn(move || {
+            for line in BufReader::new(output).lines().map_while(Result::ok) {
+                drop(sender.send(line));
+            }
+        });
+        let mut process = Self {
+            child,
+            ports: HashMap::new(),
+        };
+        let deadline = Instant::now() + START_LIMIT;
+        while !roles.iter().all(|role| process.ports.contains_key(*role)) {
+            let remaining = deadline.saturating_duration_since(Instant::now());
+            let line = lines
+                .recv_timeout(remaining)
+                .unwrap_or_else(|_| panic!("{binary} {arguments:?} did not open its ports"));
+            let words: Vec<&str> = line.split_whitespace().collect();
+            if let ["listening", role, address] = words[..] {
+                let address = address.parse().expect("an address");
+                process.ports.insert(role.to_owned(), address);
+            }
+        }
+        process
+    }
+
+    /// Returns the address that was printed for a role.
+    pub fn port(&self, role: &str) -> SocketAddr {
+        self.ports[role]
+    }
+
+    /// Returns the process id.
+    pub fn id(&self) -> u32 {
+        self.child.id()
+    }
+
+    /// Asks the process to stop as an operator would, by SIGTERM.
+    pub fn terminate(&self) {
+        let id = self.child.id().to_string();
+        let status = Command::new("kill").args(["-TERM", &id]).status();
+        assert!(status.is_ok_and(|status| status.success()), "kill {id}");
+    }
+
+    /// Waits for the end of the process and returns its exit code.
+    pub fn wait(&mut self) -> Option<i32> {
+        self.child.wait().expect("a child").code()
+    }
+
+    /// Kills the process, as a crash would end it.
+    pub fn kill(&mut self) {
+        // A process that has ended by itself needs no kill.
+        drop(self.child.kill());
+        drop(self.child.wait());
+    }
+}
+
+impl Drop for ChildProcess {
+    fn drop(&mut self) {
+        self.kill();
+    }
+}
