Add the load program and measure the decisions

Ruled out: a closed loop of callers, which hides waiting because a slow answer delays the next request; times count from the moment a request was due. Figures of answered requests alone, which improve when requests are dropped; a second p99 counts every loss at its deadline at least. State before: no load, no figures.

--- a/src/bin/load.rs
+++ b/src/bin/load.rs
@@ -1,2 +1,10 @@
-//! x
-fn main() {}
+//! Command line of the load program.
+
+use bulrushslip::load::options::LoadOptions;
+use bulrushslip::load::run;
+
+#[tokio::main]
+async fn main() -> std::io::Result<()> {
+    let options: LoadOptions = argh::from_env();
+    run::run(options).await
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod entry_cli;
 pub mod events;
 pub mod kernel;
+pub mod load;
 pub mod platform;
 pub mod process;
 pub mod services;
--- /dev/null
+++ b/src/load/measure.rs
@@ -0,0 +1,187 @@
+//! Cost of single decisions, measured in this process.
+
+use std::fmt::Write;
+use std::hint::black_box;
+use std::time::Instant;
+
+use super::options::MeasureOptions;
+use crate::decide::cache_index::{CacheChange, CacheEvent, CacheIndex};
+use crate::decide::config::{Upstream, UpstreamKind};
+use crate::decide::ids::{EngineEpoch, Incarnation, PrefixKey, Rank, Ticket};
+use crate::decide::placement::{PlacementRequest, PlacementTarget, STANDARD};
+use crate::decide::queue::{
+    CustomerId, CustomerShare, FairQueue, QueueDiscipline, QueueItem, QueuePolicy, QueueStep,
+    RunningSlots,
+};
+use crate::kernel::{Arena, Moment};
+
+/// Epoch of the measured engine.
+const EPOCH: EngineEpoch = EngineEpoch(1);
+
+/// Pieces of one prompt.
+const PROMPT_PIECES: usize = 16;
+
+/// Numbers of upstreams among which a placement is measured.
+const FLEETS: [u32; 3] = [12, 200, 770];
+
+/// Numbers of waiting requests with which a queue is measured.
+const QUEUE_LENGTHS: [u32; 3] = [16, 256, 4_096];
+
+/// Customers whose requests wait.
+const CUSTOMERS: u32 = 100;
+
+/// Odd constant that spreads counters over all 64 bits.
+const SPREAD: u64 = 0x9e37_79b9_7f4a_7c15;
+
+/// Measures all decisions and returns the figures as text.
+#[must_use]
+pub fn measure(options: &MeasureOptions) -> String {
+    let mut text = String::new();
+    for pieces in [options.pieces, options.pieces * 10] {
+        index_figures(&mut text, pieces, options.repetitions);
+    }
+    for fleet in FLEETS {
+        placement_figures(&mut text, fleet, options.repetitions);
+    }
+    for length in QUEUE_LENGTHS {
+        queue_figures(&mut text, length, options.repetitions);
+    }
+    text
+}
+
+fn piece_key(number: u64) -> PrefixKey {
+    PrefixKey(number.wrapping_mul(SPREAD))
+}
+
+fn index_figures(text: &mut String, pieces: usize, repetitions: u32) {
+    let before = resident_bytes();
+    let mut index = CacheIndex::new(pieces);
+    let keys: Vec<PrefixKey> = (0..pieces as u64).map(piece_key).collect();
+    let with_keys = resident_bytes();
+    index.resync(EPOCH, &keys, 0);
+    let bytes = resident_bytes().saturating_sub(with_keys);
+    let prompt: Vec<PrefixKey> = keys.iter().take(PROMPT_PIECES).copied().collect();
+    let per_lookup = nanoseconds(repetitions, |_| {
+        black_box(index.missing(black_box(&prompt)));
+    });
+    // Each pair of events evicts the oldest piece and stores a new one.
+    let event = |sequence: u64| CacheEvent {
+        sequence,
+        change: if sequence.is_multiple_of(2) {
+            CacheChange::Evicted
+        } else {
+            CacheChange::Stored
+        },
+        key: piece_key(sequence / 2 + (sequence % 2) * pieces as u64),
+    };
+    let per_event = nanoseconds(repetitions, |turn| {
+        index.apply(EPOCH, &[event(turn)], turn + 1);
+    });
+    let _written = writeln!(
+        text,
+        "cache index, {pieces} pieces: {per_event} ns an event, {per_lookup} ns a look-up of \
+         {PROMPT_PIECES} pieces, {} bytes resident ({} a piece), process before {before}",
+        bytes,
+        bytes / pieces.max(1) as u64,
+    );
+}
+
+fn placement_figures(text: &mut String, fleet: u32, repetitions: u32) {
+    let mut upstreams = Arena::new();
+    let upstream = Upstream {
+        name: String::new(),
+        data_centre: String::new(),
+        sidecar: std::net::SocketAddr::from(([127, 0, 0, 1], 1)),
+        kind: UpstreamKind::Plain {
+            service: String::new(),
+        },
+        slots: 1,
+        retired: false,
+    };
+    let target = |number: u32| PlacementTarget {
+        upstream: upstreams.insert(upstream.clone()),
+        name_hash: u64::from(number).wrapping_mul(SPREAD),
+        data_centre: number % 4,
+        leaving: false,
+    };
+    let targets: Vec<PlacementTarget> = (0..fleet).map(target).collect();
+    let per_choice = nanoseconds(repetitions / 10, |turn| {
+        let keys = [piece_key(turn)];
+        let request = PlacementRequest {
+            keys: &keys,
+            placement_pieces: 1,
+            draw: turn,
+        };
+        black_box(STANDARD.candidates(&request, &targets));
+    });
+    let _written = writeln!(text, "placement among {fleet} upstreams: {per_choice} ns");
+}
+
+fn queue_figures(text: &mut String, length: u32, repetitions: u32) {
+    let mut queue = FairQueue::new(QueuePolicy {
+        discipline: QueueDiscipline::RankedFair,
+        rank_capacity: length as usize + 1,
+        floor_percent: [20, 20],
+    });
+    let slots = RunningSlots {
+        slots: 8,
+        running: [0, 0],
+    };
+    let now = Moment::START;
+    for sequence in 0..u64::from(length) {
+        queue.offer(now, queue_item(sequence), u64::MAX, &slots);
+    }
+    let per_pass = nanoseconds(repetitions, |turn| {
+        let item = queue_item(u64::from(length) + turn);
+        queue.offer(now, item, u64::MAX, &slots);
+        if let QueueStep::Start(item) = queue.next(now, &slots) {
+            queue.finished(item.ticket, item.cost_us);
+        }
+    });
+    let probe = queue_item(0);
+    let per_quote = nanoseconds(repetitions, |_| {
+        black_box(queue.expected_wait_us(now, black_box(&probe), &slots));
+    });
+    let _written = writeln!(
+        text,
+        "queue of {length} requests of {CUSTOMERS} customers: {per_pass} ns for offer, start and \
+         finish, {per_quote} ns for an expected wait",
+    );
+}
+
+fn queue_item(sequence: u64) -> QueueItem {
+    let customer = u32::try_from(sequence % u64::from(CUSTOMERS)).unwrap_or(0);
+    QueueItem {
+        ticket: Ticket {
+            entry: Incarnation(1),
+            sequence,
+        },
+        customer: CustomerId(customer),
+        share: CustomerShare {
+            weight: 1 + customer % 4,
+            max_in_flight: u32::MAX,
+        },
+        rank: Rank::Routine,
+        cost_us: 100_000 + sequence % 7 * 1_000,
+        start_by: Moment::from_micros(1_000_000_000 + sequence),
+    }
+}
+
+fn nanoseconds(repetitions: u32, mut decide: impl FnMut(u64)) -> u128 {
+    let started = Instant::now();
+    for turn in 0..u64::from(repetitions) {
+        decide(turn);
+    }
+    started.elapsed().as_nanos() / u128::from(repetitions.max(1))
+}
+
+/// Returns the resident memory of this process, or 0 where the system does not tell.
+fn resident_bytes() -> u64 {
+    const PAGE_BYTES: u64 = 4_096;
+    let statm = std::fs::read_to_string("/proc/self/statm").unwrap_or_default();
+    let pages = statm
+        .split_whitespace()
+        .nth(1)
+        .and_then(|pages| pages.parse::<u64>().ok());
+    pages.unwrap_or(0) * PAGE_BYTES
+}
--- /dev/null
+++ b/src/load/run.rs
@@ -0,0 +1,84 @@
+//! Puts the load program together.
+
+use std::io::{self, Write};
+use std::time::Duration;
+
+use super::generator::{LoadPlan, generator_task};
+use super::mail::LoadMail;
+use super::measure;
+use super::options::{LoadCommand, LoadOptions, RunOptions};
+use super::prompts::PromptBuilder;
+use super::report::{RankDeadlines, RunReport};
+use super::table;
+use crate::kernel::{Clock, Moment, NextStep, ReplyTo, Service, Signal, TokioKernel};
+
+/// Microseconds of a millisecond.
+const MILLISECOND_US: u64 = 1_000;
+
+/// Carries out a command.
+///
+/// # Errors
+///
+/// Returns the error when figures cannot be written.
+pub async fn run(options: LoadOptions) -> io::Result<()> {
+    match options.command {
+        LoadCommand::Measure(options) => {
+            io::stdout().write_all(measure::measure(&options).as_bytes())
+        }
+        LoadCommand::Run(options) => run_load(options).await,
+    }
+}
+
+async fn run_load(options: RunOptions) -> io::Result<()> {
+    let deadlines = [options.urgent_deadline_ms, options.routine_deadline_ms];
+    let deadlines = deadlines.map(|millis| millis * MILLISECOND_US);
+    let names: Vec<String> = options.target.iter().map(|t| t.name.clone()).collect();
+    let plan = LoadPlan {
+        requests: options.workload().plan(),
+        prompts: PromptBuilder {
+            model: options.model.clone(),
+            piece_bytes: options.piece_bytes,
+            depths: options.depths(),
+        },
+        targets: options.target,
+        key_prefix: options.key_prefix,
+        crash: options.crash,
+        crash_due: Moment::START.after(Duration::from_secs(options.crash_at)),
+    };
+    let mut kernel = TokioKernel::new();
+    kernel.add(report_service(&names, deadlines));
+    kernel.add_task(generator_task(plan));
+    let running = kernel.launch(Clock::start());
+    let report = running.directory.ask("report", LoadMail::Final).await;
+    let report = report.ok_or(io::ErrorKind::BrokenPipe)?;
+    io::stdout().write_all(table::text(&report).as_bytes())?;
+    match options.json {
+        Some(path) => std::fs::write(path, format!("{:#}\n", table::json(&report))),
+        None => Ok(()),
+    }
+}
+
+/// Creates the service `report`, which owns the figures.
+#[must_use]
+pub fn report_service(names: &[String], deadlines: RankDeadlines) -> Service<LoadMail> {
+    let mut report = RunReport::new(names, deadlines);
+    let mut ended = false;
+    let mut asker: Option<ReplyTo<RunReport>> = None;
+    Service::new("report", move |_turn, signal| {
+        match signal {
+            Signal::Mail(LoadMail::Sample(sample)) => report.record(&sample),
+            Signal::Mail(LoadMail::Engines(target, totals)) => {
+                report.targets[target].engines = totals;
+            }
+            Signal::Mail(LoadMail::Ended) => ended = true,
+            Signal::Mail(LoadMail::Final(reply_to)) => asker = Some(reply_to),
+            Signal::Dump(reply_to) => reply_to.send(table::json(&report)),
+            Signal::Stop => return NextStep::Stopped,
+            Signal::Start | Signal::Due => {}
+        }
+        if ended && let Some(reply_to) = asker.take() {
+            reply_to.send(report.clone());
+        }
+        NextStep::Wait
+    })
+}
