Add the routing policy to the settings of entries and sidecars

Ruled out: a request header, which callers could send in production; two separate flags for placement and queue, which can be set to combinations that nobody measures. State before: both binaries ran the standard policy only. After: `--policy` with standard, random-fifo, two-choices and one-level, in both tables and on the settings page.

--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -12,6 +12,7 @@
 pub mod ledger;
 pub mod outcome;
 pub mod placement;
+pub mod policy;
 pub mod prefix;
 pub mod queue;
 pub mod replay;
--- a/src/decide/placement.rs
+++ b/src/decide/placement.rs
@@ -142,16 +142,7 @@
     single_data_centre: true,
 };
 
-/// All policies.
-pub const POLICIES: [PlacementPolicy; 4] = [STANDARD, RANDOM, TWO_CHOICES, ONE_LEVEL];
-
 impl PlacementPolicy {
-    /// Finds the policy of that name.
-    #[must_use]
-    pub fn find(name: &str) -> Option<Self> {
-        POLICIES.into_iter().find(|policy| policy.name == name)
-    }
-
     /// Returns the upstreams to ask, best first; no two entries with the same targets differ.
     #[must_use]
     pub fn candidates(
--- a/src/entry.rs
+++ b/src/entry.rs
@@ -3,7 +3,6 @@
 use std::io;
 
 use crate::decide::ids::Incarnation;
-use crate::decide::placement;
 use crate::kernel::{Clock, TokioKernel};
 use crate::platform::http_server::ServerLimits;
 use crate::process;
@@ -43,7 +42,7 @@
         },
         body_limit_bytes: settings.body_limit_bytes,
         max_attempts: settings.max_attempts,
-        policy: placement::STANDARD,
+        policy: common.policy.placement(),
     };
     kernel.add_task(operator::task(
         operators,
--- a/src/entry_cli.rs
+++ b/src/entry_cli.rs
@@ -34,6 +34,10 @@
     /// attempts to run one request, the first included
     #[argh(option)]
     max_attempts: Option<String>,
+    /// how requests are placed and queued, the same in a whole fleet; all but standard are
+    /// baselines for measurements
+    #[argh(option)]
+    policy: Option<String>,
     /// longest wait for open requests at a planned stop, in milliseconds
     #[argh(option)]
     drain_ms: Option<String>,
@@ -60,6 +64,7 @@
             ("body-limit-bytes", self.body_limit_bytes.as_ref()),
             ("max-connections", self.max_connections.as_ref()),
             ("max-attempts", self.max_attempts.as_ref()),
+            ("policy", self.policy.as_ref()),
             ("drain-ms", self.drain_ms.as_ref()),
             ("log-level", self.log_level.as_ref()),
             ("log-format", self.log_format.as_ref()),
--- a/src/settings/common.rs
+++ b/src/settings/common.rs
@@ -5,6 +5,7 @@
 use log::LevelFilter;
 
 use super::reader::SettingReader;
+use crate::decide::policy::RoutingPolicy;
 
 /// Format of log lines.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -42,6 +43,8 @@
     pub name: String,
     /// Data centre of the instance.
     pub data_centre: String,
+    /// How requests are placed and queued.
+    pub policy: RoutingPolicy,
     /// Longest wait for open requests at a planned stop, in milliseconds.
     pub drain_ms: u64,
     /// Lowest level of events that are logged.
@@ -63,6 +66,7 @@
             platform: reader.address("platform"),
             name: reader.name("name"),
             data_centre: reader.name("data-centre"),
+            policy: reader.policy("policy"),
             drain_ms: reader.integer("drain-ms"),
             log_level: reader.log_level("log-level"),
             log_format: reader.log_format("log-format"),
--- a/src/settings/reader.rs
+++ b/src/settings/reader.rs
@@ -9,6 +9,7 @@
 
 use super::common::LogFormat;
 use super::table::{Fallback, SettingRow, ValueKind};
+use crate::decide::policy::RoutingPolicy;
 
 /// Exit code for settings that are not accepted.
 const BAD_SETTINGS_CODE: i32 = 2;
@@ -142,6 +143,12 @@
             .unwrap_or(LogFormat::Text)
     }
 
+    /// Reads a routing policy; the standard one if it is bad.
+    pub fn policy(&mut self, flag: &str) -> RoutingPolicy {
+        self.parsed(flag, RoutingPolicy::parse)
+            .unwrap_or(RoutingPolicy::Standard)
+    }
+
     /// Reports a setting that is bad for a reason beyond its own value.
     pub fn refuse(&mut self, flag: &str, accepted: &str) {
         let (row, value) = self.find(flag);
--- a/src/settings/table.rs
+++ b/src/settings/table.rs
@@ -2,6 +2,8 @@
 
 use std::fmt::Write;
 
+use crate::decide::policy::RoutingPolicy;
+
 /// What values a setting takes.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum ValueKind {
@@ -20,6 +22,8 @@
     },
     /// Level of the log.
     LogLevel,
+    /// Routing policy.
+    Policy,
     /// Format of the log.
     LogFormat,
 }
@@ -34,6 +38,10 @@
             Self::Token => "at least 16 visible ASCII characters".to_owned(),
             Self::Integer { min, max } => format!("an integer from {min} to {max}"),
             Self::LogLevel => "off, error, warn, info, debug or trace".to_owned(),
+            Self::Policy => {
+                let names = RoutingPolicy::ALL.map(RoutingPolicy::name);
+                format!("one of {}", names.join(", "))
+            }
             Self::LogFormat => "text or json".to_owned(),
         }
     }
@@ -113,6 +121,14 @@
     "data centre in which this instance runs",
 );
 
+const POLICY: SettingRow = row(
+    "policy",
+    "BULRUSHSLIP_POLICY",
+    Fallback::Value("standard"),
+    ValueKind::Policy,
+    "how requests are placed and queued, the same in a whole fleet; all but standard are baselines for measurements",
+);
+
 const DRAIN_MS: SettingRow = row(
     "drain-ms",
     "BULRUSHSLIP_DRAIN_MS",
@@ -149,7 +165,7 @@
 );
 
 /// Settings of `bulrushslip-entry`.
-pub const ENTRY_TABLE: [SettingRow; 13] = [
+pub const ENTRY_TABLE: [SettingRow; 14] = [
     row(
         "listen",
         "BULRUSHSLIP_LISTEN",
@@ -195,6 +211,7 @@
         ValueKind::Integer { min: 1, max: 10 },
         "attempts to run one request, the first included",
     ),
+    POLICY,
     DRAIN_MS,
     LOG_LEVEL,
     LOG_FORMAT,
@@ -202,7 +219,7 @@
 ];
 
 /// Settings of `bulrushslip-sidecar`.
-pub const SIDECAR_TABLE: [SettingRow; 17] = [
+pub const SIDECAR_TABLE: [SettingRow; 18] = [
     row(
         "listen",
         "BULRUSHSLIP_LISTEN",
@@ -279,6 +296,7 @@
         },
         "finished answers that are kept at the same time, in bytes",
     ),
+    POLICY,
     DRAIN_MS,
     LOG_LEVEL,
     LOG_FORMAT,
--- a/src/sidecar.rs
+++ b/src/sidecar.rs
@@ -4,7 +4,7 @@
 
 use crate::decide::ids::Incarnation;
 use crate::decide::ledger::LedgerBounds;
-use crate::decide::queue::{QueueDiscipline, QueuePolicy};
+use crate::decide::queue::QueuePolicy;
 use crate::kernel::{Clock, TokioKernel};
 use crate::process;
 use crate::services::config::config_service;
@@ -45,7 +45,7 @@
         upstream: settings.upstream.clone(),
         bounds: LedgerBounds::default(),
         queue: QueuePolicy {
-            discipline: QueueDiscipline::RankedFair,
+            discipline: common.policy.discipline(),
             rank_capacity: settings.queue_limit,
             floor_percent: DEFAULT_FLOOR_PERCENT,
         },
--- a/src/sidecar_cli.rs
+++ b/src/sidecar_cli.rs
@@ -46,6 +46,10 @@
     /// finished answers that are kept at the same time, in bytes
     #[argh(option)]
     kept_bytes: Option<String>,
+    /// how requests are placed and queued, the same in a whole fleet; all but standard are
+    /// baselines for measurements
+    #[argh(option)]
+    policy: Option<String>,
     /// longest wait for open requests at a planned stop, in milliseconds
     #[argh(option)]
     drain_ms: Option<String>,
@@ -76,6 +80,7 @@
             ("queue-limit", self.queue_limit.as_ref()),
             ("kept-ms", self.kept_ms.as_ref()),
             ("kept-bytes", self.kept_bytes.as_ref()),
+            ("policy", self.policy.as_ref()),
             ("drain-ms", self.drain_ms.as_ref()),
             ("log-level", self.log_level.as_ref()),
             ("log-format", self.log_format.as_ref()),
--- a/tests/placement.rs
+++ b/tests/placement.rs
@@ -3,8 +3,9 @@
 use bulrushslip::decide::config::UpstreamKey;
 use bulrushslip::decide::ids::{PrefixKey, Rank};
 use bulrushslip::decide::placement::{
-    CandidateQuote, POLICIES, PlacementRequest, PlacementTarget, QuoteWeights, STANDARD,
+    CandidateQuote, PlacementRequest, PlacementTarget, QuoteWeights, STANDARD,
 };
+use bulrushslip::decide::policy::RoutingPolicy;
 use bulrushslip::kernel::Arena;
 
 const WEIGHTS: QuoteWeights = QuoteWeights {
@@ -51,7 +52,7 @@
             let mut other = own.clone();
             other.rotate_left(usize::from(rotation % 12));
             let request = request(&keys, u32::from(*depth));
-            for policy in POLICIES {
+            for policy in RoutingPolicy::ALL.map(RoutingPolicy::placement) {
                 let chosen = policy.candidates(&request, &own);
                 assert_eq!(chosen, policy.candidates(&request, &other));
                 assert_eq!(chosen.len(), policy.candidates);
