--- a/src/ctl/apply.rs
+++ b/src/ctl/apply.rs
@@ -8,7 +8,8 @@
 use crate::decide::ids::LogOffset;
 use crate::platform::log_client::{AppendOutcome, LogClient, ReadOutcome, ReadWindow};
 use crate::wire::config_objects::RecordError;
-use crate::wire::config_record::{CONFIG_STREAM, WireChange, encode_record};
+use crate::wire::config_record::{CONFIG_STREAM, WireChange};
+use crate::wire::config_snapshot::encode_record;
 
 /// Runs the command.
 pub async fn run(args: &ApplyArgs) -> ExitStatus {
--- a/src/decide/config_check.rs
+++ b/src/decide/config_check.rs
@@ -9,6 +9,9 @@
 /// Longest name of a declared object, in bytes.
 pub const MAX_NAME_BYTES: usize = 128;
 
+/// Most bearer hashes, versions or methods in one declaration.
+pub const MAX_LIST_LENGTH: usize = 16;
+
 /// Checks one change against the configuration that it is to be made in.
 ///
 /// # Errors
@@ -94,6 +97,10 @@
     ensure(!customer.ranks.is_empty(), &object, "no rank")?;
     ensure(customer.weight > 0, &object, "weight below 1")?;
     ensure(customer.max_in_flight > 0, &object, "max_in_flight below 1")?;
+    let hashes = customer.bearer_hashes.len();
+    ensure(hashes <= MAX_LIST_LENGTH, &object, "too many bearer hashes")?;
+    let versions = customer.versions.len();
+    ensure(versions <= MAX_LIST_LENGTH, &object, "too many versions")?;
     for model in customer.versions.keys() {
         require_model(configuration, model)?;
     }
--- a/src/decide/replay.rs
+++ b/src/decide/replay.rs
@@ -82,7 +82,7 @@
         }
     }
 
-    fn change(&mut self, change: &ConfigChange) {
+    pub(super) fn change(&mut self, change: &ConfigChange) {
         match change {
             ConfigChange::PutCustomer(customer) => self.put_customer(customer),
             ConfigChange::RemoveCustomer { name } => self.remove_customer(name),
--- /dev/null
+++ b/src/decide/snapshot.rs
@@ -0,0 +1,178 @@
+//! Snapshots: the whole configuration in parts that fit into log records.
+
+use std::collections::BTreeMap;
+
+use super::config::Configuration;
+use super::config_change::{ConfigChange, ObjectName};
+use super::ids::LogOffset;
+
+/// Most objects in one part; with the bounds on one object a part stays below 1 MiB.
+pub const PART_OBJECTS: usize = 128;
+
+/// One object of a snapshot.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum SnapshotObject {
+    /// A declared object.
+    Declared {
+        /// Offset of its last change.
+        changed_at: LogOffset,
+        /// The change that declares it as it is now; one of the `Put` kinds.
+        declaration: ConfigChange,
+    },
+    /// An object that was removed.
+    Removed {
+        /// Offset of its removal.
+        changed_at: LogOffset,
+        /// The object.
+        object: ObjectName,
+    },
+}
+
+/// The whole configuration in canonical order, so equal configurations have equal snapshots.
+#[derive(Debug, Default, Clone, PartialEq, Eq)]
+pub struct Snapshot {
+    /// Offset below which every record is contained.
+    pub next_offset: LogOffset,
+    /// All objects that were ever changed, by name.
+    pub objects: Vec<SnapshotObject>,
+}
+
+/// One part of a snapshot.
+///
+/// Parts for the same offset are equal whoever writes them, so they can be mixed; that is why
+/// [`PART_OBJECTS`] must not differ between the processes of a fleet.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct SnapshotPart {
+    /// Offset below which every record is contained.
+    pub next_offset: LogOffset,
+    /// Position of the part, from 0.
+    pub index: u32,
+    /// Parts of the whole snapshot, at least 1.
+    pub count: u32,
+    /// Objects of this part.
+    pub objects: Vec<SnapshotObject>,
+}
+
+impl Snapshot {
+    /// Takes a snapshot of a configuration.
+    #[must_use]
+    pub fn of(configuration: &Configuration) -> Self {
+        let objects = configuration.changed.iter().map(|(object, changed_at)| {
+            let changed_at = *changed_at;
+            match declaration(configuration, object) {
+                Some(declaration) => SnapshotObject::Declared {
+                    changed_at,
+                    declaration,
+                },
+                None => SnapshotObject::Removed {
+                    changed_at,
+                    object: object.clone(),
+                },
+            }
+        });
+        Self {
+            next_offset: configuration.next_offset,
+            objects: objects.collect(),
+        }
+    }
+
+    /// Rebuilds the configuration.
+    #[must_use]
+    pub fn restore(&self) -> Configuration {
+        let mut configuration = Configuration::default();
+        for object in &self.objects {
+            let (object, changed_at) = match object {
+                SnapshotObject::Declared {
+                    changed_at,
+                    declaration,
+                } => {
+                    configuration.change(declaration);
+                    (declaration.object(), *changed_at)
+                }
+                SnapshotObject::Removed { changed_at, object } => (object.clone(), *changed_at),
+            };
+            configuration.changed.insert(object, changed_at);
+        }
+        configuration.next_offset = self.next_offset;
+        configuration
+    }
+
+    /// Splits the snapshot into parts.
+    ///
+    /// # Panics
+    ///
+    /// Panics when there are more than `u32::MAX` parts.
+    #[must_use]
+    pub fn parts(&self) -> Vec<SnapshotPart> {
+        let count = self.objects.len().div_ceil(PART_OBJECTS).max(1);
+        let count = u32::try_from(count).expect("the objects of a configuration fit into memory");
+        let mut chunks = self.objects.chunks(PART_OBJECTS);
+        (0..count)
+            .map(|index| SnapshotPart {
+                next_offset: self.next_offset,
+                index,
+                count,
+                objects: chunks.next().unwrap_or_default().to_vec(),
+            })
+            .collect()
+    }
+}
+
+/// Collects the parts of the newest snapshot.
+#[derive(Debug, Default)]
+pub struct PartCollector {
+    next_offset: LogOffset,
+    parts: BTreeMap<u32, SnapshotPart>,
+}
+
+impl PartCollector {
+    /// Adds a part and returns the snapshot once all its parts are there.
+    ///
+    /// Parts of an older snapshot than the newest one seen are ignored, since the log may
+    /// already have dropped the rest of it.
+    pub fn add(&mut self, part: SnapshotPart) -> Option<Snapshot> {
+        if part.next_offset < self.next_offset {
+            return None;
+        }
+        if part.next_offset > self.next_offset {
+            self.next_offset = part.next_offset;
+            self.parts.clear();
+        }
+        let count = part.count as usize;
+        self.parts.insert(part.index, part);
+        if self.parts.len() < count {
+            return None;
+        }
+        let parts = std::mem::take(&mut self.parts);
+        Some(Snapshot {
+            next_offset: self.next_offset,
+            objects: parts.into_values().flat_map(|part| part.objects).collect(),
+        })
+    }
+}
+
+fn declaration(configuration: &Configuration, object: &ObjectName) -> Option<ConfigChange> {
+    match object {
+        ObjectName::Customer(name) => {
+            let (_, customer) = configuration.customer(name)?;
+            Some(ConfigChange::PutCustomer(customer.clone()))
+        }
+        ObjectName::Model(name) => {
+            let (_, model) = configuration.model(name)?;
+            Some(ConfigChange::PutModel(model.clone()))
+        }
+        ObjectName::Upstream(name) => {
+            let (_, upstream) = configuration.upstream(name)?;
+            Some(ConfigChange::PutUpstream(upstream.clone()))
+        }
+        ObjectName::Service(name) => {
+            let (_, service) = configuration.service(name)?;
+            Some(ConfigChange::PutService(service.clone()))
+        }
+        ObjectName::Rank(rank) => {
+            let mut ranks = configuration.ranks.iter();
+            let policy = ranks.find(|policy| policy.rank == *rank)?;
+            Some(ConfigChange::PutRank(*policy))
+        }
+    }
+}
--- a/src/services/config.rs
+++ b/src/services/config.rs
@@ -1,17 +1,18 @@
 //! Service `config`: owns the configuration in force and replays records into it.
 
+use std::fmt::Display;
 use std::sync::Arc;
 
 use serde_json::{Value, json};
 
 use super::mail::{ConfigMail, Mail};
 use crate::decide::config::Configuration;
-use crate::decide::config_change::ApplyOutcome;
+use crate::decide::config_intake::{ConfigIntake, EntryPage, NumberedEntry, SkippedRecord};
 use crate::decide::ids::LogOffset;
 use crate::events::{RECORD_SKIPPED, log_event};
 use crate::kernel::{NextStep, ReplyTo, Service, Signal};
-use crate::platform::log_client::{LogPage, LogRecord};
-use crate::wire::config_record::decode_record;
+use crate::platform::log_client::LogPage;
+use crate::wire::config_snapshot::decode_entry;
 
 /// Name of the service that owns the configuration.
 pub const CONFIG: &str = "config";
@@ -19,13 +20,6 @@
 /// Records without effect that a dump shows, newest last.
 const MAX_SHOWN_SKIPS: usize = 32;
 
-/// A record that had no effect.
-#[derive(Debug, Clone)]
-struct SkippedRecord {
-    offset: LogOffset,
-    reason: String,
-}
-
 /// Someone who waits for a newer configuration.
 #[derive(Debug)]
 struct ConfigWaiter {
@@ -35,7 +29,7 @@
 
 #[derive(Debug, Default)]
 struct ConfigOwner {
-    current: Arc<Configuration>,
+    intake: ConfigIntake,
     heard: LogOffset,
     skipped: Vec<SkippedRecord>,
     waiters: Vec<ConfigWaiter>,
@@ -62,53 +56,40 @@
 impl ConfigOwner {
     fn handle(&mut self, mail: ConfigMail) {
         match mail {
-            ConfigMail::Current(reply_to) => reply_to.send(Arc::clone(&self.current)),
+            ConfigMail::Current(reply_to) => reply_to.send(Arc::clone(&self.intake.current)),
             ConfigMail::Heard(offset) => self.heard = self.heard.max(offset),
             ConfigMail::Newer { than, reply_to } => {
                 self.waiters.push(ConfigWaiter { than, reply_to });
             }
             ConfigMail::Apply { page, reply_to } => {
-                self.apply(&page);
-                reply_to.send(self.current.next_offset);
+                reply_to.send(self.apply(page));
             }
         }
         self.answer_waiters();
     }
 
-    fn apply(&mut self, page: &LogPage) {
-        for record in &page.records {
-            self.apply_record(record);
-        }
-        self.heard = self.heard.max(self.current.next_offset);
-    }
-
-    fn apply_record(&mut self, record: &LogRecord) {
-        let current = Arc::make_mut(&mut self.current);
-        let reason = match decode_record(&record.body) {
-            Ok(decoded) => match current.apply(record.offset, &decoded) {
-                ApplyOutcome::Refused(refusal) => refusal.to_string(),
-                ApplyOutcome::Applied | ApplyOutcome::Stale | ApplyOutcome::Gap => return,
-            },
-            Err(error) if record.offset == current.next_offset => {
-                current.skip(record.offset);
-                error.to_string()
+    /// Takes a page of the stream and returns the offset to read from next.
+    fn apply(&mut self, page: LogPage) -> LogOffset {
+        let taken = self.intake.take_page(decode_page(page));
+        for skipped in taken.skipped {
+            let offset = skipped.offset.0;
+            let fields: [(&str, &dyn Display); 2] =
+                [("offset", &offset), ("reason", &skipped.reason)];
+            log_event(&RECORD_SKIPPED, &fields);
+            if self.skipped.len() == MAX_SHOWN_SKIPS {
+                self.skipped.remove(0);
             }
-            Err(_) => return,
-        };
-        let offset = record.offset.0;
-        log_event(&RECORD_SKIPPED, &[("offset", &offset), ("reason", &reason)]);
-        if self.skipped.len() == MAX_SHOWN_SKIPS {
-            self.skipped.remove(0);
+            self.skipped.push(skipped);
         }
-        let offset = record.offset;
-        self.skipped.push(SkippedRecord { offset, reason });
+        self.heard = self.heard.max(self.intake.current.next_offset);
+        taken.read_from
     }
 
     fn answer_waiters(&mut self) {
-        let next_offset = self.current.next_offset;
+        let next_offset = self.intake.current.next_offset;
         let ready = self.waiters.extract_if(.., |w| w.than < next_offset);
         for waiter in ready {
-            waiter.reply_to.send(Arc::clone(&self.current));
+            waiter.reply_to.send(Arc::clone(&self.intake.current));
         }
     }
 
@@ -118,13 +99,25 @@
             .iter()
             .map(|skip| json!({"offset": skip.offset.0, "reason": skip.reason}));
         json!({
-            "next_offset": self.current.next_offset.0,
+            "next_offset": self.intake.current.next_offset.0,
             "heard_offset": self.heard.0,
-            "customers": self.current.customers.len(),
-            "models": self.current.models.len(),
-            "upstreams": self.current.upstreams.len(),
-            "services": self.current.services.len(),
+            "customers": self.intake.current.customers.len(),
+            "models": self.intake.current.models.len(),
+            "upstreams": self.intake.current.upstreams.len(),
+            "services": self.intake.current.services.len(),
             "skipped": skipped.collect::<Vec<_>>(),
         })
     }
 }
+
+fn decode_page(page: LogPage) -> EntryPage {
+    let entries = page.records.into_iter().map(|record| NumberedEntry {
+        offset: record.offset,
+        entry: decode_entry(&record.body),
+    });
+    EntryPage {
+        first: page.first,
+        next: page.next,
+        entries: entries.collect(),
+    }
+}
--- a/src/wire/config_record.rs
+++ b/src/wire/config_record.rs
@@ -1,4 +1,4 @@
-//! JSON form of configuration records on the log stream [`CONFIG_STREAM`].
+//! JSON form of confirmed plans on the log stream [`CONFIG_STREAM`].
 
 use serde::{Deserialize, Serialize};
 
@@ -66,32 +66,6 @@
     pub changes: Vec<WireChange>,
 }
 
-/// Reads a record from the body of a log record.
-///
-/// # Errors
-///
-/// Returns what makes the record meaningless; every process finds the same.
-pub fn decode_record(body: &str) -> Result<ConfigRecord, RecordError> {
-    let record: WireRecord =
-        serde_json::from_str(body).map_err(|error| RecordError::Malformed(error.to_string()))?;
-    record.try_into()
-}
-
-/// Writes a record as the body of a log record.
-#[must_use]
-pub fn encode_record(record: &ConfigRecord) -> String {
-    json(&WireRecord::from(record.clone()))
-}
-
-/// Writes a wire value as JSON.
-///
-/// # Panics
-///
-/// Panics when the type has no JSON form, which is a programming error.
-pub(super) fn json(value: &impl Serialize) -> String {
-    serde_json::to_string(value).expect("wire types have a JSON form")
-}
-
 impl From<ConfigRecord> for WireRecord {
     fn from(record: ConfigRecord) -> Self {
         Self {
--- /dev/null
+++ b/src/wire/config_snapshot.rs
@@ -0,0 +1,219 @@
+//! JSON form of snapshot parts and of any record on the configuration stream.
+
+use serde::{Deserialize, Serialize};
+
+use super::config_objects::RecordError;
+use super::config_record::{WireChange, WireRecord};
+use crate::decide::config_change::{ConfigChange, ConfigRecord, ObjectName};
+use crate::decide::config_intake::ConfigEntry;
+use crate::decide::ids::{LogOffset, Rank};
+use crate::decide::snapshot::{SnapshotObject, SnapshotPart};
+
+/// Name of a declared object on the wire.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum WireObject {
+    /// A customer.
+    Customer(String),
+    /// A model.
+    Model(String),
+    /// An upstream.
+    Upstream(String),
+    /// A plain service.
+    Service(String),
+    /// A rank.
+    Rank(String),
+}
+
+/// Object of a snapshot on the wire.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case", deny_unknown_fields)]
+pub enum WireSnapshotObject {
+    /// A declared object.
+    Declared {
+        /// Offset of its last change.
+        changed_at: u64,
+        /// The change that declares it.
+        declaration: Box<WireChange>,
+    },
+    /// A removed object.
+    Removed {
+        /// Offset of its removal.
+        changed_at: u64,
+        /// The object.
+        object: WireObject,
+    },
+}
+
+/// Part of a snapshot on the wire.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct WirePart {
+    /// Offset below which every record is contained.
+    pub next_offset: u64,
+    /// Position of the part, from 0.
+    pub index: u32,
+    /// Parts of the whole snapshot.
+    pub count: u32,
+    /// Objects of this part.
+    pub objects: Vec<WireSnapshotObject>,
+}
+
+/// Any record on the configuration stream.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum WireEntry {
+    /// A confirmed plan.
+    Plan(WireRecord),
+    /// Part of a snapshot.
+    SnapshotPart(WirePart),
+}
+
+/// Reads the body of a log record; every process finds the same meaning or none.
+#[must_use]
+pub fn decode_entry(body: &str) -> ConfigEntry {
+    let decoded = serde_json::from_str::<WireEntry>(body)
+        .map_err(|error| RecordError::Malformed(error.to_string()))
+        .and_then(ConfigEntry::try_from);
+    decoded.unwrap_or_else(|error| ConfigEntry::Malformed(error.to_string()))
+}
+
+/// Writes a plan as the body of a log record.
+#[must_use]
+pub fn encode_record(record: &ConfigRecord) -> String {
+    json(&WireEntry::Plan(record.clone().into()))
+}
+
+/// Writes a snapshot part as the body of a log record.
+#[must_use]
+pub fn encode_part(part: &SnapshotPart) -> String {
+    json(&WireEntry::SnapshotPart(part.clone().into()))
+}
+
+fn json(entry: &WireEntry) -> String {
+    serde_json::to_string(entry).expect("wire types have a JSON form")
+}
+
+impl TryFrom<WireEntry> for ConfigEntry {
+    type Error = RecordError;
+
+    fn try_from(entry: WireEntry) -> Result<Self, Self::Error> {
+        Ok(match entry {
+            WireEntry::Plan(record) => Self::Record(record.try_into()?),
+            WireEntry::SnapshotPart(part) => Self::Part(part.try_into()?),
+        })
+    }
+}
+
+impl From<SnapshotPart> for WirePart {
+    fn from(part: SnapshotPart) -> Self {
+        Self {
+            next_offset: part.next_offset.0,
+            index: part.index,
+            count: part.count,
+            objects: part.objects.into_iter().map(Into::into).collect(),
+        }
+    }
+}
+
+impl TryFrom<WirePart> for SnapshotPart {
+    type Error = RecordError;
+
+    fn try_from(part: WirePart) -> Result<Self, Self::Error> {
+        if part.index >= part.count {
+            return Err(RecordError::Field("index", part.index.to_string()));
+        }
+        let objects: Result<_, _> = part.objects.into_iter().map(TryInto::try_into).collect();
+        Ok(Self {
+            next_offset: LogOffset(part.next_offset),
+            index: part.index,
+            count: part.count,
+            objects: objects?,
+        })
+    }
+}
+
+impl From<SnapshotObject> for WireSnapshotObject {
+    fn from(object: SnapshotObject) -> Self {
+        match object {
+            SnapshotObject::Declared {
+                changed_at,
+                declaration,
+            } => Self::Declared {
+                changed_at: changed_at.0,
+                declaration: Box::new(declaration.into()),
+            },
+            SnapshotObject::Removed { changed_at, object } => Self::Removed {
+                changed_at: changed_at.0,
+                object: object.into(),
+            },
+        }
+    }
+}
+
+impl TryFrom<WireSnapshotObject> for SnapshotObject {
+    type Error = RecordError;
+
+    fn try_from(object: WireSnapshotObject) -> Result<Self, Self::Error> {
+        Ok(match object {
+            WireSnapshotObject::Declared {
+                changed_at,
+                declaration,
+            } => Self::Declared {
+                changed_at: LogOffset(changed_at),
+                declaration: read_declaration(*declaration)?,
+            },
+            WireSnapshotObject::Removed { changed_at, object } => Self::Removed {
+                changed_at: LogOffset(changed_at),
+                object: object.try_into()?,
+            },
+        })
+    }
+}
+
+impl From<ObjectName> for WireObject {
+    fn from(object: ObjectName) -> Self {
+        match object {
+            ObjectName::Customer(name) => Self::Customer(name),
+            ObjectName::Model(name) => Self::Model(name),
+            ObjectName::Upstream(name) => Self::Upstream(name),
+            ObjectName::Service(name) => Self::Service(name),
+            ObjectName::Rank(rank) => Self::Rank(rank.name().to_owned()),
+        }
+    }
+}
+
+impl TryFrom<WireObject> for ObjectName {
+    type Error = RecordError;
+
+    fn try_from(object: WireObject) -> Result<Self, Self::Error> {
+        Ok(match object {
+            WireObject::Customer(name) => Self::Customer(name),
+            WireObject::Model(name) => Self::Model(name),
+            WireObject::Upstream(name) => Self::Upstream(name),
+            WireObject::Service(name) => Self::Service(name),
+            WireObject::Rank(name) => match Rank::parse(&name) {
+                Some(rank) => Self::Rank(rank),
+                None => return Err(RecordError::Field("rank", name)),
+            },
+        })
+    }
+}
+
+fn read_declaration(change: WireChange) -> Result<ConfigChange, RecordError> {
+    let change = ConfigChange::try_from(change)?;
+    match change {
+        ConfigChange::PutCustomer(_)
+        | ConfigChange::PutModel(_)
+        | ConfigChange::PutUpstream(_)
+        | ConfigChange::PutService(_)
+        | ConfigChange::PutRank(_) => Ok(change),
+        ConfigChange::RemoveCustomer { .. }
+        | ConfigChange::RetireUpstream { .. }
+        | ConfigChange::RemoveUpstream { .. }
+        | ConfigChange::MoveCustomer { .. } => Err(RecordError::Field(
+            "declaration",
+            change.object().to_string(),
+        )),
+    }
+}
--- a/src/wire/mod.rs
+++ b/src/wire/mod.rs
@@ -2,6 +2,7 @@
 
 pub mod config_objects;
 pub mod config_record;
+pub mod config_snapshot;
 pub mod headers;
 pub mod models;
 pub mod openai;
--- a/tests/config_replay.rs
+++ b/tests/config_replay.rs
@@ -4,15 +4,18 @@
 use bulrushslip::decide::config_change::{
     ApplyOutcome, ApplyRefusal, ConfigRecord, ObjectName, PlanId,
 };
+use bulrushslip::decide::config_intake::ConfigEntry;
 use bulrushslip::decide::ids::LogOffset;
-use bulrushslip::wire::config_objects::RecordError;
-use bulrushslip::wire::config_record::{decode_record, encode_record};
+use bulrushslip::wire::config_snapshot::{decode_entry, encode_record};
 
 fn record(planned_at: u64, changes: &str) -> ConfigRecord {
     let body = format!(
-        r#"{{"plan_id":"{planned_at:x}","planned_at":{planned_at},"changes":[{changes}]}}"#
+        r#"{{"plan":{{"plan_id":"{planned_at:x}","planned_at":{planned_at},"changes":[{changes}]}}}}"#
     );
-    decode_record(&body).expect("the test's record is well formed")
+    match decode_entry(&body) {
+        ConfigEntry::Record(record) => record,
+        other => panic!("not a record: {other:?}"),
+    }
 }
 
 fn upstream(name: &str, port: u16, version: &str) -> String {
@@ -118,22 +121,17 @@
 #[test]
 fn records_survive_the_wire_and_bad_fields_are_named() {
     let sent = record(7, &format!("{MOVE},{}", upstream("u3", 3, "v1")));
-    assert_eq!(decode_record(&encode_record(&sent)), Ok(sent.clone()));
-    assert_eq!(sent.plan_id, PlanId(7));
-    let bad = r#"{"plan_id":"1","planned_at":0,"changes":[
-        {"put_rank":{"rank":"gold","floor_percent":5,"start_timeout_ms":9}}]}"#;
     assert_eq!(
-        decode_record(bad),
-        Err(RecordError::Field("rank", "gold".to_owned()))
+        decode_entry(&encode_record(&sent)),
+        ConfigEntry::Record(sent.clone())
     );
-    for body in [
-        "",
-        "{}",
-        r#"{"plan_id":"1","planned_at":0,"changes":[{"explode":{}}]}"#,
-    ] {
-        assert!(matches!(
-            decode_record(body),
-            Err(RecordError::Malformed(_))
-        ));
+    assert_eq!(sent.plan_id, PlanId(7));
+    let bad = r#"{"plan":{"plan_id":"1","planned_at":0,"changes":[
+        {"put_rank":{"rank":"gold","floor_percent":5,"start_timeout_ms":9}}]}}"#;
+    let named = "field rank cannot be \"gold\"".to_owned();
+    assert_eq!(decode_entry(bad), ConfigEntry::Malformed(named));
+    let unknown = r#"{"plan":{"plan_id":"1","planned_at":0,"changes":[{"explode":{}}]}}"#;
+    for body in ["", "{}", "[]", r#"{"other":{}}"#, unknown] {
+        assert!(matches!(decode_entry(body), ConfigEntry::Malformed(_)));
     }
 }
