--- a/src/wire/mod.rs
+++ b/src/wire/mod.rs
@@ -3,6 +3,7 @@
 pub mod claim_record;
 pub mod config_objects;
 pub mod config_record;
+pub mod config_snapshot;
 pub mod headers;
 pub mod models;
 pub mod openai;
