--- a/tests/common/fleet.rs
+++ b/tests/common/fleet.rs
@@ -1,11 +1,13 @@
 //! A small fleet: platform, two engines, a plain service, their sidecars and two entries.
 
+use std::io::Write;
 use std::net::SocketAddr;
+use std::process::{Command, Stdio};
 use std::time::{Duration, Instant};
 
 use serde_json::{Value, json};
 
-use super::http::{get, post};
+use super::http::get;
 use super::process::ChildProcess;
 
 /// Bearer key of the customer `agency`, which may use both ranks.
@@ -77,7 +79,7 @@
         let target = plain.port("plain").to_string();
         let upstream = ["--upstream", "gates-0", "--plain", &target];
         sidecars.push(sidecar(&platform_address, &upstream, &options.sidecar));
-        declare(&platform, &sidecars).await;
+        declare(&platform, &sidecars);
         let entries = (0..2)
             .map(|i| entry(&platform_address, i, &options.entry))
             .collect();
@@ -155,16 +157,19 @@
     ]
 }
 
-async fn declare(platform: &ChildProcess, sidecars: &[ChildProcess]) {
-    let record = json!({
-        "plan_id": "1",
-        "planned_at": 0,
-        "forced": true,
-        "changes": changes(sidecars),
-    });
-    let address = platform.port("platform");
-    let appended = post(address, "/streams/config/append", &[], record.to_string()).await;
-    assert_eq!(appended.status, 200, "{}", appended.text);
+fn declare(platform: &ChildProcess, sidecars: &[ChildProcess]) {
+    let address = platform.port("platform").to_string();
+    let mut apply = Command::new(env!("CARGO_BIN_EXE_bulrushslip-ctl"))
+        .args(["apply", "--force", "--platform", &address, "/dev/stdin"])
+        .stdin(Stdio::piped())
+        .stdout(Stdio::null())
+        .spawn()
+        .expect("the binary runs");
+    let changes = changes(sidecars).to_string();
+    let mut input = apply.stdin.take().expect("the input is piped");
+    input.write_all(changes.as_bytes()).expect("written");
+    drop(input);
+    assert!(apply.wait().expect("a child").success());
 }
 
 fn changes(sidecars: &[ChildProcess]) -> Value {
