Take rank floors from the configuration and drain every answer at a stop

Cause: the queue kept its built-in floors whatever was declared; and a stopping sidecar ended before queued requests had read that they were handed back, so a non-idempotent one would have been told unknown. It now waits until each end is read or has lost its reader.

--- a/src/services/ledger_state.rs
+++ b/src/services/ledger_state.rs
@@ -36,6 +36,9 @@
 /// Longest wait of a read for its first item.
 const MAX_READ_WAIT: Duration = Duration::from_secs(2);
 
+/// Interval in which a stopping ledger looks for answers that lost their readers.
+const STOP_CHECK: Duration = Duration::from_millis(500);
+
 /// Settings of the service.
 #[derive(Debug, Clone)]
 pub struct LedgerSettings {
@@ -122,6 +125,8 @@
             .iter()
             .find(|(_, upstream)| upstream.name == *name);
         self.upstream = upstream.map(|(_, upstream)| upstream.clone());
+        let floor = |rank| configuration.rank_policy(rank).floor_percent;
+        self.queue.policy.floor_percent = Rank::ALL.map(floor);
         self.configuration = Some(configuration);
     }
 
@@ -338,14 +343,25 @@
         self.expire_tickets(turn);
         self.expire_reads(now);
         let queue_deadline = self.start_queued(turn);
-        if self.stopping && self.is_drained() {
+        if self.stopping && self.is_drained(now) {
             return NextStep::Stopped;
         }
         let reads = self
             .read_deadlines
             .first()
             .map_or(Moment::NEVER, |(deadline, _)| *deadline);
-        wait_until(self.ledger.next_deadline().min(reads).min(queue_deadline))
+        let stop_check = if self.stopping {
+            now.after(STOP_CHECK)
+        } else {
+            Moment::NEVER
+        };
+        wait_until(
+            self.ledger
+                .next_deadline()
+                .min(reads)
+                .min(queue_deadline)
+                .min(stop_check),
+        )
     }
 
     fn expire_tickets(&mut self, turn: &mut Turn<'_, Mail>) {
@@ -560,10 +576,12 @@
         }
     }
 
-    fn is_drained(&self) -> bool {
-        self.jobs.values().all(|job| {
-            let running = job.started.is_some();
-            !running && (job.end_read || job.call.is_some())
+    /// Tells whether nothing runs and every end has been read or has no reader any more.
+    fn is_drained(&self, now: Moment) -> bool {
+        self.jobs.iter().all(|(key, job)| {
+            let entry = self.ledger.get(*key);
+            let is_orphaned = entry.is_none_or(|entry| entry.orphan_at.is_due(now));
+            job.started.is_none() && (job.end_read || is_orphaned)
         })
     }
 
