Model outcomes over a lossy network, and bind withdrawals to an incarnation

Checked: a non-idempotent request runs at most once; "not run" only if it never ran; "complete" only with every index once in order; "incomplete" only if it ran; every caller is told something.

Its submission was lost after the start, the sidecar restarted, and the new sidecar took the withdrawal of a ticket that it had never seen. Only a first contact (incarnation 0, which no sidecar accepts) is submitted again; otherwise the engine is asked. Also, a read answered without items is repeated after a pause, since a stopping sidecar answers at once.

Ruled out: a tombstone at the new incarnation together with a question to the engine (the tombstone would answer the attachment); taking doubling out of the model because TCP does not double.

--- a/src/decide/attempt.rs
+++ b/src/decide/attempt.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use super::attempt_step::{AttemptEvent, AttemptPolicy, AttemptStep, SidecarCall};
 use super::config::UpstreamKey;
 use super::ids::{Incarnation, Repeatability, Ticket};
 use super::outcome::{RefusalReason, RunStatus, StreamEnd};
@@ -16,92 +17,6 @@
 /// Time that an unreachable sidecar is given when only it can tell what became of the request.
 const NON_IDEMPOTENT_RECOVERY: Duration = Duration::from_secs(20);
 
-/// What is fixed about a request for all of its attempts.
-#[derive(Debug, Clone, Copy)]
-pub struct AttemptPolicy {
-    /// Whether the request may run more than once.
-    pub repeatability: Repeatability,
-    /// Whether a lost answer can be continued on another upstream after its first part.
-    pub continuable: bool,
-    /// Deadline for the start.
-    pub start_by: Moment,
-    /// Upstreams that may be tried, at least 1.
-    pub max_submissions: u32,
-}
-
-/// A call to the sidecar of the chosen upstream.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum SidecarCall {
-    /// Submit the request under the ticket.
-    Submit(Ticket),
-    /// Read from the index.
-    Read(Ticket, u64),
-    /// Withdraw the ticket.
-    Withdraw(Ticket),
-    /// Look the ticket up at the engine after a restart of the sidecar.
-    Attach(Ticket),
-}
-
-/// What the request does next.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum AttemptStep {
-    /// Choose an upstream that is not excluded and mint a ticket.
-    Choose,
-    /// Call the sidecar, not before the moment.
-    Call {
-        /// The chosen upstream.
-        upstream: UpstreamKey,
-        /// Incarnation of its sidecar that the call is meant for.
-        incarnation: Incarnation,
-        /// The call.
-        call: SidecarCall,
-        /// Earliest moment of the call.
-        not_before: Moment,
-    },
-    /// Tell the caller.
-    Finish(RunStatus, Option<RefusalReason>),
-}
-
-/// What happened to the last step.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum AttemptEvent {
-    /// An upstream was chosen and a fresh ticket minted.
-    Chosen(UpstreamKey, Incarnation, Ticket),
-    /// No upstream can be chosen.
-    NoChoice(RefusalReason),
-    /// The submission was accepted.
-    Accepted,
-    /// The submission was refused without effect.
-    Refused(RefusalReason, Incarnation),
-    /// The call failed before anything was sent.
-    Unsent,
-    /// The call may have been acted on, but no answer came.
-    Lost,
-    /// Consecutive items from the index were received, and maybe the end.
-    Items {
-        /// Index of the first item.
-        from_index: u64,
-        /// Number of items.
-        count: u64,
-        /// How the stream ended, after these items.
-        end: Option<StreamEnd>,
-    },
-    /// The sidecar does not know the ticket; its present incarnation is given.
-    UnknownTicket(Incarnation),
-    /// The withdrawn ticket has not run and never will.
-    WithdrawnUnrun,
-    /// The withdrawn ticket ran or runs; its answer can be read.
-    WithdrawnLate,
-    /// The withdrawn ticket is older than the sidecar remembers.
-    WithdrawnForgotten,
-    /// The engine knows the ticket; it can be read from the given incarnation.
-    Attached(Incarnation),
-    /// The engine does not know the ticket.
-    NotAttached,
-    /// The caller has gone away.
-    CallerGone,
-}
-
 /// What is certain about the tickets of a request so far.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 enum RunEvidence {
@@ -157,10 +72,11 @@
         }
     }
 
-    /// Returns the ticket of the present attempt.
+    /// Returns the ticket of the present attempt and the sidecar incarnation that it is with.
     #[must_use]
-    pub fn ticket(&self) -> Option<Ticket> {
-        self.target.map(|target| target.ticket)
+    pub fn target(&self) -> Option<(Ticket, Incarnation)> {
+        self.target
+            .map(|target| (target.ticket, target.incarnation))
     }
 
     /// Returns the index of the next item wanted from the present ticket.
@@ -249,18 +165,22 @@
         let Some(target) = self.target.as_mut() else {
             return AttemptStep::Choose;
         };
+        // A refusal proves something only if it comes from the incarnation that was meant.
+        let is_elsewhere = target.incarnation != incarnation;
+        let is_first_contact = target.incarnation == Incarnation::default();
         match reason {
-            RefusalReason::WrongIncarnation if target.ambiguous => {
-                // The earlier incarnation may have started the ticket at the engine.
+            RefusalReason::WrongIncarnation if is_first_contact => {
                 target.incarnation = incarnation;
-                let call = SidecarCall::Attach(target.ticket);
+                let call = SidecarCall::Submit(target.ticket);
                 self.call(now, call)
             }
-            RefusalReason::WrongIncarnation if target.incarnation != incarnation => {
+            RefusalReason::WrongIncarnation if is_elsewhere => {
+                // The earlier incarnation may have started the ticket at the engine.
                 target.incarnation = incarnation;
-                let call = SidecarCall::Submit(target.ticket);
+                let call = SidecarCall::Attach(target.ticket);
                 self.call(now, call)
             }
+            _ if is_elsewhere && target.ambiguous => self.call_failed(now, true),
             RefusalReason::Forgotten => self.lost_here(now, RunEvidence::MayHaveRan),
             _ => self.not_run_here(now, reason),
         }
@@ -285,6 +205,8 @@
             self.evidence = RunEvidence::Ran;
         }
         match end {
+            // A sidecar that is about to end answers reads at once and without items.
+            None if count == 0 => self.read(now.after(RETRY_PAUSE)),
             None => self.read(now),
             Some(StreamEnd::Complete) => AttemptStep::Finish(RunStatus::Complete, None),
             Some(StreamEnd::NotRun(RefusalReason::Forgotten)) => {
@@ -294,7 +216,8 @@
             Some(StreamEnd::Uncertain) => self.lost_here(now, RunEvidence::MayHaveRan),
             Some(StreamEnd::EngineLost) => self.lost_here(now, RunEvidence::Ran),
             Some(StreamEnd::Cancelled) => {
-                self.evidence = RunEvidence::Ran;
+                // Without an item, the engine may have been lost before the start reached it.
+                self.evidence = self.evidence.max(RunEvidence::MayHaveRan);
                 self.finish_without_answer(None)
             }
         }
@@ -392,11 +315,14 @@
         AttemptStep::Finish(status, reason)
     }
 
-    fn read(&mut self, now: Moment) -> AttemptStep {
+    fn read(&mut self, not_before: Moment) -> AttemptStep {
         let Some(target) = self.target else {
             return AttemptStep::Choose;
         };
-        self.call(now, SidecarCall::Read(target.ticket, target.next_index))
+        self.call(
+            not_before,
+            SidecarCall::Read(target.ticket, target.next_index),
+        )
     }
 
     fn call(&mut self, not_before: Moment, call: SidecarCall) -> AttemptStep {
--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -4,6 +4,7 @@
 
 pub mod admission;
 pub mod attempt;
+pub mod attempt_step;
 pub mod cache_index;
 pub mod claim_home;
 pub mod claims;
--- a/src/services/callers.rs
+++ b/src/services/callers.rs
@@ -20,7 +20,7 @@
 use crate::decide::admission::{
     Admission, AdmissionFault, AdmissionQuery, AdmissionTarget, admit, authenticate,
 };
-use crate::decide::attempt::AttemptPolicy;
+use crate::decide::attempt_step::AttemptPolicy;
 use crate::decide::config::{BearerHash, Configuration};
 use crate::decide::ids::Rank;
 use crate::decide::outcome::{RefusalReason, RunStatus};
--- a/src/services/dialer.rs
+++ b/src/services/dialer.rs
@@ -67,12 +67,12 @@
                         .spawn(async move { (address, dial(address).await) });
                 }
             },
-            DialerMail::Abandon(address, ticket) => {
+            DialerMail::Abandon(address, ticket, incarnation) => {
                 let calls = SidecarCalls {
                     directory: directory.clone(),
                     address,
                 };
-                tokio::spawn(async move { calls.withdraw(ticket).await });
+                tokio::spawn(async move { calls.withdraw(ticket, incarnation).await });
             }
             DialerMail::Broken(address, number) => {
                 let link = self.links.get(&address);
--- a/src/services/ledger.rs
+++ b/src/services/ledger.rs
@@ -25,8 +25,8 @@
         LedgerMail::Quote(call, reply_to) => reply_to.send(state.quote(now, &call)),
         LedgerMail::Submit(call, reply_to) => reply_to.send(state.submit(now, call)),
         LedgerMail::Read(call, reply_to) => state.read(now, call, reply_to),
-        LedgerMail::Withdraw(ticket, reply_to) => {
-            let reply = state.withdraw(turn, ticket);
+        LedgerMail::Withdraw(ticket, incarnation, reply_to) => {
+            let reply = state.withdraw(turn, ticket, incarnation);
             reply_to.send(reply);
         }
         LedgerMail::Attach(ticket, repeatability, reply_to) => {
--- a/src/services/ledger_state.rs
+++ b/src/services/ledger_state.rs
@@ -229,7 +229,20 @@
     }
 
     /// Withdraws a ticket.
-    pub fn withdraw(&mut self, turn: &mut Turn<'_, Mail>, ticket: Ticket) -> WithdrawReply {
+    pub fn withdraw(
+        &mut self,
+        turn: &mut Turn<'_, Mail>,
+        ticket: Ticket,
+        incarnation: Incarnation,
+    ) -> WithdrawReply {
+        if incarnation != self.settings.incarnation {
+            // An earlier life may have started the ticket, so a tombstone here proves nothing.
+            let verdict = WithdrawVerdict::WrongIncarnation;
+            return WithdrawReply {
+                head: self.head(),
+                verdict,
+            };
+        }
         let verdict = match self.ledger.withdraw(turn.now, ticket) {
             WithdrawStep::NotRun(queued) => {
                 if let Some(key) = queued {
--- a/src/services/mail.rs
+++ b/src/services/mail.rs
@@ -6,7 +6,7 @@
 use crate::decide::claim_home::ClaimPage;
 use crate::decide::claims::{ClaimRecord, ClaimVerdict, PartitionId};
 use crate::decide::config::Configuration;
-use crate::decide::ids::{EngineEpoch, LogOffset, Repeatability, Ticket};
+use crate::decide::ids::{EngineEpoch, Incarnation, LogOffset, Repeatability, Ticket};
 use crate::decide::ledger::TicketKey;
 use crate::decide::outcome::StreamEnd;
 use crate::kernel::{Moment, ReplyTo};
@@ -70,8 +70,8 @@
     Submit(SubmitCall, ReplyTo<SubmitReply>),
     /// Reads an answer by index.
     Read(ReadCall, ReplyTo<ReadReply>),
-    /// Withdraws a ticket.
-    Withdraw(Ticket, ReplyTo<WithdrawReply>),
+    /// Withdraws a ticket that was meant for an incarnation.
+    Withdraw(Ticket, Incarnation, ReplyTo<WithdrawReply>),
     /// Looks a ticket up at the engine.
     Attach(Ticket, Repeatability, ReplyTo<AttachReply>),
     /// The engine has produced items of a running ticket.
@@ -120,8 +120,8 @@
     Connect(SocketAddr, ReplyTo<DialOutcome>),
     /// A call on the numbered connection got no answer; it is not to be used again.
     Broken(SocketAddr, u64),
-    /// Withdraws a ticket whose caller has gone away.
-    Abandon(SocketAddr, Ticket),
+    /// Withdraws a ticket, meant for an incarnation, whose caller has gone away.
+    Abandon(SocketAddr, Ticket, Incarnation),
 }
 
 /// What the dialer has for a sidecar.
--- a/src/services/request_runner.rs
+++ b/src/services/request_runner.rs
@@ -8,9 +8,8 @@
 use super::sidecar_calls::SidecarCalls;
 use super::upstream_choice::UpstreamChooser;
 use crate::decide::admission::Admission;
-use crate::decide::attempt::{
-    AttemptEvent, AttemptPolicy, AttemptStep, RequestAttempt, SidecarCall,
-};
+use crate::decide::attempt::RequestAttempt;
+use crate::decide::attempt_step::{AttemptEvent, AttemptPolicy, AttemptStep, SidecarCall};
 use crate::decide::config::Configuration;
 use crate::decide::ids::{Incarnation, Repeatability, Ticket};
 use crate::decide::outcome::{RefusalReason, RunStatus};
@@ -180,7 +179,7 @@
                 }
                 outcome.event
             }
-            SidecarCall::Withdraw(ticket) => calls.withdraw(ticket).await,
+            SidecarCall::Withdraw(ticket) => calls.withdraw(ticket, incarnation).await,
             SidecarCall::Attach(ticket) => calls.attach(ticket, self.admission.repeatability).await,
         }
     }
@@ -214,8 +213,9 @@
         if self.finished {
             return;
         }
-        if let (Some(address), Some(ticket)) = (self.address, self.attempt.ticket()) {
-            let mail = Mail::Dialer(DialerMail::Abandon(address, ticket));
+        if let (Some(address), Some((ticket, incarnation))) = (self.address, self.attempt.target())
+        {
+            let mail = Mail::Dialer(DialerMail::Abandon(address, ticket, incarnation));
             self.directory.send("dialer", mail);
         }
     }
--- a/src/services/sidecar_calls.rs
+++ b/src/services/sidecar_calls.rs
@@ -6,7 +6,7 @@
 use tarpc::context::{self, Context};
 
 use super::mail::{ConfigMail, DialOutcome, DialerMail, Mail};
-use crate::decide::attempt::AttemptEvent;
+use crate::decide::attempt_step::AttemptEvent;
 use crate::decide::ids::{Incarnation, Repeatability, Ticket};
 use crate::decide::outcome::{RefusalReason, StreamEnd};
 use crate::kernel::Directory;
@@ -100,13 +100,13 @@
     }
 
     /// Withdraws a ticket.
-    pub async fn withdraw(&self, ticket: Ticket) -> AttemptEvent {
+    pub async fn withdraw(&self, ticket: Ticket, incarnation: Incarnation) -> AttemptEvent {
         let Some(link) = self.connect().await else {
             return AttemptEvent::Unsent;
         };
         let reply = link
             .client
-            .withdraw(deadline(CALL_TIMEOUT), ticket.into())
+            .withdraw(deadline(CALL_TIMEOUT), ticket.into(), incarnation.0)
             .await;
         let Some(reply) = self.check(&link, reply, |reply| reply.head) else {
             return AttemptEvent::Lost;
@@ -200,6 +200,7 @@
             AttemptEvent::WithdrawnLate
         }
         WithdrawVerdict::Forgotten => AttemptEvent::WithdrawnForgotten,
+        WithdrawVerdict::WrongIncarnation => AttemptEvent::UnknownTicket(reply.head.incarnation()),
     }
 }
 
--- a/src/services/sidecar_rpc.rs
+++ b/src/services/sidecar_rpc.rs
@@ -7,7 +7,7 @@
 use tokio::task::JoinSet;
 
 use super::mail::{LedgerMail, Mail};
-use crate::decide::ids::{Repeatability, Ticket};
+use crate::decide::ids::{Incarnation, Repeatability, Ticket};
 use crate::decide::outcome::RefusalReason;
 use crate::kernel::{Directory, Inbox, IoTask, ReplyTo, Signal};
 use crate::wire::rpc::{
@@ -113,10 +113,11 @@
         })
     }
 
-    async fn withdraw(self, _: Context, ticket: WireTicket) -> WithdrawReply {
+    async fn withdraw(self, _: Context, ticket: WireTicket, incarnation: u64) -> WithdrawReply {
+        let incarnation = Incarnation(incarnation);
         let ticket = Ticket::from(ticket);
         let reply = self
-            .ask(|reply_to| LedgerMail::Withdraw(ticket, reply_to))
+            .ask(|reply_to| LedgerMail::Withdraw(ticket, incarnation, reply_to))
             .await;
         reply.unwrap_or_else(|| WithdrawReply {
             head: ReplyHead::default(),
--- a/src/wire/rpc.rs
+++ b/src/wire/rpc.rs
@@ -333,6 +333,8 @@
     Done,
     /// The ticket is older than the sidecar remembers; it may have run.
     Forgotten,
+    /// The sidecar has restarted since; what its earlier life did with the ticket is open.
+    WrongIncarnation,
 }
 
 /// Answers a withdrawal.
@@ -373,8 +375,8 @@
     async fn submit(call: SubmitCall) -> SubmitReply;
     /// Reads a stream by index.
     async fn read(call: ReadCall) -> ReadReply;
-    /// Withdraws a ticket, also one never seen.
-    async fn withdraw(ticket: WireTicket) -> WithdrawReply;
+    /// Withdraws a ticket, also one never seen, from this incarnation of the sidecar.
+    async fn withdraw(ticket: WireTicket, incarnation: u64) -> WithdrawReply;
     /// Looks a ticket up at the engine after a restart of the sidecar.
     async fn attach(ticket: WireTicket, idempotent: bool) -> AttachReply;
 }
--- a/tests/outcome_world/mod.rs
+++ b/tests/outcome_world/mod.rs
@@ -1,28 +1,30 @@
 //! Many requests over a lossy network to upstreams that crash, restart, stop and pause.
 
 mod network;
+mod request;
 mod upstream;
 
 use std::time::Duration;
 
-use bulrushslip::decide::attempt::{
-    AttemptEvent, AttemptPolicy, AttemptStep, RequestAttempt, SidecarCall,
-};
+use bulrushslip::decide::attempt_step::{AttemptEvent, AttemptStep, SidecarCall};
 use bulrushslip::decide::config::UpstreamKey;
-use bulrushslip::decide::ids::{Incarnation, Repeatability, Ticket};
-use bulrushslip::decide::outcome::{RefusalReason, RunStatus};
+use bulrushslip::decide::ids::{Incarnation, Ticket};
+use bulrushslip::decide::outcome::RefusalReason;
 use bulrushslip::kernel::{Moment, Signal};
 use bulrushslip::services::mail::Mail;
-use bulrushslip::wire::rpc::StreamItem;
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
 
 use network::{Heard, OwedReply, Packet, open_packet};
-use upstream::{ANSWER_ITEMS, UPSTREAMS, UpstreamModel, configuration, item};
+use request::{RequestModel, new_request};
+use upstream::{UPSTREAMS, UpstreamModel, configuration};
 
 /// Virtual time of one step.
 const STEP: Duration = Duration::from_millis(10);
 
+/// Time from the stop of a ledger to the end of its process.
+const STOP_TIME: Duration = Duration::from_millis(500);
+
 /// Time during which faults happen, in steps.
 const FAULT_STEPS: u32 = 800;
 
@@ -48,22 +50,6 @@
     pub stops: u32,
 }
 
-/// One request and what its caller has been told.
-pub struct RequestModel {
-    /// Its state machine.
-    pub attempt: RequestAttempt,
-    /// What the caller was told at the end.
-    pub told: Option<(RunStatus, Option<RefusalReason>)>,
-    /// Items that the caller has received.
-    pub received: Vec<StreamItem>,
-    /// All tickets minted for it.
-    pub tickets: Vec<Ticket>,
-    step: AttemptStep,
-    outstanding: Option<(u64, Moment)>,
-    arrives: Moment,
-    paused_until: Moment,
-}
-
 /// The model of a fleet.
 pub struct World {
     /// The requests.
@@ -241,7 +227,10 @@
         for (upstream, request, nonce, mut owed) in std::mem::take(&mut self.owed) {
             match owed.poll() {
                 None => self.owed.push((upstream, request, nonce, owed)),
-                Some(heard) => {
+                Some((heard, has_stopped)) => {
+                    if has_stopped {
+                        self.upstreams[upstream].end_by(self.now.after(STOP_TIME));
+                    }
                     if let Some(arrives) = self.arrival() {
                         self.replies.push((arrives, request, nonce, heard));
                     }
@@ -365,52 +354,3 @@
         }
     }
 }
-
-fn new_request(random: &mut StdRng) -> RequestModel {
-    let arrives = Moment::from_micros(random.random_range(0..6_000_000));
-    let idempotent = random.random_bool(0.4);
-    let policy = AttemptPolicy {
-        repeatability: if idempotent {
-            Repeatability::Idempotent
-        } else {
-            Repeatability::NonIdempotent
-        },
-        continuable: false,
-        start_by: arrives.after(Duration::from_millis(random.random_range(200..3000))),
-        max_submissions: 3,
-    };
-    RequestModel {
-        attempt: RequestAttempt::new(policy),
-        told: None,
-        received: Vec::new(),
-        tickets: Vec::new(),
-        step: AttemptStep::Choose,
-        outstanding: None,
-        arrives,
-        paused_until: Moment::START,
-    }
-}
-
-impl RequestModel {
-    /// Tells whether the caller has the whole answer of one ticket in order.
-    pub fn is_whole(&self) -> bool {
-        let Some(ticket) = self.tickets.last() else {
-            return false;
-        };
-        let whole: Vec<StreamItem> = (0..ANSWER_ITEMS)
-            .map(|index| item(*ticket, index))
-            .collect();
-        self.received == whole
-    }
-
-    fn hear(&mut self, now: Moment, (event, items): Heard) {
-        self.outstanding = None;
-        // As the entry's request runner does: only what continues the answer is passed on.
-        if let AttemptEvent::Items { from_index, .. } = event
-            && from_index == self.attempt.next_index()
-        {
-            self.received.extend(items);
-        }
-        self.step = self.attempt.handle(now, event);
-    }
-}
--- a/tests/outcome_world/network.rs
+++ b/tests/outcome_world/network.rs
@@ -1,6 +1,6 @@
 //! Calls and replies between entries and sidecars: lost, late, doubled and out of order.
 
-use bulrushslip::decide::attempt::{AttemptEvent, SidecarCall};
+use bulrushslip::decide::attempt_step::{AttemptEvent, SidecarCall};
 use bulrushslip::decide::ids::{Incarnation, Repeatability};
 use bulrushslip::decide::outcome::RefusalReason;
 use bulrushslip::kernel::{Moment, Reply, ReplyTo};
@@ -93,7 +93,7 @@
         SidecarCall::Withdraw(ticket) => {
             let (reply_to, reply) = ReplyTo::channel();
             (
-                LedgerMail::Withdraw(ticket, reply_to),
+                LedgerMail::Withdraw(ticket, packet.incarnation, reply_to),
                 OwedReply::Withdraw(reply),
             )
         }
@@ -107,8 +107,8 @@
 
 impl OwedReply {
     /// Returns the reply once it is there; a reply dropped by the ledger is made up as the
-    /// sidecar's task `rpc` does.
-    pub fn poll(&mut self) -> Option<Heard> {
+    /// sidecar's task `rpc` does, and tells that the ledger has stopped.
+    pub fn poll(&mut self) -> Option<(Heard, bool)> {
         let head = ReplyHead::default();
         match self {
             Self::Submit(reply) => {
@@ -117,7 +117,7 @@
                     retry_after_ms: 0,
                 };
                 let reply = received(reply, || SubmitReply { head, verdict })?;
-                Some((submit_event(&reply), Vec::new()))
+                Some(((submit_event(&reply), Vec::new()), reply.head == head))
             }
             Self::Read(from_index, reply) => {
                 let verdict = ReadVerdict::Items {
@@ -125,22 +125,24 @@
                     end: None,
                 };
                 let from_index = *from_index;
-                let outcome = read_outcome(received(reply, || ReadReply {
+                let reply = received(reply, || ReadReply {
                     head,
                     from_index,
                     verdict,
-                })?);
-                Some((outcome.event, outcome.items))
+                })?;
+                let has_stopped = reply.head == head;
+                let outcome = read_outcome(reply);
+                Some(((outcome.event, outcome.items), has_stopped))
             }
             Self::Withdraw(reply) => {
                 let verdict = WithdrawVerdict::Forgotten;
                 let reply = received(reply, || WithdrawReply { head, verdict })?;
-                Some((withdraw_event(&reply), Vec::new()))
+                Some(((withdraw_event(&reply), Vec::new()), reply.head == head))
             }
             Self::Attach(reply) => {
                 let verdict = AttachVerdict::EngineDown;
                 let reply = received(reply, || AttachReply { head, verdict })?;
-                Some((attach_event(&reply), Vec::new()))
+                Some(((attach_event(&reply), Vec::new()), reply.head == head))
             }
         }
     }
--- a/tests/outcome_world/upstream.rs
+++ b/tests/outcome_world/upstream.rs
@@ -165,6 +165,8 @@
     pub ledger: MailboxKey,
     /// It handles nothing before this moment.
     pub paused_until: Moment,
+    /// After a planned stop: when the process ends.
+    pub ends: Moment,
 }
 
 impl UpstreamModel {
@@ -205,20 +207,36 @@
             kernel,
             ledger,
             paused_until: Moment::START,
+            ends: Moment::NEVER,
         });
     }
 
+    /// Lets a process whose ledger has stopped end by the moment.
+    pub fn end_by(&mut self, ends: Moment) {
+        if let Some(sidecar) = &mut self.sidecar {
+            sidecar.ends = sidecar.ends.min(ends);
+        }
+    }
+
     /// Runs the sidecar up to the moment, unless it is paused.
     pub fn run_until(&mut self, now: Moment) {
         let engine = self.engine.lock().expect("one thread");
-        let state = match engine.up {
-            true => EngineState::Up {
+        let state = if engine.up {
+            EngineState::Up {
                 epoch: EngineEpoch(engine.epoch),
                 version: String::new(),
-            },
-            false => EngineState::Down,
+            }
+        } else {
+            EngineState::Down
         };
         drop(engine);
+        if self
+            .sidecar
+            .as_ref()
+            .is_some_and(|sidecar| sidecar.ends.is_due(now))
+        {
+            self.sidecar = None;
+        }
         let Some(sidecar) = self.sidecar.as_mut() else {
             return;
         };
