Tell a cut stream from a short one in the stand-ins' tests

Cause: changing one line each on a scratch copy showed three faults that no test failed for: a resume ahead of what was produced, a crash that ends a body cleanly in place of cutting it, and a silence that does not silence (that test hung).

Ruled out: asserting on the error of the body only (a stream that ends without [DONE] would still count as cut).

--- a/tests/standin.rs
+++ b/tests/standin.rs
@@ -8,7 +8,7 @@
 use bulrushslip::standin::token_text::{text_seed, token};
 use hyper::{Method, StatusCode};
 use serde_json::{Value, json};
-use standin_harness::{LIMIT, Standin};
+use standin_harness::{LIMIT, Standin, StreamClose};
 use tokio::time::timeout;
 
 /// How long a connection that must stay silent is watched.
@@ -39,11 +39,14 @@
             .expect("text");
     }
     drop(first);
-    let (rest, whole) = engine.resume("r1", 3).await.rest(3).await;
-    assert!(whole);
+    let ahead = engine.resume("r1", 20).await;
+    let (rest, close) = engine.resume("r1", 3).await.rest(3).await;
+    assert_eq!(close, StreamClose::Done);
+    let ahead = ahead.rest(20).await;
+    assert_eq!(ahead, (answer("gate 7", 20..30), StreamClose::Done));
     assert_eq!(begun + &rest, answer("gate 7", 0..30));
     let again = engine.run("r1", "", &chat("gate 7")).await.rest(0).await;
-    assert_eq!(again, (answer("gate 7", 0..30), true));
+    assert_eq!(again, (answer("gate 7", 0..30), StreamClose::Done));
     let runs = engine.json("GET", "/admin/runs", "").await;
     assert_eq!(runs, json!({ "runs": { "r1": 1 }, "order": ["r1"] }));
     let unknown = engine.call("DELETE", "/requests/r2", "").await;
@@ -57,8 +60,7 @@
     let old_epoch = stream.header("x-engine-epoch").to_owned();
     stream.next().await.expect("an event");
     engine.json("POST", "/admin/crash", "").await;
-    let (_, whole) = stream.rest(1).await;
-    assert!(!whole, "a crash cuts the stream before its end");
+    assert_eq!(stream.rest(1).await.1, StreamClose::Cut);
     let keys = engine.wait_up().await;
     assert_ne!(keys["epoch"].to_string(), old_epoch);
     assert_eq!(keys["keys"], json!([]));
@@ -72,18 +74,14 @@
         .expect("a list")
         .push(delivered);
     let continued = engine.run("r2", "", &body).await.rest(0).await;
-    assert_eq!(continued, (answer("audit", 395..400), true));
+    assert_eq!(continued, (answer("audit", 395..400), StreamClose::Done));
 }
 
 #[tokio::test]
 async fn a_request_that_crashes_the_engine_counts_as_one_start() {
     let engine = Standin::start("engine", "--decode-us 50000 --restart-ms 20");
-    let (_, whole) = engine
-        .run("bad", "", &chat("crash-engine"))
-        .await
-        .rest(0)
-        .await;
-    assert!(!whole);
+    let crashed = engine.run("bad", "", &chat("crash-engine")).await;
+    assert_eq!(crashed.rest(0).await.1, StreamClose::Cut);
     engine.wait_up().await;
     let stats = engine.json("GET", "/admin/stats", "").await;
     assert_eq!(
@@ -194,9 +192,12 @@
     for number in 0..40 {
         assert_eq!(resumed.next().await.expect("an event").0, number);
     }
-    // What was sent before the silence is read first; an event each 5 ms would never let it end.
+    // What was sent before the silence is read first; a live stream has an event each 5 ms.
+    let mut late_events = 0;
     while let Ok(event) = timeout(WATCH, silent.next()).await {
         event.expect("a silent connection stays open");
+        late_events += 1;
+        assert!(late_events < 1_000, "the stream goes on");
     }
     engine.json("POST", "/admin/freeze?ms=60000", "").await;
     let request = engine.request(Method::GET, "/load", &[], "");
--- a/tests/standin_harness/mod.rs
+++ b/tests/standin_harness/mod.rs
@@ -125,10 +125,22 @@
     }
 }
 
+/// How a stream ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum StreamClose {
+    /// With `[DONE]`.
+    Done,
+    /// With the end of the body but without `[DONE]`.
+    Short,
+    /// With a broken connection.
+    Cut,
+}
+
 /// The events of an open stream.
 pub struct Events {
     open: OpenResponse,
     decoder: SseDecoder,
+    close: StreamClose,
 }
 
 impl Events {
@@ -136,7 +148,11 @@
     pub fn new(open: OpenResponse) -> Self {
         assert_eq!(open.response.status(), StatusCode::OK);
         let decoder = SseDecoder::new(MAX_EVENT_BYTES);
-        Self { open, decoder }
+        Self {
+            open,
+            decoder,
+            close: StreamClose::Short,
+        }
     }
 
     /// Returns a header of the response.
@@ -157,25 +173,28 @@
                     .expect("an event number");
                 return Some((number, String::from_utf8(event.data).expect("text")));
             }
-            let frame = self.open.response.body_mut().frame().await?.ok()?;
+            let Ok(frame) = self.open.response.body_mut().frame().await? else {
+                self.close = StreamClose::Cut;
+                return None;
+            };
             self.decoder.push(&frame.into_data().expect("no trailers"));
         }
     }
 
-    /// Returns the text of the rest and whether it ended with `[DONE]`; checks the numbers.
-    pub async fn rest(mut self, mut number: u64) -> (String, bool) {
+    /// Returns the text of the rest and how the stream ended; checks the numbers.
+    pub async fn rest(mut self, mut number: u64) -> (String, StreamClose) {
         let mut text = String::new();
         while let Some((found, data)) = self.next().await {
             assert_eq!(found, number, "events are numbered without gap");
             number += 1;
             if data == "[DONE]" {
-                return (text, true);
+                return (text, StreamClose::Done);
             }
             let chunk: Value = serde_json::from_str(&data).expect("a chunk");
             text += chunk["choices"][0]["delta"]["content"]
                 .as_str()
                 .unwrap_or("");
         }
-        (text, false)
+        (text, self.close)
     }
 }
