--- a/src/services/ledger_state.rs
+++ b/src/services/ledger_state.rs
@@ -36,6 +36,9 @@
 /// Longest wait of a read for its first item.
 const MAX_READ_WAIT: Duration = Duration::from_secs(2);
 
+/// Interval in which a stopping ledger looks for answers that lost their readers.
+const STOP_CHECK: Duration = Duration::from_millis(500);
+
 /// Settings of the service.
 #[derive(Debug, Clone)]
 pub struct LedgerSettings {
@@ -85,6 +88,7 @@
     read_deadlines: BTreeSet<(Moment, TicketKey)>,
     customers: HashMap<String, CustomerId>,
     running: [u32; 2],
+    leaving: bool,
     stopping: bool,
 }
 
@@ -103,6 +107,7 @@
             read_deadlines: BTreeSet::new(),
             customers: HashMap::new(),
             running: [0; 2],
+            leaving: false,
             stopping: false,
             settings,
         }
@@ -120,6 +125,8 @@
             .iter()
             .find(|(_, upstream)| upstream.name == *name);
         self.upstream = upstream.map(|(_, upstream)| upstream.clone());
+        let floor = |rank| configuration.rank_policy(rank).floor_percent;
+        self.queue.policy.floor_percent = Rank::ALL.map(floor);
         self.configuration = Some(configuration);
     }
 
@@ -232,6 +239,8 @@
             }
             WithdrawStep::Cancel(key) => {
                 self.cancel(turn, key);
+                // Whoever withdraws reads no end.
+                self.jobs.entry(key).and_modify(|job| job.end_read = true);
                 WithdrawVerdict::Cancelled
             }
             WithdrawStep::Running(_) => WithdrawVerdict::Running,
@@ -310,9 +319,15 @@
         self.answer_pending(key);
     }
 
-    /// Refuses new work from now on and hands back what is queued.
+    /// Refuses new work from now on, hands back what is queued, and ends once all is read.
     pub fn begin_stop(&mut self, now: Moment) {
         self.stopping = true;
+        self.begin_leaving(now);
+    }
+
+    /// Refuses new work from now on and hands back what is queued.
+    pub fn begin_leaving(&mut self, now: Moment) {
+        self.leaving = true;
         for item in self.queue.drain() {
             if let Some(key) = self.queued.remove(&item.ticket) {
                 self.ledger
@@ -328,14 +343,25 @@
         self.expire_tickets(turn);
         self.expire_reads(now);
         let queue_deadline = self.start_queued(turn);
-        if self.stopping && self.is_drained() {
+        if self.stopping && self.is_drained(now) {
             return NextStep::Stopped;
         }
         let reads = self
             .read_deadlines
             .first()
             .map_or(Moment::NEVER, |(deadline, _)| *deadline);
-        wait_until(self.ledger.next_deadline().min(reads).min(queue_deadline))
+        let stop_check = if self.stopping {
+            now.after(STOP_CHECK)
+        } else {
+            Moment::NEVER
+        };
+        wait_until(
+            self.ledger
+                .next_deadline()
+                .min(reads)
+                .min(queue_deadline)
+                .min(stop_check),
+        )
     }
 
     fn expire_tickets(&mut self, turn: &mut Turn<'_, Mail>) {
@@ -486,7 +512,7 @@
         let Some(upstream) = &self.upstream else {
             return Some(RefusalReason::NoConfiguration);
         };
-        if self.stopping || upstream.retired {
+        if self.leaving || upstream.retired {
             return Some(RefusalReason::Leaving);
         }
         match &self.engine {
@@ -550,10 +576,12 @@
         }
     }
 
-    fn is_drained(&self) -> bool {
-        self.jobs.values().all(|job| {
-            let running = job.started.is_some();
-            !running && (job.end_read || job.call.is_some())
+    /// Tells whether nothing runs and every end has been read or has no reader any more.
+    fn is_drained(&self, now: Moment) -> bool {
+        self.jobs.iter().all(|(key, job)| {
+            let entry = self.ledger.get(*key);
+            let is_orphaned = entry.is_none_or(|entry| entry.orphan_at.is_due(now));
+            job.started.is_none() && (job.end_read || is_orphaned)
         })
     }
 
@@ -583,7 +611,7 @@
             "queued": self.queue.len(),
             "running": {"urgent": self.running[0], "routine": self.running[1]},
             "answer_bytes": self.jobs.values().map(|job| job.buffer.bytes()).sum::<usize>(),
-            "stopping": self.stopping,
+            "leaving": self.leaving,
         })
     }
 }
