--- a/tests/common/fleet.rs
+++ b/tests/common/fleet.rs
@@ -1,5 +1,6 @@
 //! A small fleet: platform, two engines, a plain service, their sidecars and two entries.
 
+use std::collections::BTreeMap;
 use std::io::Write;
 use std::net::SocketAddr;
 use std::process::{Command, Stdio};
@@ -35,6 +36,8 @@
     pub sidecar: Vec<&'static str>,
     /// Further arguments of the entries.
     pub entry: Vec<&'static str>,
+    /// Further arguments of the plain service.
+    pub plain: Vec<&'static str>,
     /// Whether a relay stands between the entries and each sidecar.
     pub relayed: bool,
 }
@@ -72,7 +75,9 @@
                 standin("engine", &arguments)
             })
             .collect();
-        let plain = standin("plain", &["--name", "gates"]);
+        let mut arguments = vec!["--name", "gates"];
+        arguments.extend(&options.plain);
+        let plain = standin("plain", &arguments);
         let platform_address = platform.port("platform").to_string();
         let mut sidecars = Vec::new();
         for (i, engine) in engines.iter().enumerate() {
@@ -132,6 +137,56 @@
         sum
     }
 
+    /// Waits until the sum of one count over the engines has reached a number.
+    pub async fn until_count(&self, name: &str, wanted: u64) {
+        let deadline = Instant::now() + CONFIG_LIMIT;
+        while self.total_count(name).await < wanted {
+            assert!(Instant::now() < deadline, "{name} is not {wanted} in time");
+            tokio::time::sleep(POLL_PAUSE).await;
+        }
+    }
+
+    /// Returns how often each ticket was started, over the engines.
+    pub async fn runs(&self) -> BTreeMap<String, u64> {
+        let mut runs = BTreeMap::new();
+        for engine in &self.engines {
+            for (ticket, starts) in runs_at(engine.port("engine")).await {
+                *runs.entry(ticket).or_insert(0) += starts;
+            }
+        }
+        runs
+    }
+
+    /// Returns how often each ticket was run by the plain service.
+    pub async fn plain_runs(&self) -> BTreeMap<String, u64> {
+        runs_at(self.plain.port("plain")).await
+    }
+
+    /// Waits until the plain service has begun so many requests.
+    pub async fn until_plain_runs(&self, wanted: usize) {
+        let deadline = Instant::now() + CONFIG_LIMIT;
+        while self.plain_runs().await.len() < wanted {
+            assert!(Instant::now() < deadline, "not run in time");
+            tokio::time::sleep(POLL_PAUSE).await;
+        }
+    }
+
+    /// Returns how many connections an entry has dialled.
+    pub async fn dialled(&self, entry: usize) -> u64 {
+        let operator = self.entries[entry].port("operator");
+        let dump = get(operator, "/dump", &[]).await.json();
+        dump["dialer"]["dialled"].as_u64().expect("a count")
+    }
+
+    /// Waits until an entry has dialled so many connections.
+    pub async fn until_dialled(&self, entry: usize, wanted: u64) {
+        let deadline = Instant::now() + CONFIG_LIMIT;
+        while self.dialled(entry).await < wanted {
+            assert!(Instant::now() < deadline, "not dialled again");
+            tokio::time::sleep(POLL_PAUSE).await;
+        }
+    }
+
     /// Waits until an engine runs a request and returns its index.
     pub async fn busy_engine(&self) -> usize {
         let deadline = Instant::now() + CONFIG_LIMIT;
@@ -171,6 +226,12 @@
     }
 }
 
+async fn runs_at(address: SocketAddr) -> BTreeMap<String, u64> {
+    let answer = get(address, "/admin/runs", &[]).await;
+    let runs = &answer.json()["runs"];
+    serde_json::from_value(runs.clone()).expect("counts by name")
+}
+
 fn standin(role: &str, more: &[&str]) -> ChildProcess {
     let mut arguments = vec![role, "--listen", "127.0.0.1:0"];
     arguments.extend(more);
