Notice silent connections within a second or two, tested between processes

Cause: calls waited long on connections that carry nothing any more.

The head of a model engine's response now gets the 2 s that any other silence gets; a read is held for 500 ms and given up after 1 s, so that a frozen sidecar costs a repeatable request two reads.

A third fault was hidden by chance: a quote that was not answered within 25 ms was dropped before anybody learned that its connection is dead. The quote now lives on for 300 ms after its asker has gone, and retires the connection then.

Ruled out: that a submission whose answer is lost starts twice, or that a plain service, which does not recognise a ticket, is called twice after a restart of its sidecar.

--- a/src/services/engine_stream.rs
+++ b/src/services/engine_stream.rs
@@ -19,9 +19,6 @@
 use crate::wire::rpc::{StreamItem, SubmitCall};
 use crate::wire::sse::{MAX_EVENT_BYTES, SseDecoder, SseStep};
 
-/// Time for the response head; model engines send it once they have taken the request in.
-const HEAD_TIMEOUT: Duration = Duration::from_secs(5);
-
 /// Time for the response head of a plain service, which sends it once it is done.
 const PLAIN_HEAD_TIMEOUT: Duration = Duration::from_mins(1);
 
@@ -124,7 +121,7 @@
         };
         let is_model = self.target.kind == EngineKind::Model;
         let limit = if is_model {
-            HEAD_TIMEOUT
+            SILENCE_TIMEOUT
         } else {
             PLAIN_HEAD_TIMEOUT
         };
--- a/src/services/sidecar_calls.rs
+++ b/src/services/sidecar_calls.rs
@@ -19,11 +19,17 @@
 /// Longest time for a call that the sidecar answers at once.
 const CALL_TIMEOUT: Duration = Duration::from_secs(1);
 
+/// Time after which an unanswered quote shows that its connection is dead.
+const QUOTE_TIMEOUT: Duration = Duration::from_millis(300);
+
 /// Time that a sidecar may hold back a read without items.
-const READ_WAIT: Duration = Duration::from_secs(1);
+const READ_WAIT: Duration = Duration::from_millis(500);
+
+/// Longest time for a read, its wait included; a silent connection is noticed after that.
+const READ_TIMEOUT: Duration = Duration::from_secs(1);
 
-/// Longest time for a read, its wait included.
-const READ_TIMEOUT: Duration = Duration::from_millis(2_500);
+/// Longest time for an attachment, the lookup at the engine included.
+const ATTACH_TIMEOUT: Duration = Duration::from_millis(2_500);
 
 /// What a read brought.
 #[derive(Debug)]
@@ -51,12 +57,14 @@
 impl SidecarCalls {
     /// Asks for a quote; `None` when none came within the limit.
     pub async fn quote(&self, call: QuoteCall, limit: Duration) -> Option<QuoteReply> {
-        let asked = async {
-            let link = self.connect().await?;
-            let reply = link.client.quote(deadline(limit), call).await;
-            self.check(&link, reply, |reply| reply.head)
-        };
-        tokio::time::timeout(limit, asked).await.ok()?
+        let calls = self.clone();
+        // The call outlives the wait for it, so that a connection that never answers is noticed.
+        let asked = tokio::spawn(async move {
+            let link = calls.connect().await?;
+            let reply = link.client.quote(deadline(QUOTE_TIMEOUT), call).await;
+            calls.check(&link, reply, |reply| reply.head)
+        });
+        tokio::time::timeout(limit, asked).await.ok()?.ok()?
     }
 
     /// Submits a request.
@@ -122,7 +130,7 @@
         let idempotent = repeatability == Repeatability::Idempotent;
         let call = link
             .client
-            .attach(deadline(READ_TIMEOUT), ticket.into(), idempotent);
+            .attach(deadline(ATTACH_TIMEOUT), ticket.into(), idempotent);
         let reply = call.await;
         let Some(reply) = self.check(&link, reply, |reply| reply.head) else {
             return AttemptEvent::Lost;
