Remember what was decided for each request

Cause: an operator asked about one request could not be told which upstreams were tried and why. Ruled out: a log line for each event, which costs a line a token burst and needs the log store to answer.

--- a/src/decide/attempt.rs
+++ b/src/decide/attempt.rs
@@ -79,6 +79,12 @@
             .map(|target| (target.ticket, target.incarnation))
     }
 
+    /// Returns the upstream of the present attempt.
+    #[must_use]
+    pub fn upstream(&self) -> Option<UpstreamKey> {
+        self.target.map(|target| target.upstream)
+    }
+
     /// Returns the index of the next item wanted from the present ticket.
     #[must_use]
     pub fn next_index(&self) -> u64 {
--- a/src/entry.rs
+++ b/src/entry.rs
@@ -10,6 +10,7 @@
 use crate::services::callers::{CallerSettings, callers_task};
 use crate::services::config::config_service;
 use crate::services::dialer::dialer_task;
+use crate::services::journal::journal_service;
 use crate::services::log_reader::log_reader;
 use crate::services::metrics;
 use crate::services::operator::{self, OperatorIdentity};
@@ -46,6 +47,7 @@
     }
     kernel.add(config_service());
     kernel.add_task(log_reader(common.platform));
+    kernel.add(journal_service());
     kernel.add(tickets_service(Incarnation(rand::random())));
     kernel.add_task(dialer_task());
     let caller_settings = CallerSettings {
--- a/src/services/callers.rs
+++ b/src/services/callers.rs
@@ -5,7 +5,7 @@
 
 use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::{Body, Incoming};
-use hyper::header::AUTHORIZATION;
+use hyper::header::{AUTHORIZATION, HeaderValue};
 use hyper::http::request::Parts;
 use hyper::{HeaderMap, Method, Request, Response, StatusCode};
 use tokio::net::TcpListener;
@@ -14,6 +14,7 @@
 
 use super::caller_answer::{fault_response, model_answer, plain_answer, refusal_response};
 use super::config::CONFIG;
+use super::journal::request_id;
 use super::mail::{ConfigMail, Mail};
 use super::request_runner::{RequestRunner, UpstreamRequest};
 use super::upstream_choice::{UpstreamChooser, UpstreamScope};
@@ -176,7 +177,8 @@
             upstream_request,
             continuable,
         );
-        Ok(model_answer(runner, request).await)
+        let id = runner.id();
+        Ok(with_id(id, model_answer(runner, request).await))
     }
 
     async fn answer_plain(
@@ -211,7 +213,8 @@
         };
         let chooser = self.chooser(UpstreamScope::Service(service.to_owned()), Vec::new());
         let runner = self.runner(configuration, admission, chooser, request, false);
-        Ok(plain_answer(runner).await)
+        let id = runner.id();
+        Ok(with_id(id, plain_answer(runner).await))
     }
 
     async fn configuration(&self) -> Arc<Configuration> {
@@ -329,6 +332,14 @@
     }
 }
 
+/// Adds the header under whose value operators find what was decided for the request.
+fn with_id(id: u64, mut response: Response<ResponseBody>) -> Response<ResponseBody> {
+    if let Ok(value) = HeaderValue::from_str(&request_id(id)) {
+        response.headers_mut().insert("x-request-id", value);
+    }
+    response
+}
+
 fn invalid(message: &str) -> TurnedAway {
     TurnedAway::Fault(CallerFault::InvalidValue, message.to_owned())
 }
--- a/src/services/mail.rs
+++ b/src/services/mail.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
+use super::journal::RequestReport;
 use crate::decide::claim_home::ClaimPage;
 use crate::decide::claims::{ClaimRecord, ClaimVerdict, PartitionId};
 use crate::decide::config::Configuration;
@@ -28,6 +29,8 @@
     Engine(EngineMail),
     /// To the entry's I/O task `dialer`.
     Dialer(DialerMail),
+    /// To the entry's service `journal`.
+    Journal(JournalMail),
     /// To the entry's service `tickets`.
     Tickets(TicketsMail),
     /// To the sidecar's service `claims`.
@@ -175,3 +178,12 @@
     /// Reads from an offset.
     Read(PartitionId, LogOffset),
 }
+
+/// Messages to the service `journal`, which remembers what was decided for requests.
+#[derive(Debug)]
+pub enum JournalMail {
+    /// A request has ended.
+    Report(RequestReport),
+    /// Asks for the report of a request by the id that its caller saw.
+    Find(String, ReplyTo<Option<serde_json::Value>>),
+}
--- a/src/services/mod.rs
+++ b/src/services/mod.rs
@@ -10,6 +10,7 @@
 pub mod engine_stream;
 pub mod engine_task;
 pub mod engine_watch;
+pub mod journal;
 pub mod ledger;
 pub mod ledger_state;
 pub mod log_reader;
--- a/src/services/request_runner.rs
+++ b/src/services/request_runner.rs
@@ -4,7 +4,8 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
-use super::mail::{DialerMail, Mail, MintOutcome, TicketsMail};
+use super::journal::{self, ReportStep, RequestReport};
+use super::mail::{DialerMail, JournalMail, Mail, MintOutcome, TicketsMail};
 use super::sidecar_calls::SidecarCalls;
 use super::upstream_choice::UpstreamChooser;
 use crate::decide::admission::Admission;
@@ -59,6 +60,7 @@
     items: VecDeque<StreamItem>,
     continued: u32,
     finished: bool,
+    report: RequestReport,
 }
 
 impl RequestRunner {
@@ -72,7 +74,18 @@
         request: UpstreamRequest,
         policy: AttemptPolicy,
     ) -> Self {
+        let report = RequestReport {
+            id: rand::random(),
+            customer: admission.customer.clone(),
+            rank: admission.rank.name(),
+            target: chooser.scope.describe(&admission.version),
+            arrived: directory.now(),
+            steps: Vec::new(),
+            dropped_steps: 0,
+            told: None,
+        };
         Self {
+            report,
             directory,
             configuration,
             admission,
@@ -97,6 +110,7 @@
             let event = match self.step {
                 AttemptStep::Finish(status, reason) => {
                     self.finished = true;
+                    self.report.told = Some((status, reason));
                     return RunnerOutput::Finished(status, reason);
                 }
                 AttemptStep::Choose if self.needs_continuation() => {
@@ -113,10 +127,17 @@
                     self.call(incarnation, call).await
                 }
             };
+            self.note(&event);
             self.step = self.attempt.handle(self.directory.now(), event);
         }
     }
 
+    /// Returns the id under which the request is remembered.
+    #[must_use]
+    pub const fn id(&self) -> u64 {
+        self.report.id
+    }
+
     /// Sets the body that asks for the rest of the answer.
     pub fn continue_with(&mut self, body: Vec<u8>) {
         self.request.body = body;
@@ -129,6 +150,25 @@
         self.step = self.attempt.handle(self.directory.now(), event);
     }
 
+    fn note(&mut self, event: &AttemptEvent) {
+        let is_routine = matches!(event, AttemptEvent::Items { from_index, end: None, .. }
+            if *from_index > 0);
+        if is_routine {
+            return;
+        }
+        let upstream = self.attempt.upstream().or(match event {
+            AttemptEvent::Chosen(upstream, ..) => Some(*upstream),
+            _ => None,
+        });
+        let upstream = upstream.and_then(|key| self.configuration.upstreams.get(key));
+        self.report.add(ReportStep {
+            at: self.directory.now(),
+            upstream: upstream.map_or_else(String::new, |upstream| upstream.name.clone()),
+            ticket: self.attempt.target().map(|(ticket, _)| ticket),
+            event: format!("{event:?}"),
+        });
+    }
+
     fn needs_continuation(&self) -> bool {
         self.attempt.continues && self.continued != self.attempt.submissions
     }
@@ -210,6 +250,8 @@
 
 impl Drop for RequestRunner {
     fn drop(&mut self) {
+        let mail = Mail::Journal(JournalMail::Report(self.report.clone()));
+        self.directory.send(journal::NAME, mail);
         if self.finished {
             return;
         }
--- a/src/services/upstream_choice.rs
+++ b/src/services/upstream_choice.rs
@@ -32,6 +32,17 @@
     Service(String),
 }
 
+impl UpstreamScope {
+    /// Returns what a request is sent to, for people.
+    #[must_use]
+    pub fn describe(&self, version: &str) -> String {
+        match self {
+            Self::Model(model) => format!("model {model} version {version}"),
+            Self::Service(service) => format!("service {service}"),
+        }
+    }
+}
+
 /// The upstream chosen for one submission.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct UpstreamChoice {
