--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -22,4 +22,6 @@
 pub mod replay;
 pub mod retry_budget;
 pub mod snapshot;
+pub mod snapshot_timer;
+pub mod spread;
 pub mod suspects;
--- /dev/null
+++ b/tests/config_spread.rs
@@ -0,0 +1,428 @@
+//! Spread of a configuration change over a whole fleet in virtual time.
+
+use std::cmp::Reverse;
+use std::collections::BinaryHeap;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bulrushslip::decide::ids::LogOffset;
+use bulrushslip::decide::spread::{
+    CallKind, LogStep, PeerStep, ReaderId, STANDARD, SpreadPolicy, SpreadState,
+};
+use bulrushslip::kernel::Moment;
+use rand::rngs::StdRng;
+use rand::{RngExt, SeedableRng};
+
+const SIDECARS: usize = 770;
+const ENTRIES: usize = 370;
+const HOP: Duration = Duration::from_millis(2);
+const PEER_WAIT: Duration = Duration::from_millis(2_000);
+const LOG_WAIT: Duration = Duration::from_millis(2_000);
+const ANSWER_MARGIN: Duration = Duration::from_millis(500);
+const TARGET: Duration = Duration::from_secs(4);
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+enum Event {
+    Append,
+    LogTurn(usize),
+    PeerTurn(usize, usize),
+    LogArrives {
+        reader: usize,
+        follow: bool,
+    },
+    LogAnswers {
+        reader: usize,
+        number: u64,
+    },
+    CallArrives {
+        caller: usize,
+        slot: usize,
+        peer: usize,
+        number: u64,
+    },
+    WaitOver {
+        caller: usize,
+        slot: usize,
+        peer: usize,
+        number: u64,
+    },
+    Answer {
+        caller: usize,
+        slot: usize,
+        peer: usize,
+        number: u64,
+        offset: u64,
+        evidence: Option<(u64, u64)>,
+    },
+    CallFails {
+        caller: usize,
+        slot: usize,
+        peer: usize,
+        number: u64,
+    },
+}
+
+struct Process {
+    spread: SpreadState,
+    offset: u64,
+    reaches_log: bool,
+    alive: bool,
+    calls: [u64; 2],
+    log_call: u64,
+    waiters: Vec<(usize, usize, u64)>,
+}
+
+struct Fleet {
+    processes: Vec<Process>,
+    events: BinaryHeap<Reverse<(Moment, u64, Event)>>,
+    random: StdRng,
+    now: Moment,
+    sequence: u64,
+    log_next: u64,
+    log_waiters: Vec<(usize, u64)>,
+    calls: u64,
+    log_reads: u64,
+}
+
+fn address(sidecar: usize) -> SocketAddr {
+    SocketAddr::from((
+        [
+            10,
+            0,
+            u8::try_from(sidecar / 250).unwrap(),
+            u8::try_from(sidecar % 250).unwrap(),
+        ],
+        7_000,
+    ))
+}
+
+fn index(address: SocketAddr) -> usize {
+    let SocketAddr::V4(address) = address else {
+        panic!("not ours")
+    };
+    let [_, _, high, low] = address.ip().octets();
+    usize::from(high) * 250 + usize::from(low)
+}
+
+impl Fleet {
+    fn new(seed: u64, policy: SpreadPolicy, log_percent: u32, dead_percent: u32) -> Self {
+        let mut random = StdRng::seed_from_u64(seed);
+        let declared: Vec<_> = (0..SIDECARS).map(address).collect();
+        let mut processes = Vec::new();
+        for number in 0..SIDECARS + ENTRIES {
+            let own = (number < SIDECARS).then(|| address(number));
+            let mut spread = SpreadState::new(policy, &format!("p{number}"), own, Vec::new());
+            spread.set_sidecars(&declared);
+            processes.push(Process {
+                spread,
+                offset: 0,
+                reaches_log: random.random_range(0..100) < log_percent,
+                alive: random.random_range(0..100) >= dead_percent,
+                calls: [0; 2],
+                log_call: 0,
+                waiters: Vec::new(),
+            });
+        }
+        let mut fleet = Self {
+            processes,
+            events: BinaryHeap::new(),
+            random,
+            now: Moment::START,
+            sequence: 0,
+            log_next: 1,
+            log_waiters: Vec::new(),
+            calls: 0,
+            log_reads: 0,
+        };
+        for number in 0..SIDECARS + ENTRIES {
+            let jitter = Duration::from_millis(fleet.random.random_range(0..2_000));
+            fleet.after(jitter, Event::PeerTurn(number, 0));
+            fleet.after(jitter / 2, Event::PeerTurn(number, 1));
+            fleet.after(jitter, Event::LogTurn(number));
+        }
+        fleet
+    }
+
+    fn after(&mut self, delay: Duration, event: Event) {
+        self.sequence += 1;
+        self.events
+            .push(Reverse((self.now.after(delay), self.sequence, event)));
+    }
+
+    fn run_until(&mut self, end: Moment) {
+        while let Some(Reverse((at, _, _))) = self.events.peek()
+            && *at <= end
+        {
+            let Some(Reverse((at, _, event))) = self.events.pop() else {
+                return;
+            };
+            self.now = at;
+            self.handle(event);
+        }
+        self.now = end;
+    }
+
+    fn handle(&mut self, event: Event) {
+        match event {
+            Event::Append => {
+                self.log_next += 1;
+                for (reader, number) in std::mem::take(&mut self.log_waiters) {
+                    self.after(HOP, Event::LogAnswers { reader, number });
+                }
+            }
+            Event::LogTurn(p) => self.log_turn(p),
+            Event::PeerTurn(p, slot) => self.peer_turn(p, slot),
+            Event::LogArrives { reader, follow } => self.log_arrives(reader, follow),
+            Event::LogAnswers { reader, number } => {
+                if self.processes[reader].log_call == number {
+                    self.processes[reader].log_call += 1;
+                    let random = self.random.random();
+                    self.processes[reader].spread.log_read(self.now, random);
+                    self.advance(reader, self.log_next);
+                    self.log_turn(reader);
+                }
+            }
+            Event::CallArrives {
+                caller,
+                slot,
+                peer,
+                number,
+            } => {
+                let newer = self.processes[peer].offset > self.processes[caller].offset;
+                if newer {
+                    self.answer(caller, slot, peer, number);
+                    return;
+                }
+                self.processes[peer].waiters.push((caller, slot, number));
+                self.after(
+                    PEER_WAIT,
+                    Event::WaitOver {
+                        caller,
+                        slot,
+                        peer,
+                        number,
+                    },
+                );
+            }
+            Event::WaitOver {
+                caller,
+                slot,
+                peer,
+                number,
+            } => {
+                let waiters = &mut self.processes[peer].waiters;
+                if let Some(at) = waiters
+                    .iter()
+                    .position(|waiter| *waiter == (caller, slot, number))
+                {
+                    waiters.remove(at);
+                    self.answer(caller, slot, peer, number);
+                }
+            }
+            Event::Answer {
+                caller,
+                slot,
+                number,
+                offset,
+                evidence,
+                ..
+            } => {
+                if self.processes[caller].calls[slot] == number {
+                    if let Some((reader, age_ms)) = evidence {
+                        let spread = &mut self.processes[caller].spread;
+                        spread.peer_answered(self.now, ReaderId(reader), age_ms);
+                    }
+                    self.advance(caller, offset);
+                    self.peer_turn(caller, slot);
+                }
+            }
+            Event::CallFails {
+                caller,
+                slot,
+                peer,
+                number,
+            } => {
+                if self.processes[caller].calls[slot] == number {
+                    self.processes[caller]
+                        .spread
+                        .peer_failed(self.now, address(peer));
+                    self.peer_turn(caller, slot);
+                }
+            }
+        }
+    }
+
+    fn log_turn(&mut self, p: usize) {
+        if !self.processes[p].alive {
+            return;
+        }
+        let random = self.random.random();
+        let offset = LogOffset(self.processes[p].offset);
+        match self.processes[p].spread.log_step(self.now, offset, random) {
+            LogStep::WaitUntil(at) => {
+                let delay = at.remaining(self.now).max(Duration::from_millis(1));
+                self.after(delay, Event::LogTurn(p));
+            }
+            step => {
+                let follow = step == LogStep::Follow;
+                self.log_reads += 1;
+                self.after(HOP, Event::LogArrives { reader: p, follow });
+            }
+        }
+    }
+
+    fn log_arrives(&mut self, reader: usize, follow: bool) {
+        let process = &mut self.processes[reader];
+        if !process.reaches_log {
+            let random = self.random.random();
+            process.spread.log_failed(self.now, random);
+            self.log_turn(reader);
+            return;
+        }
+        let number = process.log_call;
+        if follow && process.offset == self.log_next {
+            self.log_waiters.push((reader, number));
+            self.after(LOG_WAIT, Event::LogAnswers { reader, number });
+        } else {
+            self.after(HOP, Event::LogAnswers { reader, number });
+        }
+    }
+
+    fn peer_turn(&mut self, p: usize, slot: usize) {
+        if !self.processes[p].alive {
+            return;
+        }
+        let random = self.random.random();
+        let process = &mut self.processes[p];
+        process.calls[slot] += 1;
+        let number = process.calls[slot];
+        let kind = [CallKind::Parent, CallKind::Random][slot];
+        let offset = LogOffset(process.offset);
+        match process.spread.peer_step(self.now, offset, kind, random) {
+            PeerStep::WaitUntil(at) => {
+                self.after(at.remaining(self.now), Event::PeerTurn(p, slot));
+            }
+            PeerStep::FetchFromPeer(address) => {
+                self.calls += 1;
+                let peer = index(address);
+                let limit = PEER_WAIT + ANSWER_MARGIN;
+                if self.processes[peer].alive {
+                    self.after(
+                        HOP,
+                        Event::CallArrives {
+                            caller: p,
+                            slot,
+                            peer,
+                            number,
+                        },
+                    );
+                } else {
+                    self.after(
+                        limit,
+                        Event::CallFails {
+                            caller: p,
+                            slot,
+                            peer,
+                            number,
+                        },
+                    );
+                }
+            }
+        }
+    }
+
+    fn answer(&mut self, caller: usize, slot: usize, peer: usize, number: u64) {
+        let newest = self.processes[peer].spread.newest_evidence();
+        let evidence = newest.map(|evidence| {
+            let age = self.now.since(evidence.at).as_millis();
+            (evidence.reader.0, u64::try_from(age).expect("a short run"))
+        });
+        let offset = self.processes[peer].offset;
+        self.after(
+            HOP,
+            Event::Answer {
+                caller,
+                slot,
+                peer,
+                number,
+                offset,
+                evidence,
+            },
+        );
+    }
+
+    fn advance(&mut self, p: usize, offset: u64) {
+        if offset <= self.processes[p].offset {
+            return;
+        }
+        self.processes[p].offset = offset;
+        for (caller, slot, number) in std::mem::take(&mut self.processes[p].waiters) {
+            self.answer(caller, slot, p, number);
+        }
+    }
+
+    fn behind(&self) -> usize {
+        let live = self.processes.iter().filter(|process| process.alive);
+        live.filter(|process| process.offset < self.log_next)
+            .count()
+    }
+
+    /// Appends a record and returns the time until it is in force at every live process.
+    fn spread_time(&mut self) -> Duration {
+        let appended_at = self.now;
+        self.after(Duration::ZERO, Event::Append);
+        self.run_until(self.now.after(Duration::from_millis(1)));
+        while self.behind() > 0 && self.now.since(appended_at) < 10 * TARGET {
+            self.run_until(self.now.after(Duration::from_millis(10)));
+        }
+        self.now.since(appended_at)
+    }
+}
+
+/// Returns the spread times of changes at random moments, after a time to settle.
+fn spread_times(policy: SpreadPolicy, log_percent: u32, dead_percent: u32) -> Vec<Duration> {
+    let mut times = Vec::new();
+    for seed in 0..5 {
+        let mut fleet = Fleet::new(seed, policy, log_percent, dead_percent);
+        fleet.run_until(Moment::from_micros(60_000_000));
+        for _ in 0..10 {
+            let pause = Duration::from_millis(fleet.random.random_range(1_000..20_000));
+            let (calls, log_reads, from) = (fleet.calls, fleet.log_reads, fleet.now);
+            fleet.run_until(fleet.now.after(pause));
+            let seconds = fleet.now.since(from).as_secs_f64();
+            if times.len() % 10 == 0 {
+                let processes = (SIDECARS + ENTRIES) as f64;
+                println!(
+                    "calls/s a process {:.2}, log reads/s {:.1}",
+                    (fleet.calls - calls) as f64 / seconds / processes,
+                    (fleet.log_reads - log_reads) as f64 / seconds,
+                );
+            }
+            times.push(fleet.spread_time());
+        }
+    }
+    times.sort();
+    let ms = |at: usize| times[at].as_millis();
+    println!(
+        "log {log_percent}%, dead {dead_percent}%: median {} p90 {} max {} ms",
+        ms(25),
+        ms(45),
+        ms(49)
+    );
+    times
+}
+
+#[test]
+fn explore() {
+    for (log, dead) in [
+        (100, 0),
+        (5, 0),
+        (1, 0),
+        (100, 2),
+        (5, 2),
+        (100, 10),
+        (5, 10),
+    ] {
+        spread_times(STANDARD, log, dead);
+    }
+}
