--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -25,3 +25,5 @@
 pub mod snapshot_timer;
 pub mod spread;
 pub mod suspects;
+pub mod upstream_queue;
+pub mod work_estimate;
