Charge retries to the entry's budget when tickets are minted

Cause: the budget was not used; a request could be submitted max_attempts times whatever the fleet did, so nothing bounded an entry's retries.

Ruled out: charging every further submission. A spill after a full queue or a planned stop runs nothing and has no failure behind it; charged, a flood would use up the budget. The attempt therefore tells why it submits (SubmitCause).

Conclusion: in force in the entry.

--- a/src/decide/attempt.rs
+++ b/src/decide/attempt.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use super::attempt_step::{AttemptEvent, AttemptPolicy, AttemptStep, SidecarCall};
+use super::attempt_step::{AttemptEvent, AttemptPolicy, AttemptStep, SidecarCall, SubmitCause};
 use super::config::UpstreamKey;
 use super::ids::{Incarnation, Repeatability, Ticket};
 use super::outcome::{RefusalReason, RunStatus, StreamEnd};
@@ -37,8 +37,11 @@
     pub excluded: Vec<UpstreamKey>,
     /// Tickets submitted so far.
     pub submissions: u32,
+    /// Submissions that followed a failure.
+    pub retries: u32,
     /// Whether an earlier ticket was cut after it had delivered part of the answer.
     pub continues: bool,
+    follows_failure: bool,
     evidence: RunEvidence,
     last_refusal: Option<RefusalReason>,
     target: Option<SubmitTarget>,
@@ -65,6 +68,8 @@
             policy,
             excluded: Vec::new(),
             submissions: 0,
+            retries: 0,
+            follows_failure: false,
             continues: false,
             evidence: RunEvidence::NeverRan,
             last_refusal: None,
@@ -79,6 +84,18 @@
             .map(|target| (target.ticket, target.incarnation))
     }
 
+    /// Returns why the next submission is made.
+    #[must_use]
+    pub const fn cause(&self) -> SubmitCause {
+        if self.submissions == 0 {
+            SubmitCause::Fresh
+        } else if self.follows_failure {
+            SubmitCause::Retry(self.retries)
+        } else {
+            SubmitCause::Spill
+        }
+    }
+
     /// Returns the index of the next item wanted from the present ticket.
     #[must_use]
     pub fn next_index(&self) -> u64 {
@@ -89,6 +106,7 @@
     pub fn handle(&mut self, now: Moment, event: AttemptEvent) -> AttemptStep {
         match event {
             AttemptEvent::Chosen(upstream, incarnation, ticket) => {
+                self.retries += u32::from(self.follows_failure);
                 self.submissions += 1;
                 let call = SidecarCall::Submit(ticket);
                 self.target = Some(SubmitTarget {
@@ -239,6 +257,10 @@
     /// The present ticket is proved not to run; another upstream may be tried.
     fn not_run_here(&mut self, now: Moment, reason: RefusalReason) -> AttemptStep {
         self.last_refusal = Some(reason);
+        self.follows_failure = !matches!(
+            reason,
+            RefusalReason::Busy | RefusalReason::QueueFull | RefusalReason::Leaving
+        );
         let another = self.submissions < self.policy.max_submissions;
         let in_time = !self.policy.start_by.is_due(now);
         // Another upstream would answer the same for these reasons.
@@ -264,6 +286,7 @@
             return self.finish_without_answer(None);
         }
         self.continues = delivered;
+        self.follows_failure = true;
         self.choose_another()
     }
 
--- a/src/decide/attempt_step.rs
+++ b/src/decide/attempt_step.rs
@@ -18,6 +18,17 @@
     pub max_submissions: u32,
 }
 
+/// Why a request is submitted.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum SubmitCause {
+    /// For the first time.
+    Fresh,
+    /// Again, because an upstream's queue was too long or it is leaving; nothing has failed.
+    Spill,
+    /// Again, because an upstream failed; this many retries came before.
+    Retry(u32),
+}
+
 /// A call to the sidecar of the chosen upstream.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum SidecarCall {
--- a/src/entry.rs
+++ b/src/entry.rs
@@ -3,6 +3,7 @@
 use std::io;
 
 use crate::decide::ids::Incarnation;
+use crate::decide::retry_budget::RetryPolicy;
 use crate::kernel::{Clock, TokioKernel};
 use crate::platform::http_server::ServerLimits;
 use crate::platform::instance_client::{InstanceClient, WireInstance, WireInstanceState};
@@ -46,7 +47,10 @@
     }
     kernel.add(config_service());
     kernel.add_task(log_reader(common.platform));
-    kernel.add(tickets_service(Incarnation(rand::random())));
+    kernel.add(tickets_service(
+        Incarnation(rand::random()),
+        RetryPolicy::default(),
+    ));
     kernel.add_task(dialer_task());
     let caller_settings = CallerSettings {
         limits: ServerLimits {
--- a/src/services/mail.rs
+++ b/src/services/mail.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
+use crate::decide::attempt_step::SubmitCause;
 use crate::decide::claim_home::ClaimPage;
 use crate::decide::claims::{ClaimRecord, ClaimVerdict, PartitionId};
 use crate::decide::config::Configuration;
@@ -136,8 +137,8 @@
 /// Messages to the service `tickets`, which mints tickets and grants retries.
 #[derive(Debug)]
 pub enum TicketsMail {
-    /// Asks for a fresh ticket of a request that is submitted for the n-th time, from 1.
-    Mint(u32, ReplyTo<MintOutcome>),
+    /// Asks for a fresh ticket for a submission.
+    Mint(SubmitCause, ReplyTo<MintOutcome>),
 }
 
 /// Answer to [`TicketsMail::Mint`].
--- a/src/services/request_runner.rs
+++ b/src/services/request_runner.rs
@@ -148,8 +148,8 @@
         let Some(choice) = choice else {
             return AttemptEvent::NoChoice(RefusalReason::NoUpstream);
         };
-        let submission = self.attempt.submissions + 1;
-        let question = |reply_to| Mail::Tickets(TicketsMail::Mint(submission, reply_to));
+        let cause = self.attempt.cause();
+        let question = |reply_to| Mail::Tickets(TicketsMail::Mint(cause, reply_to));
         match self.directory.ask("tickets", question).await {
             Some(MintOutcome::Minted(ticket)) => {
                 self.address = Some(choice.address);
--- a/src/services/tickets.rs
+++ b/src/services/tickets.rs
@@ -1,29 +1,69 @@
-//! Service `tickets` of an entry: mints tickets in sequence.
+//! Service `tickets` of an entry: mints tickets in sequence and grants retries from a budget.
 
 use super::mail::{Mail, MintOutcome, TicketsMail};
+use crate::decide::attempt_step::SubmitCause;
 use crate::decide::ids::{Incarnation, Ticket};
+use crate::decide::retry_budget::{RetryBudget, RetryPolicy, RetryStep};
 use crate::kernel::{NextStep, Service, Signal};
 
+#[derive(Debug)]
+struct TicketMint {
+    incarnation: Incarnation,
+    sequence: u64,
+    budget: RetryBudget,
+    retries: u64,
+    refused: u64,
+}
+
 /// Creates the service `tickets` for one life of an entry.
 #[must_use]
-pub fn tickets_service(incarnation: Incarnation) -> Service<Mail> {
-    let mut sequence = 0_u64;
+pub fn tickets_service(incarnation: Incarnation, policy: RetryPolicy) -> Service<Mail> {
+    let mut mint = TicketMint {
+        incarnation,
+        sequence: 0,
+        budget: RetryBudget::new(policy),
+        retries: 0,
+        refused: 0,
+    };
     Service::new("tickets", move |_turn, signal| {
         match signal {
-            Signal::Mail(Mail::Tickets(TicketsMail::Mint(_submission, reply_to))) => {
-                sequence += 1;
-                reply_to.send(MintOutcome::Minted(Ticket {
-                    entry: incarnation,
-                    sequence,
-                }));
+            Signal::Mail(Mail::Tickets(TicketsMail::Mint(cause, reply_to))) => {
+                reply_to.send(mint.grant(cause));
             }
-            Signal::Dump(reply_to) => reply_to.send(serde_json::json!({
-                "incarnation": format!("{:016x}", incarnation.0),
-                "minted": sequence,
-            })),
+            Signal::Dump(reply_to) => reply_to.send(mint.dump()),
             Signal::Stop => return NextStep::Stopped,
             _ => {}
         }
         NextStep::Wait
     })
 }
+
+impl TicketMint {
+    fn grant(&mut self, cause: SubmitCause) -> MintOutcome {
+        match cause {
+            SubmitCause::Fresh => self.budget.record_fresh(),
+            SubmitCause::Spill => {}
+            SubmitCause::Retry(retries) => match self.budget.try_retry(retries) {
+                RetryStep::Retry => self.retries += 1,
+                RetryStep::RequestExhausted | RetryStep::BudgetExhausted => {
+                    self.refused += 1;
+                    return MintOutcome::OverBudget;
+                }
+            },
+        }
+        self.sequence += 1;
+        MintOutcome::Minted(Ticket {
+            entry: self.incarnation,
+            sequence: self.sequence,
+        })
+    }
+
+    fn dump(&self) -> serde_json::Value {
+        serde_json::json!({
+            "incarnation": format!("{:016x}", self.incarnation.0),
+            "minted": self.sequence,
+            "retries": self.retries,
+            "retries_refused": self.refused,
+        })
+    }
+}
--- a/tests/retry_budget.rs
+++ b/tests/retry_budget.rs
@@ -1,6 +1,11 @@
 //! Properties of the retry budget.
 
+use bulrushslip::decide::attempt_step::SubmitCause;
+use bulrushslip::decide::ids::Incarnation;
 use bulrushslip::decide::retry_budget::{RetryBudget, RetryPolicy, RetryStep};
+use bulrushslip::kernel::{Moment, ReplyTo, Signal, SteppedKernel};
+use bulrushslip::services::mail::{Mail, MintOutcome, TicketsMail};
+use bulrushslip::services::tickets::tickets_service;
 
 #[test]
 fn retries_stay_under_the_share_of_fresh_traffic_in_any_order() {
@@ -56,3 +61,26 @@
     assert_eq!(budget.try_retry(2), RetryStep::Retry);
     assert_eq!(budget.try_retry(3), RetryStep::RequestExhausted);
 }
+
+#[test]
+fn the_mint_charges_retries_but_neither_fresh_requests_nor_spills() {
+    let policy = RetryPolicy {
+        max_per_request: 2,
+        share_percent: 50,
+        burst: 1,
+    };
+    let mut kernel = SteppedKernel::new(1);
+    let tickets = kernel.add(tickets_service(Incarnation(1), policy));
+    let mut mint = |cause| {
+        let (reply_to, mut reply) = ReplyTo::channel();
+        let mail = Mail::Tickets(TicketsMail::Mint(cause, reply_to));
+        kernel.post(tickets, Signal::Mail(mail));
+        kernel.run_until(Moment::START);
+        matches!(reply.try_recv(), Ok(MintOutcome::Minted(_)))
+    };
+    assert!(mint(SubmitCause::Spill) && mint(SubmitCause::Retry(0)));
+    assert!(!mint(SubmitCause::Retry(0)));
+    assert!(mint(SubmitCause::Fresh) && mint(SubmitCause::Fresh) && mint(SubmitCause::Spill));
+    assert!(!mint(SubmitCause::Retry(2)));
+    assert!(mint(SubmitCause::Retry(1)));
+}
