Answer requests that are on their way when a planned stop begins

Cause: a stop dropped the listener at once. Ruled out: only shortening the window; accepting the queue without a grace (hyper closes those connections); a flag behind a lock (the flag is a watched value of the task that owns it).

--- a/demo.sh
+++ b/demo.sh
@@ -94,8 +94,8 @@
 process sidecar-1 bulrushslip-sidecar --upstream engine-1 --engine "$(address engine-1 engine)"
 process sidecar-2 bulrushslip-sidecar --upstream engine-2 --engine "$(address engine-2 engine)"
 process sidecar-3 bulrushslip-sidecar --upstream gates-1 --plain "$(address gates plain)"
-process entry-1 bulrushslip-entry
-process entry-2 bulrushslip-entry
+process entry-1 bulrushslip-entry --leave-ms 0
+process entry-2 bulrushslip-entry --leave-ms 0
 
 echo "Declaring the configuration"
 engine="{\"engine\": {\"model\": \"$MODEL\", \"version\": \"v1\"}}"
--- a/src/entry.rs
+++ b/src/entry.rs
@@ -51,6 +51,7 @@
     let caller_settings = CallerSettings {
         limits: ServerLimits {
             max_connections: settings.max_connections,
+            leave_ms: settings.leave_ms,
             drain_ms: common.drain_ms,
         },
         body_limit_bytes: settings.body_limit_bytes,
@@ -68,5 +69,5 @@
     ));
     kernel.add_task(callers_task(callers, caller_settings));
     kernel.add_task(registration_task(client, instance));
-    process::run_until_signal(kernel, clock, common.drain_ms).await
+    process::run_until_signal(kernel, clock, settings.leave_ms + common.drain_ms).await
 }
--- a/src/entry_cli.rs
+++ b/src/entry_cli.rs
@@ -38,6 +38,9 @@
     /// baselines for measurements
     #[argh(option)]
     policy: Option<String>,
+    /// time after the signal to stop in which new connections are still accepted, in milliseconds
+    #[argh(option)]
+    leave_ms: Option<String>,
     /// longest wait for open requests at a planned stop, in milliseconds
     #[argh(option)]
     drain_ms: Option<String>,
@@ -65,6 +68,7 @@
             ("max-connections", self.max_connections.as_ref()),
             ("max-attempts", self.max_attempts.as_ref()),
             ("policy", self.policy.as_ref()),
+            ("leave-ms", self.leave_ms.as_ref()),
             ("drain-ms", self.drain_ms.as_ref()),
             ("log-level", self.log_level.as_ref()),
             ("log-format", self.log_format.as_ref()),
--- a/src/services/callers.rs
+++ b/src/services/callers.rs
@@ -15,6 +15,7 @@
 use super::caller_answer::{fault_response, model_answer, plain_answer, refusal_response};
 use super::config::CONFIG;
 use super::mail::{ConfigMail, Mail};
+use super::operator::{self, OperatorMail};
 use super::request_runner::{RequestRunner, UpstreamRequest};
 use super::upstream_choice::{UpstreamChooser, UpstreamScope};
 use crate::decide::admission::{
@@ -71,9 +72,10 @@
     directory: Directory<Mail>,
 ) {
     let (stop, stopped) = oneshot::channel();
+    let shared = directory.clone();
     let handler = RequestHandler::new(move |request| {
         let exchange = CallerExchange {
-            directory: directory.clone(),
+            directory: shared.clone(),
             settings,
         };
         async move { exchange.answer(request).await }
@@ -90,6 +92,8 @@
         }
     }
     if stop.send(()).is_ok() {
+        let leaving = Mail::Operator(OperatorMail::Leaving);
+        directory.deliver(operator::NAME, leaving).await;
         // The server ends once its open exchanges have.
         drop(server.await);
     }
--- a/src/services/mail.rs
+++ b/src/services/mail.rs
@@ -12,6 +12,7 @@
 use crate::kernel::{Moment, ReplyTo};
 use crate::platform::log_client::LogPage;
 use crate::services::metrics::MetricSample;
+use crate::services::operator::OperatorMail;
 use crate::wire::rpc::{
     AttachReply, AttachVerdict, QuoteCall, QuoteReply, ReadCall, ReadReply, SidecarRpcClient,
     StreamItem, SubmitCall, SubmitReply, WithdrawReply,
@@ -34,6 +35,8 @@
     Claims(ClaimsMail),
     /// To the sidecar's I/O task `claim-log`.
     ClaimLog(ClaimLogMail),
+    /// To the I/O task `operator`.
+    Operator(OperatorMail),
     /// To the service `metrics`.
     Metrics(MetricSample),
 }
--- a/src/services/operator.rs
+++ b/src/services/operator.rs
@@ -7,7 +7,7 @@
 use hyper::{HeaderMap, Method, Request, Response, StatusCode};
 use serde_json::json;
 use tokio::net::TcpListener;
-use tokio::sync::oneshot;
+use tokio::sync::{oneshot, watch};
 
 use super::mail::Mail;
 use crate::events::{OPERATOR_DENIED, log_event};
@@ -22,6 +22,7 @@
 /// Bounds of the operator port.
 const LIMITS: ServerLimits = ServerLimits {
     max_connections: 16,
+    leave_ms: 0,
     drain_ms: 1_000,
 };
 
@@ -38,6 +39,13 @@
     pub token: Option<String>,
 }
 
+/// Messages to the I/O task `operator`.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum OperatorMail {
+    /// The process is about to stop; a balancer is to send it nothing more.
+    Leaving,
+}
+
 /// Creates the task that serves the operator port.
 #[must_use]
 pub fn task(listener: TcpListener, identity: OperatorIdentity) -> IoTask<Mail> {
@@ -53,10 +61,17 @@
     directory: Directory<Mail>,
 ) {
     let (stop, stopped) = oneshot::channel();
+    let (leave, is_leaving) = watch::channel(false);
     let identity = Arc::new(identity);
     let shared = Arc::clone(&identity);
-    let handler =
-        RequestHandler::new(move |request| answer(request, Arc::clone(&shared), directory.clone()));
+    let handler = RequestHandler::new(move |request| {
+        let exchange = OperatorExchange {
+            identity: Arc::clone(&shared),
+            directory: directory.clone(),
+            is_leaving: *is_leaving.borrow(),
+        };
+        exchange.answer(request)
+    });
     let server = tokio::spawn(serve(listener, handler, LIMITS, stopped));
     while let Some(signal) = inbox.receive().await {
         match signal {
@@ -65,7 +80,11 @@
                 "name": identity.name,
                 "data_centre": identity.data_centre,
                 "version": env!("CARGO_PKG_VERSION"),
+                "is_leaving": *leave.borrow(),
             })),
+            Signal::Mail(Mail::Operator(OperatorMail::Leaving)) => {
+                leave.send_replace(true);
+            }
             Signal::Stop => break,
             Signal::Start | Signal::Mail(_) | Signal::Due => {}
         }
@@ -75,30 +94,41 @@
     drop(server.await);
 }
 
-async fn answer(
-    request: Request<Incoming>,
+/// One call to the operator port.
+struct OperatorExchange {
     identity: Arc<OperatorIdentity>,
     directory: Directory<Mail>,
-) -> Response<ResponseBody> {
-    let path = request.uri().path();
-    if request.method() != Method::GET {
-        return failure(StatusCode::METHOD_NOT_ALLOWED, "only GET is accepted");
-    }
-    if path == "/health" {
-        let uptime = directory.now().since(Moment::START);
-        let health = json!({"status": "ok", "uptime_s": uptime.as_secs()});
-        return json_response(StatusCode::OK, &health);
-    }
-    if !is_authorized(request.headers(), identity.token.as_deref()) {
-        log_event(&OPERATOR_DENIED, &[("path", &path)]);
-        return failure(
-            StatusCode::UNAUTHORIZED,
-            "the operator token is missing or wrong",
-        );
+    is_leaving: bool,
+}
+
+impl OperatorExchange {
+    async fn answer(self, request: Request<Incoming>) -> Response<ResponseBody> {
+        let path = request.uri().path();
+        if request.method() != Method::GET {
+            return failure(StatusCode::METHOD_NOT_ALLOWED, "only GET is accepted");
+        }
+        if path == "/health" {
+            return self.health();
+        }
+        if !is_authorized(request.headers(), self.identity.token.as_deref()) {
+            log_event(&OPERATOR_DENIED, &[("path", &path)]);
+            let message = "the operator token is missing or wrong";
+            return failure(StatusCode::UNAUTHORIZED, message);
+        }
+        match path {
+            "/dump" => json_response(StatusCode::OK, &self.directory.dump().await),
+            _ => failure(StatusCode::NOT_FOUND, "paths are /health and /dump"),
+        }
     }
-    match path {
-        "/dump" => json_response(StatusCode::OK, &directory.dump().await),
-        _ => failure(StatusCode::NOT_FOUND, "paths are /health and /dump"),
+
+    fn health(&self) -> Response<ResponseBody> {
+        let uptime = self.directory.now().since(Moment::START).as_secs();
+        let (status, text) = if self.is_leaving {
+            (StatusCode::SERVICE_UNAVAILABLE, "leaving")
+        } else {
+            (StatusCode::OK, "ok")
+        };
+        json_response(status, &json!({"status": text, "uptime_s": uptime}))
     }
 }
 
--- a/src/settings/table.rs
+++ b/src/settings/table.rs
@@ -165,7 +165,7 @@
 );
 
 /// Settings of `bulrushslip-entry`.
-pub const ENTRY_TABLE: [SettingRow; 14] = [
+pub const ENTRY_TABLE: [SettingRow; 15] = [
     row(
         "listen",
         "BULRUSHSLIP_LISTEN",
@@ -212,6 +212,16 @@
         "attempts to run one request, the first included",
     ),
     POLICY,
+    row(
+        "leave-ms",
+        "BULRUSHSLIP_LEAVE_MS",
+        Fallback::Value("3000"),
+        ValueKind::Integer {
+            min: 0,
+            max: 600_000,
+        },
+        "time after the signal to stop in which new connections are still accepted, in milliseconds",
+    ),
     DRAIN_MS,
     LOG_LEVEL,
     LOG_FORMAT,
--- a/src/standin/roles.rs
+++ b/src/standin/roles.rs
@@ -31,6 +31,7 @@
 /// Bounds of a stand-in's server.
 const SERVER_LIMITS: ServerLimits = ServerLimits {
     max_connections: 16_384,
+    leave_ms: 0,
     drain_ms: 100,
 };
 
--- a/tests/common/fleet.rs
+++ b/tests/common/fleet.rs
@@ -135,6 +135,9 @@
 fn entry(platform: &str, index: usize, more: &[&str]) -> ChildProcess {
     let name = format!("entry-{index}");
     let mut arguments = common_arguments(platform, &name);
+    if !more.contains(&"--leave-ms") {
+        arguments.extend(["--leave-ms", "0"]);
+    }
     arguments.extend(more);
     let binary = env!("CARGO_BIN_EXE_bulrushslip-entry");
     ChildProcess::start(binary, &arguments, &["entry", "operator"])
--- /dev/null
+++ b/tests/http_server.rs
@@ -0,0 +1,52 @@
+//! The HTTP server loop at a stop.
+
+use std::io::{Read, Write};
+use std::net::TcpStream;
+use std::time::Duration;
+
+use bulrushslip::platform::http_server::{RequestHandler, ServerLimits, serve, whole_body};
+use hyper::Response;
+use tokio::net::TcpListener;
+use tokio::sync::oneshot;
+
+/// Connections that wait in the listen queue when the stop comes.
+const QUEUED: usize = 8;
+
+/// Runs, each with its own order of stop and accept.
+const ROUNDS: usize = 16;
+
+const LIMITS: ServerLimits = ServerLimits {
+    max_connections: QUEUED,
+    leave_ms: 0,
+    drain_ms: 5_000,
+};
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn requests_that_wait_in_the_listen_queue_at_a_stop_are_answered() {
+    for round in 0..ROUNDS {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+        let address = listener.local_addr().expect("an address");
+        let mut callers: Vec<TcpStream> = (0..QUEUED)
+            .map(|_| {
+                let mut caller = TcpStream::connect(address).expect("queued");
+                let request = b"GET / HTTP/1.1\r\nhost: x\r\nconnection: close\r\n\r\n";
+                caller.write_all(request).expect("sent");
+                caller
+            })
+            .collect();
+        let (stop, stopped) = oneshot::channel();
+        stop.send(()).expect("a receiver");
+        let handler = RequestHandler::new(|_| async { Response::new(whole_body("answered")) });
+        tokio::spawn(serve(listener, handler, LIMITS, stopped));
+        for caller in &mut callers {
+            let limit = Some(Duration::from_secs(5));
+            caller.set_read_timeout(limit).expect("a limit");
+            let mut answer = String::new();
+            let read = caller.read_to_string(&mut answer);
+            assert!(
+                read.is_ok() && answer.ends_with("answered"),
+                "{round}: {read:?} {answer}"
+            );
+        }
+    }
+}
--- a/tests/planned_stop.rs
+++ b/tests/planned_stop.rs
@@ -8,7 +8,7 @@
 use std::time::Duration;
 
 use bulrushslip::platform::http_client::{OpenResponse, open};
-use common::{API_KEY, Answer, Fleet, MODEL, build, send};
+use common::{API_KEY, Answer, Fleet, FleetOptions, MODEL, build, get, send};
 use http_body_util::BodyExt;
 use hyper::Method;
 use serde_json::json;
@@ -80,6 +80,29 @@
     assert_eq!(ask(fleet.entry(1)).await.status, 200);
 }
 
+#[tokio::test]
+async fn a_leaving_entry_says_so_and_still_answers_new_connections() {
+    let options = FleetOptions {
+        entry: vec!["--leave-ms", "2000"],
+        ..FleetOptions::default()
+    };
+    let mut fleet = Fleet::start_with(&options).await;
+    let (entry, operator) = (fleet.entry(0), fleet.entries[0].port("operator"));
+    assert_eq!(get(operator, "/health", &[]).await.status, 200);
+    fleet.entries[0].terminate();
+    while get(operator, "/health", &[]).await.status == 200 {
+        tokio::task::yield_now().await;
+    }
+    let late = ask(entry).await;
+    assert_eq!((late.status, late.header("connection")), (200, "close"));
+    let health = get(operator, "/health", &[]).await;
+    assert_eq!(
+        (health.status, health.json()["status"].as_str()),
+        (503, Some("leaving"))
+    );
+    assert_eq!(fleet.entries[0].wait(), Some(0));
+}
+
 #[tokio::test]
 async fn a_stopping_sidecar_finishes_its_answers_and_new_work_goes_elsewhere() {
     let mut fleet = Fleet::start().await;
