--- a/src/services/callers.rs
+++ b/src/services/callers.rs
@@ -16,6 +16,7 @@
 use super::config::CONFIG;
 use super::journal::request_id;
 use super::mail::{ConfigMail, Mail};
+use super::operator::{self, OperatorMail};
 use super::request_runner::{RequestRunner, UpstreamRequest};
 use super::upstream_choice::{UpstreamChooser, UpstreamScope};
 use crate::decide::admission::{
@@ -72,9 +73,10 @@
     directory: Directory<Mail>,
 ) {
     let (stop, stopped) = oneshot::channel();
+    let shared = directory.clone();
     let handler = RequestHandler::new(move |request| {
         let exchange = CallerExchange {
-            directory: directory.clone(),
+            directory: shared.clone(),
             settings,
         };
         async move { exchange.answer(request).await }
@@ -91,6 +93,8 @@
         }
     }
     if stop.send(()).is_ok() {
+        let leaving = Mail::Operator(OperatorMail::Leaving);
+        directory.deliver(operator::NAME, leaving).await;
         // The server ends once its open exchanges have.
         drop(server.await);
     }
