--- a/src/decide/spread.rs
+++ b/src/decide/spread.rs
@@ -287,8 +287,8 @@
 
     /// Takes in the evidence of a sidecar, which was `age_ms` old when it was sent.
     pub fn peer_answered(&mut self, now: Moment, reader: ReaderId, age_ms: u64) {
-        let age_us = age_ms.saturating_mul(1_000);
-        let at = Moment::from_micros(now.as_micros().saturating_sub(age_us));
+        let age = age_ms.saturating_mul(1_000);
+        let at = Moment::from_micros(now.as_micros().saturating_sub(age));
         // An echo of what this process told is worth nothing.
         if reader != ReaderId(place(&self.own_name)) && at > Moment::START {
             self.add_evidence(LogEvidence { reader, at });
--- a/src/entry.rs
+++ b/src/entry.rs
@@ -49,7 +49,6 @@
     kernel.add(config_service());
     kernel.add_task(log_reader(common.platform));
     kernel.add(journal_service());
-    kernel.add(tickets_service(Incarnation(rand::random())));
     kernel.add(tickets_service(
         Incarnation(rand::random()),
         RetryPolicy::default(),
--- a/src/services/mail.rs
+++ b/src/services/mail.rs
@@ -4,8 +4,8 @@
 use std::sync::Arc;
 
 use super::journal::RequestReport;
-use crate::decide::cache_index::{CacheList, CachePage, IndexStep};
 use crate::decide::attempt_step::SubmitCause;
+use crate::decide::cache_index::{CacheList, CachePage, IndexStep};
 use crate::decide::claim_home::ClaimPage;
 use crate::decide::claims::{ClaimRecord, ClaimVerdict, PartitionId};
 use crate::decide::config::Configuration;
