Follow the engine's cache in the sidecar and quote by it

Cause: quotes said that every piece is missing and took a fixed cost for everything, so entries could not weigh waiting against recomputing. Ruled out: dividing the cost of what waits by the slots, since an engine computes one prompt's pieces at a time and only decodes in parallel; correcting that by the time that requests hold their slots, which includes waiting for each other. The drain rate, that is time against estimated cost over the starts while requests wait, is what a newcomer meets.

--- a/src/decide/cache_index.rs
+++ b/src/decide/cache_index.rs
@@ -47,6 +47,28 @@
     pub key: PrefixKey,
 }
 
+/// Events of an engine's cache.
+#[derive(Debug, Clone)]
+pub struct CachePage {
+    /// Life of the engine.
+    pub epoch: EngineEpoch,
+    /// Events in the order of their sequence.
+    pub events: Vec<CacheEvent>,
+    /// Sequence number up to which the engine has published events.
+    pub next: u64,
+}
+
+/// Content of an engine's cache.
+#[derive(Debug, Clone)]
+pub struct CacheList {
+    /// Life of the engine.
+    pub epoch: EngineEpoch,
+    /// Keys of the pieces.
+    pub keys: Vec<PrefixKey>,
+    /// Sequence number of the first event that the list does not contain.
+    pub next: u64,
+}
+
 /// What the follower of the events does next.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum IndexStep {
@@ -111,17 +133,17 @@
         self.distrust();
     }
 
-    /// Applies a batch of events; `next` is the sequence number that the engine's next event gets.
+    /// Applies a batch of events.
     ///
     /// Events already applied are skipped. A missing one empties the index, and so does a batch
     /// that brings nothing new although the engine is further on.
-    pub fn apply(&mut self, epoch: EngineEpoch, events: &[CacheEvent], next: u64) -> IndexStep {
-        self.observe_epoch(epoch);
+    pub fn apply(&mut self, page: &CachePage) -> IndexStep {
+        self.observe_epoch(page.epoch);
         let Some(applied) = self.next_sequence else {
             return IndexStep::Resync;
         };
         let mut expected = applied;
-        for event in events.iter().filter(|event| event.sequence >= applied) {
+        for event in page.events.iter().filter(|event| event.sequence >= applied) {
             if event.sequence > expected {
                 self.distrust();
                 return IndexStep::Resync;
@@ -131,24 +153,24 @@
                 expected += 1;
             }
         }
-        if expected == applied && next > expected {
+        if expected == applied && page.next > expected {
             self.distrust();
             return IndexStep::Resync;
         }
         self.follow(expected)
     }
 
-    /// Replaces the content by a full list that was taken before the event `next`.
+    /// Replaces the content by a full list.
     ///
     /// A list older than the events that have been applied is ignored, also after a gap.
-    pub fn resync(&mut self, epoch: EngineEpoch, keys: &[PrefixKey], next: u64) -> IndexStep {
-        self.observe_epoch(epoch);
-        if next < self.reached {
+    pub fn resync(&mut self, list: &CacheList) -> IndexStep {
+        self.observe_epoch(list.epoch);
+        if list.next < self.reached {
             return self.step();
         }
         self.blocks.clear();
-        self.blocks.extend(keys.iter().take(self.capacity));
-        self.follow(next)
+        self.blocks.extend(list.keys.iter().take(self.capacity));
+        self.follow(list.next)
     }
 
     /// Returns how many pieces the engine has to compute, which is all from the first one missing.
--- a/src/decide/ids.rs
+++ b/src/decide/ids.rs
@@ -21,7 +21,7 @@
 /// let ticket = Ticket { entry: Incarnation(0xab), sequence: 7 };
 /// assert_eq!(Ticket::parse(&ticket.to_string()), Some(ticket));
 /// ```
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Debug, Default, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct Ticket {
     /// The entry process that minted the ticket.
     pub entry: Incarnation,
--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -23,3 +23,5 @@
 pub mod retry_budget;
 pub mod snapshot;
 pub mod suspects;
+pub mod upstream_queue;
+pub mod work_estimate;
--- a/src/decide/placement.rs
+++ b/src/decide/placement.rs
@@ -58,15 +58,8 @@
     pub wait_us: u64,
     /// Pieces that it would have to compute.
     pub missing_pieces: u32,
-}
-
-/// Weighs quotes against each other.
-#[derive(Debug, Clone, Copy)]
-pub struct QuoteWeights {
-    /// Rank of the request.
-    pub rank: Rank,
-    /// Time to compute one piece, in microseconds.
-    pub prefill_us: u64,
+    /// Time to compute one piece there, in microseconds.
+    pub piece_us: u64,
 }
 
 /// One offer of a request to an upstream.
@@ -170,17 +163,17 @@
     #[must_use]
     pub fn hops(
         &self,
-        weights: &QuoteWeights,
+        rank: Rank,
         candidates: &[UpstreamKey],
         quotes: &[CandidateQuote],
     ) -> Vec<PlacementHop> {
         let open = || quotes.iter().filter(|quote| quote.open);
         let least_wait_us = open().map(|quote| quote.wait_us).min().unwrap_or(0);
-        let wait_weight = (self.wait_weight)(weights.rank, least_wait_us).max(1);
+        let wait_weight = (self.wait_weight)(rank, least_wait_us).max(1);
         let mut ranked: Vec<(u64, usize, CandidateQuote)> = open()
             .filter_map(|quote| {
                 let position = candidates.iter().position(|c| *c == quote.upstream)?;
-                let cost = self.cost(weights, quote, wait_weight);
+                let cost = self.cost(quote, wait_weight);
                 Some((cost, position, *quote))
             })
             .collect();
@@ -208,13 +201,13 @@
         hops
     }
 
-    fn cost(&self, weights: &QuoteWeights, quote: &CandidateQuote, wait_weight: u64) -> u64 {
+    fn cost(&self, quote: &CandidateQuote, wait_weight: u64) -> u64 {
         let wait_cost = quote.wait_us.saturating_mul(wait_weight) / WEIGHT_ONE;
         if !self.counts_missing {
             return wait_cost;
         }
         let pieces = u64::from(quote.missing_pieces);
-        wait_cost.saturating_add(weights.prefill_us.saturating_mul(pieces))
+        wait_cost.saturating_add(quote.piece_us.saturating_mul(pieces))
     }
 }
 
--- a/src/decide/queue/item.rs
+++ b/src/decide/queue/item.rs
@@ -28,7 +28,7 @@
     pub share: CustomerShare,
     /// Rank of the request.
     pub rank: Rank,
-    /// Estimated time that the request occupies a slot, in microseconds.
+    /// Estimated share of the upstream's time that the request takes, in microseconds.
     pub cost_us: u64,
     /// Deadline by which the request must have started.
     pub start_by: Moment,
@@ -62,14 +62,21 @@
     pub slots: u32,
     /// Requests that run, indexed by [`Rank::index`].
     pub running: [u32; 2],
+    /// Requests that may start now, whatever the number of free slots.
+    pub openings: u32,
 }
 
 impl RunningSlots {
-    /// Returns how many slots are free.
+    /// Returns how many requests may start now.
     #[must_use]
     pub const fn free(&self) -> u32 {
         let running = self.running[0].saturating_add(self.running[1]);
-        self.slots.saturating_sub(running)
+        let free = self.slots.saturating_sub(running);
+        if free < self.openings {
+            free
+        } else {
+            self.openings
+        }
     }
 }
 
--- a/src/decide/queue/mod.rs
+++ b/src/decide/queue/mod.rs
@@ -4,11 +4,13 @@
 //! their floor, and they start once the credit covers the next of them. Some slots are kept free
 //! of routine requests, so that an urgent one never waits behind long decodes only.
 
+mod drain;
 mod item;
 mod lanes;
 
 use std::collections::{BTreeSet, HashMap};
 
+use drain::DrainRate;
 pub use item::{
     CustomerId, CustomerShare, OfferOutcome, QueueDiscipline, QueueItem, QueuePolicy, QueueStep,
     RunningSlots,
@@ -25,18 +27,13 @@
 /// Credit beyond this is not kept, in microseconds of service.
 const CREDIT_LIMIT_US: i64 = 60_000_000;
 
-/// Fixed-point one of the ratio between actual and estimated costs.
-const RATIO_ONE: u64 = 1_024;
-
-/// Weight of one finished request in the ratio, as a shift.
-const RATIO_SHIFT: u32 = 4;
-
 #[derive(Debug, Clone, Copy)]
 struct RunningItem {
     item: QueueItem,
     rank: Rank,
     lane: LaneKey,
     started: Moment,
+    producing: bool,
 }
 
 /// Requests that wait for a slot of one upstream, and those that were started from here.
@@ -51,7 +48,7 @@
     running: HashMap<Ticket, RunningItem>,
     in_flight: HashMap<CustomerId, u32>,
     routine_credit_us: i64,
-    cost_ratio: u64,
+    drain: DrainRate,
 }
 
 impl FairQueue {
@@ -67,7 +64,7 @@
             running: HashMap::new(),
             in_flight: HashMap::new(),
             routine_credit_us: 0,
-            cost_ratio: RATIO_ONE,
+            drain: DrainRate::default(),
         }
     }
 
@@ -148,7 +145,14 @@
         items
     }
 
-    /// Records that a started request has ended after occupying its slot for `actual_us`.
+    /// Records that a started request has produced its first output.
+    pub fn producing(&mut self, ticket: Ticket) {
+        if let Some(running) = self.running.get_mut(&ticket) {
+            running.producing = true;
+        }
+    }
+
+    /// Records that a started request has ended and what it really cost.
     pub fn finished(&mut self, ticket: Ticket, actual_us: u64) {
         let Some(ended) = self.running.remove(&ticket) else {
             return;
@@ -157,23 +161,27 @@
         self.ranks[ended.rank.index()].correct(ended.lane, estimate_us, actual_us);
         self.earn(ended.rank, signed(actual_us) - signed(estimate_us));
         self.release(ended.item.customer);
-        let ratio = actual_us.saturating_mul(RATIO_ONE) / estimate_us.max(1);
-        let ratio = ratio.clamp(RATIO_ONE / 16, RATIO_ONE * 16);
-        let kept = self.cost_ratio - (self.cost_ratio >> RATIO_SHIFT);
-        self.cost_ratio = (kept + (ratio >> RATIO_SHIFT)).max(1);
     }
 
-    /// Estimates how long the request would wait if it arrived now, in microseconds.
+    /// Estimates how long the request's first output would wait for others if it arrived now, in
+    /// microseconds.
     #[must_use]
     pub fn expected_wait_us(&self, now: Moment, item: &QueueItem, running: &RunningSlots) -> u64 {
         let (rank, customer) = self.place(item);
-        let ahead_us = self.cost_ahead_us(rank, customer, item);
-        if ahead_us == 0 && self.has_room(rank, running) {
-            return 0;
+        let ahead_us = self.drain.time_us(self.cost_ahead_us(rank, customer, item));
+        let starting = self.running.values().filter(|r| !r.producing);
+        let starting_us: u64 = starting.map(|r| self.rest_us(now, r)).sum();
+        let wait_us = ahead_us + starting_us;
+        if wait_us == 0 && !self.has_room(rank, running) {
+            return self.drain.time_us(item.cost_us);
         }
-        let running_us: u64 = self.running.values().map(|r| self.rest_us(now, r)).sum();
-        let total_us = self.scaled(ahead_us) + running_us;
-        total_us / u64::from(running.slots.max(1))
+        wait_us
+    }
+
+    /// Converts an estimated cost into time, as observed while requests waited, in microseconds.
+    #[must_use]
+    pub fn time_us(&self, cost_us: u64) -> u64 {
+        self.drain.time_us(cost_us)
     }
 
     fn refusal(
@@ -239,11 +247,8 @@
 
     fn rest_us(&self, now: Moment, running: &RunningItem) -> u64 {
         let ran_us = now.as_micros().saturating_sub(running.started.as_micros());
-        self.scaled(running.item.cost_us).saturating_sub(ran_us)
-    }
-
-    const fn scaled(&self, cost_us: u64) -> u64 {
-        cost_us.saturating_mul(self.cost_ratio) / RATIO_ONE
+        let cost_us = self.drain.time_us(running.item.cost_us);
+        cost_us.saturating_sub(ran_us)
     }
 
     fn floor(&self, rank: Rank) -> u8 {
@@ -293,8 +298,10 @@
             rank,
             lane,
             started: now,
+            producing: false,
         };
         self.running.insert(item.ticket, started);
+        self.drain.started(now, item.cost_us, self.items.is_empty());
         item
     }
 
--- a/src/load/measure.rs
+++ b/src/load/measure.rs
@@ -5,7 +5,7 @@
 use std::time::Instant;
 
 use super::options::MeasureOptions;
-use crate::decide::cache_index::{CacheChange, CacheEvent, CacheIndex};
+use crate::decide::cache_index::{CacheChange, CacheEvent, CacheIndex, CacheList, CachePage};
 use crate::decide::config::{Upstream, UpstreamKind};
 use crate::decide::ids::{EngineEpoch, Incarnation, PrefixKey, Rank, Ticket};
 use crate::decide::placement::{PlacementRequest, PlacementTarget, STANDARD};
@@ -58,9 +58,14 @@
     let mut index = CacheIndex::new(pieces);
     let keys: Vec<PrefixKey> = (0..pieces as u64).map(piece_key).collect();
     let with_keys = resident_bytes();
-    index.resync(EPOCH, &keys, 0);
+    let list = CacheList {
+        epoch: EPOCH,
+        keys,
+        next: 0,
+    };
+    index.resync(&list);
     let bytes = resident_bytes().saturating_sub(with_keys);
-    let prompt: Vec<PrefixKey> = keys.iter().take(PROMPT_PIECES).copied().collect();
+    let prompt: Vec<PrefixKey> = list.keys.iter().take(PROMPT_PIECES).copied().collect();
     let per_lookup = nanoseconds(repetitions, |_| {
         black_box(index.missing(black_box(&prompt)));
     });
@@ -75,7 +80,11 @@
         key: piece_key(sequence / 2 + (sequence % 2) * pieces as u64),
     };
     let per_event = nanoseconds(repetitions, |turn| {
-        index.apply(EPOCH, &[event(turn)], turn + 1);
+        index.apply(&CachePage {
+            epoch: EPOCH,
+            events: vec![event(turn)],
+            next: turn + 1,
+        });
     });
     let _written = writeln!(
         text,
@@ -126,6 +135,7 @@
     let slots = RunningSlots {
         slots: 8,
         running: [0, 0],
+        openings: u32::MAX,
     };
     let now = Moment::START;
     for sequence in 0..u64::from(length) {
--- /dev/null
+++ b/src/services/cache_watch.rs
@@ -0,0 +1,91 @@
+//! I/O task `cache-watch` of a sidecar: follows the events of the engine's cache.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use http_body_util::Full;
+use hyper::Method;
+use serde::de::DeserializeOwned;
+
+use super::mail::{LedgerMail, Mail};
+use crate::decide::cache_index::{CacheList, CachePage, IndexStep};
+use crate::kernel::{Directory, Inbox, IoTask, Signal};
+use crate::platform::http_client;
+use crate::wire::cache_feed::{WireCacheKeys, WireCachePage};
+
+/// Time in milliseconds that the engine may hold back an answer without events.
+const EVENTS_WAIT_MS: u64 = 1_000;
+
+/// Longest time for an answer, the wait included.
+const FETCH_TIMEOUT: Duration = Duration::from_secs(3);
+
+/// Pause after a failed fetch or a lost event.
+const RETRY_PAUSE: Duration = Duration::from_millis(50);
+
+/// Pause after each answer, so that a busy engine is asked for batches, not for single events.
+const BATCH_PAUSE: Duration = Duration::from_millis(5);
+
+/// Creates the I/O task `cache-watch`.
+#[must_use]
+pub fn cache_watch_task(engine: SocketAddr) -> IoTask<Mail> {
+    IoTask::new("cache-watch", move |inbox, directory| {
+        run(engine, inbox, directory)
+    })
+}
+
+async fn run(engine: SocketAddr, mut inbox: Inbox<Mail>, directory: Directory<Mail>) {
+    let following = follow(engine, directory);
+    tokio::pin!(following);
+    loop {
+        tokio::select! {
+            signal = inbox.receive() => match signal {
+                Some(Signal::Dump(reply_to)) => reply_to.send(serde_json::Value::Null),
+                Some(Signal::Stop) | None => return,
+                Some(_) => {}
+            },
+            () = &mut following => return,
+        }
+    }
+}
+
+async fn follow(engine: SocketAddr, directory: Directory<Mail>) {
+    let mut step = IndexStep::Resync;
+    loop {
+        let next = match step {
+            IndexStep::Follow(sequence) => fetch_events(engine, &directory, sequence).await,
+            IndexStep::Resync => fetch_keys(engine, &directory).await,
+        };
+        let pause = match next {
+            Some(IndexStep::Follow(_)) => BATCH_PAUSE,
+            Some(IndexStep::Resync) | None => RETRY_PAUSE,
+        };
+        step = next.unwrap_or(IndexStep::Resync);
+        tokio::time::sleep(pause).await;
+    }
+}
+
+async fn fetch_events(
+    engine: SocketAddr,
+    directory: &Directory<Mail>,
+    sequence: u64,
+) -> Option<IndexStep> {
+    let path = format!("/cache/events?from={sequence}&wait_ms={EVENTS_WAIT_MS}");
+    let page: WireCachePage = fetch(engine, &path).await?;
+    let page = CachePage::try_from(page).ok()?;
+    let question = |reply_to| Mail::Ledger(LedgerMail::CacheEvents(page, reply_to));
+    directory.ask("ledger", question).await
+}
+
+async fn fetch_keys(engine: SocketAddr, directory: &Directory<Mail>) -> Option<IndexStep> {
+    let list: WireCacheKeys = fetch(engine, "/cache/keys").await?;
+    let list = CacheList::try_from(list).ok()?;
+    let question = |reply_to| Mail::Ledger(LedgerMail::CacheKeys(list, reply_to));
+    directory.ask("ledger", question).await
+}
+
+async fn fetch<T: DeserializeOwned>(engine: SocketAddr, path: &str) -> Option<T> {
+    let request = http_client::request(Method::GET, engine, path);
+    let request = request.body(Full::default()).ok()?;
+    let response = http_client::call(engine, request, FETCH_TIMEOUT).await;
+    serde_json::from_slice(&response.ok()?.body).ok()
+}
--- a/src/services/ledger_state.rs
+++ b/src/services/ledger_state.rs
@@ -7,6 +7,7 @@
 use super::ledger::wait_until;
 use super::mail::{EngineMail, EngineState, Mail};
 use super::stream_buffer::{PushOutcome, StreamBuffer};
+use crate::decide::cache_index::{CacheList, CachePage, IndexStep};
 use crate::decide::config::{Configuration, Upstream};
 use crate::decide::ids::{Incarnation, Rank, Repeatability, Ticket};
 use crate::decide::ledger::{
@@ -14,25 +15,14 @@
     WithdrawStep,
 };
 use crate::decide::outcome::{RefusalReason, StreamEnd};
-use crate::decide::queue::{
-    CustomerId, CustomerShare, FairQueue, OfferOutcome, QueueItem, QueuePolicy, QueueStep,
-    RunningSlots,
-};
+use crate::decide::queue::{CustomerShare, OfferOutcome, QueueDiscipline, QueuePolicy, QueueStep};
+use crate::decide::upstream_queue::{UpstreamQueue, WorkRequest};
 use crate::kernel::{Moment, NextStep, ReplyTo, Turn};
 use crate::wire::rpc::{
     AttachReply, AttachVerdict, QuoteCall, QuoteReply, ReadCall, ReadReply, ReadVerdict, ReplyHead,
     StreamItem, SubmitCall, SubmitReply, SubmitVerdict, WireEnd, WithdrawReply, WithdrawVerdict,
 };
 
-/// Estimated prefill time of one missing piece, in microseconds; the queue corrects estimates.
-const PREFILL_PIECE_US: u64 = 60_000;
-
-/// Estimated time of one output token, in microseconds.
-const OUTPUT_TOKEN_US: u64 = 5_000;
-
-/// Output tokens assumed when a request states none.
-const DEFAULT_OUTPUT_TOKENS: u64 = 64;
-
 /// Longest wait of a read for its first item.
 const MAX_READ_WAIT: Duration = Duration::from_secs(2);
 
@@ -50,6 +40,8 @@
     pub bounds: LedgerBounds,
     /// Bounds and shares of the queue.
     pub queue: QueuePolicy,
+    /// Started requests with pieces to compute that the upstream gets ahead.
+    pub starting_limit: u32,
 }
 
 /// A read that waits for its first item.
@@ -64,11 +56,12 @@
 #[derive(Debug)]
 struct TicketJob {
     ticket: Ticket,
-    rank: Rank,
     call: Option<Arc<SubmitCall>>,
     buffer: StreamBuffer,
     reader: Option<PendingRead>,
-    started: Option<Moment>,
+    started: bool,
+    cached_pieces: Option<u32>,
+    parts: u32,
     end_read: bool,
     keep_all: bool,
 }
@@ -82,12 +75,10 @@
     configuration: Option<Arc<Configuration>>,
     upstream: Option<Upstream>,
     ledger: TicketLedger,
-    queue: FairQueue,
+    queue: UpstreamQueue,
     queued: HashMap<Ticket, TicketKey>,
     jobs: HashMap<TicketKey, TicketJob>,
     read_deadlines: BTreeSet<(Moment, TicketKey)>,
-    customers: HashMap<String, CustomerId>,
-    running: [u32; 2],
     leaving: bool,
     stopping: bool,
 }
@@ -101,12 +92,10 @@
             configuration: None,
             upstream: None,
             ledger: TicketLedger::new(settings.bounds),
-            queue: FairQueue::new(settings.queue),
+            queue: UpstreamQueue::new(settings.queue, settings.starting_limit),
             queued: HashMap::new(),
             jobs: HashMap::new(),
             read_deadlines: BTreeSet::new(),
-            customers: HashMap::new(),
-            running: [0; 2],
             leaving: false,
             stopping: false,
             settings,
@@ -125,27 +114,52 @@
             .iter()
             .find(|(_, upstream)| upstream.name == *name);
         self.upstream = upstream.map(|(_, upstream)| upstream.clone());
+        self.queue.slots = self.upstream.as_ref().map_or(0, |upstream| upstream.slots);
         let floor = |rank| configuration.rank_policy(rank).floor_percent;
-        self.queue.policy.floor_percent = Rank::ALL.map(floor);
+        self.queue.set_floors(Rank::ALL.map(floor));
         self.configuration = Some(configuration);
     }
 
     /// Answers what a request would cost.
     pub fn quote(&mut self, now: Moment, call: &QuoteCall) -> QuoteReply {
-        let rank = Rank::try_from(call.rank).unwrap_or(Rank::Routine);
-        let missing = call.prefix_keys.len();
-        let item = self.queue_item(&call.customer, rank, missing, 0, Moment::NEVER);
-        let wait_us = self
-            .queue
-            .expected_wait_us(now, &item, &self.running_slots());
+        let keys = call.keys();
+        let request = WorkRequest {
+            customer: &call.customer,
+            share: self.share(&call.customer),
+            rank: Rank::try_from(call.rank).unwrap_or(Rank::Routine),
+            keys: &keys,
+            output_tokens: 0,
+        };
+        let quote = self.queue.quote(now, &request);
         QuoteReply {
             head: self.head(),
             open: self.refusal(&call.version).is_none(),
-            wait_us: u32::try_from(wait_us).unwrap_or(u32::MAX),
-            missing_pieces: u32::try_from(missing).unwrap_or(u32::MAX),
+            wait_us: u32::try_from(quote.wait_us).unwrap_or(u32::MAX),
+            missing_pieces: quote.missing_pieces,
+            piece_us: u32::try_from(quote.piece_us).unwrap_or(u32::MAX),
         }
     }
 
+    /// Applies a batch of the engine's cache events and says what to fetch next.
+    pub fn cache_events(&mut self, page: &CachePage) -> IndexStep {
+        let index = &mut self.queue.estimate.index;
+        index.apply(page)
+    }
+
+    /// Replaces what is known of the engine's cache and says what to fetch next.
+    pub fn cache_keys(&mut self, list: &CacheList) -> IndexStep {
+        let index = &mut self.queue.estimate.index;
+        index.resync(list)
+    }
+
+    /// Takes in the state of the engine; another epoch empties what is known of its cache.
+    pub fn observe(&mut self, engine: EngineState) {
+        if let EngineState::Up { epoch, .. } = &engine {
+            self.queue.estimate.index.observe_epoch(*epoch);
+        }
+        self.engine = engine;
+    }
+
     /// Takes in a submission.
     pub fn submit(&mut self, now: Moment, call: SubmitCall) -> SubmitReply {
         let verdict = match self.admit(now, call) {
@@ -161,7 +175,7 @@
         }
     }
 
-    fn admit(&mut self, now: Moment, call: SubmitCall) -> Result<(), RefusalReason> {
+    fn admit(&mut self, now: Moment, mut call: SubmitCall) -> Result<(), RefusalReason> {
         if call.incarnation != self.settings.incarnation.0 {
             return Err(RefusalReason::WrongIncarnation);
         }
@@ -178,21 +192,28 @@
             self.ledger.end(now, key, StreamEnd::NotRun(reason));
             return Err(reason);
         }
-        let tokens = u64::from(call.output_tokens);
-        let missing = call.prefix_keys.len();
-        let mut item = self.queue_item(&call.customer, rank, missing, tokens, start_by);
-        item.ticket = ticket;
-        let slots = self.running_slots();
-        if let OfferOutcome::Refused(reason) =
-            self.queue.offer(now, item, call.wait_limit_us, &slots)
-        {
+        let keys = call.keys();
+        let request = WorkRequest {
+            customer: &call.customer,
+            share: self.share(&call.customer),
+            rank,
+            keys: &keys,
+            output_tokens: call.output_tokens,
+        };
+        let limit_us = call.wait_limit_us;
+        let outcome = self.queue.offer(now, ticket, &request, start_by, limit_us);
+        if let OfferOutcome::Refused(reason) = outcome {
             self.ledger.end(now, key, StreamEnd::NotRun(reason));
             return Err(reason);
         }
+        if self.settings.queue.discipline == QueueDiscipline::Fifo {
+            // The baseline knows no ranks, so the engine is not told of them either.
+            call.rank = Rank::Routine.into();
+        }
         self.queued.insert(ticket, key);
         let keep_all = repeatability == Repeatability::NonIdempotent;
         self.jobs
-            .insert(key, new_job(ticket, rank, Some(Arc::new(call)), keep_all));
+            .insert(key, new_job(ticket, Some(Arc::new(call)), keep_all));
         Ok(())
     }
 
@@ -284,9 +305,9 @@
         }
         let key = self.ledger.adopt(turn.now, ticket, repeatability);
         let keep_all = repeatability == Repeatability::NonIdempotent;
-        let mut job = new_job(ticket, Rank::Routine, None, keep_all);
-        job.started = Some(turn.now);
-        self.running[job.rank.index()] += 1;
+        let mut job = new_job(ticket, None, keep_all);
+        job.started = true;
+        self.queue.adopt(ticket, Rank::Routine);
         self.jobs.insert(key, job);
         turn.send(
             "engine",
@@ -317,6 +338,15 @@
             return;
         };
         for item in items {
+            match &item {
+                StreamItem::Head { headers, .. } => job.cached_pieces = cached_pieces(headers),
+                StreamItem::Data(_) => {
+                    job.parts += 1;
+                    if job.parts == 1 {
+                        self.queue.producing(job.ticket, job.cached_pieces);
+                    }
+                }
+            }
             if job.buffer.push(item) == PushOutcome::Overflow {
                 self.ended(now, key, StreamEnd::EngineLost);
                 return;
@@ -328,7 +358,7 @@
     /// Takes in the end of a ticket at the engine.
     pub fn ended(&mut self, now: Moment, key: TicketKey, end: StreamEnd) {
         self.ledger.end(now, key, end);
-        self.leave_slot(now, key);
+        self.leave_slot(key);
         self.answer_pending(key);
     }
 
@@ -341,8 +371,8 @@
     /// Refuses new work from now on and hands back what is queued.
     pub fn begin_leaving(&mut self, now: Moment) {
         self.leaving = true;
-        for item in self.queue.drain() {
-            if let Some(key) = self.queued.remove(&item.ticket) {
+        for ticket in self.queue.drain() {
+            if let Some(key) = self.queued.remove(&ticket) {
                 self.ledger
                     .end(now, key, StreamEnd::NotRun(RefusalReason::Leaving));
                 self.answer_pending(key);
@@ -406,8 +436,7 @@
 
     fn start_queued(&mut self, turn: &mut Turn<'_, Mail>) -> Moment {
         loop {
-            let slots = self.running_slots();
-            match self.queue.next(turn.now, &slots) {
+            match self.queue.next(turn.now) {
                 QueueStep::Wait => return Moment::NEVER,
                 QueueStep::WaitUntil(deadline) => return deadline,
                 QueueStep::Expired(item) => {
@@ -436,13 +465,12 @@
             return;
         };
         let Some(call) = job.call.take() else { return };
-        job.started = Some(turn.now);
-        self.running[job.rank.index()] += 1;
+        job.started = true;
         turn.send("engine", Mail::Engine(EngineMail::Start(key, call)));
     }
 
     fn cancel(&mut self, turn: &mut Turn<'_, Mail>, key: TicketKey) {
-        self.leave_slot(turn.now, key);
+        self.leave_slot(key);
         if let Some(job) = self.jobs.get(&key) {
             let mail = EngineMail::Cancel(key, job.ticket);
             turn.send("engine", Mail::Engine(mail));
@@ -458,26 +486,19 @@
         self.queued.remove(&job.ticket);
     }
 
-    fn leave_slot(&mut self, now: Moment, key: TicketKey) {
+    fn leave_slot(&mut self, key: TicketKey) {
         let Some(job) = self.jobs.get_mut(&key) else {
             return;
         };
-        let Some(started) = job.started.take() else {
-            return;
-        };
-        self.running[job.rank.index()] -= 1;
-        let actual = now.since(started).as_micros();
-        self.queue
-            .finished(job.ticket, u64::try_from(actual).unwrap_or(u64::MAX));
+        if std::mem::take(&mut job.started) {
+            self.queue.finished(job.ticket, job.parts);
+        }
     }
 
     fn drop_job(&mut self, key: TicketKey) {
         drop(self.take_reader(key));
-        if let Some(job) = self.jobs.remove(&key)
-            && job.started.is_some()
-        {
-            self.running[job.rank.index()] -= 1;
-        }
+        self.leave_slot(key);
+        self.jobs.remove(&key);
     }
 
     fn take_reader(&mut self, key: TicketKey) -> Option<PendingRead> {
@@ -536,57 +557,21 @@
         }
     }
 
-    fn queue_item(
-        &mut self,
-        customer: &str,
-        rank: Rank,
-        missing: usize,
-        tokens: u64,
-        start_by: Moment,
-    ) -> QueueItem {
-        let next_id = CustomerId(u32::try_from(self.customers.len()).unwrap_or(u32::MAX));
-        let id = *self.customers.entry(customer.to_owned()).or_insert(next_id);
-        let declared = self.configuration.as_ref().and_then(|configuration| {
-            configuration
-                .customers
-                .iter()
-                .find(|(_, declared)| declared.name == customer)
-        });
-        let share = declared.map_or(
+    fn share(&self, customer: &str) -> CustomerShare {
+        let declared = self
+            .configuration
+            .as_ref()
+            .and_then(|c| c.customer(customer));
+        declared.map_or(
             CustomerShare {
                 weight: 1,
                 max_in_flight: 1,
             },
-            |(_, c)| CustomerShare {
-                weight: c.weight,
-                max_in_flight: c.max_in_flight,
-            },
-        );
-        let tokens = if tokens == 0 {
-            DEFAULT_OUTPUT_TOKENS
-        } else {
-            tokens
-        };
-        let prefill_us = PREFILL_PIECE_US * missing as u64;
-        QueueItem {
-            ticket: Ticket {
-                entry: Incarnation(0),
-                sequence: 0,
+            |(_, declared)| CustomerShare {
+                weight: declared.weight,
+                max_in_flight: declared.max_in_flight,
             },
-            customer: id,
-            share,
-            rank,
-            cost_us: prefill_us + OUTPUT_TOKEN_US * tokens,
-            start_by,
-        }
-    }
-
-    fn running_slots(&self) -> RunningSlots {
-        let slots = self.upstream.as_ref().map_or(0, |upstream| upstream.slots);
-        RunningSlots {
-            slots,
-            running: self.running,
-        }
+        )
     }
 
     /// Tells whether nothing runs and every end has been read or has no reader any more.
@@ -594,7 +579,7 @@
         self.jobs.iter().all(|(key, job)| {
             let entry = self.ledger.get(*key);
             let is_orphaned = entry.is_none_or(|entry| entry.orphan_at.is_due(now));
-            job.started.is_none() && (job.end_read || is_orphaned)
+            !job.started && (job.end_read || is_orphaned)
         })
     }
 
@@ -615,29 +600,37 @@
     /// Returns the state as JSON.
     #[must_use]
     pub fn dump(&self) -> serde_json::Value {
+        let running = self.queue.running();
         serde_json::json!({
             "incarnation": format!("{:016x}", self.settings.incarnation.0),
             "upstream": self.settings.upstream,
             "engine": format!("{:?}", self.engine),
             "next_offset": self.head().next_offset,
             "tickets": self.ledger.len(),
-            "queued": self.queue.len(),
-            "running": {"urgent": self.running[0], "routine": self.running[1]},
+            "queued": self.queue.waiting(),
+            "cached_pieces": self.queue.estimate.index.len(),
+            "running": {"urgent": running[0], "routine": running[1]},
             "answer_bytes": self.jobs.values().map(|job| job.buffer.bytes()).sum::<usize>(),
             "leaving": self.leaving,
         })
     }
 }
 
-fn new_job(ticket: Ticket, rank: Rank, call: Option<Arc<SubmitCall>>, keep_all: bool) -> TicketJob {
+fn new_job(ticket: Ticket, call: Option<Arc<SubmitCall>>, keep_all: bool) -> TicketJob {
     TicketJob {
         ticket,
-        rank,
         call,
         buffer: StreamBuffer::default(),
         reader: None,
-        started: None,
+        started: false,
+        cached_pieces: None,
+        parts: 0,
         end_read: false,
         keep_all,
     }
 }
+
+fn cached_pieces(headers: &[(String, String)]) -> Option<u32> {
+    let header = headers.iter().find(|(name, _)| name == "x-cached-pieces");
+    header.and_then(|(_, value)| value.parse().ok())
+}
--- a/src/services/mail.rs
+++ b/src/services/mail.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
+use crate::decide::cache_index::{CacheList, CachePage, IndexStep};
 use crate::decide::claim_home::ClaimPage;
 use crate::decide::claims::{ClaimRecord, ClaimVerdict, PartitionId};
 use crate::decide::config::Configuration;
@@ -84,6 +85,10 @@
     EngineState(EngineState),
     /// The platform wants the instance to go.
     Leaving,
+    /// Events of the engine's cache; answered with what to fetch next.
+    CacheEvents(CachePage, ReplyTo<IndexStep>),
+    /// All that the engine's cache holds; answered with what to fetch next.
+    CacheKeys(CacheList, ReplyTo<IndexStep>),
     /// A new configuration is in force.
     Configured(Arc<Configuration>),
 }
--- a/src/services/mod.rs
+++ b/src/services/mod.rs
@@ -1,5 +1,6 @@
 //! Services and I/O tasks that the binaries are put together from.
 
+pub mod cache_watch;
 pub mod caller_answer;
 pub mod callers;
 pub mod claim_log;
--- a/src/services/sidecar_rpc.rs
+++ b/src/services/sidecar_rpc.rs
@@ -84,6 +84,7 @@
             open: false,
             wait_us: u32::MAX,
             missing_pieces: u32::MAX,
+            piece_us: 0,
         })
     }
 
--- a/src/services/upstream_choice.rs
+++ b/src/services/upstream_choice.rs
@@ -12,7 +12,7 @@
 use crate::decide::config::{Configuration, Upstream, UpstreamKey};
 use crate::decide::ids::{Incarnation, PrefixKey};
 use crate::decide::placement::{
-    CandidateQuote, PlacementHop, PlacementPolicy, PlacementRequest, PlacementTarget, QuoteWeights,
+    CandidateQuote, PlacementHop, PlacementPolicy, PlacementRequest, PlacementTarget,
 };
 use crate::kernel::Directory;
 use crate::wire::rpc::QuoteCall;
@@ -20,9 +20,6 @@
 /// Time for a quote; a candidate that has not answered by then is left out.
 const QUOTE_TIMEOUT: Duration = Duration::from_millis(25);
 
-/// Time to compute one missing piece, in microseconds.
-const PREFILL_PIECE_US: u64 = 60_000;
-
 /// What a request is sent to.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum UpstreamScope {
@@ -98,11 +95,7 @@
         let replies = join_all(calls).await;
         let quotes: Vec<CandidateQuote> =
             replies.iter().flatten().map(|(quote, _)| *quote).collect();
-        let weights = QuoteWeights {
-            rank: admission.rank,
-            prefill_us: PREFILL_PIECE_US,
-        };
-        let hops = self.policy.hops(&weights, &candidates, &quotes);
+        let hops = self.policy.hops(admission.rank, &candidates, &quotes);
         let choose = |hop: &PlacementHop| {
             let upstream = configuration.upstreams.get(hop.upstream)?;
             let reply = replies
@@ -177,6 +170,7 @@
             open: reply.open,
             wait_us: u64::from(reply.wait_us),
             missing_pieces: reply.missing_pieces,
+            piece_us: u64::from(reply.piece_us),
         };
         Some((quote, reply.head.incarnation()))
     }
--- a/src/sidecar.rs
+++ b/src/sidecar.rs
@@ -5,9 +5,11 @@
 use crate::decide::ids::Incarnation;
 use crate::decide::ledger::LedgerBounds;
 use crate::decide::queue::QueuePolicy;
+use crate::decide::upstream_queue::STARTING_LIMIT;
 use crate::kernel::{Clock, TokioKernel};
 use crate::platform::instance_client::{InstanceClient, WireInstance, WireInstanceState};
 use crate::process;
+use crate::services::cache_watch::cache_watch_task;
 use crate::services::config::config_service;
 use crate::services::config_feed::config_feed_task;
 use crate::services::engine_task::{EngineKind, EngineTarget, engine_task};
@@ -51,6 +53,10 @@
             rank_capacity: settings.queue_limit,
             floor_percent: DEFAULT_FLOOR_PERCENT,
         },
+        starting_limit: match target.kind {
+            EngineKind::Model => STARTING_LIMIT,
+            EngineKind::Plain => u32::MAX,
+        },
     };
     let instance = WireInstance {
         name: common.name.clone(),
@@ -72,6 +78,9 @@
     kernel.add_task(log_reader(common.platform));
     kernel.add_task(engine_task(target));
     kernel.add_task(engine_watch_task(target));
+    if target.kind == EngineKind::Model {
+        kernel.add_task(cache_watch_task(target.address));
+    }
     kernel.add_task(rpc_task(entries));
     kernel.add_task(operator::task(
         operators,
--- a/src/wire/mod.rs
+++ b/src/wire/mod.rs
@@ -1,5 +1,6 @@
 //! Wire types, each with `From` and `TryFrom` towards the types of the decisions.
 
+pub mod cache_feed;
 pub mod claim_record;
 pub mod config_objects;
 pub mod config_record;
--- a/src/wire/rpc.rs
+++ b/src/wire/rpc.rs
@@ -149,6 +149,16 @@
     pub wait_us: u32,
     /// Pieces of the prompt that the engine would have to compute.
     pub missing_pieces: u32,
+    /// Time to compute one piece, in microseconds.
+    pub piece_us: u32,
+}
+
+impl QuoteCall {
+    /// Returns the prefix keys as the decisions' type.
+    #[must_use]
+    pub fn keys(&self) -> Vec<PrefixKey> {
+        self.prefix_keys.iter().copied().map(PrefixKey).collect()
+    }
 }
 
 /// Submits a request under a ticket; the same ticket may be submitted again without harm.
--- a/tests/cache_index.rs
+++ b/tests/cache_index.rs
@@ -2,7 +2,9 @@
 
 use std::collections::BTreeSet;
 
-use bulrushslip::decide::cache_index::{CacheChange, CacheEvent, CacheIndex, IndexStep};
+use bulrushslip::decide::cache_index::{
+    CacheChange, CacheEvent, CacheIndex, CacheList, CachePage, IndexStep,
+};
 use bulrushslip::decide::ids::{EngineEpoch, PrefixKey};
 
 const CAPACITY: usize = 1_000;
@@ -29,6 +31,14 @@
         });
     }
 
+    fn page(&self, events: Vec<CacheEvent>, next: u64) -> CachePage {
+        CachePage {
+            epoch: self.epoch,
+            events,
+            next,
+        }
+    }
+
     fn next(&self) -> u64 {
         self.events.len() as u64
     }
@@ -67,14 +77,18 @@
                     .collect();
                 match kind % 8 {
                     0..=2 => engine.toggle(PrefixKey(u64::from(amount % 16))),
-                    3 => drop(index.apply(engine.epoch, &batch, late)),
+                    3 => drop(index.apply(&engine.page(batch, late))),
                     4 if !batch.is_empty() => {
                         batch.remove(usize::from(*amount) % batch.len());
-                        index.apply(engine.epoch, &batch, late);
+                        index.apply(&engine.page(batch, late));
                     }
                     5 => {
                         let keys: Vec<_> = engine.cached_before(late).into_iter().collect();
-                        index.resync(engine.epoch, &keys, late);
+                        index.resync(&CacheList {
+                            epoch: engine.epoch,
+                            keys,
+                            next: late,
+                        });
                     }
                     6 if *amount > 200 => {
                         engine = NaiveEngine {
@@ -84,7 +98,7 @@
                         index.observe_epoch(engine.epoch);
                     }
                     _ => {
-                        let step = index.apply(engine.epoch, &[], engine.next());
+                        let step = index.apply(&engine.page(Vec::new(), engine.next()));
                         let current = step == IndexStep::Follow(engine.next());
                         assert!(current || step == IndexStep::Resync, "all events were lost");
                     }
@@ -108,7 +122,11 @@
 fn counts_everything_after_the_first_missing_piece() {
     let mut index = CacheIndex::new(2);
     let keys = [1, 2, 3, 4].map(PrefixKey);
-    index.resync(EngineEpoch(1), &[keys[0], keys[2]], 0);
+    index.resync(&CacheList {
+        epoch: EngineEpoch(1),
+        keys: vec![keys[0], keys[2]],
+        next: 0,
+    });
     assert_eq!(index.missing(&keys), 3);
     assert_eq!(index.missing(&keys[2..]), 1);
     // Beyond its capacity the index believes less, never more.
@@ -117,6 +135,10 @@
         change: CacheChange::Stored,
         key: keys[1],
     };
-    index.apply(EngineEpoch(1), &[stored], 1);
+    index.apply(&CachePage {
+        epoch: EngineEpoch(1),
+        events: vec![stored],
+        next: 1,
+    });
     assert_eq!((index.len(), index.missing(&keys)), (2, 3));
 }
--- a/tests/placement.rs
+++ b/tests/placement.rs
@@ -2,17 +2,10 @@
 
 use bulrushslip::decide::config::UpstreamKey;
 use bulrushslip::decide::ids::{PrefixKey, Rank};
-use bulrushslip::decide::placement::{
-    CandidateQuote, PlacementRequest, PlacementTarget, QuoteWeights, STANDARD,
-};
+use bulrushslip::decide::placement::{CandidateQuote, PlacementRequest, PlacementTarget, STANDARD};
 use bulrushslip::decide::policy::RoutingPolicy;
 use bulrushslip::kernel::Arena;
 
-const WEIGHTS: QuoteWeights = QuoteWeights {
-    rank: Rank::Urgent,
-    prefill_us: 60_000,
-};
-
 fn targets(count: u64) -> Vec<PlacementTarget> {
     let mut arena = Arena::new();
     let upstream = bulrushslip::decide::config::Upstream {
@@ -121,9 +114,10 @@
                     open: answered % 4 > 1,
                     wait_us: u64::from(*wait) * 100,
                     missing_pieces: u32::from(missing % 8),
+                    piece_us: 60_000,
                 })
                 .collect();
-            let hops = STANDARD.hops(&WEIGHTS, &candidates, &quotes);
+            let hops = STANDARD.hops(Rank::Urgent, &candidates, &quotes);
             assert!(hops.len() <= STANDARD.max_hops);
             let mut naive = None;
             for quote in quotes.iter().filter(|quote| quote.open) {
--- a/tests/queue.rs
+++ b/tests/queue.rs
@@ -150,6 +150,7 @@
         RunningSlots {
             slots,
             running: [count(Rank::Urgent), count(Rank::Routine)],
+            openings: u32::MAX,
         }
     }
 }
@@ -239,6 +240,7 @@
         let mut slots = RunningSlots {
             slots: 4,
             running: [count(Rank::Urgent), count(Rank::Routine)],
+            openings: u32::MAX,
         };
         for rank in Rank::ALL {
             let wanted = if rank == flooding {
@@ -294,6 +296,7 @@
     let slots = RunningSlots {
         slots: 1,
         running: [0, 0],
+        openings: u32::MAX,
     };
     let (mut served, mut latest) = ([0_u64; 4], [0; 4]);
     let mut sequence = 0;
@@ -330,16 +333,16 @@
     let full = RunningSlots {
         slots: 1,
         running: [1, 0],
+        openings: u32::MAX,
     };
     let far = item(1, 0, Rank::Urgent, 500_000, FAR);
-    assert_eq!(
-        queue.offer(Moment::START, far, 0, &full),
-        OfferOutcome::Queued
-    );
+    let busy = OfferOutcome::Refused(RefusalReason::Busy);
+    assert_eq!(queue.offer(Moment::START, far, 0, &full), busy);
+    let queued = queue.offer(Moment::START, far, NO_LIMIT_US, &full);
+    assert_eq!(queued, OfferOutcome::Queued);
     let soon = item(2, 0, Rank::Urgent, 1_000, Moment::from_micros(400_000));
     let late = OfferOutcome::Refused(RefusalReason::StartDeadline);
     assert_eq!(queue.offer(Moment::START, soon, NO_LIMIT_US, &full), late);
-    let busy = OfferOutcome::Refused(RefusalReason::Busy);
     let patient = item(3, 0, Rank::Urgent, 1_000, FAR);
     assert_eq!(queue.offer(Moment::START, patient, 400_000, &full), busy);
     assert_eq!(queue.remove(far.ticket), Some(far));
