--- a/tests/queue.rs
+++ b/tests/queue.rs
@@ -336,14 +336,13 @@
         openings: u32::MAX,
     };
     let far = item(1, 0, Rank::Urgent, 500_000, FAR);
-    assert_eq!(
-        queue.offer(Moment::START, far, 0, &full),
-        OfferOutcome::Queued
-    );
+    let busy = OfferOutcome::Refused(RefusalReason::Busy);
+    assert_eq!(queue.offer(Moment::START, far, 0, &full), busy);
+    let queued = queue.offer(Moment::START, far, NO_LIMIT_US, &full);
+    assert_eq!(queued, OfferOutcome::Queued);
     let soon = item(2, 0, Rank::Urgent, 1_000, Moment::from_micros(400_000));
     let late = OfferOutcome::Refused(RefusalReason::StartDeadline);
     assert_eq!(queue.offer(Moment::START, soon, NO_LIMIT_US, &full), late);
-    let busy = OfferOutcome::Refused(RefusalReason::Busy);
     let patient = item(3, 0, Rank::Urgent, 1_000, FAR);
     assert_eq!(queue.offer(Moment::START, patient, 400_000, &full), busy);
     assert_eq!(queue.remove(far.ticket), Some(far));
