Spread the configuration between processes with few readers of the log

Cause: 1,140 processes cannot all read the log, and most may be unable to reach it. Each process keeps two calls open, one at its parent in a tree of sidecars and one at a random sidecar. Eight sidecars by rank read the log; replies tell which reader last had everything and how long ago, and where that grows stale others try the log and read on until they know of four other readers.

--- a/src/decide/attempt.rs
+++ b/src/decide/attempt.rs
@@ -88,6 +88,8 @@
     #[must_use]
     pub fn upstream(&self) -> Option<UpstreamKey> {
         self.target.map(|target| target.upstream)
+    }
+
     /// Returns why the next submission is made.
     #[must_use]
     pub const fn cause(&self) -> SubmitCause {
--- a/src/decide/config_intake.rs
+++ b/src/decide/config_intake.rs
@@ -14,6 +14,8 @@
     Record(ConfigRecord),
     /// Part of a snapshot.
     Part(SnapshotPart),
+    /// A snapshot part whose content was left out because it changes nothing in order.
+    Passed,
     /// Nothing that has a meaning; the reason is for people.
     Malformed(String),
 }
@@ -118,6 +120,10 @@
                 }
                 return None;
             }
+            ConfigEntry::Passed => {
+                self.pass(offset);
+                return None;
+            }
             ConfigEntry::Malformed(reason) => reason,
         };
         self.pass(offset);
--- a/src/decide/spread.rs
+++ b/src/decide/spread.rs
@@ -87,8 +87,6 @@
     pub policy: SpreadPolicy,
     /// Name of the process, which decides its place.
     pub own_name: String,
-    /// Address at which this process answers others; `None` for an entry.
-    pub own_address: Option<SocketAddr>,
     /// Sidecars known from settings.
     pub seeds: Vec<SocketAddr>,
     /// All known sidecars but this one, in an order that every process agrees on.
@@ -148,16 +146,10 @@
 impl SpreadState {
     /// Creates the state of a process that knows only the sidecars from its settings.
     #[must_use]
-    pub fn new(
-        policy: SpreadPolicy,
-        own_name: &str,
-        own_address: Option<SocketAddr>,
-        seeds: Vec<SocketAddr>,
-    ) -> Self {
+    pub fn new(policy: SpreadPolicy, own_name: &str, seeds: Vec<SocketAddr>) -> Self {
         let mut state = Self {
             policy,
             own_name: own_name.to_owned(),
-            own_address,
             seeds,
             peers: Vec::new(),
             rank: None,
@@ -168,22 +160,29 @@
             ahead: None,
             avoided: Vec::new(),
         };
-        state.set_sidecars(&[]);
+        state.set_sidecars(&[], None);
         state
     }
 
-    /// Takes in the sidecars that the configuration declares.
-    pub fn set_sidecars(&mut self, declared: &[SocketAddr]) {
+    /// Takes in the sidecars that the configuration declares, and which one this process is.
+    pub fn set_sidecars(&mut self, declared: &[SocketAddr], own: Option<SocketAddr>) {
         let mut peers: Vec<SocketAddr> = declared.iter().chain(&self.seeds).copied().collect();
         peers.sort_by_cached_key(|peer| (place(&peer.to_string()), *peer));
         peers.dedup();
-        self.rank = self
-            .own_address
-            .and_then(|own| peers.iter().position(|peer| *peer == own));
-        peers.retain(|peer| Some(*peer) != self.own_address);
+        self.rank = own.and_then(|own| peers.iter().position(|peer| *peer == own));
+        peers.retain(|peer| Some(*peer) != own);
         self.peers = peers;
     }
 
+    /// Tells whether this process has read the log recently.
+    #[must_use]
+    pub fn reads_log(&self, now: Moment) -> bool {
+        let own = ReaderId(place(&self.own_name));
+        let stale_ms = ms(self.policy.stale_ms);
+        let mut known = self.readers.iter();
+        known.any(|known| known.reader == own && !known.at.after(stale_ms).is_due(now))
+    }
+
     /// Decides what the task that reads the log does.
     pub fn log_step(&mut self, now: Moment, own: LogOffset, random: u64) -> LogStep {
         if !self.probe_at.is_due(now) {
@@ -275,7 +274,9 @@
         {
             return PeerStep::FetchFromPeer(ahead.peer);
         }
-        if self.peers.is_empty() {
+        if self.avoided.len() >= self.peers.len() {
+            // Nobody answers: perhaps this process was cut off, so all are worth another try.
+            self.avoided.clear();
             return PeerStep::WaitUntil(now.after(ms(self.policy.retry_ms)));
         }
         let index = match self.parent() {
@@ -287,8 +288,8 @@
 
     /// Takes in the evidence of a sidecar, which was `age_ms` old when it was sent.
     pub fn peer_answered(&mut self, now: Moment, reader: ReaderId, age_ms: u64) {
-        let age_us = age_ms.saturating_mul(1_000);
-        let at = Moment::from_micros(now.as_micros().saturating_sub(age_us));
+        let micros = age_ms.saturating_mul(1_000);
+        let at = Moment::from_micros(now.as_micros().saturating_sub(micros));
         // An echo of what this process told is worth nothing.
         if reader != ReaderId(place(&self.own_name)) && at > Moment::START {
             self.add_evidence(LogEvidence { reader, at });
@@ -297,6 +298,7 @@
 
     /// Takes in that a sidecar did not answer.
     pub fn peer_failed(&mut self, now: Moment, peer: SocketAddr) {
+        self.avoided.retain(|avoided| avoided.peer != peer);
         if self.avoided.len() == MAX_AVOIDED {
             self.avoided.remove(0);
         }
--- a/src/entry.rs
+++ b/src/entry.rs
@@ -9,13 +9,15 @@
 use crate::platform::instance_client::{InstanceClient, WireInstance, WireInstanceState};
 use crate::process;
 use crate::services::callers::{CallerSettings, callers_task};
-use crate::services::config::config_service;
+use crate::services::config::{ConfigSettings, config_service};
 use crate::services::dialer::dialer_task;
 use crate::services::journal::journal_service;
 use crate::services::log_reader::log_reader;
 use crate::services::metrics;
 use crate::services::operator::{self, OperatorIdentity};
+use crate::services::peer_reader::peer_reader;
 use crate::services::registration::registration_task;
+use crate::services::snapshot_writer::snapshot_writer;
 use crate::services::tickets::tickets_service;
 use crate::settings::EntrySettings;
 
@@ -46,15 +48,22 @@
         let tags = [("role", "entry"), ("instance", common.name.as_str())];
         kernel.add(metrics::service(address, &tags)?);
     }
-    kernel.add(config_service());
-    kernel.add_task(log_reader(common.platform));
     kernel.add(journal_service());
-    kernel.add(tickets_service(Incarnation(rand::random())));
+    kernel.add(config_service(ConfigSettings {
+        name: common.name.clone(),
+        upstream: None,
+        peers: common.config_peers.clone(),
+        retention_ms: common.log_retention_ms,
+        seed: rand::random(),
+    }));
     kernel.add(tickets_service(
         Incarnation(rand::random()),
         RetryPolicy::default(),
     ));
     kernel.add_task(dialer_task());
+    kernel.add_task(log_reader(common.platform));
+    kernel.add_task(peer_reader());
+    kernel.add_task(snapshot_writer(common.platform));
     let caller_settings = CallerSettings {
         limits: ServerLimits {
             max_connections: settings.max_connections,
--- a/src/services/config.rs
+++ b/src/services/config.rs
@@ -1,18 +1,23 @@
-//! Service `config`: owns the configuration in force and replays records into it.
+//! Service `config`: owns the configuration in force and decides where newer comes from.
 
-use std::fmt::Display;
 use std::sync::Arc;
 
-use serde_json::{Value, json};
+use rand::rngs::StdRng;
+use rand::{RngExt, SeedableRng};
 
-use super::mail::{ConfigMail, Mail};
+use super::config_history::{ConfigHistory, DecodedPage};
+use super::mail::{ConfigMail, LogTurn, Mail, PeerTurn, SnapshotTurn};
 use crate::decide::config::Configuration;
-use crate::decide::config_intake::{ConfigIntake, EntryPage, NumberedEntry, SkippedRecord};
+use crate::decide::config_intake::{ConfigEntry, ConfigIntake, SkippedRecord};
 use crate::decide::ids::LogOffset;
+use crate::decide::snapshot::{PartCollector, Snapshot};
+use crate::decide::snapshot_timer::{SnapshotStep, SnapshotTimer};
+use crate::decide::spread::{self, ReaderId, SpreadState};
 use crate::events::{RECORD_SKIPPED, log_event};
-use crate::kernel::{NextStep, ReplyTo, Service, Signal};
+use crate::kernel::{Moment, NextStep, ReplyTo, Service, Signal};
 use crate::platform::log_client::LogPage;
-use crate::wire::config_snapshot::decode_entry;
+use crate::wire::config_page::{ConfigPage, WireEvidence};
+use crate::wire::config_snapshot::{decode_entry, encode_part};
 
 /// Name of the service that owns the configuration.
 pub const CONFIG: &str = "config";
@@ -20,104 +25,261 @@
 /// Records without effect that a dump shows, newest last.
 const MAX_SHOWN_SKIPS: usize = 32;
 
-/// Someone who waits for a newer configuration.
+/// Processes that may wait for something newer at the same time.
+const MAX_PEER_WAITERS: usize = 4_096;
+
+/// What the service knows of its process.
+#[derive(Debug, Clone)]
+pub struct ConfigSettings {
+    /// Name of the instance.
+    pub name: String,
+    /// Upstream beside which the process runs; `None` for an entry.
+    pub upstream: Option<String>,
+    /// Sidecars to ask before any configuration is known.
+    pub peers: Vec<std::net::SocketAddr>,
+    /// Milliseconds for which the log keeps records.
+    pub retention_ms: u64,
+    /// Seed of the service's random choices.
+    pub seed: u64,
+}
+
+/// Someone of this process who waits for a newer configuration.
 #[derive(Debug)]
 struct ConfigWaiter {
     than: LogOffset,
     reply_to: ReplyTo<Arc<Configuration>>,
 }
 
-#[derive(Debug, Default)]
-struct ConfigOwner {
-    intake: ConfigIntake,
-    heard: LogOffset,
-    skipped: Vec<SkippedRecord>,
+/// Another process that waits for something newer.
+#[derive(Debug)]
+struct PeerWaiter {
+    from: LogOffset,
+    until: Moment,
+    reply_to: ReplyTo<ConfigPage>,
+}
+
+#[derive(Debug)]
+pub(super) struct ConfigOwner {
+    pub(super) intake: ConfigIntake,
+    pub(super) skipped: Vec<SkippedRecord>,
+    pub(super) spread: SpreadState,
+    pub(super) timer: SnapshotTimer,
+    history: ConfigHistory,
+    upstream: Option<String>,
+    random: StdRng,
+    read_from: LogOffset,
     waiters: Vec<ConfigWaiter>,
+    peer_waiters: Vec<PeerWaiter>,
 }
 
 /// Creates the service `config`, which starts with an empty configuration.
 #[must_use]
-pub fn config_service() -> Service<Mail> {
-    let mut owner = ConfigOwner::default();
-    Service::new(CONFIG, move |_turn, signal| match signal {
-        Signal::Mail(Mail::Config(mail)) => {
-            owner.handle(mail);
-            NextStep::Wait
-        }
-        Signal::Start | Signal::Due | Signal::Mail(_) => NextStep::Wait,
-        Signal::Dump(reply_to) => {
-            reply_to.send(owner.dump());
-            NextStep::Wait
-        }
-        Signal::Stop => NextStep::Stopped,
+pub fn config_service(settings: ConfigSettings) -> Service<Mail> {
+    let mut owner = ConfigOwner::new(settings);
+    Service::new(CONFIG, move |turn, signal| {
+        match signal {
+            Signal::Mail(Mail::Config(mail)) => owner.handle(turn.now, mail),
+            Signal::Start | Signal::Due | Signal::Mail(_) => {}
+            Signal::Dump(reply_to) => reply_to.send(owner.dump(turn.now)),
+            Signal::Stop => return NextStep::Stopped,
+        }
+        owner.answer_waiters(turn.now)
     })
 }
 
 impl ConfigOwner {
-    fn handle(&mut self, mail: ConfigMail) {
+    fn new(settings: ConfigSettings) -> Self {
+        let mut random = StdRng::seed_from_u64(settings.seed);
+        let timer = SnapshotTimer::start(settings.retention_ms, Moment::START, random.random());
+        Self {
+            intake: ConfigIntake::default(),
+            skipped: Vec::new(),
+            spread: SpreadState::new(spread::STANDARD, &settings.name, settings.peers),
+            timer,
+            history: ConfigHistory::default(),
+            upstream: settings.upstream,
+            random,
+            read_from: LogOffset::default(),
+            waiters: Vec::new(),
+            peer_waiters: Vec::new(),
+        }
+    }
+
+    fn handle(&mut self, now: Moment, mail: ConfigMail) {
+        let random = self.random.random();
         match mail {
             ConfigMail::Current(reply_to) => reply_to.send(Arc::clone(&self.intake.current)),
-            ConfigMail::Heard(offset) => self.heard = self.heard.max(offset),
+            ConfigMail::Heard(heard) => self.spread.heard(heard),
             ConfigMail::Newer { than, reply_to } => {
                 self.waiters.push(ConfigWaiter { than, reply_to });
             }
-            ConfigMail::Apply { page, reply_to } => {
-                reply_to.send(self.apply(page));
+            ConfigMail::Since {
+                from,
+                until,
+                reply_to,
+            } => self.add_peer_waiter(from, until, reply_to),
+            ConfigMail::LogTurn(reply_to) => reply_to.send(LogTurn {
+                step: self.spread.log_step(now, self.next_offset(), random),
+                from: self.read_from,
+            }),
+            ConfigMail::LogRead(page) => self.take_log_page(now, page),
+            ConfigMail::LogFailed => self.spread.log_failed(now, random),
+            ConfigMail::PeerTurn(kind, reply_to) => reply_to.send(PeerTurn {
+                step: self.spread.peer_step(now, self.next_offset(), kind, random),
+                from: self.next_offset(),
+            }),
+            ConfigMail::PeerRead(page) => self.take_peer_page(now, page),
+            ConfigMail::PeerFailed(peer) => self.spread.peer_failed(now, peer),
+            ConfigMail::SnapshotTurn(reply_to) => reply_to.send(self.snapshot_turn(now)),
+        }
+    }
+
+    fn next_offset(&self) -> LogOffset {
+        self.intake.current.next_offset
+    }
+
+    fn take_log_page(&mut self, now: Moment, page: LogPage) {
+        let next = page.next;
+        let random = self.random.random();
+        let decoded = DecodedPage::from_log(page.first, next, page.records);
+        let (read_from, saw_snapshot) = self.take_page(decoded);
+        self.read_from = read_from;
+        if saw_snapshot {
+            self.timer.snapshot_seen(now, random);
+        }
+        if next <= self.next_offset() {
+            self.spread.log_read(now, random);
+        }
+    }
+
+    fn take_peer_page(&mut self, now: Moment, page: ConfigPage) {
+        if let Some(evidence) = page.evidence {
+            let reader = ReaderId(evidence.reader);
+            let age_ms = u64::from(evidence.age_ms);
+            self.spread.peer_answered(now, reader, age_ms);
+        }
+        let before = self.next_offset();
+        let mut parts = PartCollector::default();
+        for body in &page.snapshot {
+            if let ConfigEntry::Part(part) = decode_entry(body)
+                && let Some(snapshot) = parts.add(part)
+            {
+                self.intake.take_snapshot(&snapshot);
+                self.set_sidecars();
             }
         }
-        self.answer_waiters();
+        if !page.records.is_empty() {
+            let next = LogOffset(page.next_offset);
+            self.take_page(DecodedPage::from_peer(next, page.records));
+        }
+        if self.next_offset() > before {
+            self.read_from = self.next_offset();
+        }
     }
 
-    /// Takes a page of the stream and returns the offset to read from next.
-    fn apply(&mut self, page: LogPage) -> LogOffset {
-        let taken = self.intake.take_page(decode_page(page));
+    /// Replays a page; returns the offset to read from next and whether a snapshot was complete.
+    fn take_page(&mut self, decoded: DecodedPage) -> (LogOffset, bool) {
+        let before = self.next_offset();
+        let taken = self.intake.take_page(decoded.page);
         for skipped in taken.skipped {
             let offset = skipped.offset.0;
-            let fields: [(&str, &dyn Display); 2] =
-                [("offset", &offset), ("reason", &skipped.reason)];
-            log_event(&RECORD_SKIPPED, &fields);
+            log_event(
+                &RECORD_SKIPPED,
+                &[("offset", &offset), ("reason", &skipped.reason)],
+            );
             if self.skipped.len() == MAX_SHOWN_SKIPS {
                 self.skipped.remove(0);
             }
             self.skipped.push(skipped);
         }
-        self.heard = self.heard.max(self.intake.current.next_offset);
-        taken.read_from
+        let replayed = before.0..self.next_offset().0;
+        for record in decoded.history {
+            if replayed.contains(&record.offset) {
+                self.history.keep(record);
+            }
+        }
+        if !replayed.is_empty() {
+            self.set_sidecars();
+        }
+        (taken.read_from, taken.saw_snapshot)
+    }
+
+    fn set_sidecars(&mut self) {
+        let current = &self.intake.current;
+        let upstreams = current.upstreams.iter().map(|(_, upstream)| upstream);
+        let serving = upstreams.filter(|upstream| !upstream.retired);
+        let declared: Vec<_> = serving.map(|upstream| upstream.sidecar).collect();
+        let own = self
+            .upstream
+            .as_ref()
+            .and_then(|name| current.upstream(name));
+        let own_address = own.map(|(_, upstream)| upstream.sidecar);
+        self.spread.set_sidecars(&declared, own_address);
     }
 
-    fn answer_waiters(&mut self) {
-        let next_offset = self.intake.current.next_offset;
+    fn add_peer_waiter(&mut self, from: LogOffset, until: Moment, reply_to: ReplyTo<ConfigPage>) {
+        // A dropped reply handle makes the caller ask another sidecar.
+        if self.peer_waiters.len() < MAX_PEER_WAITERS {
+            let waiter = PeerWaiter {
+                from,
+                until,
+                reply_to,
+            };
+            self.peer_waiters.push(waiter);
+        }
+    }
+
+    fn snapshot_turn(&mut self, now: Moment) -> SnapshotTurn {
+        let random = self.random.random();
+        match self.timer.step(now, random) {
+            SnapshotStep::WaitUntil(deadline) => SnapshotTurn::WaitUntil(deadline),
+            SnapshotStep::Write if !self.spread.reads_log(now) => {
+                SnapshotTurn::WaitUntil(self.timer.due_at)
+            }
+            SnapshotStep::Write => {
+                let snapshot = Snapshot::of(&self.intake.current);
+                SnapshotTurn::Write(snapshot.parts().iter().map(encode_part).collect())
+            }
+        }
+    }
+
+    /// Answers whoever waits for what is now there, and says when the next wait is over.
+    fn answer_waiters(&mut self, now: Moment) -> NextStep {
+        let next_offset = self.next_offset();
         let ready = self.waiters.extract_if(.., |w| w.than < next_offset);
         for waiter in ready {
             waiter.reply_to.send(Arc::clone(&self.intake.current));
         }
+        let is_over = |w: &mut PeerWaiter| w.from < next_offset || w.until.is_due(now);
+        let over: Vec<_> = self.peer_waiters.extract_if(.., is_over).collect();
+        for waiter in over {
+            waiter.reply_to.send(self.page_since(now, waiter.from));
+        }
+        match self.peer_waiters.iter().map(|waiter| waiter.until).min() {
+            Some(until) => NextStep::WaitUntil(until),
+            None => NextStep::Wait,
+        }
     }
 
-    fn dump(&self) -> Value {
-        let skipped = self
-            .skipped
-            .iter()
-            .map(|skip| json!({"offset": skip.offset.0, "reason": skip.reason}));
-        json!({
-            "next_offset": self.intake.current.next_offset.0,
-            "heard_offset": self.heard.0,
-            "customers": self.intake.current.customers.len(),
-            "models": self.intake.current.models.len(),
-            "upstreams": self.intake.current.upstreams.len(),
-            "services": self.intake.current.services.len(),
-            "skipped": skipped.collect::<Vec<_>>(),
-        })
-    }
-}
-
-fn decode_page(page: LogPage) -> EntryPage {
-    let entries = page.records.into_iter().map(|record| NumberedEntry {
-        offset: record.offset,
-        entry: decode_entry(&record.body),
-    });
-    EntryPage {
-        first: page.first,
-        next: page.next,
-        entries: entries.collect(),
+    fn page_since(&self, now: Moment, from: LogOffset) -> ConfigPage {
+        let evidence = self.spread.newest_evidence().map(|evidence| WireEvidence {
+            reader: evidence.reader.0,
+            age_ms: u32::try_from(now.since(evidence.at).as_millis()).unwrap_or(u32::MAX),
+        });
+        let mut page = ConfigPage {
+            next_offset: self.next_offset().0,
+            evidence,
+            ..ConfigPage::default()
+        };
+        if from >= self.next_offset() {
+            return page;
+        }
+        if let Some(records) = self.history.since(from) {
+            page.records = records;
+        } else {
+            let parts = Snapshot::of(&self.intake.current).parts();
+            page.snapshot = parts.iter().map(encode_part).collect();
+        }
+        page
     }
 }
--- /dev/null
+++ b/src/services/config_dump.rs
@@ -0,0 +1,37 @@
+//! What a dump shows of the service `config`.
+
+use serde_json::{Value, json};
+
+use super::config::ConfigOwner;
+use crate::kernel::Moment;
+
+impl ConfigOwner {
+    pub(super) fn dump(&self, now: Moment) -> Value {
+        let current = &self.intake.current;
+        let skipped = self
+            .skipped
+            .iter()
+            .map(|skip| json!({"offset": skip.offset.0, "reason": skip.reason}));
+        let upstreams = current
+            .upstreams
+            .iter()
+            .map(|(_, upstream)| json!({"name": upstream.name, "retired": upstream.retired}));
+        let evidence = self.spread.newest_evidence();
+        let age = evidence.map(|evidence| now.since(evidence.at).as_millis());
+        json!({
+            "next_offset": current.next_offset.0,
+            "customers": current.customers.len(),
+            "models": current.models.len(),
+            "upstreams": upstreams.collect::<Vec<_>>(),
+            "services": current.services.len(),
+            "skipped": skipped.collect::<Vec<_>>(),
+            "spread": {
+                "rank": self.spread.rank,
+                "reads_log": self.spread.reads_log(now),
+                "peers": self.spread.peers.len(),
+                "known_readers": self.spread.readers.len(),
+                "evidence_age_ms": age.map(|age| u64::try_from(age).unwrap_or(u64::MAX)),
+            },
+        })
+    }
+}
--- /dev/null
+++ b/src/services/config_history.rs
@@ -0,0 +1,105 @@
+//! Recent records of the configuration stream, kept to be passed on to other processes.
+
+use std::collections::VecDeque;
+
+use crate::decide::config_intake::{ConfigEntry, EntryPage, NumberedEntry};
+use crate::decide::ids::LogOffset;
+use crate::platform::log_client::LogRecord;
+use crate::wire::config_page::WireHistory;
+use crate::wire::config_snapshot::decode_entry;
+
+/// Most records that are kept.
+const MAX_RECORDS: usize = 512;
+
+/// Most bytes of record bodies that are kept.
+const MAX_BYTES: usize = 1024 * 1024;
+
+/// Consecutive records up to the newest one replayed.
+#[derive(Debug, Default)]
+pub struct ConfigHistory {
+    records: VecDeque<WireHistory>,
+    bytes: usize,
+}
+
+impl ConfigHistory {
+    /// Returns the records from an offset on, or `None` if some of them are not kept.
+    #[must_use]
+    pub fn since(&self, from: LogOffset) -> Option<Vec<WireHistory>> {
+        let first = self.records.front()?.offset;
+        if from.0 < first {
+            return None;
+        }
+        let newer = self.records.iter().filter(|record| record.offset >= from.0);
+        Some(newer.cloned().collect())
+    }
+
+    /// Keeps a record that has just been replayed.
+    pub fn keep(&mut self, record: WireHistory) {
+        let follows = self.records.back().map(|last| last.offset + 1);
+        if follows.is_some_and(|follows| follows != record.offset) {
+            self.records.clear();
+            self.bytes = 0;
+        }
+        self.bytes += record.body.as_ref().map_or(0, String::len);
+        self.records.push_back(record);
+        while self.records.len() > MAX_RECORDS || self.bytes > MAX_BYTES {
+            let Some(dropped) = self.records.pop_front() else {
+                return;
+            };
+            self.bytes -= dropped.body.as_ref().map_or(0, String::len);
+        }
+    }
+}
+
+/// Records in the two forms that are needed: to replay and to pass on.
+#[derive(Debug)]
+pub struct DecodedPage {
+    /// To replay.
+    pub page: EntryPage,
+    /// To pass on.
+    pub history: Vec<WireHistory>,
+}
+
+impl DecodedPage {
+    /// Decodes records of the log.
+    #[must_use]
+    pub fn from_log(first: LogOffset, next: LogOffset, records: Vec<LogRecord>) -> Self {
+        let history = records.into_iter().map(|record| WireHistory {
+            offset: record.offset.0,
+            body: Some(record.body),
+        });
+        Self::new(first, next, history.collect())
+    }
+
+    /// Decodes records passed on by another process.
+    #[must_use]
+    pub fn from_peer(next: LogOffset, history: Vec<WireHistory>) -> Self {
+        let first = history
+            .first()
+            .map_or(next, |first| LogOffset(first.offset));
+        Self::new(first, next, history)
+    }
+
+    fn new(first: LogOffset, next: LogOffset, mut history: Vec<WireHistory>) -> Self {
+        let mut entries = Vec::new();
+        for record in &mut history {
+            let entry = match &record.body {
+                Some(body) => decode_entry(body),
+                None => ConfigEntry::Passed,
+            };
+            if matches!(entry, ConfigEntry::Part(_)) {
+                record.body = None;
+            }
+            let offset = LogOffset(record.offset);
+            entries.push(NumberedEntry { offset, entry });
+        }
+        Self {
+            page: EntryPage {
+                first,
+                next,
+                entries,
+            },
+            history,
+        }
+    }
+}
--- a/src/services/ledger_state.rs
+++ b/src/services/ledger_state.rs
@@ -114,8 +114,6 @@
             .iter()
             .find(|(_, upstream)| upstream.name == *name);
         self.upstream = upstream.map(|(_, upstream)| upstream.clone());
-        let floor = |rank| configuration.rank_policy(rank).floor_percent;
-        self.queue.policy.floor_percent = Rank::ALL.map(floor);
         self.queue.slots = self.upstream.as_ref().map_or(0, |upstream| upstream.slots);
         let floor = |rank| configuration.rank_policy(rank).floor_percent;
         self.queue.set_floors(Rank::ALL.map(floor));
@@ -581,12 +579,8 @@
         self.jobs.iter().all(|(key, job)| {
             let entry = self.ledger.get(*key);
             let is_orphaned = entry.is_none_or(|entry| entry.orphan_at.is_due(now));
-            job.started.is_none() && (job.end_read || is_orphaned)
+            !job.started && (job.end_read || is_orphaned)
         })
-    fn is_drained(&self) -> bool {
-        self.jobs
-            .values()
-            .all(|job| !job.started && (job.end_read || job.call.is_some()))
     }
 
     fn head(&self) -> ReplyHead {
--- a/src/services/mail.rs
+++ b/src/services/mail.rs
@@ -4,18 +4,20 @@
 use std::sync::Arc;
 
 use super::journal::RequestReport;
-use crate::decide::cache_index::{CacheList, CachePage, IndexStep};
 use crate::decide::attempt_step::SubmitCause;
+use crate::decide::cache_index::{CacheList, CachePage, IndexStep};
 use crate::decide::claim_home::ClaimPage;
 use crate::decide::claims::{ClaimRecord, ClaimVerdict, PartitionId};
 use crate::decide::config::Configuration;
 use crate::decide::ids::{EngineEpoch, Incarnation, LogOffset, Repeatability, Ticket};
 use crate::decide::ledger::TicketKey;
 use crate::decide::outcome::StreamEnd;
+use crate::decide::spread::{CallKind, LogStep, PeerOffset, PeerStep};
 use crate::kernel::{Moment, ReplyTo};
 use crate::platform::log_client::LogPage;
 use crate::services::metrics::MetricSample;
 use crate::services::operator::OperatorMail;
+use crate::wire::config_page::ConfigPage;
 use crate::wire::rpc::{
     AttachReply, AttachVerdict, QuoteCall, QuoteReply, ReadCall, ReadReply, SidecarRpcClient,
     StreamItem, SubmitCall, SubmitReply, WithdrawReply,
@@ -58,15 +60,58 @@
         /// Takes the configuration.
         reply_to: ReplyTo<Arc<Configuration>>,
     },
-    /// Another process has been heard to have this offset in force.
-    Heard(LogOffset),
-    /// Replays records; answers with the offset that is needed next.
-    Apply {
-        /// Records of the configuration stream.
-        page: LogPage,
-        /// Takes the offset.
-        reply_to: ReplyTo<LogOffset>,
+    /// A sidecar has been heard to have an offset in force.
+    Heard(PeerOffset),
+    /// Another process asks for what lies beyond an offset.
+    Since {
+        /// Offset that it needs next.
+        from: LogOffset,
+        /// When it is answered at the latest.
+        until: Moment,
+        /// Takes the answer.
+        reply_to: ReplyTo<ConfigPage>,
     },
+    /// The log reader asks what to do.
+    LogTurn(ReplyTo<LogTurn>),
+    /// The log has been read.
+    LogRead(LogPage),
+    /// The log cannot be read.
+    LogFailed,
+    /// The peer reader asks which sidecar to call.
+    PeerTurn(CallKind, ReplyTo<PeerTurn>),
+    /// A sidecar has answered.
+    PeerRead(ConfigPage),
+    /// A sidecar has not answered.
+    PeerFailed(SocketAddr),
+    /// The snapshot writer asks what to do.
+    SnapshotTurn(ReplyTo<SnapshotTurn>),
+}
+
+/// Answer to [`ConfigMail::LogTurn`].
+#[derive(Debug, Clone, Copy)]
+pub struct LogTurn {
+    /// What to do.
+    pub step: LogStep,
+    /// Offset to read from.
+    pub from: LogOffset,
+}
+
+/// Answer to [`ConfigMail::PeerTurn`].
+#[derive(Debug, Clone, Copy)]
+pub struct PeerTurn {
+    /// What to do.
+    pub step: PeerStep,
+    /// Offset to ask from.
+    pub from: LogOffset,
+}
+
+/// Answer to [`ConfigMail::SnapshotTurn`].
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum SnapshotTurn {
+    /// Nothing until the deadline.
+    WaitUntil(Moment),
+    /// Append these bodies, one after another.
+    Write(Vec<String>),
 }
 
 /// Messages to the service `ledger`, which owns the upstream's tickets, queue and answers.
--- /dev/null
+++ b/src/services/peer_reader.rs
@@ -0,0 +1,64 @@
+//! I/O task `peer-reader`: keeps calls open at sidecars, which answer with newer configuration.
+
+use std::time::Duration;
+
+use super::config::CONFIG;
+use super::mail::{ConfigMail, Mail, PeerTurn};
+use super::sidecar_calls::SidecarCalls;
+use super::wait::{run_until_stop, sleep_until};
+use crate::decide::spread::{CallKind, PeerStep};
+use crate::kernel::{Directory, IoTask};
+use crate::wire::config_page::ConfigSinceCall;
+
+/// Name of the task that asks sidecars for configuration.
+pub const PEER_READER: &str = "peer-reader";
+
+/// Time that a sidecar may hold back an answer.
+const PEER_WAIT: Duration = Duration::from_secs(2);
+
+/// Longest time for a call, its wait included.
+const PEER_TIMEOUT: Duration = Duration::from_millis(2_500);
+
+/// Pause after a call that failed at once.
+const FAILURE_PAUSE: Duration = Duration::from_millis(50);
+
+/// Creates the task `peer-reader`.
+#[must_use]
+pub fn peer_reader() -> IoTask<Mail> {
+    IoTask::new(PEER_READER, |inbox, directory| {
+        run_until_stop(inbox, async move {
+            tokio::join!(
+                follow(CallKind::Parent, &directory),
+                follow(CallKind::Random, &directory)
+            );
+        })
+    })
+}
+
+async fn follow(kind: CallKind, directory: &Directory<Mail>) {
+    let question = |reply_to| Mail::Config(ConfigMail::PeerTurn(kind, reply_to));
+    while let Some(PeerTurn { step, from }) = directory.ask(CONFIG, question).await {
+        let address = match step {
+            PeerStep::WaitUntil(deadline) => {
+                sleep_until(directory, deadline).await;
+                continue;
+            }
+            PeerStep::FetchFromPeer(address) => address,
+        };
+        let calls = SidecarCalls {
+            directory: directory.clone(),
+            address,
+        };
+        let call = ConfigSinceCall {
+            from_offset: from.0,
+            wait_us: u64::try_from(PEER_WAIT.as_micros()).unwrap_or(0),
+        };
+        let mail = if let Some(page) = calls.config_since(call, PEER_TIMEOUT).await {
+            ConfigMail::PeerRead(page)
+        } else {
+            sleep_until(directory, directory.now().after(FAILURE_PAUSE)).await;
+            ConfigMail::PeerFailed(address)
+        };
+        directory.deliver(CONFIG, Mail::Config(mail)).await;
+    }
+}
--- a/src/services/sidecar_calls.rs
+++ b/src/services/sidecar_calls.rs
@@ -9,7 +9,9 @@
 use crate::decide::attempt_step::AttemptEvent;
 use crate::decide::ids::{Incarnation, Repeatability, Ticket};
 use crate::decide::outcome::{RefusalReason, StreamEnd};
+use crate::decide::spread::PeerOffset;
 use crate::kernel::Directory;
+use crate::wire::config_page::{ConfigPage, ConfigSinceCall};
 use crate::wire::rpc::{
     AttachReply, AttachVerdict, QuoteCall, QuoteReply, ReadCall, ReadReply, ReadVerdict, ReplyHead,
     SidecarRpcClient, StreamItem, SubmitCall, SubmitReply, SubmitVerdict, WithdrawReply,
@@ -130,6 +132,16 @@
         attach_event(&reply)
     }
 
+    /// Fetches configuration; `None` when no answer came within the limit.
+    pub async fn config_since(&self, call: ConfigSinceCall, limit: Duration) -> Option<ConfigPage> {
+        let link = self.connect().await?;
+        let reply = link.client.config_since(deadline(limit), call).await;
+        self.check(&link, reply, |page| ReplyHead {
+            next_offset: page.next_offset,
+            ..ReplyHead::default()
+        })
+    }
+
     async fn connect(&self) -> Option<OpenLink> {
         let address = self.address;
         let question = |reply_to| Mail::Dialer(DialerMail::Connect(address, reply_to));
@@ -151,7 +163,10 @@
             self.directory.send("dialer", Mail::Dialer(mail));
             return None;
         };
-        let offset = head(&reply).next_offset();
+        let offset = PeerOffset {
+            peer: self.address,
+            next_offset: head(&reply).next_offset(),
+        };
         self.directory
             .send("config", Mail::Config(ConfigMail::Heard(offset)));
         Some(reply)
--- a/src/services/sidecar_rpc.rs
+++ b/src/services/sidecar_rpc.rs
@@ -1,15 +1,19 @@
 //! I/O task `rpc` of a sidecar: the server side of the calls from entries.
 
+use std::time::Duration;
+
 use futures::StreamExt;
 use tarpc::context::Context;
 use tarpc::server::{BaseChannel, Channel};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::task::JoinSet;
 
-use super::mail::{LedgerMail, Mail};
-use crate::decide::ids::{Incarnation, Repeatability, Ticket};
+use super::config::CONFIG;
+use super::mail::{ConfigMail, LedgerMail, Mail};
+use crate::decide::ids::{Incarnation, LogOffset, Repeatability, Ticket};
 use crate::decide::outcome::RefusalReason;
 use crate::kernel::{Directory, Inbox, IoTask, ReplyTo, Signal};
+use crate::wire::config_page::{ConfigPage, ConfigSinceCall};
 use crate::wire::rpc::{
     AttachReply, AttachVerdict, QuoteCall, QuoteReply, ReadCall, ReadReply, ReadVerdict, ReplyHead,
     SidecarRpc, SubmitCall, SubmitReply, SubmitVerdict, WireTicket, WithdrawReply, WithdrawVerdict,
@@ -19,6 +23,9 @@
 /// Connections served at the same time; further ones wait in the listen queue.
 const MAX_CONNECTIONS: usize = 4_096;
 
+/// Longest time that an answer to a call for configuration is held back.
+const MAX_CONFIG_WAIT: Duration = Duration::from_secs(5);
+
 /// Creates the I/O task `rpc`, which serves the listener.
 #[must_use]
 pub fn rpc_task(listener: TcpListener) -> IoTask<Mail> {
@@ -141,4 +148,21 @@
             verdict: AttachVerdict::EngineDown,
         })
     }
+
+    async fn config_since(self, _: Context, call: ConfigSinceCall) -> ConfigPage {
+        let wait = Duration::from_micros(call.wait_us).min(MAX_CONFIG_WAIT);
+        let from = LogOffset(call.from_offset);
+        let until = self.directory.now().after(wait);
+        let question = |reply_to| {
+            Mail::Config(ConfigMail::Since {
+                from,
+                until,
+                reply_to,
+            })
+        };
+        self.directory
+            .ask(CONFIG, question)
+            .await
+            .unwrap_or_default()
+    }
 }
--- a/src/settings/common.rs
+++ b/src/settings/common.rs
@@ -39,6 +39,10 @@
     pub operator_token: Option<String>,
     /// Address of the platform.
     pub platform: SocketAddr,
+    /// Sidecars to ask for the configuration while the log cannot be reached.
+    pub config_peers: Vec<SocketAddr>,
+    /// Time for which the log keeps records, in milliseconds.
+    pub log_retention_ms: u64,
     /// Name of the instance.
     pub name: String,
     /// Data centre of the instance.
@@ -64,6 +68,8 @@
             operator_listen: reader.address("operator-listen"),
             operator_token: reader.token("operator-token"),
             platform: reader.address("platform"),
+            config_peers: reader.addresses("config-peers"),
+            log_retention_ms: reader.integer("log-retention-s") * 1_000,
             name: reader.name("name"),
             data_centre: reader.name("data-centre"),
             policy: reader.policy("policy"),
--- a/src/settings/reader.rs
+++ b/src/settings/reader.rs
@@ -98,6 +98,15 @@
         self.parsed(flag, |value| value.parse().ok())
     }
 
+    /// Reads a list of addresses that may be unset.
+    pub fn addresses(&mut self, flag: &str) -> Vec<SocketAddr> {
+        let parse = |value: &str| {
+            let addresses = value.split(',').map(|address| address.parse().ok());
+            addresses.collect::<Option<Vec<_>>>()
+        };
+        self.parsed(flag, parse).unwrap_or_default()
+    }
+
     /// Reads a name; empty if it is bad or missing.
     pub fn name(&mut self, flag: &str) -> String {
         self.parsed(flag, |value| is_name(value).then(|| value.to_owned()))
--- a/src/settings/table.rs
+++ b/src/settings/table.rs
@@ -9,6 +9,8 @@
 pub enum ValueKind {
     /// IP address and port.
     Address,
+    /// Comma-separated IP addresses and ports.
+    AddressList,
     /// Name of 1 to 64 letters, digits, `-`, `_` or `.`.
     Name,
     /// Secret of at least 16 visible ASCII characters.
@@ -34,6 +36,7 @@
     pub fn accepted(self) -> String {
         match self {
             Self::Address => "IP:PORT".to_owned(),
+            Self::AddressList => "IP:PORT,IP:PORT,...".to_owned(),
             Self::Name => "1 to 64 letters, digits, '-', '_' or '.'".to_owned(),
             Self::Token => "at least 16 visible ASCII characters".to_owned(),
             Self::Integer { min, max } => format!("an integer from {min} to {max}"),
@@ -156,6 +159,25 @@
     "format of log lines",
 );
 
+const CONFIG_PEERS: SettingRow = row(
+    "config-peers",
+    "BULRUSHSLIP_CONFIG_PEERS",
+    Fallback::Unset,
+    ValueKind::AddressList,
+    "sidecars to ask for the configuration while the log cannot be reached",
+);
+
+const LOG_RETENTION_S: SettingRow = row(
+    "log-retention-s",
+    "BULRUSHSLIP_LOG_RETENTION_S",
+    Fallback::Value("86400"),
+    ValueKind::Integer {
+        min: 10,
+        max: 31_536_000,
+    },
+    "time for which the platform's log keeps records, in seconds",
+);
+
 const METRICS: SettingRow = row(
     "metrics",
     "BULRUSHSLIP_METRICS",
@@ -165,7 +187,7 @@
 );
 
 /// Settings of `bulrushslip-entry`.
-pub const ENTRY_TABLE: [SettingRow; 15] = [
+pub const ENTRY_TABLE: [SettingRow; 17] = [
     row(
         "listen",
         "BULRUSHSLIP_LISTEN",
@@ -182,6 +204,8 @@
     ),
     OPERATOR_TOKEN,
     PLATFORM,
+    CONFIG_PEERS,
+    LOG_RETENTION_S,
     NAME,
     DATA_CENTRE,
     row(
@@ -229,7 +253,7 @@
 ];
 
 /// Settings of `bulrushslip-sidecar`.
-pub const SIDECAR_TABLE: [SettingRow; 18] = [
+pub const SIDECAR_TABLE: [SettingRow; 20] = [
     row(
         "listen",
         "BULRUSHSLIP_LISTEN",
@@ -246,6 +270,8 @@
     ),
     OPERATOR_TOKEN,
     PLATFORM,
+    CONFIG_PEERS,
+    LOG_RETENTION_S,
     NAME,
     DATA_CENTRE,
     row(
--- a/src/sidecar.rs
+++ b/src/sidecar.rs
@@ -10,8 +10,9 @@
 use crate::platform::instance_client::{InstanceClient, WireInstance, WireInstanceState};
 use crate::process;
 use crate::services::cache_watch::cache_watch_task;
-use crate::services::config::config_service;
+use crate::services::config::{ConfigSettings, config_service};
 use crate::services::config_feed::config_feed_task;
+use crate::services::dialer::dialer_task;
 use crate::services::engine_task::{EngineKind, EngineTarget, engine_task};
 use crate::services::engine_watch::engine_watch_task;
 use crate::services::ledger::ledger_service;
@@ -19,8 +20,10 @@
 use crate::services::log_reader::log_reader;
 use crate::services::metrics;
 use crate::services::operator::{self, OperatorIdentity};
+use crate::services::peer_reader::peer_reader;
 use crate::services::registration::registration_task;
 use crate::services::sidecar_rpc::rpc_task;
+use crate::services::snapshot_writer::snapshot_writer;
 use crate::settings::{SidecarSettings, TargetKind};
 
 /// Floors of the two ranks until the configuration says otherwise, in percent.
@@ -74,8 +77,17 @@
         let tags = [("role", "sidecar"), ("instance", common.name.as_str())];
         kernel.add(metrics::service(address, &tags)?);
     }
-    kernel.add(config_service());
+    kernel.add(config_service(ConfigSettings {
+        name: common.name.clone(),
+        upstream: Some(settings.upstream.clone()),
+        peers: common.config_peers.clone(),
+        retention_ms: common.log_retention_ms,
+        seed: rand::random(),
+    }));
+    kernel.add_task(dialer_task());
     kernel.add_task(log_reader(common.platform));
+    kernel.add_task(peer_reader());
+    kernel.add_task(snapshot_writer(common.platform));
     kernel.add_task(engine_task(target));
     kernel.add_task(engine_watch_task(target));
     if target.kind == EngineKind::Model {
--- a/src/sidecar_cli.rs
+++ b/src/sidecar_cli.rs
@@ -19,6 +19,12 @@
     /// address of the platform's log, instance list and weight store
     #[argh(option)]
     platform: Option<String>,
+    /// sidecars to ask for the configuration while the log cannot be reached
+    #[argh(option)]
+    config_peers: Option<String>,
+    /// time for which the platform's log keeps records, in seconds
+    #[argh(option)]
+    log_retention_s: Option<String>,
     /// name of this instance, unique in the fleet
     #[argh(option)]
     name: Option<String>,
@@ -71,6 +77,8 @@
             ("operator-listen", self.operator_listen.as_ref()),
             ("operator-token", self.operator_token.as_ref()),
             ("platform", self.platform.as_ref()),
+            ("config-peers", self.config_peers.as_ref()),
+            ("log-retention-s", self.log_retention_s.as_ref()),
             ("name", self.name.as_ref()),
             ("data-centre", self.data_centre.as_ref()),
             ("upstream", self.upstream.as_ref()),
--- a/src/wire/mod.rs
+++ b/src/wire/mod.rs
@@ -3,6 +3,7 @@
 pub mod cache_feed;
 pub mod claim_record;
 pub mod config_objects;
+pub mod config_page;
 pub mod config_record;
 pub mod config_snapshot;
 pub mod headers;
--- a/src/wire/rpc.rs
+++ b/src/wire/rpc.rs
@@ -2,6 +2,7 @@
 
 use serde::{Deserialize, Serialize};
 
+use super::config_page::{ConfigPage, ConfigSinceCall};
 use crate::decide::ids::{
     EngineEpoch, Incarnation, LogOffset, PrefixKey, Rank, Repeatability, Ticket,
 };
@@ -389,4 +390,6 @@
     async fn withdraw(ticket: WireTicket, incarnation: u64) -> WithdrawReply;
     /// Looks a ticket up at the engine after a restart of the sidecar.
     async fn attach(ticket: WireTicket, idempotent: bool) -> AttachReply;
+    /// Fetches configuration from an offset on, once there is some.
+    async fn config_since(call: ConfigSinceCall) -> ConfigPage;
 }
--- /dev/null
+++ b/tests/config_processes.rs
@@ -0,0 +1,131 @@
+//! Configuration at real processes: from peers while the log is gone, and from snapshots.
+
+mod common;
+
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+use common::{API_KEY, ChildProcess, Fleet, FleetOptions, MODEL, get, post};
+use serde_json::{Value, json};
+
+/// Time within which a change is in force everywhere.
+const TARGET: Duration = Duration::from_secs(4);
+
+/// Bound for everything that has no target of its own.
+const LIMIT: Duration = Duration::from_secs(30);
+
+/// Nothing listens here.
+const NOWHERE: &str = "127.0.0.1:1";
+
+fn entry(platform: &str, peers: &str) -> ChildProcess {
+    let mut arguments = vec![
+        "--listen",
+        "127.0.0.1:0",
+        "--operator-listen",
+        "127.0.0.1:0",
+    ];
+    arguments.extend([
+        "--platform",
+        platform,
+        "--name",
+        "late",
+        "--data-centre",
+        "bangor",
+    ]);
+    if !peers.is_empty() {
+        arguments.extend(["--config-peers", peers]);
+    }
+    ChildProcess::start(
+        env!("CARGO_BIN_EXE_bulrushslip-entry"),
+        &arguments,
+        &["entry", "operator"],
+    )
+}
+
+/// Polls until the condition holds and returns the time that it took.
+async fn until(limit: Duration, what: &str, mut holds: impl AsyncFnMut() -> bool) -> Duration {
+    let started = Instant::now();
+    while !holds().await {
+        assert!(started.elapsed() < limit, "{what}: not within {limit:?}");
+        tokio::time::sleep(Duration::from_millis(10)).await;
+    }
+    started.elapsed()
+}
+
+async fn serves(entry: SocketAddr) -> bool {
+    let bearer = format!("Bearer {API_KEY}");
+    let models = get(entry, "/v1/models", &[("authorization", &bearer)]).await;
+    models.status == 200 && models.json()["data"][0]["id"] == MODEL
+}
+
+async fn offset(process: &ChildProcess) -> u64 {
+    let dump = get(process.port("operator"), "/dump", &[]).await.json();
+    dump["config"]["next_offset"].as_u64().expect("an offset")
+}
+
+async fn append(platform: SocketAddr, planned_at: u64, change: Value) -> u64 {
+    let plan = json!({"plan_id": "1", "planned_at": planned_at, "changes": [change]});
+    let body = json!({"plan": plan}).to_string();
+    let answer = post(platform, "/streams/config/append", &[], body).await;
+    answer.json()["offset"].as_u64().expect("an offset")
+}
+
+fn peers(fleet: &Fleet) -> String {
+    let sidecars = fleet.sidecars.iter();
+    let addresses: Vec<_> = sidecars.map(|s| s.port("sidecar").to_string()).collect();
+    addresses.join(",")
+}
+
+#[tokio::test]
+async fn an_entry_that_starts_while_the_log_is_gone_serves_from_its_peers() {
+    let mut fleet = Fleet::start().await;
+    let platform = fleet.platform.port("platform").to_string();
+    fleet.platform.kill();
+    let late = entry(&platform, &peers(&fleet));
+    let time = until(TARGET, "served", async || serves(late.port("entry")).await).await;
+    println!("served after {} ms", time.as_millis());
+}
+
+#[tokio::test]
+async fn a_change_reaches_a_process_that_cannot_reach_the_log() {
+    let fleet = Fleet::start().await;
+    let platform = fleet.platform.port("platform");
+    let late = entry(NOWHERE, &fleet.sidecars[0].port("sidecar").to_string());
+    until(LIMIT, "served", async || serves(late.port("entry")).await).await;
+    for version in 0..5 {
+        let planned_at = offset(&late).await;
+        let change = json!({"put_model": {"name": "other", "version": format!("v{version}")}});
+        let at = append(platform, planned_at, change).await;
+        let time = until(TARGET, "in force", async || offset(&late).await > at).await;
+        println!("in force after {} ms", time.as_millis());
+    }
+}
+
+#[tokio::test]
+async fn an_entry_that_starts_past_retention_takes_a_snapshot() {
+    let options = FleetOptions {
+        sidecar: vec!["--log-retention-s", "10"],
+        ..FleetOptions::default()
+    };
+    let fleet = Fleet::start_with(&options).await;
+    let platform = fleet.platform.port("platform");
+    let mut first = 0;
+    until(LIMIT, "snapshot written", async || {
+        let page = get(platform, "/streams/config?from=0&limit=100&wait_ms=0", &[])
+            .await
+            .json();
+        let mut records = page["records"].as_array().expect("records").iter();
+        let part = records.find(|r| {
+            r["body"]
+                .as_str()
+                .is_some_and(|b| b.contains("snapshot_part"))
+        });
+        first = part.and_then(|part| part["offset"].as_u64()).unwrap_or(0);
+        part.is_some()
+    })
+    .await;
+    let path = format!("/admin/retain?stream=config&first={first}");
+    assert_eq!(post(platform, &path, &[], String::new()).await.status, 200);
+    let late = entry(&platform.to_string(), "");
+    until(TARGET, "served", async || serves(late.port("entry")).await).await;
+}
--- a/tests/config_spread.rs
+++ b/tests/config_spread.rs
@@ -16,8 +16,8 @@
 const SIDECARS: usize = 770;
 const ENTRIES: usize = 370;
 const HOP: Duration = Duration::from_millis(2);
-const PEER_WAIT: Duration = Duration::from_millis(2_000);
-const LOG_WAIT: Duration = Duration::from_millis(2_000);
+const PEER_WAIT: Duration = Duration::from_secs(2);
+const LOG_WAIT: Duration = Duration::from_secs(2);
 const ANSWER_MARGIN: Duration = Duration::from_millis(500);
 const TARGET: Duration = Duration::from_secs(4);
 
@@ -111,12 +111,14 @@
         let mut processes = Vec::new();
         for number in 0..SIDECARS + ENTRIES {
             let own = (number < SIDECARS).then(|| address(number));
-            let mut spread = SpreadState::new(policy, &format!("p{number}"), own, Vec::new());
-            spread.set_sidecars(&declared);
+            let mut spread = SpreadState::new(policy, &format!("p{number}"), Vec::new());
+            spread.set_sidecars(&declared, own);
+            let designated = spread.is_designated();
+            let reaches_log = random.random_range(0..100) < log_percent;
             processes.push(Process {
                 spread,
                 offset: 0,
-                reaches_log: random.random_range(0..100) < log_percent,
+                reaches_log: log_percent == 100 || (!designated && reaches_log),
                 alive: random.random_range(0..100) >= dead_percent,
                 calls: [0; 2],
                 log_call: 0,
@@ -379,50 +381,41 @@
     }
 }
 
-/// Returns the spread times of changes at random moments, after a time to settle.
-fn spread_times(policy: SpreadPolicy, log_percent: u32, dead_percent: u32) -> Vec<Duration> {
-    let mut times = Vec::new();
-    for seed in 0..5 {
-        let mut fleet = Fleet::new(seed, policy, log_percent, dead_percent);
-        fleet.run_until(Moment::from_micros(60_000_000));
-        for _ in 0..10 {
-            let pause = Duration::from_millis(fleet.random.random_range(1_000..20_000));
-            let (calls, log_reads, from) = (fleet.calls, fleet.log_reads, fleet.now);
-            fleet.run_until(fleet.now.after(pause));
-            let seconds = fleet.now.since(from).as_secs_f64();
-            if times.len() % 10 == 0 {
-                let processes = (SIDECARS + ENTRIES) as f64;
-                println!(
-                    "calls/s a process {:.2}, log reads/s {:.1}",
-                    (fleet.calls - calls) as f64 / seconds / processes,
-                    (fleet.log_reads - log_reads) as f64 / seconds,
-                );
-            }
-            times.push(fleet.spread_time());
-        }
+/// Checks the time to the last live process for changes at random moments.
+fn check_spread(log_percent: u32, dead_percent: u32) {
+    let mut fleet = Fleet::new(7, STANDARD, log_percent, dead_percent);
+    fleet.run_until(Moment::from_micros(40_000_000));
+    for _ in 0..8 {
+        let pause = Duration::from_millis(fleet.random.random_range(1_000..9_000));
+        fleet.run_until(fleet.now.after(pause));
+        let time = fleet.spread_time();
+        println!(
+            "in force everywhere after {} ms; {} calls, {} log reads in {} s",
+            time.as_millis(),
+            fleet.calls,
+            fleet.log_reads,
+            fleet.now.as_micros() / 1_000_000
+        );
+        assert!(
+            time <= TARGET,
+            "{} ms, {} behind",
+            time.as_millis(),
+            fleet.behind()
+        );
     }
-    times.sort();
-    let ms = |at: usize| times[at].as_millis();
-    println!(
-        "log {log_percent}%, dead {dead_percent}%: median {} p90 {} max {} ms",
-        ms(25),
-        ms(45),
-        ms(49)
-    );
-    times
 }
 
 #[test]
-fn explore() {
-    for (log, dead) in [
-        (100, 0),
-        (5, 0),
-        (1, 0),
-        (100, 2),
-        (5, 2),
-        (100, 10),
-        (5, 10),
-    ] {
-        spread_times(STANDARD, log, dead);
-    }
+fn a_change_spreads_from_a_few_readers() {
+    check_spread(100, 0);
+}
+
+#[test]
+fn a_change_spreads_while_most_processes_cannot_reach_the_log() {
+    check_spread(5, 2);
+}
+
+#[test]
+fn a_change_spreads_while_many_sidecars_are_silent() {
+    check_spread(100, 10);
 }
