Run a request with an idempotency key once across entries

Cause: claims had no caller. An entry now claims the key at the home of its partition before each submission, and follows the holder's ticket if it loses: it reads that answer from its start, waits 500 ms for a ticket that its owner has not submitted yet, then withdraws it and takes the key over on the tombstone. A request that ends as not run releases its key.

Ruled out: giving the holder's upstream up for good after a takeover (with one upstream nothing could run); a refusal of a key whose holder's upstream is no longer declared as not run (it is told unknown); leaving absent fields out of the claim's encoding, which broke the calls (bincode does not name fields; seen as claim_unavailable on every claim between processes).

State, tests/process_claims.rs between real processes: 12 equal requests through two entries run once and all get the same answer; another body under the same key gets 422; an old key is told unknown; an append whose answer the log loses is settled; in an outage a new key is refused within 2 s while held keys and other work go on; with both engines' sidecars killed every key is still held. Before: 12 sends ran 12 times, as the header was ignored (by reading, not run).

Conclusion: in force in entries and sidecars. Window, homes asked and grace are constants.

--- a/src/decide/attempt.rs
+++ b/src/decide/attempt.rs
@@ -17,13 +17,8 @@
 /// Time that an unreachable sidecar is given when only it can tell what became of the request.
 const NON_IDEMPOTENT_RECOVERY: Duration = Duration::from_secs(20);
 
-/// What is certain about the tickets of a request so far.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
-enum RunEvidence {
-    NeverRan,
-    MayHaveRan,
-    Ran,
-}
+/// Time that the holder of an idempotency key is given to submit its ticket.
+const FOLLOW_GRACE: Duration = Duration::from_millis(500);
 
 /// State of one request over all of its attempts.
 ///
@@ -58,6 +53,8 @@
     ambiguous: bool,
     accepted: bool,
     recover_by: Moment,
+    /// For a ticket of another request: when it is withdrawn if it is still unknown.
+    withdraw_at: Option<Moment>,
 }
 
 impl RequestAttempt {
@@ -77,11 +74,11 @@
         }
     }
 
-    /// Returns the ticket of the present attempt and the sidecar incarnation that it is with.
+    /// Returns the ticket that the request owns at present and the incarnation that it is with.
     #[must_use]
     pub fn target(&self) -> Option<(Ticket, Incarnation)> {
-        self.target
-            .map(|target| (target.ticket, target.incarnation))
+        let owned = self.target.filter(|target| target.withdraw_at.is_none());
+        owned.map(|target| (target.ticket, target.incarnation))
     }
 
     /// Returns the upstream of the present attempt.
@@ -113,19 +110,18 @@
         match event {
             AttemptEvent::Chosen(upstream, incarnation, ticket) => {
                 self.retries += u32::from(self.follows_failure);
-                self.submissions += 1;
-                let call = SidecarCall::Submit(ticket);
-                self.target = Some(SubmitTarget {
-                    upstream,
-                    incarnation,
-                    ticket,
-                    next_index: 0,
-                    call,
-                    ambiguous: false,
-                    accepted: false,
-                    recover_by: Moment::NEVER,
-                });
-                self.call(now, call)
+                self.set_target(upstream, incarnation, ticket);
+                self.call(now, SidecarCall::Submit(ticket))
+            }
+            AttemptEvent::Held(upstream, incarnation, ticket) => {
+                let target = self.set_target(upstream, incarnation, ticket);
+                target.ambiguous = true;
+                target.withdraw_at = Some(now.after(FOLLOW_GRACE));
+                self.read(now)
+            }
+            AttemptEvent::HolderGone => {
+                self.evidence = self.evidence.max(RunEvidence::MayHaveRan);
+                self.finish_without_answer(None)
             }
             AttemptEvent::NoChoice(reason) => {
                 let reason = self.last_refusal.unwrap_or(reason);
@@ -144,6 +140,26 @@
         }
     }
 
+    fn set_target(
+        &mut self,
+        upstream: UpstreamKey,
+        incarnation: Incarnation,
+        ticket: Ticket,
+    ) -> &mut SubmitTarget {
+        self.submissions += 1;
+        self.target.insert(SubmitTarget {
+            upstream,
+            incarnation,
+            ticket,
+            next_index: 0,
+            call: SidecarCall::Submit(ticket),
+            ambiguous: false,
+            accepted: false,
+            recover_by: Moment::NEVER,
+            withdraw_at: None,
+        })
+    }
+
     fn handle_reply(&mut self, now: Moment, event: AttemptEvent) -> AttemptStep {
         let Some(target) = self.target.as_mut() else {
             return AttemptStep::Choose;
@@ -174,9 +190,8 @@
             }
             AttemptEvent::Unsent => self.call_failed(now, false),
             AttemptEvent::Lost => self.call_failed(now, true),
-            AttemptEvent::Chosen(..) | AttemptEvent::NoChoice(_) | AttemptEvent::CallerGone => {
-                AttemptStep::Choose
-            }
+            // The rest has been handled before.
+            _ => AttemptStep::Choose,
         }
     }
 
@@ -255,6 +270,17 @@
             // The sidecar has dropped an answer that nobody read in time.
             return self.lost_here(now, RunEvidence::MayHaveRan);
         }
+        if let Some(withdraw_at) = target.withdraw_at
+            && target.incarnation == incarnation
+        {
+            // Its owner has yet to submit it, or has ended before it could.
+            let ticket = target.ticket;
+            return if withdraw_at.is_due(now) {
+                self.call(now, SidecarCall::Withdraw(ticket))
+            } else {
+                self.read(now.after(RETRY_PAUSE))
+            };
+        }
         target.incarnation = incarnation;
         let call = SidecarCall::Attach(target.ticket);
         self.call(now, call)
@@ -297,7 +323,9 @@
     }
 
     fn choose_another(&mut self) -> AttemptStep {
-        if let Some(target) = self.target.take() {
+        if let Some(target) = self.target.take()
+            && target.withdraw_at.is_none()
+        {
             self.excluded.push(target.upstream);
         }
         AttemptStep::Choose
--- a/src/decide/attempt_step.rs
+++ b/src/decide/attempt_step.rs
@@ -67,6 +67,10 @@
 pub enum AttemptEvent {
     /// An upstream was chosen and a fresh ticket minted.
     Chosen(UpstreamKey, Incarnation, Ticket),
+    /// Another ticket holds the idempotency key; its answer is to be read instead.
+    Held(UpstreamKey, Incarnation, Ticket),
+    /// Another ticket holds the idempotency key, and its upstream is not known any more.
+    HolderGone,
     /// No upstream can be chosen.
     NoChoice(RefusalReason),
     /// The submission was accepted.
@@ -101,3 +105,14 @@
     /// The caller has gone away.
     CallerGone,
 }
+
+/// What is certain about the tickets of a request so far.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub enum RunEvidence {
+    /// None of them ran or ever will.
+    NeverRan,
+    /// One of them may have run.
+    MayHaveRan,
+    /// One of them ran.
+    Ran,
+}
--- a/src/decide/outcome.rs
+++ b/src/decide/outcome.rs
@@ -59,11 +59,15 @@
     ClaimUnavailable,
     /// No configuration has been received yet.
     NoConfiguration,
+    /// The idempotency key belongs to a different request.
+    KeyConflict,
+    /// The idempotency key is too old to tell whether its request ran.
+    KeyExpired,
 }
 
 impl RefusalReason {
     /// All reasons with their stable codes in error bodies.
-    pub const TABLE: [(Self, &'static str); 15] = [
+    pub const TABLE: [(Self, &'static str); 17] = [
         (Self::Busy, "busy"),
         (Self::QueueFull, "queue_full"),
         (Self::StartDeadline, "start_deadline"),
@@ -79,6 +83,8 @@
         (Self::RetryBudget, "retry_budget"),
         (Self::ClaimUnavailable, "claim_unavailable"),
         (Self::NoConfiguration, "no_configuration"),
+        (Self::KeyConflict, "idempotency_conflict"),
+        (Self::KeyExpired, "idempotency_expired"),
     ];
 
     /// Returns the stable code used in error bodies.
--- a/src/decide/suspects.rs
+++ b/src/decide/suspects.rs
@@ -17,6 +17,21 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct Fingerprint(pub u64);
 
+impl Fingerprint {
+    /// Hashes what makes two requests equal.
+    #[must_use]
+    pub fn of(customer: &str, path: &str, body: &[u8]) -> Self {
+        let mut hasher = blake3::Hasher::new();
+        for part in [customer.as_bytes(), path.as_bytes(), body] {
+            hasher.update(&(part.len() as u64).to_le_bytes());
+            hasher.update(part);
+        }
+        let mut word = [0; 8];
+        word.copy_from_slice(&hasher.finalize().as_bytes()[..8]);
+        Self(u64::from_le_bytes(word))
+    }
+}
+
 /// Identifies one crash of an engine.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct CrashId {
--- a/src/services/caller_answer.rs
+++ b/src/services/caller_answer.rs
@@ -287,7 +287,7 @@
 
 fn ending_status(status: RunStatus, reason: Option<RefusalReason>) -> FaultStatus {
     let mut fault = refusal_status(status, reason.unwrap_or(RefusalReason::NoUpstream));
-    if status != RunStatus::NotRun {
+    if status != RunStatus::NotRun && reason != Some(RefusalReason::KeyExpired) {
         fault.code = status.name();
     }
     fault
--- a/src/services/callers.rs
+++ b/src/services/callers.rs
@@ -15,9 +15,11 @@
 use super::caller_answer::{fault_response, model_answer, plain_answer, refusal_response};
 use super::config::CONFIG;
 use super::journal::request_id;
+use super::key_claim::{KeyClaim, StatedKey, stated_key};
 use super::mail::{ConfigMail, Mail};
 use super::operator::{self, OperatorMail};
 use super::request_runner::{RequestRunner, UpstreamRequest};
+use super::turned_away::{Answered, TurnedAway, invalid, or_error};
 use super::upstream_choice::{UpstreamChooser, UpstreamScope};
 use crate::decide::admission::{
     Admission, AdmissionFault, AdmissionQuery, AdmissionTarget, admit, authenticate,
@@ -28,6 +30,7 @@
 use crate::decide::outcome::{RefusalReason, RunStatus};
 use crate::decide::placement::PlacementPolicy;
 use crate::decide::prefix::prefix_keys;
+use crate::decide::suspects::Fingerprint;
 use crate::kernel::{Directory, Inbox, IoTask, Signal};
 use crate::platform::http_server::{
     RequestHandler, ResponseBody, ServerLimits, json_response, serve,
@@ -157,6 +160,7 @@
             idempotent: stated.idempotent,
         };
         let admission = admit(&configuration, &query)?;
+        let key_claim = self.key_claim(&admission, &head.headers)?;
         let keys = prefix_keys(
             &admission.customer,
             &request.model,
@@ -170,7 +174,7 @@
             headers: vec![("content-type".to_owned(), "application/json".to_owned())],
             body: request.upstream_body(),
             output_tokens: request.output_limit().unwrap_or(0),
-            fingerprint: fingerprint(&admission.customer, kind.path(), &body),
+            fingerprint: Fingerprint::of(&admission.customer, kind.path(), &body),
         };
         let chooser = self.chooser(UpstreamScope::Model(request.model.clone()), keys);
         let continuable = request.choices == 1;
@@ -182,6 +186,7 @@
             continuable,
         );
         let id = runner.id();
+        let runner = runner.with_key(key_claim);
         Ok(with_id(id, model_answer(runner, request).await))
     }
 
@@ -201,6 +206,7 @@
             idempotent: stated.idempotent,
         };
         let admission = admit(&configuration, &query)?;
+        let key_claim = self.key_claim(&admission, &head.headers)?;
         let body = self.read_body(body).await?;
         let query = head
             .uri
@@ -209,7 +215,7 @@
         let path = format!("/{rest}{query}");
         let request = UpstreamRequest {
             method: head.method.as_str().to_owned(),
-            fingerprint: fingerprint(&admission.customer, &path, &body),
+            fingerprint: Fingerprint::of(&admission.customer, &path, &body),
             path,
             headers: forwarded_headers(&head.headers),
             body,
@@ -218,7 +224,28 @@
         let chooser = self.chooser(UpstreamScope::Service(service.to_owned()), Vec::new());
         let runner = self.runner(configuration, admission, chooser, request, false);
         let id = runner.id();
-        Ok(with_id(id, plain_answer(runner).await))
+        Ok(with_id(id, plain_answer(runner.with_key(key_claim)).await))
+    }
+
+    fn key_claim(
+        &self,
+        admission: &Admission,
+        headers: &HeaderMap,
+    ) -> Result<Option<KeyClaim>, TurnedAway> {
+        match stated_key(headers) {
+            StatedKey::Absent => Ok(None),
+            StatedKey::Valid(key, expires_s) => {
+                let directory = self.directory.clone();
+                Ok(Some(KeyClaim::new(
+                    directory,
+                    &admission.customer,
+                    &key,
+                    expires_s,
+                )))
+            }
+            StatedKey::Expired => Err(TurnedAway::Expired),
+            StatedKey::Malformed(message) => Err(invalid(message)),
+        }
     }
 
     async fn configuration(&self) -> Arc<Configuration> {
@@ -291,51 +318,6 @@
     }
 }
 
-/// Why a request is answered without being run.
-#[derive(Debug)]
-enum TurnedAway {
-    /// The caller is at fault.
-    Fault(CallerFault, String),
-    /// The entry cannot run anything at present.
-    Refused(RefusalReason),
-}
-
-/// A response, or why there is nothing to run.
-type Answered = Result<Response<ResponseBody>, TurnedAway>;
-
-impl From<AdmissionFault> for TurnedAway {
-    fn from(fault: AdmissionFault) -> Self {
-        let (fault, message) = match fault {
-            AdmissionFault::NoConfiguration => {
-                return Self::Refused(RefusalReason::NoConfiguration);
-            }
-            AdmissionFault::MissingKey => (CallerFault::MissingKey, "no bearer key was sent"),
-            AdmissionFault::UnknownKey => (CallerFault::UnknownKey, "the bearer key is unknown"),
-            AdmissionFault::RankNotAllowed => (
-                CallerFault::RankNotAllowed,
-                "the customer may not use this rank",
-            ),
-            AdmissionFault::UnknownModel => (CallerFault::UnknownModel, "no such model"),
-            AdmissionFault::UnknownService => (CallerFault::UnknownService, "no such service"),
-        };
-        Self::Fault(fault, message.to_owned())
-    }
-}
-
-impl From<RequestError> for TurnedAway {
-    fn from(error: RequestError) -> Self {
-        Self::Fault(CallerFault::from(&error), error.to_string())
-    }
-}
-
-fn or_error(answered: Answered) -> Response<ResponseBody> {
-    match answered {
-        Ok(response) => response,
-        Err(TurnedAway::Fault(fault, message)) => fault_response(fault, &message),
-        Err(TurnedAway::Refused(reason)) => refusal_response(RunStatus::NotRun, Some(reason)),
-    }
-}
-
 /// Adds the header under whose value operators find what was decided for the request.
 fn with_id(id: u64, mut response: Response<ResponseBody>) -> Response<ResponseBody> {
     if let Ok(value) = HeaderValue::from_str(&request_id(id)) {
@@ -344,10 +326,6 @@
     response
 }
 
-fn invalid(message: &str) -> TurnedAway {
-    TurnedAway::Fault(CallerFault::InvalidValue, message.to_owned())
-}
-
 fn stated_headers(headers: &HeaderMap) -> Result<StatedHeaders, TurnedAway> {
     let text = |name: &str| headers.get(name)?.to_str().ok();
     let rank = match text(RANK_HEADER) {
@@ -374,14 +352,3 @@
     let key = value.strip_prefix("Bearer ")?;
     Some(*blake3::hash(key.as_bytes()).as_bytes())
 }
-
-fn fingerprint(customer: &str, path: &str, body: &[u8]) -> u64 {
-    let mut hasher = blake3::Hasher::new();
-    for part in [customer.as_bytes(), path.as_bytes(), body] {
-        hasher.update(&(part.len() as u64).to_le_bytes());
-        hasher.update(part);
-    }
-    let mut word = [0; 8];
-    word.copy_from_slice(&hasher.finalize().as_bytes()[..8]);
-    u64::from_le_bytes(word)
-}
--- a/src/services/request_runner.rs
+++ b/src/services/request_runner.rs
@@ -5,15 +5,18 @@
 use std::sync::Arc;
 
 use super::journal::{self, ReportStep, RequestReport};
+use super::key_claim::KeyClaim;
 use super::mail::{DialerMail, JournalMail, Mail, MintOutcome, TicketsMail};
 use super::sidecar_calls::SidecarCalls;
-use super::upstream_choice::UpstreamChooser;
+use super::upstream_choice::{UpstreamChoice, UpstreamChooser};
 use crate::decide::admission::Admission;
 use crate::decide::attempt::RequestAttempt;
 use crate::decide::attempt_step::{AttemptEvent, AttemptPolicy, AttemptStep, SidecarCall};
+use crate::decide::claims::{ClaimTarget, ClaimVerdict};
 use crate::decide::config::Configuration;
 use crate::decide::ids::{Incarnation, Repeatability, Ticket};
 use crate::decide::outcome::{RefusalReason, RunStatus};
+use crate::decide::suspects::Fingerprint;
 use crate::kernel::{Directory, Moment};
 use crate::wire::rpc::{StreamItem, SubmitCall};
 
@@ -31,7 +34,7 @@
     /// Output tokens that the request may take; 0 when not stated.
     pub output_tokens: u32,
     /// Identifies equal requests.
-    pub fingerprint: u64,
+    pub fingerprint: Fingerprint,
 }
 
 /// What a runner has for its caller.
@@ -61,6 +64,7 @@
     continued: u32,
     finished: bool,
     report: RequestReport,
+    key_claim: Option<KeyClaim>,
 }
 
 impl RequestRunner {
@@ -98,9 +102,21 @@
             items: VecDeque::new(),
             continued: 0,
             finished: false,
+            key_claim: None,
         }
     }
 
+    /// Makes the request run at most once for its idempotency key.
+    #[must_use]
+    pub fn with_key(mut self, key_claim: Option<KeyClaim>) -> Self {
+        if key_claim.is_some() {
+            self.admission.repeatability = Repeatability::NonIdempotent;
+            self.attempt.policy.repeatability = Repeatability::NonIdempotent;
+        }
+        self.key_claim = key_claim;
+        self
+    }
+
     /// Returns the next output; after [`RunnerOutput::Finished`] there is none.
     pub async fn next(&mut self) -> RunnerOutput {
         loop {
@@ -111,6 +127,7 @@
                 AttemptStep::Finish(status, reason) => {
                     self.finished = true;
                     self.report.told = Some((status, reason));
+                    self.release_key(status);
                     return RunnerOutput::Finished(status, reason);
                 }
                 AttemptStep::Choose if self.needs_continuation() => {
@@ -194,7 +211,7 @@
             Some(MintOutcome::Minted(ticket)) => {
                 self.address = Some(choice.address);
                 self.wait_limit_us = choice.wait_limit_us;
-                AttemptEvent::Chosen(choice.upstream, choice.incarnation, ticket)
+                self.claim_key(&choice, ticket).await
             }
             Some(MintOutcome::OverBudget) | None => {
                 AttemptEvent::NoChoice(RefusalReason::RetryBudget)
@@ -202,6 +219,59 @@
         }
     }
 
+    /// Claims the request's key, if it has one, before the ticket is submitted.
+    async fn claim_key(&mut self, choice: &UpstreamChoice, ticket: Ticket) -> AttemptEvent {
+        let chosen = AttemptEvent::Chosen(choice.upstream, choice.incarnation, ticket);
+        let Some(key_claim) = &mut self.key_claim else {
+            return chosen;
+        };
+        let Some(upstream) = self.configuration.upstreams.get(choice.upstream) else {
+            return AttemptEvent::NoChoice(RefusalReason::NoUpstream);
+        };
+        let fingerprint = self.request.fingerprint;
+        let target = ClaimTarget {
+            ticket,
+            upstream: upstream.name.clone(),
+            sidecar: choice.incarnation,
+            fingerprint,
+        };
+        match key_claim.claim(&self.configuration, target).await {
+            ClaimVerdict::Won => {
+                key_claim.ticket = Some(ticket);
+                chosen
+            }
+            ClaimVerdict::Held(holder) if holder.fingerprint != fingerprint => {
+                AttemptEvent::NoChoice(RefusalReason::KeyConflict)
+            }
+            ClaimVerdict::Held(holder) => self.follow(&holder),
+            ClaimVerdict::Released | ClaimVerdict::Unavailable => {
+                // The ticket is never sent, whatever becomes of the record.
+                key_claim.ticket = Some(ticket);
+                AttemptEvent::NoChoice(RefusalReason::ClaimUnavailable)
+            }
+        }
+    }
+
+    /// Turns to the ticket that holds the key.
+    fn follow(&mut self, holder: &ClaimTarget) -> AttemptEvent {
+        let mut upstreams = self.configuration.upstreams.iter();
+        let found = upstreams.find(|(_, upstream)| upstream.name == holder.upstream);
+        let Some((key, upstream)) = found else {
+            return AttemptEvent::HolderGone;
+        };
+        self.address = Some(upstream.sidecar);
+        if let Some(key_claim) = &mut self.key_claim {
+            key_claim.ticket = Some(holder.ticket);
+        }
+        AttemptEvent::Held(key, holder.sidecar, holder.ticket)
+    }
+
+    fn release_key(&mut self, status: RunStatus) {
+        if let (RunStatus::NotRun, Some(key_claim)) = (status, &mut self.key_claim) {
+            key_claim.release(&self.configuration);
+        }
+    }
+
     async fn call(&mut self, incarnation: Incarnation, call: SidecarCall) -> AttemptEvent {
         let Some(address) = self.address else {
             return AttemptEvent::NoChoice(RefusalReason::NoUpstream);
@@ -235,7 +305,7 @@
             rank: self.admission.rank.into(),
             idempotent: self.admission.repeatability == Repeatability::Idempotent,
             version: self.admission.version.clone(),
-            fingerprint: request.fingerprint,
+            fingerprint: request.fingerprint.0,
             prefix_keys: self.chooser.keys.iter().map(|key| key.0).collect(),
             start_budget_us: u64::try_from(budget.as_micros()).unwrap_or(u64::MAX),
             wait_limit_us: self.wait_limit_us,
--- a/src/services/sidecar_calls.rs
+++ b/src/services/sidecar_calls.rs
@@ -7,9 +7,11 @@
 
 use super::mail::{ConfigMail, DialOutcome, DialerMail, Mail};
 use crate::decide::attempt_step::AttemptEvent;
+use crate::decide::claims::{ClaimRecord, ClaimVerdict};
 use crate::decide::ids::{Incarnation, Repeatability, Ticket};
 use crate::decide::outcome::{RefusalReason, StreamEnd};
 use crate::kernel::Directory;
+use crate::wire::claim_rpc::ClaimCall;
 use crate::wire::rpc::{
     AttachReply, AttachVerdict, QuoteCall, QuoteReply, ReadCall, ReadReply, ReadVerdict, ReplyHead,
     SidecarRpcClient, StreamItem, SubmitCall, SubmitReply, SubmitVerdict, WithdrawReply,
@@ -114,6 +116,20 @@
         withdraw_event(&reply)
     }
 
+    /// Claims or releases an idempotency key; `None` when no verdict came within the limit.
+    pub async fn claim(&self, record: &ClaimRecord, limit: Duration) -> Option<ClaimVerdict> {
+        let call = ClaimCall {
+            claim: record.into(),
+            budget_us: u64::try_from(limit.as_micros()).unwrap_or(u64::MAX),
+        };
+        let asked = async {
+            let link = self.connect().await?;
+            let reply = link.client.claim(deadline(limit), call).await;
+            reply.ok().map(ClaimVerdict::from)
+        };
+        tokio::time::timeout(limit, asked).await.ok()?
+    }
+
     /// Looks a ticket up at the engine.
     pub async fn attach(&self, ticket: Ticket, repeatability: Repeatability) -> AttemptEvent {
         let Some(link) = self.connect().await else {
--- a/src/services/sidecar_rpc.rs
+++ b/src/services/sidecar_rpc.rs
@@ -1,15 +1,20 @@
 //! I/O task `rpc` of a sidecar: the server side of the calls from entries.
 
+use std::time::Duration;
+
 use futures::StreamExt;
 use tarpc::context::Context;
 use tarpc::server::{BaseChannel, Channel};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::task::JoinSet;
 
-use super::mail::{LedgerMail, Mail};
+use super::claims::CLAIMS;
+use super::mail::{ClaimsMail, LedgerMail, Mail};
+use crate::decide::claims::{ClaimRecord, ClaimVerdict};
 use crate::decide::ids::{Incarnation, Repeatability, Ticket};
 use crate::decide::outcome::RefusalReason;
 use crate::kernel::{Directory, Inbox, IoTask, ReplyTo, Signal};
+use crate::wire::claim_rpc::{ClaimCall, ClaimReply};
 use crate::wire::rpc::{
     AttachReply, AttachVerdict, QuoteCall, QuoteReply, ReadCall, ReadReply, ReadVerdict, ReplyHead,
     SidecarRpc, SubmitCall, SubmitReply, SubmitVerdict, WireTicket, WithdrawReply, WithdrawVerdict,
@@ -126,6 +131,23 @@
         })
     }
 
+    async fn claim(self, _: Context, call: ClaimCall) -> ClaimReply {
+        let Ok(record) = ClaimRecord::try_from(call.claim) else {
+            return ClaimReply::Unavailable;
+        };
+        let budget = Duration::from_micros(call.budget_us);
+        let deadline = self.directory.now().after(budget);
+        let question = |reply_to| {
+            Mail::Claims(ClaimsMail::Claim {
+                record,
+                deadline,
+                reply_to,
+            })
+        };
+        let verdict = self.directory.ask(CLAIMS, question).await;
+        verdict.unwrap_or(ClaimVerdict::Unavailable).into()
+    }
+
     async fn attach(self, _: Context, ticket: WireTicket, idempotent: bool) -> AttachReply {
         let ticket = Ticket::from(ticket);
         let repeatability = if idempotent {
--- a/src/sidecar.rs
+++ b/src/sidecar.rs
@@ -2,6 +2,7 @@
 
 use std::io;
 
+use crate::decide::claim_home::HomeBounds;
 use crate::decide::ids::Incarnation;
 use crate::decide::ledger::LedgerBounds;
 use crate::decide::queue::QueuePolicy;
@@ -10,6 +11,8 @@
 use crate::platform::instance_client::{InstanceClient, WireInstance, WireInstanceState};
 use crate::process;
 use crate::services::cache_watch::cache_watch_task;
+use crate::services::claim_log::claim_log_task;
+use crate::services::claims::claims_service;
 use crate::services::config::config_service;
 use crate::services::config_feed::config_feed_task;
 use crate::services::engine_task::{EngineKind, EngineTarget, engine_task};
@@ -81,6 +84,8 @@
     if target.kind == EngineKind::Model {
         kernel.add_task(cache_watch_task(target.address));
     }
+    kernel.add(claims_service(HomeBounds::default()));
+    kernel.add_task(claim_log_task(common.platform));
     kernel.add_task(rpc_task(entries));
     kernel.add_task(operator::task(
         operators,
--- a/src/wire/claim_record.rs
+++ b/src/wire/claim_record.rs
@@ -1,4 +1,6 @@
 //! Records on the claim partitions of the log: one append holds a batch of them as JSON.
+//!
+//! The same types travel in calls, whose encoding does not name fields, so none is left out.
 
 use serde::{Deserialize, Serialize};
 
@@ -22,10 +24,8 @@
     /// Key hash in hexadecimal.
     pub key: String,
     /// Ticket that never ran and never will.
-    #[serde(default, skip_serializing_if = "Option::is_none")]
     pub released: Option<WireTicket>,
     /// The claim.
-    #[serde(default, skip_serializing_if = "Option::is_none")]
     pub target: Option<WireTarget>,
     /// End of the key's validity, in Unix seconds.
     pub expires_s: u64,
--- a/src/wire/mod.rs
+++ b/src/wire/mod.rs
@@ -2,6 +2,7 @@
 
 pub mod cache_feed;
 pub mod claim_record;
+pub mod claim_rpc;
 pub mod config_objects;
 pub mod config_record;
 pub mod config_snapshot;
--- a/src/wire/openai/error.rs
+++ b/src/wire/openai/error.rs
@@ -147,7 +147,7 @@
     }
     let status = match reason {
         RefusalReason::Busy | RefusalReason::QueueFull | RefusalReason::CustomerLimit => 429,
-        RefusalReason::Poisonous => 422,
+        RefusalReason::Poisonous | RefusalReason::KeyConflict => 422,
         RefusalReason::StartDeadline
         | RefusalReason::Leaving
         | RefusalReason::EngineDown
@@ -158,6 +158,7 @@
         | RefusalReason::NoUpstream
         | RefusalReason::RetryBudget
         | RefusalReason::ClaimUnavailable
+        | RefusalReason::KeyExpired
         | RefusalReason::NoConfiguration => 503,
     };
     match status {
--- a/src/wire/rpc.rs
+++ b/src/wire/rpc.rs
@@ -2,6 +2,7 @@
 
 use serde::{Deserialize, Serialize};
 
+use super::claim_rpc::{ClaimCall, ClaimReply};
 use crate::decide::ids::{
     EngineEpoch, Incarnation, LogOffset, PrefixKey, Rank, Repeatability, Ticket,
 };
@@ -387,6 +388,8 @@
     async fn read(call: ReadCall) -> ReadReply;
     /// Withdraws a ticket, also one never seen, from this incarnation of the sidecar.
     async fn withdraw(ticket: WireTicket, incarnation: u64) -> WithdrawReply;
+    /// Claims or releases an idempotency key.
+    async fn claim(call: ClaimCall) -> ClaimReply;
     /// Looks a ticket up at the engine after a restart of the sidecar.
     async fn attach(ticket: WireTicket, idempotent: bool) -> AttachReply;
 }
--- /dev/null
+++ b/tests/process_claims.rs
@@ -0,0 +1,141 @@
+//! Idempotency keys between real processes: one run for a key, whatever is resent or fails.
+
+mod common;
+
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+
+use common::{API_KEY, Answer, Fleet, post};
+use serde_json::{Value, json};
+
+const PATH: &str = "/services/gates/clone";
+
+/// Time within which a claim must be refused while the log is out.
+const REFUSAL_LIMIT: Duration = Duration::from_secs(2);
+
+async fn clone_gate(fleet: &Fleet, entry: usize, key: &str, body: &str) -> Answer {
+    let bearer = format!("Bearer {API_KEY}");
+    let headers = [("authorization", bearer.as_str()), ("idempotency-key", key)];
+    post(fleet.entry(entry), PATH, &headers, body.to_owned()).await
+}
+
+/// Returns how many tickets were run and how often in all.
+async fn runs(fleet: &Fleet) -> (usize, u64) {
+    let answer = common::get(fleet.plain.port("plain"), "/admin/runs", &[]).await;
+    let runs = answer.json();
+    let counts = runs["runs"].as_object().expect("runs by request id");
+    let counts: Vec<u64> = counts.values().filter_map(Value::as_u64).collect();
+    (counts.len(), counts.iter().sum())
+}
+
+async fn platform(fleet: &Fleet, fault: &str) {
+    let path = format!("/admin/{fault}");
+    let answer = post(fleet.platform.port("platform"), &path, &[], "").await;
+    assert_eq!(answer.status, 200, "{}", answer.text);
+}
+
+fn is_complete(answer: &Answer) -> bool {
+    // The status of a passed-through answer follows in a trailer; its body is read whole here.
+    answer.status == 200 && answer.json()["service"] == "gates"
+}
+
+#[tokio::test]
+async fn equal_requests_through_both_entries_run_once_and_get_one_answer() {
+    let fleet = Fleet::start().await;
+    let sends = (0..12).map(|i| clone_gate(&fleet, i % 2, "gate-7", "open"));
+    let answers = futures::future::join_all(sends).await;
+    for answer in &answers {
+        assert!(is_complete(answer), "{} {}", answer.status, answer.text);
+        assert_eq!(answer.text, answers[0].text);
+    }
+    let later = clone_gate(&fleet, 0, "gate-7", "open").await;
+    assert_eq!((later.status, &later.text), (200, &answers[0].text));
+    assert_eq!(runs(&fleet).await, (1, 1));
+    assert!(is_complete(&clone_gate(&fleet, 1, "gate-8", "open").await));
+    assert_eq!(runs(&fleet).await, (2, 2));
+}
+
+#[tokio::test]
+async fn a_key_used_for_another_request_or_past_its_window_is_refused() {
+    let fleet = Fleet::start().await;
+    assert!(is_complete(&clone_gate(&fleet, 0, "gate-7", "open").await));
+    let reused = clone_gate(&fleet, 1, "gate-7", "close").await;
+    assert_eq!(
+        (reused.status, reused.code().as_str()),
+        (422, "idempotency_conflict")
+    );
+    assert_eq!(reused.header("x-run-status"), "not-run");
+    let elapsed = SystemTime::now()
+        .duration_since(UNIX_EPOCH)
+        .expect("after 1970");
+    let yesterday = (elapsed.as_secs() - 86_400).to_string();
+    let bearer = format!("Bearer {API_KEY}");
+    let headers = [
+        ("authorization", bearer.as_str()),
+        ("idempotency-key", "gate-9"),
+        ("idempotency-key-created", yesterday.as_str()),
+    ];
+    let expired = post(fleet.entry(0), PATH, &headers, "open").await;
+    assert_eq!(expired.code(), "idempotency_expired");
+    assert_eq!(expired.header("x-run-status"), "unknown");
+    assert_eq!(runs(&fleet).await, (1, 1));
+}
+
+#[tokio::test]
+async fn an_append_whose_answer_is_lost_is_settled_and_runs_once() {
+    let fleet = Fleet::start().await;
+    platform(&fleet, "lose-answers?next=1").await;
+    let first = clone_gate(&fleet, 0, "gate-7", "open").await;
+    assert!(is_complete(&first), "{} {}", first.status, first.text);
+    let again = clone_gate(&fleet, 1, "gate-7", "open").await;
+    assert_eq!((again.status, again.text), (200, first.text));
+    assert_eq!(runs(&fleet).await, (1, 1));
+}
+
+#[tokio::test]
+async fn while_the_log_is_out_keyed_work_is_refused_quickly_and_other_work_goes_on() {
+    let fleet = Fleet::start().await;
+    let before = clone_gate(&fleet, 0, "gate-7", "open").await;
+    platform(&fleet, "outage?ms=60000").await;
+    let begun = Instant::now();
+    let refused = clone_gate(&fleet, 0, "gate-8", "open").await;
+    assert!(begun.elapsed() < REFUSAL_LIMIT, "{:?}", begun.elapsed());
+    assert_eq!(
+        (refused.status, refused.code().as_str()),
+        (503, "claim_unavailable")
+    );
+    assert_eq!(refused.header("x-run-status"), "not-run");
+    // A key that is known to be held needs no log.
+    let held = clone_gate(&fleet, 1, "gate-7", "open").await;
+    assert_eq!((held.status, held.text), (200, before.text));
+    let bearer = format!("Bearer {API_KEY}");
+    let headers = [("authorization", bearer.as_str())];
+    let unkeyed = post(fleet.entry(0), PATH, &headers, json!({"x": 1}).to_string()).await;
+    assert!(is_complete(&unkeyed));
+    platform(&fleet, "outage?ms=0").await;
+    let deadline = Instant::now() + Duration::from_secs(5);
+    while !is_complete(&clone_gate(&fleet, 1, "gate-8", "open").await) {
+        assert!(Instant::now() < deadline, "the log is back");
+    }
+    assert_eq!(runs(&fleet).await, (3, 3));
+}
+
+#[tokio::test]
+async fn keys_survive_the_loss_of_their_homes() {
+    let mut fleet = Fleet::start().await;
+    let mut first = Vec::new();
+    for number in 0..8 {
+        first.push(
+            clone_gate(&fleet, 0, &format!("gate-{number}"), "open")
+                .await
+                .text,
+        );
+    }
+    // Both engines' sidecars go; the plain service's one is the home of every partition now.
+    fleet.sidecars[0].kill();
+    fleet.sidecars[1].kill();
+    for (number, text) in first.iter().enumerate() {
+        let again = clone_gate(&fleet, 1, &format!("gate-{number}"), "open").await;
+        assert_eq!((again.status, &again.text), (200, text));
+    }
+    assert_eq!(runs(&fleet).await, (8, 8));
+}
