Measure what the path adds, and the idle cost of each process

Cause: the path is to add under 2 ms at p50 to the first token, and entry and sidecar are to stay under 32 MB each. Ruled out: bulrushslip-load run for this (it opens load at a rate; here one caller goes by turns, so both ways see the same machine); wall-clock figures of single runs.

--- a/src/load/mod.rs
+++ b/src/load/mod.rs
@@ -6,6 +6,7 @@
 pub mod mail;
 pub mod measure;
 pub mod options;
+pub mod path;
 pub mod prompts;
 pub mod report;
 pub mod run;
--- a/src/load/options.rs
+++ b/src/load/options.rs
@@ -5,6 +5,7 @@
 
 use argh::FromArgs;
 
+use super::path::PathOptions;
 use super::workload::{PrefixDepths, WorkloadSpec};
 
 /// Seeded load against running entries, and the cost of single decisions.
@@ -23,6 +24,8 @@
     Run(RunOptions),
     /// Measures decisions.
     Measure(MeasureOptions),
+    /// Measures the latency that the path adds.
+    Path(PathOptions),
 }
 
 /// Measure the cost of queue, placement and cache index decisions in this process.
--- a/src/load/run.rs
+++ b/src/load/run.rs
@@ -7,6 +7,7 @@
 use super::mail::LoadMail;
 use super::measure;
 use super::options::{LoadCommand, LoadOptions, RunOptions};
+use super::path;
 use super::prompts::PromptBuilder;
 use super::report::{RankDeadlines, RunReport};
 use super::table;
@@ -25,6 +26,10 @@
         LoadCommand::Measure(options) => {
             io::stdout().write_all(measure::measure(&options).as_bytes())
         }
+        LoadCommand::Path(options) => {
+            let text = path::measure(&options).await;
+            io::stdout().write_all(text.as_bytes())
+        }
         LoadCommand::Run(options) => run_load(options).await,
     }
 }
