End a cut answer of a plain service with a broken connection

Cause: when an upstream broke off in the middle of a passed-through body, the entry ended the chunked body cleanly and told the status in a trailer that clients do not read, so a cut answer looked whole. Ruled out: an error text in the body (it would become part of the passed answer); buffering whole bodies. The body now ends with an error, so the connection closes without its last chunk. State: tests/plain_answers.rs, before: 200 with body 'first' of 'firstlast'; after: passes. Conclusion: streams of models were not affected, they end with an error event and no [DONE].

--- a/src/services/caller_answer.rs
+++ b/src/services/caller_answer.rs
@@ -32,7 +32,8 @@
 /// Parts of a streamed answer that wait for a slow caller.
 const STREAM_BACKLOG: usize = 32;
 
-type FrameSender = mpsc::Sender<Frame<Bytes>>;
+/// Sends the parts of a body; an error closes the connection, so a cut body never ends cleanly.
+type FrameSender = mpsc::Sender<std::io::Result<Frame<Bytes>>>;
 
 /// How a model's answer goes on.
 enum AnswerStep {
@@ -105,7 +106,7 @@
         None => (RunStatus::Complete, None),
         Some(mut payload) => loop {
             let frame = Frame::data(Bytes::from(encode_data(&payload)));
-            if sender.send(frame).await.is_err() {
+            if sender.send(Ok(frame)).await.is_err() {
                 return;
             }
             let step = tokio::select! {
@@ -131,9 +132,9 @@
     let mut trailers = HeaderMap::new();
     set_run_status(&mut trailers, status);
     let last = Frame::data(Bytes::from(encode_data(&ending)));
-    if sender.send(last).await.is_ok() {
+    if sender.send(Ok(last)).await.is_ok() {
         // A caller that has left by now has the whole answer.
-        drop(sender.send(Frame::trailers(trailers)).await);
+        drop(sender.send(Ok(Frame::trailers(trailers))).await);
     }
 }
 
@@ -235,23 +236,32 @@
         };
         match output {
             RunnerOutput::Item(StreamItem::Data(bytes)) => {
-                if sender.send(Frame::data(Bytes::from(bytes))).await.is_err() {
+                let frame = Frame::data(Bytes::from(bytes));
+                if sender.send(Ok(frame)).await.is_err() {
                     return;
                 }
             }
             RunnerOutput::Item(StreamItem::Head { .. }) => {}
             RunnerOutput::NeedsContinuation => runner.abandon_rest(),
             RunnerOutput::Finished(status, _) => {
-                let mut trailers = HeaderMap::new();
-                set_run_status(&mut trailers, status);
-                // A caller that has left by now needs no trailers.
-                drop(sender.send(Frame::trailers(trailers)).await);
+                // A caller that has left by now needs no ending.
+                drop(sender.send(plain_ending(status)).await);
                 return;
             }
         }
     }
 }
 
+/// Returns the end of a passed-through body, which has no other place for its status.
+fn plain_ending(status: RunStatus) -> std::io::Result<Frame<Bytes>> {
+    if status != RunStatus::Complete {
+        return Err(std::io::ErrorKind::ConnectionAborted.into());
+    }
+    let mut trailers = HeaderMap::new();
+    set_run_status(&mut trailers, status);
+    Ok(Frame::trailers(trailers))
+}
+
 /// Builds the response to a request that was turned away as faulty.
 #[must_use]
 pub fn fault_response(fault: CallerFault, message: &str) -> Response<ResponseBody> {
@@ -336,7 +346,7 @@
     let (sender, receiver) = mpsc::channel(STREAM_BACKLOG);
     let frames = stream::unfold(receiver, |mut receiver: mpsc::Receiver<_>| async {
         let frame = receiver.recv().await?;
-        Some((Ok::<_, std::io::Error>(frame), receiver))
+        Some((frame, receiver))
     });
     (sender, BodyExt::boxed(StreamBody::new(Box::pin(frames))))
 }
--- a/tests/common/fleet.rs
+++ b/tests/common/fleet.rs
@@ -34,6 +34,8 @@
     pub sidecar: Vec<&'static str>,
     /// Further arguments of the entries.
     pub entry: Vec<&'static str>,
+    /// Address of the plain service, if it is not to be the stand-in.
+    pub plain: Option<SocketAddr>,
 }
 
 /// Running processes; all are killed on drop.
@@ -76,7 +78,8 @@
             let upstream = ["--upstream", &name, "--engine", &target];
             sidecars.push(sidecar(&platform_address, &upstream, &options.sidecar));
         }
-        let target = plain.port("plain").to_string();
+        let target = options.plain.unwrap_or_else(|| plain.port("plain"));
+        let target = target.to_string();
         let upstream = ["--upstream", "gates-0", "--plain", &target];
         sidecars.push(sidecar(&platform_address, &upstream, &options.sidecar));
         declare(&platform, &sidecars);
