--- a/tests/common/fleet.rs
+++ b/tests/common/fleet.rs
@@ -1,5 +1,6 @@
 //! A small fleet: platform, two engines, a plain service, their sidecars and two entries.
 
+use std::collections::BTreeMap;
 use std::io::Write;
 use std::net::SocketAddr;
 use std::process::{Command, Stdio};
@@ -7,8 +8,9 @@
 
 use serde_json::{Value, json};
 
-use super::http::get;
+use super::http::{get, post};
 use super::process::ChildProcess;
+use super::relay::Relay;
 
 /// Bearer key of the customer `agency`, which may use both ranks.
 pub const API_KEY: &str = "test-key-agency-0001";
@@ -36,6 +38,10 @@
     pub entry: Vec<&'static str>,
     /// Address of the plain service, if it is not to be the stand-in.
     pub plain: Option<SocketAddr>,
+    /// Further arguments of the plain service.
+    pub plain: Vec<&'static str>,
+    /// Whether a relay stands between the entries and each sidecar.
+    pub relayed: bool,
 }
 
 /// Running processes; all are killed on drop.
@@ -51,6 +57,8 @@
     pub plain: ChildProcess,
     /// Platform.
     pub platform: ChildProcess,
+    /// Relays before the sidecars, if the fleet has any.
+    pub relays: Vec<Relay>,
 }
 
 impl Fleet {
@@ -69,7 +77,9 @@
                 standin("engine", &arguments)
             })
             .collect();
-        let plain = standin("plain", &["--name", "gates"]);
+        let mut arguments = vec!["--name", "gates"];
+        arguments.extend(&options.plain);
+        let plain = standin("plain", &arguments);
         let platform_address = platform.port("platform").to_string();
         let mut sidecars = Vec::new();
         for (i, engine) in engines.iter().enumerate() {
@@ -82,7 +92,19 @@
         let target = target.to_string();
         let upstream = ["--upstream", "gates-0", "--plain", &target];
         sidecars.push(sidecar(&platform_address, &upstream, &options.sidecar));
-        declare(&platform, &sidecars);
+        let mut addresses: Vec<SocketAddr> = sidecars
+            .iter()
+            .map(|sidecar| sidecar.port("sidecar"))
+            .collect();
+        let mut relays = Vec::new();
+        if options.relayed {
+            for address in &mut addresses {
+                let relay = Relay::start(*address).await;
+                *address = relay.address;
+                relays.push(relay);
+            }
+        }
+        declare(&platform, &addresses);
         let entries = (0..2)
             .map(|i| entry(&platform_address, i, &options.entry))
             .collect();
@@ -92,6 +114,7 @@
             engines,
             plain,
             platform,
+            relays,
         };
         fleet.wait_until_served().await;
         fleet
@@ -102,7 +125,94 @@
         self.entries[index].port("entry")
     }
 
-    async fn wait_until_served(&self) {
+    /// Returns one count of an engine's statistics.
+    pub async fn engine_count(&self, index: usize, name: &str) -> u64 {
+        let stats = get(self.engines[index].port("engine"), "/admin/stats", &[]).await;
+        stats.json()[name].as_u64().expect("a count")
+    }
+
+    /// Adds up one count over the engines.
+    pub async fn total_count(&self, name: &str) -> u64 {
+        let mut sum = 0;
+        for index in 0..self.engines.len() {
+            sum += self.engine_count(index, name).await;
+        }
+        sum
+    }
+
+    /// Waits until the sum of one count over the engines has reached a number.
+    pub async fn until_count(&self, name: &str, wanted: u64) {
+        let deadline = Instant::now() + CONFIG_LIMIT;
+        while self.total_count(name).await < wanted {
+            assert!(Instant::now() < deadline, "{name} is not {wanted} in time");
+            tokio::time::sleep(POLL_PAUSE).await;
+        }
+    }
+
+    /// Returns how often each ticket was started, over the engines.
+    pub async fn runs(&self) -> BTreeMap<String, u64> {
+        let mut runs = BTreeMap::new();
+        for engine in &self.engines {
+            for (ticket, starts) in runs_at(engine.port("engine")).await {
+                *runs.entry(ticket).or_insert(0) += starts;
+            }
+        }
+        runs
+    }
+
+    /// Returns how often each ticket was run by the plain service.
+    pub async fn plain_runs(&self) -> BTreeMap<String, u64> {
+        runs_at(self.plain.port("plain")).await
+    }
+
+    /// Waits until the plain service has begun so many requests.
+    pub async fn until_plain_runs(&self, wanted: usize) {
+        let deadline = Instant::now() + CONFIG_LIMIT;
+        while self.plain_runs().await.len() < wanted {
+            assert!(Instant::now() < deadline, "not run in time");
+            tokio::time::sleep(POLL_PAUSE).await;
+        }
+    }
+
+    /// Returns how many connections an entry has dialled.
+    pub async fn dialled(&self, entry: usize) -> u64 {
+        let operator = self.entries[entry].port("operator");
+        let dump = get(operator, "/dump", &[]).await.json();
+        dump["dialer"]["dialled"].as_u64().expect("a count")
+    }
+
+    /// Waits until an entry has dialled so many connections.
+    pub async fn until_dialled(&self, entry: usize, wanted: u64) {
+        let deadline = Instant::now() + CONFIG_LIMIT;
+        while self.dialled(entry).await < wanted {
+            assert!(Instant::now() < deadline, "not dialled again");
+            tokio::time::sleep(POLL_PAUSE).await;
+        }
+    }
+
+    /// Waits until an engine runs a request and returns its index.
+    pub async fn busy_engine(&self) -> usize {
+        let deadline = Instant::now() + CONFIG_LIMIT;
+        loop {
+            for index in 0..self.engines.len() {
+                if self.engine_count(index, "running").await > 0 {
+                    return index;
+                }
+            }
+            assert!(Instant::now() < deadline, "no engine runs a request");
+            tokio::time::sleep(POLL_PAUSE).await;
+        }
+    }
+
+    /// Causes a fault at an engine.
+    pub async fn engine_fault(&self, index: usize, fault: &str) {
+        let path = format!("/admin/{fault}");
+        let answer = post(self.engines[index].port("engine"), &path, &[], "").await;
+        assert_eq!(answer.status, 200, "{fault}");
+    }
+
+    /// Waits until every entry has the declared configuration in force.
+    pub async fn wait_until_served(&self) {
         let deadline = Instant::now() + CONFIG_LIMIT;
         for index in 0..self.entries.len() {
             let headers = [("authorization", format!("Bearer {API_KEY}"))];
@@ -119,6 +229,12 @@
     }
 }
 
+async fn runs_at(address: SocketAddr) -> BTreeMap<String, u64> {
+    let answer = get(address, "/admin/runs", &[]).await;
+    let runs = &answer.json()["runs"];
+    serde_json::from_value(runs.clone()).expect("counts by name")
+}
+
 fn standin(role: &str, more: &[&str]) -> ChildProcess {
     let mut arguments = vec![role, "--listen", "127.0.0.1:0"];
     arguments.extend(more);
@@ -163,7 +279,7 @@
     ]
 }
 
-fn declare(platform: &ChildProcess, sidecars: &[ChildProcess]) {
+fn declare(platform: &ChildProcess, sidecars: &[SocketAddr]) {
     let address = platform.port("platform").to_string();
     let mut apply = Command::new(env!("CARGO_BIN_EXE_bulrushslip-ctl"))
         .args(["apply", "--force", "--platform", &address, "/dev/stdin"])
@@ -178,7 +294,7 @@
     assert!(apply.wait().expect("a child").success());
 }
 
-fn changes(sidecars: &[ChildProcess]) -> Value {
+fn changes(sidecars: &[SocketAddr]) -> Value {
     let hash = |key: &str| blake3::hash(key.as_bytes()).to_string();
     let mut changes = vec![
         json!({"put_model": {"name": MODEL, "version": "v1", "piece_bytes": 256}}),
@@ -200,7 +316,7 @@
         };
         changes.push(
             json!({"put_upstream": {"name": name, "data_centre": "caerdydd",
-            "sidecar": sidecar.port("sidecar").to_string(), "kind": kind, "slots": 8}}),
+            "sidecar": sidecar.to_string(), "kind": kind, "slots": 8}}),
         );
     }
     Value::Array(changes)
