--- a/src/decide/attempt.rs
+++ b/src/decide/attempt.rs
@@ -2,7 +2,9 @@
 
 use std::time::Duration;
 
-use super::attempt_step::{AttemptEvent, AttemptPolicy, AttemptStep, SidecarCall, SubmitCause};
+use super::attempt_step::{
+    AttemptEvent, AttemptPolicy, AttemptStep, RunEvidence, SidecarCall, SubmitCause,
+};
 use super::config::UpstreamKey;
 use super::ids::{Incarnation, Repeatability, Ticket};
 use super::outcome::{RefusalReason, RunStatus, StreamEnd};
--- a/src/services/callers.rs
+++ b/src/services/callers.rs
@@ -12,7 +12,7 @@
 use tokio::sync::oneshot;
 use tokio::time::timeout;
 
-use super::caller_answer::{fault_response, model_answer, plain_answer, refusal_response};
+use super::caller_answer::{fault_response, model_answer, plain_answer};
 use super::config::CONFIG;
 use super::journal::request_id;
 use super::key_claim::{KeyClaim, StatedKey, stated_key};
@@ -21,13 +21,10 @@
 use super::request_runner::{RequestRunner, UpstreamRequest};
 use super::turned_away::{Answered, TurnedAway, invalid, or_error};
 use super::upstream_choice::{UpstreamChooser, UpstreamScope};
-use crate::decide::admission::{
-    Admission, AdmissionFault, AdmissionQuery, AdmissionTarget, admit, authenticate,
-};
+use crate::decide::admission::{Admission, AdmissionQuery, AdmissionTarget, admit, authenticate};
 use crate::decide::attempt_step::AttemptPolicy;
 use crate::decide::config::{BearerHash, Configuration};
 use crate::decide::ids::Rank;
-use crate::decide::outcome::{RefusalReason, RunStatus};
 use crate::decide::placement::PlacementPolicy;
 use crate::decide::prefix::prefix_keys;
 use crate::decide::suspects::Fingerprint;
@@ -37,7 +34,7 @@
 };
 use crate::wire::headers::forwarded_headers;
 use crate::wire::models::ModelList;
-use crate::wire::openai::{ApiKind, CallerFault, CallerRequest, RequestError};
+use crate::wire::openai::{ApiKind, CallerFault, CallerRequest};
 
 /// Time within which a caller must have sent its body.
 const BODY_TIMEOUT: Duration = Duration::from_secs(30);
--- a/tests/common/fleet.rs
+++ b/tests/common/fleet.rs
@@ -37,7 +37,7 @@
     /// Further arguments of the entries.
     pub entry: Vec<&'static str>,
     /// Address of the plain service, if it is not to be the stand-in.
-    pub plain: Option<SocketAddr>,
+    pub plain_address: Option<SocketAddr>,
     /// Further arguments of the plain service.
     pub plain: Vec<&'static str>,
     /// Whether a relay stands between the entries and each sidecar.
@@ -88,7 +88,7 @@
             let upstream = ["--upstream", &name, "--engine", &target];
             sidecars.push(sidecar(&platform_address, &upstream, &options.sidecar));
         }
-        let target = options.plain.unwrap_or_else(|| plain.port("plain"));
+        let target = options.plain_address.unwrap_or_else(|| plain.port("plain"));
         let target = target.to_string();
         let upstream = ["--upstream", "gates-0", "--plain", &target];
         sidecars.push(sidecar(&platform_address, &upstream, &options.sidecar));
--- a/tests/plain_answers.rs
+++ b/tests/plain_answers.rs
@@ -45,7 +45,7 @@
 #[tokio::test]
 async fn a_cut_answer_of_a_plain_service_never_ends_cleanly() {
     let options = FleetOptions {
-        plain: Some(cutting_service()),
+        plain_address: Some(cutting_service()),
         ..FleetOptions::default()
     };
     let fleet = Fleet::start_with(&options).await;
