--- a/src/decide/attempt_step.rs
+++ b/src/decide/attempt_step.rs
@@ -18,6 +18,17 @@
     pub max_submissions: u32,
 }
 
+/// Why a request is submitted.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum SubmitCause {
+    /// For the first time.
+    Fresh,
+    /// Again, because an upstream's queue was too long or it is leaving; nothing has failed.
+    Spill,
+    /// Again, because an upstream failed; this many retries came before.
+    Retry(u32),
+}
+
 /// A call to the sidecar of the chosen upstream.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum SidecarCall {
@@ -56,6 +67,10 @@
 pub enum AttemptEvent {
     /// An upstream was chosen and a fresh ticket minted.
     Chosen(UpstreamKey, Incarnation, Ticket),
+    /// Another ticket holds the idempotency key; its answer is to be read instead.
+    Held(UpstreamKey, Incarnation, Ticket),
+    /// Another ticket holds the idempotency key, and its upstream is not known any more.
+    HolderGone,
     /// No upstream can be chosen.
     NoChoice(RefusalReason),
     /// The submission was accepted.
@@ -90,3 +105,14 @@
     /// The caller has gone away.
     CallerGone,
 }
+
+/// What is certain about the tickets of a request so far.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub enum RunEvidence {
+    /// None of them ran or ever will.
+    NeverRan,
+    /// One of them may have run.
+    MayHaveRan,
+    /// One of them ran.
+    Ran,
+}
--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -22,4 +22,8 @@
 pub mod replay;
 pub mod retry_budget;
 pub mod snapshot;
+pub mod snapshot_timer;
+pub mod spread;
 pub mod suspects;
+pub mod upstream_queue;
+pub mod work_estimate;
--- a/src/entry_cli.rs
+++ b/src/entry_cli.rs
@@ -19,6 +19,12 @@
     /// address of the platform's log, instance list and weight store
     #[argh(option)]
     platform: Option<String>,
+    /// sidecars to ask for the configuration while the log cannot be reached
+    #[argh(option)]
+    config_peers: Option<String>,
+    /// time for which the platform's log keeps records, in seconds
+    #[argh(option)]
+    log_retention_s: Option<String>,
     /// name of this instance, unique in the fleet
     #[argh(option)]
     name: Option<String>,
@@ -38,6 +44,9 @@
     /// baselines for measurements
     #[argh(option)]
     policy: Option<String>,
+    /// time after the signal to stop in which new connections are still accepted, in milliseconds
+    #[argh(option)]
+    leave_ms: Option<String>,
     /// longest wait for open requests at a planned stop, in milliseconds
     #[argh(option)]
     drain_ms: Option<String>,
@@ -59,12 +68,15 @@
             ("operator-listen", self.operator_listen.as_ref()),
             ("operator-token", self.operator_token.as_ref()),
             ("platform", self.platform.as_ref()),
+            ("config-peers", self.config_peers.as_ref()),
+            ("log-retention-s", self.log_retention_s.as_ref()),
             ("name", self.name.as_ref()),
             ("data-centre", self.data_centre.as_ref()),
             ("body-limit-bytes", self.body_limit_bytes.as_ref()),
             ("max-connections", self.max_connections.as_ref()),
             ("max-attempts", self.max_attempts.as_ref()),
             ("policy", self.policy.as_ref()),
+            ("leave-ms", self.leave_ms.as_ref()),
             ("drain-ms", self.drain_ms.as_ref()),
             ("log-level", self.log_level.as_ref()),
             ("log-format", self.log_format.as_ref()),
--- a/src/services/mail.rs
+++ b/src/services/mail.rs
@@ -3,15 +3,21 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
+use super::journal::RequestReport;
+use crate::decide::attempt_step::SubmitCause;
+use crate::decide::cache_index::{CacheList, CachePage, IndexStep};
 use crate::decide::claim_home::ClaimPage;
 use crate::decide::claims::{ClaimRecord, ClaimVerdict, PartitionId};
 use crate::decide::config::Configuration;
 use crate::decide::ids::{EngineEpoch, Incarnation, LogOffset, Repeatability, Ticket};
 use crate::decide::ledger::TicketKey;
 use crate::decide::outcome::StreamEnd;
+use crate::decide::spread::{CallKind, LogStep, PeerOffset, PeerStep};
 use crate::kernel::{Moment, ReplyTo};
 use crate::platform::log_client::LogPage;
 use crate::services::metrics::MetricSample;
+use crate::services::operator::OperatorMail;
+use crate::wire::config_page::ConfigPage;
 use crate::wire::rpc::{
     AttachReply, AttachVerdict, QuoteCall, QuoteReply, ReadCall, ReadReply, SidecarRpcClient,
     StreamItem, SubmitCall, SubmitReply, WithdrawReply,
@@ -28,12 +34,16 @@
     Engine(EngineMail),
     /// To the entry's I/O task `dialer`.
     Dialer(DialerMail),
+    /// To the entry's service `journal`.
+    Journal(JournalMail),
     /// To the entry's service `tickets`.
     Tickets(TicketsMail),
     /// To the sidecar's service `claims`.
     Claims(ClaimsMail),
     /// To the sidecar's I/O task `claim-log`.
     ClaimLog(ClaimLogMail),
+    /// To the I/O task `operator`.
+    Operator(OperatorMail),
     /// To the service `metrics`.
     Metrics(MetricSample),
 }
@@ -50,15 +60,58 @@
         /// Takes the configuration.
         reply_to: ReplyTo<Arc<Configuration>>,
     },
-    /// Another process has been heard to have this offset in force.
-    Heard(LogOffset),
-    /// Replays records; answers with the offset that is needed next.
-    Apply {
-        /// Records of the configuration stream.
-        page: LogPage,
-        /// Takes the offset.
-        reply_to: ReplyTo<LogOffset>,
+    /// A sidecar has been heard to have an offset in force.
+    Heard(PeerOffset),
+    /// Another process asks for what lies beyond an offset.
+    Since {
+        /// Offset that it needs next.
+        from: LogOffset,
+        /// When it is answered at the latest.
+        until: Moment,
+        /// Takes the answer.
+        reply_to: ReplyTo<ConfigPage>,
     },
+    /// The log reader asks what to do.
+    LogTurn(ReplyTo<LogTurn>),
+    /// The log has been read.
+    LogRead(LogPage),
+    /// The log cannot be read.
+    LogFailed,
+    /// The peer reader asks which sidecar to call.
+    PeerTurn(CallKind, ReplyTo<PeerTurn>),
+    /// A sidecar has answered.
+    PeerRead(ConfigPage),
+    /// A sidecar has not answered.
+    PeerFailed(SocketAddr),
+    /// The snapshot writer asks what to do.
+    SnapshotTurn(ReplyTo<SnapshotTurn>),
+}
+
+/// Answer to [`ConfigMail::LogTurn`].
+#[derive(Debug, Clone, Copy)]
+pub struct LogTurn {
+    /// What to do.
+    pub step: LogStep,
+    /// Offset to read from.
+    pub from: LogOffset,
+}
+
+/// Answer to [`ConfigMail::PeerTurn`].
+#[derive(Debug, Clone, Copy)]
+pub struct PeerTurn {
+    /// What to do.
+    pub step: PeerStep,
+    /// Offset to ask from.
+    pub from: LogOffset,
+}
+
+/// Answer to [`ConfigMail::SnapshotTurn`].
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum SnapshotTurn {
+    /// Nothing until the deadline.
+    WaitUntil(Moment),
+    /// Append these bodies, one after another.
+    Write(Vec<String>),
 }
 
 /// Messages to the service `ledger`, which owns the upstream's tickets, queue and answers.
@@ -84,6 +137,10 @@
     EngineState(EngineState),
     /// The platform wants the instance to go.
     Leaving,
+    /// Events of the engine's cache; answered with what to fetch next.
+    CacheEvents(CachePage, ReplyTo<IndexStep>),
+    /// All that the engine's cache holds; answered with what to fetch next.
+    CacheKeys(CacheList, ReplyTo<IndexStep>),
     /// A new configuration is in force.
     Configured(Arc<Configuration>),
 }
@@ -136,8 +193,8 @@
 /// Messages to the service `tickets`, which mints tickets and grants retries.
 #[derive(Debug)]
 pub enum TicketsMail {
-    /// Asks for a fresh ticket of a request that is submitted for the n-th time, from 1.
-    Mint(u32, ReplyTo<MintOutcome>),
+    /// Asks for a fresh ticket for a submission.
+    Mint(SubmitCause, ReplyTo<MintOutcome>),
 }
 
 /// Answer to [`TicketsMail::Mint`].
@@ -175,3 +232,12 @@
     /// Reads from an offset.
     Read(PartitionId, LogOffset),
 }
+
+/// Messages to the service `journal`, which remembers what was decided for requests.
+#[derive(Debug)]
+pub enum JournalMail {
+    /// A request has ended.
+    Report(RequestReport),
+    /// Asks for the report of a request by the id that its caller saw.
+    Find(String, ReplyTo<Option<serde_json::Value>>),
+}
--- a/src/services/request_runner.rs
+++ b/src/services/request_runner.rs
@@ -4,15 +4,19 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
-use super::mail::{DialerMail, Mail, MintOutcome, TicketsMail};
+use super::journal::{self, ReportStep, RequestReport};
+use super::key_claim::KeyClaim;
+use super::mail::{DialerMail, JournalMail, Mail, MintOutcome, TicketsMail};
 use super::sidecar_calls::SidecarCalls;
-use super::upstream_choice::UpstreamChooser;
+use super::upstream_choice::{UpstreamChoice, UpstreamChooser};
 use crate::decide::admission::Admission;
 use crate::decide::attempt::RequestAttempt;
 use crate::decide::attempt_step::{AttemptEvent, AttemptPolicy, AttemptStep, SidecarCall};
+use crate::decide::claims::{ClaimTarget, ClaimVerdict};
 use crate::decide::config::Configuration;
 use crate::decide::ids::{Incarnation, Repeatability, Ticket};
 use crate::decide::outcome::{RefusalReason, RunStatus};
+use crate::decide::suspects::Fingerprint;
 use crate::kernel::{Directory, Moment};
 use crate::wire::rpc::{StreamItem, SubmitCall};
 
@@ -30,7 +34,7 @@
     /// Output tokens that the request may take; 0 when not stated.
     pub output_tokens: u32,
     /// Identifies equal requests.
-    pub fingerprint: u64,
+    pub fingerprint: Fingerprint,
 }
 
 /// What a runner has for its caller.
@@ -59,6 +63,8 @@
     items: VecDeque<StreamItem>,
     continued: u32,
     finished: bool,
+    report: RequestReport,
+    key_claim: Option<KeyClaim>,
 }
 
 impl RequestRunner {
@@ -72,7 +78,18 @@
         request: UpstreamRequest,
         policy: AttemptPolicy,
     ) -> Self {
+        let report = RequestReport {
+            id: rand::random(),
+            customer: admission.customer.clone(),
+            rank: admission.rank.name(),
+            target: chooser.scope.describe(&admission.version),
+            arrived: directory.now(),
+            steps: Vec::new(),
+            dropped_steps: 0,
+            told: None,
+        };
         Self {
+            report,
             directory,
             configuration,
             admission,
@@ -85,7 +102,19 @@
             items: VecDeque::new(),
             continued: 0,
             finished: false,
+            key_claim: None,
+        }
+    }
+
+    /// Makes the request run at most once for its idempotency key.
+    #[must_use]
+    pub fn with_key(mut self, key_claim: Option<KeyClaim>) -> Self {
+        if key_claim.is_some() {
+            self.admission.repeatability = Repeatability::NonIdempotent;
+            self.attempt.policy.repeatability = Repeatability::NonIdempotent;
         }
+        self.key_claim = key_claim;
+        self
     }
 
     /// Returns the next output; after [`RunnerOutput::Finished`] there is none.
@@ -97,6 +126,8 @@
             let event = match self.step {
                 AttemptStep::Finish(status, reason) => {
                     self.finished = true;
+                    self.report.told = Some((status, reason));
+                    self.release_key(status);
                     return RunnerOutput::Finished(status, reason);
                 }
                 AttemptStep::Choose if self.needs_continuation() => {
@@ -113,10 +144,17 @@
                     self.call(incarnation, call).await
                 }
             };
+            self.note(&event);
             self.step = self.attempt.handle(self.directory.now(), event);
         }
     }
 
+    /// Returns the id under which the request is remembered.
+    #[must_use]
+    pub const fn id(&self) -> u64 {
+        self.report.id
+    }
+
     /// Sets the body that asks for the rest of the answer.
     pub fn continue_with(&mut self, body: Vec<u8>) {
         self.request.body = body;
@@ -129,6 +167,25 @@
         self.step = self.attempt.handle(self.directory.now(), event);
     }
 
+    fn note(&mut self, event: &AttemptEvent) {
+        let is_routine = matches!(event, AttemptEvent::Items { from_index, end: None, .. }
+            if *from_index > 0);
+        if is_routine {
+            return;
+        }
+        let upstream = self.attempt.upstream().or(match event {
+            AttemptEvent::Chosen(upstream, ..) => Some(*upstream),
+            _ => None,
+        });
+        let upstream = upstream.and_then(|key| self.configuration.upstreams.get(key));
+        self.report.add(ReportStep {
+            at: self.directory.now(),
+            upstream: upstream.map_or_else(String::new, |upstream| upstream.name.clone()),
+            ticket: self.attempt.target().map(|(ticket, _)| ticket),
+            event: format!("{event:?}"),
+        });
+    }
+
     fn needs_continuation(&self) -> bool {
         self.attempt.continues && self.continued != self.attempt.submissions
     }
@@ -148,13 +205,13 @@
         let Some(choice) = choice else {
             return AttemptEvent::NoChoice(RefusalReason::NoUpstream);
         };
-        let submission = self.attempt.submissions + 1;
-        let question = |reply_to| Mail::Tickets(TicketsMail::Mint(submission, reply_to));
+        let cause = self.attempt.cause();
+        let question = |reply_to| Mail::Tickets(TicketsMail::Mint(cause, reply_to));
         match self.directory.ask("tickets", question).await {
             Some(MintOutcome::Minted(ticket)) => {
                 self.address = Some(choice.address);
                 self.wait_limit_us = choice.wait_limit_us;
-                AttemptEvent::Chosen(choice.upstream, choice.incarnation, ticket)
+                self.claim_key(&choice, ticket).await
             }
             Some(MintOutcome::OverBudget) | None => {
                 AttemptEvent::NoChoice(RefusalReason::RetryBudget)
@@ -162,6 +219,59 @@
         }
     }
 
+    /// Claims the request's key, if it has one, before the ticket is submitted.
+    async fn claim_key(&mut self, choice: &UpstreamChoice, ticket: Ticket) -> AttemptEvent {
+        let chosen = AttemptEvent::Chosen(choice.upstream, choice.incarnation, ticket);
+        let Some(key_claim) = &mut self.key_claim else {
+            return chosen;
+        };
+        let Some(upstream) = self.configuration.upstreams.get(choice.upstream) else {
+            return AttemptEvent::NoChoice(RefusalReason::NoUpstream);
+        };
+        let fingerprint = self.request.fingerprint;
+        let target = ClaimTarget {
+            ticket,
+            upstream: upstream.name.clone(),
+            sidecar: choice.incarnation,
+            fingerprint,
+        };
+        match key_claim.claim(&self.configuration, target).await {
+            ClaimVerdict::Won => {
+                key_claim.ticket = Some(ticket);
+                chosen
+            }
+            ClaimVerdict::Held(holder) if holder.fingerprint != fingerprint => {
+                AttemptEvent::NoChoice(RefusalReason::KeyConflict)
+            }
+            ClaimVerdict::Held(holder) => self.follow(&holder),
+            ClaimVerdict::Released | ClaimVerdict::Unavailable => {
+                // The ticket is never sent, whatever becomes of the record.
+                key_claim.ticket = Some(ticket);
+                AttemptEvent::NoChoice(RefusalReason::ClaimUnavailable)
+            }
+        }
+    }
+
+    /// Turns to the ticket that holds the key.
+    fn follow(&mut self, holder: &ClaimTarget) -> AttemptEvent {
+        let mut upstreams = self.configuration.upstreams.iter();
+        let found = upstreams.find(|(_, upstream)| upstream.name == holder.upstream);
+        let Some((key, upstream)) = found else {
+            return AttemptEvent::HolderGone;
+        };
+        self.address = Some(upstream.sidecar);
+        if let Some(key_claim) = &mut self.key_claim {
+            key_claim.ticket = Some(holder.ticket);
+        }
+        AttemptEvent::Held(key, holder.sidecar, holder.ticket)
+    }
+
+    fn release_key(&mut self, status: RunStatus) {
+        if let (RunStatus::NotRun, Some(key_claim)) = (status, &mut self.key_claim) {
+            key_claim.release(&self.configuration);
+        }
+    }
+
     async fn call(&mut self, incarnation: Incarnation, call: SidecarCall) -> AttemptEvent {
         let Some(address) = self.address else {
             return AttemptEvent::NoChoice(RefusalReason::NoUpstream);
@@ -195,7 +305,7 @@
             rank: self.admission.rank.into(),
             idempotent: self.admission.repeatability == Repeatability::Idempotent,
             version: self.admission.version.clone(),
-            fingerprint: request.fingerprint,
+            fingerprint: request.fingerprint.0,
             prefix_keys: self.chooser.keys.iter().map(|key| key.0).collect(),
             start_budget_us: u64::try_from(budget.as_micros()).unwrap_or(u64::MAX),
             wait_limit_us: self.wait_limit_us,
@@ -210,6 +320,8 @@
 
 impl Drop for RequestRunner {
     fn drop(&mut self) {
+        let mail = Mail::Journal(JournalMail::Report(self.report.clone()));
+        self.directory.send(journal::NAME, mail);
         if self.finished {
             return;
         }
--- a/src/services/sidecar_calls.rs
+++ b/src/services/sidecar_calls.rs
@@ -7,9 +7,13 @@
 
 use super::mail::{ConfigMail, DialOutcome, DialerMail, Mail};
 use crate::decide::attempt_step::AttemptEvent;
+use crate::decide::claims::{ClaimRecord, ClaimVerdict};
 use crate::decide::ids::{Incarnation, Repeatability, Ticket};
 use crate::decide::outcome::{RefusalReason, StreamEnd};
+use crate::decide::spread::PeerOffset;
 use crate::kernel::Directory;
+use crate::wire::claim_rpc::ClaimCall;
+use crate::wire::config_page::{ConfigPage, ConfigSinceCall};
 use crate::wire::rpc::{
     AttachReply, AttachVerdict, QuoteCall, QuoteReply, ReadCall, ReadReply, ReadVerdict, ReplyHead,
     SidecarRpcClient, StreamItem, SubmitCall, SubmitReply, SubmitVerdict, WithdrawReply,
@@ -122,6 +126,20 @@
         withdraw_event(&reply)
     }
 
+    /// Claims or releases an idempotency key; `None` when no verdict came within the limit.
+    pub async fn claim(&self, record: &ClaimRecord, limit: Duration) -> Option<ClaimVerdict> {
+        let call = ClaimCall {
+            claim: record.into(),
+            budget_us: u64::try_from(limit.as_micros()).unwrap_or(u64::MAX),
+        };
+        let asked = async {
+            let link = self.connect().await?;
+            let reply = link.client.claim(deadline(limit), call).await;
+            reply.ok().map(ClaimVerdict::from)
+        };
+        tokio::time::timeout(limit, asked).await.ok()?
+    }
+
     /// Looks a ticket up at the engine.
     pub async fn attach(&self, ticket: Ticket, repeatability: Repeatability) -> AttemptEvent {
         let Some(link) = self.connect().await else {
@@ -138,6 +156,16 @@
         attach_event(&reply)
     }
 
+    /// Fetches configuration; `None` when no answer came within the limit.
+    pub async fn config_since(&self, call: ConfigSinceCall, limit: Duration) -> Option<ConfigPage> {
+        let link = self.connect().await?;
+        let reply = link.client.config_since(deadline(limit), call).await;
+        self.check(&link, reply, |page| ReplyHead {
+            next_offset: page.next_offset,
+            ..ReplyHead::default()
+        })
+    }
+
     async fn connect(&self) -> Option<OpenLink> {
         let address = self.address;
         let question = |reply_to| Mail::Dialer(DialerMail::Connect(address, reply_to));
@@ -159,7 +187,10 @@
             self.directory.send("dialer", Mail::Dialer(mail));
             return None;
         };
-        let offset = head(&reply).next_offset();
+        let offset = PeerOffset {
+            peer: self.address,
+            next_offset: head(&reply).next_offset(),
+        };
         self.directory
             .send("config", Mail::Config(ConfigMail::Heard(offset)));
         Some(reply)
--- a/src/services/sidecar_rpc.rs
+++ b/src/services/sidecar_rpc.rs
@@ -1,15 +1,22 @@
 //! I/O task `rpc` of a sidecar: the server side of the calls from entries.
 
+use std::time::Duration;
+
 use futures::StreamExt;
 use tarpc::context::Context;
 use tarpc::server::{BaseChannel, Channel};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::task::JoinSet;
 
-use super::mail::{LedgerMail, Mail};
-use crate::decide::ids::{Incarnation, Repeatability, Ticket};
+use super::claims::CLAIMS;
+use super::config::CONFIG;
+use super::mail::{ClaimsMail, ConfigMail, LedgerMail, Mail};
+use crate::decide::claims::{ClaimRecord, ClaimVerdict};
+use crate::decide::ids::{Incarnation, LogOffset, Repeatability, Ticket};
 use crate::decide::outcome::RefusalReason;
 use crate::kernel::{Directory, Inbox, IoTask, ReplyTo, Signal};
+use crate::wire::claim_rpc::{ClaimCall, ClaimReply};
+use crate::wire::config_page::{ConfigPage, ConfigSinceCall};
 use crate::wire::rpc::{
     AttachReply, AttachVerdict, QuoteCall, QuoteReply, ReadCall, ReadReply, ReadVerdict, ReplyHead,
     SidecarRpc, SubmitCall, SubmitReply, SubmitVerdict, WireTicket, WithdrawReply, WithdrawVerdict,
@@ -19,6 +26,9 @@
 /// Connections served at the same time; further ones wait in the listen queue.
 const MAX_CONNECTIONS: usize = 4_096;
 
+/// Longest time that an answer to a call for configuration is held back.
+const MAX_CONFIG_WAIT: Duration = Duration::from_secs(5);
+
 /// Creates the I/O task `rpc`, which serves the listener.
 #[must_use]
 pub fn rpc_task(listener: TcpListener) -> IoTask<Mail> {
@@ -84,6 +94,7 @@
             open: false,
             wait_us: u32::MAX,
             missing_pieces: u32::MAX,
+            piece_us: 0,
         })
     }
 
@@ -125,6 +136,23 @@
         })
     }
 
+    async fn claim(self, _: Context, call: ClaimCall) -> ClaimReply {
+        let Ok(record) = ClaimRecord::try_from(call.claim) else {
+            return ClaimReply::Unavailable;
+        };
+        let budget = Duration::from_micros(call.budget_us);
+        let deadline = self.directory.now().after(budget);
+        let question = |reply_to| {
+            Mail::Claims(ClaimsMail::Claim {
+                record,
+                deadline,
+                reply_to,
+            })
+        };
+        let verdict = self.directory.ask(CLAIMS, question).await;
+        verdict.unwrap_or(ClaimVerdict::Unavailable).into()
+    }
+
     async fn attach(self, _: Context, ticket: WireTicket, idempotent: bool) -> AttachReply {
         let ticket = Ticket::from(ticket);
         let repeatability = if idempotent {
@@ -140,4 +168,21 @@
             verdict: AttachVerdict::EngineDown,
         })
     }
+
+    async fn config_since(self, _: Context, call: ConfigSinceCall) -> ConfigPage {
+        let wait = Duration::from_micros(call.wait_us).min(MAX_CONFIG_WAIT);
+        let from = LogOffset(call.from_offset);
+        let until = self.directory.now().after(wait);
+        let question = |reply_to| {
+            Mail::Config(ConfigMail::Since {
+                from,
+                until,
+                reply_to,
+            })
+        };
+        self.directory
+            .ask(CONFIG, question)
+            .await
+            .unwrap_or_default()
+    }
 }
--- a/src/sidecar.rs
+++ b/src/sidecar.rs
@@ -2,14 +2,20 @@
 
 use std::io;
 
+use crate::decide::claim_home::HomeBounds;
 use crate::decide::ids::Incarnation;
 use crate::decide::ledger::LedgerBounds;
 use crate::decide::queue::QueuePolicy;
+use crate::decide::upstream_queue::STARTING_LIMIT;
 use crate::kernel::{Clock, TokioKernel};
 use crate::platform::instance_client::{InstanceClient, WireInstance, WireInstanceState};
 use crate::process;
-use crate::services::config::config_service;
+use crate::services::cache_watch::cache_watch_task;
+use crate::services::claim_log::claim_log_task;
+use crate::services::claims::claims_service;
+use crate::services::config::{ConfigSettings, config_service};
 use crate::services::config_feed::config_feed_task;
+use crate::services::dialer::dialer_task;
 use crate::services::engine_task::{EngineKind, EngineTarget, engine_task};
 use crate::services::engine_watch::engine_watch_task;
 use crate::services::ledger::ledger_service;
@@ -17,8 +23,10 @@
 use crate::services::log_reader::log_reader;
 use crate::services::metrics;
 use crate::services::operator::{self, OperatorIdentity};
+use crate::services::peer_reader::peer_reader;
 use crate::services::registration::registration_task;
 use crate::services::sidecar_rpc::rpc_task;
+use crate::services::snapshot_writer::snapshot_writer;
 use crate::settings::{SidecarSettings, TargetKind};
 
 /// Floors of the two ranks until the configuration says otherwise, in percent.
@@ -51,6 +59,10 @@
             rank_capacity: settings.queue_limit,
             floor_percent: DEFAULT_FLOOR_PERCENT,
         },
+        starting_limit: match target.kind {
+            EngineKind::Model => STARTING_LIMIT,
+            EngineKind::Plain => u32::MAX,
+        },
     };
     let instance = WireInstance {
         name: common.name.clone(),
@@ -68,10 +80,24 @@
         let tags = [("role", "sidecar"), ("instance", common.name.as_str())];
         kernel.add(metrics::service(address, &tags)?);
     }
-    kernel.add(config_service());
+    kernel.add(config_service(ConfigSettings {
+        name: common.name.clone(),
+        upstream: Some(settings.upstream.clone()),
+        peers: common.config_peers.clone(),
+        retention_ms: common.log_retention_ms,
+        seed: rand::random(),
+    }));
+    kernel.add_task(dialer_task());
     kernel.add_task(log_reader(common.platform));
+    kernel.add_task(peer_reader());
+    kernel.add_task(snapshot_writer(common.platform));
     kernel.add_task(engine_task(target));
     kernel.add_task(engine_watch_task(target));
+    if target.kind == EngineKind::Model {
+        kernel.add_task(cache_watch_task(target.address));
+    }
+    kernel.add(claims_service(HomeBounds::default()));
+    kernel.add_task(claim_log_task(common.platform));
     kernel.add_task(rpc_task(entries));
     kernel.add_task(operator::task(
         operators,
--- a/src/wire/mod.rs
+++ b/src/wire/mod.rs
@@ -1,7 +1,10 @@
 //! Wire types, each with `From` and `TryFrom` towards the types of the decisions.
 
+pub mod cache_feed;
 pub mod claim_record;
+pub mod claim_rpc;
 pub mod config_objects;
+pub mod config_page;
 pub mod config_record;
 pub mod config_snapshot;
 pub mod headers;
--- a/src/wire/rpc.rs
+++ b/src/wire/rpc.rs
@@ -2,6 +2,8 @@
 
 use serde::{Deserialize, Serialize};
 
+use super::claim_rpc::{ClaimCall, ClaimReply};
+use super::config_page::{ConfigPage, ConfigSinceCall};
 use crate::decide::ids::{
     EngineEpoch, Incarnation, LogOffset, PrefixKey, Rank, Repeatability, Ticket,
 };
@@ -149,6 +151,16 @@
     pub wait_us: u32,
     /// Pieces of the prompt that the engine would have to compute.
     pub missing_pieces: u32,
+    /// Time to compute one piece, in microseconds.
+    pub piece_us: u32,
+}
+
+impl QuoteCall {
+    /// Returns the prefix keys as the decisions' type.
+    #[must_use]
+    pub fn keys(&self) -> Vec<PrefixKey> {
+        self.prefix_keys.iter().copied().map(PrefixKey).collect()
+    }
 }
 
 /// Submits a request under a ticket; the same ticket may be submitted again without harm.
@@ -377,6 +389,10 @@
     async fn read(call: ReadCall) -> ReadReply;
     /// Withdraws a ticket, also one never seen, from this incarnation of the sidecar.
     async fn withdraw(ticket: WireTicket, incarnation: u64) -> WithdrawReply;
+    /// Claims or releases an idempotency key.
+    async fn claim(call: ClaimCall) -> ClaimReply;
     /// Looks a ticket up at the engine after a restart of the sidecar.
     async fn attach(ticket: WireTicket, idempotent: bool) -> AttachReply;
+    /// Fetches configuration from an offset on, once there is some.
+    async fn config_since(call: ConfigSinceCall) -> ConfigPage;
 }
--- a/tests/common/fleet.rs
+++ b/tests/common/fleet.rs
@@ -36,6 +36,8 @@
     pub sidecar: Vec<&'static str>,
     /// Further arguments of the entries.
     pub entry: Vec<&'static str>,
+    /// Address of the plain service, if it is not to be the stand-in.
+    pub plain_address: Option<SocketAddr>,
     /// Further arguments of the plain service.
     pub plain: Vec<&'static str>,
     /// Whether a relay stands between the entries and each sidecar.
@@ -86,7 +88,8 @@
             let upstream = ["--upstream", &name, "--engine", &target];
             sidecars.push(sidecar(&platform_address, &upstream, &options.sidecar));
         }
-        let target = plain.port("plain").to_string();
+        let target = options.plain_address.unwrap_or_else(|| plain.port("plain"));
+        let target = target.to_string();
         let upstream = ["--upstream", "gates-0", "--plain", &target];
         sidecars.push(sidecar(&platform_address, &upstream, &options.sidecar));
         let mut addresses: Vec<SocketAddr> = sidecars
@@ -251,6 +254,9 @@
 fn entry(platform: &str, index: usize, more: &[&str]) -> ChildProcess {
     let name = format!("entry-{index}");
     let mut arguments = common_arguments(platform, &name);
+    if !more.contains(&"--leave-ms") {
+        arguments.extend(["--leave-ms", "0"]);
+    }
     arguments.extend(more);
     let binary = env!("CARGO_BIN_EXE_bulrushslip-entry");
     ChildProcess::start(binary, &arguments, &["entry", "operator"])
