Serve handed-back work elsewhere and let a stopped sidecar come back, tested between processes

Three faults of a planned stop, each seen in tests/process_stops.rs first.

Work handed back was refused. Cause: a request passed over an upstream because its queue was the longer one, waited at another, and when that one left, the first stayed excluded:

a_stopping_sidecar_hands_its_queue_to_others left: ((503, "not-run", 0), 0, "leaving") (13 of the answers; once 12)

decide::tried_upstreams now excludes a busy upstream only until the one taken instead is gone, and a hand-back by a leaving upstream starts the count of submissions anew; each leaving upstream stays excluded, so the search ends. Ruled out: the retry budget, which does not charge a hand-back. The same module lets a request return to upstreams that it lost, once no other is left and a submission is; see the test of crossed callers.

A sidecar that was stopped and started again under its name never took work again. Cause: it marked itself leaving on the platform's list, the list keeps that mark, and the next life was told to leave. It was refused as above in every run of the new test, 9 of 9. The instance is now deregistered as the last step of a stop, by a task that stops last. Ruled out: deregistering at the start, which would also lift a mark that the platform has set. Left: a process that is killed in the middle of its drain leaves its mark behind while a next life renews it.

Calls were cut when the process ended. The likely cause, not shown by a run, is a submission that rests on an earlier quote and is on its way when the port closes. The port now stays open for 1.5 s, longer than a submission may take.

--- a/src/decide/attempt.rs
+++ b/src/decide/attempt.rs
@@ -8,17 +8,12 @@
 use super::config::UpstreamKey;
 use super::ids::{Incarnation, Repeatability, Ticket};
 use super::outcome::{RefusalReason, RunStatus, StreamEnd};
+use super::tried_upstreams::TriedUpstreams;
 use crate::kernel::Moment;
 
 /// Pause before a failed call is sent again.
 const RETRY_PAUSE: Duration = Duration::from_millis(20);
 
-/// Time that an unreachable sidecar is given when the request can run elsewhere.
-const IDEMPOTENT_RECOVERY: Duration = Duration::from_secs(1);
-
-/// Time that an unreachable sidecar is given when only it can tell what became of the request.
-const NON_IDEMPOTENT_RECOVERY: Duration = Duration::from_secs(20);
-
 /// Time that the holder of an idempotency key is given to submit its ticket.
 const FOLLOW_GRACE: Duration = Duration::from_millis(500);
 
@@ -30,8 +25,8 @@
 pub struct RequestAttempt {
     /// What is fixed about the request.
     pub policy: AttemptPolicy,
-    /// Upstreams that are not to be chosen again.
-    pub excluded: Vec<UpstreamKey>,
+    /// Upstreams that have been tried.
+    pub tried: TriedUpstreams,
     /// Tickets submitted so far.
     pub submissions: u32,
     /// Submissions that followed a failure.
@@ -62,10 +57,10 @@
 impl RequestAttempt {
     /// Creates the state of a fresh request, whose first step is [`AttemptStep::Choose`].
     #[must_use]
-    pub const fn new(policy: AttemptPolicy) -> Self {
+    pub fn new(policy: AttemptPolicy) -> Self {
         Self {
             policy,
-            excluded: Vec::new(),
+            tried: TriedUpstreams::default(),
             submissions: 0,
             retries: 0,
             follows_failure: false,
@@ -125,6 +120,9 @@
                 self.evidence = self.evidence.max(RunEvidence::MayHaveRan);
                 self.finish_without_answer(None)
             }
+            AttemptEvent::NoChoice(_) if self.tried.readmit_lost(self.policy.max_submissions) => {
+                AttemptStep::Choose
+            }
             AttemptEvent::NoChoice(reason) => {
                 let reason = self.last_refusal.unwrap_or(reason);
                 self.finish_without_answer(Some(reason))
@@ -149,6 +147,7 @@
         ticket: Ticket,
     ) -> &mut SubmitTarget {
         self.submissions += 1;
+        self.tried.record_submission();
         self.target.insert(SubmitTarget {
             upstream,
             incarnation,
@@ -291,11 +290,9 @@
     /// The present ticket is proved not to run; another upstream may be tried.
     fn not_run_here(&mut self, now: Moment, reason: RefusalReason) -> AttemptStep {
         self.last_refusal = Some(reason);
-        self.follows_failure = !matches!(
-            reason,
-            RefusalReason::Busy | RefusalReason::QueueFull | RefusalReason::Leaving
-        );
-        let another = self.submissions < self.policy.max_submissions;
+        self.follows_failure = !reason.is_spill();
+        self.exclude_target(Some(reason));
+        let another = self.tried.may_submit(self.policy.max_submissions);
         let in_time = !self.policy.start_by.is_due(now);
         // Another upstream would answer the same for these reasons.
         let is_final = matches!(
@@ -305,7 +302,8 @@
         if !another || !in_time || is_final {
             return self.finish_without_answer(Some(reason));
         }
-        self.choose_another()
+        self.target = None;
+        AttemptStep::Choose
     }
 
     /// The present ticket ran or may have run, and its answer cannot be had any more.
@@ -314,27 +312,25 @@
         let delivered = self.next_index() > 0 || self.continues;
         let may_repeat = self.policy.repeatability == Repeatability::Idempotent
             && (self.policy.continuable || !delivered);
-        let another = self.submissions < self.policy.max_submissions;
+        let another = self.tried.may_submit(self.policy.max_submissions);
         let in_time = delivered || !self.policy.start_by.is_due(now);
         if !may_repeat || !another || !in_time {
             return self.finish_without_answer(None);
         }
         self.continues = delivered;
         self.follows_failure = true;
-        self.choose_another()
+        self.exclude_target(None);
+        self.target = None;
+        AttemptStep::Choose
     }
 
-    fn choose_another(&mut self) -> AttemptStep {
-        if let Some(target) = self.target.take()
-            && target.withdraw_at.is_none()
-        {
-            self.excluded.push(target.upstream);
+    fn exclude_target(&mut self, reason: Option<RefusalReason>) {
+        if let Some(target) = self.target.filter(|target| target.withdraw_at.is_none()) {
+            self.tried.exclude(target.upstream, reason);
         }
-        AttemptStep::Choose
     }
 
     fn call_failed(&mut self, now: Moment, may_have_arrived: bool) -> AttemptStep {
-        let idempotent = self.policy.repeatability == Repeatability::Idempotent;
         let Some(target) = self.target.as_mut() else {
             return AttemptStep::Choose;
         };
@@ -346,12 +342,7 @@
             return self.not_run_here(now, RefusalReason::EngineDown);
         }
         if target.recover_by == Moment::NEVER {
-            let recovery = if idempotent {
-                IDEMPOTENT_RECOVERY
-            } else {
-                NON_IDEMPOTENT_RECOVERY
-            };
-            target.recover_by = now.after(recovery);
+            target.recover_by = now.after(self.policy.recovery_time());
         }
         if target.recover_by.is_due(now) {
             return self.lost_here(now, RunEvidence::MayHaveRan);
--- a/src/decide/attempt_step.rs
+++ b/src/decide/attempt_step.rs
@@ -1,10 +1,18 @@
 //! What a request asks of its owner, and what its owner reports back.
 
+use std::time::Duration;
+
 use super::config::UpstreamKey;
 use super::ids::{Incarnation, Repeatability, Ticket};
 use super::outcome::{RefusalReason, RunStatus, StreamEnd};
 use crate::kernel::Moment;
 
+/// Time that an unreachable sidecar is given when the request can run elsewhere.
+const IDEMPOTENT_RECOVERY: Duration = Duration::from_secs(1);
+
+/// Time that an unreachable sidecar is given when only it can tell what became of the request.
+const NON_IDEMPOTENT_RECOVERY: Duration = Duration::from_secs(20);
+
 /// What is fixed about a request for all of its attempts.
 #[derive(Debug, Clone, Copy)]
 pub struct AttemptPolicy {
@@ -18,6 +26,17 @@
     pub max_submissions: u32,
 }
 
+impl AttemptPolicy {
+    /// Returns the time that an unreachable sidecar is given.
+    #[must_use]
+    pub const fn recovery_time(&self) -> Duration {
+        match self.repeatability {
+            Repeatability::Idempotent => IDEMPOTENT_RECOVERY,
+            Repeatability::NonIdempotent => NON_IDEMPOTENT_RECOVERY,
+        }
+    }
+}
+
 /// Why a request is submitted.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum SubmitCause {
--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -25,5 +25,6 @@
 pub mod snapshot_timer;
 pub mod spread;
 pub mod suspects;
+pub mod tried_upstreams;
 pub mod upstream_queue;
 pub mod work_estimate;
--- a/src/decide/outcome.rs
+++ b/src/decide/outcome.rs
@@ -87,6 +87,12 @@
         (Self::KeyExpired, "idempotency_expired"),
     ];
 
+    /// Tells whether nothing has failed: a queue is too long, or the upstream is leaving.
+    #[must_use]
+    pub const fn is_spill(self) -> bool {
+        matches!(self, Self::Busy | Self::QueueFull | Self::Leaving)
+    }
+
     /// Returns the stable code used in error bodies.
     ///
     /// # Panics
--- a/src/entry.rs
+++ b/src/entry.rs
@@ -16,7 +16,7 @@
 use crate::services::metrics;
 use crate::services::operator::{self, OperatorIdentity};
 use crate::services::peer_reader::peer_reader;
-use crate::services::registration::registration_task;
+use crate::services::registration::{deregistration_task, registration_task};
 use crate::services::snapshot_writer::snapshot_writer;
 use crate::services::tickets::tickets_service;
 use crate::settings::EntrySettings;
@@ -44,6 +44,7 @@
         platform: common.platform,
     };
     let mut kernel = TokioKernel::new();
+    kernel.add_task(deregistration_task(client, common.name.clone()));
     if let Some(address) = common.metrics {
         let tags = [("role", "entry"), ("instance", common.name.as_str())];
         kernel.add(metrics::service(address, &tags)?);
--- a/src/platform/instance_client.rs
+++ b/src/platform/instance_client.rs
@@ -69,6 +69,14 @@
         Some(stored.state)
     }
 
+    /// Deregisters an instance; without the platform it drops out by itself.
+    pub async fn deregister(&self, name: &str) {
+        let path = format!("/instances/{name}");
+        let request = request(Method::DELETE, self.platform, &path).body(Full::<Bytes>::default());
+        let Ok(request) = request else { return };
+        drop(call(self.platform, request, CALL_TIMEOUT).await);
+    }
+
     /// Reads the list, which lags behind; `None` while the platform cannot be reached.
     pub async fn list(&self) -> Option<Vec<WireInstance>> {
         let request = request(Method::GET, self.platform, "/instances");
--- a/src/services/registration.rs
+++ b/src/services/registration.rs
@@ -17,6 +17,24 @@
     })
 }
 
+/// Creates the I/O task `deregistration`, which takes the instance off the list when it stops.
+///
+/// It is registered first, so that it stops last: a next life under the same name would otherwise
+/// find itself leaving.
+#[must_use]
+pub fn deregistration_task(client: InstanceClient, name: String) -> IoTask<Mail> {
+    IoTask::new("deregistration", move |mut inbox, _| async move {
+        loop {
+            match inbox.receive().await {
+                Some(Signal::Dump(reply_to)) => reply_to.send(serde_json::Value::Null),
+                Some(Signal::Stop) => break client.deregister(&name).await,
+                None => return,
+                Some(_) => {}
+            }
+        }
+    })
+}
+
 async fn run(
     client: InstanceClient,
     mut instance: WireInstance,
--- a/src/services/request_runner.rs
+++ b/src/services/request_runner.rs
@@ -197,7 +197,7 @@
     }
 
     async fn choose(&mut self) -> AttemptEvent {
-        let excluded = self.attempt.excluded.clone();
+        let excluded = self.attempt.tried.excluded.clone();
         let choice = self
             .chooser
             .next(&self.configuration, &self.admission, &excluded)
--- a/src/services/sidecar_rpc.rs
+++ b/src/services/sidecar_rpc.rs
@@ -14,7 +14,7 @@
 use crate::decide::claims::{ClaimRecord, ClaimVerdict};
 use crate::decide::ids::{Incarnation, LogOffset, Repeatability, Ticket};
 use crate::decide::outcome::RefusalReason;
-use crate::kernel::{Directory, Inbox, IoTask, ReplyTo, Signal};
+use crate::kernel::{Directory, Inbox, IoTask, Moment, ReplyTo, Signal};
 use crate::wire::claim_rpc::{ClaimCall, ClaimReply};
 use crate::wire::config_page::{ConfigPage, ConfigSinceCall};
 use crate::wire::rpc::{
@@ -29,6 +29,10 @@
 /// Longest time that an answer to a call for configuration is held back.
 const MAX_CONFIG_WAIT: Duration = Duration::from_secs(5);
 
+/// Time that a stopping sidecar stays reachable, so that its last answers arrive and submissions
+/// that rest on an earlier quote are refused rather than cut.
+const STOP_LINGER: Duration = Duration::from_millis(1_500);
+
 /// Creates the I/O task `rpc`, which serves the listener.
 #[must_use]
 pub fn rpc_task(listener: TcpListener) -> IoTask<Mail> {
@@ -39,6 +43,7 @@
 
 async fn run(listener: TcpListener, mut inbox: Inbox<Mail>, directory: Directory<Mail>) {
     let mut connections = JoinSet::new();
+    let mut stop_at = Moment::NEVER;
     loop {
         tokio::select! {
             accepted = listener.accept(), if connections.len() < MAX_CONNECTIONS => {
@@ -47,11 +52,13 @@
                 }
             }
             Some(_ended) = connections.join_next() => {}
+            () = tokio::time::sleep_until(directory.clock().instant(stop_at).into()) => return,
             signal = inbox.receive() => match signal {
                 Some(Signal::Dump(reply_to)) => {
                     reply_to.send(serde_json::json!({"connections": connections.len()}));
                 }
-                Some(Signal::Stop) | None => return,
+                Some(Signal::Stop) => stop_at = directory.now().after(STOP_LINGER),
+                None => return,
                 Some(_) => {}
             },
         }
--- a/src/sidecar.rs
+++ b/src/sidecar.rs
@@ -24,7 +24,7 @@
 use crate::services::metrics;
 use crate::services::operator::{self, OperatorIdentity};
 use crate::services::peer_reader::peer_reader;
-use crate::services::registration::registration_task;
+use crate::services::registration::{deregistration_task, registration_task};
 use crate::services::sidecar_rpc::rpc_task;
 use crate::services::snapshot_writer::snapshot_writer;
 use crate::settings::{SidecarSettings, TargetKind};
@@ -76,6 +76,7 @@
         platform: common.platform,
     };
     let mut kernel = TokioKernel::new();
+    kernel.add_task(deregistration_task(client, common.name.clone()));
     if let Some(address) = common.metrics {
         let tags = [("role", "sidecar"), ("instance", common.name.as_str())];
         kernel.add(metrics::service(address, &tags)?);
--- a/tests/outcome_world/mod.rs
+++ b/tests/outcome_world/mod.rs
@@ -281,7 +281,7 @@
     }
 
     fn choose(&mut self, index: usize) {
-        let excluded = &self.requests[index].attempt.excluded;
+        let excluded = &self.requests[index].attempt.tried.excluded;
         let mut open: Vec<usize> = (0..UPSTREAMS)
             .filter(|upstream| !excluded.contains(&self.keys[*upstream]))
             .collect();
