--- a/tests/common/fleet.rs
+++ b/tests/common/fleet.rs
@@ -6,9 +6,11 @@
 use std::process::{Command, Stdio};
 use std::time::{Duration, Instant};
 
+use bulrushslip::platform::http_client::call;
+use hyper::Method;
 use serde_json::{Value, json};
 
-use super::http::{get, post};
+use super::http::{build, get, post};
 use super::process::ChildProcess;
 use super::relay::Relay;
 
@@ -204,6 +206,19 @@
         }
     }
 
+    /// Waits until no engine is down after a crash.
+    pub async fn until_engines_up(&self) {
+        let deadline = Instant::now() + CONFIG_LIMIT;
+        for engine in &self.engines {
+            let address = engine.port("engine");
+            let load = || build(Method::GET, address, "/load", &[], "");
+            while call(address, load(), CONFIG_LIMIT).await.is_err() {
+                assert!(Instant::now() < deadline, "an engine stays down");
+                tokio::time::sleep(POLL_PAUSE).await;
+            }
+        }
+    }
+
     /// Causes a fault at an engine.
     pub async fn engine_fault(&self, index: usize, fault: &str) {
         let path = format!("/admin/{fault}");
--- a/tests/process_failures.rs
+++ b/tests/process_failures.rs
@@ -105,3 +105,19 @@
     let took = crashed_at.elapsed();
     assert!(took < CONTINUE_LIMIT, "{took:?}");
 }
+
+#[tokio::test]
+async fn a_stream_whose_engines_crash_in_turn_returns_to_the_first() {
+    let fleet = Fleet::start().await;
+    let call = ChatCall::repeatable("Review gate 10.", 4 * LONG_ANSWER);
+    let mut stream = call.open(fleet.entry(0)).await;
+    stream.begin().await;
+    let first = fleet.busy_engine().await;
+    fleet.engine_fault(first, "crash").await;
+    let second = fleet.busy_engine().await;
+    assert_ne!(second, first);
+    fleet.until_engines_up().await;
+    fleet.engine_fault(second, "crash").await;
+    call.assert_whole(&stream.finish().await);
+    assert_eq!(fleet.engine_count(first, "finished").await, 1);
+}
