--- a/src/services/operator.rs
+++ b/src/services/operator.rs
@@ -1,4 +1,4 @@
-//! I/O task `operator`: the operator port with state dump and health.
+//! I/O task `operator`: the operator port with state dump, health and explanations.
 
 use std::sync::Arc;
 
@@ -9,7 +9,8 @@
 use tokio::net::TcpListener;
 use tokio::sync::{oneshot, watch};
 
-use super::mail::Mail;
+use super::journal;
+use super::mail::{JournalMail, Mail};
 use crate::events::{OPERATOR_DENIED, log_event};
 use crate::kernel::{Directory, Inbox, IoTask, Moment, Signal};
 use crate::platform::http_server::{
@@ -117,7 +118,23 @@
         }
         match path {
             "/dump" => json_response(StatusCode::OK, &self.directory.dump().await),
-            _ => failure(StatusCode::NOT_FOUND, "paths are /health and /dump"),
+            _ => match path.strip_prefix("/explain/") {
+                Some(id) => self.explain(id).await,
+                None => failure(StatusCode::NOT_FOUND, "no such path"),
+            },
+        }
+    }
+
+    /// Answers with what was decided for one request, if this process remembers it.
+    async fn explain(&self, id: &str) -> Response<ResponseBody> {
+        if self.directory.find(journal::NAME).is_none() {
+            return failure(StatusCode::NOT_FOUND, "only entries remember requests");
+        }
+        let id = id.to_owned();
+        let question = |reply_to| Mail::Journal(JournalMail::Find(id, reply_to));
+        match self.directory.ask(journal::NAME, question).await.flatten() {
+            Some(report) => json_response(StatusCode::OK, &report),
+            None => failure(StatusCode::NOT_FOUND, "the request is not remembered here"),
         }
     }
 
