Plan, confirm and watch changes of configuration with ctl

Cause: operators state intents; nothing may change before they confirm, and what they are told has to stay true when answers are lost or another operator is faster. A plan file is the log record itself, with the offset it was made at. The confirmation replays the log, refuses a plan whose ground has moved by name, appends, and reads until it knows what became of it. A lost answer is settled by reading and, if no copy is found, by appending the same record again: replay refuses a second copy, because its objects have changed since. It says refused only when every append that may have landed is accounted for, else unknown. Ruled out: a memory of plan identities in the configuration (grows, and is not needed for a copy after one in force); waiting a fixed time for a lost append (late appends have no bound). Before: apply printed an offset also for a record that replay refused. Not yet run: the commands against processes.

--- a/src/ctl/args.rs
+++ b/src/ctl/args.rs
@@ -4,8 +4,11 @@
 
 use argh::FromArgs;
 
+use super::confirm::ConfirmArgs;
 use super::dump::DumpArgs;
+use super::plan::PlanArgs;
 use super::request::RequestArgs;
+use super::status::StatusArgs;
 
 /// Changes and shows the configuration of bulrushslip.
 #[derive(Debug, FromArgs)]
@@ -21,6 +24,12 @@
 pub enum Command {
     /// Appends changes as they are.
     Apply(ApplyArgs),
+    /// Turns an intent into a plan.
+    Plan(PlanArgs),
+    /// Puts a plan in force.
+    Confirm(ConfirmArgs),
+    /// Shows what is in force.
+    Status(StatusArgs),
     /// Prints the state of a process.
     Dump(DumpArgs),
     /// Sends one request.
--- a/src/ctl/mod.rs
+++ b/src/ctl/mod.rs
@@ -2,9 +2,14 @@
 
 pub mod apply;
 pub mod args;
+pub mod confirm;
 pub mod dump;
 pub mod exit;
+pub mod fleet;
+pub mod follower;
+pub mod plan;
 pub mod request;
+pub mod status;
 
 use args::{Command, CtlArgs};
 use exit::ExitStatus;
@@ -13,6 +18,9 @@
 pub async fn run(args: CtlArgs) -> ExitStatus {
     match args.command {
         Command::Apply(args) => apply::run(&args).await,
+        Command::Plan(args) => plan::run(&args).await,
+        Command::Confirm(args) => confirm::run(&args).await,
+        Command::Status(args) => status::run(&args).await,
         Command::Dump(args) => dump::run(&args).await,
         Command::Request(args) => request::run(&args).await,
         Command::Hash(args) => {
