Add bulrushslip-ctl explain

Cause: operators know the id of a request but not which entry ran it. The command asks all listed entries at once.

--- a/src/ctl/args.rs
+++ b/src/ctl/args.rs
@@ -6,6 +6,7 @@
 
 use super::confirm::ConfirmArgs;
 use super::dump::DumpArgs;
+use super::explain::ExplainArgs;
 use super::plan::PlanArgs;
 use super::request::RequestArgs;
 use super::status::StatusArgs;
@@ -32,6 +33,8 @@
     Status(StatusArgs),
     /// Prints the state of a process.
     Dump(DumpArgs),
+    /// Tells what was decided for one request.
+    Explain(ExplainArgs),
     /// Sends one request.
     Request(RequestArgs),
     /// Hashes a bearer key.
--- a/src/ctl/fleet.rs
+++ b/src/ctl/fleet.rs
@@ -57,7 +57,7 @@
 
 async fn process(args: &FleetArgs, instance: WireInstance) -> ProcessState {
     let dump = match instance.operator {
-        Some(operator) => dump(operator, args.operator_token.as_deref()).await,
+        Some(operator) => ask_operator(args, operator, "/dump").await,
         None => Value::Null,
     };
     ProcessState {
@@ -69,9 +69,25 @@
     }
 }
 
-async fn dump(operator: SocketAddr, token: Option<&str>) -> Value {
-    let mut builder = request(Method::GET, operator, "/dump");
-    if let Some(token) = token {
+/// Returns the first answer that an entry has under a path of its operator port; null if none has.
+///
+/// `None` if the list of instances cannot be read.
+pub async fn ask_entries(args: &FleetArgs, path: &str) -> Option<Value> {
+    let client = InstanceClient {
+        platform: args.platform,
+    };
+    let entries = client.list().await?.into_iter();
+    let operators = entries.filter(|instance| instance.role == "entry");
+    let operators = operators.filter_map(|instance| instance.operator);
+    let answers = stream::iter(operators).map(|operator| ask_operator(args, operator, path));
+    let answers: Vec<Value> = answers.buffer_unordered(MAX_CALLS).collect().await;
+    let found = answers.into_iter().find(|answer| !answer.is_null());
+    Some(found.unwrap_or_default())
+}
+
+async fn ask_operator(args: &FleetArgs, operator: SocketAddr, path: &str) -> Value {
+    let mut builder = request(Method::GET, operator, path);
+    if let Some(token) = &args.operator_token {
         builder = builder.header("authorization", format!("Bearer {token}"));
     }
     let Ok(request) = builder.body(Full::new(Bytes::new())) else {
--- a/src/ctl/mod.rs
+++ b/src/ctl/mod.rs
@@ -5,6 +5,7 @@
 pub mod confirm;
 pub mod dump;
 pub mod exit;
+pub mod explain;
 pub mod fleet;
 pub mod follower;
 pub mod plan;
@@ -22,6 +23,7 @@
         Command::Confirm(args) => confirm::run(&args).await,
         Command::Status(args) => status::run(&args).await,
         Command::Dump(args) => dump::run(&args).await,
+        Command::Explain(args) => explain::run(&args).await,
         Command::Request(args) => request::run(&args).await,
         Command::Hash(args) => {
             println!("{}", blake3::hash(args.bearer_key.as_bytes()));
--- a/tests/explain.rs
+++ b/tests/explain.rs
@@ -2,8 +2,11 @@
 
 mod common;
 
+use std::process::Command;
+use std::time::{Duration, Instant};
+
 use common::{API_KEY, Fleet, MODEL, get, post};
-use serde_json::json;
+use serde_json::{Value, json};
 
 #[tokio::test]
 async fn an_entry_tells_where_a_request_went_and_how_it_ended() {
@@ -36,3 +39,32 @@
         404
     );
 }
+
+#[tokio::test]
+async fn an_operator_finds_a_request_by_its_id_alone() {
+    let fleet = Fleet::start().await;
+    let bearer = format!("Bearer {API_KEY}");
+    let headers = [("authorization", bearer.as_str())];
+    let path = "/services/gates/7/state";
+    let answer = get(fleet.entry(1), path, &headers).await;
+    let id = answer.header("x-request-id").to_owned();
+    let platform = fleet.platform.port("platform").to_string();
+    let explain = |id: &str| {
+        let arguments = ["explain", "--platform", &platform, "--json", id];
+        let ctl = Command::new(env!("CARGO_BIN_EXE_bulrushslip-ctl"))
+            .args(arguments)
+            .output();
+        ctl.expect("the command runs")
+    };
+    // An entry is on the platform's list once it has renewed itself, every 2 s.
+    let deadline = Instant::now() + Duration::from_secs(10);
+    let mut found = explain(&id);
+    while found.status.code() != Some(0) && Instant::now() < deadline {
+        found = explain(&id);
+    }
+    assert_eq!(found.status.code(), Some(0), "{found:?}");
+    let report: Value = serde_json::from_slice(&found.stdout).expect("JSON");
+    assert_eq!(report["target"], "service gates");
+    assert_eq!(explain("req-0000000000000000").status.code(), Some(3));
+    assert_eq!(explain("../dump").status.code(), Some(2));
+}
