Count requests by rank and ending, and log lost answers and engine changes

Cause: the metrics service had no samples and the log said nothing of what operators look for: an answer that was lost, an engine that is down or has restarted. Ruled out: counting in the HTTP layer (a request that its caller left ends elsewhere); the runner's drop sees every ending. Events are logged on change only. Conclusion: the sidecar's queue has no metrics yet.

--- a/src/events.rs
+++ b/src/events.rs
@@ -102,6 +102,38 @@
     "The platform's log cannot be read; the configuration in force stays.",
 );
 
+/// The answer to a request is lost.
+pub const ANSWER_LOST: EventKind = event(
+    301,
+    Level::Warn,
+    "answer_lost",
+    "A request ran, or may have run, and its caller got no whole answer; `status` says which.",
+);
+
+/// The engine answers.
+pub const ENGINE_UP: EventKind = event(
+    401,
+    Level::Info,
+    "engine_up",
+    "The upstream answers; `epoch` is its present life.",
+);
+
+/// The engine does not answer.
+pub const ENGINE_DOWN: EventKind = event(
+    402,
+    Level::Warn,
+    "engine_down",
+    "The upstream does not answer; new work is refused until it does.",
+);
+
+/// The engine has restarted.
+pub const ENGINE_RESTARTED: EventKind = event(
+    403,
+    Level::Warn,
+    "engine_restarted",
+    "The upstream has begun a new life; what it had cached is no longer relied on.",
+);
+
 /// A call to the operator port without the token.
 pub const OPERATOR_DENIED: EventKind = event(
     501,
@@ -119,7 +151,7 @@
 );
 
 /// All kinds of events in the order of their numbers.
-pub const CATALOGUE: [EventKind; 11] = [
+pub const CATALOGUE: [EventKind; 15] = [
     PROCESS_STARTED,
     LISTENING,
     STOP_BEGUN,
@@ -129,6 +161,10 @@
     BIND_FAILED,
     RECORD_SKIPPED,
     LOG_UNREADABLE,
+    ANSWER_LOST,
+    ENGINE_UP,
+    ENGINE_DOWN,
+    ENGINE_RESTARTED,
     OPERATOR_DENIED,
     METRICS_FAILED,
 ];
--- a/src/services/engine_watch.rs
+++ b/src/services/engine_watch.rs
@@ -9,6 +9,7 @@
 use super::engine_task::{EngineKind, EngineTarget};
 use super::mail::{EngineState, LedgerMail, Mail};
 use crate::decide::ids::EngineEpoch;
+use crate::events::{ENGINE_DOWN, ENGINE_RESTARTED, ENGINE_UP, EventField, log_event};
 use crate::kernel::{Directory, Inbox, IoTask, Signal};
 use crate::platform::http_client;
 
@@ -38,6 +39,7 @@
 
 async fn run(target: EngineTarget, mut inbox: Inbox<Mail>, directory: Directory<Mail>) {
     let mut next_read = directory.now();
+    let mut last = None;
     loop {
         tokio::select! {
             signal = inbox.receive() => match signal {
@@ -47,6 +49,8 @@
             },
             () = tokio::time::sleep_until(directory.clock().instant(next_read).into()) => {
                 let state = read_state(target).await;
+                log_change(target, last.as_ref(), &state);
+                last = Some(state.clone());
                 let is_up = state != EngineState::Down;
                 directory.deliver("ledger", Mail::Ledger(LedgerMail::EngineState(state))).await;
                 let interval = if is_up { WATCH_INTERVAL } else { DOWN_INTERVAL };
@@ -56,6 +60,21 @@
     }
 }
 
+/// Logs what has changed since the last read.
+fn log_change(target: EngineTarget, last: Option<&EngineState>, state: &EngineState) {
+    let upstream: EventField<'_> = ("upstream", &target.address);
+    let known_epoch = last.and_then(EngineState::epoch);
+    match (last, state.epoch()) {
+        (Some(EngineState::Down), None) => {}
+        (_, None) => log_event(&ENGINE_DOWN, &[upstream]),
+        (_, Some(epoch)) if known_epoch == Some(epoch) => {}
+        (Some(EngineState::Up { .. }), Some(epoch)) => {
+            log_event(&ENGINE_RESTARTED, &[upstream, ("epoch", &epoch.0)]);
+        }
+        (_, Some(epoch)) => log_event(&ENGINE_UP, &[upstream, ("epoch", &epoch.0)]),
+    }
+}
+
 async fn read_state(target: EngineTarget) -> EngineState {
     match target.kind {
         EngineKind::Model => read_load(target).await.unwrap_or(EngineState::Down),
--- a/src/services/mail.rs
+++ b/src/services/mail.rs
@@ -159,6 +159,17 @@
     Down,
 }
 
+impl EngineState {
+    /// Returns the present life of an engine that answers.
+    #[must_use]
+    pub const fn epoch(&self) -> Option<EngineEpoch> {
+        match self {
+            Self::Up { epoch, .. } => Some(*epoch),
+            Self::Down => None,
+        }
+    }
+}
+
 /// Messages to the I/O task `engine`, which owns the connections to the upstream.
 #[derive(Debug)]
 pub enum EngineMail {
--- a/src/services/mod.rs
+++ b/src/services/mod.rs
@@ -23,6 +23,7 @@
 pub mod operator;
 pub mod peer_reader;
 pub mod registration;
+pub mod request_meter;
 pub mod request_runner;
 pub mod sidecar_calls;
 pub mod sidecar_rpc;
--- a/src/services/request_runner.rs
+++ b/src/services/request_runner.rs
@@ -7,6 +7,7 @@
 use super::journal::{self, ReportStep, RequestReport};
 use super::key_claim::KeyClaim;
 use super::mail::{DialerMail, JournalMail, Mail, MintOutcome, TicketsMail};
+use super::request_meter;
 use super::sidecar_calls::SidecarCalls;
 use super::upstream_choice::{UpstreamChoice, UpstreamChooser};
 use crate::decide::admission::Admission;
@@ -63,6 +64,7 @@
     items: VecDeque<StreamItem>,
     continued: u32,
     finished: bool,
+    has_answered: bool,
     report: RequestReport,
     key_claim: Option<KeyClaim>,
 }
@@ -103,6 +105,7 @@
             continued: 0,
             finished: false,
             key_claim: None,
+            has_answered: false,
         }
     }
 
@@ -121,6 +124,7 @@
     pub async fn next(&mut self) -> RunnerOutput {
         loop {
             if let Some(item) = self.items.pop_front() {
+                self.note_first(&item);
                 return RunnerOutput::Item(item);
             }
             let event = match self.step {
@@ -167,6 +171,14 @@
         self.step = self.attempt.handle(self.directory.now(), event);
     }
 
+    fn note_first(&mut self, item: &StreamItem) {
+        if self.has_answered || matches!(item, StreamItem::Head { .. }) {
+            return;
+        }
+        self.has_answered = true;
+        request_meter::record_first_token(&self.directory, &self.report);
+    }
+
     fn note(&mut self, event: &AttemptEvent) {
         let is_routine = matches!(event, AttemptEvent::Items { from_index, end: None, .. }
             if *from_index > 0);
@@ -320,6 +332,7 @@
 
 impl Drop for RequestRunner {
     fn drop(&mut self) {
+        request_meter::record_end(&self.directory, &self.report, self.attempt.submissions);
         let mail = Mail::Journal(JournalMail::Report(self.report.clone()));
         self.directory.send(journal::NAME, mail);
         if self.finished {
--- a/src/services/sidecar_calls.rs
+++ b/src/services/sidecar_calls.rs
@@ -12,8 +12,8 @@
 use crate::decide::outcome::{RefusalReason, StreamEnd};
 use crate::decide::spread::PeerOffset;
 use crate::kernel::Directory;
-use crate::wire::config_page::{ConfigPage, ConfigSinceCall};
 use crate::wire::claim_rpc::ClaimCall;
+use crate::wire::config_page::{ConfigPage, ConfigSinceCall};
 use crate::wire::rpc::{
     AttachReply, AttachVerdict, QuoteCall, QuoteReply, ReadCall, ReadReply, ReadVerdict, ReplyHead,
     SidecarRpcClient, StreamItem, SubmitCall, SubmitReply, SubmitVerdict, WithdrawReply,
--- a/src/services/sidecar_rpc.rs
+++ b/src/services/sidecar_rpc.rs
@@ -8,19 +8,19 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::task::JoinSet;
 
-use super::config::CONFIG;
-use super::mail::{ConfigMail, LedgerMail, Mail};
-use crate::decide::ids::{Incarnation, LogOffset, Repeatability, Ticket};
-use crate::decide::outcome::RefusalReason;
-use crate::kernel::{Directory, Inbox, IoTask, ReplyTo, Signal};
-use crate::wire::config_page::{ConfigPage, ConfigSinceCall};
 use super::claims::CLAIMS;
+use super::config::CONFIG;
 use super::mail::{ClaimsMail, LedgerMail, Mail};
+use super::mail::{ConfigMail, LedgerMail, Mail};
 use crate::decide::claims::{ClaimRecord, ClaimVerdict};
+use crate::decide::ids::{Incarnation, LogOffset, Repeatability, Ticket};
 use crate::decide::ids::{Incarnation, Repeatability, Ticket};
 use crate::decide::outcome::RefusalReason;
+use crate::decide::outcome::RefusalReason;
+use crate::kernel::{Directory, Inbox, IoTask, ReplyTo, Signal};
 use crate::kernel::{Directory, Inbox, IoTask, ReplyTo, Signal};
 use crate::wire::claim_rpc::{ClaimCall, ClaimReply};
+use crate::wire::config_page::{ConfigPage, ConfigSinceCall};
 use crate::wire::rpc::{
     AttachReply, AttachVerdict, QuoteCall, QuoteReply, ReadCall, ReadReply, ReadVerdict, ReplyHead,
     SidecarRpc, SubmitCall, SubmitReply, SubmitVerdict, WireTicket, WithdrawReply, WithdrawVerdict,
--- a/src/wire/rpc.rs
+++ b/src/wire/rpc.rs
@@ -2,8 +2,8 @@
 
 use serde::{Deserialize, Serialize};
 
-use super::config_page::{ConfigPage, ConfigSinceCall};
 use super::claim_rpc::{ClaimCall, ClaimReply};
+use super::config_page::{ConfigPage, ConfigSinceCall};
 use crate::decide::ids::{
     EngineEpoch, Incarnation, LogOffset, PrefixKey, Rank, Repeatability, Ticket,
 };
