--- a/src/services/sidecar_rpc.rs
+++ b/src/services/sidecar_rpc.rs
@@ -15,15 +15,6 @@
 use crate::decide::ids::{Incarnation, LogOffset, Repeatability, Ticket};
 use crate::decide::outcome::RefusalReason;
 use crate::kernel::{Directory, Inbox, IoTask, ReplyTo, Signal};
-use super::mail::{ClaimsMail, LedgerMail, Mail};
-use super::mail::{ConfigMail, LedgerMail, Mail};
-use crate::decide::claims::{ClaimRecord, ClaimVerdict};
-use crate::decide::ids::{Incarnation, LogOffset, Repeatability, Ticket};
-use crate::decide::ids::{Incarnation, Repeatability, Ticket};
-use crate::decide::outcome::RefusalReason;
-use crate::decide::outcome::RefusalReason;
-use crate::kernel::{Directory, Inbox, IoTask, ReplyTo, Signal};
-use crate::kernel::{Directory, Inbox, IoTask, ReplyTo, Signal};
 use crate::wire::claim_rpc::{ClaimCall, ClaimReply};
 use crate::wire::config_page::{ConfigPage, ConfigSinceCall};
 use crate::wire::rpc::{
--- a/src/sidecar.rs
+++ b/src/sidecar.rs
@@ -13,7 +13,6 @@
 use crate::services::cache_watch::cache_watch_task;
 use crate::services::claim_log::claim_log_task;
 use crate::services::claims::claims_service;
-use crate::services::config::config_service;
 use crate::services::config::{ConfigSettings, config_service};
 use crate::services::config_feed::config_feed_task;
 use crate::services::dialer::dialer_task;
