Decide leases for weight loads and orders towards the declared version

Cause: a few engines may load at the same time, some engines ignore fencing numbers, and a holder may be paused past the end of its lease. A lease is a record; its offset is the fencing number. The first unexpired leases by offset hold, one for each upstream. Ruled out: renewal (a late renewal revives a lease that others saw expire) and clocks in records (instances' clocks are never compared). Orders are derived anew from declaration, report and lease; nothing is remembered. Not built yet: the task of the sidecar that carries the orders out.

--- /dev/null
+++ b/tests/config_lease.rs
@@ -0,0 +1,235 @@
+//! Leases and orders: limits and fencing under pauses, delays, crashes and lost releases.
+
+use std::time::Duration;
+
+use bolero::{TypeGenerator, check};
+use bulrushslip::decide::config::{Upstream, UpstreamKind};
+use bulrushslip::decide::ids::{Incarnation, LogOffset};
+use bulrushslip::decide::lease::{
+    LEASE_MS, LeaseRecord, LeaseStanding, LeaseTable, ORDER_TIMEOUT_MS, OwnLease,
+};
+use bulrushslip::decide::orders::{EngineReport, OrderStep, OrderView, next_order};
+use bulrushslip::kernel::Moment;
+
+const PROCESSES: usize = 3;
+const UPSTREAMS: usize = 2;
+
+/// What happens next; delays are in units of [`DELAY_STEP_MS`].
+#[derive(Debug, Clone, Copy, TypeGenerator)]
+enum Act {
+    /// A process asks for a lease if it has none, or gets its answer, reads, and orders if it may.
+    Turn {
+        process: u8,
+        append_delay: u8,
+        reads: bool,
+    },
+    /// A process has finished, or gives up.
+    Release { process: u8 },
+    /// Time passes.
+    Pass { delay: u8 },
+}
+
+/// Delays reach from none to beyond a lease.
+const DELAY_STEP_MS: u64 = LEASE_MS / 12;
+
+#[derive(Debug, Default)]
+struct Process {
+    table: LeaseTable,
+    asked: Option<AskedLease>,
+    own: Option<OwnLease>,
+}
+
+/// A lease whose append has not been answered yet.
+#[derive(Debug, Clone, Copy)]
+struct AskedLease {
+    offset: LogOffset,
+    sent_at: Moment,
+}
+
+/// An order that an engine may be carrying out.
+#[derive(Debug, Clone, Copy)]
+struct OpenOrder {
+    process: usize,
+    fence: LogOffset,
+    ends_at: Moment,
+}
+
+fn pass(now: &mut Moment, delay: u8) {
+    // Most delays are short; a few are longer than a lease.
+    let steps = u64::from(delay % 16).saturating_sub(2);
+    *now = now.after(Duration::from_millis(steps * DELAY_STEP_MS));
+}
+
+/// The last two processes stand before the same upstream: one has replaced the other.
+fn upstream_of(process: usize) -> usize {
+    process.min(UPSTREAMS - 1)
+}
+
+fn check_acts(limit: usize, acts: &[Act]) {
+    let mut now = Moment::from_micros(1);
+    let mut log = Vec::new();
+    let mut processes: Vec<Process> = (0..PROCESSES).map(|_| Process::default()).collect();
+    let mut orders: Vec<OpenOrder> = Vec::new();
+    let at = |process: u8| usize::from(process) % PROCESSES;
+    for act in acts {
+        match *act {
+            Act::Pass { delay } => pass(&mut now, delay),
+            Act::Turn {
+                process,
+                append_delay,
+                reads,
+            } => {
+                let index = at(process);
+                match processes[index].asked.take() {
+                    Some(asked) => {
+                        processes[index].own = Some(OwnLease::new(asked.offset, asked.sent_at));
+                    }
+                    None if processes[index].own.is_none() => {
+                        processes[index].asked = Some(ask(&mut now, &mut log, index, append_delay));
+                    }
+                    None => {}
+                }
+                if reads {
+                    read(now, &log, &mut processes[index].table);
+                }
+                order(limit, now, &processes[index], index, &mut orders);
+            }
+            Act::Release { process } => {
+                let Some(own) = processes[at(process)].own.take() else {
+                    continue;
+                };
+                orders.retain(|order| order.fence != own.offset);
+                log.push(LeaseRecord::Release { lease: own.offset });
+            }
+        }
+    }
+}
+
+fn ask(now: &mut Moment, log: &mut Vec<LeaseRecord>, index: usize, delay: u8) -> AskedLease {
+    let sent_at = *now;
+    pass(now, delay);
+    log.push(LeaseRecord::Acquire {
+        upstream: format!("u{}", upstream_of(index)),
+        holder: Incarnation(index as u64),
+    });
+    AskedLease {
+        offset: LogOffset(log.len() as u64 - 1),
+        sent_at,
+    }
+}
+
+fn read(now: Moment, log: &[LeaseRecord], table: &mut LeaseTable) {
+    let from = usize::try_from(table.next_offset.0).expect("a short log");
+    for (offset, record) in log.iter().enumerate().skip(from) {
+        table.apply(now, LogOffset(offset as u64), record);
+    }
+}
+
+fn order(limit: usize, now: Moment, process: &Process, index: usize, orders: &mut Vec<OpenOrder>) {
+    let Some(own) = process.own else { return };
+    if process.table.standing(now, own, limit) != LeaseStanding::Held {
+        return;
+    }
+    orders.retain(|order| !order.ends_at.is_due(now));
+    let others = || orders.iter().filter(|order| order.process != index);
+    let same = upstream_of(index);
+    let is_taken = others().any(|order| upstream_of(order.process) == same);
+    assert!(!is_taken, "two orders for one engine");
+    assert!(others().count() < limit, "too many loads at the same time");
+    // An order that is repeated counts once.
+    orders.retain(|order| order.process != index);
+    let ends_at = now.after(Duration::from_millis(ORDER_TIMEOUT_MS));
+    orders.push(OpenOrder {
+        process: index,
+        fence: own.offset,
+        ends_at,
+    });
+}
+
+#[test]
+fn no_more_loads_than_allowed_and_one_for_each_engine() {
+    check!()
+        .with_iterations(20_000)
+        .with_type::<(bool, Vec<Act>)>()
+        .for_each(|(wide, acts)| check_acts(if *wide { 2 } else { 1 }, acts));
+}
+
+fn engine(retired: bool) -> Upstream {
+    Upstream {
+        name: "u0".to_owned(),
+        data_centre: "dc".to_owned(),
+        sidecar: ([127, 0, 0, 1], 1).into(),
+        kind: UpstreamKind::Engine {
+            model: "m".to_owned(),
+            version: "v2".to_owned(),
+            checks_fence: false,
+        },
+        slots: 4,
+        retired,
+    }
+}
+
+fn acquire(upstream: &str, holder: u64) -> LeaseRecord {
+    LeaseRecord::Acquire {
+        upstream: upstream.to_owned(),
+        holder: Incarnation(holder),
+    }
+}
+
+#[test]
+fn a_holder_that_wakes_after_its_lease_orders_nothing() {
+    let mut leases = LeaseTable::default();
+    leases.apply(Moment::START, LogOffset(0), &acquire("u0", 1));
+    let upstream = engine(false);
+    let report = EngineReport::Serves {
+        version: "v1".to_owned(),
+        running: 0,
+    };
+    let own = OwnLease::new(LogOffset(0), Moment::START);
+    let view = OrderView {
+        upstream: Some(&upstream),
+        report: &report,
+        leases: &leases,
+        own: Some(own),
+        limit: 1,
+    };
+    let load = OrderStep::Load {
+        model: "m".to_owned(),
+        version: "v2".to_owned(),
+        fence: LogOffset(0),
+    };
+    assert_eq!(next_order(Moment::START, view), load);
+    let woken = Moment::START.after(Duration::from_millis(LEASE_MS - ORDER_TIMEOUT_MS + 1));
+    assert_eq!(next_order(woken, view), OrderStep::Release(LogOffset(0)));
+}
+
+#[test]
+fn orders_follow_the_declared_version_and_wait_for_running_requests() {
+    let leases = {
+        let mut leases = LeaseTable::default();
+        leases.apply(Moment::START, LogOffset(0), &acquire("u0", 1));
+        leases
+    };
+    let own = Some(OwnLease::new(LogOffset(0), Moment::START));
+    let step = |retired, version: &str, running, own| {
+        let upstream = engine(retired);
+        let report = EngineReport::Serves {
+            version: version.to_owned(),
+            running,
+        };
+        let view = OrderView {
+            upstream: Some(&upstream),
+            report: &report,
+            leases: &leases,
+            own,
+            limit: 1,
+        };
+        next_order(Moment::START, view)
+    };
+    assert_eq!(step(false, "v1", 3, None), OrderStep::Acquire);
+    assert_eq!(step(false, "v1", 3, own), OrderStep::Drain);
+    assert!(matches!(step(false, "v1", 0, own), OrderStep::Load { .. }));
+    assert_eq!(step(false, "v2", 0, own), OrderStep::Release(LogOffset(0)));
+    assert_eq!(step(false, "v2", 5, None), OrderStep::Rest);
+    assert_eq!(step(true, "v1", 0, own), OrderStep::Release(LogOffset(0)));
+}
