--- a/src/decide/upstream_queue.rs
+++ b/src/decide/upstream_queue.rs
@@ -69,6 +69,7 @@
     work: HashMap<Ticket, WorkEntry>,
     running: [u32; 2],
     starting: u32,
+    served_us: [u64; 2],
 }
 
 impl UpstreamQueue {
@@ -85,6 +86,7 @@
             work: HashMap::new(),
             running: [0; 2],
             starting: 0,
+            served_us: [0; 2],
         }
     }
 
@@ -100,6 +102,13 @@
         self.running
     }
 
+    /// Returns the cost of the requests that have ended, in microseconds, indexed by
+    /// [`Rank::index`].
+    #[must_use]
+    pub const fn served_us(&self) -> [u64; 2] {
+        self.served_us
+    }
+
     /// Changes the shares that the ranks keep, in percent, indexed by [`Rank::index`].
     pub const fn set_floors(&mut self, floor_percent: [u8; 2]) {
         self.queue.policy.floor_percent = floor_percent;
@@ -194,6 +203,7 @@
             return;
         };
         let actual_us = request_cost_us(entry.missing_pieces, output_tokens.max(1), self.slots);
+        self.served_us[entry.rank.index()] += actual_us;
         self.queue.finished(ticket, actual_us);
         self.forget(ticket);
     }
--- a/src/services/ledger_state.rs
+++ b/src/services/ledger_state.rs
@@ -601,6 +601,7 @@
     #[must_use]
     pub fn dump(&self) -> serde_json::Value {
         let running = self.queue.running();
+        let served_us = self.queue.served_us();
         serde_json::json!({
             "incarnation": format!("{:016x}", self.settings.incarnation.0),
             "upstream": self.settings.upstream,
@@ -608,6 +609,7 @@
             "next_offset": self.head().next_offset,
             "tickets": self.ledger.len(),
             "queued": self.queue.waiting(),
+            "served_us": {"urgent": served_us[0], "routine": served_us[1]},
             "cached_pieces": self.queue.estimate.index.len(),
             "running": {"urgent": running[0], "routine": running[1]},
             "answer_bytes": self.jobs.values().map(|job| job.buffer.bytes()).sum::<usize>(),
--- a/src/services/sidecar_calls.rs
+++ b/src/services/sidecar_calls.rs
@@ -4,6 +4,7 @@
 use std::time::{Duration, Instant};
 
 use tarpc::context::{self, Context};
+use tokio::task::JoinHandle;
 
 use super::mail::{ConfigMail, DialOutcome, DialerMail, Mail};
 use crate::decide::attempt_step::AttemptEvent;
@@ -59,16 +60,18 @@
 }
 
 impl SidecarCalls {
-    /// Asks for a quote; `None` when none came within the limit.
-    pub async fn quote(&self, call: QuoteCall, limit: Duration) -> Option<QuoteReply> {
+    /// Asks for a quote, on a task of its own.
+    ///
+    /// An asker that no longer waits leaves the task running: a late answer still shows that the
+    /// connection works, and a missing one that it has gone silent.
+    #[must_use]
+    pub fn start_quote(&self, call: QuoteCall) -> JoinHandle<Option<QuoteReply>> {
         let calls = self.clone();
-        // The call outlives the wait for it, so that a connection that never answers is noticed.
-        let asked = tokio::spawn(async move {
+        tokio::spawn(async move {
             let link = calls.connect().await?;
             let reply = link.client.quote(deadline(QUOTE_TIMEOUT), call).await;
             calls.check(&link, reply, |reply| reply.head)
-        });
-        tokio::time::timeout(limit, asked).await.ok()?.ok()?
+        })
     }
 
     /// Submits a request.
--- a/src/services/tickets.rs
+++ b/src/services/tickets.rs
@@ -11,6 +11,7 @@
     incarnation: Incarnation,
     sequence: u64,
     budget: RetryBudget,
+    spills: u64,
     retries: u64,
     refused: u64,
 }
@@ -22,6 +23,7 @@
         incarnation,
         sequence: 0,
         budget: RetryBudget::new(policy),
+        spills: 0,
         retries: 0,
         refused: 0,
     };
@@ -42,7 +44,7 @@
     fn grant(&mut self, cause: SubmitCause) -> MintOutcome {
         match cause {
             SubmitCause::Fresh => self.budget.record_fresh(),
-            SubmitCause::Spill => {}
+            SubmitCause::Spill => self.spills += 1,
             SubmitCause::Retry(retries) => match self.budget.try_retry(retries) {
                 RetryStep::Retry => self.retries += 1,
                 RetryStep::RequestExhausted | RetryStep::BudgetExhausted => {
@@ -62,6 +64,7 @@
         serde_json::json!({
             "incarnation": format!("{:016x}", self.incarnation.0),
             "minted": self.sequence,
+            "spills": self.spills,
             "retries": self.retries,
             "retries_refused": self.refused,
         })
--- a/src/services/upstream_choice.rs
+++ b/src/services/upstream_choice.rs
@@ -4,7 +4,9 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use futures::future::join_all;
+use futures::StreamExt;
+use futures::stream::FuturesUnordered;
+use tokio::time::{Instant, timeout_at};
 
 use super::mail::Mail;
 use super::sidecar_calls::SidecarCalls;
@@ -15,10 +17,13 @@
     CandidateQuote, PlacementHop, PlacementPolicy, PlacementRequest, PlacementTarget,
 };
 use crate::kernel::Directory;
-use crate::wire::rpc::QuoteCall;
+use crate::wire::rpc::{QuoteCall, QuoteReply};
 
-/// Time for a quote; a candidate that has not answered by then is left out.
-const QUOTE_TIMEOUT: Duration = Duration::from_millis(25);
+/// Time that a choice waits for the first quote.
+const FIRST_QUOTE_TIMEOUT: Duration = Duration::from_millis(25);
+
+/// Time that it waits for the others once one has come; a candidate without one is tried last.
+const QUOTE_GRACE: Duration = Duration::from_millis(10);
 
 /// What a request is sent to.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -100,18 +105,13 @@
             draw: self.draw,
         };
         let candidates = self.policy.candidates(&request, &targets);
-        let calls = candidates
-            .iter()
-            .map(|upstream| self.quote(configuration, admission, *upstream));
-        let replies = join_all(calls).await;
-        let quotes: Vec<CandidateQuote> =
-            replies.iter().flatten().map(|(quote, _)| *quote).collect();
+        let replies = self.collect(configuration, admission, &candidates).await;
+        let quotes: Vec<CandidateQuote> = replies.iter().map(|(quote, _)| *quote).collect();
         let hops = self.policy.hops(admission.rank, &candidates, &quotes);
         let choose = |hop: &PlacementHop| {
             let upstream = configuration.upstreams.get(hop.upstream)?;
             let reply = replies
                 .iter()
-                .flatten()
                 .find(|(quote, _)| quote.upstream == hop.upstream);
             Some(UpstreamChoice {
                 upstream: hop.upstream,
@@ -158,32 +158,49 @@
         }
     }
 
-    async fn quote(
+    /// Asks all candidates at once and returns the answers that come in time.
+    async fn collect(
         &self,
         configuration: &Configuration,
         admission: &Admission,
-        key: UpstreamKey,
-    ) -> Option<(CandidateQuote, Incarnation)> {
-        let address = configuration.upstreams.get(key)?.sidecar;
-        let calls = SidecarCalls {
-            directory: self.directory.clone(),
-            address,
-        };
+        candidates: &[UpstreamKey],
+    ) -> Vec<(CandidateQuote, Incarnation)> {
         let call = QuoteCall {
             prefix_keys: self.keys.iter().map(|key| key.0).collect(),
             rank: admission.rank.into(),
             customer: admission.customer.clone(),
             version: admission.version.clone(),
         };
-        let reply = calls.quote(call, QUOTE_TIMEOUT).await?;
-        let quote = CandidateQuote {
-            upstream: key,
-            open: reply.open,
-            wait_us: u64::from(reply.wait_us),
-            missing_pieces: reply.missing_pieces,
-            piece_us: u64::from(reply.piece_us),
-        };
-        Some((quote, reply.head.incarnation()))
+        let mut pending: FuturesUnordered<_> = candidates
+            .iter()
+            .filter_map(|key| {
+                let calls = SidecarCalls {
+                    directory: self.directory.clone(),
+                    address: configuration.upstreams.get(*key)?.sidecar,
+                };
+                let reply = calls.start_quote(call.clone());
+                Some(async move { Some((*key, reply.await.ok()??)) })
+            })
+            .collect();
+        let mut replies = Vec::new();
+        let mut deadline = Instant::now() + FIRST_QUOTE_TIMEOUT;
+        while let Ok(Some(answer)) = timeout_at(deadline, pending.next()).await {
+            if let Some((key, reply)) = answer {
+                replies.push((candidate_quote(key, &reply), reply.head.incarnation()));
+                deadline = deadline.min(Instant::now() + QUOTE_GRACE);
+            }
+        }
+        replies
+    }
+}
+
+fn candidate_quote(upstream: UpstreamKey, reply: &QuoteReply) -> CandidateQuote {
+    CandidateQuote {
+        upstream,
+        open: reply.open,
+        wait_us: u64::from(reply.wait_us),
+        missing_pieces: reply.missing_pieces,
+        piece_us: u64::from(reply.piece_us),
     }
 }
 
