Feed properties from numbered seeds

Its generators now get bytes from numbered seeds, 2,000 inputs each; BULRUSHSLIP_EXPLORE keeps bolero's own search. Ruled out: its environment variable for a seed, which adds one input to the random ones.

--- a/tests/kernel.rs
+++ b/tests/kernel.rs
@@ -1,5 +1,7 @@
 //! Kernel: names, deadlines, order of delivery, ordered stop and dump, on both drivers.
 
+mod property;
+
 use std::sync::mpsc;
 use std::time::Duration;
 
@@ -8,6 +10,9 @@
     TokioKernel,
 };
 
+/// Generated inputs of each property.
+const CASES: u64 = 2_000;
+
 #[derive(Debug)]
 enum TestMail {
     Number(u32),
@@ -35,28 +40,26 @@
 
 #[test]
 fn a_key_of_a_removed_value_never_matches_a_later_one() {
-    bolero::check!()
-        .with_type::<Vec<bool>>()
-        .for_each(|inserts| {
-            let mut arena = Arena::new();
-            let mut live = Vec::new();
-            let mut dead = Vec::new();
-            for (number, insert) in inserts.iter().enumerate() {
-                if *insert || live.is_empty() {
-                    live.push((arena.insert(number), number));
-                } else {
-                    let (key, value) = live.swap_remove(number % live.len());
-                    assert_eq!(arena.remove(key), Some(value));
-                    dead.push(key);
-                }
-                assert!(dead.iter().all(|key| arena.get(*key).is_none()));
-                assert!(
-                    live.iter()
-                        .all(|(key, value)| arena.get(*key) == Some(value))
-                );
-                assert_eq!(arena.len(), live.len());
+    property::check::<Vec<bool>>(CASES, |inserts| {
+        let mut arena = Arena::new();
+        let mut live = Vec::new();
+        let mut dead = Vec::new();
+        for (number, insert) in inserts.iter().enumerate() {
+            if *insert || live.is_empty() {
+                live.push((arena.insert(number), number));
+            } else {
+                let (key, value) = live.swap_remove(number % live.len());
+                assert_eq!(arena.remove(key), Some(value));
+                dead.push(key);
             }
-        });
+            assert!(dead.iter().all(|key| arena.get(*key).is_none()));
+            assert!(
+                live.iter()
+                    .all(|(key, value)| arena.get(*key) == Some(value))
+            );
+            assert_eq!(arena.len(), live.len());
+        }
+    });
 }
 
 fn stepped_order(seed: u64) -> Vec<(&'static str, u32)> {
--- a/tests/ledger.rs
+++ b/tests/ledger.rs
@@ -1,5 +1,7 @@
 //! The ticket ledger against a reference that never forgets, and its bounds.
 
+mod property;
+
 use std::collections::HashMap;
 use std::time::Duration;
 
@@ -15,6 +17,9 @@
     max_incarnations: 8,
 };
 
+/// Generated inputs of each property.
+const CASES: u64 = 2_000;
+
 /// Far beyond the time for which ends are remembered.
 const LONG: Duration = Duration::from_mins(10);
 
@@ -119,23 +124,21 @@
 
 #[test]
 fn no_ticket_starts_twice_or_after_it_was_called_not_run() {
-    bolero::check!()
-        .with_type::<Vec<(u8, u8, u8, u8)>>()
-        .for_each(|operations| {
-            let mut ledger = TicketLedger::new(BOUNDS);
-            let mut history = TicketHistory::default();
-            let mut now = Moment::START;
-            for (kind, entry, sequence, pause) in operations {
-                // Now and then long enough for everything to be forgotten.
-                let pause = if *pause > 240 {
-                    LONG
-                } else {
-                    Duration::from_millis(u64::from(*pause))
-                };
-                now = now.after(pause);
-                apply(&mut ledger, &mut history, now, (*kind, *entry, *sequence));
-            }
-        });
+    property::check::<Vec<(u8, u8, u8, u8)>>(CASES, |operations| {
+        let mut ledger = TicketLedger::new(BOUNDS);
+        let mut history = TicketHistory::default();
+        let mut now = Moment::START;
+        for (kind, entry, sequence, pause) in operations {
+            // Now and then long enough for everything to be forgotten.
+            let pause = if *pause > 240 {
+                LONG
+            } else {
+                Duration::from_millis(u64::from(*pause))
+            };
+            now = now.after(pause);
+            apply(&mut ledger, &mut history, now, (*kind, *entry, *sequence));
+        }
+    });
 }
 
 #[test]
--- a/tests/retry_budget.rs
+++ b/tests/retry_budget.rs
@@ -1,5 +1,7 @@
 //! Properties of the retry budget.
 
+mod property;
+
 use bulrushslip::decide::attempt_step::SubmitCause;
 use bulrushslip::decide::ids::Incarnation;
 use bulrushslip::decide::retry_budget::{RetryBudget, RetryPolicy, RetryStep};
@@ -7,29 +9,30 @@
 use bulrushslip::services::mail::{Mail, MintOutcome, TicketsMail};
 use bulrushslip::services::tickets::tickets_service;
 
+/// Generated inputs of each property.
+const CASES: u64 = 2_000;
+
 #[test]
 fn retries_stay_under_the_share_of_fresh_traffic_in_any_order() {
-    bolero::check!()
-        .with_type::<(u8, u8, Vec<bool>)>()
-        .for_each(|(share, burst, calls)| {
-            let policy = RetryPolicy {
-                max_per_request: 3,
-                share_percent: u32::from(*share % 101),
-                burst: u32::from(*burst % 20),
-            };
-            let mut budget = RetryBudget::new(policy);
-            let (mut fresh, mut retries) = (0_u64, 0_u64);
-            for is_fresh in calls {
-                if *is_fresh {
-                    fresh += 1;
-                    budget.record_fresh();
-                } else if budget.try_retry(0) == RetryStep::Retry {
-                    retries += 1;
-                }
-                let bound = u64::from(policy.burst) * 100 + fresh * u64::from(policy.share_percent);
-                assert!(retries * 100 <= bound);
+    property::check::<(u8, u8, Vec<bool>)>(CASES, |(share, burst, calls)| {
+        let policy = RetryPolicy {
+            max_per_request: 3,
+            share_percent: u32::from(*share % 101),
+            burst: u32::from(*burst % 20),
+        };
+        let mut budget = RetryBudget::new(policy);
+        let (mut fresh, mut retries) = (0_u64, 0_u64);
+        for is_fresh in calls {
+            if *is_fresh {
+                fresh += 1;
+                budget.record_fresh();
+            } else if budget.try_retry(0) == RetryStep::Retry {
+                retries += 1;
             }
-        });
+            let bound = u64::from(policy.burst) * 100 + fresh * u64::from(policy.share_percent);
+            assert!(retries * 100 <= bound);
+        }
+    });
 }
 
 #[test]
--- a/tests/standin_decisions.rs
+++ b/tests/standin_decisions.rs
@@ -1,5 +1,7 @@
 //! Decisions of the stand-ins without processes: cache against a naive version, lags and rates.
 
+mod property;
+
 use std::time::Duration;
 
 use bulrushslip::kernel::Moment;
@@ -8,6 +10,9 @@
 use bulrushslip::standin::prefix_cache::{CacheChange, PrefixCache};
 use bulrushslip::standin::weight_store::{WeightLimits, WeightStore};
 
+/// Generated inputs of each property.
+const CASES: u64 = 2_000;
+
 fn at(ms: u64) -> Moment {
     Moment::START.after(Duration::from_millis(ms))
 }
@@ -24,32 +29,30 @@
 
 #[test]
 fn the_prefix_cache_agrees_with_a_naive_one_and_its_changes_tell_its_content() {
-    bolero::check!()
-        .with_type::<(u8, Vec<(u8, u8)>)>()
-        .for_each(|(capacity, prompts)| {
-            let capacity = usize::from(capacity % 12);
-            let mut cache = PrefixCache::new(capacity);
-            let (mut used, mut told): (Vec<u64>, Vec<u64>) = (Vec::new(), Vec::new());
-            for (tenant, length) in prompts {
-                let first = u64::from(tenant % 4) * 100;
-                let keys: Vec<u64> = (first..first + u64::from(length % 16)).collect();
-                let leading = keys.iter().take_while(|key| used.contains(key)).count();
-                assert_eq!(cache.touch_prefix(&keys), leading);
-                naive_store(&mut used, &keys, capacity);
-                for change in cache.store(&keys) {
-                    match change {
-                        CacheChange::Stored(key) => told.push(key),
-                        CacheChange::Evicted(key) => told.retain(|known| *known != key),
-                    }
+    property::check::<(u8, Vec<(u8, u8)>)>(CASES, |(capacity, prompts)| {
+        let capacity = usize::from(capacity % 12);
+        let mut cache = PrefixCache::new(capacity);
+        let (mut used, mut told): (Vec<u64>, Vec<u64>) = (Vec::new(), Vec::new());
+        for (tenant, length) in prompts {
+            let first = u64::from(tenant % 4) * 100;
+            let keys: Vec<u64> = (first..first + u64::from(length % 16)).collect();
+            let leading = keys.iter().take_while(|key| used.contains(key)).count();
+            assert_eq!(cache.touch_prefix(&keys), leading);
+            naive_store(&mut used, &keys, capacity);
+            for change in cache.store(&keys) {
+                match change {
+                    CacheChange::Stored(key) => told.push(key),
+                    CacheChange::Evicted(key) => told.retain(|known| *known != key),
                 }
-                let cached: Vec<u64> = cache.keys().into_iter().rev().collect();
-                assert_eq!(cached, used);
-                told.sort_unstable();
-                used.sort_unstable();
-                assert_eq!(told, used);
-                used = cached;
             }
-        });
+            let cached: Vec<u64> = cache.keys().into_iter().rev().collect();
+            assert_eq!(cached, used);
+            told.sort_unstable();
+            used.sort_unstable();
+            assert_eq!(told, used);
+            used = cached;
+        }
+    });
 }
 
 #[test]
--- a/tests/suspects.rs
+++ b/tests/suspects.rs
@@ -1,5 +1,7 @@
 //! Repeated crashes: a request that crashes engines is refused, its neighbours are served.
 
+mod property;
+
 use std::collections::BTreeSet;
 
 use bulrushslip::decide::ids::{EngineEpoch, Incarnation};
@@ -10,6 +12,9 @@
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
 
+/// Generated inputs of each property.
+const CASES: u64 = 2_000;
+
 fn crash(number: u64) -> CrashId {
     CrashId {
         sidecar: Incarnation(number),
@@ -19,40 +24,38 @@
 
 #[test]
 fn reports_and_clearances_merge_in_any_order_and_number() {
-    bolero::check!()
-        .with_type::<(Vec<(bool, u8)>, Vec<u8>)>()
-        .for_each(|(events, order)| {
-            let events: Vec<(bool, u8)> = events.iter().take(8).copied().collect();
-            let cleared: BTreeSet<u64> = events
-                .iter()
-                .filter(|(clears, _)| *clears)
-                .map(|(_, c)| u64::from(c % 2))
-                .collect();
-            // Each event once in order, then some again in any order.
-            let again = order
-                .iter()
-                .filter_map(|i| events.get(usize::from(*i) % events.len().max(1)));
-            let mut table = SuspectTable::new(SuspectPolicy::default());
-            for (clears, number) in events.iter().chain(again) {
-                let crash = crash(u64::from(number % 2));
-                if *clears {
-                    table.clear(Moment::START, Fingerprint(1), &[crash]);
-                } else {
-                    table.report(Moment::START, Fingerprint(1), crash);
-                }
+    property::check::<(Vec<(bool, u8)>, Vec<u8>)>(CASES, |(events, order)| {
+        let events: Vec<(bool, u8)> = events.iter().take(8).copied().collect();
+        let cleared: BTreeSet<u64> = events
+            .iter()
+            .filter(|(clears, _)| *clears)
+            .map(|(_, c)| u64::from(c % 2))
+            .collect();
+        // Each event once in order, then some again in any order.
+        let again = order
+            .iter()
+            .filter_map(|i| events.get(usize::from(*i) % events.len().max(1)));
+        let mut table = SuspectTable::new(SuspectPolicy::default());
+        for (clears, number) in events.iter().chain(again) {
+            let crash = crash(u64::from(number % 2));
+            if *clears {
+                table.clear(Moment::START, Fingerprint(1), &[crash]);
+            } else {
+                table.report(Moment::START, Fingerprint(1), crash);
             }
-            let only_reported: BTreeSet<u64> = events
-                .iter()
-                .filter(|(clears, _)| !clears)
-                .map(|(_, c)| u64::from(c % 2))
-                .collect();
-            let expected: BTreeSet<u64> = only_reported.difference(&cleared).copied().collect();
-            let found = table.crashes(Moment::START, Fingerprint(1));
-            assert_eq!(
-                found.iter().map(|c| c.sidecar.0).collect::<BTreeSet<_>>(),
-                expected
-            );
-        });
+        }
+        let only_reported: BTreeSet<u64> = events
+            .iter()
+            .filter(|(clears, _)| !clears)
+            .map(|(_, c)| u64::from(c % 2))
+            .collect();
+        let expected: BTreeSet<u64> = only_reported.difference(&cleared).copied().collect();
+        let found = table.crashes(Moment::START, Fingerprint(1));
+        assert_eq!(
+            found.iter().map(|c| c.sidecar.0).collect::<BTreeSet<_>>(),
+            expected
+        );
+    });
 }
 
 #[test]
--- a/tests/wire_openai.rs
+++ b/tests/wire_openai.rs
@@ -1,5 +1,7 @@
 //! The callers' API: prompts, continuations, folding of chunks, and server-sent events.
 
+mod property;
+
 use bulrushslip::decide::outcome::{RefusalReason, RunStatus};
 use bulrushslip::wire::openai::{
     ApiKind, CallerFault, CallerRequest, ChunkFold, ContinuationBody, ErrorBody, FoldStep,
@@ -8,6 +10,9 @@
 use bulrushslip::wire::sse::{SseDecoder, SseEvent, SseStep, encode};
 use serde_json::{Value, json};
 
+/// Generated inputs of each property.
+const CASES: u64 = 2_000;
+
 fn chat(body: &Value) -> CallerRequest {
     CallerRequest::parse(ApiKind::Chat, body.to_string().as_bytes()).expect("a valid request")
 }
@@ -188,34 +193,32 @@
 
 #[test]
 fn events_do_not_depend_on_how_bytes_are_cut() {
-    bolero::check!()
-        .with_type::<(Vec<(Option<u8>, Vec<u8>)>, Vec<u8>)>()
-        .for_each(|(events, cuts)| {
-            let sent: Vec<SseEvent> = events
-                .iter()
-                .map(|(id, data)| SseEvent {
-                    id: id.map(|id| id.to_string()),
-                    // A carriage return before a line feed is part of the line end.
-                    data: data.iter().copied().filter(|b| *b != b'\r').collect(),
-                })
-                .collect();
-            let bytes: Vec<u8> = sent.iter().flat_map(encode).collect();
-            let mut decoder = SseDecoder::new(1 << 20);
-            let mut received = Vec::new();
-            let mut rest = bytes.as_slice();
-            let mut cuts = cuts.iter();
-            while !rest.is_empty() {
-                let cut = cuts.next().map_or(rest.len(), |cut| usize::from(*cut) + 1);
-                let (part, after) = rest.split_at(cut.min(rest.len()));
-                decoder.push(part);
-                rest = after;
-                while let SseStep::Event(event) = decoder.next_event() {
-                    received.push(event);
-                }
+    property::check::<(Vec<(Option<u8>, Vec<u8>)>, Vec<u8>)>(CASES, |(events, cuts)| {
+        let sent: Vec<SseEvent> = events
+            .iter()
+            .map(|(id, data)| SseEvent {
+                id: id.map(|id| id.to_string()),
+                // A carriage return before a line feed is part of the line end.
+                data: data.iter().copied().filter(|b| *b != b'\r').collect(),
+            })
+            .collect();
+        let bytes: Vec<u8> = sent.iter().flat_map(encode).collect();
+        let mut decoder = SseDecoder::new(1 << 20);
+        let mut received = Vec::new();
+        let mut rest = bytes.as_slice();
+        let mut cuts = cuts.iter();
+        while !rest.is_empty() {
+            let cut = cuts.next().map_or(rest.len(), |cut| usize::from(*cut) + 1);
+            let (part, after) = rest.split_at(cut.min(rest.len()));
+            decoder.push(part);
+            rest = after;
+            while let SseStep::Event(event) = decoder.next_event() {
+                received.push(event);
             }
-            assert_eq!(received, sent);
-            assert!(!decoder.is_mid_event());
-        });
+        }
+        assert_eq!(received, sent);
+        assert!(!decoder.is_mid_event());
+    });
 }
 
 #[test]
