--- a/src/process.rs
+++ b/src/process.rs
@@ -15,9 +15,6 @@
 use crate::kernel::{Clock, RunningKernel, TokioKernel};
 use crate::settings::{CommonSettings, ReadSettings, StartOutcome};
 
-/// Threads that run the tasks of a process.
-const WORKER_THREADS: usize = 2;
-
 /// Exit code after a broken invariant.
 const PANIC_CODE: i32 = 101;
 
@@ -130,10 +127,7 @@
             return ExitCode::from(u8::try_from(code).unwrap_or(1));
         }
     };
-    let runtime = Builder::new_multi_thread()
-        .worker_threads(WORKER_THREADS)
-        .enable_all()
-        .build();
+    let runtime = Builder::new_current_thread().enable_all().build();
     match runtime.and_then(|runtime| runtime.block_on(run(settings))) {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
