Carry out orders to engines under leases and fencing numbers

Cause: declared versions have to reach the engines, a few at a time, without cutting requests. The task orders asks the ledger to refuse new work until a stored moment and how much is left in one message, so nothing slips in between; it checks report and lease again right before the order. Ruled out: closing the sidecar when the version is declared (it would refuse while it waits for its lease), and remembering what was ordered. First run of the move of a customer under load: one request got 503 not-run, because the sidecar stayed closed for a second after its engine had loaded. Now it opens with the order's answer. Not proved here: draining itself (the stand-in does not cut requests when it loads).

--- a/src/decide/orders.rs
+++ b/src/decide/orders.rs
@@ -26,6 +26,8 @@
     pub upstream: Option<&'a Upstream>,
     /// Latest report of the engine.
     pub report: &'a EngineReport,
+    /// Whether new work is refused for the time being.
+    pub is_closed: bool,
     /// All leases as read so far.
     pub leases: &'a LeaseTable,
     /// The own lease, if one was asked for.
@@ -45,7 +47,7 @@
     Acquire,
     /// Read the leases again, at the latest at the moment.
     WaitForLease(Moment),
-    /// Start nothing new until the requests that run have ended.
+    /// Refuse new work until the requests that are here have ended.
     Drain,
     /// Order the engine to load; the fencing number is the offset of the lease.
     Load {
@@ -81,7 +83,7 @@
     match view.leases.standing(now, own, view.limit) {
         LeaseStanding::Over => OrderStep::Release(own.offset),
         LeaseStanding::Waiting(until) => OrderStep::WaitForLease(until),
-        LeaseStanding::Held if running > 0 => OrderStep::Drain,
+        LeaseStanding::Held if running > 0 || !view.is_closed => OrderStep::Drain,
         LeaseStanding::Held => OrderStep::Load {
             model: target.model.to_owned(),
             version: target.version.to_owned(),
--- a/src/events.rs
+++ b/src/events.rs
@@ -102,6 +102,22 @@
     "The platform's log cannot be read; the configuration in force stays.",
 );
 
+/// The engine has loaded weights.
+pub const WEIGHTS_LOADED: EventKind = event(
+    405,
+    Level::Info,
+    "weights_loaded",
+    "The engine has carried out an order to load weights.",
+);
+
+/// The engine has not loaded weights.
+pub const LOAD_FAILED: EventKind = event(
+    406,
+    Level::Warn,
+    "load_failed",
+    "An order to load weights was refused or not answered; it is given again.",
+);
+
 /// The answer to a request is lost.
 pub const ANSWER_LOST: EventKind = event(
     301,
@@ -151,7 +167,7 @@
 );
 
 /// All kinds of events in the order of their numbers.
-pub const CATALOGUE: [EventKind; 15] = [
+pub const CATALOGUE: [EventKind; 17] = [
     PROCESS_STARTED,
     LISTENING,
     STOP_BEGUN,
@@ -165,6 +181,8 @@
     ENGINE_UP,
     ENGINE_DOWN,
     ENGINE_RESTARTED,
+    WEIGHTS_LOADED,
+    LOAD_FAILED,
     OPERATOR_DENIED,
     METRICS_FAILED,
 ];
--- a/src/services/ledger.rs
+++ b/src/services/ledger.rs
@@ -35,6 +35,9 @@
         LedgerMail::Attached(key, verdict, reply_to) => state.attached(key, verdict, reply_to),
         LedgerMail::Items(key, items) => state.items(now, key, items),
         LedgerMail::Ended(key, end) => state.ended(now, key, end),
+        LedgerMail::OrderReport(closed_until, reply_to) => {
+            reply_to.send(state.order_report(closed_until));
+        }
         LedgerMail::EngineState(engine) => state.observe(engine),
         LedgerMail::CacheEvents(page, reply_to) => reply_to.send(state.cache_events(&page)),
         LedgerMail::CacheKeys(list, reply_to) => reply_to.send(state.cache_keys(&list)),
--- a/src/services/ledger_state.rs
+++ b/src/services/ledger_state.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use super::ledger::wait_until;
-use super::mail::{EngineMail, EngineState, Mail};
+use super::mail::{EngineMail, EngineState, Mail, OrderReport};
 use super::stream_buffer::{PushOutcome, StreamBuffer};
 use crate::decide::cache_index::{CacheList, CachePage, IndexStep};
 use crate::decide::config::{Configuration, Upstream};
@@ -81,6 +81,7 @@
     read_deadlines: BTreeSet<(Moment, TicketKey)>,
     leaving: bool,
     stopping: bool,
+    closed_until: Moment,
 }
 
 impl LedgerState {
@@ -98,6 +99,7 @@
             read_deadlines: BTreeSet::new(),
             leaving: false,
             stopping: false,
+            closed_until: Moment::START,
             settings,
         }
     }
@@ -133,7 +135,7 @@
         let quote = self.queue.quote(now, &request);
         QuoteReply {
             head: self.head(),
-            open: self.refusal(&call.version).is_none(),
+            open: self.refusal(now, &call.version).is_none(),
             wait_us: u32::try_from(quote.wait_us).unwrap_or(u32::MAX),
             missing_pieces: quote.missing_pieces,
             piece_us: u32::try_from(quote.piece_us).unwrap_or(u32::MAX),
@@ -188,7 +190,7 @@
             SubmitStep::Refused(reason) => return Err(reason),
             SubmitStep::Queued(key) => key,
         };
-        if let Some(reason) = self.refusal(&call.version) {
+        if let Some(reason) = self.refusal(now, &call.version) {
             self.ledger.end(now, key, StreamEnd::NotRun(reason));
             return Err(reason);
         }
@@ -542,13 +544,27 @@
         });
     }
 
-    fn refusal(&self, version: &str) -> Option<RefusalReason> {
+    /// Refuses new work until the moment, and tells what is left.
+    pub fn order_report(&mut self, closed_until: Moment) -> OrderReport {
+        self.closed_until = closed_until;
+        let running = self.jobs.values().filter(|job| job.started).count();
+        OrderReport {
+            engine: self.engine.clone(),
+            unfinished: self.queue.waiting() + running,
+        }
+    }
+
+    fn refusal(&self, now: Moment, version: &str) -> Option<RefusalReason> {
         let Some(upstream) = &self.upstream else {
             return Some(RefusalReason::NoConfiguration);
         };
         if self.leaving || upstream.retired {
             return Some(RefusalReason::Leaving);
         }
+        if !self.closed_until.is_due(now) {
+            // Other weights are about to be loaded.
+            return Some(RefusalReason::WrongVersion);
+        }
         match &self.engine {
             EngineState::Down => Some(RefusalReason::EngineDown),
             EngineState::Up {
--- a/src/services/mail.rs
+++ b/src/services/mail.rs
@@ -135,6 +135,8 @@
     Attached(TicketKey, AttachVerdict, ReplyTo<AttachReply>),
     /// The engine's state was read.
     EngineState(EngineState),
+    /// Refuses new work until the moment, and asks what is left.
+    OrderReport(Moment, ReplyTo<OrderReport>),
     /// The platform wants the instance to go.
     Leaving,
     /// Events of the engine's cache; answered with what to fetch next.
@@ -145,6 +147,15 @@
     Configured(Arc<Configuration>),
 }
 
+/// What an order to the engine depends on.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct OrderReport {
+    /// State of the engine as it was last read.
+    pub engine: EngineState,
+    /// Requests that wait or run.
+    pub unfinished: usize,
+}
+
 /// State of an engine as it was last read.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum EngineState {
--- /dev/null
+++ b/src/services/orders.rs
@@ -0,0 +1,246 @@
+//! I/O task `orders` of a sidecar: brings the engine to the declared version of the weights.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use http_body_util::Full;
+use hyper::{Method, StatusCode};
+use serde::Serialize;
+
+use super::config::CONFIG;
+use super::lease_log::LeaseLog;
+use super::mail::{ConfigMail, EngineState, LedgerMail, Mail, OrderReport};
+use super::wait::{run_until_stop, sleep_until};
+use crate::decide::config::Configuration;
+use crate::decide::ids::{EngineEpoch, Incarnation, LogOffset};
+use crate::decide::lease::{LeaseTable, ORDER_TIMEOUT_MS};
+use crate::decide::orders::{EngineReport, OrderStep, OrderView, next_order};
+use crate::events::{LOAD_FAILED, WEIGHTS_LOADED, log_event};
+use crate::kernel::{Directory, IoTask, Moment};
+use crate::platform::http_client;
+use crate::platform::log_client::LogClient;
+use crate::wire::lease_record::LEASE_STREAM;
+
+/// Name of the task that gives orders to the engine.
+pub const ORDERS: &str = "orders";
+
+/// Pause between two looks while there is nothing to do.
+const REST_PAUSE: Duration = Duration::from_secs(1);
+
+/// Pause while requests run out.
+const DRAIN_PAUSE: Duration = Duration::from_millis(50);
+
+/// Time for which the ledger stays closed beyond the next look.
+const CLOSE_MARGIN: Duration = Duration::from_secs(2);
+
+/// Time in which the report shows what an order did.
+const REPORT_LAG: Duration = Duration::from_secs(1);
+
+/// Longest wait of one read of the leases.
+const LEASE_WAIT: Duration = Duration::from_secs(1);
+
+/// What the task knows of its process.
+#[derive(Debug, Clone)]
+pub struct OrderSettings {
+    /// Address of the platform.
+    pub platform: SocketAddr,
+    /// Address of the engine.
+    pub engine: SocketAddr,
+    /// Declared name of the upstream.
+    pub upstream: String,
+    /// Incarnation of this process.
+    pub holder: Incarnation,
+    /// Loads allowed at the same time.
+    pub max_loads: usize,
+}
+
+/// Load order on the wire.
+#[derive(Debug, Serialize)]
+struct WireLoadOrder<'a> {
+    model: &'a str,
+    version: &'a str,
+    fence: u64,
+}
+
+/// Creates the task `orders`.
+#[must_use]
+pub fn orders_task(settings: OrderSettings) -> IoTask<Mail> {
+    IoTask::new(ORDERS, move |inbox, directory| {
+        run_until_stop(inbox, async move {
+            OrderTask::new(settings, directory).run().await;
+        })
+    })
+}
+
+struct OrderTask {
+    settings: OrderSettings,
+    directory: Directory<Mail>,
+    leases: LeaseLog,
+    closed_until: Moment,
+    epoch: EngineEpoch,
+}
+
+impl OrderTask {
+    fn new(settings: OrderSettings, directory: Directory<Mail>) -> Self {
+        let leases = LeaseLog {
+            log: LogClient::new(settings.platform, LEASE_STREAM),
+            upstream: settings.upstream.clone(),
+            holder: settings.holder,
+            table: LeaseTable::default(),
+            own: None,
+        };
+        Self {
+            settings,
+            directory,
+            leases,
+            closed_until: Moment::START,
+            epoch: EngineEpoch::default(),
+        }
+    }
+
+    async fn run(mut self) {
+        loop {
+            let Some(step) = self.next_step().await else {
+                return;
+            };
+            self.carry_out(step).await;
+        }
+    }
+
+    async fn next_step(&mut self) -> Option<OrderStep> {
+        let question = |reply_to| Mail::Config(ConfigMail::Current(reply_to));
+        let configuration: Arc<Configuration> = self.directory.ask(CONFIG, question).await?;
+        let closed_until = self.closed_until;
+        let question = |reply_to| Mail::Ledger(LedgerMail::OrderReport(closed_until, reply_to));
+        let report: OrderReport = self.directory.ask("ledger", question).await?;
+        let running = u32::try_from(report.unfinished).unwrap_or(u32::MAX);
+        let report = match report.engine {
+            EngineState::Up { version, epoch } => {
+                self.epoch = epoch;
+                EngineReport::Serves { version, running }
+            }
+            EngineState::Down => EngineReport::Down,
+        };
+        let now = self.directory.now();
+        let upstream = configuration.upstream(&self.settings.upstream);
+        Some(next_order(
+            now,
+            OrderView {
+                upstream: upstream.map(|(_, upstream)| upstream),
+                report: &report,
+                is_closed: !self.closed_until.is_due(now),
+                leases: &self.leases.table,
+                own: self.leases.own,
+                limit: self.settings.max_loads,
+            },
+        ))
+    }
+
+    async fn carry_out(&mut self, step: OrderStep) {
+        match step {
+            OrderStep::Rest => self.pause(REST_PAUSE).await,
+            OrderStep::Release(lease) => {
+                self.closed_until = Moment::START;
+                self.leases.release(lease).await;
+            }
+            OrderStep::Acquire => {
+                self.leases.read(&self.directory, Duration::ZERO).await;
+                self.leases.acquire(&self.directory).await;
+                if self.leases.own.is_none() {
+                    self.pause(REST_PAUSE).await;
+                }
+            }
+            OrderStep::WaitForLease(until) => self.wait_for_lease(until).await,
+            OrderStep::Drain => {
+                self.closed_until = self.directory.now().after(CLOSE_MARGIN);
+                self.pause(DRAIN_PAUSE).await;
+            }
+            OrderStep::Load {
+                model,
+                version,
+                fence,
+            } => self.load(&model, &version, fence).await,
+        }
+    }
+
+    async fn wait_for_lease(&mut self, until: Moment) {
+        let now = self.directory.now();
+        let wait = until.remaining(now).min(LEASE_WAIT);
+        let next_offset = self.leases.table.next_offset;
+        self.leases.read(&self.directory, wait).await;
+        if self.leases.table.next_offset == next_offset {
+            // Nothing new, or the log cannot be read.
+            self.pause(DRAIN_PAUSE).await;
+        }
+    }
+
+    async fn load(&mut self, model: &str, version: &str, fence: LogOffset) {
+        let limit = Duration::from_millis(ORDER_TIMEOUT_MS);
+        self.closed_until = self.directory.now().after(limit + CLOSE_MARGIN);
+        // Nothing may have come in since, and the lease must still hold.
+        let expected = OrderStep::Load {
+            model: model.to_owned(),
+            version: version.to_owned(),
+            fence,
+        };
+        if self.next_step().await != Some(expected) {
+            return;
+        }
+        let order = WireLoadOrder {
+            model,
+            version,
+            fence: fence.0,
+        };
+        match send(self.settings.engine, &order, limit).await {
+            Ok(()) => {
+                log_event(
+                    &WEIGHTS_LOADED,
+                    &[("version", &version), ("fence", &fence.0)],
+                );
+                self.reopen(version).await;
+            }
+            Err(reason) => {
+                log_event(&LOAD_FAILED, &[("version", &version), ("reason", &reason)]);
+                // The next order needs a higher fencing number.
+                self.leases.release(fence).await;
+            }
+        }
+        self.pause(REPORT_LAG).await;
+    }
+
+    /// Lets the ledger take work for the new version without waiting for the next report.
+    async fn reopen(&mut self, version: &str) {
+        let state = EngineState::Up {
+            epoch: self.epoch,
+            version: version.to_owned(),
+        };
+        let mail = Mail::Ledger(LedgerMail::EngineState(state));
+        self.directory.deliver("ledger", mail).await;
+        self.closed_until = Moment::START;
+        // The step is decided anew after the pause; here the ledger only has to hear of it.
+        drop(self.next_step().await);
+    }
+
+    async fn pause(&self, pause: Duration) {
+        sleep_until(&self.directory, self.directory.now().after(pause)).await;
+    }
+}
+
+async fn send(
+    engine: SocketAddr,
+    order: &WireLoadOrder<'_>,
+    limit: Duration,
+) -> Result<(), String> {
+    let body = serde_json::to_vec(order).map_err(|error| error.to_string())?;
+    let request = http_client::request(Method::POST, engine, "/orders/load");
+    let request = request
+        .header("content-type", "application/json")
+        .body(Full::new(body.into()))
+        .map_err(|error| error.to_string())?;
+    match http_client::call(engine, request, limit).await {
+        Ok(response) if response.status == StatusCode::OK => Ok(()),
+        Ok(response) => Err(format!("the engine answered {}", response.status)),
+        Err(error) => Err(error.to_string()),
+    }
+}
--- a/src/settings/sidecar.rs
+++ b/src/settings/sidecar.rs
@@ -29,6 +29,8 @@
     pub slots: u32,
     /// Requests that wait at the same time.
     pub queue_limit: usize,
+    /// Engines that load weights at the same time.
+    pub max_loads: usize,
     /// Time for which a finished answer is kept, in milliseconds.
     pub kept_ms: u64,
     /// Finished answers that are kept at the same time, in bytes.
@@ -49,6 +51,7 @@
             target,
             slots: u32::try_from(reader.integer("slots")).unwrap_or(1),
             queue_limit: reader.size("queue-limit"),
+            max_loads: reader.size("max-loads"),
             kept_ms: reader.integer("kept-ms"),
             kept_bytes: reader.size("kept-bytes"),
         }
--- a/src/settings/table.rs
+++ b/src/settings/table.rs
@@ -253,7 +253,7 @@
 ];
 
 /// Settings of `bulrushslip-sidecar`.
-pub const SIDECAR_TABLE: [SettingRow; 20] = [
+pub const SIDECAR_TABLE: [SettingRow; 21] = [
     row(
         "listen",
         "BULRUSHSLIP_LISTEN",
@@ -312,6 +312,13 @@
         },
         "requests that wait at the same time",
     ),
+    row(
+        "max-loads",
+        "BULRUSHSLIP_MAX_LOADS",
+        Fallback::Value("2"),
+        ValueKind::Integer { min: 1, max: 1_000 },
+        "engines that load weights at the same time, the same in a whole fleet",
+    ),
     row(
         "kept-ms",
         "BULRUSHSLIP_KEPT_MS",
--- a/src/sidecar.rs
+++ b/src/sidecar.rs
@@ -23,6 +23,7 @@
 use crate::services::log_reader::log_reader;
 use crate::services::metrics;
 use crate::services::operator::{self, OperatorIdentity};
+use crate::services::orders::{OrderSettings, orders_task};
 use crate::services::peer_reader::peer_reader;
 use crate::services::registration::registration_task;
 use crate::services::sidecar_rpc::rpc_task;
@@ -108,6 +109,15 @@
             token: common.operator_token.clone(),
         },
     ));
+    if target.kind == EngineKind::Model {
+        kernel.add_task(orders_task(OrderSettings {
+            platform: common.platform,
+            engine: target.address,
+            upstream: settings.upstream.clone(),
+            holder: ledger_settings.incarnation,
+            max_loads: settings.max_loads,
+        }));
+    }
     // The ledger stops before the tasks that its last answers pass through.
     kernel.add(ledger_service(ledger_settings));
     kernel.add_task(config_feed_task());
--- a/src/sidecar_cli.rs
+++ b/src/sidecar_cli.rs
@@ -46,6 +46,9 @@
     /// requests that wait at the same time
     #[argh(option)]
     queue_limit: Option<String>,
+    /// engines that load weights at the same time, the same in a whole fleet
+    #[argh(option)]
+    max_loads: Option<String>,
     /// time for which a finished answer is kept, in milliseconds
     #[argh(option)]
     kept_ms: Option<String>,
@@ -86,6 +89,7 @@
             ("plain", self.plain.as_ref()),
             ("slots", self.slots.as_ref()),
             ("queue-limit", self.queue_limit.as_ref()),
+            ("max-loads", self.max_loads.as_ref()),
             ("kept-ms", self.kept_ms.as_ref()),
             ("kept-bytes", self.kept_bytes.as_ref()),
             ("policy", self.policy.as_ref()),
--- a/tests/config_lease.rs
+++ b/tests/config_lease.rs
@@ -189,6 +189,7 @@
     let view = OrderView {
         upstream: Some(&upstream),
         report: &report,
+        is_closed: true,
         leases: &leases,
         own: Some(own),
         limit: 1,
@@ -211,7 +212,7 @@
         leases
     };
     let own = Some(OwnLease::new(LogOffset(0), Moment::START));
-    let step = |retired, version: &str, running, own| {
+    let step_when = |retired, version: &str, running, is_closed, own| {
         let upstream = engine(retired);
         let report = EngineReport::Serves {
             version: version.to_owned(),
@@ -220,12 +221,15 @@
         let view = OrderView {
             upstream: Some(&upstream),
             report: &report,
+            is_closed,
             leases: &leases,
             own,
             limit: 1,
         };
         next_order(Moment::START, view)
     };
+    let step = |retired, version, running, own| step_when(retired, version, running, true, own);
+    assert_eq!(step_when(false, "v1", 0, false, own), OrderStep::Drain);
     assert_eq!(step(false, "v1", 3, None), OrderStep::Acquire);
     assert_eq!(step(false, "v1", 3, own), OrderStep::Drain);
     assert!(matches!(step(false, "v1", 0, own), OrderStep::Load { .. }));
--- /dev/null
+++ b/tests/config_orders.rs
@@ -0,0 +1,138 @@
+//! Moves to new weights at real processes: orders, fencing numbers and requests meanwhile.
+
+mod common;
+
+use std::process::{Command, Stdio};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::{Duration, Instant};
+
+use common::{API_KEY, Answer, ChildProcess, Fleet, FleetOptions, MODEL, get, post, send};
+use hyper::Method;
+use serde_json::{Value, json};
+
+/// Bound for a load, far above the 0.6 s that it takes.
+const LIMIT: Duration = Duration::from_secs(20);
+
+fn ctl(fleet: &Fleet, name: &str, arguments: &[&str]) -> Option<i32> {
+    let platform = fleet.platform.port("platform").to_string();
+    let mut command = Command::new(env!("CARGO_BIN_EXE_bulrushslip-ctl"));
+    command
+        .args([name, "--platform", &platform])
+        .args(arguments)
+        .stdout(Stdio::null());
+    command.status().expect("the binary runs").code()
+}
+
+/// Plans an intent and confirms it.
+fn intend(fleet: &Fleet, test: &str, intent: &[&str]) {
+    let file = std::path::Path::new(env!("CARGO_TARGET_TMPDIR")).join(test);
+    let file = file.to_str().expect("a text path");
+    assert_eq!(
+        ctl(fleet, "plan", &[&["--out", file], intent].concat()),
+        Some(0)
+    );
+    assert_eq!(ctl(fleet, "confirm", &[file]), Some(0));
+}
+
+async fn version(engine: &ChildProcess) -> String {
+    let load = get(engine.port("engine"), "/load", &[]).await.json();
+    load["version"].as_str().unwrap_or_default().to_owned()
+}
+
+async fn loads(engine: &ChildProcess) -> Vec<Value> {
+    let stats = get(engine.port("engine"), "/admin/stats", &[]).await.json();
+    stats["loads"].as_array().cloned().unwrap_or_default()
+}
+
+async fn until_version(engine: &ChildProcess, wanted: &str) {
+    let started = Instant::now();
+    while version(engine).await != wanted {
+        assert!(started.elapsed() < LIMIT, "{wanted} is not loaded");
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+}
+
+async fn ask(fleet: &Fleet, entry: usize) -> Answer {
+    let messages = json!([{"role": "user", "content": "rules ".repeat(100)}]);
+    let body = json!({"model": MODEL, "messages": messages, "max_tokens": 60}).to_string();
+    let bearer = format!("Bearer {API_KEY}");
+    let headers = [("authorization", bearer.as_str())];
+    send(
+        Method::POST,
+        fleet.entry(entry),
+        "/v1/chat/completions",
+        &headers,
+        body,
+    )
+    .await
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_customer_moves_to_new_weights_and_no_request_is_cut() {
+    let fleet = Arc::new(Fleet::start().await);
+    let done = Arc::new(AtomicBool::new(false));
+    let callers: Vec<_> = (0..4)
+        .map(|caller| {
+            let (fleet, done) = (Arc::clone(&fleet), Arc::clone(&done));
+            tokio::spawn(async move {
+                let mut answers = Vec::new();
+                while !done.load(Ordering::Relaxed) {
+                    let answer = ask(&fleet, caller % 2).await;
+                    let status = answer.header("x-run-status").to_owned();
+                    answers.push((answer.status, status));
+                }
+                answers
+            })
+        })
+        .collect();
+    intend(&fleet, "load-0", &["load", "engine-0", "v2"]);
+    until_version(&fleet.engines[0], "v2").await;
+    intend(&fleet, "move", &["move", "agency", MODEL, "v2"]);
+    intend(&fleet, "move-other", &["move", "holdings", MODEL, "v2"]);
+    intend(&fleet, "load-1", &["load", "engine-1", "v2"]);
+    until_version(&fleet.engines[1], "v2").await;
+    assert_eq!(ask(&fleet, 0).await.status, 200);
+    done.store(true, Ordering::Relaxed);
+    let mut count = 0;
+    for caller in callers {
+        for answer in caller.await.expect("a caller") {
+            assert_eq!(answer, (200, "complete".to_owned()));
+            count += 1;
+        }
+    }
+    println!("{count} requests were answered during the move");
+    for engine in &fleet.engines {
+        assert_eq!(loads(engine).await.len(), 1);
+    }
+}
+
+#[tokio::test]
+async fn loads_keep_to_the_limit_and_carry_rising_numbers() {
+    let options = FleetOptions {
+        engine: vec!["--checks-fence"],
+        sidecar: vec!["--max-loads", "1"],
+        ..FleetOptions::default()
+    };
+    let fleet = Fleet::start_with(&options).await;
+    // A lease of a process that is gone comes first and is waited out.
+    let platform = fleet.platform.port("platform");
+    let lease = json!({"acquire": {"upstream": "engine-0", "holder": 1}}).to_string();
+    post(platform, "/streams/leases/append", &[], lease).await;
+    let release = json!({"release": {"lease": 0}}).to_string();
+    intend(&fleet, "limit-0", &["load", "engine-0", "v2"]);
+    let asked = Instant::now();
+    while asked.elapsed() < Duration::from_secs(2) {
+        assert_eq!(version(&fleet.engines[0]).await, "v1");
+        tokio::time::sleep(Duration::from_millis(50)).await;
+    }
+    post(platform, "/streams/leases/append", &[], release).await;
+    until_version(&fleet.engines[0], "v2").await;
+    let fence = |loads: &[Value]| loads[0]["fence"].as_u64().expect("a number");
+    assert!(fence(&loads(&fleet.engines[0]).await) > 0);
+    // An order with the number of the process that is gone is refused by the engine.
+    let old = json!({"model": MODEL, "version": "v1", "fence": 0}).to_string();
+    let engine = fleet.engines[0].port("engine");
+    assert_eq!(post(engine, "/orders/load", &[], old).await.status, 409);
+    assert_eq!(version(&fleet.engines[0]).await, "v2");
+}
