Feed the configuration's properties from numbered seeds

Cause: as for the other properties, runs must repeat. After: 300 histories, 5,000 confirmations, 20,000 lease courses.

--- a/tests/config_arrival.rs
+++ b/tests/config_arrival.rs
@@ -1,8 +1,10 @@
 //! Any order of arrival of the configuration stream gives the state of a naive replay.
 
+mod property;
+
 use std::collections::BTreeMap;
 
-use bolero::{TypeGenerator, check};
+use bolero::TypeGenerator;
 use bulrushslip::decide::config::{Configuration, UpstreamKind};
 use bulrushslip::decide::config_change::{ConfigChange, ConfigRecord, PlanId};
 use bulrushslip::decide::config_intake::{ConfigEntry, ConfigIntake, EntryPage, NumberedEntry};
@@ -11,6 +13,9 @@
 use bulrushslip::wire::config_record::WireChange;
 use bulrushslip::wire::config_snapshot::{decode_entry, encode_part, encode_record};
 
+/// Generated histories.
+const CASES: u64 = 300;
+
 /// One step of a history of the log and of what arrives at the process under test.
 #[derive(Debug, Clone, TypeGenerator)]
 enum Step {
@@ -279,8 +284,38 @@
     intake.current.next_offset.0 == log.len() as u64
 }
 
+/// Declares enough for later plans to have a meaning.
+fn base_plan() -> String {
+    let upstream = |name| Change::Upstream {
+        name,
+        model: 0,
+        version: name,
+        retired: false,
+    };
+    let changes = [
+        Change::Model {
+            name: 0,
+            version: 0,
+        },
+        Change::Model {
+            name: 1,
+            version: 0,
+        },
+        Change::Customer(0),
+        Change::Customer(1),
+        upstream(0),
+        upstream(1),
+    ];
+    encode_record(&ConfigRecord {
+        plan_id: PlanId(0),
+        planned_at: LogOffset(0),
+        forced: false,
+        changes: changes.iter().map(|change| change.convert()).collect(),
+    })
+}
+
 fn check_history(steps: &[Step]) {
-    let (mut log, mut first) = (Vec::new(), 0);
+    let (mut log, mut first) = (vec![base_plan()], 0);
     let mut intake = ConfigIntake::default();
     for step in steps {
         let before = intake.current.next_offset;
@@ -290,7 +325,10 @@
                 forced,
                 changes,
             } => {
-                let planned_at = log.len().saturating_sub(usize::from(age % 4)) as u64;
+                let planned_at = log
+                    .len()
+                    .saturating_sub(usize::from((age % 8).saturating_sub(4)))
+                    as u64;
                 let changes: Vec<_> = changes.iter().take(3).map(|c| c.convert()).collect();
                 log.push(encode_record(&ConfigRecord {
                     plan_id: PlanId(log.len() as u64),
@@ -338,10 +376,7 @@
 
 #[test]
 fn any_arrival_gives_the_state_of_a_naive_replay() {
-    check!()
-        .with_iterations(500)
-        .with_type::<Vec<Step>>()
-        .for_each(|steps| check_history(steps));
+    property::check::<Vec<Step>>(CASES, |steps| check_history(steps));
 }
 
 #[test]
--- a/tests/config_lease.rs
+++ b/tests/config_lease.rs
@@ -1,8 +1,10 @@
 //! Leases and orders: limits and fencing under pauses, delays, crashes and lost releases.
 
+mod property;
+
 use std::time::Duration;
 
-use bolero::{TypeGenerator, check};
+use bolero::TypeGenerator;
 use bulrushslip::decide::config::{Upstream, UpstreamKind};
 use bulrushslip::decide::ids::{Incarnation, LogOffset};
 use bulrushslip::decide::lease::{
@@ -14,6 +16,9 @@
 const PROCESSES: usize = 3;
 const UPSTREAMS: usize = 2;
 
+/// Generated courses of events.
+const CASES: u64 = 20_000;
+
 /// What happens next; delays are in units of [`DELAY_STEP_MS`].
 #[derive(Debug, Clone, Copy, TypeGenerator)]
 enum Act {
@@ -148,10 +153,9 @@
 
 #[test]
 fn no_more_loads_than_allowed_and_one_for_each_engine() {
-    check!()
-        .with_iterations(20_000)
-        .with_type::<(bool, Vec<Act>)>()
-        .for_each(|(wide, acts)| check_acts(if *wide { 2 } else { 1 }, acts));
+    property::check::<(bool, Vec<Act>)>(CASES, |(wide, acts)| {
+        check_acts(if *wide { 2 } else { 1 }, acts);
+    });
 }
 
 fn engine(retired: bool) -> Upstream {
--- a/tests/config_plan.rs
+++ b/tests/config_plan.rs
@@ -1,6 +1,8 @@
 //! Plans and their confirmation: what is told, and that it stays true.
 
-use bolero::{TypeGenerator, check};
+mod property;
+
+use bolero::TypeGenerator;
 use bulrushslip::decide::config::Configuration;
 use bulrushslip::decide::config_change::{ApplyRefusal, ConfigChange, ConfigRecord, PlanId};
 use bulrushslip::decide::confirm::{
@@ -84,6 +86,9 @@
     assert!(matches!(plan.refusal, Some(ApplyRefusal::Stranded { .. })));
 }
 
+/// Generated courses of a confirmation.
+const CASES: u64 = 5_000;
+
 /// What happens to one append or read.
 #[derive(Debug, Clone, Copy, TypeGenerator)]
 enum Fate {
@@ -141,52 +146,49 @@
 
 #[test]
 fn what_a_confirmation_tells_stays_true() {
-    check!()
-        .with_iterations(5_000)
-        .with_type::<(bool, u8, Vec<Fate>)>()
-        .for_each(|(moved, stranded, fates)| {
-            let mut log = SmallLog {
-                ground_moved: *moved,
-                stranded: usize::from(*stranded % 3),
-                ..SmallLog::default()
-            };
-            let mut fates = fates.iter().copied();
-            let mut confirmation = Confirmation::default();
-            let settlement = loop {
-                match confirmation.step() {
-                    ConfirmStep::Settled(settlement) => break settlement,
-                    ConfirmStep::Append => {
-                        let result = log.append(fates.next().unwrap_or(Fate::Refused));
-                        confirmation.appended(result);
-                    }
-                    ConfirmStep::Read => match fates.next() {
-                        Some(Fate::Unreadable) => confirmation.unreadable(),
-                        Some(Fate::Late) if log.late > 0 => {
-                            log.late -= 1;
-                            log.add();
-                            confirmation.read(LogOffset(100), log.replay());
-                        }
-                        _ => confirmation.read(LogOffset(100), log.replay()),
-                    },
+    property::check::<(bool, u8, Vec<Fate>)>(CASES, |(moved, stranded, fates)| {
+        let mut log = SmallLog {
+            ground_moved: *moved,
+            stranded: usize::from(*stranded % 3),
+            ..SmallLog::default()
+        };
+        let mut fates = fates.iter().copied();
+        let mut confirmation = Confirmation::default();
+        let settlement = loop {
+            match confirmation.step() {
+                ConfirmStep::Settled(settlement) => break settlement,
+                ConfirmStep::Append => {
+                    let result = log.append(fates.next().unwrap_or(Fate::Refused));
+                    confirmation.appended(result);
                 }
-            };
-            // Whatever was on its way arrives in the end.
-            for _ in 0..log.late {
-                log.add();
-            }
-            assert!(log.copies.len() <= MAX_APPENDS as usize);
-            let in_force = log
-                .replay()
-                .iter()
-                .find(|copy| copy.in_force)
-                .map(|copy| copy.offset);
-            match settlement {
-                Settlement::InForce(offset) => assert_eq!(in_force, Some(offset)),
-                Settlement::Refused(_) => assert_eq!(in_force, None),
-                Settlement::NotAppended => assert_eq!(log.copies, vec![]),
-                Settlement::Unknown => {}
+                ConfirmStep::Read => match fates.next() {
+                    Some(Fate::Unreadable) => confirmation.unreadable(),
+                    Some(Fate::Late) if log.late > 0 => {
+                        log.late -= 1;
+                        log.add();
+                        confirmation.read(LogOffset(100), log.replay());
+                    }
+                    _ => confirmation.read(LogOffset(100), log.replay()),
+                },
             }
-        });
+        };
+        // Whatever was on its way arrives in the end.
+        for _ in 0..log.late {
+            log.add();
+        }
+        assert!(log.copies.len() <= MAX_APPENDS as usize);
+        let in_force = log
+            .replay()
+            .iter()
+            .find(|copy| copy.in_force)
+            .map(|copy| copy.offset);
+        match settlement {
+            Settlement::InForce(offset) => assert_eq!(in_force, Some(offset)),
+            Settlement::Refused(_) => assert_eq!(in_force, None),
+            Settlement::NotAppended => assert_eq!(log.copies, vec![]),
+            Settlement::Unknown => {}
+        }
+    });
 }
 
 #[test]
