--- a/tests/config_lease.rs
+++ b/tests/config_lease.rs
@@ -1,8 +1,10 @@
 //! Leases and orders: limits and fencing under pauses, delays, crashes and lost releases.
 
+mod property;
+
 use std::time::Duration;
 
-use bolero::{TypeGenerator, check};
+use bolero::TypeGenerator;
 use bulrushslip::decide::config::{Upstream, UpstreamKind};
 use bulrushslip::decide::ids::{Incarnation, LogOffset};
 use bulrushslip::decide::lease::{
@@ -14,6 +16,9 @@
 const PROCESSES: usize = 3;
 const UPSTREAMS: usize = 2;
 
+/// Generated courses of events.
+const CASES: u64 = 20_000;
+
 /// What happens next; delays are in units of [`DELAY_STEP_MS`].
 #[derive(Debug, Clone, Copy, TypeGenerator)]
 enum Act {
@@ -148,10 +153,9 @@
 
 #[test]
 fn no_more_loads_than_allowed_and_one_for_each_engine() {
-    check!()
-        .with_iterations(20_000)
-        .with_type::<(bool, Vec<Act>)>()
-        .for_each(|(wide, acts)| check_acts(if *wide { 2 } else { 1 }, acts));
+    property::check::<(bool, Vec<Act>)>(CASES, |(wide, acts)| {
+        check_acts(if *wide { 2 } else { 1 }, acts);
+    });
 }
 
 fn engine(retired: bool) -> Upstream {
@@ -189,6 +193,7 @@
     let view = OrderView {
         upstream: Some(&upstream),
         report: &report,
+        is_closed: true,
         leases: &leases,
         own: Some(own),
         limit: 1,
@@ -211,7 +216,7 @@
         leases
     };
     let own = Some(OwnLease::new(LogOffset(0), Moment::START));
-    let step = |retired, version: &str, running, own| {
+    let step_when = |retired, version: &str, running, is_closed, own| {
         let upstream = engine(retired);
         let report = EngineReport::Serves {
             version: version.to_owned(),
@@ -220,12 +225,15 @@
         let view = OrderView {
             upstream: Some(&upstream),
             report: &report,
+            is_closed,
             leases: &leases,
             own,
             limit: 1,
         };
         next_order(Moment::START, view)
     };
+    let step = |retired, version, running, own| step_when(retired, version, running, true, own);
+    assert_eq!(step_when(false, "v1", 0, false, own), OrderStep::Drain);
     assert_eq!(step(false, "v1", 3, None), OrderStep::Acquire);
     assert_eq!(step(false, "v1", 3, own), OrderStep::Drain);
     assert!(matches!(step(false, "v1", 0, own), OrderStep::Load { .. }));
