Model requests that share an idempotency key

Cause: the keyed path (claim, follow the holder, withdraw and take over, release) was tested between processes for five cases only. The outcome model now gives requests keys, with verdicts that come up to 2 s late, claims without a verdict whose records come late or never, and lost releases.

Checked: over all requests with one key at most one run; "not run" only if the request's own tickets never ran; a follower's complete answer is whole; "incomplete" only if the key ran.

Faults of processes moved to faults.rs.

--- a/tests/outcome_model.rs
+++ b/tests/outcome_model.rs
@@ -66,6 +66,46 @@
     );
 }
 
+#[test]
+fn a_key_runs_once_over_all_requests_that_carry_it_for_many_seeds() {
+    const KEYS: u8 = 4;
+    let mut told: BTreeMap<&str, u32> = BTreeMap::new();
+    let mut found = Vec::new();
+    for seed in 0..400 {
+        let mut world = World::new(seed, RATES).with_keys(KEYS);
+        world.run();
+        for key in 0..KEYS {
+            let of_key = || world.requests.iter().filter(|r| r.key == Some(key));
+            let runs: u32 = of_key().map(|request| world.runs(request)).sum();
+            if runs > 1 {
+                found.push(format!("seed {seed}, key {key} ran {runs} times"));
+            }
+            for request in of_key() {
+                let own_runs = world.runs(request);
+                let status = request.told.map(|(status, _)| status);
+                *told
+                    .entry(status.map_or("none", RunStatus::name))
+                    .or_default() += 1;
+                let what = match status {
+                    None => Some("told nothing"),
+                    Some(RunStatus::NotRun) if own_runs > 0 => Some("told not run, but ran"),
+                    Some(RunStatus::Complete) if !request.is_whole() => Some("not whole"),
+                    Some(RunStatus::Incomplete) if runs == 0 => Some("incomplete, never ran"),
+                    Some(_) => None,
+                };
+                found.extend(what.map(|what| format!("seed {seed}, key {key}: {what}")));
+            }
+        }
+    }
+    println!("400 seeds with keys: {told:?}");
+    assert!(
+        found.is_empty(),
+        "{} faults: {:#?}",
+        found.len(),
+        &found[..found.len().min(10)]
+    );
+}
+
 #[test]
 fn callers_are_told_the_truth_for_any_rates() {
     bolero::check!()
--- a/tests/outcome_world/mod.rs
+++ b/tests/outcome_world/mod.rs
@@ -1,5 +1,7 @@
 //! Many requests over a lossy network to upstreams that crash, restart, stop and pause.
 
+mod claims;
+mod faults;
 mod network;
 mod request;
 mod upstream;
@@ -7,14 +9,18 @@
 use std::time::Duration;
 
 use bulrushslip::decide::attempt_step::{AttemptEvent, AttemptStep, SidecarCall};
+use bulrushslip::decide::claims::{ClaimTarget, ClaimVerdict};
 use bulrushslip::decide::config::UpstreamKey;
-use bulrushslip::decide::ids::{Incarnation, Ticket};
-use bulrushslip::decide::outcome::RefusalReason;
+use bulrushslip::decide::ids::{Incarnation, Repeatability, Ticket};
+use bulrushslip::decide::outcome::{RefusalReason, RunStatus};
+use bulrushslip::decide::suspects::Fingerprint;
 use bulrushslip::kernel::{Moment, Signal};
 use bulrushslip::services::mail::Mail;
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
 
+use claims::ClaimModel;
+pub use faults::FaultRates;
 use network::{Heard, OwedReply, Packet, open_packet};
 use request::{RequestModel, new_request};
 use upstream::{UPSTREAMS, UpstreamModel, configuration};
@@ -31,25 +37,6 @@
 /// Time after which every request must have ended, in steps.
 const END_STEPS: u32 = 9_000;
 
-/// How often things go wrong, in percent of the calls or in permille of the steps.
-#[derive(Debug, Clone, Copy)]
-pub struct FaultRates {
-    /// Calls and replies that are lost, in percent.
-    pub lost: u32,
-    /// Calls and replies that are late, in percent.
-    pub late: u32,
-    /// Calls that arrive twice, in percent.
-    pub doubled: u32,
-    /// Sidecars killed and started anew, in permille of the steps.
-    pub restarts: u32,
-    /// Engines crashed, in permille of the steps.
-    pub crashes: u32,
-    /// Sidecars or entries paused, in permille of the steps.
-    pub pauses: u32,
-    /// Sidecars stopped as planned, in permille of the steps.
-    pub stops: u32,
-}
-
 /// The model of a fleet.
 pub struct World {
     /// The requests.
@@ -65,6 +52,7 @@
     replies: Vec<(Moment, usize, u64, Heard)>,
     nonces: u64,
     minted: u64,
+    claims: ClaimModel,
 }
 
 impl World {
@@ -92,7 +80,17 @@
             replies: Vec::new(),
             nonces: 0,
             minted: 0,
+            claims: ClaimModel::default(),
+        }
+    }
+
+    /// Gives every request one of so many idempotency keys.
+    pub fn with_keys(mut self, keys: u8) -> Self {
+        for request in &mut self.requests {
+            request.attempt.policy.repeatability = Repeatability::NonIdempotent;
+            request.key = Some(self.random.random_range(0..keys));
         }
+        self
     }
 
     /// Runs until every request has ended and every late packet has arrived.
@@ -104,6 +102,7 @@
             } else {
                 self.repair();
             }
+            self.claims.advance(self.now);
             self.deliver_packets();
             for upstream in &mut self.upstreams {
                 upstream.run_until(self.now);
@@ -138,61 +137,6 @@
         self.random.random_range(0..1000) < permille
     }
 
-    fn cause_faults(&mut self) {
-        let index = self.random.random_range(0..UPSTREAMS);
-        let pause = self
-            .now
-            .after(Duration::from_millis(self.random.random_range(0..3000)));
-        if self.chance(self.rates.restarts) {
-            self.restart(index);
-        }
-        if self.chance(self.rates.crashes) {
-            self.upstreams[index]
-                .engine
-                .lock()
-                .expect("one thread")
-                .crash();
-        }
-        if self.chance(20) {
-            self.upstreams[index].engine.lock().expect("one thread").up = true;
-        }
-        if self.chance(self.rates.pauses) {
-            if let Some(sidecar) = &mut self.upstreams[index].sidecar {
-                sidecar.paused_until = pause;
-            }
-            let request = self.random.random_range(0..self.requests.len());
-            self.requests[request].paused_until = pause;
-        }
-        if self.chance(self.rates.stops)
-            && let Some(sidecar) = &mut self.upstreams[index].sidecar
-        {
-            sidecar.kernel.post(sidecar.ledger, Signal::Stop);
-        }
-        if self.chance(5) && self.upstreams[index].sidecar.is_none() {
-            self.restart(index);
-        }
-    }
-
-    fn restart(&mut self, index: usize) {
-        // A killed process answers nothing any more.
-        self.owed.retain(|(upstream, ..)| *upstream != index);
-        if self.chance(500) {
-            self.upstreams[index].sidecar = None;
-            return;
-        }
-        let seed = self.random.random();
-        self.upstreams[index].start_sidecar(seed, index);
-    }
-
-    fn repair(&mut self) {
-        for index in 0..UPSTREAMS {
-            self.upstreams[index].engine.lock().expect("one thread").up = true;
-            if self.upstreams[index].sidecar.is_none() {
-                self.restart(index);
-            }
-        }
-    }
-
     /// Returns when a message arrives; `None` if it is lost.
     fn arrival(&mut self) -> Option<Moment> {
         if self.chance(self.rates.lost * 10) {
@@ -268,7 +212,10 @@
             return;
         }
         match request.step {
-            AttemptStep::Finish(status, reason) => request.told = Some((status, reason)),
+            AttemptStep::Finish(status, reason) => {
+                request.told = Some((status, reason));
+                self.release_key(index, status);
+            }
             AttemptStep::Choose => self.choose(index),
             AttemptStep::Call {
                 upstream,
@@ -302,10 +249,57 @@
             entry: Incarnation(5),
             sequence: self.minted,
         };
-        let request = &mut self.requests[index];
-        request.tickets.push(ticket);
+        self.requests[index].tickets.push(ticket);
+        if self.requests[index].key.is_some() {
+            self.claim(index, upstream, ticket);
+            return;
+        }
         let event = AttemptEvent::Chosen(self.keys[upstream], self.known[upstream], ticket);
-        request.hear(self.now, (event, Vec::new()));
+        self.requests[index].hear(self.now, (event, Vec::new()));
+    }
+
+    /// Claims the request's key as the entry's request runner does; the verdict may come late.
+    fn claim(&mut self, index: usize, upstream: usize, ticket: Ticket) {
+        let request = &mut self.requests[index];
+        let Some(key) = request.key else { return };
+        let target = ClaimTarget {
+            ticket,
+            upstream: upstream.to_string(),
+            sidecar: self.known[upstream],
+            fingerprint: Fingerprint(0),
+        };
+        let released = request.key_ticket.take();
+        let claims = &mut self.claims;
+        let event = match claims.claim(self.now, &mut self.random, key, released, target) {
+            ClaimVerdict::Won => {
+                request.key_ticket = Some(ticket);
+                AttemptEvent::Chosen(self.keys[upstream], self.known[upstream], ticket)
+            }
+            ClaimVerdict::Held(holder) => {
+                request.key_ticket = Some(holder.ticket);
+                let upstream: usize = holder.upstream.parse().expect("a number");
+                AttemptEvent::Held(self.keys[upstream], holder.sidecar, holder.ticket)
+            }
+            ClaimVerdict::Released | ClaimVerdict::Unavailable => {
+                request.key_ticket = Some(ticket);
+                AttemptEvent::NoChoice(RefusalReason::ClaimUnavailable)
+            }
+        };
+        self.nonces += 1;
+        request.outstanding = Some((self.nonces, Moment::NEVER));
+        let delay_ms = self.random.random_range(0..10_u64).pow(4) / 3;
+        let arrives = self.now.after(Duration::from_millis(delay_ms));
+        self.replies
+            .push((arrives, index, self.nonces, (event, Vec::new())));
+    }
+
+    fn release_key(&mut self, index: usize, status: RunStatus) {
+        let request = &self.requests[index];
+        if let (RunStatus::NotRun, Some(key), Some(ticket)) =
+            (status, request.key, request.key_ticket)
+        {
+            self.claims.release(&mut self.random, key, ticket);
+        }
     }
 
     fn send(
--- a/tests/outcome_world/request.rs
+++ b/tests/outcome_world/request.rs
@@ -24,6 +24,12 @@
     pub received: Vec<StreamItem>,
     /// All tickets minted for it.
     pub tickets: Vec<Ticket>,
+    /// Its idempotency key.
+    pub key: Option<u8>,
+    /// The ticket that may hold the key on its behalf.
+    pub key_ticket: Option<Ticket>,
+    /// The ticket whose answer is being read.
+    pub source: Option<Ticket>,
     /// What it does next.
     pub step: AttemptStep,
     /// Number and deadline of the call under way.
@@ -53,6 +59,9 @@
         told: None,
         received: Vec::new(),
         tickets: Vec::new(),
+        key: None,
+        key_ticket: None,
+        source: None,
         step: AttemptStep::Choose,
         outstanding: None,
         arrives,
@@ -63,18 +72,19 @@
 impl RequestModel {
     /// Tells whether the caller has the whole answer of one ticket in order.
     pub fn is_whole(&self) -> bool {
-        let Some(ticket) = self.tickets.last() else {
+        let Some(ticket) = self.source else {
             return false;
         };
-        let whole: Vec<StreamItem> = (0..ANSWER_ITEMS)
-            .map(|index| item(*ticket, index))
-            .collect();
+        let whole: Vec<StreamItem> = (0..ANSWER_ITEMS).map(|index| item(ticket, index)).collect();
         self.received == whole
     }
 
     /// Takes in what has been heard.
     pub fn hear(&mut self, now: Moment, (event, items): Heard) {
         self.outstanding = None;
+        if let AttemptEvent::Chosen(_, _, ticket) | AttemptEvent::Held(_, _, ticket) = event {
+            self.source = Some(ticket);
+        }
         // As the entry's request runner does: only what continues the answer is passed on.
         if let AttemptEvent::Items { from_index, .. } = event
             && from_index == self.attempt.next_index()
