Show the service by rank in the comparison script

Cause: the floor is a share of an upstream's service, which callers cannot see; output tokens alone leave out the computing of prompts. Ruled out: asking the engines, which do not know what a rank is beyond its priority. State before: no figure for the floor on real processes.

--- a/bench/compare.sh
+++ b/bench/compare.sh
@@ -4,7 +4,8 @@
 # Usage: bench/compare.sh [POLICY ...] [-- OPTION ...]
 #   POLICY: standard, random-fifo, two-choices or one-level; the last one is the baseline.
 #   OPTION: passed to `bulrushslip-load run`.
-# Variables: ENGINES (12), ENTRIES (2), ENGINE_OPTIONS, OUT (directory for logs and JSON).
+# Variables: ENGINES (12), ENTRIES (2), ENGINE_OPTIONS, OUT (directory for logs and JSON),
+#   SHARE_FROM and SHARE_UNTIL (seconds of the run between which the service by rank is shown).
 # All processes listen on loopback and are ended by their ids when the script ends.
 set -euo pipefail
 cd "$(dirname "$0")/.."
@@ -82,6 +83,7 @@
             --upstream "engine-$n" --engine "$address" --policy "$policy" \
             >"$dir/sidecar-$n" 2>&1 &
         pids+=($!)
+        operators+=("$policy 127.0.0.1:$port")
         changes+=',{"put_upstream":{"name":"engine-'$n'","data_centre":"'$centre'","sidecar":"'$sidecar'",'
         changes+='"kind":{"engine":{"model":"model","version":"v1","checks_fence":true}},"slots":8}}'
     done
@@ -95,16 +97,59 @@
             --platform "$platform" --name "entry-$n" --data-centre "${centres[0]}" \
             --policy "$policy" >"$dir/entry-$n" 2>&1 &
         pids+=($!)
+        entry_operators+=("$policy 127.0.0.1:$port")
         entry_list+=,$entry
     done
     targets+=(--target "$policy=${entry_list#,}@${engine_list#,}")
 }
 
+# Prints the dumps of all sidecars of a policy.
+dumps() {
+    local row
+    for row in "${operators[@]}"; do
+        [ "${row% *}" = "$1" ] && "$bin/bulrushslip-ctl" dump --operator "${row#* }"
+    done
+}
+
+# Prints the service of each rank by the sidecars of a policy, in microseconds.
+service() {
+    dumps "$1" | tr -d ' ,\n' | grep -o '"served_us":{"routine":[0-9]*"urgent":[0-9]*' |
+        awk -F '[:"]+' '{ routine += $5; urgent += $7 } END { print urgent + 0, routine + 0 }'
+}
+
+# Shows how the service was shared between two moments of the run.
+show_shares() {
+    local policy
+    sleep "$SHARE_FROM"
+    for policy in "${policies[@]}"; do service "$policy" >"$out/$policy/service-from"; done
+    sleep $((SHARE_UNTIL - SHARE_FROM))
+    for policy in "${policies[@]}"; do
+        service "$policy" | paste "$out/$policy/service-from" - | awk -v policy="$policy" '{
+            urgent = $3 - $1; routine = $4 - $2
+            printf "%s: service from %d s to %d s: urgent %.1f s, routine %.1f s (%.1f %%)\n",
+                policy, from, until, urgent / 1e6, routine / 1e6, 100 * routine / (urgent + routine)
+        }' from="$SHARE_FROM" until="$SHARE_UNTIL" >"$out/$policy/service"
+    done
+}
+
+operators=()
+entry_operators=()
 targets=()
 for policy in "${policies[@]}"; do
     fleet "$policy"
 done
 # Time for the configuration to reach all processes; the load would otherwise begin with refusals.
 sleep "${SETTLE:-3}"
+if [ -n "${SHARE_FROM:-}" ]; then
+    show_shares &
+    shares=$!
+fi
 "$bin/bulrushslip-load" run "${targets[@]}" --json "$out/figures.json" "$@"
+if [ -n "${SHARE_FROM:-}" ]; then
+    wait "$shares"
+    for policy in "${policies[@]}"; do cat "$out/$policy/service"; done
+fi
+for row in "${operators[@]}" "${entry_operators[@]}"; do
+    "$bin/bulrushslip-ctl" dump --operator "${row#* }" >>"$out/${row% *}/dumps"
+done
 echo "logs and figures: $out"
