Fetch cache events in batches and measure their cost

Cause: a fetch each 5 ms means up to 200 connections a second at an engine that caches steadily, and the figure for an event left out its JSON. Ruled out: a connection kept open between fetches, which has to be watched for silence; 25 ms bounds the fetches at 40 a second, and pieces of accepted requests count as cached meanwhile.

--- a/src/load/measure.rs
+++ b/src/load/measure.rs
@@ -14,6 +14,7 @@
     RunningSlots,
 };
 use crate::kernel::{Arena, Moment};
+use crate::wire::cache_feed::{WireCacheEvent, WireCachePage, WireChangeKind};
 
 /// Epoch of the measured engine.
 const EPOCH: EngineEpoch = EngineEpoch(1);
@@ -21,6 +22,9 @@
 /// Pieces of one prompt.
 const PROMPT_PIECES: usize = 16;
 
+/// Events of one page.
+const PAGE_EVENTS: u32 = 256;
+
 /// Numbers of upstreams among which a placement is measured.
 const FLEETS: [u32; 3] = [12, 200, 770];
 
@@ -40,6 +44,7 @@
     for pieces in [options.pieces, options.pieces * 10] {
         index_figures(&mut text, pieces, options.repetitions);
     }
+    page_figures(&mut text, options.repetitions);
     for fleet in FLEETS {
         placement_figures(&mut text, fleet, options.repetitions);
     }
@@ -95,6 +100,39 @@
     );
 }
 
+/// Measures a batch of events from its JSON to the index.
+fn page_figures(text: &mut String, repetitions: u32) {
+    let event = |seq: u64| WireCacheEvent {
+        seq,
+        kind: WireChangeKind::Stored,
+        key: format!("{:016x}", piece_key(seq).0),
+    };
+    let page = WireCachePage {
+        epoch: EPOCH.0,
+        next: PAGE_EVENTS.into(),
+        events: (0..PAGE_EVENTS.into()).map(event).collect(),
+    };
+    let bytes = serde_json::to_vec(&page).expect("a page has only text keys");
+    let list = CacheList {
+        epoch: EPOCH,
+        keys: Vec::new(),
+        next: 0,
+    };
+    let pages = repetitions / PAGE_EVENTS;
+    let per_page = nanoseconds(pages, |_| {
+        let mut index = CacheIndex::new(PAGE_EVENTS as usize);
+        index.resync(&list);
+        let page = serde_json::from_slice::<WireCachePage>(&bytes).expect("written above");
+        index.apply(&CachePage::try_from(page).expect("written above"));
+    });
+    let _written = writeln!(
+        text,
+        "cache page of {PAGE_EVENTS} events in JSON: {} ns and {} bytes an event",
+        per_page / u128::from(PAGE_EVENTS),
+        bytes.len() / PAGE_EVENTS as usize,
+    );
+}
+
 fn placement_figures(text: &mut String, fleet: u32, repetitions: u32) {
     let mut upstreams = Arena::new();
     let upstream = Upstream {
--- a/src/services/cache_watch.rs
+++ b/src/services/cache_watch.rs
@@ -23,7 +23,7 @@
 const RETRY_PAUSE: Duration = Duration::from_millis(50);
 
 /// Pause after each answer, so that a busy engine is asked for batches, not for single events.
-const BATCH_PAUSE: Duration = Duration::from_millis(5);
+const BATCH_PAUSE: Duration = Duration::from_millis(25);
 
 /// Creates the I/O task `cache-watch`.
 #[must_use]
