--- a/tests/placement.rs
+++ b/tests/placement.rs
@@ -1,11 +1,16 @@
 //! Properties of placement and a comparison with a naive version.
 
+mod property;
+
 use bulrushslip::decide::config::UpstreamKey;
 use bulrushslip::decide::ids::{PrefixKey, Rank};
 use bulrushslip::decide::placement::{CandidateQuote, PlacementRequest, PlacementTarget, STANDARD};
 use bulrushslip::decide::policy::RoutingPolicy;
 use bulrushslip::kernel::Arena;
 
+/// Generated inputs of each property.
+const CASES: u64 = 2_000;
+
 fn targets(count: u64) -> Vec<PlacementTarget> {
     let mut arena = Arena::new();
     let upstream = bulrushslip::decide::config::Upstream {
@@ -37,20 +42,18 @@
 
 #[test]
 fn every_entry_chooses_alike_whatever_the_order_of_its_list() {
-    bolero::check!()
-        .with_type::<(Vec<u64>, u8, u8)>()
-        .for_each(|(keys, depth, rotation)| {
-            let keys: Vec<PrefixKey> = keys.iter().copied().map(PrefixKey).collect();
-            let own = targets(12);
-            let mut other = own.clone();
-            other.rotate_left(usize::from(rotation % 12));
-            let request = request(&keys, u32::from(*depth));
-            for policy in RoutingPolicy::ALL.map(RoutingPolicy::placement) {
-                let chosen = policy.candidates(&request, &own);
-                assert_eq!(chosen, policy.candidates(&request, &other));
-                assert_eq!(chosen.len(), policy.candidates);
-            }
-        });
+    property::check::<(Vec<u64>, u8, u8)>(CASES, |(keys, depth, rotation)| {
+        let keys: Vec<PrefixKey> = keys.iter().copied().map(PrefixKey).collect();
+        let own = targets(12);
+        let mut other = own.clone();
+        other.rotate_left(usize::from(rotation % 12));
+        let request = request(&keys, u32::from(*depth));
+        for policy in RoutingPolicy::ALL.map(RoutingPolicy::placement) {
+            let chosen = policy.candidates(&request, &own);
+            assert_eq!(chosen, policy.candidates(&request, &other));
+            assert_eq!(chosen.len(), policy.candidates);
+        }
+    });
 }
 
 #[test]
@@ -101,36 +104,34 @@
 
 #[test]
 fn hops_are_bounded_and_agree_with_a_naive_choice() {
-    bolero::check!()
-        .with_type::<[(u16, u8, u8); 4]>()
-        .for_each(|rows| {
-            let all = targets(12);
-            let candidates = STANDARD.candidates(&request(&[PrefixKey(3)], 1), &all);
-            let rows = candidates.iter().zip(rows);
-            let quotes: Vec<CandidateQuote> = rows
-                .filter(|(_, (_, _, answered))| answered % 4 > 0)
-                .map(|(upstream, (wait, missing, answered))| CandidateQuote {
-                    upstream: *upstream,
-                    open: answered % 4 > 1,
-                    wait_us: u64::from(*wait) * 100,
-                    missing_pieces: u32::from(missing % 8),
-                    piece_us: 60_000,
-                })
-                .collect();
-            let hops = STANDARD.hops(Rank::Urgent, &candidates, &quotes);
-            assert!(hops.len() <= STANDARD.max_hops);
-            let mut naive = None;
-            for quote in quotes.iter().filter(|quote| quote.open) {
-                let cost = quote.wait_us + 60_000 * u64::from(quote.missing_pieces);
-                if naive.is_none_or(|(least, _)| cost < least) {
-                    naive = Some((cost, quote.upstream));
-                }
+    property::check::<[(u16, u8, u8); 4]>(CASES, |rows| {
+        let all = targets(12);
+        let candidates = STANDARD.candidates(&request(&[PrefixKey(3)], 1), &all);
+        let rows = candidates.iter().zip(rows);
+        let quotes: Vec<CandidateQuote> = rows
+            .filter(|(_, (_, _, answered))| answered % 4 > 0)
+            .map(|(upstream, (wait, missing, answered))| CandidateQuote {
+                upstream: *upstream,
+                open: answered % 4 > 1,
+                wait_us: u64::from(*wait) * 100,
+                missing_pieces: u32::from(missing % 8),
+                piece_us: 60_000,
+            })
+            .collect();
+        let hops = STANDARD.hops(Rank::Urgent, &candidates, &quotes);
+        assert!(hops.len() <= STANDARD.max_hops);
+        let mut naive = None;
+        for quote in quotes.iter().filter(|quote| quote.open) {
+            let cost = quote.wait_us + 60_000 * u64::from(quote.missing_pieces);
+            if naive.is_none_or(|(least, _)| cost < least) {
+                naive = Some((cost, quote.upstream));
             }
-            let Some((_, upstream)) = naive else {
-                let shut = |key| quotes.iter().any(|quote| quote.upstream == key);
-                return assert!(hops.iter().all(|hop| !shut(hop.upstream)));
-            };
-            assert_eq!(hops[0].upstream, upstream);
-            assert_eq!(hops[hops.len() - 1].wait_limit_us, u64::MAX);
-        });
+        }
+        let Some((_, upstream)) = naive else {
+            let shut = |key| quotes.iter().any(|quote| quote.upstream == key);
+            return assert!(hops.iter().all(|hop| !shut(hop.upstream)));
+        };
+        assert_eq!(hops[0].upstream, upstream);
+        assert_eq!(hops[hops.len() - 1].wait_limit_us, u64::MAX);
+    });
 }
--- a/tests/queue.rs
+++ b/tests/queue.rs
@@ -1,5 +1,7 @@
 //! The queue against a naive version of the same rules, and its properties.
 
+mod property;
+
 use bulrushslip::decide::ids::{Incarnation, Rank, Ticket};
 use bulrushslip::decide::outcome::RefusalReason;
 use bulrushslip::decide::queue::{
@@ -8,6 +10,9 @@
 };
 use bulrushslip::kernel::Moment;
 
+/// Generated inputs of each property.
+const CASES: u64 = 2_000;
+
 const POLICY: QueuePolicy = QueuePolicy {
     discipline: QueueDiscipline::RankedFair,
     rank_capacity: 12,
@@ -157,44 +162,42 @@
 
 #[test]
 fn agrees_with_the_naive_queue() {
-    bolero::check!()
-        .with_type::<Vec<(u8, u8, u16)>>()
-        .for_each(|steps| {
-            let mut queue = FairQueue::new(POLICY);
-            let mut naive = NaiveQueue::default();
-            let mut now = Moment::START;
-            for (sequence, (kind, who, amount)) in (1..).zip(steps) {
-                now = Moment::from_micros(now.as_micros() + u64::from(*amount) / 8);
-                let rank = Rank::ALL[usize::from(kind >> 2 & 1)];
-                // Sequence numbers keep the deadlines apart, so their order is defined.
-                let start_by = now.as_micros() + u64::from(*who) * 4_000 + sequence;
-                let start_by = Moment::from_micros(start_by * 1_000);
-                let cost_us = u64::from(*amount) + 1;
-                let item = item(sequence, u32::from(who & 3), rank, cost_us, start_by);
-                let slots = naive.slots(4);
-                match kind & 3 {
-                    0 | 1 => assert_eq!(
-                        queue.offer(now, item, NO_LIMIT_US, &slots),
-                        offer_or_estimate(&mut queue, &mut naive, now, item, &slots),
-                    ),
-                    2 if !naive.running.is_empty() => {
-                        let position = usize::from(*who) % naive.running.len();
-                        let ended = naive.finished(position, u64::from(*amount));
-                        queue.finished(ended.ticket, u64::from(*amount));
-                    }
-                    _ => {}
+    property::check::<Vec<(u8, u8, u16)>>(CASES, |steps| {
+        let mut queue = FairQueue::new(POLICY);
+        let mut naive = NaiveQueue::default();
+        let mut now = Moment::START;
+        for (sequence, (kind, who, amount)) in (1..).zip(steps) {
+            now = Moment::from_micros(now.as_micros() + u64::from(*amount) / 8);
+            let rank = Rank::ALL[usize::from(kind >> 2 & 1)];
+            // Sequence numbers keep the deadlines apart, so their order is defined.
+            let start_by = now.as_micros() + u64::from(*who) * 4_000 + sequence;
+            let start_by = Moment::from_micros(start_by * 1_000);
+            let cost_us = u64::from(*amount) + 1;
+            let item = item(sequence, u32::from(who & 3), rank, cost_us, start_by);
+            let slots = naive.slots(4);
+            match kind & 3 {
+                0 | 1 => assert_eq!(
+                    queue.offer(now, item, NO_LIMIT_US, &slots),
+                    offer_or_estimate(&mut queue, &mut naive, now, item, &slots),
+                ),
+                2 if !naive.running.is_empty() => {
+                    let position = usize::from(*who) % naive.running.len();
+                    let ended = naive.finished(position, u64::from(*amount));
+                    queue.finished(ended.ticket, u64::from(*amount));
                 }
-                loop {
-                    let step = queue.next(now, &naive.slots(4));
-                    match naive.next(now, 4) {
-                        Some((true, item)) => assert_eq!(step, QueueStep::Start(item)),
-                        Some((false, item)) => assert_eq!(step, QueueStep::Expired(item)),
-                        None => break assert!(!matches!(step, QueueStep::Start(_))),
-                    }
+                _ => {}
+            }
+            loop {
+                let step = queue.next(now, &naive.slots(4));
+                match naive.next(now, 4) {
+                    Some((true, item)) => assert_eq!(step, QueueStep::Start(item)),
+                    Some((false, item)) => assert_eq!(step, QueueStep::Expired(item)),
+                    None => break assert!(!matches!(step, QueueStep::Start(_))),
                 }
-                assert_eq!(queue.len(), naive.waiting.len());
             }
-        });
+            assert_eq!(queue.len(), naive.waiting.len());
+        }
+    });
 }
 
 /// Refusal for an expected wait beyond the deadline is checked apart; the rest must agree.
--- a/tests/upstream_queue.rs
+++ b/tests/upstream_queue.rs
@@ -1,5 +1,7 @@
 //! Work of one upstream: estimates, the limit of started requests, and balanced counts.
 
+mod property;
+
 use std::time::Duration;
 
 use bulrushslip::decide::ids::{Incarnation, PrefixKey, Rank, Ticket};
@@ -9,6 +11,9 @@
 use bulrushslip::decide::upstream_queue::{STARTING_LIMIT, UpstreamQueue, WorkRequest};
 use bulrushslip::kernel::Moment;
 
+/// Generated inputs of each property.
+const CASES: u64 = 2_000;
+
 const POLICY: QueuePolicy = QueuePolicy {
     discipline: QueueDiscipline::RankedFair,
     rank_capacity: 100,
@@ -123,49 +128,47 @@
 
 #[test]
 fn counts_balance_whatever_happens() {
-    bolero::check!()
-        .with_type::<Vec<(u8, u8)>>()
-        .for_each(|steps| {
-            let mut queue = queue();
-            let mut running: Vec<Ticket> = Vec::new();
-            let mut now = Moment::START;
-            for (sequence, (kind, who)) in (1..).zip(steps) {
-                now = now.after(Duration::from_millis(u64::from(who & 15)));
-                let keys = [u64::from(who & 7), u64::from(*who)].map(PrefixKey);
-                let position = usize::from(*who) % running.len().max(1);
-                match kind % 6 {
-                    0 | 1 => {
-                        let rank = Rank::ALL[usize::from(who & 1)];
-                        let start_by = now.after(Duration::from_millis(u64::from(*kind)));
-                        let request = request(&keys, rank);
-                        queue.offer(now, ticket(sequence), &request, start_by, NO_LIMIT_US);
-                    }
-                    2 if !running.is_empty() => queue.producing(running[position], Some(1)),
-                    3 if !running.is_empty() => queue.finished(running.remove(position), 3),
-                    4 => queue.remove(ticket(u64::from(*who))),
-                    _ => {
-                        queue.adopt(ticket(sequence), Rank::Routine);
-                        running.push(ticket(sequence));
-                    }
+    property::check::<Vec<(u8, u8)>>(CASES, |steps| {
+        let mut queue = queue();
+        let mut running: Vec<Ticket> = Vec::new();
+        let mut now = Moment::START;
+        for (sequence, (kind, who)) in (1..).zip(steps) {
+            now = now.after(Duration::from_millis(u64::from(who & 15)));
+            let keys = [u64::from(who & 7), u64::from(*who)].map(PrefixKey);
+            let position = usize::from(*who) % running.len().max(1);
+            match kind % 6 {
+                0 | 1 => {
+                    let rank = Rank::ALL[usize::from(who & 1)];
+                    let start_by = now.after(Duration::from_millis(u64::from(*kind)));
+                    let request = request(&keys, rank);
+                    queue.offer(now, ticket(sequence), &request, start_by, NO_LIMIT_US);
                 }
-                while let QueueStep::Start(item) = queue.next(now) {
-                    assert!(running.len() < SLOTS as usize);
-                    running.push(item.ticket);
+                2 if !running.is_empty() => queue.producing(running[position], Some(1)),
+                3 if !running.is_empty() => queue.finished(running.remove(position), 3),
+                4 => queue.remove(ticket(u64::from(*who))),
+                _ => {
+                    queue.adopt(ticket(sequence), Rank::Routine);
+                    running.push(ticket(sequence));
                 }
-                let [urgent, routine] = queue.running();
-                assert_eq!((urgent + routine) as usize, running.len());
             }
-            queue.drain();
-            for ticket in running {
-                queue.finished(ticket, 1);
+            while let QueueStep::Start(item) = queue.next(now) {
+                assert!(running.len() < SLOTS as usize);
+                running.push(item.ticket);
             }
-            let keys: Vec<PrefixKey> = (0..256).map(PrefixKey).collect();
-            let missing = |key| queue.estimate.missing(std::slice::from_ref(key));
-            assert!(keys.iter().all(|key| missing(key) == 1));
-            assert_eq!(queue.running(), [0, 0]);
-            offer(&mut queue, now, 1_000, &[PrefixKey(1)]);
-            offer(&mut queue, now, 1_001, &[PrefixKey(2)]);
-            let both = [queue.next(now), queue.next(now)];
-            assert!(both.iter().all(|step| matches!(step, QueueStep::Start(_))));
-        });
+            let [urgent, routine] = queue.running();
+            assert_eq!((urgent + routine) as usize, running.len());
+        }
+        queue.drain();
+        for ticket in running {
+            queue.finished(ticket, 1);
+        }
+        let keys: Vec<PrefixKey> = (0..256).map(PrefixKey).collect();
+        let missing = |key| queue.estimate.missing(std::slice::from_ref(key));
+        assert!(keys.iter().all(|key| missing(key) == 1));
+        assert_eq!(queue.running(), [0, 0]);
+        offer(&mut queue, now, 1_000, &[PrefixKey(1)]);
+        offer(&mut queue, now, 1_001, &[PrefixKey(2)]);
+        let both = [queue.next(now), queue.next(now)];
+        assert!(both.iter().all(|step| matches!(step, QueueStep::Start(_))));
+    });
 }
