Find requests that crash engines, in the sidecar

Cause: the suspects were a decision without a user; a request that crashes its engine went on doing so with each send.

The sidecar's guard names what ran at a lost engine, runs suspects alone, refuses what was seen in two crashes and tells the other sidecars of the model. It gets twice as many submissions now and waits up to 3 s for an upstream to come back.

Ruled out: refusing at admission after a lost answer (sends neighbours away from their last upstream); a longer list of attempts for all requests.

--- a/src/decide/attempt.rs
+++ b/src/decide/attempt.rs
@@ -1,27 +1,14 @@
 //! One request at an entry: which call comes next, and what the caller may be told.
 
-use std::time::Duration;
-
 use super::attempt_step::{
-    AttemptEvent, AttemptPolicy, AttemptStep, RunEvidence, SidecarCall, SubmitCause,
+    AttemptEvent, AttemptPolicy, AttemptStep, FOLLOW_GRACE, IDEMPOTENT_RECOVERY,
+    NON_IDEMPOTENT_RECOVERY, RETRY_PAUSE, RunEvidence, SidecarCall, SubmitCause,
 };
 use super::config::UpstreamKey;
 use super::ids::{Incarnation, Repeatability, Ticket};
 use super::outcome::{RefusalReason, RunStatus, StreamEnd};
 use crate::kernel::Moment;
 
-/// Pause before a failed call is sent again.
-const RETRY_PAUSE: Duration = Duration::from_millis(20);
-
-/// Time that an unreachable sidecar is given when the request can run elsewhere.
-const IDEMPOTENT_RECOVERY: Duration = Duration::from_secs(1);
-
-/// Time that an unreachable sidecar is given when only it can tell what became of the request.
-const NON_IDEMPOTENT_RECOVERY: Duration = Duration::from_secs(20);
-
-/// Time that the holder of an idempotency key is given to submit its ticket.
-const FOLLOW_GRACE: Duration = Duration::from_millis(500);
-
 /// State of one request over all of its attempts.
 ///
 /// The owner carries out each [`AttemptStep`] and reports what happened with
@@ -89,6 +76,12 @@
         self.target.map(|target| target.upstream)
     }
 
+    /// Tells whether a ticket of the request ran or may have run.
+    #[must_use]
+    pub fn may_have_run(&self) -> bool {
+        self.evidence != RunEvidence::NeverRan
+    }
+
     /// Returns why the next submission is made.
     #[must_use]
     pub const fn cause(&self) -> SubmitCause {
@@ -295,7 +288,7 @@
             reason,
             RefusalReason::Busy | RefusalReason::QueueFull | RefusalReason::Leaving
         );
-        let another = self.submissions < self.policy.max_submissions;
+        let another = self.submissions < self.max_submissions();
         let in_time = !self.policy.start_by.is_due(now);
         // Another upstream would answer the same for these reasons.
         let is_final = matches!(
@@ -314,7 +307,7 @@
         let delivered = self.next_index() > 0 || self.continues;
         let may_repeat = self.policy.repeatability == Repeatability::Idempotent
             && (self.policy.continuable || !delivered);
-        let another = self.submissions < self.policy.max_submissions;
+        let another = self.submissions < self.max_submissions();
         let in_time = delivered || !self.policy.start_by.is_due(now);
         if !may_repeat || !another || !in_time {
             return self.finish_without_answer(None);
@@ -324,6 +317,12 @@
         self.choose_another()
     }
 
+    /// Refusals before the start must not use up the tries of a request that has lost an answer.
+    fn max_submissions(&self) -> u32 {
+        let max = self.policy.max_submissions;
+        if self.may_have_run() { 2 * max } else { max }
+    }
+
     fn choose_another(&mut self) -> AttemptStep {
         if let Some(target) = self.target.take()
             && target.withdraw_at.is_none()
--- a/src/decide/attempt_step.rs
+++ b/src/decide/attempt_step.rs
@@ -1,10 +1,24 @@
 //! What a request asks of its owner, and what its owner reports back.
 
+use std::time::Duration;
+
 use super::config::UpstreamKey;
 use super::ids::{Incarnation, Repeatability, Ticket};
 use super::outcome::{RefusalReason, RunStatus, StreamEnd};
 use crate::kernel::Moment;
 
+/// Pause before a failed call is sent again.
+pub(super) const RETRY_PAUSE: Duration = Duration::from_millis(20);
+
+/// Time that an unreachable sidecar is given when the request can run elsewhere.
+pub(super) const IDEMPOTENT_RECOVERY: Duration = Duration::from_secs(1);
+
+/// Time that an unreachable sidecar is given when only it can tell what became of the request.
+pub(super) const NON_IDEMPOTENT_RECOVERY: Duration = Duration::from_secs(20);
+
+/// Time that the holder of an idempotency key is given to submit its ticket.
+pub(super) const FOLLOW_GRACE: Duration = Duration::from_millis(500);
+
 /// What is fixed about a request for all of its attempts.
 #[derive(Debug, Clone, Copy)]
 pub struct AttemptPolicy {
--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -28,6 +28,7 @@
 pub mod snapshot;
 pub mod snapshot_timer;
 pub mod spread;
+pub mod suspect_guard;
 pub mod suspects;
 pub mod upstream_queue;
 pub mod work_estimate;
--- a/src/services/ledger.rs
+++ b/src/services/ledger.rs
@@ -42,6 +42,10 @@
         LedgerMail::CacheEvents(page, reply_to) => reply_to.send(state.cache_events(&page)),
         LedgerMail::CacheKeys(list, reply_to) => reply_to.send(state.cache_keys(&list)),
         LedgerMail::Leaving => state.begin_leaving(now),
+        LedgerMail::Suspects(news, reply_to) => {
+            state.hear_suspects(now, &news);
+            reply_to.send(());
+        }
         LedgerMail::Configured(configuration) => state.configure(configuration),
     }
 }
--- a/src/services/ledger_state.rs
+++ b/src/services/ledger_state.rs
@@ -7,15 +7,18 @@
 use super::ledger::wait_until;
 use super::mail::{EngineMail, EngineState, Mail, OrderReport};
 use super::stream_buffer::{PushOutcome, StreamBuffer};
+use super::suspect_feed::SUSPECT_FEED;
 use crate::decide::cache_index::{CacheList, CachePage, IndexStep};
 use crate::decide::config::{Configuration, Upstream};
-use crate::decide::ids::{Incarnation, Rank, Repeatability, Ticket};
+use crate::decide::ids::{EngineEpoch, Incarnation, Rank, Repeatability, Ticket};
 use crate::decide::ledger::{
     ExpiryStep, LedgerBounds, StartStep, SubmitStep, TicketKey, TicketLedger, TicketState,
     WithdrawStep,
 };
 use crate::decide::outcome::{RefusalReason, StreamEnd};
 use crate::decide::queue::{CustomerShare, OfferOutcome, QueueDiscipline, QueuePolicy, QueueStep};
+use crate::decide::suspect_guard::{SuspectGuard, SuspectNews};
+use crate::decide::suspects::{Fingerprint, SoloStep, SuspectPolicy, SuspectVerdict};
 use crate::decide::upstream_queue::{UpstreamQueue, WorkRequest};
 use crate::kernel::{Moment, NextStep, ReplyTo, Turn};
 use crate::wire::rpc::{
@@ -82,6 +85,11 @@
     leaving: bool,
     stopping: bool,
     closed_until: Moment,
+    guard: SuspectGuard,
+    /// A ticket that has a slot but waits until it may run alone.
+    held: Option<Ticket>,
+    /// An answer was lost; nothing starts before the engine has been read again.
+    awaits_engine: bool,
 }
 
 impl LedgerState {
@@ -100,6 +108,9 @@
             leaving: false,
             stopping: false,
             closed_until: Moment::START,
+            guard: SuspectGuard::new(settings.incarnation, SuspectPolicy::default()),
+            held: None,
+            awaits_engine: false,
             settings,
         }
     }
@@ -158,6 +169,7 @@
     pub fn observe(&mut self, engine: EngineState) {
         if let EngineState::Up { epoch, .. } = &engine {
             self.queue.estimate.index.observe_epoch(*epoch);
+            self.awaits_engine = false;
         }
         self.engine = engine;
     }
@@ -194,6 +206,12 @@
             self.ledger.end(now, key, StreamEnd::NotRun(reason));
             return Err(reason);
         }
+        let fingerprint = Fingerprint(call.fingerprint);
+        if self.guard.table.verdict(now, fingerprint) == SuspectVerdict::Poisonous {
+            let reason = RefusalReason::Poisonous;
+            self.ledger.end(now, key, StreamEnd::NotRun(reason));
+            return Err(reason);
+        }
         let keys = call.keys();
         let request = WorkRequest {
             customer: &call.customer,
@@ -350,6 +368,7 @@
                 }
             }
             if job.buffer.push(item) == PushOutcome::Overflow {
+                self.guard.abandon(job.ticket);
                 self.ended(now, key, StreamEnd::EngineLost);
                 return;
             }
@@ -359,6 +378,10 @@
 
     /// Takes in the end of a ticket at the engine.
     pub fn ended(&mut self, now: Moment, key: TicketKey, end: StreamEnd) {
+        if let Some(job) = self.jobs.get(&key) {
+            self.guard.end(now, job.ticket, end);
+        }
+        self.awaits_engine |= matches!(end, StreamEnd::EngineLost | StreamEnd::Uncertain);
         self.ledger.end(now, key, end);
         self.leave_slot(key);
         self.answer_pending(key);
@@ -388,6 +411,7 @@
         self.expire_tickets(turn);
         self.expire_reads(now);
         let queue_deadline = self.start_queued(turn);
+        self.tell_suspects(turn);
         if self.stopping && self.is_drained(now) {
             return NextStep::Stopped;
         }
@@ -436,8 +460,46 @@
         }
     }
 
+    /// Takes in news about suspects from another sidecar.
+    pub fn hear_suspects(&mut self, now: Moment, news: &[SuspectNews]) {
+        for news in news {
+            self.guard.hear(now, news);
+        }
+    }
+
+    fn tell_suspects(&mut self, turn: &mut Turn<'_, Mail>) {
+        let news = std::mem::take(&mut self.guard.news);
+        if news.is_empty() {
+            return;
+        }
+        if let Some(key) = turn.names.find(SUSPECT_FEED) {
+            turn.outbox.push((key, Mail::SuspectFeed(news)));
+        }
+    }
+
+    /// Says whether a ticket with a slot may be handed to the engine; one that has left the queue
+    /// may, since its start then fails.
+    fn solo_step(&self, now: Moment, ticket: Ticket) -> SoloStep {
+        let key = self.queued.get(&ticket);
+        let call = key.and_then(|key| self.jobs.get(key)?.call.as_ref());
+        call.map_or(SoloStep::Start, |call| {
+            self.guard.admit(now, Fingerprint(call.fingerprint))
+        })
+    }
+
     fn start_queued(&mut self, turn: &mut Turn<'_, Mail>) -> Moment {
+        if self.awaits_engine {
+            return Moment::NEVER;
+        }
         loop {
+            if let Some(ticket) = self.held {
+                match self.solo_step(turn.now, ticket) {
+                    SoloStep::Start => self.held = None,
+                    SoloStep::WaitForIdle => return Moment::NEVER,
+                    SoloStep::WaitUntil(deadline) => return deadline,
+                }
+                self.start(turn, ticket);
+            }
             match self.queue.next(turn.now) {
                 QueueStep::Wait => return Moment::NEVER,
                 QueueStep::WaitUntil(deadline) => return deadline,
@@ -448,7 +510,8 @@
                         self.answer_pending(key);
                     }
                 }
-                QueueStep::Start(item) => self.start(turn, item.ticket),
+                // It starts in the next round, if it may.
+                QueueStep::Start(item) => self.held = Some(item.ticket),
             }
         }
     }
@@ -468,6 +531,12 @@
         };
         let Some(call) = job.call.take() else { return };
         job.started = true;
+        let epoch = match &self.engine {
+            EngineState::Up { epoch, .. } => *epoch,
+            EngineState::Down => EngineEpoch::default(),
+        };
+        let fingerprint = Fingerprint(call.fingerprint);
+        self.guard.start(turn.now, ticket, fingerprint, epoch);
         turn.send("engine", Mail::Engine(EngineMail::Start(key, call)));
     }
 
@@ -493,6 +562,7 @@
             return;
         };
         if std::mem::take(&mut job.started) {
+            self.guard.abandon(job.ticket);
             self.queue.finished(job.ticket, job.parts);
         }
     }
@@ -630,6 +700,7 @@
             "running": {"urgent": running[0], "routine": running[1]},
             "answer_bytes": self.jobs.values().map(|job| job.buffer.bytes()).sum::<usize>(),
             "leaving": self.leaving,
+            "suspects": self.guard.table.len(),
         })
     }
 }
--- a/src/services/mail.rs
+++ b/src/services/mail.rs
@@ -13,6 +13,7 @@
 use crate::decide::ledger::TicketKey;
 use crate::decide::outcome::StreamEnd;
 use crate::decide::spread::{CallKind, LogStep, PeerOffset, PeerStep};
+use crate::decide::suspect_guard::SuspectNews;
 use crate::kernel::{Moment, ReplyTo};
 use crate::platform::log_client::LogPage;
 use crate::services::metrics::MetricSample;
@@ -38,6 +39,8 @@
     Journal(JournalMail),
     /// To the entry's service `tickets`.
     Tickets(TicketsMail),
+    /// To the sidecar's I/O task `suspect-feed`: news for the other sidecars of the model.
+    SuspectFeed(Vec<SuspectNews>),
     /// To the sidecar's service `claims`.
     Claims(ClaimsMail),
     /// To the sidecar's I/O task `claim-log`.
@@ -143,6 +146,8 @@
     CacheEvents(CachePage, ReplyTo<IndexStep>),
     /// All that the engine's cache holds; answered with what to fetch next.
     CacheKeys(CacheList, ReplyTo<IndexStep>),
+    /// Another sidecar of the model has news about suspects.
+    Suspects(Vec<SuspectNews>, ReplyTo<()>),
     /// A new configuration is in force.
     Configured(Arc<Configuration>),
 }
--- a/src/services/mod.rs
+++ b/src/services/mod.rs
@@ -31,6 +31,7 @@
 pub mod sidecar_rpc;
 pub mod snapshot_writer;
 pub mod stream_buffer;
+pub mod suspect_feed;
 pub mod tickets;
 pub mod turned_away;
 pub mod upstream_choice;
--- a/src/services/request_runner.rs
+++ b/src/services/request_runner.rs
@@ -3,6 +3,7 @@
 use std::collections::VecDeque;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::time::Duration;
 
 use super::journal::{self, ReportStep, RequestReport};
 use super::key_claim::KeyClaim;
@@ -21,6 +22,12 @@
 use crate::kernel::{Directory, Moment};
 use crate::wire::rpc::{StreamItem, SubmitCall};
 
+/// Time that a request which has lost its answer waits for an upstream to come back.
+const COMEBACK_TIMEOUT: Duration = Duration::from_secs(3);
+
+/// Pause between two looks for an upstream that is back.
+const COMEBACK_PAUSE: Duration = Duration::from_millis(100);
+
 /// What is sent to the upstream.
 #[derive(Debug, Clone)]
 pub struct UpstreamRequest {
@@ -208,13 +215,27 @@
         }
     }
 
+    /// Returns the next choice; a request that has lost its answer everywhere waits a bounded time
+    /// for one of the upstreams to come back.
+    async fn next_choice(&mut self) -> Option<UpstreamChoice> {
+        let mut excluded = self.attempt.excluded.clone();
+        let give_up = self.directory.now().after(COMEBACK_TIMEOUT);
+        loop {
+            let next = self
+                .chooser
+                .next(&self.configuration, &self.admission, &excluded);
+            let choice = next.await;
+            let now = self.directory.now();
+            if choice.is_some() || !self.attempt.may_have_run() || give_up.is_due(now) {
+                return choice;
+            }
+            self.wait_until(now.after(COMEBACK_PAUSE)).await;
+            excluded.clear();
+        }
+    }
+
     async fn choose(&mut self) -> AttemptEvent {
-        let excluded = self.attempt.excluded.clone();
-        let choice = self
-            .chooser
-            .next(&self.configuration, &self.admission, &excluded)
-            .await;
-        let Some(choice) = choice else {
+        let Some(choice) = self.next_choice().await else {
             return AttemptEvent::NoChoice(RefusalReason::NoUpstream);
         };
         let cause = self.attempt.cause();
--- a/src/services/sidecar_calls.rs
+++ b/src/services/sidecar_calls.rs
@@ -12,6 +12,7 @@
 use crate::decide::ids::{Incarnation, Repeatability, Ticket};
 use crate::decide::outcome::{RefusalReason, StreamEnd};
 use crate::decide::spread::PeerOffset;
+use crate::decide::suspect_guard::SuspectNews;
 use crate::kernel::Directory;
 use crate::wire::claim_rpc::ClaimCall;
 use crate::wire::config_page::{ConfigPage, ConfigSinceCall};
@@ -20,6 +21,7 @@
     SidecarRpcClient, StreamItem, SubmitCall, SubmitReply, SubmitVerdict, WithdrawReply,
     WithdrawVerdict,
 };
+use crate::wire::suspect_rpc::WireNews;
 
 /// Longest time for a call that the sidecar answers at once.
 const CALL_TIMEOUT: Duration = Duration::from_secs(1);
@@ -129,6 +131,16 @@
         withdraw_event(&reply)
     }
 
+    /// Tells another sidecar about suspects; `false` when it has not answered in time.
+    pub async fn suspect(&self, news: &[SuspectNews], limit: Duration) -> bool {
+        let news = news.iter().map(WireNews::from).collect();
+        let told = async {
+            let link = self.connect().await?;
+            link.client.suspect(deadline(limit), news).await.ok()
+        };
+        matches!(tokio::time::timeout(limit, told).await, Ok(Some(())))
+    }
+
     /// Claims or releases an idempotency key; `None` when no verdict came within the limit.
     pub async fn claim(&self, record: &ClaimRecord, limit: Duration) -> Option<ClaimVerdict> {
         let call = ClaimCall {
--- a/src/services/sidecar_rpc.rs
+++ b/src/services/sidecar_rpc.rs
@@ -14,6 +14,7 @@
 use crate::decide::claims::{ClaimRecord, ClaimVerdict};
 use crate::decide::ids::{Incarnation, LogOffset, Repeatability, Ticket};
 use crate::decide::outcome::RefusalReason;
+use crate::decide::suspect_guard::SuspectNews;
 use crate::kernel::{Directory, Inbox, IoTask, ReplyTo, Signal};
 use crate::wire::claim_rpc::{ClaimCall, ClaimReply};
 use crate::wire::config_page::{ConfigPage, ConfigSinceCall};
@@ -21,6 +22,7 @@
     AttachReply, AttachVerdict, QuoteCall, QuoteReply, ReadCall, ReadReply, ReadVerdict, ReplyHead,
     SidecarRpc, SubmitCall, SubmitReply, SubmitVerdict, WireTicket, WithdrawReply, WithdrawVerdict,
 };
+use crate::wire::suspect_rpc::WireNews;
 use crate::wire::transport;
 
 /// Connections served at the same time; further ones wait in the listen queue.
@@ -136,6 +138,13 @@
         })
     }
 
+    async fn suspect(self, _: Context, news: Vec<WireNews>) {
+        let news = news.into_iter().map(SuspectNews::from).collect();
+        let heard = self.ask(|reply_to| LedgerMail::Suspects(news, reply_to));
+        // A sidecar that ends needs no news.
+        let _heard = heard.await;
+    }
+
     async fn claim(self, _: Context, call: ClaimCall) -> ClaimReply {
         let Ok(record) = ClaimRecord::try_from(call.claim) else {
             return ClaimReply::Unavailable;
--- a/src/sidecar.rs
+++ b/src/sidecar.rs
@@ -28,6 +28,7 @@
 use crate::services::registration::registration_task;
 use crate::services::sidecar_rpc::rpc_task;
 use crate::services::snapshot_writer::snapshot_writer;
+use crate::services::suspect_feed::suspect_feed_task;
 use crate::settings::{SidecarSettings, TargetKind};
 
 /// Floors of the two ranks until the configuration says otherwise, in percent.
@@ -99,6 +100,7 @@
     }
     kernel.add(claims_service(HomeBounds::default()));
     kernel.add_task(claim_log_task(common.platform));
+    kernel.add_task(suspect_feed_task(settings.upstream.clone()));
     kernel.add_task(rpc_task(entries));
     kernel.add_task(operator::task(
         operators,
--- a/src/wire/mod.rs
+++ b/src/wire/mod.rs
@@ -13,4 +13,5 @@
 pub mod openai;
 pub mod rpc;
 pub mod sse;
+pub mod suspect_rpc;
 pub mod transport;
--- a/src/wire/rpc.rs
+++ b/src/wire/rpc.rs
@@ -4,6 +4,7 @@
 
 use super::claim_rpc::{ClaimCall, ClaimReply};
 use super::config_page::{ConfigPage, ConfigSinceCall};
+use super::suspect_rpc::WireNews;
 use crate::decide::ids::{
     EngineEpoch, Incarnation, LogOffset, PrefixKey, Rank, Repeatability, Ticket,
 };
@@ -389,6 +390,8 @@
     async fn read(call: ReadCall) -> ReadReply;
     /// Withdraws a ticket, also one never seen, from this incarnation of the sidecar.
     async fn withdraw(ticket: WireTicket, incarnation: u64) -> WithdrawReply;
+    /// Takes in news about suspects from another sidecar of the model.
+    async fn suspect(news: Vec<WireNews>);
     /// Claims or releases an idempotency key.
     async fn claim(call: ClaimCall) -> ClaimReply;
     /// Looks a ticket up at the engine after a restart of the sidecar.
