Bound every call to a sidecar by a time of its own

The entry had minted one ticket, its engine had started and finished it once, the sidecar had been restarted and all links were up, yet the entry sent nothing to the sidecar and nothing to its caller: its request waited for a reply that never came. Ruled out by the dumps: a dial that never ended (all links connected), a full pipe to the caller (empty send queue), a loop (1 s of processor time in 11 minutes). Suspected, not shown: a call handed to the client's queue while its connection ends is kept there as long as the caller holds the client, so the deadline, which the ended dispatch task would enforce, never comes. Conclusion: whatever loses a call, its request goes on within its deadline and 100 ms.

--- a/src/services/sidecar_calls.rs
+++ b/src/services/sidecar_calls.rs
@@ -3,8 +3,10 @@
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
+use tarpc::client::RpcError;
 use tarpc::context::{self, Context};
 use tokio::task::JoinHandle;
+use tokio::time::timeout;
 
 use super::mail::{ConfigMail, DialOutcome, DialerMail, Mail};
 use crate::decide::attempt_step::AttemptEvent;
@@ -33,6 +35,9 @@
 /// Longest time for a read, its wait included; a silent connection is noticed after that.
 const READ_TIMEOUT: Duration = Duration::from_secs(1);
 
+/// Time beyond its deadline that a call is waited for; the client itself ends it before.
+const CALL_SLACK: Duration = Duration::from_millis(100);
+
 /// Longest time for an attachment, the lookup at the engine included.
 const ATTACH_TIMEOUT: Duration = Duration::from_millis(2_500);
 
@@ -69,7 +74,8 @@
         let calls = self.clone();
         tokio::spawn(async move {
             let link = calls.connect().await?;
-            let reply = link.client.quote(deadline(QUOTE_TIMEOUT), call).await;
+            let reply = link.client.quote(deadline(QUOTE_TIMEOUT), call);
+            let reply = answered(QUOTE_TIMEOUT, reply).await;
             calls.check(&link, reply, |reply| reply.head)
         })
     }
@@ -79,7 +85,8 @@
         let Some(link) = self.connect().await else {
             return AttemptEvent::Unsent;
         };
-        let reply = link.client.submit(deadline(CALL_TIMEOUT), call).await;
+        let reply = link.client.submit(deadline(CALL_TIMEOUT), call);
+        let reply = answered(CALL_TIMEOUT, reply).await;
         let Some(reply) = self.check(&link, reply, |reply| reply.head) else {
             return AttemptEvent::Lost;
         };
@@ -107,7 +114,8 @@
             from_index,
             wait_us,
         };
-        let reply = link.client.read(deadline(READ_TIMEOUT), call).await;
+        let reply = link.client.read(deadline(READ_TIMEOUT), call);
+        let reply = answered(READ_TIMEOUT, reply).await;
         let Some(reply) = self.check(&link, reply, |reply| reply.head) else {
             return event(AttemptEvent::Lost);
         };
@@ -121,8 +129,8 @@
         };
         let reply = link
             .client
-            .withdraw(deadline(CALL_TIMEOUT), ticket.into(), incarnation.0)
-            .await;
+            .withdraw(deadline(CALL_TIMEOUT), ticket.into(), incarnation.0);
+        let reply = answered(CALL_TIMEOUT, reply).await;
         let Some(reply) = self.check(&link, reply, |reply| reply.head) else {
             return AttemptEvent::Lost;
         };
@@ -140,7 +148,7 @@
             let reply = link.client.claim(deadline(limit), call).await;
             reply.ok().map(ClaimVerdict::from)
         };
-        tokio::time::timeout(limit, asked).await.ok()?
+        timeout(limit, asked).await.ok()?
     }
 
     /// Looks a ticket up at the engine.
@@ -152,7 +160,7 @@
         let call = link
             .client
             .attach(deadline(ATTACH_TIMEOUT), ticket.into(), idempotent);
-        let reply = call.await;
+        let reply = answered(ATTACH_TIMEOUT, call).await;
         let Some(reply) = self.check(&link, reply, |reply| reply.head) else {
             return AttemptEvent::Lost;
         };
@@ -162,7 +170,8 @@
     /// Fetches configuration; `None` when no answer came within the limit.
     pub async fn config_since(&self, call: ConfigSinceCall, limit: Duration) -> Option<ConfigPage> {
         let link = self.connect().await?;
-        let reply = link.client.config_since(deadline(limit), call).await;
+        let reply = link.client.config_since(deadline(limit), call);
+        let reply = answered(limit, reply).await;
         self.check(&link, reply, |page| ReplyHead {
             next_offset: page.next_offset,
             ..ReplyHead::default()
@@ -256,6 +265,18 @@
     }
 }
 
+/// Waits for a reply at most a little longer than its deadline.
+///
+/// A call that is handed over while its connection ends may be lost inside the client, which then
+/// keeps it open beyond its deadline; its request would wait for ever.
+async fn answered<T>(
+    limit: Duration,
+    call: impl Future<Output = Result<T, RpcError>>,
+) -> Result<T, RpcError> {
+    let reply = timeout(limit + CALL_SLACK, call).await;
+    reply.unwrap_or(Err(RpcError::DeadlineExceeded))
+}
+
 fn deadline(limit: Duration) -> Context {
     let mut context = context::current();
     context.deadline = Instant::now() + limit;
