Give each test process a loopback address of its own

Cause: 1 of 6 runs of tests/process_restarts.rs failed because a restarted sidecar could not open its port again: while it was down, the kernel had given the port to an outgoing connection. Ruled out: starting again until the port is free (it may stay taken for as long as that connection lives); ports below the ephemeral range (other test programs may use them). Nothing of what the tests check has changed. Conclusion: calls leave from 127.0.0.1, so a port on another loopback address stays free.

--- a/tests/common/fleet.rs
+++ b/tests/common/fleet.rs
@@ -4,6 +4,7 @@
 use std::io::Write;
 use std::net::SocketAddr;
 use std::process::{Command, Stdio};
+use std::sync::atomic::{AtomicU32, Ordering};
 use std::time::{Duration, Instant};
 
 use serde_json::{Value, json};
@@ -235,8 +236,19 @@
     serde_json::from_value(runs.clone()).expect("counts by name")
 }
 
+/// Returns a loopback address that no other process listens on or calls from, with any port.
+///
+/// Calls leave from 127.0.0.1, so a port stays free while its process is being restarted.
+fn own_address() -> &'static str {
+    static NEXT: AtomicU32 = AtomicU32::new(0);
+    let number = NEXT.fetch_add(1, Ordering::Relaxed);
+    let id = std::process::id();
+    let (high, low) = (64 + (id >> 8) % 64, id % 256);
+    format!("127.{high}.{low}.{}:0", 1 + number % 254).leak()
+}
+
 fn standin(role: &str, more: &[&str]) -> ChildProcess {
-    let mut arguments = vec![role, "--listen", "127.0.0.1:0"];
+    let mut arguments = vec![role, "--listen", own_address()];
     arguments.extend(more);
     let binary = env!("CARGO_BIN_EXE_bulrushslip-standin");
     ChildProcess::start(binary, &arguments, &[role])
@@ -265,9 +277,9 @@
 fn common_arguments<'a>(platform: &'a str, name: &'a str) -> Vec<&'a str> {
     vec![
         "--listen",
-        "127.0.0.1:0",
+        own_address(),
         "--operator-listen",
-        "127.0.0.1:0",
+        own_address(),
         "--platform",
         platform,
         "--name",
