--- a/src/decide/attempt.rs
+++ b/src/decide/attempt.rs
@@ -7,8 +7,15 @@
 use super::config::UpstreamKey;
 use super::ids::{Incarnation, Repeatability, Ticket};
 use super::outcome::{RefusalReason, RunStatus, StreamEnd};
+use super::tried_upstreams::TriedUpstreams;
 use crate::kernel::Moment;
 
+/// Pause before a failed call is sent again.
+const RETRY_PAUSE: Duration = Duration::from_millis(20);
+
+/// Time that the holder of an idempotency key is given to submit its ticket.
+const FOLLOW_GRACE: Duration = Duration::from_millis(500);
+
 /// State of one request over all of its attempts.
 ///
 /// The owner carries out each [`AttemptStep`] and reports what happened with
@@ -17,8 +24,8 @@
 pub struct RequestAttempt {
     /// What is fixed about the request.
     pub policy: AttemptPolicy,
-    /// Upstreams that are not to be chosen again.
-    pub excluded: Vec<UpstreamKey>,
+    /// Upstreams that have been tried.
+    pub tried: TriedUpstreams,
     /// Tickets submitted so far.
     pub submissions: u32,
     /// Submissions that followed a failure.
@@ -49,10 +56,10 @@
 impl RequestAttempt {
     /// Creates the state of a fresh request, whose first step is [`AttemptStep::Choose`].
     #[must_use]
-    pub const fn new(policy: AttemptPolicy) -> Self {
+    pub fn new(policy: AttemptPolicy) -> Self {
         Self {
             policy,
-            excluded: Vec::new(),
+            tried: TriedUpstreams::default(),
             submissions: 0,
             retries: 0,
             follows_failure: false,
@@ -118,6 +125,9 @@
                 self.evidence = self.evidence.max(RunEvidence::MayHaveRan);
                 self.finish_without_answer(None)
             }
+            AttemptEvent::NoChoice(_) if self.tried.readmit_lost(self.policy.max_submissions) => {
+                AttemptStep::Choose
+            }
             AttemptEvent::NoChoice(reason) => {
                 let reason = self.last_refusal.unwrap_or(reason);
                 self.finish_without_answer(Some(reason))
@@ -142,6 +152,7 @@
         ticket: Ticket,
     ) -> &mut SubmitTarget {
         self.submissions += 1;
+        self.tried.record_submission();
         self.target.insert(SubmitTarget {
             upstream,
             incarnation,
@@ -289,6 +300,9 @@
             RefusalReason::Busy | RefusalReason::QueueFull | RefusalReason::Leaving
         );
         let another = self.submissions < self.max_submissions();
+        self.follows_failure = !reason.is_spill();
+        self.exclude_target(Some(reason));
+        let another = self.tried.may_submit(self.policy.max_submissions);
         let in_time = !self.policy.start_by.is_due(now);
         // Another upstream would answer the same for these reasons.
         let is_final = matches!(
@@ -298,7 +312,8 @@
         if !another || !in_time || is_final {
             return self.finish_without_answer(Some(reason));
         }
-        self.choose_another()
+        self.target = None;
+        AttemptStep::Choose
     }
 
     /// The present ticket ran or may have run, and its answer cannot be had any more.
@@ -308,6 +323,7 @@
         let may_repeat = self.policy.repeatability == Repeatability::Idempotent
             && (self.policy.continuable || !delivered);
         let another = self.submissions < self.max_submissions();
+        let another = self.tried.may_submit(self.policy.max_submissions);
         let in_time = delivered || !self.policy.start_by.is_due(now);
         if !may_repeat || !another || !in_time {
             return self.finish_without_answer(None);
@@ -329,11 +345,18 @@
         {
             self.excluded.push(target.upstream);
         }
+        self.exclude_target(None);
+        self.target = None;
         AttemptStep::Choose
     }
 
+    fn exclude_target(&mut self, reason: Option<RefusalReason>) {
+        if let Some(target) = self.target.filter(|target| target.withdraw_at.is_none()) {
+            self.tried.exclude(target.upstream, reason);
+        }
+    }
+
     fn call_failed(&mut self, now: Moment, may_have_arrived: bool) -> AttemptStep {
-        let idempotent = self.policy.repeatability == Repeatability::Idempotent;
         let Some(target) = self.target.as_mut() else {
             return AttemptStep::Choose;
         };
@@ -345,12 +368,7 @@
             return self.not_run_here(now, RefusalReason::EngineDown);
         }
         if target.recover_by == Moment::NEVER {
-            let recovery = if idempotent {
-                IDEMPOTENT_RECOVERY
-            } else {
-                NON_IDEMPOTENT_RECOVERY
-            };
-            target.recover_by = now.after(recovery);
+            target.recover_by = now.after(self.policy.recovery_time());
         }
         if target.recover_by.is_due(now) {
             return self.lost_here(now, RunEvidence::MayHaveRan);
--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -30,5 +30,6 @@
 pub mod spread;
 pub mod suspect_guard;
 pub mod suspects;
+pub mod tried_upstreams;
 pub mod upstream_queue;
 pub mod work_estimate;
--- a/src/services/request_runner.rs
+++ b/src/services/request_runner.rs
@@ -236,6 +236,12 @@
 
     async fn choose(&mut self) -> AttemptEvent {
         let Some(choice) = self.next_choice().await else {
+        let excluded = self.attempt.tried.excluded.clone();
+        let choice = self
+            .chooser
+            .next(&self.configuration, &self.admission, &excluded)
+            .await;
+        let Some(choice) = choice else {
             return AttemptEvent::NoChoice(RefusalReason::NoUpstream);
         };
         let cause = self.attempt.cause();
