--- a/src/decide/attempt.rs
+++ b/src/decide/attempt.rs
@@ -1,8 +1,8 @@
 //! One request at an entry: which call comes next, and what the caller may be told.
 
 use super::attempt_step::{
-    AttemptEvent, AttemptPolicy, AttemptStep, FOLLOW_GRACE, IDEMPOTENT_RECOVERY,
-    NON_IDEMPOTENT_RECOVERY, RETRY_PAUSE, RunEvidence, SidecarCall, SubmitCause,
+    AttemptEvent, AttemptPolicy, AttemptStep, FOLLOW_GRACE, RETRY_PAUSE, RunEvidence, SidecarCall,
+    SubmitCause,
 };
 use super::config::UpstreamKey;
 use super::ids::{Incarnation, Repeatability, Ticket};
@@ -10,12 +10,6 @@
 use super::tried_upstreams::TriedUpstreams;
 use crate::kernel::Moment;
 
-/// Pause before a failed call is sent again.
-const RETRY_PAUSE: Duration = Duration::from_millis(20);
-
-/// Time that the holder of an idempotency key is given to submit its ticket.
-const FOLLOW_GRACE: Duration = Duration::from_millis(500);
-
 /// State of one request over all of its attempts.
 ///
 /// The owner carries out each [`AttemptStep`] and reports what happened with
@@ -125,7 +119,7 @@
                 self.evidence = self.evidence.max(RunEvidence::MayHaveRan);
                 self.finish_without_answer(None)
             }
-            AttemptEvent::NoChoice(_) if self.tried.readmit_lost(self.policy.max_submissions) => {
+            AttemptEvent::NoChoice(_) if self.tried.readmit_lost(self.max_submissions()) => {
                 AttemptStep::Choose
             }
             AttemptEvent::NoChoice(reason) => {
@@ -295,14 +289,9 @@
     /// The present ticket is proved not to run; another upstream may be tried.
     fn not_run_here(&mut self, now: Moment, reason: RefusalReason) -> AttemptStep {
         self.last_refusal = Some(reason);
-        self.follows_failure = !matches!(
-            reason,
-            RefusalReason::Busy | RefusalReason::QueueFull | RefusalReason::Leaving
-        );
-        let another = self.submissions < self.max_submissions();
         self.follows_failure = !reason.is_spill();
         self.exclude_target(Some(reason));
-        let another = self.tried.may_submit(self.policy.max_submissions);
+        let another = self.tried.may_submit(self.max_submissions());
         let in_time = !self.policy.start_by.is_due(now);
         // Another upstream would answer the same for these reasons.
         let is_final = matches!(
@@ -322,15 +311,16 @@
         let delivered = self.next_index() > 0 || self.continues;
         let may_repeat = self.policy.repeatability == Repeatability::Idempotent
             && (self.policy.continuable || !delivered);
-        let another = self.submissions < self.max_submissions();
-        let another = self.tried.may_submit(self.policy.max_submissions);
+        let another = self.tried.may_submit(self.max_submissions());
         let in_time = delivered || !self.policy.start_by.is_due(now);
         if !may_repeat || !another || !in_time {
             return self.finish_without_answer(None);
         }
         self.continues = delivered;
         self.follows_failure = true;
-        self.choose_another()
+        self.exclude_target(None);
+        self.target = None;
+        AttemptStep::Choose
     }
 
     /// Refusals before the start must not use up the tries of a request that has lost an answer.
@@ -339,17 +329,6 @@
         if self.may_have_run() { 2 * max } else { max }
     }
 
-    fn choose_another(&mut self) -> AttemptStep {
-        if let Some(target) = self.target.take()
-            && target.withdraw_at.is_none()
-        {
-            self.excluded.push(target.upstream);
-        }
-        self.exclude_target(None);
-        self.target = None;
-        AttemptStep::Choose
-    }
-
     fn exclude_target(&mut self, reason: Option<RefusalReason>) {
         if let Some(target) = self.target.filter(|target| target.withdraw_at.is_none()) {
             self.tried.exclude(target.upstream, reason);
--- a/src/decide/attempt_step.rs
+++ b/src/decide/attempt_step.rs
@@ -11,18 +11,13 @@
 pub(super) const RETRY_PAUSE: Duration = Duration::from_millis(20);
 
 /// Time that an unreachable sidecar is given when the request can run elsewhere.
-pub(super) const IDEMPOTENT_RECOVERY: Duration = Duration::from_secs(1);
+const IDEMPOTENT_RECOVERY: Duration = Duration::from_secs(1);
 
 /// Time that an unreachable sidecar is given when only it can tell what became of the request.
-pub(super) const NON_IDEMPOTENT_RECOVERY: Duration = Duration::from_secs(20);
+const NON_IDEMPOTENT_RECOVERY: Duration = Duration::from_secs(20);
 
 /// Time that the holder of an idempotency key is given to submit its ticket.
 pub(super) const FOLLOW_GRACE: Duration = Duration::from_millis(500);
-/// Time that an unreachable sidecar is given when the request can run elsewhere.
-const IDEMPOTENT_RECOVERY: Duration = Duration::from_secs(1);
-
-/// Time that an unreachable sidecar is given when only it can tell what became of the request.
-const NON_IDEMPOTENT_RECOVERY: Duration = Duration::from_secs(20);
 
 /// What is fixed about a request for all of its attempts.
 #[derive(Debug, Clone, Copy)]
--- a/src/services/request_runner.rs
+++ b/src/services/request_runner.rs
@@ -218,7 +218,7 @@
     /// Returns the next choice; a request that has lost its answer everywhere waits a bounded time
     /// for one of the upstreams to come back.
     async fn next_choice(&mut self) -> Option<UpstreamChoice> {
-        let mut excluded = self.attempt.excluded.clone();
+        let mut excluded = self.attempt.tried.excluded.clone();
         let give_up = self.directory.now().after(COMEBACK_TIMEOUT);
         loop {
             let next = self
@@ -236,12 +236,6 @@
 
     async fn choose(&mut self) -> AttemptEvent {
         let Some(choice) = self.next_choice().await else {
-        let excluded = self.attempt.tried.excluded.clone();
-        let choice = self
-            .chooser
-            .next(&self.configuration, &self.admission, &excluded)
-            .await;
-        let Some(choice) = choice else {
             return AttemptEvent::NoChoice(RefusalReason::NoUpstream);
         };
         let cause = self.attempt.cause();
--- a/src/services/sidecar_rpc.rs
+++ b/src/services/sidecar_rpc.rs
@@ -15,7 +15,6 @@
 use crate::decide::ids::{Incarnation, LogOffset, Repeatability, Ticket};
 use crate::decide::outcome::RefusalReason;
 use crate::decide::suspect_guard::SuspectNews;
-use crate::kernel::{Directory, Inbox, IoTask, ReplyTo, Signal};
 use crate::kernel::{Directory, Inbox, IoTask, Moment, ReplyTo, Signal};
 use crate::wire::claim_rpc::{ClaimCall, ClaimReply};
 use crate::wire::config_page::{ConfigPage, ConfigSinceCall};
