--- a/src/ctl/args.rs
+++ b/src/ctl/args.rs
@@ -4,8 +4,12 @@
 
 use argh::FromArgs;
 
+use super::confirm::ConfirmArgs;
 use super::dump::DumpArgs;
+use super::explain::ExplainArgs;
+use super::plan::PlanArgs;
 use super::request::RequestArgs;
+use super::status::StatusArgs;
 
 /// Changes and shows the configuration of bulrushslip.
 #[derive(Debug, FromArgs)]
@@ -21,8 +25,16 @@
 pub enum Command {
     /// Appends changes as they are.
     Apply(ApplyArgs),
+    /// Turns an intent into a plan.
+    Plan(PlanArgs),
+    /// Puts a plan in force.
+    Confirm(ConfirmArgs),
+    /// Shows what is in force.
+    Status(StatusArgs),
     /// Prints the state of a process.
     Dump(DumpArgs),
+    /// Tells what was decided for one request.
+    Explain(ExplainArgs),
     /// Sends one request.
     Request(RequestArgs),
     /// Hashes a bearer key.
--- a/src/decide/attempt.rs
+++ b/src/decide/attempt.rs
@@ -1,9 +1,8 @@
 //! One request at an entry: which call comes next, and what the caller may be told.
 
-use std::time::Duration;
-
 use super::attempt_step::{
-    AttemptEvent, AttemptPolicy, AttemptStep, RunEvidence, SidecarCall, SubmitCause,
+    AttemptEvent, AttemptPolicy, AttemptStep, FOLLOW_GRACE, RETRY_PAUSE, RunEvidence, SidecarCall,
+    SubmitCause,
 };
 use super::config::UpstreamKey;
 use super::ids::{Incarnation, Repeatability, Ticket};
@@ -11,12 +10,6 @@
 use super::tried_upstreams::TriedUpstreams;
 use crate::kernel::Moment;
 
-/// Pause before a failed call is sent again.
-const RETRY_PAUSE: Duration = Duration::from_millis(20);
-
-/// Time that the holder of an idempotency key is given to submit its ticket.
-const FOLLOW_GRACE: Duration = Duration::from_millis(500);
-
 /// State of one request over all of its attempts.
 ///
 /// The owner carries out each [`AttemptStep`] and reports what happened with
@@ -84,6 +77,12 @@
         self.target.map(|target| target.upstream)
     }
 
+    /// Tells whether a ticket of the request ran or may have run.
+    #[must_use]
+    pub fn may_have_run(&self) -> bool {
+        self.evidence != RunEvidence::NeverRan
+    }
+
     /// Returns why the next submission is made.
     #[must_use]
     pub const fn cause(&self) -> SubmitCause {
@@ -120,7 +119,7 @@
                 self.evidence = self.evidence.max(RunEvidence::MayHaveRan);
                 self.finish_without_answer(None)
             }
-            AttemptEvent::NoChoice(_) if self.tried.readmit_lost(self.policy.max_submissions) => {
+            AttemptEvent::NoChoice(_) if self.tried.readmit_lost(self.max_submissions()) => {
                 AttemptStep::Choose
             }
             AttemptEvent::NoChoice(reason) => {
@@ -292,7 +291,7 @@
         self.last_refusal = Some(reason);
         self.follows_failure = !reason.is_spill();
         self.exclude_target(Some(reason));
-        let another = self.tried.may_submit(self.policy.max_submissions);
+        let another = self.tried.may_submit(self.max_submissions());
         let in_time = !self.policy.start_by.is_due(now);
         // Another upstream would answer the same for these reasons.
         let is_final = matches!(
@@ -312,7 +311,7 @@
         let delivered = self.next_index() > 0 || self.continues;
         let may_repeat = self.policy.repeatability == Repeatability::Idempotent
             && (self.policy.continuable || !delivered);
-        let another = self.tried.may_submit(self.policy.max_submissions);
+        let another = self.tried.may_submit(self.max_submissions());
         let in_time = delivered || !self.policy.start_by.is_due(now);
         if !may_repeat || !another || !in_time {
             return self.finish_without_answer(None);
@@ -324,6 +323,12 @@
         AttemptStep::Choose
     }
 
+    /// Refusals before the start must not use up the tries of a request that has lost an answer.
+    fn max_submissions(&self) -> u32 {
+        let max = self.policy.max_submissions;
+        if self.may_have_run() { 2 * max } else { max }
+    }
+
     fn exclude_target(&mut self, reason: Option<RefusalReason>) {
         if let Some(target) = self.target.filter(|target| target.withdraw_at.is_none()) {
             self.tried.exclude(target.upstream, reason);
--- a/src/services/mail.rs
+++ b/src/services/mail.rs
@@ -13,6 +13,7 @@
 use crate::decide::ledger::TicketKey;
 use crate::decide::outcome::StreamEnd;
 use crate::decide::spread::{CallKind, LogStep, PeerOffset, PeerStep};
+use crate::decide::suspect_guard::SuspectNews;
 use crate::kernel::{Moment, ReplyTo};
 use crate::platform::log_client::LogPage;
 use crate::services::metrics::MetricSample;
@@ -38,6 +39,8 @@
     Journal(JournalMail),
     /// To the entry's service `tickets`.
     Tickets(TicketsMail),
+    /// To the sidecar's I/O task `suspect-feed`: news for the other sidecars of the model.
+    SuspectFeed(Vec<SuspectNews>),
     /// To the sidecar's service `claims`.
     Claims(ClaimsMail),
     /// To the sidecar's I/O task `claim-log`.
@@ -135,16 +138,29 @@
     Attached(TicketKey, AttachVerdict, ReplyTo<AttachReply>),
     /// The engine's state was read.
     EngineState(EngineState),
+    /// Refuses new work until the moment, and asks what is left.
+    OrderReport(Moment, ReplyTo<OrderReport>),
     /// The platform wants the instance to go.
     Leaving,
     /// Events of the engine's cache; answered with what to fetch next.
     CacheEvents(CachePage, ReplyTo<IndexStep>),
     /// All that the engine's cache holds; answered with what to fetch next.
     CacheKeys(CacheList, ReplyTo<IndexStep>),
+    /// Another sidecar of the model has news about suspects.
+    Suspects(Vec<SuspectNews>, ReplyTo<()>),
     /// A new configuration is in force.
     Configured(Arc<Configuration>),
 }
 
+/// What an order to the engine depends on.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct OrderReport {
+    /// State of the engine as it was last read.
+    pub engine: EngineState,
+    /// Requests that wait or run.
+    pub unfinished: usize,
+}
+
 /// State of an engine as it was last read.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum EngineState {
@@ -159,6 +175,17 @@
     Down,
 }
 
+impl EngineState {
+    /// Returns the present life of an engine that answers.
+    #[must_use]
+    pub const fn epoch(&self) -> Option<EngineEpoch> {
+        match self {
+            Self::Up { epoch, .. } => Some(*epoch),
+            Self::Down => None,
+        }
+    }
+}
+
 /// Messages to the I/O task `engine`, which owns the connections to the upstream.
 #[derive(Debug)]
 pub enum EngineMail {
--- a/src/services/request_runner.rs
+++ b/src/services/request_runner.rs
@@ -3,10 +3,12 @@
 use std::collections::VecDeque;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::time::Duration;
 
 use super::journal::{self, ReportStep, RequestReport};
 use super::key_claim::KeyClaim;
 use super::mail::{DialerMail, JournalMail, Mail, MintOutcome, TicketsMail};
+use super::request_meter;
 use super::sidecar_calls::SidecarCalls;
 use super::upstream_choice::{UpstreamChoice, UpstreamChooser};
 use crate::decide::admission::Admission;
@@ -20,6 +22,12 @@
 use crate::kernel::{Directory, Moment};
 use crate::wire::rpc::{StreamItem, SubmitCall};
 
+/// Time that a request which has lost its answer waits for an upstream to come back.
+const COMEBACK_TIMEOUT: Duration = Duration::from_secs(3);
+
+/// Pause between two looks for an upstream that is back.
+const COMEBACK_PAUSE: Duration = Duration::from_millis(100);
+
 /// What is sent to the upstream.
 #[derive(Debug, Clone)]
 pub struct UpstreamRequest {
@@ -63,6 +71,7 @@
     items: VecDeque<StreamItem>,
     continued: u32,
     finished: bool,
+    has_answered: bool,
     report: RequestReport,
     key_claim: Option<KeyClaim>,
 }
@@ -103,6 +112,7 @@
             continued: 0,
             finished: false,
             key_claim: None,
+            has_answered: false,
         }
     }
 
@@ -121,6 +131,7 @@
     pub async fn next(&mut self) -> RunnerOutput {
         loop {
             if let Some(item) = self.items.pop_front() {
+                self.note_first(&item);
                 return RunnerOutput::Item(item);
             }
             let event = match self.step {
@@ -167,6 +178,14 @@
         self.step = self.attempt.handle(self.directory.now(), event);
     }
 
+    fn note_first(&mut self, item: &StreamItem) {
+        if self.has_answered || matches!(item, StreamItem::Head { .. }) {
+            return;
+        }
+        self.has_answered = true;
+        request_meter::record_first_token(&self.directory, &self.report);
+    }
+
     fn note(&mut self, event: &AttemptEvent) {
         let is_routine = matches!(event, AttemptEvent::Items { from_index, end: None, .. }
             if *from_index > 0);
@@ -196,13 +215,27 @@
         }
     }
 
+    /// Returns the next choice; a request that has lost its answer everywhere waits a bounded time
+    /// for one of the upstreams to come back.
+    async fn next_choice(&mut self) -> Option<UpstreamChoice> {
+        let mut excluded = self.attempt.tried.excluded.clone();
+        let give_up = self.directory.now().after(COMEBACK_TIMEOUT);
+        loop {
+            let next = self
+                .chooser
+                .next(&self.configuration, &self.admission, &excluded);
+            let choice = next.await;
+            let now = self.directory.now();
+            if choice.is_some() || !self.attempt.may_have_run() || give_up.is_due(now) {
+                return choice;
+            }
+            self.wait_until(now.after(COMEBACK_PAUSE)).await;
+            excluded.clear();
+        }
+    }
+
     async fn choose(&mut self) -> AttemptEvent {
-        let excluded = self.attempt.tried.excluded.clone();
-        let choice = self
-            .chooser
-            .next(&self.configuration, &self.admission, &excluded)
-            .await;
-        let Some(choice) = choice else {
+        let Some(choice) = self.next_choice().await else {
             return AttemptEvent::NoChoice(RefusalReason::NoUpstream);
         };
         let cause = self.attempt.cause();
@@ -320,6 +353,7 @@
 
 impl Drop for RequestRunner {
     fn drop(&mut self) {
+        request_meter::record_end(&self.directory, &self.report, self.attempt.submissions);
         let mail = Mail::Journal(JournalMail::Report(self.report.clone()));
         self.directory.send(journal::NAME, mail);
         if self.finished {
--- a/src/services/sidecar_calls.rs
+++ b/src/services/sidecar_calls.rs
@@ -3,7 +3,10 @@
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
+use tarpc::client::RpcError;
 use tarpc::context::{self, Context};
+use tokio::task::JoinHandle;
+use tokio::time::timeout;
 
 use super::mail::{ConfigMail, DialOutcome, DialerMail, Mail};
 use crate::decide::attempt_step::AttemptEvent;
@@ -11,6 +14,7 @@
 use crate::decide::ids::{Incarnation, Repeatability, Ticket};
 use crate::decide::outcome::{RefusalReason, StreamEnd};
 use crate::decide::spread::PeerOffset;
+use crate::decide::suspect_guard::SuspectNews;
 use crate::kernel::Directory;
 use crate::wire::claim_rpc::ClaimCall;
 use crate::wire::config_page::{ConfigPage, ConfigSinceCall};
@@ -19,6 +23,7 @@
     SidecarRpcClient, StreamItem, SubmitCall, SubmitReply, SubmitVerdict, WithdrawReply,
     WithdrawVerdict,
 };
+use crate::wire::suspect_rpc::WireNews;
 
 /// Longest time for a call that the sidecar answers at once.
 const CALL_TIMEOUT: Duration = Duration::from_secs(1);
@@ -32,6 +37,9 @@
 /// Longest time for a read, its wait included; a silent connection is noticed after that.
 const READ_TIMEOUT: Duration = Duration::from_secs(1);
 
+/// Time beyond its deadline that a call is waited for; the client itself ends it before.
+const CALL_SLACK: Duration = Duration::from_millis(100);
+
 /// Longest time for an attachment, the lookup at the engine included.
 const ATTACH_TIMEOUT: Duration = Duration::from_millis(2_500);
 
@@ -59,16 +67,19 @@
 }
 
 impl SidecarCalls {
-    /// Asks for a quote; `None` when none came within the limit.
-    pub async fn quote(&self, call: QuoteCall, limit: Duration) -> Option<QuoteReply> {
+    /// Asks for a quote, on a task of its own.
+    ///
+    /// An asker that no longer waits leaves the task running: a late answer still shows that the
+    /// connection works, and a missing one that it has gone silent.
+    #[must_use]
+    pub fn start_quote(&self, call: QuoteCall) -> JoinHandle<Option<QuoteReply>> {
         let calls = self.clone();
-        // The call outlives the wait for it, so that a connection that never answers is noticed.
-        let asked = tokio::spawn(async move {
+        tokio::spawn(async move {
             let link = calls.connect().await?;
-            let reply = link.client.quote(deadline(QUOTE_TIMEOUT), call).await;
+            let reply = link.client.quote(deadline(QUOTE_TIMEOUT), call);
+            let reply = answered(QUOTE_TIMEOUT, reply).await;
             calls.check(&link, reply, |reply| reply.head)
-        });
-        tokio::time::timeout(limit, asked).await.ok()?.ok()?
+        })
     }
 
     /// Submits a request.
@@ -76,7 +87,8 @@
         let Some(link) = self.connect().await else {
             return AttemptEvent::Unsent;
         };
-        let reply = link.client.submit(deadline(CALL_TIMEOUT), call).await;
+        let reply = link.client.submit(deadline(CALL_TIMEOUT), call);
+        let reply = answered(CALL_TIMEOUT, reply).await;
         let Some(reply) = self.check(&link, reply, |reply| reply.head) else {
             return AttemptEvent::Lost;
         };
@@ -104,7 +116,8 @@
             from_index,
             wait_us,
         };
-        let reply = link.client.read(deadline(READ_TIMEOUT), call).await;
+        let reply = link.client.read(deadline(READ_TIMEOUT), call);
+        let reply = answered(READ_TIMEOUT, reply).await;
         let Some(reply) = self.check(&link, reply, |reply| reply.head) else {
             return event(AttemptEvent::Lost);
         };
@@ -118,14 +131,24 @@
         };
         let reply = link
             .client
-            .withdraw(deadline(CALL_TIMEOUT), ticket.into(), incarnation.0)
-            .await;
+            .withdraw(deadline(CALL_TIMEOUT), ticket.into(), incarnation.0);
+        let reply = answered(CALL_TIMEOUT, reply).await;
         let Some(reply) = self.check(&link, reply, |reply| reply.head) else {
             return AttemptEvent::Lost;
         };
         withdraw_event(&reply)
     }
 
+    /// Tells another sidecar about suspects; `false` when it has not answered in time.
+    pub async fn suspect(&self, news: &[SuspectNews], limit: Duration) -> bool {
+        let news = news.iter().map(WireNews::from).collect();
+        let told = async {
+            let link = self.connect().await?;
+            link.client.suspect(deadline(limit), news).await.ok()
+        };
+        matches!(tokio::time::timeout(limit, told).await, Ok(Some(())))
+    }
+
     /// Claims or releases an idempotency key; `None` when no verdict came within the limit.
     pub async fn claim(&self, record: &ClaimRecord, limit: Duration) -> Option<ClaimVerdict> {
         let call = ClaimCall {
@@ -137,7 +160,7 @@
             let reply = link.client.claim(deadline(limit), call).await;
             reply.ok().map(ClaimVerdict::from)
         };
-        tokio::time::timeout(limit, asked).await.ok()?
+        timeout(limit, asked).await.ok()?
     }
 
     /// Looks a ticket up at the engine.
@@ -149,7 +172,7 @@
         let call = link
             .client
             .attach(deadline(ATTACH_TIMEOUT), ticket.into(), idempotent);
-        let reply = call.await;
+        let reply = answered(ATTACH_TIMEOUT, call).await;
         let Some(reply) = self.check(&link, reply, |reply| reply.head) else {
             return AttemptEvent::Lost;
         };
@@ -159,7 +182,8 @@
     /// Fetches configuration; `None` when no answer came within the limit.
     pub async fn config_since(&self, call: ConfigSinceCall, limit: Duration) -> Option<ConfigPage> {
         let link = self.connect().await?;
-        let reply = link.client.config_since(deadline(limit), call).await;
+        let reply = link.client.config_since(deadline(limit), call);
+        let reply = answered(limit, reply).await;
         self.check(&link, reply, |page| ReplyHead {
             next_offset: page.next_offset,
             ..ReplyHead::default()
@@ -253,6 +277,18 @@
     }
 }
 
+/// Waits for a reply at most a little longer than its deadline.
+///
+/// A call that is handed over while its connection ends may be lost inside the client, which then
+/// keeps it open beyond its deadline; its request would wait for ever.
+async fn answered<T>(
+    limit: Duration,
+    call: impl Future<Output = Result<T, RpcError>>,
+) -> Result<T, RpcError> {
+    let reply = timeout(limit + CALL_SLACK, call).await;
+    reply.unwrap_or(Err(RpcError::DeadlineExceeded))
+}
+
 fn deadline(limit: Duration) -> Context {
     let mut context = context::current();
     context.deadline = Instant::now() + limit;
--- a/src/sidecar.rs
+++ b/src/sidecar.rs
@@ -23,10 +23,12 @@
 use crate::services::log_reader::log_reader;
 use crate::services::metrics;
 use crate::services::operator::{self, OperatorIdentity};
+use crate::services::orders::{OrderSettings, orders_task};
 use crate::services::peer_reader::peer_reader;
 use crate::services::registration::{deregistration_task, registration_task};
 use crate::services::sidecar_rpc::rpc_task;
 use crate::services::snapshot_writer::snapshot_writer;
+use crate::services::suspect_feed::suspect_feed_task;
 use crate::settings::{SidecarSettings, TargetKind};
 
 /// Floors of the two ranks until the configuration says otherwise, in percent.
@@ -99,6 +101,7 @@
     }
     kernel.add(claims_service(HomeBounds::default()));
     kernel.add_task(claim_log_task(common.platform));
+    kernel.add_task(suspect_feed_task(settings.upstream.clone()));
     kernel.add_task(rpc_task(entries));
     kernel.add_task(operator::task(
         operators,
@@ -109,6 +112,15 @@
             token: common.operator_token.clone(),
         },
     ));
+    if target.kind == EngineKind::Model {
+        kernel.add_task(orders_task(OrderSettings {
+            platform: common.platform,
+            engine: target.address,
+            upstream: settings.upstream.clone(),
+            holder: ledger_settings.incarnation,
+            max_loads: settings.max_loads,
+        }));
+    }
     // The ledger stops before the tasks that its last answers pass through.
     kernel.add(ledger_service(ledger_settings));
     kernel.add_task(config_feed_task());
