Wait in demo.sh for the declared upstream by its name

Cause: the dump lists upstreams by name by now, so demo.sh waited for a count that is not shown and ended with 1. Ruled out: counting lines of the dump; the name of the last declared upstream is enough.

--- a/demo.sh
+++ b/demo.sh
@@ -116,7 +116,7 @@
 EOF
 "$ctl" apply --platform "$platform" --force "$work/changes.json"
 for name in entry-1 entry-2; do
-    until_shown '"upstreams": 3' "$ctl" dump --operator "$(address "$name" operator)"
+    until_shown '"name": "gates-1"' "$ctl" dump --operator "$(address "$name" operator)"
 done
 for name in sidecar-1 sidecar-2; do
     until_shown '"engine": "Up' "$ctl" dump --operator "$(address "$name" operator)"
