Split the ledger service by what its methods do

The service now is a folder: the calls that are answered at once, reads, and tickets from their start to their end. No behaviour changes.

--- a/src/services/ledger.rs
+++ b/src/services/ledger/mod.rs
@@ -1,8 +1,13 @@
 //! Service `ledger` of a sidecar: tickets, queue and answers of one upstream.
 
-use super::ledger_state::{LedgerSettings, LedgerState};
+mod reads;
+mod running;
+mod state;
+
+pub use state::{LedgerSettings, LedgerState};
+
 use super::mail::{LedgerMail, Mail};
-use crate::kernel::{NextStep, Service, Signal, Turn};
+use crate::kernel::{Service, Signal, Turn};
 
 /// Creates the service `ledger`.
 #[must_use]
@@ -49,11 +54,3 @@
         LedgerMail::Configured(configuration) => state.configure(configuration),
     }
 }
-
-/// Returns the step that waits for the earliest of the state's deadlines.
-pub(super) fn wait_until(deadline: crate::kernel::Moment) -> NextStep {
-    if deadline == crate::kernel::Moment::NEVER {
-        return NextStep::Wait;
-    }
-    NextStep::WaitUntil(deadline)
-}
--- a/src/services/mod.rs
+++ b/src/services/mod.rs
@@ -17,7 +17,6 @@
 pub mod key_claim;
 pub mod lease_log;
 pub mod ledger;
-pub mod ledger_state;
 pub mod log_reader;
 pub mod mail;
 pub mod metrics;
--- a/tests/outcome_world/upstream.rs
+++ b/tests/outcome_world/upstream.rs
@@ -10,8 +10,8 @@
 use bulrushslip::decide::outcome::{RefusalReason, StreamEnd};
 use bulrushslip::decide::queue::{QueueDiscipline, QueuePolicy};
 use bulrushslip::kernel::{MailboxKey, Moment, NextStep, Service, Signal, SteppedKernel, Turn};
+use bulrushslip::services::ledger::LedgerSettings;
 use bulrushslip::services::ledger::ledger_service;
-use bulrushslip::services::ledger_state::LedgerSettings;
 use bulrushslip::services::mail::{EngineMail, EngineState, LedgerMail, Mail};
 use bulrushslip::wire::rpc::{AttachVerdict, StreamItem};
 
