--- a/src/decide/ledger.rs
+++ b/src/decide/ledger.rs
@@ -4,112 +4,16 @@
 use std::time::Duration;
 
 use super::ids::{Incarnation, Repeatability, Ticket};
+pub use super::ledger_step::{
+    ExpiryStep, LedgerBounds, StartStep, SubmitStep, TicketEntry, TicketKey, TicketState,
+    WithdrawStep,
+};
 use super::outcome::{RefusalReason, StreamEnd};
-use crate::kernel::{Arena, Key, Moment};
-
-/// Time that the end of a ticket or a tombstone is remembered.
-const REMEMBER: Duration = Duration::from_mins(1);
+use crate::kernel::{Arena, Moment};
 
 /// Time without a read after which a ticket counts as orphaned.
 const ORPHAN_TIMEOUT: Duration = Duration::from_secs(10);
 
-/// Addresses one ticket of the ledger.
-pub type TicketKey = Key<TicketEntry>;
-
-/// What the ledger knows of one ticket.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum TicketState {
-    /// It waits for its start.
-    Queued,
-    /// It has been handed to the engine.
-    Running,
-    /// It has left the ledger's care with this end.
-    Ended(StreamEnd),
-}
-
-/// One ticket.
-#[derive(Debug, Clone, Copy)]
-pub struct TicketEntry {
-    /// The ticket.
-    pub ticket: Ticket,
-    /// Whether the request may run more than once.
-    pub repeatability: Repeatability,
-    /// Present state.
-    pub state: TicketState,
-    /// Deadline for the start.
-    pub start_by: Moment,
-    /// Unread until this moment, the ticket counts as orphaned; renewed by each read.
-    pub orphan_at: Moment,
-    /// When an ended ticket is forgotten.
-    pub forget_at: Moment,
-}
-
-/// What a submission leads to.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum SubmitStep {
-    /// The ticket is new and waits for its start.
-    Queued(TicketKey),
-    /// The ticket has been accepted before; nothing is to be done.
-    Known(TicketKey),
-    /// The ticket does not run, now or later.
-    Refused(RefusalReason),
-}
-
-/// What a withdrawal leads to.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum WithdrawStep {
-    /// The ticket has not run and never will; a queued one, if given, leaves the queue.
-    NotRun(Option<TicketKey>),
-    /// The ticket runs and is to be cancelled at the engine.
-    Cancel(TicketKey),
-    /// The ticket runs on, because it may not be repeated.
-    Running(TicketKey),
-    /// The ticket ran.
-    Done(TicketKey),
-    /// The ticket is older than the ledger remembers; it may have run.
-    Forgotten,
-}
-
-/// Whether a queued ticket may be handed to the engine.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum StartStep {
-    /// It is running now.
-    Start,
-    /// Its deadline has passed; it has been ended as not run.
-    TooLate,
-    /// It is no longer queued.
-    NotQueued,
-}
-
-/// What the passing of time led to for one ticket.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum ExpiryStep {
-    /// A queued ticket has passed its start deadline and was ended as not run.
-    NotStarted(TicketKey),
-    /// A running ticket is read by nobody and may be repeated: cancel it at the engine.
-    Cancel(TicketKey),
-    /// An ended ticket has been forgotten; its answer is to be dropped.
-    Forgotten(TicketKey),
-}
-
-/// Bounds of a ledger.
-#[derive(Debug, Clone, Copy)]
-pub struct LedgerBounds {
-    /// Tickets remembered at the same time; at the bound, the oldest ended ones are forgotten.
-    pub max_tickets: usize,
-    /// Entry incarnations whose forgotten tickets are remembered as a watermark.
-    pub max_incarnations: usize,
-}
-
-impl Default for LedgerBounds {
-    fn default() -> Self {
-        Self {
-            max_tickets: 100_000,
-            max_incarnations: 16_384,
-        }
-    }
-}
-
 #[derive(Debug, Clone, Copy)]
 struct TicketWatermark {
     /// Tickets up to this sequence number may have been forgotten.
@@ -144,6 +48,8 @@
     by_deadline: BTreeSet<(Moment, TicketKey)>,
     watermarks: HashMap<Incarnation, TicketWatermark>,
     touches: u64,
+    /// Tickets forgotten at the bound whose answers are still to be dropped.
+    forgotten: Vec<TicketKey>,
 }
 
 impl TicketLedger {
@@ -157,6 +63,7 @@
             by_deadline: BTreeSet::new(),
             watermarks: HashMap::new(),
             touches: 0,
+            forgotten: Vec::new(),
         }
     }
 
@@ -238,10 +145,11 @@
 
     /// Ends a ticket; a second end has no effect.
     pub fn end(&mut self, now: Moment, key: TicketKey, end: StreamEnd) {
+        let remember = self.remember();
         self.change(key, |entry| {
             if !matches!(entry.state, TicketState::Ended(_)) {
                 entry.state = TicketState::Ended(end);
-                entry.forget_at = now.after(REMEMBER);
+                entry.forget_at = now.after(remember);
             }
         });
         self.enforce_bound();
@@ -309,6 +217,9 @@
 
     /// Handles one deadline that has come; `None` once there is no other.
     pub fn expire(&mut self, now: Moment) -> Option<ExpiryStep> {
+        if let Some(key) = self.forgotten.pop() {
+            return Some(ExpiryStep::Forgotten(key));
+        }
         loop {
             let (deadline, key) = self.by_deadline.first().copied()?;
             if !deadline.is_due(now) {
@@ -366,7 +277,7 @@
             state: TicketState::Ended(StreamEnd::NotRun(reason)),
             start_by: Moment::NEVER,
             orphan_at: Moment::NEVER,
-            forget_at: now.after(REMEMBER),
+            forget_at: now.after(self.remember()),
         });
         self.enforce_bound();
     }
@@ -426,14 +337,27 @@
         }
     }
 
+    /// Forgets the ended ticket that would be forgotten next; `None` when none has ended.
+    pub fn forget_oldest_ended(&mut self) -> Option<TicketKey> {
+        let ended = self.by_deadline.iter().find(|(_, key)| {
+            let entry = self.tickets.get(*key);
+            entry.is_some_and(|entry| matches!(entry.state, TicketState::Ended(_)))
+        });
+        let (_, key) = *ended?;
+        self.forget(key);
+        Some(key)
+    }
+
+    const fn remember(&self) -> Duration {
+        Duration::from_millis(self.bounds.remember_ms)
+    }
+
     fn enforce_bound(&mut self) {
         while self.tickets.len() > self.bounds.max_tickets {
-            let ended = self.by_deadline.iter().copied().find(|(_, key)| {
-                let entry = self.tickets.get(*key);
-                entry.is_some_and(|entry| matches!(entry.state, TicketState::Ended(_)))
-            });
-            let Some((_, key)) = ended else { return };
-            self.forget(key);
+            let Some(key) = self.forget_oldest_ended() else {
+                return;
+            };
+            self.forgotten.push(key);
         }
     }
 }
--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -16,6 +16,7 @@
 pub mod ids;
 pub mod lease;
 pub mod ledger;
+pub mod ledger_step;
 pub mod orders;
 pub mod outcome;
 pub mod placement;
--- a/src/services/ledger/mod.rs
+++ b/src/services/ledger/mod.rs
@@ -38,7 +38,7 @@
             state.attach(turn, ticket, repeatability, reply_to);
         }
         LedgerMail::Attached(key, verdict, reply_to) => state.attached(key, verdict, reply_to),
-        LedgerMail::Items(key, items) => state.items(now, key, items),
+        LedgerMail::Items(key, items) => state.items(turn, key, items),
         LedgerMail::Ended(key, end) => state.ended(now, key, end),
         LedgerMail::OrderReport(closed_until, reply_to) => {
             reply_to.send(state.order_report(closed_until));
--- a/src/services/ledger/reads.rs
+++ b/src/services/ledger/reads.rs
@@ -44,7 +44,7 @@
             return;
         };
         if !job.keep_all {
-            job.buffer.acknowledge(call.from_index);
+            self.answer_bytes -= job.buffer.acknowledge(call.from_index);
         }
         let replaced = self.take_reader(key);
         if let Some(replaced) = replaced {
--- a/src/services/ledger/running.rs
+++ b/src/services/ledger/running.rs
@@ -93,10 +93,14 @@
     }
 
     /// Takes in items that the engine has produced.
-    pub fn items(&mut self, now: Moment, key: TicketKey, items: Vec<StreamItem>) {
+    pub fn items(&mut self, turn: &mut Turn<'_, Mail>, key: TicketKey, items: Vec<StreamItem>) {
         let Some(job) = self.jobs.get_mut(&key) else {
             return;
         };
+        if job.buffer.overflowed {
+            return;
+        }
+        let before = job.buffer.bytes();
         for item in items {
             match &item {
                 StreamItem::Head { headers, .. } => job.cached_pieces = cached_pieces(headers),
@@ -108,14 +112,41 @@
                 }
             }
             if job.buffer.push(item) == PushOutcome::Overflow {
-                self.guard.abandon(job.ticket);
-                self.ended(now, key, StreamEnd::EngineLost);
-                return;
+                break;
             }
         }
+        let overflowed = job.buffer.overflowed;
+        self.answer_bytes += job.buffer.bytes() - before;
+        if overflowed || !self.make_room() {
+            self.overflow(turn, key);
+        }
         self.answer_pending(key);
     }
 
+    /// Forgets ended tickets until all answers fit; tells whether they do.
+    fn make_room(&mut self) -> bool {
+        while self.answer_bytes > self.settings.max_answer_bytes {
+            let Some(key) = self.ledger.forget_oldest_ended() else {
+                return false;
+            };
+            self.drop_job(key);
+        }
+        true
+    }
+
+    /// Cuts an answer that is too large to keep; what may not be repeated runs to its end unread.
+    fn overflow(&mut self, turn: &mut Turn<'_, Mail>, key: TicketKey) {
+        if let Some(job) = self.jobs.get_mut(&key) {
+            job.buffer.overflowed = true;
+            if !job.keep_all {
+                let mail = EngineMail::Cancel(key, job.ticket);
+                turn.send("engine", Mail::Engine(mail));
+            }
+        }
+        self.leave_slot(key);
+        self.ledger.end(turn.now, key, StreamEnd::EngineLost);
+    }
+
     /// Takes in the end of a ticket at the engine.
     pub fn ended(&mut self, now: Moment, key: TicketKey, end: StreamEnd) {
         if let Some(job) = self.jobs.get(&key) {
@@ -243,7 +274,9 @@
     fn drop_job(&mut self, key: TicketKey) {
         drop(self.take_reader(key));
         self.leave_slot(key);
-        self.jobs.remove(&key);
+        if let Some(job) = self.jobs.remove(&key) {
+            self.answer_bytes -= job.buffer.bytes();
+        }
     }
 }
 
--- a/src/services/ledger/state.rs
+++ b/src/services/ledger/state.rs
@@ -33,6 +33,8 @@
     pub bounds: LedgerBounds,
     /// Bounds and shares of the queue.
     pub queue: QueuePolicy,
+    /// Bytes of all answers that are kept; beyond them ended tickets are forgotten first.
+    pub max_answer_bytes: usize,
     /// Started requests with pieces to compute that the upstream gets ahead.
     pub starting_limit: u32,
 }
@@ -64,6 +66,8 @@
     pub(super) queued: HashMap<Ticket, TicketKey>,
     pub(super) jobs: HashMap<TicketKey, TicketJob>,
     pub(super) read_deadlines: BTreeSet<(Moment, TicketKey)>,
+    /// Bytes of all answers.
+    pub(super) answer_bytes: usize,
     pub(super) leaving: bool,
     pub(super) stopping: bool,
     pub(super) closed_until: Moment,
@@ -87,6 +91,7 @@
             queued: HashMap::new(),
             jobs: HashMap::new(),
             read_deadlines: BTreeSet::new(),
+            answer_bytes: 0,
             leaving: false,
             stopping: false,
             closed_until: Moment::START,
@@ -366,7 +371,7 @@
             "served_us": {"urgent": served_us[0], "routine": served_us[1]},
             "cached_pieces": self.queue.estimate.index.len(),
             "running": {"urgent": running[0], "routine": running[1]},
-            "answer_bytes": self.jobs.values().map(|job| job.buffer.bytes()).sum::<usize>(),
+            "answer_bytes": self.answer_bytes,
             "leaving": self.leaving,
             "suspects": self.guard.table.len(),
         })
--- a/src/services/stream_buffer.rs
+++ b/src/services/stream_buffer.rs
@@ -55,15 +55,17 @@
         self.bytes
     }
 
-    /// Drops the items below the index, which have been received.
-    pub fn acknowledge(&mut self, index: u64) {
+    /// Drops the items below the index, which have been received; returns their bytes.
+    pub fn acknowledge(&mut self, index: u64) -> usize {
+        let before = self.bytes;
         while self.first_index < index {
             let Some(item) = self.items.pop_front() else {
-                return;
+                break;
             };
             self.bytes -= item_bytes(&item);
             self.first_index += 1;
         }
+        before - self.bytes
     }
 
     /// Returns items from the index on, at most about a megabyte.
--- a/src/settings/sidecar.rs
+++ b/src/settings/sidecar.rs
@@ -25,15 +25,13 @@
     pub target_kind: TargetKind,
     /// Address of the upstream itself.
     pub target: SocketAddr,
-    /// Requests that run at the same time until the configuration says otherwise.
-    pub slots: u32,
     /// Requests that wait at the same time.
     pub queue_limit: usize,
     /// Engines that load weights at the same time.
     pub max_loads: usize,
     /// Time for which a finished answer is kept, in milliseconds.
     pub kept_ms: u64,
-    /// Finished answers that are kept at the same time, in bytes.
+    /// Answers that are kept at the same time, in bytes.
     pub kept_bytes: usize,
 }
 
@@ -49,7 +47,6 @@
             upstream,
             target_kind,
             target,
-            slots: u32::try_from(reader.integer("slots")).unwrap_or(1),
             queue_limit: reader.size("queue-limit"),
             max_loads: reader.size("max-loads"),
             kept_ms: reader.integer("kept-ms"),
--- a/src/settings/table.rs
+++ b/src/settings/table.rs
@@ -253,7 +253,7 @@
 ];
 
 /// Settings of `bulrushslip-sidecar`.
-pub const SIDECAR_TABLE: [SettingRow; 21] = [
+pub const SIDECAR_TABLE: [SettingRow; 20] = [
     row(
         "listen",
         "BULRUSHSLIP_LISTEN",
@@ -295,13 +295,6 @@
         ValueKind::Address,
         "address of the plain service, if the upstream is one",
     ),
-    row(
-        "slots",
-        "BULRUSHSLIP_SLOTS",
-        Fallback::Value("8"),
-        ValueKind::Integer { min: 1, max: 4_096 },
-        "requests that run at the same time until the configuration says otherwise",
-    ),
     row(
         "queue-limit",
         "BULRUSHSLIP_QUEUE_LIMIT",
@@ -337,7 +330,7 @@
             min: 65_536,
             max: 1_073_741_824,
         },
-        "finished answers that are kept at the same time, in bytes",
+        "answers that are kept at the same time, in bytes; finished ones give way first",
     ),
     POLICY,
     DRAIN_MS,
--- a/src/sidecar.rs
+++ b/src/sidecar.rs
@@ -55,7 +55,11 @@
     let ledger_settings = LedgerSettings {
         incarnation: Incarnation(rand::random()),
         upstream: settings.upstream.clone(),
-        bounds: LedgerBounds::default(),
+        bounds: LedgerBounds {
+            remember_ms: settings.kept_ms,
+            ..LedgerBounds::default()
+        },
+        max_answer_bytes: settings.kept_bytes,
         queue: QueuePolicy {
             discipline: common.policy.discipline(),
             rank_capacity: settings.queue_limit,
--- a/src/sidecar_cli.rs
+++ b/src/sidecar_cli.rs
@@ -40,9 +40,6 @@
     /// address of the plain service, if the upstream is one
     #[argh(option)]
     plain: Option<String>,
-    /// requests that run at the same time until the configuration says otherwise
-    #[argh(option)]
-    slots: Option<String>,
     /// requests that wait at the same time
     #[argh(option)]
     queue_limit: Option<String>,
@@ -52,7 +49,7 @@
     /// time for which a finished answer is kept, in milliseconds
     #[argh(option)]
     kept_ms: Option<String>,
-    /// finished answers that are kept at the same time, in bytes
+    /// answers that are kept at the same time, in bytes; finished ones give way first
     #[argh(option)]
     kept_bytes: Option<String>,
     /// how requests are placed and queued, the same in a whole fleet; all but standard are
@@ -87,7 +84,6 @@
             ("upstream", self.upstream.as_ref()),
             ("engine", self.engine.as_ref()),
             ("plain", self.plain.as_ref()),
-            ("slots", self.slots.as_ref()),
             ("queue-limit", self.queue_limit.as_ref()),
             ("max-loads", self.max_loads.as_ref()),
             ("kept-ms", self.kept_ms.as_ref()),
--- a/tests/ledger.rs
+++ b/tests/ledger.rs
@@ -15,6 +15,7 @@
 const BOUNDS: LedgerBounds = LedgerBounds {
     max_tickets: 4,
     max_incarnations: 8,
+    remember_ms: 60_000,
 };
 
 /// Generated inputs of each property.
