--- a/src/lib.rs
+++ b/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod process;
 pub mod services;
 pub mod settings;
+pub mod shared_parts;
 pub mod sidecar;
 pub mod sidecar_cli;
 pub mod standin;
--- a/src/sidecar.rs
+++ b/src/sidecar.rs
@@ -8,28 +8,20 @@
 use crate::decide::queue::QueuePolicy;
 use crate::decide::upstream_queue::STARTING_LIMIT;
 use crate::kernel::{Clock, TokioKernel};
-use crate::platform::instance_client::{InstanceClient, WireInstance, WireInstanceState};
 use crate::process;
 use crate::services::cache_watch::cache_watch_task;
 use crate::services::claim_log::claim_log_task;
 use crate::services::claims::claims_service;
-use crate::services::config::{ConfigSettings, config_service};
 use crate::services::config_feed::config_feed_task;
-use crate::services::dialer::dialer_task;
 use crate::services::engine_task::{EngineKind, EngineTarget, engine_task};
 use crate::services::engine_watch::engine_watch_task;
 use crate::services::ledger::LedgerSettings;
 use crate::services::ledger::ledger_service;
-use crate::services::log_reader::log_reader;
-use crate::services::metrics;
-use crate::services::operator::{self, OperatorIdentity};
 use crate::services::orders::{OrderSettings, orders_task};
-use crate::services::peer_reader::peer_reader;
-use crate::services::registration::{deregistration_task, registration_task};
 use crate::services::sidecar_rpc::rpc_task;
-use crate::services::snapshot_writer::snapshot_writer;
 use crate::services::suspect_feed::suspect_feed_task;
 use crate::settings::{SidecarSettings, TargetKind};
+use crate::shared_parts::ProcessIdentity;
 
 /// Floors of the two ranks until the configuration says otherwise, in percent.
 const DEFAULT_FLOOR_PERCENT: [u8; 2] = [20, 20];
@@ -70,34 +62,15 @@
             EngineKind::Plain => u32::MAX,
         },
     };
-    let instance = WireInstance {
-        name: common.name.clone(),
-        role: "sidecar".to_owned(),
-        address: entries.local_addr()?,
-        operator: Some(operators.local_addr()?),
-        data_centre: common.data_centre.clone(),
-        state: WireInstanceState::Live,
-    };
-    let client = InstanceClient {
-        platform: common.platform,
+    let address = entries.local_addr()?;
+    let operator = operators.local_addr()?;
+    let identity = ProcessIdentity {
+        role: "sidecar",
+        common,
+        upstream: Some(&settings.upstream),
     };
     let mut kernel = TokioKernel::new();
-    kernel.add_task(deregistration_task(client, common.name.clone()));
-    if let Some(address) = common.metrics {
-        let tags = [("role", "sidecar"), ("instance", common.name.as_str())];
-        kernel.add(metrics::service(address, &tags)?);
-    }
-    kernel.add(config_service(ConfigSettings {
-        name: common.name.clone(),
-        upstream: Some(settings.upstream.clone()),
-        peers: common.config_peers.clone(),
-        retention_ms: common.log_retention_ms,
-        seed: rand::random(),
-    }));
-    kernel.add_task(dialer_task());
-    kernel.add_task(log_reader(common.platform));
-    kernel.add_task(peer_reader());
-    kernel.add_task(snapshot_writer(common.platform));
+    identity.add_first_parts(&mut kernel)?;
     kernel.add_task(engine_task(target));
     kernel.add_task(engine_watch_task(target));
     if target.kind == EngineKind::Model {
@@ -107,15 +80,7 @@
     kernel.add_task(claim_log_task(common.platform));
     kernel.add_task(suspect_feed_task(settings.upstream.clone()));
     kernel.add_task(rpc_task(entries));
-    kernel.add_task(operator::task(
-        operators,
-        OperatorIdentity {
-            role: "sidecar",
-            name: common.name.clone(),
-            data_centre: common.data_centre.clone(),
-            token: common.operator_token.clone(),
-        },
-    ));
+    identity.add_operator(&mut kernel, operators);
     if target.kind == EngineKind::Model {
         kernel.add_task(orders_task(OrderSettings {
             platform: common.platform,
@@ -128,6 +93,6 @@
     // The ledger stops before the tasks that its last answers pass through.
     kernel.add(ledger_service(ledger_settings));
     kernel.add_task(config_feed_task());
-    kernel.add_task(registration_task(client, instance));
+    identity.add_registration(&mut kernel, address, operator);
     process::run_until_signal(kernel, clock, common.drain_ms).await
 }
--- a/src/wire/mod.rs
+++ b/src/wire/mod.rs
@@ -8,6 +8,7 @@
 pub mod config_record;
 pub mod config_snapshot;
 pub mod headers;
+pub mod ids;
 pub mod lease_record;
 pub mod models;
 pub mod openai;
--- a/src/wire/rpc.rs
+++ b/src/wire/rpc.rs
@@ -4,97 +4,14 @@
 
 use super::claim_rpc::{ClaimCall, ClaimReply};
 use super::config_page::{ConfigPage, ConfigSinceCall};
+pub use super::ids::{UnknownValue, WireRank, WireReason, WireTicket};
 use super::suspect_rpc::WireNews;
-use crate::decide::ids::{
-    EngineEpoch, Incarnation, LogOffset, PrefixKey, Rank, Repeatability, Ticket,
-};
-use crate::decide::outcome::{RefusalReason, StreamEnd};
+use crate::decide::ids::{EngineEpoch, Incarnation, LogOffset, PrefixKey, Repeatability};
+use crate::decide::outcome::StreamEnd;
 
 /// Largest message on a connection between entry and sidecar, in bytes.
 pub const MAX_FRAME_BYTES: usize = 32 * 1024 * 1024;
 
-/// A value on the wire that has no meaning here, such as an unknown rank or code.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct UnknownValue;
-
-/// Ticket on the wire.
-#[derive(Debug, Clone, Copy, Serialize, Deserialize)]
-pub struct WireTicket {
-    /// Incarnation of the entry.
-    pub entry: u64,
-    /// Sequence number within the entry.
-    pub sequence: u64,
-}
-
-impl From<Ticket> for WireTicket {
-    fn from(ticket: Ticket) -> Self {
-        Self {
-            entry: ticket.entry.0,
-            sequence: ticket.sequence,
-        }
-    }
-}
-
-impl From<WireTicket> for Ticket {
-    fn from(ticket: WireTicket) -> Self {
-        Self {
-            entry: Incarnation(ticket.entry),
-            sequence: ticket.sequence,
-        }
-    }
-}
-
-/// Rank on the wire: 0 urgent, 1 routine.
-#[derive(Debug, Clone, Copy, Serialize, Deserialize)]
-pub struct WireRank(pub u8);
-
-impl From<Rank> for WireRank {
-    fn from(rank: Rank) -> Self {
-        Self(match rank {
-            Rank::Urgent => 0,
-            Rank::Routine => 1,
-        })
-    }
-}
-
-impl TryFrom<WireRank> for Rank {
-    type Error = UnknownValue;
-
-    fn try_from(rank: WireRank) -> Result<Self, Self::Error> {
-        match rank.0 {
-            0 => Ok(Self::Urgent),
-            1 => Ok(Self::Routine),
-            _ => Err(UnknownValue),
-        }
-    }
-}
-
-/// Refusal reason on the wire: its position in [`RefusalReason::TABLE`].
-#[derive(Debug, Clone, Copy, Serialize, Deserialize)]
-pub struct WireReason(pub u8);
-
-impl From<RefusalReason> for WireReason {
-    fn from(reason: RefusalReason) -> Self {
-        let position = RefusalReason::TABLE
-            .iter()
-            .position(|(row, _)| *row == reason);
-        Self(
-            position
-                .and_then(|p| u8::try_from(p).ok())
-                .unwrap_or(u8::MAX),
-        )
-    }
-}
-
-impl TryFrom<WireReason> for RefusalReason {
-    type Error = UnknownValue;
-
-    fn try_from(reason: WireReason) -> Result<Self, Self::Error> {
-        let row = Self::TABLE.get(usize::from(reason.0)).ok_or(UnknownValue)?;
-        Ok(row.0)
-    }
-}
-
 /// State of the sidecar and its engine, on every reply.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ReplyHead {
