--- a/src/decide/claims.rs
+++ b/src/decide/claims.rs
@@ -6,6 +6,7 @@
 
 use std::collections::{HashMap, VecDeque};
 
+use super::hashing::hash_parts;
 use super::ids::{Incarnation, LogOffset, Ticket};
 use super::suspects::Fingerprint;
 use crate::kernel::{Arena, Key};
@@ -29,12 +30,9 @@
     /// ```
     #[must_use]
     pub fn of(customer: &str, key: &str) -> Self {
-        let mut hasher = blake3::Hasher::new();
-        hasher.update(&(customer.len() as u64).to_le_bytes());
-        hasher.update(customer.as_bytes());
-        hasher.update(key.as_bytes());
+        let hash = hash_parts(&[customer.as_bytes(), key.as_bytes()]);
         let mut word = [0; 16];
-        word.copy_from_slice(&hasher.finalize().as_bytes()[..16]);
+        word.copy_from_slice(&hash.as_bytes()[..16]);
         Self(u128::from_le_bytes(word))
     }
 
--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -13,6 +13,7 @@
 pub mod config_check;
 pub mod config_intake;
 pub mod confirm;
+pub mod hashing;
 pub mod ids;
 pub mod lease;
 pub mod ledger;
--- a/src/decide/prefix.rs
+++ b/src/decide/prefix.rs
@@ -1,5 +1,6 @@
 //! Chained prefix keys: one for each whole piece of a prompt.
 
+use super::hashing::{first_word, hash_parts};
 use super::ids::PrefixKey;
 
 /// Bytes of prompt text in one piece; about 4,000 tokens at four bytes a token.
@@ -28,7 +29,8 @@
     prompt: &[u8],
     piece_bytes: usize,
 ) -> Vec<PrefixKey> {
-    let mut chain = scope_hash(customer, model, version);
+    let scope = [customer.as_bytes(), model.as_bytes(), version.as_bytes()];
+    let mut chain = hash_parts(&scope);
     let whole_pieces = prompt
         .chunks_exact(piece_bytes.max(1))
         .take(MAX_KEYED_PIECES);
@@ -42,18 +44,3 @@
         })
         .collect()
 }
-
-fn scope_hash(customer: &str, model: &str, version: &str) -> blake3::Hash {
-    let mut hasher = blake3::Hasher::new();
-    for part in [customer, model, version] {
-        hasher.update(&(part.len() as u64).to_le_bytes());
-        hasher.update(part.as_bytes());
-    }
-    hasher.finalize()
-}
-
-fn first_word(hash: &blake3::Hash) -> u64 {
-    let mut word = [0; 8];
-    word.copy_from_slice(&hash.as_bytes()[..8]);
-    u64::from_le_bytes(word)
-}
--- a/src/decide/spread.rs
+++ b/src/decide/spread.rs
@@ -10,6 +10,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use super::hashing::name_hash;
 use super::ids::LogOffset;
 use super::snapshot_timer::draw;
 use crate::kernel::Moment;
@@ -167,7 +168,7 @@
     /// Takes in the sidecars that the configuration declares, and which one this process is.
     pub fn set_sidecars(&mut self, declared: &[SocketAddr], own: Option<SocketAddr>) {
         let mut peers: Vec<SocketAddr> = declared.iter().chain(&self.seeds).copied().collect();
-        peers.sort_by_cached_key(|peer| (place(&peer.to_string()), *peer));
+        peers.sort_by_cached_key(|peer| (name_hash(&peer.to_string()), *peer));
         peers.dedup();
         self.rank = own.and_then(|own| peers.iter().position(|peer| *peer == own));
         peers.retain(|peer| Some(*peer) != own);
@@ -177,7 +178,7 @@
     /// Tells whether this process has read the log recently.
     #[must_use]
     pub fn reads_log(&self, now: Moment) -> bool {
-        let own = ReaderId(place(&self.own_name));
+        let own = ReaderId(name_hash(&self.own_name));
         let stale_ms = ms(self.policy.stale_ms);
         let mut known = self.readers.iter();
         known.any(|known| known.reader == own && !known.at.after(stale_ms).is_due(now))
@@ -226,7 +227,7 @@
     pub fn log_read(&mut self, now: Moment, random: u64) {
         self.failures = 0;
         self.probe_at = now;
-        let own = ReaderId(place(&self.own_name));
+        let own = ReaderId(name_hash(&self.own_name));
         self.add_evidence(LogEvidence {
             reader: own,
             at: now,
@@ -291,7 +292,7 @@
         let micros = age_ms.saturating_mul(1_000);
         let at = Moment::from_micros(now.as_micros().saturating_sub(micros));
         // An echo of what this process told is worth nothing.
-        if reader != ReaderId(place(&self.own_name)) && at > Moment::START {
+        if reader != ReaderId(name_hash(&self.own_name)) && at > Moment::START {
             self.add_evidence(LogEvidence { reader, at });
         }
     }
@@ -348,7 +349,7 @@
         match self.rank {
             Some(rank) if rank < self.policy.readers => None,
             Some(rank) => Some(((rank - self.policy.readers) / self.policy.fan_out).min(last)),
-            None => usize::try_from(place(&self.own_name) % self.peers.len() as u64).ok(),
+            None => usize::try_from(name_hash(&self.own_name) % self.peers.len() as u64).ok(),
         }
     }
 
@@ -361,13 +362,6 @@
     }
 }
 
-/// Returns the place of a name in the order that all processes agree on.
-fn place(name: &str) -> u64 {
-    let mut word = [0; 8];
-    word.copy_from_slice(&blake3::hash(name.as_bytes()).as_bytes()[..8]);
-    u64::from_le_bytes(word)
-}
-
 const fn ms(millis: u64) -> Duration {
     Duration::from_millis(millis)
 }
--- a/src/decide/suspects.rs
+++ b/src/decide/suspects.rs
@@ -7,6 +7,7 @@
 use std::collections::HashMap;
 use std::time::Duration;
 
+use super::hashing::{first_word, hash_parts};
 use super::ids::{EngineEpoch, Incarnation};
 use crate::kernel::{Arena, Key, Moment};
 
@@ -20,15 +21,14 @@
 impl Fingerprint {
     /// Hashes what makes two requests equal.
     #[must_use]
-    pub fn of(customer: &str, path: &str, body: &[u8]) -> Self {
-        let mut hasher = blake3::Hasher::new();
-        for part in [customer.as_bytes(), path.as_bytes(), body] {
-            hasher.update(&(part.len() as u64).to_le_bytes());
-            hasher.update(part);
-        }
-        let mut word = [0; 8];
-        word.copy_from_slice(&hasher.finalize().as_bytes()[..8]);
-        Self(u64::from_le_bytes(word))
+    pub fn of(customer: &str, method: &str, path: &str, body: &[u8]) -> Self {
+        let parts = [
+            customer.as_bytes(),
+            method.as_bytes(),
+            path.as_bytes(),
+            body,
+        ];
+        Self(first_word(&hash_parts(&parts)))
     }
 }
 
--- a/src/services/callers.rs
+++ b/src/services/callers.rs
@@ -24,7 +24,7 @@
 use crate::decide::admission::{Admission, AdmissionQuery, AdmissionTarget, admit, authenticate};
 use crate::decide::attempt_step::AttemptPolicy;
 use crate::decide::config::{BearerHash, Configuration};
-use crate::decide::ids::Rank;
+use crate::decide::ids::{PrefixKey, Rank};
 use crate::decide::placement::PlacementPolicy;
 use crate::decide::prefix::prefix_keys;
 use crate::decide::suspects::Fingerprint;
@@ -171,7 +171,7 @@
             headers: vec![("content-type".to_owned(), "application/json".to_owned())],
             body: request.upstream_body(),
             output_tokens: request.output_limit().unwrap_or(0),
-            fingerprint: Fingerprint::of(&admission.customer, kind.path(), &body),
+            fingerprint: Fingerprint::of(&admission.customer, "POST", kind.path(), &body),
         };
         let chooser = self.chooser(UpstreamScope::Model(request.model.clone()), keys);
         let continuable = request.choices == 1;
@@ -212,7 +212,7 @@
         let path = format!("/{rest}{query}");
         let request = UpstreamRequest {
             method: head.method.as_str().to_owned(),
-            fingerprint: Fingerprint::of(&admission.customer, &path, &body),
+            fingerprint: Fingerprint::of(&admission.customer, head.method.as_str(), &path, &body),
             path,
             headers: forwarded_headers(&head.headers),
             body,
@@ -253,11 +253,7 @@
             .unwrap_or_default()
     }
 
-    fn chooser(
-        &self,
-        scope: UpstreamScope,
-        keys: Vec<crate::decide::ids::PrefixKey>,
-    ) -> UpstreamChooser {
+    fn chooser(&self, scope: UpstreamScope, keys: Vec<PrefixKey>) -> UpstreamChooser {
         UpstreamChooser {
             directory: self.directory.clone(),
             policy: self.settings.policy,
--- a/src/services/upstream_choice.rs
+++ b/src/services/upstream_choice.rs
@@ -12,6 +12,7 @@
 use super::sidecar_calls::SidecarCalls;
 use crate::decide::admission::Admission;
 use crate::decide::config::{Configuration, Upstream, UpstreamKey};
+use crate::decide::hashing::name_hash;
 use crate::decide::ids::{Incarnation, PrefixKey};
 use crate::decide::placement::{
     CandidateQuote, PlacementHop, PlacementPolicy, PlacementRequest, PlacementTarget,
@@ -203,10 +204,3 @@
         piece_us: u64::from(reply.piece_us),
     }
 }
-
-fn name_hash(name: &str) -> u64 {
-    let hash = blake3::hash(name.as_bytes());
-    let mut word = [0; 8];
-    word.copy_from_slice(&hash.as_bytes()[..8]);
-    u64::from_le_bytes(word)
-}
--- a/src/standin/token_text.rs
+++ b/src/standin/token_text.rs
@@ -3,6 +3,8 @@
 //! Token `k` is ` t{k}.{hash}`, where the hash depends on the prompt and on `k`. A reader can thus
 //! check that an answer is whole, in order and its own.
 
+use crate::decide::hashing::name_hash;
+
 /// Beginning of every sequence's first token.
 const FIRST_TOKEN: &str = " t0.";
 
@@ -18,9 +20,7 @@
 /// Returns the seed of a prompt's token sequence.
 #[must_use]
 pub fn text_seed(prompt: &str) -> u64 {
-    let mut word = [0; 8];
-    word.copy_from_slice(&blake3::hash(prompt.as_bytes()).as_bytes()[..8]);
-    u64::from_le_bytes(word)
+    name_hash(prompt)
 }
 
 /// Returns one token of a sequence.
--- a/tests/suspects.rs
+++ b/tests/suspects.rs
@@ -233,3 +233,16 @@
     );
     assert!(without.0 > with.0 * 10);
 }
+
+#[test]
+fn requests_that_differ_in_any_part_have_fingerprints_of_their_own() {
+    let original = Fingerprint::of("wales", "PUT", "/gates/7", b"open");
+    for other in [
+        Fingerprint::of("kitami", "PUT", "/gates/7", b"open"),
+        Fingerprint::of("wales", "POST", "/gates/7", b"open"),
+        Fingerprint::of("wales", "PUT", "/gates/8", b"open"),
+        Fingerprint::of("wales", "PUT", "/gates/7", b"shut"),
+    ] {
+        assert_ne!(original, other);
+    }
+}
