Give answers of plain services their status and headers

Cause: read as a newcomer would, two things were missing for plain services: all response headers but the content type were dropped, and x-run-status stayed pending, since clients rarely ask for trailers.

--- a/src/services/caller_answer.rs
+++ b/src/services/caller_answer.rs
@@ -21,19 +21,19 @@
 use crate::wire::sse::encode_data;
 
 /// Header and trailer that say whether the request ran.
-const RUN_STATUS: HeaderName = HeaderName::from_static("x-run-status");
+pub(super) const RUN_STATUS: HeaderName = HeaderName::from_static("x-run-status");
 
 /// Header that client libraries obey on errors.
 const SHOULD_RETRY: HeaderName = HeaderName::from_static("x-should-retry");
 
 /// Value of the status header of a stream whose end is still to come.
-const PENDING: HeaderValue = HeaderValue::from_static("pending");
+pub(super) const PENDING: HeaderValue = HeaderValue::from_static("pending");
 
 /// Parts of a streamed answer that wait for a slow caller.
 const STREAM_BACKLOG: usize = 32;
 
 /// Sends the parts of a body; an error closes the connection, so a cut body never ends cleanly.
-type FrameSender = mpsc::Sender<std::io::Result<Frame<Bytes>>>;
+pub(super) type FrameSender = mpsc::Sender<std::io::Result<Frame<Bytes>>>;
 
 /// How a model's answer goes on.
 enum AnswerStep {
@@ -207,61 +207,6 @@
     }
 }
 
-/// Runs a request to a plain service and passes the response through.
-pub async fn plain_answer(mut runner: RequestRunner) -> Response<ResponseBody> {
-    loop {
-        match runner.next().await {
-            RunnerOutput::Item(StreamItem::Head { status, headers }) => {
-                let (sender, body) = streamed_body();
-                tokio::spawn(pump_plain(runner, sender));
-                let mut response = passed_response(status, &headers, body, RunStatus::Complete);
-                response.headers_mut().insert(RUN_STATUS, PENDING);
-                response
-                    .headers_mut()
-                    .insert("trailer", HeaderValue::from_static("x-run-status"));
-                return response;
-            }
-            RunnerOutput::Item(StreamItem::Data(_)) => {}
-            RunnerOutput::NeedsContinuation => runner.abandon_rest(),
-            RunnerOutput::Finished(status, reason) => return refusal_response(status, reason),
-        }
-    }
-}
-
-async fn pump_plain(mut runner: RequestRunner, sender: FrameSender) {
-    loop {
-        let output = tokio::select! {
-            output = runner.next() => output,
-            () = sender.closed() => return,
-        };
-        match output {
-            RunnerOutput::Item(StreamItem::Data(bytes)) => {
-                let frame = Frame::data(Bytes::from(bytes));
-                if sender.send(Ok(frame)).await.is_err() {
-                    return;
-                }
-            }
-            RunnerOutput::Item(StreamItem::Head { .. }) => {}
-            RunnerOutput::NeedsContinuation => runner.abandon_rest(),
-            RunnerOutput::Finished(status, _) => {
-                // A caller that has left by now needs no ending.
-                drop(sender.send(plain_ending(status)).await);
-                return;
-            }
-        }
-    }
-}
-
-/// Returns the end of a passed-through body, which has no other place for its status.
-fn plain_ending(status: RunStatus) -> std::io::Result<Frame<Bytes>> {
-    if status != RunStatus::Complete {
-        return Err(std::io::ErrorKind::ConnectionAborted.into());
-    }
-    let mut trailers = HeaderMap::new();
-    set_run_status(&mut trailers, status);
-    Ok(Frame::trailers(trailers))
-}
-
 /// Builds the response to a request that was turned away as faulty.
 #[must_use]
 pub fn fault_response(fault: CallerFault, message: &str) -> Response<ResponseBody> {
@@ -320,7 +265,7 @@
     response
 }
 
-fn passed_response(
+pub(super) fn passed_response(
     status: u16,
     headers: &[(String, String)],
     body: ResponseBody,
@@ -338,11 +283,11 @@
     response
 }
 
-fn set_run_status(headers: &mut HeaderMap, status: RunStatus) {
+pub(super) fn set_run_status(headers: &mut HeaderMap, status: RunStatus) {
     headers.insert(RUN_STATUS, HeaderValue::from_static(status.name()));
 }
 
-fn streamed_body() -> (FrameSender, ResponseBody) {
+pub(super) fn streamed_body() -> (FrameSender, ResponseBody) {
     let (sender, receiver) = mpsc::channel(STREAM_BACKLOG);
     let frames = stream::unfold(receiver, |mut receiver: mpsc::Receiver<_>| async {
         let frame = receiver.recv().await?;
--- a/src/services/callers.rs
+++ b/src/services/callers.rs
@@ -12,12 +12,13 @@
 use tokio::sync::oneshot;
 use tokio::time::timeout;
 
-use super::caller_answer::{fault_response, model_answer, plain_answer};
+use super::caller_answer::{fault_response, model_answer};
 use super::config::CONFIG;
 use super::journal::request_id;
 use super::key_claim::{KeyClaim, StatedKey, stated_key};
 use super::mail::{ConfigMail, Mail};
 use super::operator::{self, OperatorMail};
+use super::plain_answer::plain_answer;
 use super::request_runner::{RequestRunner, UpstreamRequest};
 use super::turned_away::{Answered, TurnedAway, invalid, or_error};
 use super::upstream_choice::{UpstreamChooser, UpstreamScope};
--- a/src/services/engine_stream.rs
+++ b/src/services/engine_stream.rs
@@ -16,6 +16,7 @@
 use crate::decide::outcome::{RefusalReason, StreamEnd};
 use crate::kernel::{Directory, Moment};
 use crate::platform::http_client::{self, HttpError, OpenResponse};
+use crate::wire::headers::forwarded_headers;
 use crate::wire::rpc::{StreamItem, SubmitCall};
 use crate::wire::sse::{MAX_EVENT_BYTES, SseDecoder, SseStep};
 
@@ -37,8 +38,8 @@
 /// Payload of the event that ends a whole stream.
 const DONE: &[u8] = b"[DONE]";
 
-/// Response headers that are passed on to the caller.
-const FORWARDED_HEADERS: [&str; 3] = ["content-type", "x-cached-pieces", "x-engine-epoch"];
+/// Response headers of a model engine that are passed on.
+const MODEL_HEADERS: [&str; 3] = ["content-type", "x-cached-pieces", "x-engine-epoch"];
 
 /// How the exchange begins.
 #[derive(Debug)]
@@ -299,13 +300,13 @@
             return;
         }
         self.head_sent = true;
-        let headers = FORWARDED_HEADERS.iter().filter_map(|name| {
-            let value = headers.get(*name)?.to_str().ok()?;
-            Some(((*name).to_owned(), value.to_owned()))
-        });
+        let mut headers = forwarded_headers(headers);
+        if self.target.kind == EngineKind::Model {
+            headers.retain(|(name, _)| MODEL_HEADERS.contains(&name.as_str()));
+        }
         let head = StreamItem::Head {
             status: status.as_u16(),
-            headers: headers.collect(),
+            headers,
         };
         self.report(LedgerMail::Items(self.key, vec![head])).await;
     }
--- a/src/services/mod.rs
+++ b/src/services/mod.rs
@@ -23,6 +23,7 @@
 pub mod operator;
 pub mod orders;
 pub mod peer_reader;
+pub mod plain_answer;
 pub mod registration;
 pub mod request_meter;
 pub mod request_runner;
