Remove two functions that nothing calls

Cause: reading the whole change once more. TicketLedger::in_state and Configuration::plain_upstreams were left behind when their callers took other ways.

--- a/src/decide/config.rs
+++ b/src/decide/config.rs
@@ -242,11 +242,4 @@
             .iter()
             .filter(move |(_, upstream)| upstream.serves(model, version))
     }
-
-    /// Iterates over the upstreams that take work for a plain service.
-    pub fn plain_upstreams(&self, service: &str) -> impl Iterator<Item = (UpstreamKey, &Upstream)> {
-        self.upstreams
-            .iter()
-            .filter(move |(_, upstream)| upstream.runs_service(service))
-    }
 }
--- a/src/decide/ledger.rs
+++ b/src/decide/ledger.rs
@@ -250,14 +250,6 @@
         }
     }
 
-    /// Returns all tickets in the given state.
-    pub fn in_state(&self, state: TicketState) -> impl Iterator<Item = TicketKey> + '_ {
-        self.tickets
-            .iter()
-            .filter(move |(_, entry)| entry.state == state)
-            .map(|(key, _)| key)
-    }
-
     /// Returns how many tickets are remembered.
     #[must_use]
     pub fn len(&self) -> usize {
