--- a/src/decide/fleet.rs
+++ b/src/decide/fleet.rs
@@ -61,8 +61,6 @@
     pub state: MemberState,
     /// Unix milliseconds of its start; tells lives under one identity apart.
     pub born: u64,
-    /// Orders that it has accepted since its start.
-    pub orders: u64,
     /// Weights that it runs, for model engines.
     pub weights: Option<MemberWeights>,
 }
--- a/src/gateway/orders.rs
+++ b/src/gateway/orders.rs
@@ -70,7 +70,6 @@
     member: MemberKey,
     id: String,
     address: SocketAddr,
-    orders: u64,
 }
 
 /// What to do next, with all that is needed to do it.
@@ -246,7 +245,7 @@
         let told = directory.ask("peers", |reply_to| {
             GatewayMail::Peers(PeersMail::ExchangeNow(reply_to))
         });
-        drop(told.await);
+        let _is_told = told.await;
     }
 }
 
@@ -275,7 +274,6 @@
                         member: key,
                         id: member.entry.id.clone(),
                         address: member.entry.address,
-                        orders: member.entry.orders,
                     })
                 });
                 return OrderPlan::Claim {
@@ -292,7 +290,8 @@
 /// Orders one upstream and watches until it runs the version.
 async fn carry_out(directory: Directory<GatewayMail>, order: ClaimedOrder) {
     sleep(DRAIN_WAIT).await;
-    let reply = send_order(&directory, &order).await;
+    let mut link = HttpLink::new(order.target.address);
+    let reply = send_order(&directory, &order, &mut link).await;
     log_event(
         &ORDER_SENT,
         &[
@@ -304,7 +303,7 @@
     );
     let is_loaded = match reply {
         Some(OrderReply::Holds) => true,
-        Some(OrderReply::Accepted) => watch_load(&order).await,
+        Some(OrderReply::Accepted) => watch_load(&order, &mut link).await,
         _ => false,
     };
     if is_loaded {
@@ -324,40 +323,37 @@
 }
 
 /// Sends the order unless the claim's time is up; `None` when no answer came.
+///
+/// The order names how many the upstream has accepted, so that one that is carried out late does
+/// nothing after a newer one.
 async fn send_order(
     directory: &Directory<GatewayMail>,
     order: &ClaimedOrder,
+    link: &mut HttpLink,
 ) -> Option<OrderReply> {
+    let state = report(order, link).await?;
     let wire = WeightsOrder {
         upstream: &order.target.id,
         model: &order.model,
         version: order.version,
         holder: &order.holder,
         fence: order.fence.0,
-        expected_orders: Some(order.target.orders),
+        expected_orders: state.orders,
     };
     let request = order_request(&wire).ok()?;
     if order.usable_until.is_due(directory.now()) {
         return None;
     }
-    let mut link = HttpLink::new(order.target.address);
     let answer = link.call(request, ANSWER_LIMIT).await.ok()?;
     Some(OrderReply::from(answer.0))
 }
 
 /// Looks at the upstream until it runs the version or the hold is over.
-async fn watch_load(order: &ClaimedOrder) -> bool {
-    let mut link = HttpLink::new(order.target.address);
+async fn watch_load(order: &ClaimedOrder, link: &mut HttpLink) -> bool {
     sleep(FIRST_REPORT).await;
     let looks = HOLD_TIME.as_millis() / REPORT_PAUSE.as_millis();
     for _ in 0..looks {
-        let Ok(request) = report_request(&order.target.id) else {
-            return false;
-        };
-        if let Ok((status, body)) = link.call(request, ANSWER_LIMIT).await
-            && status.is_success()
-            && let Ok(state) = serde_json::from_slice::<EngineState>(&body)
-        {
+        if let Some(state) = report(order, link).await {
             let runs = state
                 .models
                 .iter()
@@ -370,3 +366,13 @@
     }
     false
 }
+
+/// Asks the upstream for its state; `None` when it does not answer.
+async fn report(order: &ClaimedOrder, link: &mut HttpLink) -> Option<EngineState> {
+    let request = report_request(&order.target.id).ok()?;
+    let (status, body) = link.call(request, ANSWER_LIMIT).await.ok()?;
+    if !status.is_success() {
+        return None;
+    }
+    serde_json::from_slice(&body).ok()
+}
--- a/src/platform/engine_calls.rs
+++ b/src/platform/engine_calls.rs
@@ -20,8 +20,8 @@
     pub holder: &'a str,
     /// Fencing token.
     pub fence: u64,
-    /// Number of orders that the upstream must have accepted before, if that is known.
-    pub expected_orders: Option<u64>,
+    /// Number of orders that the upstream must have accepted before.
+    pub expected_orders: u64,
 }
 
 #[derive(Serialize)]
@@ -34,8 +34,7 @@
     holder: &'a str,
     fence: u64,
     /// The count of accepted orders that is expected, not an expectation of the result.
-    #[serde(skip_serializing_if = "Option::is_none")]
-    expect: Option<u64>,
+    expect: u64,
 }
 
 /// What an engine made of an order.
@@ -64,9 +63,9 @@
     /// Whether an order is in progress.
     #[serde(default)]
     pub busy: bool,
-    /// Count of orders accepted since its start.
-    #[serde(default)]
-    pub sequence: u64,
+    /// Count of orders accepted since its start; the entry's field of this name counts heartbeats.
+    #[serde(default, rename = "sequence")]
+    pub orders: u64,
 }
 
 /// One model of an engine.
--- a/src/platform/upstream_entry.rs
+++ b/src/platform/upstream_entry.rs
@@ -20,9 +20,6 @@
     /// Weights that it runs; a number that only grows for each model.
     #[serde(default)]
     models: Vec<WireModel>,
-    /// Count of orders that it has accepted, not of its entries.
-    #[serde(default)]
-    sequence: u64,
     /// Unix milliseconds of its start.
     born: Option<u64>,
 }
@@ -56,7 +53,6 @@
         slots: wire.slots,
         state,
         born: wire.born.unwrap_or_default(),
-        orders: wire.sequence,
         weights: wire.models.first().map(|model| MemberWeights {
             model: name_hash(&model.name),
             version: model.version,
