--- a/src/decide/member_choice.rs
+++ b/src/decide/member_choice.rs
@@ -29,7 +29,7 @@
 const FAILURE_US: f64 = 400_000.0;
 
 /// Cost of weights that are not the newest, in microseconds of waiting.
-const OLD_WEIGHTS_US: f64 = 60_000.0;
+const OLD_WEIGHTS_US: f64 = 150_000.0;
 
 /// Cost of a full upstream against an idle one, in microseconds of waiting.
 const OCCUPIED_US: f64 = 40_000.0;
--- a/src/decide/rollout.rs
+++ b/src/decide/rollout.rs
@@ -20,10 +20,11 @@
 const CLAIM_MARGIN: Duration = Duration::from_millis(500);
 
 /// Time without progress after which the instance next in rank takes over.
-const STALL_STEP: Duration = Duration::from_millis(700);
+const STALL_STEP: Duration = Duration::from_millis(1_200);
 
-/// One load at a time for each so many upstreams; more at once slow each other down.
-const UPSTREAMS_PER_LOAD: usize = 6;
+/// One order at a time for each so many upstreams. About half of the ordered ones load; the rest
+/// finish what they run, and loads beyond a sixth of the upstreams would slow each other down.
+const UPSTREAMS_PER_ORDER: usize = 3;
 
 /// Time after which a load that was claimed is no longer counted.
 const LOAD_LIMIT: Duration = Duration::from_millis(2_500);
@@ -44,6 +45,8 @@
     holder: u64,
     seen: Moment,
     version: u64,
+    /// When the load counts as over.
+    loading_until: Moment,
 }
 
 /// Claims seen on the log.
@@ -95,11 +98,19 @@
             holder: claim.holder,
             seen: now,
             version: claim.version,
+            loading_until: now.after(LOAD_LIMIT),
         };
         let claimed = claim.upstreams.iter().map(|id| (id.clone(), seen));
         self.claims.extend(claimed);
     }
 
+    /// Notes that an order is over, with or without success.
+    pub fn finish(&mut self, now: Moment, upstream: &str) {
+        if let Some(claim) = self.claims.get_mut(upstream) {
+            claim.loading_until = now;
+        }
+    }
+
     /// Says what to do next.
     #[must_use]
     pub fn next(&self, view: RolloutView<'_>) -> RolloutStep {
@@ -127,7 +138,7 @@
             let weights = member.entry.weights;
             weights.is_some_and(|weights| weights.model == view.model)
         });
-        let limit = engines.count().div_ceil(UPSTREAMS_PER_LOAD).max(1);
+        let limit = engines.count().div_ceil(UPSTREAMS_PER_ORDER).max(1);
         let loading = behind
             .iter()
             .filter(|key| self.is_loading(view, **key))
@@ -152,7 +163,7 @@
 
     fn is_loading(&self, view: RolloutView<'_>, key: MemberKey) -> bool {
         let claim = self.claim_of(view, key);
-        claim.is_some_and(|claim| view.now.since(claim.seen) < LOAD_LIMIT)
+        claim.is_some_and(|claim| !claim.loading_until.is_due(view.now))
     }
 
     fn may_claim(&self, view: RolloutView<'_>, key: MemberKey) -> bool {
@@ -175,20 +186,23 @@
     }
 }
 
-/// Orders upstreams so that neighbours lie in different data centres where possible.
-fn spread_over_places(view: RolloutView<'_>, keys: &mut [MemberKey]) {
+/// Orders upstreams by the age of their weights, and so that neighbours lie in different data
+/// centres; in each of them those with the least to finish go first.
+fn spread_over_places(view: RolloutView<'_>, keys: &mut Vec<MemberKey>) {
+    keys.sort_by_key(|key| {
+        let member = view.fleet.get(*key);
+        member.map(|member| (member.version(), member.own.in_flight))
+    });
     let mut taken: HashMap<PlaceId, u32> = HashMap::new();
-    let mut turns: Vec<(u32, u32, MemberKey)> = Vec::new();
-    for key in keys.iter() {
-        let Some(member) = view.fleet.get(*key) else {
+    let mut turns: Vec<(Option<u64>, u32, MemberKey)> = Vec::new();
+    for key in keys.drain(..) {
+        let Some(member) = view.fleet.get(key) else {
             continue;
         };
         let turn = taken.entry(member.entry.place).or_default();
-        turns.push((*turn, member.own.in_flight, *key));
+        turns.push((member.version(), *turn, key));
         *turn += 1;
     }
-    turns.sort();
-    for (slot, (_, _, key)) in keys.iter_mut().zip(turns) {
-        *slot = key;
-    }
+    turns.sort_by_key(|(version, turn, _)| (*version, *turn));
+    keys.extend(turns.into_iter().map(|(_, _, key)| key));
 }
--- a/src/gateway/orders.rs
+++ b/src/gateway/orders.rs
@@ -103,7 +103,7 @@
     claims: ClaimTable,
     /// Whether the claims have been read since the rollout began.
     is_current: bool,
-    running: JoinSet<()>,
+    running: JoinSet<String>,
 }
 
 impl OrderTask {
@@ -125,7 +125,12 @@
                     Some(Signal::Stop) | None => return,
                     Some(_) => {}
                 },
-                Some(_ended) = self.running.join_next() => due = directory.now(),
+                Some(ended) = self.running.join_next() => {
+                    if let Ok(upstream) = ended {
+                        self.claims.finish(directory.now(), &upstream);
+                    }
+                    due = directory.now();
+                }
                 () = sleep_until(directory.clock().instant(due).into()) => {
                     due = self.step(&directory).await;
                 }
@@ -287,8 +292,8 @@
     OrderPlan::Done
 }
 
-/// Orders one upstream and watches until it runs the version.
-async fn carry_out(directory: Directory<GatewayMail>, order: ClaimedOrder) {
+/// Orders one upstream and watches until it runs the version; returns its identity.
+async fn carry_out(directory: Directory<GatewayMail>, order: ClaimedOrder) -> String {
     sleep(DRAIN_WAIT).await;
     let mut link = HttpLink::new(order.target.address);
     let reply = send_order(&directory, &order, &mut link).await;
@@ -320,6 +325,7 @@
             ("loaded", &is_loaded),
         ],
     );
+    order.target.id
 }
 
 /// Sends the order unless the claim's time is up; `None` when no answer came.
