--- a/src/decide/member_choice.rs
+++ b/src/decide/member_choice.rs
@@ -29,7 +29,7 @@
 const FAILURE_US: f64 = 400_000.0;
 
 /// Cost of weights that are not the newest, in microseconds of waiting.
-const OLD_WEIGHTS_US: f64 = 150_000.0;
+const OLD_WEIGHTS_US: f64 = 40_000.0;
 
 /// Cost of a full upstream against an idle one, in microseconds of waiting.
 const OCCUPIED_US: f64 = 40_000.0;
@@ -86,8 +86,19 @@
     pub engine: Option<EngineRule>,
     /// Store of kept prompt memory.
     pub kept_store: Option<KeptStore>,
-    /// Newest version of the weights.
-    pub newest: Option<u64>,
+    /// Newest version of the weights, if the prompt's model has one.
+    pub newest: Option<NewestWeights>,
+}
+
+/// Newest version of a model's weights.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct NewestWeights {
+    /// The version.
+    pub version: u64,
+    /// Whether answers made on older ones are worth less by now.
+    pub is_preferred: bool,
+    /// Whether older ones may no longer be used.
+    pub is_required: bool,
 }
 
 /// Where a request goes.
@@ -103,6 +114,10 @@
     pub save_to: Option<SocketAddr>,
     /// Prompt tokens that it has to read.
     pub unread_tokens: u64,
+    /// Shared tokens that it is believed not to hold.
+    pub missing_tokens: u64,
+    /// Whether any upstream has read the shared parts lately.
+    pub is_known: bool,
 }
 
 /// Outcome of a choice.
@@ -126,7 +141,7 @@
             continue;
         }
         is_anywhere = true;
-        if !member.is_open(view.now) || !has_room(view, member) {
+        if !member.is_open(view.now) || !has_room(view, member) || is_outdated(view, member) {
             continue;
         }
         let (cost, choice) = price(view, question, key, member);
@@ -152,6 +167,11 @@
     }
 }
 
+fn is_outdated(view: PlaceView<'_>, member: &FleetMember) -> bool {
+    let required = view.newest.filter(|newest| newest.is_required);
+    required.is_some_and(|newest| member.version().is_some_and(|own| own < newest.version))
+}
+
 fn has_room(view: PlaceView<'_>, member: &FleetMember) -> bool {
     member.in_flight(view.now) < room(member, view.engine.is_some())
 }
@@ -176,13 +196,18 @@
         fetch_from: None,
         save_to: None,
         unread_tokens: 0,
+        missing_tokens: 0,
+        is_known: false,
     };
     let (Some(prompt), Some(engine)) = (question.prompt, view.engine) else {
         cost += preference(question.draw, member.id_hash);
         return (cost, choice);
     };
     let version = member.version().unwrap_or(0);
-    if view.newest.is_some_and(|newest| version < newest) {
+    if view
+        .newest
+        .is_some_and(|newest| newest.is_preferred && version < newest.version)
+    {
         cost += OLD_WEIGHTS_US;
     }
     let domain = CacheDomain::of(prompt.model, version, question.wall);
@@ -223,6 +248,8 @@
     cost += preference(home, member.id_hash);
     choice.domain = Some(domain);
     choice.unread_tokens = unread;
+    choice.missing_tokens = missing;
+    choice.is_known = view.parts.is_known(view.now, &chain);
     (cost, choice)
 }
 
--- a/src/decide/rollout.rs
+++ b/src/decide/rollout.rs
@@ -27,7 +27,7 @@
 const UPSTREAMS_PER_ORDER: usize = 3;
 
 /// Time after which a load that was claimed is no longer counted.
-const LOAD_LIMIT: Duration = Duration::from_millis(2_500);
+const LOAD_LIMIT: Duration = Duration::from_millis(4_000);
 
 /// A claim on orders to one upstream, as read from the log.
 #[derive(Debug, Clone, PartialEq, Eq)]
--- a/src/events.rs
+++ b/src/events.rs
@@ -214,6 +214,14 @@
     "A stream broke and cannot go on; the caller's connection is closed before its end.",
 );
 
+/// A request was given an upstream.
+pub const REQUEST_PLACED: EventKind = event(
+    308,
+    Level::Debug,
+    "request_placed",
+    "A request was given an upstream, with the prompt tokens that it lacks and their source.",
+);
+
 /// The engine answers.
 pub const ENGINE_UP: EventKind = event(
     401,
@@ -287,7 +295,7 @@
 );
 
 /// All kinds of events in the order of their numbers.
-pub const CATALOGUE: [EventKind; 32] = [
+pub const CATALOGUE: [EventKind; 33] = [
     PROCESS_STARTED,
     LISTENING,
     STOP_BEGUN,
@@ -311,6 +319,7 @@
     REQUEST_RETRIED,
     STREAM_RESUMED,
     STREAM_BROKEN,
+    REQUEST_PLACED,
     ENGINE_UP,
     ENGINE_DOWN,
     ENGINE_RESTARTED,
--- a/src/gateway/dispatch/place.rs
+++ b/src/gateway/dispatch/place.rs
@@ -7,7 +7,7 @@
 use crate::decide::hashing::name_hash;
 use crate::decide::ids::{EngineEpoch, Incarnation, Rank, Ticket};
 use crate::decide::member_choice::{
-    MemberChoice, PlaceQuestion, PlaceStep, PlaceView, choose, room,
+    MemberChoice, NewestWeights, PlaceQuestion, PlaceStep, PlaceView, choose, room,
 };
 use crate::decide::prompt_parts::{CacheDomain, chains};
 use crate::decide::queue::{
@@ -17,6 +17,7 @@
 use crate::decide::retry_budget::{RetryBudget, RetryPolicy, RetryStep};
 use crate::decide::route_table::ServiceId;
 use crate::decide::suspects::{CrashId, SuspectVerdict};
+use crate::events::{REQUEST_PLACED, log_event};
 use crate::gateway::mail::{PlaceAsk, PlaceEnd, PlaceRefusal, PlaceReply, PlacedAt};
 use crate::kernel::{Moment, ReplyTo};
 use crate::wire::peer_rpc::WirePart;
@@ -45,6 +46,9 @@
 /// Time for which parts are told to other instances; covers several exchanges.
 const PART_NEWS: Duration = Duration::from_millis(900);
 
+/// Time after new weights are named from which answers made on older ones are worth less.
+const PREFERRED_AFTER: Duration = Duration::from_millis(1_300);
+
 /// Shared tokens from which other instances are told of a prompt's parts.
 const MIN_TOLD_TOKENS: u64 = 512;
 
@@ -141,7 +145,11 @@
             parts: &self.parts,
             engine: service.and_then(|service| service.engine),
             kept_store: routes.and_then(|routes| routes.kept_store),
-            newest: newest.map(|named| named.version),
+            newest: newest.map(|named| NewestWeights {
+                version: named.version,
+                is_preferred: now.since(named.learned) >= PREFERRED_AFTER,
+                is_required: named.required.is_due(now),
+            }),
         };
         let question = PlaceQuestion {
             service: ask.service,
@@ -275,6 +283,19 @@
         ask: &PlaceAsk,
         choice: MemberChoice,
     ) -> PlacedAt {
+        log_event(
+            &REQUEST_PLACED,
+            &[
+                ("request", &ask.request_id),
+                ("member", &format_args!("{:?}", choice.member)),
+                ("missing", &choice.missing_tokens),
+                ("unread", &choice.unread_tokens),
+                ("known", &choice.is_known),
+                ("fetch", &format_args!("{:?}", choice.fetch_from)),
+                ("save", &choice.save_to.is_some()),
+                ("retry", &ask.is_retry),
+            ],
+        );
         let needed = ask
             .prompt
             .as_ref()
--- a/src/gateway/dispatch/records.rs
+++ b/src/gateway/dispatch/records.rs
@@ -15,7 +15,7 @@
 use crate::gateway::mail::{GatewayMail, TopicRecords};
 use crate::kernel::{Moment, Turn};
 use crate::platform::config_document::{
-    CONFIGURATION_KEY, WEIGHTS_PREFIX, decode_configuration, decode_weights,
+    CONFIGURATION_KEY, NamedWeights, WEIGHTS_PREFIX, decode_configuration, decode_weights,
 };
 use crate::platform::upstream_entry::decode_entry;
 use crate::wire::peer_rpc::WireTopic;
@@ -23,6 +23,9 @@
 /// Time after the store's return in which entries that lapsed meanwhile may come back.
 const RETURN_WAIT: Duration = Duration::from_millis(2_100);
 
+/// Time that a request may wait at an upstream before it begins, taken off the limit for weights.
+const START_MARGIN: Duration = Duration::from_millis(1_500);
+
 /// Failure of the store from which on removals may be lapses.
 const LAPSE_OUTAGE: Duration = Duration::from_millis(1_000);
 
@@ -91,14 +94,7 @@
             }
         } else if record.key.starts_with(WEIGHTS_PREFIX) {
             match decode_weights(value) {
-                Ok(named) => {
-                    let version = NamedVersion {
-                        name: named.model,
-                        version: named.version,
-                        learned: turn.now,
-                    };
-                    self.name_weights(turn, version);
-                }
+                Ok(named) => self.name_weights(turn, named),
                 Err(error) => skip(record, &error.to_string()),
             }
         }
@@ -121,17 +117,30 @@
         self.routes = Some(routes);
     }
 
-    fn name_weights(&mut self, turn: &mut Turn<'_, GatewayMail>, named: NamedVersion) {
-        let model = name_hash(&named.name);
+    fn name_weights(&mut self, turn: &mut Turn<'_, GatewayMail>, named: NamedWeights) {
+        let model = name_hash(&named.model);
         let known = self.versions.get(&model).map_or(0, |known| known.version);
         if named.version <= known {
             return;
         }
+        // What was written before this instance started may have been named any time before.
+        let is_old = self.operator.next == LogOffset::default();
+        let allowed = if is_old {
+            self.identity.settling_time
+        } else {
+            self.identity.weights_limit.saturating_sub(START_MARGIN)
+        };
         log_event(
             &WEIGHTS_NAMED,
-            &[("model", &named.name), ("version", &named.version)],
+            &[("model", &named.model), ("version", &named.version)],
         );
-        self.versions.insert(model, named);
+        let version = NamedVersion {
+            name: named.model,
+            version: named.version,
+            learned: turn.now,
+            required: turn.now.after(allowed),
+        };
+        self.versions.insert(model, version);
         turn.send("orders", GatewayMail::OrdersDue);
     }
 
@@ -259,6 +268,8 @@
             return;
         }
         weights.version = version;
+        // Whoever loaded them has ended the hold.
+        member.held_until = now;
         self.parts.forget_member(key);
         self.remember_weights(now, key);
     }
--- a/src/gateway/dispatch/state.rs
+++ b/src/gateway/dispatch/state.rs
@@ -28,6 +28,8 @@
     pub version: u64,
     /// When this instance learned of it.
     pub learned: Moment,
+    /// Moment from which no request is sent to older weights.
+    pub required: Moment,
 }
 
 /// A request that waits for an upstream.
--- a/src/gateway/identity.rs
+++ b/src/gateway/identity.rs
@@ -18,6 +18,10 @@
     pub place: PlaceId,
     /// Address for other instances.
     pub peer_address: SocketAddr,
+    /// Time after new weights are named within which all requests must begin on them.
+    pub weights_limit: Duration,
+    /// Time without disturbance after which an instance is held to the time limits.
+    pub settling_time: Duration,
     /// Time for which two holders must not take turns at one upstream.
     pub holder_turn: Duration,
 }
@@ -29,6 +33,8 @@
             id: name_hash(&settings.name),
             place: PlaceId::of(&settings.data_centre),
             peer_address: settings.peer_address,
+            weights_limit: settings.weights_limit,
+            settling_time: settings.settling_time,
             holder_turn: settings.holder_turn,
         }
     }
--- a/src/gateway/orders.rs
+++ b/src/gateway/orders.rs
@@ -28,9 +28,9 @@
 /// Time for which an upstream is not sent work before it is ordered, so that what runs ends.
 const DRAIN_WAIT: Duration = Duration::from_millis(250);
 
-/// Time for which an upstream is held while its order is carried out; a load takes about 0.6 s
-/// after the running requests have ended.
-const HOLD_TIME: Duration = Duration::from_millis(2_500);
+/// Longest time for which an upstream is held for an order; a load takes about 0.6 s after the
+/// running requests have ended.
+const HOLD_TIME: Duration = Duration::from_millis(4_000);
 
 /// Time between two looks at an upstream that carries out an order.
 const REPORT_PAUSE: Duration = Duration::from_millis(200);
--- a/src/platform/settings_file.rs
+++ b/src/platform/settings_file.rs
@@ -54,6 +54,12 @@
     pub stop_grace: Duration,
     /// Time for which two holders must not take turns at one upstream (`bounds.lease-ms`).
     pub holder_turn: Duration,
+    /// Time after new weights are named within which all requests must begin on them
+    /// (`bounds.version-ms`).
+    pub weights_limit: Duration,
+    /// Time without disturbance after which an instance is held to the time limits
+    /// (`bounds.stable-window-ms`).
+    pub settling_time: Duration,
     /// Retries allowed for each fresh request of a service (`bounds.retry-budget-ratio`).
     pub retry_ratio: f64,
     /// Retries allowed beyond the ratio, for the whole fleet (`bounds.budget-extra-retries`).
@@ -138,6 +144,8 @@
             seed_peers,
             stop_grace: table.duration("bounds.grace-s", 1.0)?,
             holder_turn: table.duration("bounds.lease-ms", 0.001)?,
+            weights_limit: table.duration("bounds.version-ms", 0.001)?,
+            settling_time: table.duration("bounds.stable-window-ms", 0.001)?,
             retry_ratio: table.parsed("bounds.retry-budget-ratio")?,
             extra_retries: table.parsed("bounds.budget-extra-retries")?,
         })
