Keep the limit of every named version, and order a quarter of the upstreams at a time

Cause: a newer version's limit replaced the older one's, so weights two versions old were used past their limit; orders were repeated on top of running ones.

--- a/src/decide/member_choice.rs
+++ b/src/decide/member_choice.rs
@@ -31,6 +31,9 @@
 /// Cost of weights that are not the newest, in microseconds of waiting.
 const OLD_WEIGHTS_US: f64 = 40_000.0;
 
+/// Cost of one answer token at an upstream that is about to reload, in microseconds of waiting.
+const LONG_RUN_TOKEN_US: f64 = 1_000.0;
+
 /// Cost of a full upstream against an idle one, in microseconds of waiting.
 const OCCUPIED_US: f64 = 40_000.0;
 
@@ -97,8 +100,8 @@
     pub version: u64,
     /// Whether answers made on older ones are worth less by now.
     pub is_preferred: bool,
-    /// Whether older ones may no longer be used.
-    pub is_required: bool,
+    /// Oldest version that may still be used.
+    pub oldest_allowed: u64,
 }
 
 /// Where a request goes.
@@ -168,8 +171,10 @@
 }
 
 fn is_outdated(view: PlaceView<'_>, member: &FleetMember) -> bool {
-    let required = view.newest.filter(|newest| newest.is_required);
-    required.is_some_and(|newest| member.version().is_some_and(|own| own < newest.version))
+    view.newest.is_some_and(|newest| {
+        let own = member.version();
+        own.is_some_and(|own| own < newest.oldest_allowed)
+    })
 }
 
 fn has_room(view: PlaceView<'_>, member: &FleetMember) -> bool {
@@ -204,11 +209,12 @@
         return (cost, choice);
     };
     let version = member.version().unwrap_or(0);
-    if view
-        .newest
-        .is_some_and(|newest| newest.is_preferred && version < newest.version)
-    {
-        cost += OLD_WEIGHTS_US;
+    if let Some(newest) = view.newest.filter(|newest| version < newest.version) {
+        // An upstream reloads only once its runs have ended, so long ones go elsewhere at once.
+        cost += tokens(prompt.answer_tokens) * LONG_RUN_TOKEN_US;
+        if newest.is_preferred {
+            cost += OLD_WEIGHTS_US;
+        }
     }
     let domain = CacheDomain::of(prompt.model, version, question.wall);
     let chain = chains(domain, prompt.shared());
--- a/src/decide/rollout.rs
+++ b/src/decide/rollout.rs
@@ -22,9 +22,12 @@
 /// Time without progress after which the instance next in rank takes over.
 const STALL_STEP: Duration = Duration::from_millis(1_200);
 
-/// One order at a time for each so many upstreams. About half of the ordered ones load; the rest
-/// finish what they run, and loads beyond a sixth of the upstreams would slow each other down.
-const UPSTREAMS_PER_ORDER: usize = 3;
+/// One order at a time for each so many upstreams. Part of the ordered ones still finish what they
+/// run; loads beyond a sixth of the upstreams would slow each other down.
+const UPSTREAMS_PER_ORDER: usize = 4;
+
+/// Pause before an upstream is ordered again whose order did not succeed.
+const FAILED_PAUSE: Duration = Duration::from_millis(400);
 
 /// Time after which a load that was claimed is no longer counted.
 const LOAD_LIMIT: Duration = Duration::from_millis(4_000);
@@ -44,7 +47,6 @@
 struct SeenClaim {
     holder: u64,
     seen: Moment,
-    version: u64,
     /// When the load counts as over.
     loading_until: Moment,
 }
@@ -97,7 +99,6 @@
         let seen = SeenClaim {
             holder: claim.holder,
             seen: now,
-            version: claim.version,
             loading_until: now.after(LOAD_LIMIT),
         };
         let claimed = claim.upstreams.iter().map(|id| (id.clone(), seen));
@@ -105,9 +106,14 @@
     }
 
     /// Notes that an order is over, with or without success.
-    pub fn finish(&mut self, now: Moment, upstream: &str) {
+    pub fn finish(&mut self, now: Moment, upstream: &str, is_loaded: bool) {
+        let pause = if is_loaded {
+            Duration::ZERO
+        } else {
+            FAILED_PAUSE
+        };
         if let Some(claim) = self.claims.get_mut(upstream) {
-            claim.loading_until = now;
+            claim.loading_until = now.after(pause);
         }
     }
 
@@ -176,13 +182,11 @@
         let Some(claim) = self.claims.get(&member.entry.id) else {
             return true;
         };
-        let pause = if claim.holder == view.own {
-            LOAD_LIMIT
-        } else {
-            CLAIM_USE + view.holder_turn + CLAIM_MARGIN
-        };
-        let is_other_version = claim.version != view.version && claim.holder == view.own;
-        is_other_version || claim.seen.after(pause).is_due(view.now)
+        if claim.holder == view.own {
+            return claim.loading_until.is_due(view.now);
+        }
+        let others_pause = CLAIM_USE + view.holder_turn + CLAIM_MARGIN;
+        claim.seen.after(others_pause).is_due(view.now)
     }
 }
 
--- a/src/gateway/dispatch/place.rs
+++ b/src/gateway/dispatch/place.rs
@@ -148,7 +148,7 @@
             newest: newest.map(|named| NewestWeights {
                 version: named.version,
                 is_preferred: now.since(named.learned) >= PREFERRED_AFTER,
-                is_required: named.required.is_due(now),
+                oldest_allowed: named.oldest_allowed(now),
             }),
         };
         let question = PlaceQuestion {
--- a/src/gateway/dispatch/records.rs
+++ b/src/gateway/dispatch/records.rs
@@ -26,6 +26,9 @@
 /// Time that a request may wait at an upstream before it begins, taken off the limit for weights.
 const START_MARGIN: Duration = Duration::from_millis(1_500);
 
+/// Versions of a model whose limits are kept; older ones have been passed by newer ones.
+const MAX_LIMITS: usize = 16;
+
 /// Failure of the store from which on removals may be lapses.
 const LAPSE_OUTAGE: Duration = Duration::from_millis(1_000);
 
@@ -119,10 +122,11 @@
 
     fn name_weights(&mut self, turn: &mut Turn<'_, GatewayMail>, named: NamedWeights) {
         let model = name_hash(&named.model);
-        let known = self.versions.get(&model).map_or(0, |known| known.version);
-        if named.version <= known {
+        let known = self.versions.get(&model);
+        if known.is_some_and(|known| named.version <= known.version) {
             return;
         }
+        let mut limits = known.map_or_else(Vec::new, |known| known.limits.clone());
         // What was written before this instance started may have been named any time before.
         let is_old = self.operator.next == LogOffset::default();
         let allowed = if is_old {
@@ -134,11 +138,14 @@
             &WEIGHTS_NAMED,
             &[("model", &named.model), ("version", &named.version)],
         );
+        limits.push((named.version, turn.now.after(allowed)));
+        let excess = limits.len().saturating_sub(MAX_LIMITS);
+        limits.drain(..excess);
         let version = NamedVersion {
             name: named.model,
             version: named.version,
             learned: turn.now,
-            required: turn.now.after(allowed),
+            limits,
         };
         self.versions.insert(model, version);
         turn.send("orders", GatewayMail::OrdersDue);
--- a/src/gateway/dispatch/state.rs
+++ b/src/gateway/dispatch/state.rs
@@ -28,8 +28,21 @@
     pub version: u64,
     /// When this instance learned of it.
     pub learned: Moment,
-    /// Moment from which no request is sent to older weights.
-    pub required: Moment,
+    /// Versions and the moments from which no request is sent to older weights, oldest first.
+    pub limits: Vec<(u64, Moment)>,
+}
+
+impl NamedVersion {
+    /// Returns the oldest version that requests may still be sent to.
+    #[must_use]
+    pub fn oldest_allowed(&self, now: Moment) -> u64 {
+        let due = self
+            .limits
+            .iter()
+            .rev()
+            .find(|(_, limit)| limit.is_due(now));
+        due.map_or(0, |(version, _)| *version)
+    }
 }
 
 /// A request that waits for an upstream.
--- a/src/gateway/orders.rs
+++ b/src/gateway/orders.rs
@@ -32,6 +32,9 @@
 /// running requests have ended.
 const HOLD_TIME: Duration = Duration::from_millis(4_000);
 
+/// Time for which an upstream stays held that carries out another order.
+const CONFLICT_PAUSE: Duration = Duration::from_millis(400);
+
 /// Time between two looks at an upstream that carries out an order.
 const REPORT_PAUSE: Duration = Duration::from_millis(200);
 
@@ -95,6 +98,13 @@
     usable_until: Moment,
 }
 
+/// How an order ended.
+#[derive(Debug)]
+struct OrderEnd {
+    upstream: String,
+    is_loaded: bool,
+}
+
 #[derive(Debug)]
 struct OrderTask {
     identity: InstanceIdentity,
@@ -103,7 +113,7 @@
     claims: ClaimTable,
     /// Whether the claims have been read since the rollout began.
     is_current: bool,
-    running: JoinSet<String>,
+    running: JoinSet<OrderEnd>,
 }
 
 impl OrderTask {
@@ -126,8 +136,9 @@
                     Some(_) => {}
                 },
                 Some(ended) = self.running.join_next() => {
-                    if let Ok(upstream) = ended {
-                        self.claims.finish(directory.now(), &upstream);
+                    if let Ok(end) = ended {
+                        let now = directory.now();
+                        self.claims.finish(now, &end.upstream, end.is_loaded);
                     }
                     due = directory.now();
                 }
@@ -292,8 +303,8 @@
     OrderPlan::Done
 }
 
-/// Orders one upstream and watches until it runs the version; returns its identity.
-async fn carry_out(directory: Directory<GatewayMail>, order: ClaimedOrder) -> String {
+/// Orders one upstream and watches until it runs the version.
+async fn carry_out(directory: Directory<GatewayMail>, order: ClaimedOrder) -> OrderEnd {
     sleep(DRAIN_WAIT).await;
     let mut link = HttpLink::new(order.target.address);
     let reply = send_order(&directory, &order, &mut link).await;
@@ -315,8 +326,13 @@
         let seen = DispatchMail::SeenWeights(order.target.member, order.version);
         dispatch::tell(&directory, seen);
     }
-    let now = directory.now();
-    dispatch::tell(&directory, DispatchMail::Hold(order.target.member, now));
+    let pause = if reply == Some(OrderReply::Conflict) {
+        CONFLICT_PAUSE
+    } else {
+        Duration::ZERO
+    };
+    let until = directory.now().after(pause);
+    dispatch::tell(&directory, DispatchMail::Hold(order.target.member, until));
     log_event(
         &ORDER_ENDED,
         &[
@@ -325,7 +341,10 @@
             ("loaded", &is_loaded),
         ],
     );
-    order.target.id
+    OrderEnd {
+        upstream: order.target.id,
+        is_loaded,
+    }
 }
 
 /// Sends the order unless the claim's time is up; `None` when no answer came.
