--- a/src/gateway/dispatch/news.rs
+++ b/src/gateway/dispatch/news.rs
@@ -10,7 +10,9 @@
 use crate::decide::suspects::{CrashId, Fingerprint};
 use crate::gateway::mail::{GatewayMail, PeerProgress};
 use crate::kernel::{Moment, Turn};
-use crate::wire::peer_rpc::{PeerNews, WireProgress, WireRecord, WireSuspicion, WireTopic};
+use crate::wire::peer_rpc::{
+    PeerNews, WireLimit, WireProgress, WireRecord, WireSuspicion, WireTopic,
+};
 
 /// Age up to which another instance counts as alive.
 const PEER_LIFETIME: Duration = Duration::from_millis(2_500);
@@ -25,7 +27,11 @@
         if news.sender == self.identity.id {
             return;
         }
-        self.peers.insert(news.sender, now);
+        if news.is_leaving {
+            self.peers.remove(&news.sender);
+        } else {
+            self.peers.insert(news.sender, now);
+        }
         self.peers
             .retain(|_, heard| now.since(*heard) < PEER_LIFETIME);
         self.take_loads(now, &news);
@@ -34,6 +40,12 @@
                 self.note_weights(now, key, *version);
             }
         }
+        for limit in &news.limits {
+            let due = now.after(Duration::from_millis(limit.left_ms));
+            if let Some(named) = self.versions.get_mut(&limit.model) {
+                named.tighten(limit.version, due);
+            }
+        }
         for part in &news.parts {
             self.take_part(now, *part);
         }
@@ -128,6 +140,7 @@
         PeerNews {
             sender: self.identity.id,
             address: Some(self.identity.peer_address),
+            is_leaving: self.is_leaving,
             peers: Vec::new(),
             operator: WireProgress {
                 next: self.operator.next.0,
@@ -143,12 +156,25 @@
                 .collect(),
             holds: holds.collect(),
             weights: weights.collect(),
+            limits: self.limits(now),
             parts: self.recent_parts.iter().map(|(_, part)| *part).collect(),
             suspicions: self.suspicions(now),
             records,
         }
     }
 
+    fn limits(&self, now: Moment) -> Vec<WireLimit> {
+        let named = self.versions.iter();
+        let limits = named.flat_map(|(model, named)| {
+            named.limits.iter().map(|(version, due)| WireLimit {
+                model: *model,
+                version: *version,
+                left_ms: u64::try_from(due.remaining(now).as_millis()).unwrap_or(u64::MAX),
+            })
+        });
+        limits.collect()
+    }
+
     fn suspicions(&self, now: Moment) -> Vec<WireSuspicion> {
         let entries = self.suspects.iter(now);
         let told = entries.flat_map(|entry| {
--- a/src/gateway/dispatch/records.rs
+++ b/src/gateway/dispatch/records.rs
@@ -132,12 +132,13 @@
         let allowed = if is_old {
             self.identity.settling_time
         } else {
-            self.identity.weights_limit.saturating_sub(START_MARGIN)
+            self.identity.weights_limit
         };
         log_event(
             &WEIGHTS_NAMED,
             &[("model", &named.model), ("version", &named.version)],
         );
+        let allowed = allowed.saturating_sub(START_MARGIN);
         limits.push((named.version, turn.now.after(allowed)));
         let excess = limits.len().saturating_sub(MAX_LIMITS);
         limits.drain(..excess);
--- a/src/gateway/dispatch/state.rs
+++ b/src/gateway/dispatch/state.rs
@@ -43,6 +43,17 @@
             .find(|(_, limit)| limit.is_due(now));
         due.map_or(0, |(version, _)| *version)
     }
+
+    /// Brings a version's limit forward to what another instance knows.
+    pub fn tighten(&mut self, version: u64, due: Moment) {
+        let known = self
+            .limits
+            .iter_mut()
+            .find(|(listed, _)| *listed == version);
+        if let Some((_, limit)) = known {
+            *limit = (*limit).min(due);
+        }
+    }
 }
 
 /// A request that waits for an upstream.
@@ -127,7 +138,8 @@
     pub(super) recent_parts: VecDeque<(Moment, WirePart)>,
     pub(super) recent_weights: VecDeque<(Moment, MemberKey)>,
     pub(super) next_sweep: Moment,
-    pub(super) is_leaving: bool,
+    /// Whether the process has been told to stop.
+    pub is_leaving: bool,
     incarnation: crate::decide::ids::Incarnation,
     sequence: u64,
     random: u64,
--- a/src/gateway/orders.rs
+++ b/src/gateway/orders.rs
@@ -267,6 +267,10 @@
 
 /// Decides on a rollout with the state of `dispatch`.
 fn plan_with(claims: &ClaimTable, now: Moment, state: &DispatchState) -> OrderPlan {
+    // An instance that ends soon would leave its claims behind.
+    if state.is_leaving {
+        return OrderPlan::Done;
+    }
     for (model, named) in &state.versions {
         let own = state.identity.id;
         let before = state.peers.keys().filter(|peer| **peer < own).count();
--- a/src/gateway/start.rs
+++ b/src/gateway/start.rs
@@ -78,9 +78,9 @@
     let seeds = instance.seed_peers.clone();
     kernel.add_task(peers_task(peers, instance.peer_address, seeds));
     kernel.add_task(settings_task(settings.path, instance.clone())?);
-    kernel.add_task(callers_task(callers, limits));
-    // These stop first: a leaving instance gives no orders and is not ready.
     kernel.add_task(orders_task(identity, instance.store_address));
+    kernel.add_task(callers_task(callers, limits));
+    // Stops first: a leaving instance is not ready and claims no more orders.
     kernel.add_task(readiness_task(ready));
     process::run_until_signal(kernel, clock, whole_ms(leave + drain)).await
 }
--- a/src/wire/peer_rpc.rs
+++ b/src/wire/peer_rpc.rs
@@ -59,6 +59,17 @@
     pub born: u64,
 }
 
+/// A version of weights and the time after which older ones may not be used.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct WireLimit {
+    /// Hash of the model's name.
+    pub model: u64,
+    /// The version.
+    pub version: u64,
+    /// Milliseconds that are left; 0 once older ones may not be used.
+    pub left_ms: u64,
+}
+
 /// What one instance tells another; all of it is state, so that a lost or doubled exchange does
 /// no harm.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
@@ -67,6 +78,8 @@
     pub sender: u64,
     /// Address at which the sender serves exchanges.
     pub address: Option<SocketAddr>,
+    /// Whether the sender has been told to stop and gives no more orders.
+    pub is_leaving: bool,
     /// Other instances that the sender has heard of lately.
     pub peers: Vec<SocketAddr>,
     /// How far the sender has read what operators write.
@@ -79,6 +92,8 @@
     pub holds: Vec<(u64, u32)>,
     /// Upstream and version of weights that it was seen to run.
     pub weights: Vec<(u64, u64)>,
+    /// Limits on the use of older weights.
+    pub limits: Vec<WireLimit>,
     /// Parts that were sent lately.
     pub parts: Vec<WirePart>,
     /// Suspicions in force.
