Read a shared part once, and bound what an upstream is sent by memory and backlog

Cause: fetches named upstreams that were still reading the part, so it was read again there; and requests beyond an engine's memory waited in its queue where nothing could be decided any more. Ruled out: in-flight count alone as bound (64 slots hold nine reviews in memory).

--- a/src/decide/fleet.rs
+++ b/src/decide/fleet.rs
@@ -117,7 +117,7 @@
     /// Tokens that it has read for all instances, as far as known.
     pub read_mark: u64,
     down_pause: Duration,
-    peer_loads: HashMap<u64, (u32, Moment)>,
+    peer_loads: HashMap<u64, (MemberLoad, Moment)>,
 }
 
 /// What an entry changed.
@@ -282,22 +282,26 @@
         self.entry.weights.map(|weights| weights.version)
     }
 
-    /// Returns the requests of all instances that run there, as far as known.
+    /// Returns the work of all instances there, as far as known.
     #[must_use]
-    pub fn in_flight(&self, now: Moment) -> u32 {
+    pub fn load(&self, now: Moment) -> MemberLoad {
         let live = self
             .peer_loads
             .values()
             .filter(|(_, heard)| now.since(*heard) < PEER_LOAD_LIFETIME);
-        self.own.in_flight + live.map(|(count, _)| count).sum::<u32>()
+        live.fold(self.own, |sum, (load, _)| MemberLoad {
+            in_flight: sum.in_flight + load.in_flight,
+            unread_tokens: sum.unread_tokens + load.unread_tokens,
+            memory_tokens: sum.memory_tokens + load.memory_tokens,
+        })
     }
 
-    /// Takes in how many requests another instance has there.
-    pub fn note_peer_load(&mut self, now: Moment, peer: u64, in_flight: u32) {
-        if in_flight == 0 {
+    /// Takes in the work that another instance has there.
+    pub fn note_peer_load(&mut self, now: Moment, peer: u64, load: MemberLoad) {
+        if load == MemberLoad::default() {
             self.peer_loads.remove(&peer);
         } else {
-            self.peer_loads.insert(peer, (in_flight, now));
+            self.peer_loads.insert(peer, (load, now));
         }
     }
 
--- a/src/decide/member_choice.rs
+++ b/src/decide/member_choice.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddr;
 
-use super::fleet::{Fleet, FleetMember, MemberKey};
+use super::fleet::{Fleet, FleetMember, MemberKey, MemberLoad};
 use super::prompt_parts::{CacheDomain, HolderView, PartIndex, PromptShape, chains};
 use super::route_table::{EngineRule, KeptStore, PlaceId, ServiceId};
 use crate::kernel::Moment;
@@ -37,8 +37,18 @@
 /// Cost of a full upstream against an idle one, in microseconds of waiting.
 const OCCUPIED_US: f64 = 40_000.0;
 
-/// Cost of prompt memory that does not fit beside what runs, in microseconds of waiting.
-const CROWDED_US: f64 = 500_000.0;
+/// Share of an engine's memory that running requests may take, in percent; beyond it engines
+/// preempt.
+const USABLE_MEMORY_PERCENT: u64 = 92;
+
+/// Tokens from which a prompt counts as long.
+const LONG_PROMPT_TOKENS: u64 = 1_024;
+
+/// Unread tokens of an upstream beyond which it gets no further long prompt; about 0.4 s.
+const LONG_BACKLOG_TOKENS: u64 = 20_000;
+
+/// Unread tokens beyond which it gets no further prompt at all; about 0.8 s.
+const SHORT_BACKLOG_TOKENS: u64 = 40_000;
 
 /// Largest difference that the order of preference makes, in microseconds of waiting; it sends
 /// equal prompts to equal upstreams while nothing else tells them apart.
@@ -70,6 +80,8 @@
     pub body_bytes: usize,
     /// Upstreams that it must not go to.
     pub excluded: &'a [MemberKey],
+    /// Until when it may wait for a reading of its shared parts that is under way.
+    pub patience: Moment,
     /// Number that spreads requests without prompts over equal upstreams.
     pub draw: u64,
 }
@@ -117,6 +129,12 @@
     pub save_to: Option<SocketAddr>,
     /// Prompt tokens that it has to read.
     pub unread_tokens: u64,
+    /// Tokens that it needs in memory beyond what is there.
+    pub memory_tokens: u64,
+    /// Chains of its shared parts with their tokens.
+    pub chain: Vec<(u64, u64)>,
+    /// Until when to wait for a reading of its shared parts that is under way.
+    pub awaits: Option<Moment>,
     /// Shared tokens that it is believed not to hold.
     pub missing_tokens: u64,
     /// Whether any upstream has read the shared parts lately.
@@ -128,6 +146,8 @@
 pub enum PlaceStep {
     /// Send it there.
     Send(MemberChoice),
+    /// Ask again at the moment at the latest: its shared parts are being read elsewhere.
+    Await(Moment),
     /// All upstreams that could run it are full or paused.
     Full,
     /// There is no upstream that could run it.
@@ -147,13 +167,18 @@
         if !member.is_open(view.now) || !has_room(view, member) || is_outdated(view, member) {
             continue;
         }
-        let (cost, choice) = price(view, question, key, member);
+        let Some((cost, choice)) = price(view, question, key, member) else {
+            continue;
+        };
         if best.as_ref().is_none_or(|(lowest, _)| cost < *lowest) {
             best = Some((cost, choice));
         }
     }
     match best {
-        Some((_, choice)) => PlaceStep::Send(choice),
+        Some((_, choice)) => match choice.awaits {
+            Some(until) if !question.patience.is_due(view.now) => PlaceStep::Await(until),
+            _ => PlaceStep::Send(choice),
+        },
         None if is_anywhere => PlaceStep::Full,
         None => PlaceStep::Nowhere,
     }
@@ -178,7 +203,7 @@
 }
 
 fn has_room(view: PlaceView<'_>, member: &FleetMember) -> bool {
-    member.in_flight(view.now) < room(member, view.engine.is_some())
+    member.load(view.now).in_flight < room(member, view.engine.is_some())
 }
 
 fn price(
@@ -186,14 +211,15 @@
     question: PlaceQuestion<'_>,
     key: MemberKey,
     member: &FleetMember,
-) -> (f64, MemberChoice) {
+) -> Option<(f64, MemberChoice)> {
+    let load = member.load(view.now);
     let is_far = member.entry.place != view.place;
     let kilobytes = question.body_bytes as f64 / 1_000.0;
     let mut cost = member.failure_share * FAILURE_US;
     if is_far {
         cost += FAR_REQUEST_US + kilobytes * FAR_KILOBYTE_US;
     }
-    let occupied = f64::from(member.in_flight(view.now)) / f64::from(member.entry.slots.max(1));
+    let occupied = f64::from(load.in_flight) / f64::from(member.entry.slots.max(1));
     cost += occupied * occupied * OCCUPIED_US;
     let mut choice = MemberChoice {
         member: key,
@@ -201,12 +227,15 @@
         fetch_from: None,
         save_to: None,
         unread_tokens: 0,
+        memory_tokens: 0,
+        chain: Vec::new(),
+        awaits: None,
         missing_tokens: 0,
         is_known: false,
     };
     let (Some(prompt), Some(engine)) = (question.prompt, view.engine) else {
         cost += preference(question.draw, member.id_hash);
-        return (cost, choice);
+        return Some((cost, choice));
     };
     let version = member.version().unwrap_or(0);
     if let Some(newest) = view.newest.filter(|newest| version < newest.version) {
@@ -244,19 +273,41 @@
     if shared >= MIN_MOVED_TOKENS && !view.parts.is_kept(view.now, &chain) {
         choice.save_to = view.kept_store.map(|store| store.address);
     }
-    cost += tokens(member.own.unread_tokens) * TOKEN_READ_US;
-    let need = prompt.prompt_tokens + prompt.answer_tokens;
-    let crowded = member.own.memory_tokens + need > engine.memory_tokens * 9 / 10;
-    if crowded {
-        cost += CROWDED_US;
+    let held = shared - missing;
+    let needed = (prompt.prompt_tokens + prompt.answer_tokens).saturating_sub(held);
+    if !has_memory(load, engine, needed) || is_backlogged(load, unread) {
+        return None;
+    }
+    if missing >= MIN_MOVED_TOKENS && choice.fetch_from.is_none() {
+        choice.awaits = view.parts.pending(view.now, &chain);
     }
+    cost += tokens(load.unread_tokens) * TOKEN_READ_US;
     let home = chain.last().map_or(question.draw, |(chain, _)| *chain);
     cost += preference(home, member.id_hash);
     choice.domain = Some(domain);
     choice.unread_tokens = unread;
+    choice.memory_tokens = needed;
     choice.missing_tokens = missing;
     choice.is_known = view.parts.is_known(view.now, &chain);
-    (cost, choice)
+    choice.chain = chain;
+    Some((cost, choice))
+}
+
+/// Tells whether tokens fit beside what runs; an idle upstream takes any request.
+const fn has_memory(load: MemberLoad, engine: EngineRule, needed: u64) -> bool {
+    let usable = engine.memory_tokens * USABLE_MEMORY_PERCENT / 100;
+    load.in_flight == 0 || load.memory_tokens + needed <= usable
+}
+
+/// Tells whether an upstream still has so much to read that the request is better kept here, where
+/// it can go to whoever is free first.
+const fn is_backlogged(load: MemberLoad, unread: u64) -> bool {
+    let limit = if unread >= LONG_PROMPT_TOKENS {
+        LONG_BACKLOG_TOKENS
+    } else {
+        SHORT_BACKLOG_TOKENS
+    };
+    load.unread_tokens > limit
 }
 
 /// Returns the time and address of the cheapest transfer of the missing tokens.
--- a/src/decide/prompt_parts.rs
+++ b/src/decide/prompt_parts.rs
@@ -16,6 +16,10 @@
 /// Time for which a part is believed to be in the kept store after it was saved there.
 const KEPT_LIFETIME: Duration = Duration::from_secs(60);
 
+/// Time for which other requests wait for the first reading of a part; a long one takes about
+/// half of it.
+const READING_WAIT: Duration = Duration::from_millis(900);
+
 /// Share of an engine's memory, in percent, that is believed to survive as least recently used;
 /// running requests take the rest.
 const USABLE_MEMORY_PERCENT: u64 = 75;
@@ -97,6 +101,8 @@
 struct PartRecord {
     copies: Vec<PartCopy>,
     kept_until: Moment,
+    /// Until when a first reading that is under way is waited for.
+    pending_until: Moment,
     used: Moment,
 }
 
@@ -172,7 +178,37 @@
         last.is_some_and(|record| now.since(record.used) < PART_LIFETIME)
     }
 
-    /// Notes that an upstream reads or uses the parts.
+    /// Returns until when to wait for a first reading of the chain that is under way.
+    #[must_use]
+    pub fn pending(&self, now: Moment, chains: &[(u64, u64)]) -> Option<Moment> {
+        let (chain, _) = chains.last()?;
+        let record = self.records.get(chain)?;
+        let is_available = !record.copies.is_empty() || record.kept_until > now;
+        let is_pending = !is_available && record.pending_until > now;
+        is_pending.then_some(record.pending_until)
+    }
+
+    /// Notes that the parts are being read and cannot be fetched yet.
+    pub fn note_reading(&mut self, now: Moment, chains: &[(u64, u64)]) {
+        for (chain, _) in chains {
+            let record = self.records.entry(*chain).or_default();
+            record.used = now;
+            if record.pending_until <= now {
+                record.pending_until = now.after(READING_WAIT);
+            }
+        }
+    }
+
+    /// Notes that a reading was given up, so that another request reads the parts.
+    pub fn note_given_up(&mut self, chains: &[(u64, u64)]) {
+        for (chain, _) in chains {
+            if let Some(record) = self.records.get_mut(chain) {
+                record.pending_until = Moment::START;
+            }
+        }
+    }
+
+    /// Notes that an upstream holds the parts.
     pub fn note_used(&mut self, now: Moment, chains: &[(u64, u64)], member: MemberKey, mark: u64) {
         if self.records.len() >= MAX_PARTS {
             self.forget_unused(now);
@@ -180,6 +216,7 @@
         for (chain, _) in chains {
             let record = self.records.entry(*chain).or_default();
             record.used = now;
+            record.pending_until = Moment::START;
             record
                 .copies
                 .retain(|copy| copy.member != member && now.since(copy.used) < PART_LIFETIME);
--- a/src/decide/queue/mod.rs
+++ b/src/decide/queue/mod.rs
@@ -86,6 +86,13 @@
         self.ranks[rank.index()].waiting
     }
 
+    /// Returns the request of a rank that is served next.
+    #[must_use]
+    pub fn head(&self, rank: Rank) -> Option<Ticket> {
+        let key = self.ranks[rank.index()].head()?;
+        self.items.get(key).map(|waiting| waiting.item.ticket)
+    }
+
     /// Takes a request in, unless it would wait longer than `wait_limit_us` or past its deadline.
     ///
     /// A ticket that already waits or runs stays as it is.
--- a/src/gateway/dispatch/mod.rs
+++ b/src/gateway/dispatch/mod.rs
@@ -58,8 +58,9 @@
         state.sweep_links(turn.now);
         state.settle_removals(turn);
     }
+    let parked_due = state.pump_parked(turn.now);
     let queue_due = state.pump_queues(turn.now);
-    NextStep::WaitUntil(state.next_sweep.min(queue_due))
+    NextStep::WaitUntil(state.next_sweep.min(queue_due).min(parked_due))
 }
 
 fn take(state: &mut DispatchState, turn: &mut Turn<'_, GatewayMail>, mail: DispatchMail) {
@@ -76,7 +77,7 @@
             reply_to.send(state.routes.as_ref().map(|routes| routes.find(question)));
         }
         DispatchMail::Place(ask, reply_to) => state.place(now, *ask, reply_to),
-        DispatchMail::Producing(ticket) => state.note_producing(ticket),
+        DispatchMail::Producing(ticket) => state.note_producing(now, ticket),
         DispatchMail::Released(end) => state.release(now, *end),
         DispatchMail::SeenWeights(member, version) => state.note_weights(now, member, version),
         DispatchMail::Hold(member, until) => state.hold(member, until),
--- a/src/gateway/dispatch/news.rs
+++ b/src/gateway/dispatch/news.rs
@@ -5,13 +5,14 @@
 use bytes::Bytes;
 
 use super::state::DispatchState;
+use crate::decide::fleet::MemberLoad;
 use crate::decide::ids::{EngineEpoch, Incarnation, LogOffset};
 use crate::decide::keyed_view::KeyedRecord;
 use crate::decide::suspects::{CrashId, Fingerprint};
 use crate::gateway::mail::{GatewayMail, PeerProgress};
 use crate::kernel::{Moment, Turn};
 use crate::wire::peer_rpc::{
-    PeerNews, WireLimit, WireProgress, WireRecord, WireSuspicion, WireTopic,
+    PeerNews, WireLimit, WireLoad, WireProgress, WireRecord, WireSuspicion, WireTopic,
 };
 
 /// Age up to which another instance counts as alive.
@@ -66,15 +67,17 @@
             let Some(member) = self.fleet.get_mut(key) else {
                 continue;
             };
-            let told = |list: &[(u64, u32)]| {
-                let found = list
-                    .iter()
-                    .find(|(upstream, _)| *upstream == member.id_hash);
-                found.map_or(0, |(_, amount)| *amount)
-            };
-            let in_flight = told(&news.loads);
-            let hold_ms = told(&news.holds);
-            member.note_peer_load(now, news.sender, in_flight);
+            let load = news
+                .loads
+                .iter()
+                .find(|load| load.upstream == member.id_hash);
+            let load = load.map_or_else(MemberLoad::default, MemberLoad::from);
+            member.note_peer_load(now, news.sender, load);
+            let hold = news
+                .holds
+                .iter()
+                .find(|(upstream, _)| *upstream == member.id_hash);
+            let hold_ms = hold.map_or(0, |(_, left_ms)| *left_ms);
             if hold_ms > 0 {
                 let until = now.after(Duration::from_millis(hold_ms.into()));
                 member.held_until = member.held_until.max(until);
@@ -94,6 +97,10 @@
         if is_new {
             member.read_mark += part.read_tokens;
         }
+        if !part.is_read {
+            self.parts.note_reading(now, &chain);
+            return;
+        }
         let mark = member.read_mark;
         self.parts.note_used(now, &chain, key, mark);
         if part.is_kept {
@@ -152,7 +159,12 @@
                     && now.since(self.upstream_health.answered) < FRESH_READING,
             },
             loads: busy
-                .map(|member| (member.id_hash, member.own.in_flight))
+                .map(|member| WireLoad {
+                    upstream: member.id_hash,
+                    in_flight: member.own.in_flight,
+                    unread_tokens: member.own.unread_tokens,
+                    memory_tokens: member.own.memory_tokens,
+                })
                 .collect(),
             holds: holds.collect(),
             weights: weights.collect(),
--- a/src/gateway/dispatch/place.rs
+++ b/src/gateway/dispatch/place.rs
@@ -9,7 +9,7 @@
 use crate::decide::member_choice::{
     MemberChoice, NewestWeights, PlaceQuestion, PlaceStep, PlaceView, choose, room,
 };
-use crate::decide::prompt_parts::{CacheDomain, chains};
+use crate::decide::prompt_parts::CacheDomain;
 use crate::decide::queue::{
     CustomerId, CustomerShare, FairQueue, OfferOutcome, QueueDiscipline, QueueItem, QueuePolicy,
     QueueStep, RunningSlots,
@@ -46,6 +46,12 @@
 /// Time for which parts are told to other instances; covers several exchanges.
 const PART_NEWS: Duration = Duration::from_millis(900);
 
+/// Time between two looks at a queue whose upstreams may open without mail.
+const QUEUE_LOOK: Duration = Duration::from_millis(20);
+
+/// Time between two looks at requests that wait for a reading.
+const PARKED_LOOK: Duration = Duration::from_millis(50);
+
 /// Time after new weights are named from which answers made on older ones are worth less.
 const PREFERRED_AFTER: Duration = Duration::from_millis(1_300);
 
@@ -70,6 +76,11 @@
             reply_to.send(PlaceReply::Refused(refusal));
             return;
         }
+        self.place_charged(now, ask, reply_to);
+    }
+
+    /// Places a request whose sends have been counted.
+    fn place_charged(&mut self, now: Moment, ask: PlaceAsk, reply_to: ReplyTo<PlaceReply>) {
         let rank = ask.rank;
         let is_first = self
             .queues
@@ -92,10 +103,26 @@
             PlaceStep::Nowhere => {
                 reply_to.send(PlaceReply::Refused(PlaceRefusal::NoUpstream));
             }
+            PlaceStep::Await(_) => self.parked.push(WaitingPlace { ask, reply_to }),
             PlaceStep::Full => self.enqueue(now, ask, reply_to),
         }
     }
 
+    /// Looks again at requests that wait for a reading of their shared parts; returns when to
+    /// look again at the latest.
+    pub(super) fn pump_parked(&mut self, now: Moment) -> Moment {
+        if self.parked.is_empty() {
+            return Moment::NEVER;
+        }
+        for WaitingPlace { ask, reply_to } in std::mem::take(&mut self.parked) {
+            self.place_charged(now, ask, reply_to);
+        }
+        if self.parked.is_empty() {
+            return Moment::NEVER;
+        }
+        now.after(PARKED_LOOK)
+    }
+
     /// Charges a retry to the service's budget, or counts a fresh request.
     fn charge(&mut self, ask: &PlaceAsk) -> Option<PlaceRefusal> {
         let policy = self.retry_policy();
@@ -157,6 +184,7 @@
             wall: wall(ask),
             body_bytes: ask.body_bytes,
             excluded: &ask.excluded,
+            patience: ask.start_by,
             draw: ask.fingerprint.0,
         };
         choose(view, question)
@@ -213,7 +241,14 @@
 
     fn pump(&mut self, now: Moment, service: ServiceId) -> Moment {
         loop {
-            let slots = self.slots(now, service);
+            let mut slots = self.slots(now, service);
+            if !self.head_fits(now, service, Rank::Urgent) {
+                slots.openings = 0;
+            } else if !self.head_fits(now, service, Rank::Routine) {
+                // Only urgent requests may start now.
+                slots.running[Rank::Routine.index()] = slots.slots;
+                slots.slots *= 2;
+            }
             let Some(queue) = self.queues.get_mut(&service) else {
                 return Moment::NEVER;
             };
@@ -227,11 +262,20 @@
                 }
                 QueueStep::Wait => return Moment::NEVER,
                 // A pause of an upstream ends without mail, so the queue looks again soon.
-                QueueStep::WaitUntil(due) => return due.min(now.after(Duration::from_millis(20))),
+                QueueStep::WaitUntil(due) => return due.min(now.after(QUEUE_LOOK)),
             }
         }
     }
 
+    /// Tells whether the next request of a rank has an upstream now, or none waits.
+    fn head_fits(&self, now: Moment, service: ServiceId, rank: Rank) -> bool {
+        let head = self.queues.get(&service).and_then(|queue| queue.head(rank));
+        let Some(waiting) = head.and_then(|ticket| self.waiting.get(&ticket)) else {
+            return true;
+        };
+        !matches!(self.choose_for(now, &waiting.ask), PlaceStep::Full)
+    }
+
     fn start_waiting(&mut self, now: Moment, ticket: Ticket) {
         let Some(WaitingPlace { ask, reply_to }) = self.waiting.remove(&ticket) else {
             return;
@@ -241,6 +285,12 @@
                 let at = self.start(now, ticket, &ask, choice);
                 reply_to.send(PlaceReply::Placed(Box::new(at)));
             }
+            PlaceStep::Await(_) => {
+                if let Some(queue) = self.queues.get_mut(&ask.service) {
+                    queue.finished(ticket, 0);
+                }
+                self.parked.push(WaitingPlace { ask, reply_to });
+            }
             PlaceStep::Full | PlaceStep::Nowhere => {
                 if let Some(queue) = self.queues.get_mut(&ask.service) {
                     queue.finished(ticket, 0);
@@ -260,7 +310,7 @@
         for (_, member) in self.fleet.of_service(service) {
             slots += room(member, is_engine);
             if member.is_open(now) {
-                openings += room(member, is_engine).saturating_sub(member.in_flight(now));
+                openings += room(member, is_engine).saturating_sub(member.load(now).in_flight);
             }
         }
         let mut running = [0, 0];
@@ -296,24 +346,23 @@
                 ("retry", &ask.is_retry),
             ],
         );
-        let needed = ask
-            .prompt
-            .as_ref()
-            .map_or(0, |prompt| prompt.prompt_tokens + prompt.answer_tokens);
-        self.note_parts(now, ask, &choice);
+        let read_tokens = self.note_reading(now, ask, &choice);
         let member = self
             .fleet
             .get_mut(choice.member)
             .expect("a chosen upstream is listed");
         member.own.in_flight += 1;
         member.own.unread_tokens += choice.unread_tokens;
-        member.own.memory_tokens += needed;
+        member.own.memory_tokens += choice.memory_tokens;
         let place = RunningPlace {
             member: choice.member,
             service: ask.service,
             rank: ask.rank.index(),
             unread_tokens: choice.unread_tokens,
-            memory_tokens: needed,
+            memory_tokens: choice.memory_tokens,
+            chain: choice.chain,
+            read_tokens,
+            is_kept: choice.save_to.is_some(),
             placed: now,
             fingerprint: ask.fingerprint,
         };
@@ -332,51 +381,85 @@
         at
     }
 
-    fn note_parts(&mut self, now: Moment, ask: &PlaceAsk, choice: &MemberChoice) {
-        let (Some(prompt), Some(domain)) = (ask.prompt.as_deref(), choice.domain) else {
-            return;
+    /// Notes that an upstream is about to read a prompt; returns the tokens that it adds to the
+    /// upstream's memory.
+    fn note_reading(&mut self, now: Moment, ask: &PlaceAsk, choice: &MemberChoice) -> u64 {
+        let Some(prompt) = ask.prompt.as_deref() else {
+            return 0;
         };
-        let Some(member) = self.fleet.get_mut(choice.member) else {
+        let added = choice.memory_tokens;
+        if let Some(member) = self.fleet.get_mut(choice.member) {
+            member.read_mark += added;
+        }
+        if choice.missing_tokens > 0 {
+            self.parts.note_reading(now, &choice.chain);
+            if prompt.shared_tokens() >= MIN_TOLD_TOKENS {
+                self.tell_parts(now, choice.member, &choice.chain, 0, false, false);
+            }
+        }
+        added
+    }
+
+    /// Notes that the shared parts of a request have been read.
+    fn note_read(&mut self, now: Moment, place: &RunningPlace) {
+        let Some(member) = self.fleet.get(place.member) else {
             return;
         };
-        member.read_mark += prompt.prompt_tokens + prompt.answer_tokens;
-        let chain = chains(domain, prompt.shared());
         let mark = member.read_mark;
-        let upstream = member.id_hash;
-        self.parts.note_used(now, &chain, choice.member, mark);
-        if choice.save_to.is_some() {
-            self.parts.note_kept(now, &chain);
+        self.parts.note_used(now, &place.chain, place.member, mark);
+        if place.is_kept {
+            self.parts.note_kept(now, &place.chain);
+        }
+        let shared: u64 = place.chain.iter().map(|(_, tokens)| tokens).sum();
+        if shared >= MIN_TOLD_TOKENS {
+            let (added, is_kept) = (place.read_tokens, place.is_kept);
+            self.tell_parts(now, place.member, &place.chain, added, true, is_kept);
         }
+    }
+
+    /// Gathers news of parts for other instances.
+    fn tell_parts(
+        &mut self,
+        now: Moment,
+        member: MemberKey,
+        chain: &[(u64, u64)],
+        read_tokens: u64,
+        is_read: bool,
+        is_kept: bool,
+    ) {
+        let Some(upstream) = self.fleet.get(member).map(|member| member.id_hash) else {
+            return;
+        };
         while let Some((told, _)) = self.recent_parts.front() {
             if now.since(*told) < PART_NEWS {
                 break;
             }
             self.recent_parts.pop_front();
         }
-        if prompt.shared_tokens() < MIN_TOLD_TOKENS {
-            return;
-        }
         let news = chain.iter().map(|(part, _)| WirePart {
             chain: *part,
             upstream,
-            read_tokens: prompt.prompt_tokens + prompt.answer_tokens,
-            is_kept: choice.save_to.is_some(),
+            read_tokens,
+            is_read,
+            is_kept,
         });
         self.recent_parts.extend(news.map(|part| (now, part)));
     }
 
     /// Notes that a request has produced its first output.
-    pub(super) fn note_producing(&mut self, ticket: Ticket) {
+    pub(super) fn note_producing(&mut self, now: Moment, ticket: Ticket) {
         let Some(place) = self.running.get_mut(&ticket) else {
             return;
         };
         let read = std::mem::take(&mut place.unread_tokens);
+        let place = place.clone();
         if let Some(member) = self.fleet.get_mut(place.member) {
             member.own.unread_tokens = member.own.unread_tokens.saturating_sub(read);
         }
         if let Some(queue) = self.queues.get_mut(&place.service) {
             queue.producing(ticket);
         }
+        self.note_read(now, &place);
     }
 
     /// Takes a place back.
@@ -399,10 +482,14 @@
         if let Some((link, usable)) = end.link {
             self.pool.put(place.member, link, usable);
         }
-        self.note_run_end(now, place, end.outcome);
+        // A run that ended before its first output has read nothing that others may wait for.
+        if place.unread_tokens > 0 {
+            self.parts.note_given_up(&place.chain);
+        }
+        self.note_run_end(now, &place, end.outcome);
     }
 
-    fn note_run_end(&mut self, now: Moment, place: RunningPlace, outcome: MemberOutcome) {
+    fn note_run_end(&mut self, now: Moment, place: &RunningPlace, outcome: MemberOutcome) {
         match outcome {
             MemberOutcome::Lost => {
                 let run = (now, place.member, place.fingerprint);
--- a/src/gateway/dispatch/state.rs
+++ b/src/gateway/dispatch/state.rs
@@ -66,7 +66,7 @@
 }
 
 /// A request that was given an upstream and has not ended there.
-#[derive(Debug, Clone, Copy)]
+#[derive(Debug, Clone)]
 pub struct RunningPlace {
     /// The upstream.
     pub member: MemberKey,
@@ -78,6 +78,12 @@
     pub unread_tokens: u64,
     /// Tokens that it needs in memory.
     pub memory_tokens: u64,
+    /// Chains of its shared parts, until they have been read.
+    pub chain: Vec<(u64, u64)>,
+    /// Tokens that it adds to the upstream's memory.
+    pub read_tokens: u64,
+    /// Whether the parts are saved to the kept store.
+    pub is_kept: bool,
     /// When it was placed.
     pub placed: Moment,
     /// Identifies equal requests.
@@ -131,6 +137,7 @@
     pub(super) pool: LinkPool,
     pub(super) queues: HashMap<ServiceId, FairQueue>,
     pub(super) waiting: HashMap<Ticket, WaitingPlace>,
+    pub(super) parked: Vec<WaitingPlace>,
     pub(super) running: HashMap<Ticket, RunningPlace>,
     pub(super) budgets: HashMap<ServiceId, RetryBudget>,
     pub(super) suspects: SuspectTable,
@@ -168,6 +175,7 @@
             pool: LinkPool::default(),
             queues: HashMap::new(),
             waiting: HashMap::new(),
+            parked: Vec::new(),
             running: HashMap::new(),
             budgets: HashMap::new(),
             suspects: SuspectTable::new(SuspectPolicy::default()),
@@ -232,7 +240,7 @@
                 "version": member.version(),
                 "open": member.is_open(now),
                 "own_in_flight": member.own.in_flight,
-                "in_flight": member.in_flight(now),
+                "in_flight": member.load(now).in_flight,
                 "failure_share": member.failure_share,
             })
         });
@@ -242,6 +250,7 @@
             "upstream_offset": self.upstreams.next.0,
             "members": members.collect::<Vec<_>>(),
             "waiting": self.waiting.len(),
+            "parked": self.parked.len(),
             "running": self.running.len(),
             "parts": self.parts.len(),
             "suspects": self.suspects.len(),
--- a/src/wire/peer_rpc.rs
+++ b/src/wire/peer_rpc.rs
@@ -4,6 +4,8 @@
 
 use serde::{Deserialize, Serialize};
 
+use crate::decide::fleet::MemberLoad;
+
 /// Topic of a record that is handed on.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub enum WireTopic {
@@ -44,10 +46,35 @@
     pub upstream: u64,
     /// Tokens that the request added to the upstream's memory.
     pub read_tokens: u64,
-    /// Whether the part was saved to the kept store.
+    /// Whether it has been read; before that it cannot be fetched.
+    pub is_read: bool,
+    /// Whether it was saved to the kept store.
     pub is_kept: bool,
 }
 
+/// Work of one instance at an upstream.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct WireLoad {
+    /// Hash of the upstream's identity.
+    pub upstream: u64,
+    /// Requests that were sent and have not ended.
+    pub in_flight: u32,
+    /// Prompt tokens still to be read.
+    pub unread_tokens: u64,
+    /// Tokens of prompts and answers.
+    pub memory_tokens: u64,
+}
+
+impl From<&WireLoad> for MemberLoad {
+    fn from(wire: &WireLoad) -> Self {
+        Self {
+            in_flight: wire.in_flight,
+            unread_tokens: wire.unread_tokens,
+            memory_tokens: wire.memory_tokens,
+        }
+    }
+}
+
 /// A suspicion that a request crashes upstreams.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct WireSuspicion {
@@ -86,8 +113,8 @@
     pub operator: WireProgress,
     /// How far the sender has read what upstreams write.
     pub upstream: WireProgress,
-    /// Upstream and number of the sender's requests there.
-    pub loads: Vec<(u64, u32)>,
+    /// The sender's work at upstreams.
+    pub loads: Vec<WireLoad>,
     /// Upstream and milliseconds for which it is not to be sent work.
     pub holds: Vec<(u64, u32)>,
     /// Upstream and version of weights that it was seen to run.
