--- a/src/decide/member_choice.rs
+++ b/src/decide/member_choice.rs
@@ -31,11 +31,14 @@
 /// Cost of weights that are not the newest, in microseconds of waiting.
 const OLD_WEIGHTS_US: f64 = 40_000.0;
 
-/// Cost of one answer token at an upstream that is about to reload, in microseconds of waiting.
-const LONG_RUN_TOKEN_US: f64 = 1_000.0;
+/// Answer tokens from which a run delays the reload of its upstream noticeably.
+const LONG_RUN_TOKENS: u64 = 256;
+
+/// Cost of a long run at an upstream that is about to reload, in microseconds of waiting.
+const LONG_RUN_US: f64 = 250_000.0;
 
 /// Cost of a full upstream against an idle one, in microseconds of waiting.
-const OCCUPIED_US: f64 = 40_000.0;
+const OCCUPIED_US: f64 = 250_000.0;
 
 /// Share of an engine's memory that running requests may take, in percent; beyond it engines
 /// preempt.
@@ -240,7 +243,9 @@
     let version = member.version().unwrap_or(0);
     if let Some(newest) = view.newest.filter(|newest| version < newest.version) {
         // An upstream reloads only once its runs have ended, so long ones go elsewhere at once.
-        cost += tokens(prompt.answer_tokens) * LONG_RUN_TOKEN_US;
+        if prompt.answer_tokens >= LONG_RUN_TOKENS {
+            cost += LONG_RUN_US;
+        }
         if newest.is_preferred {
             cost += OLD_WEIGHTS_US;
         }
--- a/src/gateway/attempts.rs
+++ b/src/gateway/attempts.rs
@@ -165,6 +165,7 @@
             body_bytes: request.body.len(),
             excluded: self.excluded.clone(),
             is_retry: self.history.arrivals > 0,
+            received: request.received,
             rank: request.rank(),
             start_by,
             fingerprint: request.fingerprint,
--- a/src/gateway/dispatch/place.rs
+++ b/src/gateway/dispatch/place.rs
@@ -338,6 +338,11 @@
             &[
                 ("request", &ask.request_id),
                 ("member", &format_args!("{:?}", choice.member)),
+                ("waited_ms", &now.since(ask.received).as_millis()),
+                (
+                    "answer_tokens",
+                    &ask.prompt.as_ref().map_or(0, |prompt| prompt.answer_tokens),
+                ),
                 ("missing", &choice.missing_tokens),
                 ("unread", &choice.unread_tokens),
                 ("known", &choice.is_known),
--- a/src/gateway/mail.rs
+++ b/src/gateway/mail.rs
@@ -114,6 +114,8 @@
     pub excluded: Vec<MemberKey>,
     /// Whether an upstream has already been sent this request.
     pub is_retry: bool,
+    /// When it was received.
+    pub received: Moment,
     /// Rank.
     pub rank: Rank,
     /// When waiting for an upstream ends.
