Rank requests by the customer's priority and, among equal ones, by the route's

Cause: all customers have the same priority, which replaced the routes', so queries waited behind long prompts at the engines and in the queue. Ruled out: crowding on reloaded upstreams, occupancy.

--- a/src/decide/route_table.rs
+++ b/src/decide/route_table.rs
@@ -7,6 +7,12 @@
 use super::hashing::name_hash;
 use crate::kernel::{Arena, Key};
 
+/// Ranks of routes that are told apart within one priority of customers.
+const ROUTE_RANKS: u32 = 3;
+
+/// Lowest rank that an engine knows.
+const LOWEST_ENGINE_RANK: u32 = 9;
+
 /// Identifies a service across configurations: the hash of its name.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct ServiceId(pub u64);
@@ -179,8 +185,10 @@
     pub objective_ms: u64,
     /// Upstreams that it may run on at most.
     pub max_attempts: u32,
-    /// Rank; 0 is served first.
-    pub priority: u32,
+    /// Rank at an engine, 0 first: the customer's priority and, among equal ones, the route's.
+    pub engine_rank: u32,
+    /// Whether no other route of its service goes before its own.
+    pub is_urgent: bool,
     /// Whether it carries a prompt with shared parts.
     pub has_prompts: bool,
     /// Name of its customer, if it has one.
@@ -226,6 +234,8 @@
     pub kept_store: Option<KeptStore>,
     /// Services by identity.
     pub services: HashMap<ServiceId, ServiceRule>,
+    /// Lowest priority number among the routes of a service.
+    first_priority: HashMap<ServiceId, u32>,
     routes: Arena<RouteRule>,
     by_host: HashMap<String, Vec<Key<RouteRule>>>,
     customers: Arena<CustomerRule>,
@@ -240,7 +250,12 @@
         let mut by_host: HashMap<String, Vec<Key<RouteRule>>> = HashMap::new();
         let mut rules = configuration.routes;
         rules.sort_by_key(|rule| std::cmp::Reverse(rule.prefix.len()));
+        let mut first_priority = HashMap::new();
         for rule in rules {
+            for target in &rule.targets {
+                let first = first_priority.entry(target.service).or_insert(u32::MAX);
+                *first = rule.priority.min(*first);
+            }
             let host = rule.host.clone();
             by_host.entry(host).or_default().push(routes.insert(rule));
         }
@@ -260,6 +275,7 @@
             limits: configuration.limits,
             kept_store: configuration.kept_store,
             services: services.map(|service| (service.id, service)).collect(),
+            first_priority,
             routes,
             by_host,
             customers,
@@ -294,9 +310,11 @@
             timeout_ms: rule.timeout_ms,
             objective_ms: rule.objective_ms,
             max_attempts: rule.max_attempts,
-            priority: customer
-                .and_then(|customer| customer.priority)
-                .unwrap_or(rule.priority),
+            engine_rank: engine_rank(customer, rule),
+            is_urgent: self
+                .first_priority
+                .get(&service)
+                .is_none_or(|first| rule.priority <= *first),
             has_prompts: rule.has_prompts,
             customer: customer.map(|customer| customer.name.clone()),
             is_isolated: customer.is_some_and(|customer| customer.is_isolated),
@@ -313,6 +331,16 @@
     }
 }
 
+/// Combines the priorities of customer and route; the customer's goes first.
+fn engine_rank(customer: Option<&CustomerRule>, rule: &RouteRule) -> u32 {
+    let route = rule.priority.min(ROUTE_RANKS - 1);
+    let customer = customer.and_then(|customer| customer.priority);
+    let rank = customer.map_or(route, |priority| {
+        priority.saturating_mul(ROUTE_RANKS).saturating_add(route)
+    });
+    rank.min(LOWEST_ENGINE_RANK)
+}
+
 fn pick_target(targets: &[RouteTarget], draw: f64) -> Option<ServiceId> {
     let total: f64 = targets.iter().map(|target| target.weight).sum();
     let mut left = draw * total;
--- a/src/gateway/request.rs
+++ b/src/gateway/request.rs
@@ -21,9 +21,6 @@
     CUSTOMER_KEY, DEADLINE_MS, LAST_EVENT, REQUEST_ID, host, number, prompt_shape, text,
 };
 
-/// Highest priority number that counts as urgent; 0 is served first.
-const URGENT_PRIORITY: u32 = 1;
-
 /// A request that was read whole and that the configuration allows.
 #[derive(Debug)]
 pub struct CallerRequest {
@@ -140,7 +137,7 @@
     /// Returns the request's rank.
     #[must_use]
     pub const fn rank(&self) -> Rank {
-        if self.route.priority <= URGENT_PRIORITY {
+        if self.route.is_urgent {
             Rank::Urgent
         } else {
             Rank::Routine
--- a/src/gateway/upstream_call.rs
+++ b/src/gateway/upstream_call.rs
@@ -22,9 +22,6 @@
 /// Longest time for a dial to an upstream; they are a few milliseconds apart.
 const DIAL_LIMIT: Duration = Duration::from_millis(250);
 
-/// Lowest rank that an engine knows.
-const LOWEST_RANK: u32 = 9;
-
 /// Time for which a connection is kept whose upstream states none.
 const DEFAULT_IDLE: Duration = Duration::from_millis(400);
 
@@ -161,8 +158,7 @@
         headers.insert(LAST_EVENT, HeaderValue::from(last_event));
     }
     if request.prompt.is_some() {
-        let rank = request.route.priority.min(LOWEST_RANK);
-        headers.insert(ENGINE_RANK, HeaderValue::from(rank));
+        headers.insert(ENGINE_RANK, HeaderValue::from(request.route.engine_rank));
         set_some(&mut headers, EXPECTED_WEIGHTS, at.weights.as_ref());
         set_some(&mut headers, CACHE_DOMAIN, at.cache_domain.as_ref());
         set_some(&mut headers, FETCH_FROM, at.fetch_from.as_ref());
