Count suspended time in leases, and settle the lints of the gateway

Cause: the monotonic clock stands still while a machine is suspended, so a claim on orders would outlive its time; moments now come from the boot-time clock.

--- a/src/decide/fleet.rs
+++ b/src/decide/fleet.rs
@@ -150,6 +150,10 @@
 
 impl Fleet {
     /// Takes in an entry.
+    ///
+    /// # Panics
+    ///
+    /// Panics when the index names an upstream that is not stored.
     pub fn apply(&mut self, entry: UpstreamEntry) -> EntryChange {
         let Some(old) = self.by_id.get(&entry.id).copied() else {
             return EntryChange::Added(self.insert(entry));
--- a/src/decide/member_choice.rs
+++ b/src/decide/member_choice.rs
@@ -217,7 +217,7 @@
 ) -> Option<(f64, MemberChoice)> {
     let load = member.load(view.now);
     let is_far = member.entry.place != view.place;
-    let kilobytes = question.body_bytes as f64 / 1_000.0;
+    let kilobytes = tokens(question.body_bytes as u64) / 1_000.0;
     let mut cost = member.failure_share * FAILURE_US;
     if is_far {
         cost += FAR_REQUEST_US + kilobytes * FAR_KILOBYTE_US;
@@ -365,7 +365,7 @@
 
 #[expect(
     clippy::cast_precision_loss,
-    reason = "token counts are far below 2^52"
+    reason = "counts of tokens and bytes are far below 2^52"
 )]
 const fn tokens(count: u64) -> f64 {
     count as f64
--- a/src/decide/prompt_parts.rs
+++ b/src/decide/prompt_parts.rs
@@ -14,7 +14,7 @@
 const PART_LIFETIME: Duration = Duration::from_secs(20);
 
 /// Time for which a part is believed to be in the kept store after it was saved there.
-const KEPT_LIFETIME: Duration = Duration::from_secs(60);
+const KEPT_LIFETIME: Duration = Duration::from_mins(1);
 
 /// Time for which other requests wait for the first reading of a part; a long one takes about
 /// half of it.
--- a/src/decide/rollout.rs
+++ b/src/decide/rollout.rs
@@ -13,7 +13,7 @@
 use crate::kernel::Moment;
 
 /// Time from before its append was sent for which a claim may be used.
-pub const CLAIM_USE: Duration = Duration::from_millis(1_000);
+pub const CLAIM_USE: Duration = Duration::from_secs(1);
 
 /// Time beyond [`CLAIM_USE`] and the holders' turn before another instance claims the upstream;
 /// covers an order that is on its way.
@@ -30,7 +30,7 @@
 const FAILED_PAUSE: Duration = Duration::from_millis(400);
 
 /// Time after which a load that was claimed is no longer counted.
-const LOAD_LIMIT: Duration = Duration::from_millis(4_000);
+const LOAD_LIMIT: Duration = Duration::from_secs(4);
 
 /// A claim on orders to one upstream, as read from the log.
 #[derive(Debug, Clone, PartialEq, Eq)]
--- a/src/gateway/caller_front.rs
+++ b/src/gateway/caller_front.rs
@@ -21,7 +21,7 @@
 const MIN_RETRY_AFTER: Duration = Duration::from_millis(100);
 
 /// Longest such time.
-const MAX_RETRY_AFTER: Duration = Duration::from_millis(1_000);
+const MAX_RETRY_AFTER: Duration = Duration::from_secs(1);
 
 /// Share of the objective after which a refused caller is asked to come back, in percent.
 const RETRY_AFTER_PERCENT: u64 = 50;
@@ -188,7 +188,7 @@
     upstream: &str,
     status: StatusCode,
 ) {
-    if request.fingerprint.0 % ANSWER_SAMPLE != 0 && status.is_success() {
+    if !request.fingerprint.0.is_multiple_of(ANSWER_SAMPLE) && status.is_success() {
         return;
     }
     let took_ms = directory.now().since(request.received).as_millis();
--- a/src/gateway/dispatch/news.rs
+++ b/src/gateway/dispatch/news.rs
@@ -23,7 +23,7 @@
 
 impl DispatchState {
     /// Takes in another instance's news.
-    pub(super) fn take_news(&mut self, turn: &mut Turn<'_, GatewayMail>, news: PeerNews) {
+    pub(super) fn take_news(&mut self, turn: &mut Turn<'_, GatewayMail>, news: &PeerNews) {
         let now = turn.now;
         if news.sender == self.identity.id {
             return;
@@ -35,7 +35,7 @@
         }
         self.peers
             .retain(|_, heard| now.since(*heard) < PEER_LIFETIME);
-        self.take_loads(now, &news);
+        self.take_loads(now, news);
         for (upstream, version) in &news.weights {
             if let Some(key) = self.fleet.find_hash(*upstream) {
                 self.note_weights(now, key, *version);
@@ -58,7 +58,7 @@
             let fingerprint = Fingerprint(suspicion.fingerprint);
             self.suspects.report(now, fingerprint, crash);
         }
-        self.take_handed_records(turn, &news);
+        self.take_handed_records(turn, news);
     }
 
     fn take_loads(&mut self, now: Moment, news: &PeerNews) {
--- a/src/gateway/dispatch/records.rs
+++ b/src/gateway/dispatch/records.rs
@@ -30,14 +30,14 @@
 const MAX_LIMITS: usize = 16;
 
 /// Failure of the store from which on removals may be lapses.
-const LAPSE_OUTAGE: Duration = Duration::from_millis(1_000);
+const LAPSE_OUTAGE: Duration = Duration::from_secs(1);
 
 /// Time for which weights seen at an upstream are told to other instances.
 const WEIGHTS_NEWS: Duration = Duration::from_secs(2);
 
 impl DispatchState {
     /// Takes in records that the store returned.
-    pub(super) fn take_records(&mut self, turn: &mut Turn<'_, GatewayMail>, read: TopicRecords) {
+    pub(super) fn take_records(&mut self, turn: &mut Turn<'_, GatewayMail>, read: &TopicRecords) {
         self.note_store_answer(turn.now, read.topic);
         for record in &read.records {
             self.apply(turn, read.topic, record);
@@ -46,7 +46,7 @@
     }
 
     /// Takes in a whole reading of a topic; keys that it does not name are gone.
-    pub(super) fn take_newest(&mut self, turn: &mut Turn<'_, GatewayMail>, read: TopicRecords) {
+    pub(super) fn take_newest(&mut self, turn: &mut Turn<'_, GatewayMail>, read: &TopicRecords) {
         self.note_store_answer(turn.now, read.topic);
         let missing = self.view(read.topic).missing_from(&read.records, read.next);
         for record in read.records.iter().chain(&missing) {
--- a/src/gateway/mail.rs
+++ b/src/gateway/mail.rs
@@ -9,6 +9,7 @@
 use crate::decide::prompt_parts::PromptShape;
 use crate::decide::route_table::{RouteStep, ServiceId};
 use crate::decide::suspects::Fingerprint;
+use crate::gateway::dispatch::DispatchState;
 use crate::kernel::{Moment, ReplyTo};
 use crate::platform::http_link::OpenLink;
 use crate::platform::settings_file::InstanceSettings;
@@ -193,10 +194,13 @@
     pub link: Option<(OpenLink, Moment)>,
 }
 
+/// Looks at the state of `dispatch`.
+pub type StateLook = Box<dyn FnOnce(Moment, &DispatchState) + Send>;
+
 /// Asks for a look at a rollout; the closure sees the state and replies itself.
 pub struct RolloutAsk {
-    /// Looks at the state of `dispatch`.
-    pub look: Box<dyn FnOnce(Moment, &super::dispatch::DispatchState) + Send>,
+    /// Looks at the state.
+    pub look: StateLook,
 }
 
 impl std::fmt::Debug for RolloutAsk {
--- a/src/gateway/orders.rs
+++ b/src/gateway/orders.rs
@@ -30,7 +30,7 @@
 
 /// Longest time for which an upstream is held for an order; a load takes about 0.6 s after the
 /// running requests have ended.
-const HOLD_TIME: Duration = Duration::from_millis(4_000);
+const HOLD_TIME: Duration = Duration::from_secs(4);
 
 /// Time for which an upstream stays held that carries out another order.
 const CONFLICT_PAUSE: Duration = Duration::from_millis(400);
@@ -49,7 +49,7 @@
 
 /// Time between two looks while nothing is known to be behind; an upstream may come back with
 /// older weights.
-const IDLE_PAUSE: Duration = Duration::from_millis(1_000);
+const IDLE_PAUSE: Duration = Duration::from_secs(1);
 
 /// Creates the I/O task.
 #[must_use]
--- a/src/gateway/placement_guard.rs
+++ b/src/gateway/placement_guard.rs
@@ -22,6 +22,10 @@
 
 /// Asks for a place; the guard exists from the moment at which the place is given, so that a
 /// request that is dropped while the reply is on its way gives it back too.
+///
+/// # Errors
+///
+/// Returns why the request got no place.
 pub async fn place(
     directory: &Directory<GatewayMail>,
     ask: PlaceAsk,
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -44,8 +44,8 @@
     type Data = Bytes;
     type Error = io::Error;
 
-    fn poll_frame(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<Option<RelayPart>> {
-        self.parts.poll_recv(context)
+    fn poll_frame(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<Option<RelayPart>> {
+        self.parts.poll_recv(cx)
     }
 }
 
--- a/src/gateway/settings_watch.rs
+++ b/src/gateway/settings_watch.rs
@@ -12,7 +12,7 @@
 use crate::platform::settings_file::InstanceSettings;
 
 /// Time between two looks at the file; it may change without a signal.
-const LOOK_INTERVAL: Duration = Duration::from_millis(1_000);
+const LOOK_INTERVAL: Duration = Duration::from_secs(1);
 
 /// Parts that are told of new settings.
 const LISTENERS: [&str; 4] = ["operator-watch", "upstream-watch", "peers", "orders"];
--- a/src/gateway/store_watch.rs
+++ b/src/gateway/store_watch.rs
@@ -38,7 +38,7 @@
     name: "operator-watch",
     topic: WireTopic::Operator,
     store_topic: OPERATOR_TOPIC,
-    wait: Duration::from_millis(1_000),
+    wait: Duration::from_secs(1),
     pace: Duration::ZERO,
 };
 
@@ -47,7 +47,7 @@
     name: "upstream-watch",
     topic: WireTopic::Upstream,
     store_topic: UPSTREAM_TOPIC,
-    wait: Duration::from_millis(1_000),
+    wait: Duration::from_secs(1),
     pace: Duration::from_millis(400),
 };
 
--- a/src/gateway/upstream_call.rs
+++ b/src/gateway/upstream_call.rs
@@ -30,7 +30,7 @@
 const IDLE_USE_PERCENT: u32 = 60;
 
 /// Longest time for which an idle connection is used; an older one may have gone silent.
-const MAX_IDLE: Duration = Duration::from_millis(2_000);
+const MAX_IDLE: Duration = Duration::from_secs(2);
 
 /// Head of an upstream's answer and the connection that it comes on.
 #[derive(Debug)]
--- a/src/gateway_cli.rs
+++ b/src/gateway_cli.rs
@@ -11,7 +11,7 @@
 const BAD_SETTINGS: i32 = 2;
 
 /// Takes callers' requests on a front instance of the platform and runs each at an upstream. The
-/// settings file is named by the variable BULRUSHSLIP_SETTINGS.
+/// settings file is named by the variable `BULRUSHSLIP_SETTINGS`.
 #[derive(Debug, Clone, FromArgs)]
 struct GatewayFlags {
     /// lowest level of events that are logged: error, warn, info or debug
--- a/src/kernel/moment.rs
+++ b/src/kernel/moment.rs
@@ -2,6 +2,8 @@
 
 use std::time::{Duration, Instant};
 
+use rustix::time::{ClockId, clock_gettime};
+
 /// A point in time in microseconds since the process started; deadlines are stored as moments.
 #[derive(Debug, Default, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct Moment(u64);
@@ -59,32 +61,39 @@
     }
 }
 
-/// Turns the monotonic clock of the process into [`Moment`]s.
+/// Turns the clock of the machine into [`Moment`]s; time in which it is suspended counts, so that
+/// a lease ends while its holder sleeps.
 #[derive(Debug, Clone, Copy)]
 pub struct Clock {
-    started: Instant,
+    started: Duration,
 }
 
 impl Clock {
     /// Starts a clock whose [`Moment::START`] is now.
     #[must_use]
     pub fn start() -> Self {
-        Self {
-            started: Instant::now(),
-        }
+        Self { started: uptime() }
     }
 
     /// Returns the present moment.
     #[must_use]
     pub fn now(&self) -> Moment {
-        Moment::START.after(self.started.elapsed())
+        Moment::START.after(uptime().saturating_sub(self.started))
     }
 
-    /// Converts a deadline into the form that the runtime's timers take.
+    /// Converts a deadline into the form that the runtime's timers take, as seen from now.
     #[must_use]
     pub fn instant(&self, deadline: Moment) -> Instant {
         // A year is further off than any process lives and keeps the addition in range.
         const FARTHEST: Duration = Duration::from_hours(365 * 24);
-        self.started + deadline.since(Moment::START).min(FARTHEST)
+        Instant::now() + deadline.remaining(self.now()).min(FARTHEST)
     }
 }
+
+/// Returns the time since the machine started, suspended time included.
+fn uptime() -> Duration {
+    let time = clock_gettime(ClockId::Boottime);
+    let seconds = u64::try_from(time.tv_sec).unwrap_or(0);
+    let nanos = u32::try_from(time.tv_nsec).unwrap_or(0);
+    Duration::new(seconds, nanos)
+}
--- a/src/platform/store_client.rs
+++ b/src/platform/store_client.rs
@@ -27,7 +27,7 @@
 
 /// Longest time for an answer of the store beyond the wait that it was asked for; an answer takes
 /// milliseconds, and on a slow day some hundred.
-const ANSWER_LIMIT: Duration = Duration::from_millis(1_000);
+const ANSWER_LIMIT: Duration = Duration::from_secs(1);
 
 quick_error! {
     /// Why a call to the store brought nothing.
--- a/src/wire/event_cutter.rs
+++ b/src/wire/event_cutter.rs
@@ -82,6 +82,6 @@
 
 fn event_id(bytes: &[u8]) -> Option<u64> {
     let lines = bytes.split(|byte| *byte == b'\n');
-    let found = lines.filter_map(|line| line.strip_prefix(b"id:")).last()?;
+    let found = lines.rev().find_map(|line| line.strip_prefix(b"id:"))?;
     std::str::from_utf8(found).ok()?.trim().parse().ok()
 }
