--- a/src/gateway/orders.rs
+++ b/src/gateway/orders.rs
@@ -195,8 +195,11 @@
         let read = self.client.read(ORDER_TOPIC, from, Duration::ZERO).await?;
         let page = match read {
             ReadStep::Page(page) => page,
-            // Old claims are of no use; what is left begins at the offset that the end names.
-            ReadStep::Deleted => return Ok(()),
+            // What was deleted is too old to matter; the rest is read next.
+            ReadStep::Deleted { first } => {
+                self.claims.end = first;
+                return Err(StoreError::Unreadable);
+            }
         };
         let now = directory.now();
         for record in &page.records {
--- a/src/gateway/start.rs
+++ b/src/gateway/start.rs
@@ -58,7 +58,8 @@
     let callers = process::listen("callers", instance.caller_address).await?;
     let ready = process::listen("readiness", instance.ready_address).await?;
     let peers = process::listen("peers", instance.peer_address).await?;
-    let identity = InstanceIdentity::from(&instance);
+    let mut identity = InstanceIdentity::from(&instance);
+    identity.peer_address = peers.local_addr()?;
     let leave = instance.stop_grace * LEAVE_PERCENT / 100;
     let drain = instance.stop_grace * DRAIN_PERCENT / 100;
     let limits = ServerLimits {
@@ -76,7 +77,7 @@
     kernel.add_task(operator_watch(instance.store_address));
     kernel.add_task(upstream_watch(instance.store_address));
     let seeds = instance.seed_peers.clone();
-    kernel.add_task(peers_task(peers, instance.peer_address, seeds));
+    kernel.add_task(peers_task(peers, identity.peer_address, seeds));
     kernel.add_task(settings_task(settings.path, instance.clone())?);
     kernel.add_task(orders_task(identity, instance.store_address));
     kernel.add_task(callers_task(callers, limits));
--- a/src/gateway/store_watch.rs
+++ b/src/gateway/store_watch.rs
@@ -161,7 +161,7 @@
             .client
             .read(self.plan.store_topic, from, self.plan.wait);
         match read.await? {
-            ReadStep::Deleted => {
+            ReadStep::Deleted { .. } => {
                 self.next = None;
                 Ok(None)
             }
--- a/src/platform/log_client.rs
+++ b/src/platform/log_client.rs
@@ -1,23 +1,15 @@
-//! Client of one stream of the platform's append-only log.
+//! One stream of the product's own on the platform's store: a topic with one partition whose
+//! records are texts.
 
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use bytes::Bytes;
-use http_body_util::Full;
-use hyper::{Method, StatusCode};
-use serde::Deserialize;
-
-use super::http_client::{HttpError, call, request};
+use super::http_link::LinkError;
+use super::store_client::{ReadStep, StoreClient, StoreError};
+use super::store_records::StorePage;
 use crate::decide::ids::LogOffset;
 
-/// Time allowed for an append.
-const APPEND_TIMEOUT: Duration = Duration::from_secs(2);
-
-/// Time allowed for a read on top of the wait that the log was asked for.
-const READ_TIMEOUT: Duration = Duration::from_secs(2);
-
-/// Reaches one stream of the log.
+/// Reaches one stream; each call has a connection of its own.
 #[derive(Debug, Clone)]
 pub struct LogClient {
     /// Address of the platform.
@@ -77,33 +69,16 @@
     pub wait: Duration,
 }
 
-#[derive(Deserialize)]
-struct WireAppended {
-    offset: u64,
-}
-
-#[derive(Deserialize)]
-struct WireLogRecord {
-    offset: u64,
-    body: String,
-}
-
-#[derive(Deserialize)]
-struct WireLogPage {
-    first: u64,
-    next: u64,
-    records: Vec<WireLogRecord>,
-}
-
-impl From<WireLogPage> for LogPage {
-    fn from(page: WireLogPage) -> Self {
+impl From<StorePage> for LogPage {
+    fn from(page: StorePage) -> Self {
         let records = page.records.into_iter().map(|record| LogRecord {
-            offset: LogOffset(record.offset),
-            body: record.body,
+            offset: record.offset,
+            // A record that is no text is passed on as one that no reader can decode.
+            body: String::from_utf8_lossy(&record.body).into_owned(),
         });
         Self {
-            first: LogOffset(page.first),
-            next: LogOffset(page.next),
+            first: page.first,
+            next: page.end,
             records: records.collect(),
         }
     }
@@ -121,59 +96,48 @@
 
     /// Appends a record.
     pub async fn append(&self, body: String) -> AppendOutcome {
-        let path = format!("/streams/{}/append", self.stream);
-        let request = request(Method::POST, self.platform, &path).body(Full::from(body));
-        let request = match request {
-            Ok(request) => request,
-            Err(error) => return AppendOutcome::Refused(error.to_string()),
-        };
-        match call(self.platform, request, APPEND_TIMEOUT).await {
-            Ok(response) => append_outcome(response.status, &response.body),
-            Err(error) if error.is_unsent() => AppendOutcome::Refused(error.to_string()),
+        let mut client = StoreClient::new(self.platform);
+        match client.append(&self.stream, body.as_bytes()).await {
+            Ok(offset) => AppendOutcome::Appended(offset),
+            Err(error) if is_untouched(&error) => AppendOutcome::Refused(error.to_string()),
             Err(error) => AppendOutcome::Unknown(error.to_string()),
         }
     }
 
-    /// Reads records from an offset on.
+    /// Reads records from an offset on, or the oldest that are left.
     pub async fn read(&self, window: ReadWindow) -> ReadOutcome {
-        let ReadWindow { from, limit, wait } = window;
-        let wait_ms = wait.as_millis();
-        let path = format!(
-            "/streams/{}?from={}&limit={limit}&wait_ms={wait_ms}",
-            self.stream, from.0
-        );
-        let request = request(Method::GET, self.platform, &path).body(Full::default());
-        let response = match request {
-            Ok(request) => call(self.platform, request, wait + READ_TIMEOUT).await,
-            Err(error) => Err(HttpError::Build(error)),
-        };
-        match response {
-            Ok(response) => read_outcome(response.status, &response.body),
+        match self.read_from(window.from, window.wait).await {
+            Ok(page) => {
+                let mut page = LogPage::from(page);
+                page.records.truncate(window.limit as usize);
+                ReadOutcome::Page(page)
+            }
             Err(error) => ReadOutcome::Unavailable(error.to_string()),
         }
     }
-}
 
-fn append_outcome(status: StatusCode, body: &Bytes) -> AppendOutcome {
-    if status.is_success() {
-        return match serde_json::from_slice::<WireAppended>(body) {
-            Ok(appended) => AppendOutcome::Appended(LogOffset(appended.offset)),
-            Err(error) => AppendOutcome::Unknown(error.to_string()),
+    async fn read_from(&self, from: LogOffset, wait: Duration) -> Result<StorePage, StoreError> {
+        let mut client = StoreClient::new(self.platform);
+        let first = match client.read(&self.stream, from, wait).await? {
+            ReadStep::Page(page) => return Ok(page),
+            ReadStep::Deleted { first } => first,
         };
+        match client.read(&self.stream, first, Duration::ZERO).await? {
+            ReadStep::Page(page) => Ok(page),
+            // More was deleted between the two calls; the next read finds what is left.
+            ReadStep::Deleted { .. } => Err(StoreError::Unreadable),
+        }
     }
-    // The log answers 503 without having appended; other server errors say nothing about it.
-    if status.is_client_error() || status == StatusCode::SERVICE_UNAVAILABLE {
-        return AppendOutcome::Refused(format!("the log answered {status}"));
-    }
-    AppendOutcome::Unknown(format!("the log answered {status}"))
 }
 
-fn read_outcome(status: StatusCode, body: &Bytes) -> ReadOutcome {
-    if !status.is_success() {
-        return ReadOutcome::Unavailable(format!("the log answered {status}"));
-    }
-    match serde_json::from_slice::<WireLogPage>(body) {
-        Ok(page) => ReadOutcome::Page(page.into()),
-        Err(error) => ReadOutcome::Unavailable(error.to_string()),
+/// Tells whether the store has certainly not carried the call out: no connection was made, or it
+/// refused the call; other server errors say nothing about it.
+fn is_untouched(error: &StoreError) -> bool {
+    match error {
+        StoreError::Link(link) => matches!(link, LinkError::Dial(_)),
+        StoreError::Refused(status) => {
+            status.is_client_error() || *status == hyper::StatusCode::SERVICE_UNAVAILABLE
+        }
+        StoreError::Unreadable => false,
     }
 }
--- a/src/platform/store_client.rs
+++ b/src/platform/store_client.rs
@@ -55,7 +55,10 @@
     /// Records from the wanted offset on; none when the wait was over first.
     Page(StorePage),
     /// Records from the wanted offset on have been deleted.
-    Deleted,
+    Deleted {
+        /// Oldest offset that is kept.
+        first: LogOffset,
+    },
 }
 
 /// What became of a conditional append.
@@ -90,6 +93,11 @@
     end: u64,
 }
 
+#[derive(Deserialize)]
+struct WireDeleted {
+    first: u64,
+}
+
 #[derive(Deserialize)]
 struct WireAppended {
     offset: u64,
@@ -146,7 +154,11 @@
             StatusCode::OK => StorePage::decode(from, body)
                 .map(ReadStep::Page)
                 .ok_or(StoreError::Unreadable),
-            StatusCode::GONE => Ok(ReadStep::Deleted),
+            StatusCode::GONE => serde_json::from_slice::<WireDeleted>(&body)
+                .map(|deleted| ReadStep::Deleted {
+                    first: LogOffset(deleted.first),
+                })
+                .map_err(|_unreadable| StoreError::Unreadable),
             _ => Err(StoreError::Refused(status)),
         }
     }
@@ -188,6 +200,19 @@
         })
     }
 
+    /// Appends a record to partition 0.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`StoreError`]; after [`StoreError::Link`] the record may have been appended.
+    pub async fn append(&mut self, topic: &str, body: &[u8]) -> Result<LogOffset, StoreError> {
+        let path = format!("/log-append?topic={topic}&part=0");
+        match self.append_to(&path, body).await? {
+            AppendStep::Appended(offset) => Ok(offset),
+            AppendStep::Moved => Err(StoreError::Refused(StatusCode::PRECONDITION_FAILED)),
+        }
+    }
+
     /// Appends a record if partition 0 still ends at `end`.
     ///
     /// # Errors
@@ -200,7 +225,11 @@
         body: &[u8],
     ) -> Result<AppendStep, StoreError> {
         let path = format!("/log-append?topic={topic}&part=0&at={}", end.0);
-        let call = self.call(Method::POST, &path, frame(body), Duration::ZERO);
+        self.append_to(&path, body).await
+    }
+
+    async fn append_to(&mut self, path: &str, body: &[u8]) -> Result<AppendStep, StoreError> {
+        let call = self.call(Method::POST, path, frame(body), Duration::ZERO);
         let (status, body) = call.await?;
         match status {
             StatusCode::OK => serde_json::from_slice::<WireAppended>(&body)
--- a/src/platform/store_records.rs
+++ b/src/platform/store_records.rs
@@ -25,6 +25,8 @@
 pub struct StorePage {
     /// Offset that the next append gets.
     pub end: LogOffset,
+    /// Oldest offset that is kept.
+    pub first: LogOffset,
     /// The records, oldest first.
     pub records: Vec<StoreRecord>,
 }
@@ -37,8 +39,8 @@
             return None;
         }
         let end = LogOffset(bytes.get_u64());
-        let first = bytes.get_u64();
-        let mut offset = from.0.max(first);
+        let first = LogOffset(bytes.get_u64());
+        let mut offset = from.0.max(first.0);
         let mut records = Vec::new();
         while bytes.has_remaining() {
             if bytes.len() < FRAME_BYTES {
@@ -54,7 +56,11 @@
             });
             offset += 1;
         }
-        Some(Self { end, records })
+        Some(Self {
+            end,
+            first,
+            records,
+        })
     }
 
     /// Returns the offset from which to read on.
--- a/src/standin/append_log.rs
+++ b/src/standin/append_log.rs
@@ -9,6 +9,10 @@
 /// Appends may run ahead of the rate limit by as much as this time allows.
 const BURST_TIME: Duration = Duration::from_millis(250);
 
+/// Start of the names of streams whose records have keys: the length of the key as one byte, the
+/// key, and the value.
+pub const KEYED_PREFIX: &str = "keyed.";
+
 /// Microseconds in a second.
 const SECOND_US: u64 = 1_000_000;
 
@@ -49,6 +53,8 @@
 pub enum AppendOutcome {
     /// The record has this offset.
     Appended(u64),
+    /// The stream ends at this offset and not where the append expected; nothing was appended.
+    Moved(u64),
     /// The record was appended but nobody is told.
     AnswerLost,
     /// Nothing was appended: the log is out of service or the rate limit is reached.
@@ -66,6 +72,8 @@
 pub struct AppendLog {
     limits: LogLimits,
     streams: BTreeMap<String, LogStream>,
+    /// Newest record of each key of streams whose names begin with [`KEYED_PREFIX`].
+    keyed: BTreeMap<String, BTreeMap<String, LogRecord>>,
     next_append: Moment,
     /// When the present or last outage ends.
     pub outage_until: Moment,
@@ -80,6 +88,7 @@
         Self {
             limits,
             streams: BTreeMap::new(),
+            keyed: BTreeMap::new(),
             next_append: Moment::START,
             outage_until: Moment::START,
             lost_answers: 0,
@@ -92,11 +101,25 @@
         !self.outage_until.is_due(now)
     }
 
-    /// Appends a record to a stream, which is created when missing.
-    pub fn append(&mut self, now: Moment, name: &str, body: &str) -> AppendOutcome {
+    /// Appends a record to a stream, which is created when missing; with `at` only if the stream
+    /// ends there.
+    pub fn append(
+        &mut self,
+        now: Moment,
+        name: &str,
+        body: &str,
+        at: Option<u64>,
+    ) -> AppendOutcome {
         if self.is_out(now) || !self.take_allowance(now) {
             return AppendOutcome::Unavailable;
         }
+        let end = self.streams.get(name).map_or(0, LogStream::next);
+        if at.is_some_and(|at| at != end) {
+            return AppendOutcome::Moved(end);
+        }
+        if name.starts_with(KEYED_PREFIX) {
+            self.note_key(name, end, body);
+        }
         let stream = self.streams.entry(name.to_owned()).or_default();
         stream.records.push_back(body.into());
         let offset = stream.next() - 1;
@@ -111,6 +134,35 @@
         AppendOutcome::AnswerLost
     }
 
+    /// Notes the newest record of a key; a record that is only a key drops it.
+    fn note_key(&mut self, name: &str, offset: u64, body: &str) {
+        let Some((length, rest)) = body.split_at_checked(1) else {
+            return;
+        };
+        let Some((key, value)) = rest.split_at_checked(usize::from(length.as_bytes()[0])) else {
+            return;
+        };
+        let keys = self.keyed.entry(name.to_owned()).or_default();
+        if value.is_empty() {
+            keys.remove(key);
+            return;
+        }
+        let record = LogRecord {
+            offset,
+            body: value.into(),
+        };
+        keys.insert(key.to_owned(), record);
+    }
+
+    /// Returns the newest record of each key of a stream, and where the stream ends.
+    #[must_use]
+    pub fn newest(&self, name: &str) -> (Vec<(String, LogRecord)>, u64) {
+        let keys = self.keyed.get(name).into_iter().flatten();
+        let records = keys.map(|(key, record)| (key.clone(), record.clone()));
+        let end = self.streams.get(name).map_or(0, LogStream::next);
+        (records.collect(), end)
+    }
+
     /// Returns records from an offset on; `None` while a reader has to wait for one.
     #[must_use]
     pub fn read(&self, name: &str, from: u64, limit: usize) -> Option<LogPage> {
--- a/src/standin/log_service.rs
+++ b/src/standin/log_service.rs
@@ -4,15 +4,17 @@
 
 use serde_json::json;
 
-use super::append_log::{AppendLog, AppendOutcome, LogLimits, LogPage};
+use super::append_log::{AppendLog, AppendOutcome, LogLimits, LogPage, LogRecord};
 use super::mail::StandinMail;
 use crate::kernel::{Moment, NextStep, ReplyTo, Service, Signal};
 
 /// Messages to the service `log`.
 #[derive(Debug)]
 pub enum LogMail {
-    /// Append a record to a stream.
-    Append(String, String, ReplyTo<LogReply>),
+    /// Append a record to a stream, if it ends at the offset.
+    Append(String, String, Option<u64>, ReplyTo<LogReply>),
+    /// Read the newest record of each key of a stream.
+    Newest(String, ReplyTo<LogReply>),
     /// Read records.
     Read(LogReader),
     /// Drop the records of a stream before an offset.
@@ -63,6 +65,8 @@
     Append(AppendOutcome),
     /// Records.
     Page(LogPage),
+    /// Newest records by key, and where the stream ends.
+    Newest(Vec<(String, LogRecord)>, u64),
     /// The log is out of service.
     Unavailable,
     /// The fault is in effect.
@@ -97,8 +101,13 @@
 impl LogState {
     fn receive(&mut self, now: Moment, mail: LogMail) {
         match mail {
-            LogMail::Append(stream, body, reply) => {
-                let outcome = self.log.append(now, &stream, &body);
+            LogMail::Newest(stream, reply) if !self.log.is_out(now) => {
+                let (records, end) = self.log.newest(&stream);
+                self.reply(now, reply, LogAnswer::Newest(records, end));
+            }
+            LogMail::Newest(_, reply) => self.reply(now, reply, LogAnswer::Unavailable),
+            LogMail::Append(stream, body, at, reply) => {
+                let outcome = self.log.append(now, &stream, &body, at);
                 self.reply(now, reply, LogAnswer::Append(outcome));
             }
             LogMail::Read(reader) => self.readers.push(reader),
--- a/src/standin/platform_http.rs
+++ b/src/standin/platform_http.rs
@@ -1,5 +1,7 @@
 //! HTTP front of the platform: log, instance list, weight store and kept-cache store.
 
+use base64::Engine;
+use base64::engine::general_purpose::STANDARD;
 use hyper::body::Incoming;
 use hyper::{Request, Response, StatusCode};
 use serde::{Deserialize, Serialize};
@@ -24,8 +26,11 @@
 /// Largest body of a record in bytes.
 const MAX_RECORD_BYTES: usize = 1024 * 1024;
 
-/// Records of one page when the caller sets no limit.
-const PAGE_RECORDS: u64 = 1_000;
+/// Records of one page.
+const PAGE_RECORDS: usize = 1_000;
+
+/// Length of the frame before a record, in bytes.
+const FRAME_BYTES: usize = 4;
 
 /// Creates the handler of the platform's calls.
 #[must_use]
@@ -50,8 +55,12 @@
     let (method, path) = request.route();
     match (method, path.as_slice()) {
         ("GET", ["admin", "dump"]) => Some(dump_response(directory).await),
-        ("POST", ["streams", stream, "append"]) => append(directory, stream, &request).await,
-        ("GET", ["streams", stream]) => read(directory, stream, &request).await,
+        ("POST", ["log-append"]) => append(directory, &request).await,
+        ("GET", ["log-read"]) => read(directory, &request).await,
+        ("GET", ["log-newest"]) => {
+            let topic = topic(&request);
+            ask_log(directory, |reply| LogMail::Newest(topic, reply)).await
+        }
         ("GET", ["instances"]) => list_instances(directory).await,
         ("PUT", ["instances", name]) => put_instance(directory, name, &request).await,
         ("DELETE", ["instances", name]) => remove_instance(directory, name).await,
@@ -72,36 +81,41 @@
     }
 }
 
+fn topic(request: &FrontRequest) -> String {
+    request.parameter("topic").unwrap_or_default().to_owned()
+}
+
+/// Appends the one record of a call; records are texts here.
 async fn append(
     directory: &StandinDirectory,
-    stream: &str,
     request: &FrontRequest,
 ) -> Option<Response<ResponseBody>> {
     if request.body.len() > MAX_RECORD_BYTES {
         let response = error_response(StatusCode::PAYLOAD_TOO_LARGE, "record_too_large");
         return Some(response);
     }
-    let Ok(body) = String::from_utf8(request.body.to_vec()) else {
+    let framed = request.body.get(FRAME_BYTES..).unwrap_or_default();
+    let Ok(body) = String::from_utf8(framed.to_vec()) else {
         return Some(FrontError::BadBody.into());
     };
-    let stream = stream.to_owned();
-    ask_log(directory, |reply| LogMail::Append(stream, body, reply)).await
+    let at = request.parameter("at").and_then(|at| at.parse().ok());
+    let topic = topic(request);
+    ask_log(directory, |reply| LogMail::Append(topic, body, at, reply)).await
 }
 
 async fn read(
     directory: &StandinDirectory,
-    stream: &str,
     request: &FrontRequest,
 ) -> Option<Response<ResponseBody>> {
-    let limit = request.number("limit", PAGE_RECORDS);
+    let from = request.number("from", 0);
     let reader = |reply| LogReader {
-        stream: stream.to_owned(),
-        from: request.number("from", 0),
-        limit: usize::try_from(limit).unwrap_or(usize::MAX),
-        until: request.deadline("wait_ms", directory.now()),
+        stream: topic(request),
+        from,
+        limit: PAGE_RECORDS,
+        until: request.deadline("wait-ms", directory.now()),
         reply,
     };
-    ask_log(directory, |reply| LogMail::Read(reader(reply))).await
+    ask_log_for(directory, from, |reply| LogMail::Read(reader(reply))).await
 }
 
 async fn admin(
@@ -132,24 +146,64 @@
 async fn ask_log(
     directory: &StandinDirectory,
     mail: impl FnOnce(ReplyTo<LogReply>) -> LogMail,
+) -> Option<Response<ResponseBody>> {
+    ask_log_for(directory, 0, mail).await
+}
+
+/// Asks the log; `from` is the offset that a read wants.
+async fn ask_log_for(
+    directory: &StandinDirectory,
+    from: u64,
+    mail: impl FnOnce(ReplyTo<LogReply>) -> LogMail,
 ) -> Option<Response<ResponseBody>> {
     let question = |reply| StandinMail::Log(mail(reply));
     let LogReply { not_before, answer } = directory.ask("log", question).await?;
     sleep_until(directory.clock().instant(not_before).into()).await;
     match answer {
         LogAnswer::Append(AppendOutcome::Appended(offset)) => {
-            Some(json_response(StatusCode::OK, &json!({ "offset": offset })))
+            let answer = json!({ "offset": offset, "end": offset + 1 });
+            Some(json_response(StatusCode::OK, &answer))
+        }
+        LogAnswer::Append(AppendOutcome::Moved(end)) => {
+            let answer = json!({ "end": end });
+            Some(json_response(StatusCode::PRECONDITION_FAILED, &answer))
         }
         LogAnswer::Append(AppendOutcome::AnswerLost) => None,
         LogAnswer::Append(AppendOutcome::Unavailable) | LogAnswer::Unavailable => {
             let response = error_response(StatusCode::SERVICE_UNAVAILABLE, "unavailable");
             Some(response)
         }
-        LogAnswer::Page(page) => Some(json_response(StatusCode::OK, &json!(PageBody::from(page)))),
+        LogAnswer::Page(page) if from < page.first => {
+            let answer = json!({ "first": page.first });
+            Some(json_response(StatusCode::GONE, &answer))
+        }
+        LogAnswer::Page(page) => Some(Response::new(whole_body(page_bytes(&page)))),
+        LogAnswer::Newest(records, end) => {
+            let items = records.into_iter().map(|(key, record)| {
+                let value = STANDARD.encode(record.body.as_bytes());
+                json!({ "key": key, "value": value, "offset": record.offset })
+            });
+            let items: Vec<_> = items.collect();
+            let answer = json!({ "items": items, "more": false, "end": end });
+            Some(json_response(StatusCode::OK, &answer))
+        }
         LogAnswer::Done => Some(done_response()),
     }
 }
 
+/// Encodes a page: the end, the first offset that is kept, and framed records.
+fn page_bytes(page: &LogPage) -> Vec<u8> {
+    let mut bytes = Vec::new();
+    bytes.extend_from_slice(&page.next.to_be_bytes());
+    bytes.extend_from_slice(&page.first.to_be_bytes());
+    for record in &page.records {
+        let length = u32::try_from(record.body.len()).unwrap_or(u32::MAX);
+        bytes.extend_from_slice(&length.to_be_bytes());
+        bytes.extend_from_slice(record.body.as_bytes());
+    }
+    bytes
+}
+
 async fn list_instances(directory: &StandinDirectory) -> Option<Response<ResponseBody>> {
     let mail = |reply| StandinMail::Instances(InstanceMail::List(reply));
     let entries = directory.ask("instances", mail).await?;
@@ -195,35 +249,6 @@
     }
 }
 
-#[derive(Debug, Serialize)]
-struct PageBody {
-    first: u64,
-    next: u64,
-    records: Vec<RecordBody>,
-}
-
-#[derive(Debug, Serialize)]
-struct RecordBody {
-    offset: u64,
-    body: String,
-}
-
-impl From<LogPage> for PageBody {
-    fn from(page: LogPage) -> Self {
-        let records = page.records.into_iter();
-        Self {
-            first: page.first,
-            next: page.next,
-            records: records
-                .map(|record| RecordBody {
-                    offset: record.offset,
-                    body: record.body.as_ref().to_owned(),
-                })
-                .collect(),
-        }
-    }
-}
-
 #[derive(Debug, Clone, Copy, Serialize, Deserialize)]
 #[serde(rename_all = "lowercase")]
 enum StateBody {
--- a/tests/common/process.rs
+++ b/tests/common/process.rs
@@ -23,8 +23,19 @@
 impl ChildProcess {
     /// Starts a binary and waits until it has printed the given roles.
     pub fn start(binary: &str, arguments: &[&str], roles: &[&str]) -> Self {
+        Self::start_with(binary, arguments, &[], roles)
+    }
+
+    /// Starts a binary with variables and waits until it has printed the given roles.
+    pub fn start_with(
+        binary: &str,
+        arguments: &[&str],
+        variables: &[(&str, &str)],
+        roles: &[&str],
+    ) -> Self {
         let mut child = Command::new(binary)
             .args(arguments)
+            .envs(variables.iter().copied())
             .stdin(Stdio::null())
             .stdout(Stdio::piped())
             .spawn()
--- a/tests/config_orders.rs
+++ b/tests/config_orders.rs
@@ -7,6 +7,7 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::{Duration, Instant};
 
+use bulrushslip::platform::log_client::LogClient;
 use common::{API_KEY, Answer, ChildProcess, Fleet, FleetOptions, MODEL, get, post, send};
 use hyper::Method;
 use serde_json::{Value, json};
@@ -118,7 +119,7 @@
     // A lease of a process that is gone comes first and is waited out.
     let platform = fleet.platform.port("platform");
     let lease = json!({"acquire": {"upstream": "engine-0", "holder": 1}}).to_string();
-    post(platform, "/streams/leases/append", &[], lease).await;
+    LogClient::new(platform, "leases").append(lease).await;
     let release = json!({"release": {"lease": 0}}).to_string();
     intend(&fleet, "limit-0", &["load", "engine-0", "v2"]);
     let asked = Instant::now();
@@ -126,7 +127,7 @@
         assert_eq!(version(&fleet.engines[0]).await, "v1");
         tokio::time::sleep(Duration::from_millis(50)).await;
     }
-    post(platform, "/streams/leases/append", &[], release).await;
+    LogClient::new(platform, "leases").append(release).await;
     until_version(&fleet.engines[0], "v2").await;
     let fence = |loads: &[Value]| loads[0]["fence"].as_u64().expect("a number");
     assert!(fence(&loads(&fleet.engines[0]).await) > 0);
--- a/tests/config_processes.rs
+++ b/tests/config_processes.rs
@@ -5,6 +5,8 @@
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
+use bulrushslip::decide::ids::LogOffset;
+use bulrushslip::platform::log_client::{AppendOutcome, LogClient, ReadOutcome, ReadWindow};
 use common::{API_KEY, ChildProcess, Fleet, FleetOptions, MODEL, get, post};
 use serde_json::{Value, json};
 
@@ -66,8 +68,10 @@
 async fn append(platform: SocketAddr, planned_at: u64, change: Value) -> u64 {
     let plan = json!({"plan_id": "1", "planned_at": planned_at, "changes": [change]});
     let body = json!({"plan": plan}).to_string();
-    let answer = post(platform, "/streams/config/append", &[], body).await;
-    answer.json()["offset"].as_u64().expect("an offset")
+    match LogClient::new(platform, "config").append(body).await {
+        AppendOutcome::Appended(offset) => offset.0,
+        other => panic!("not appended: {other:?}"),
+    }
 }
 
 fn peers(fleet: &Fleet) -> String {
@@ -111,16 +115,17 @@
     let platform = fleet.platform.port("platform");
     let mut first = 0;
     until(LIMIT, "snapshot written", async || {
-        let page = get(platform, "/streams/config?from=0&limit=100&wait_ms=0", &[])
-            .await
-            .json();
-        let mut records = page["records"].as_array().expect("records").iter();
-        let part = records.find(|r| {
-            r["body"]
-                .as_str()
-                .is_some_and(|b| b.contains("snapshot_part"))
-        });
-        first = part.and_then(|part| part["offset"].as_u64()).unwrap_or(0);
+        let window = ReadWindow {
+            from: LogOffset(0),
+            limit: 100,
+            wait: Duration::ZERO,
+        };
+        let ReadOutcome::Page(page) = LogClient::new(platform, "config").read(window).await else {
+            return false;
+        };
+        let mut records = page.records.iter();
+        let part = records.find(|record| record.body.contains("snapshot_part"));
+        first = part.map_or(0, |part| part.offset.0);
         part.is_some()
     })
     .await;
--- /dev/null
+++ b/tests/gateway_world/mod.rs
@@ -0,0 +1,376 @@
+//! Gateways as real processes, the stand-in store, and small upstreams that misbehave on demand.
+
+#![expect(dead_code, reason = "each test file uses a part of these helpers")]
+
+#[path = "../common/process.rs"]
+mod process;
+
+use std::collections::HashMap;
+use std::convert::Infallible;
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::mpsc::{Receiver, channel};
+use std::time::{Duration, Instant};
+
+use bulrushslip::platform::http_client::{HttpError, WholeResponse, call, request};
+use bulrushslip::platform::store_client::{OPERATOR_TOPIC, StoreClient, UPSTREAM_TOPIC};
+use bytes::Bytes;
+use futures::StreamExt;
+use http_body_util::{BodyExt, Full, StreamBody};
+use hyper::body::{Frame, Incoming};
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper::{Method, Request, Response, StatusCode};
+use hyper_util::rt::TokioIo;
+pub use process::ChildProcess;
+use serde_json::{Value, json};
+use tokio::net::TcpListener;
+
+/// Bound for everything that has no target of its own.
+pub const LIMIT: Duration = Duration::from_secs(20);
+
+/// Settings files written by the tests of this process, which run beside each other.
+static SETTINGS_FILES: AtomicU64 = AtomicU64::new(0);
+
+/// A request as an upstream received it.
+#[derive(Debug, Clone)]
+pub struct SeenRequest {
+    /// Path.
+    pub path: String,
+    /// Headers.
+    pub headers: HashMap<String, String>,
+    /// Body.
+    pub body: Bytes,
+}
+
+/// How an upstream answers.
+#[derive(Debug, Clone)]
+pub enum Behaviour {
+    /// With this status and body, signed.
+    Answer(u16, &'static str),
+    /// With a body and no signature.
+    Unsigned,
+    /// Not at all: it says that it has not run the request.
+    TurnAway,
+    /// With half of the announced body.
+    Truncate,
+    /// With these parts of a stream, and the end if so.
+    Stream(Vec<&'static str>, bool),
+    /// With a first part, and then nothing for good.
+    Stall(&'static str),
+}
+
+/// A small upstream.
+#[derive(Debug)]
+pub struct Upstream {
+    /// Its address.
+    pub address: SocketAddr,
+    /// Requests that it received.
+    pub seen: Receiver<SeenRequest>,
+    /// Told when a stalled answer is dropped, which closing the connection does.
+    pub dropped: Receiver<()>,
+}
+
+struct DropNotice(std::sync::mpsc::Sender<()>);
+
+impl Drop for DropNotice {
+    fn drop(&mut self) {
+        // A test that has ended takes no notice.
+        let _outcome = self.0.send(());
+    }
+}
+
+type AnswerBody = http_body_util::combinators::BoxBody<Bytes, std::io::Error>;
+
+fn whole(text: &'static str) -> AnswerBody {
+    Full::new(Bytes::from_static(text.as_bytes()))
+        .map_err(|never| match never {})
+        .boxed()
+}
+
+fn parts(texts: Vec<&'static str>, is_whole: bool) -> AnswerBody {
+    let mut frames: Vec<Result<Frame<Bytes>, std::io::Error>> = texts
+        .into_iter()
+        .map(|text| Ok(Frame::data(Bytes::from_static(text.as_bytes()))))
+        .collect();
+    if !is_whole {
+        frames.push(Err(std::io::ErrorKind::ConnectionAborted.into()));
+    }
+    // A pause lets each part be sent before the next, or before the break.
+    let paced = futures::stream::iter(frames).then(|frame| async {
+        tokio::time::sleep(Duration::from_millis(5)).await;
+        frame
+    });
+    BodyExt::boxed(StreamBody::new(futures::StreamExt::boxed(paced).sync()))
+}
+
+trait IntoSync: Sized {
+    fn sync(self) -> SyncStream<Self>;
+}
+
+impl<S> IntoSync for S {
+    fn sync(self) -> SyncStream<S> {
+        SyncStream(std::sync::Mutex::new(self))
+    }
+}
+
+/// Lets a stream that is only polled by its owner be shared.
+struct SyncStream<S>(std::sync::Mutex<S>);
+
+impl<S: futures::Stream + Unpin> futures::Stream for SyncStream<S> {
+    type Item = S::Item;
+
+    fn poll_next(
+        self: std::pin::Pin<&mut Self>,
+        cx: &mut std::task::Context<'_>,
+    ) -> std::task::Poll<Option<S::Item>> {
+        let stream = self.get_mut().0.get_mut().expect("never poisoned");
+        std::pin::Pin::new(stream).poll_next(cx)
+    }
+}
+
+impl Upstream {
+    /// Starts an upstream that answers its n-th request by the n-th behaviour, and all further
+    /// ones by the last.
+    pub async fn start(behaviours: Vec<Behaviour>) -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+        let address = listener.local_addr().expect("an address");
+        let (sender, seen) = channel();
+        let (drop_sender, dropped) = channel();
+        tokio::spawn(async move {
+            let (count, _) = tokio::sync::watch::channel(0_usize);
+            while let Ok((stream, _)) = listener.accept().await {
+                let (sender, drop_sender) = (sender.clone(), drop_sender.clone());
+                let (behaviours, count) = (behaviours.clone(), count.clone());
+                let answer = service_fn(move |request: Request<Incoming>| {
+                    let (sender, drop_sender) = (sender.clone(), drop_sender.clone());
+                    let index = *count.borrow();
+                    count.send_modify(|count| *count += 1);
+                    let behaviour = behaviours[index.min(behaviours.len() - 1)].clone();
+                    async move {
+                        let (head, body) = request.into_parts();
+                        let body = body
+                            .collect()
+                            .await
+                            .map(http_body_util::Collected::to_bytes);
+                        let headers = head.headers.iter().map(|(name, value)| {
+                            let value = value.to_str().unwrap_or_default();
+                            (name.to_string(), value.to_owned())
+                        });
+                        let id = head.headers.get("x-request-id").cloned();
+                        let seen = SeenRequest {
+                            path: head.uri.to_string(),
+                            headers: headers.collect(),
+                            body: body.unwrap_or_default(),
+                        };
+                        drop(sender.send(seen));
+                        let mut response = respond(behaviour, drop_sender);
+                        if let Some(id) = id {
+                            response.headers_mut().insert("x-request-id", id);
+                        }
+                        Ok::<_, Infallible>(response)
+                    }
+                });
+                let connection =
+                    http1::Builder::new().serve_connection(TokioIo::new(stream), answer);
+                tokio::spawn(async move { drop(connection.await) });
+            }
+        });
+        Self {
+            address,
+            seen,
+            dropped,
+        }
+    }
+
+    /// Returns all requests received so far.
+    pub fn received(&self) -> Vec<SeenRequest> {
+        self.seen.try_iter().collect()
+    }
+}
+
+fn respond(behaviour: Behaviour, dropped: std::sync::mpsc::Sender<()>) -> Response<AnswerBody> {
+    let signed = |status: u16, body: AnswerBody| {
+        let builder = Response::builder()
+            .status(status)
+            .header("x-server-seal", "seal");
+        builder.body(body).expect("a response")
+    };
+    match behaviour {
+        Behaviour::Answer(status, text) => signed(status, whole(text)),
+        Behaviour::Unsigned => Response::new(whole("no seal")),
+        Behaviour::TurnAway => Response::builder()
+            .status(503)
+            .header("x-not-executed", "1")
+            .body(whole(""))
+            .expect("a response"),
+        Behaviour::Truncate => {
+            let mut response = signed(200, parts(vec!["half"], false));
+            response.headers_mut().insert("content-length", 8.into());
+            response
+        }
+        Behaviour::Stream(texts, is_whole) => signed(200, parts(texts, is_whole)),
+        Behaviour::Stall(text) => {
+            let first =
+                futures::stream::iter([Ok(Frame::data(Bytes::from_static(text.as_bytes())))]);
+            let notice = DropNotice(dropped);
+            let never = futures::stream::once(async move {
+                let _notice = notice;
+                std::future::pending::<Result<Frame<Bytes>, std::io::Error>>().await
+            });
+            let stream = futures::StreamExt::boxed(first.chain(never)).sync();
+            signed(200, BodyExt::boxed(StreamBody::new(stream)))
+        }
+    }
+}
+
+/// The stand-in store and gateways before it.
+#[derive(Debug)]
+pub struct World {
+    /// The store.
+    pub platform: ChildProcess,
+}
+
+impl World {
+    /// Starts the store.
+    pub fn start() -> Self {
+        let arguments = ["platform", "--listen", "127.0.0.1:0"];
+        let binary = env!("CARGO_BIN_EXE_bulrushslip-standin");
+        Self {
+            platform: ChildProcess::start(binary, &arguments, &["platform"]),
+        }
+    }
+
+    /// Returns the store's address.
+    pub fn store(&self) -> SocketAddr {
+        self.platform.port("platform")
+    }
+
+    async fn put(&self, topic: &str, key: &str, value: &str) {
+        let length = u8::try_from(key.len()).expect("a short key");
+        let record = [&[length][..], key.as_bytes(), value.as_bytes()].concat();
+        let mut store = StoreClient::new(self.store());
+        store.append(topic, &record).await.expect("an append");
+    }
+
+    /// Writes a configuration in which `routes` go to the service `s`.
+    pub async fn configure(&self, version: u64, routes: &[Value]) {
+        let document = json!({
+            "version": version,
+            "routes": routes,
+            "services": [{"name": "s", "max-connections": 100}],
+            "limits": {"max-header-bytes": 4096, "max-body-bytes": 1000,
+                "header-timeout-ms": 3000, "idle-timeout-ms": 15000},
+            "tenants": [{"name": "customer", "api-keys": ["key"]}],
+        });
+        self.put(OPERATOR_TOPIC, "config", &document.to_string())
+            .await;
+    }
+
+    /// Writes the entry of an upstream.
+    pub async fn announce(&self, id: &str, upstream: &Upstream, state: &str) {
+        let entry = json!({"service": "s", "address": upstream.address, "zone": "near",
+            "slots": 8, "state": state, "born": 1, "models": []});
+        self.put(UPSTREAM_TOPIC, id, &entry.to_string()).await;
+    }
+
+    /// Writes what names no upstream under a key.
+    pub async fn announce_rubbish(&self, id: &str, value: &str) {
+        self.put(UPSTREAM_TOPIC, id, value).await;
+    }
+
+    /// Starts a gateway that reaches the store.
+    pub fn gateway(&self, name: &str) -> Gateway {
+        Gateway::start(name, self.store(), &[])
+    }
+}
+
+/// A running gateway.
+#[derive(Debug)]
+pub struct Gateway {
+    /// The process.
+    pub process: ChildProcess,
+}
+
+impl Gateway {
+    /// Starts a gateway with a store and the peer addresses of others.
+    pub fn start(name: &str, store: SocketAddr, seeds: &[SocketAddr]) -> Self {
+        // All instances have the same port for peers, so each has an address of its own.
+        let ip = format!("127.0.0.{}", 10 + name.len());
+        let port = seeds.first().map_or(0, SocketAddr::port);
+        let seeds: Vec<String> = seeds.iter().map(ToString::to_string).collect();
+        let settings = format!(
+            "node-name={name}\nzone=near\nip={ip}\nlisten.front=127.0.0.1:0\n\
+             listen.ready=127.0.0.1:0\ninternal-ports={port},{port}\nseeds={}\n\
+             platform.address={store}\nbounds.grace-s=3\nbounds.lease-ms=3000\n\
+             bounds.version-ms=8000\nbounds.stable-window-ms=3000\n\
+             bounds.retry-budget-ratio=0.2\nbounds.budget-extra-retries=56\n",
+            seeds.join(",")
+        );
+        let path = PathBuf::from(env!("CARGO_TARGET_TMPDIR"));
+        let number = SETTINGS_FILES.fetch_add(1, Ordering::Relaxed);
+        let path = path.join(format!("{}-{number}.conf", std::process::id()));
+        std::fs::write(&path, settings).expect("a settings file");
+        let path = path.to_str().expect("a path of text");
+        let process = ChildProcess::start_with(
+            env!("CARGO_BIN_EXE_bulrushslip-gateway"),
+            &[],
+            &[("BULRUSHSLIP_SETTINGS", path)],
+            &["callers", "readiness", "peers"],
+        );
+        Self { process }
+    }
+
+    /// Asks the readiness port.
+    pub async fn is_ready(&self) -> bool {
+        let address = self.process.port("readiness");
+        let request = request(Method::GET, address, "/readyz").body(Full::default());
+        let answer = call(address, request.expect("a request"), LIMIT).await;
+        answer.is_ok_and(|answer| answer.status == StatusCode::OK)
+    }
+
+    /// Waits until the gateway serves.
+    pub async fn ready(&self) {
+        until("ready", async || self.is_ready().await).await;
+    }
+
+    /// Sends a request with the customer's key.
+    pub async fn send(&self, path: &str) -> Result<WholeResponse, HttpError> {
+        self.send_with(path, &[("x-api-key", "key")], "body").await
+    }
+
+    /// Sends a request with headers and a body.
+    pub async fn send_with(
+        &self,
+        path: &str,
+        headers: &[(&str, &str)],
+        body: &'static str,
+    ) -> Result<WholeResponse, HttpError> {
+        let address = self.process.port("callers");
+        let mut builder = request(Method::POST, address, path)
+            .header("x-request-id", "r1")
+            .header("x-deadline-ms", "5000");
+        for (name, value) in headers {
+            builder = builder.header(*name, *value);
+        }
+        let request = builder.body(Full::new(Bytes::from_static(body.as_bytes())));
+        call(address, request.expect("a request"), LIMIT).await
+    }
+}
+
+/// Waits until something holds.
+pub async fn until(what: &str, mut holds: impl AsyncFnMut() -> bool) {
+    let asked = Instant::now();
+    while !holds().await {
+        assert!(asked.elapsed() < LIMIT, "{what}: not within {LIMIT:?}");
+        tokio::time::sleep(Duration::from_millis(10)).await;
+    }
+}
+
+/// A route of the service `s`.
+pub fn route(prefix: &str, kind: &str, max_attempts: u32) -> Value {
+    json!({"name": prefix, "host": "127.0.0.1", "path-prefix": prefix, "kind": kind,
+        "timeout-ms": 4000, "target-latency-ms": 500, "max-attempts": max_attempts,
+        "service": "s", "resumable": prefix == "/resumable/"})
+}
--- /dev/null
+++ b/tests/keyed_view.rs
@@ -0,0 +1,66 @@
+//! Newest records of a topic, merged from the store and from other instances.
+
+mod property;
+
+use std::collections::BTreeMap;
+
+use bolero::TypeGenerator;
+use bulrushslip::decide::ids::LogOffset;
+use bulrushslip::decide::keyed_view::{KeyedRecord, KeyedView};
+
+/// Generated inputs of each property.
+const CASES: u64 = 2_000;
+
+#[derive(Debug, Clone, TypeGenerator)]
+struct Delivery {
+    records: Vec<(u8, Option<u8>)>,
+    order: Vec<u8>,
+}
+
+fn record(offset: usize, key: u8, value: Option<u8>) -> KeyedRecord {
+    KeyedRecord {
+        key: format!("k{}", key % 5),
+        value: value.map(|value| vec![value].into()),
+        offset: LogOffset(offset as u64),
+    }
+}
+
+/// Records handed on may be old, doubled and out of order; none brings an older state back.
+#[test]
+fn the_newest_record_of_each_key_wins_in_any_order_of_delivery() {
+    property::check(CASES, |delivery: &Delivery| {
+        let numbered = delivery.records.iter().enumerate();
+        let records: Vec<KeyedRecord> = numbered
+            .map(|(offset, (key, value))| record(offset, *key, *value))
+            .collect();
+        let mut view = KeyedView::default();
+        for index in &delivery.order {
+            if let Some(record) = records.get(usize::from(*index)) {
+                view.apply(record);
+            }
+        }
+        for record in &records {
+            view.apply(record);
+        }
+        let naive: BTreeMap<&str, &KeyedRecord> = records
+            .iter()
+            .map(|record| (record.key.as_str(), record))
+            .collect();
+        for (key, newest) in naive {
+            assert_eq!(view.value(key), newest.value.as_ref());
+            assert_eq!(view.offset(key), Some(newest.offset));
+        }
+    });
+}
+
+#[test]
+fn a_whole_reading_drops_what_it_does_not_name_but_nothing_newer() {
+    let mut view = KeyedView::default();
+    for (offset, key) in [(0, 0), (1, 1), (7, 2)] {
+        view.apply(&record(offset, key, Some(1)));
+    }
+    let named = [record(0, 0, Some(1))];
+    let missing = view.missing_from(&named, LogOffset(5));
+    let keys: Vec<&str> = missing.iter().map(|record| record.key.as_str()).collect();
+    assert_eq!(keys, ["k1"]);
+}
--- /dev/null
+++ b/tests/member_choice.rs
@@ -0,0 +1,276 @@
+//! Choice of an upstream: distance, room, weights, and parts of prompts read once.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bulrushslip::decide::fleet::{
+    EntryChange, Fleet, MemberKey, MemberLoad, MemberOutcome, MemberState, MemberWeights,
+    UpstreamEntry,
+};
+use bulrushslip::decide::member_choice::{
+    MemberChoice, NewestWeights, PlaceQuestion, PlaceStep, PlaceView, choose,
+};
+use bulrushslip::decide::prompt_parts::{CacheDomain, PartIndex, PromptPart, PromptShape, chains};
+use bulrushslip::decide::route_table::{EngineRule, KeptStore, PlaceId, ServiceId};
+use bulrushslip::kernel::Moment;
+
+const MODEL: u64 = 1;
+
+const ENGINE: EngineRule = EngineRule {
+    memory_tokens: 100_000,
+    token_move_us: 10.0,
+};
+
+fn at(ms: u64) -> Moment {
+    Moment::START.after(Duration::from_millis(ms))
+}
+
+fn address(port: u16) -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], port))
+}
+
+fn entry(id: &str, place: &str, version: u64) -> UpstreamEntry {
+    UpstreamEntry {
+        id: id.to_owned(),
+        service: ServiceId::of("llm"),
+        address: address(u16::try_from(id.len()).expect("a short name")),
+        place: PlaceId::of(place),
+        slots: 32,
+        state: MemberState::Ready,
+        born: 1,
+        weights: Some(MemberWeights {
+            model: MODEL,
+            version,
+        }),
+    }
+}
+
+fn added(fleet: &mut Fleet, entry: UpstreamEntry) -> MemberKey {
+    match fleet.apply(entry) {
+        EntryChange::Added(key) => key,
+        other => panic!("{other:?}"),
+    }
+}
+
+fn review() -> PromptShape {
+    PromptShape {
+        model: MODEL,
+        prompt_tokens: 17_000,
+        answer_tokens: 100,
+        parts: vec![
+            PromptPart {
+                id: 5,
+                tokens: 13_000,
+            },
+            PromptPart {
+                id: 6,
+                tokens: 4_000,
+            },
+        ],
+    }
+}
+
+fn view<'a>(now: Moment, fleet: &'a Fleet, parts: &'a PartIndex) -> PlaceView<'a> {
+    PlaceView {
+        now,
+        place: PlaceId::of("near"),
+        fleet,
+        parts,
+        engine: Some(ENGINE),
+        kept_store: Some(KeptStore {
+            address: address(9),
+            place: PlaceId::of("far"),
+        }),
+        newest: Some(NewestWeights {
+            version: 1,
+            is_preferred: true,
+            oldest_allowed: 0,
+        }),
+    }
+}
+
+fn question(prompt: &PromptShape) -> PlaceQuestion<'_> {
+    PlaceQuestion {
+        service: ServiceId::of("llm"),
+        prompt: Some(prompt),
+        wall: "",
+        body_bytes: 34_000,
+        excluded: &[],
+        patience: at(60_000),
+        draw: 0,
+    }
+}
+
+fn sent(step: PlaceStep) -> MemberChoice {
+    match step {
+        PlaceStep::Send(choice) => choice,
+        other => panic!("{other:?}"),
+    }
+}
+
+fn chain(version: u64) -> Vec<(u64, u64)> {
+    chains(CacheDomain::of(MODEL, version, ""), review().shared())
+}
+
+#[test]
+fn near_upstreams_are_preferred_until_they_are_full() {
+    let mut fleet = Fleet::default();
+    let near = added(&mut fleet, entry("n", "near", 1));
+    let far = added(&mut fleet, entry("ff", "far", 1));
+    let parts = PartIndex::default();
+    let prompt = review();
+    let step = choose(view(at(0), &fleet, &parts), question(&prompt));
+    assert_eq!(sent(step).member, near);
+    fleet.get_mut(near).expect("listed").own.in_flight = 32;
+    let step = choose(view(at(0), &fleet, &parts), question(&prompt));
+    assert_eq!(sent(step).member, far);
+    fleet.get_mut(far).expect("listed").own.in_flight = 32;
+    let step = choose(view(at(0), &fleet, &parts), question(&prompt));
+    assert_eq!(step, PlaceStep::Full);
+    let mut other = question(&prompt);
+    other.service = ServiceId::of("none");
+    assert_eq!(
+        choose(view(at(0), &fleet, &parts), other),
+        PlaceStep::Nowhere
+    );
+}
+
+/// Nine long prompts fill an engine's memory long before its slots; more waited in its queue.
+#[test]
+fn a_prompt_that_does_not_fit_beside_what_runs_is_kept() {
+    let mut fleet = Fleet::default();
+    let key = added(&mut fleet, entry("n", "near", 1));
+    let parts = PartIndex::default();
+    let prompt = review();
+    let member = fleet.get_mut(key).expect("listed");
+    member.own.in_flight = 5;
+    member.own.memory_tokens = 80_000;
+    let step = choose(view(at(0), &fleet, &parts), question(&prompt));
+    assert_eq!(step, PlaceStep::Full);
+    // Another instance's work counts too, while its news is fresh.
+    let member = fleet.get_mut(key).expect("listed");
+    member.own = MemberLoad::default();
+    let load = MemberLoad {
+        in_flight: 5,
+        unread_tokens: 30_000,
+        memory_tokens: 30_000,
+    };
+    member.note_peer_load(at(0), 7, load);
+    let step = choose(view(at(1), &fleet, &parts), question(&prompt));
+    assert_eq!(step, PlaceStep::Full);
+    let step = choose(view(at(5_000), &fleet, &parts), question(&prompt));
+    assert_eq!(sent(step).member, key);
+}
+
+/// A version's limit once was replaced by that of the next one, and weights two versions old ran.
+#[test]
+fn weights_older_than_allowed_are_never_used() {
+    let mut fleet = Fleet::default();
+    added(&mut fleet, entry("n", "near", 1));
+    let parts = PartIndex::default();
+    let prompt = review();
+    let mut limited = view(at(0), &fleet, &parts);
+    limited.newest = Some(NewestWeights {
+        version: 3,
+        is_preferred: true,
+        oldest_allowed: 1,
+    });
+    assert!(matches!(
+        choose(limited, question(&prompt)),
+        PlaceStep::Send(_)
+    ));
+    limited.newest = Some(NewestWeights {
+        version: 3,
+        is_preferred: true,
+        oldest_allowed: 2,
+    });
+    assert_eq!(choose(limited, question(&prompt)), PlaceStep::Full);
+}
+
+/// Fetches once named an upstream that was still reading the part, so it was read twice.
+#[test]
+fn a_part_that_is_being_read_is_waited_for_and_then_fetched() {
+    let mut fleet = Fleet::default();
+    let reader = added(&mut fleet, entry("n", "near", 1));
+    let other = added(&mut fleet, entry("nn", "near", 1));
+    let mut parts = PartIndex::default();
+    let prompt = review();
+    let first = sent(choose(view(at(0), &fleet, &parts), question(&prompt)));
+    assert_eq!((first.fetch_from, first.save_to), (None, Some(address(9))));
+    parts.note_reading(at(0), &chain(1));
+    let step = choose(view(at(10), &fleet, &parts), question(&prompt));
+    assert!(
+        matches!(step, PlaceStep::Await(until) if until > at(10)),
+        "{step:?}"
+    );
+    // Nobody waits for a reading that was given up.
+    parts.note_given_up(&chain(1));
+    assert!(matches!(
+        choose(view(at(20), &fleet, &parts), question(&prompt)),
+        PlaceStep::Send(_)
+    ));
+    parts.note_used(at(30), &chain(1), reader, 0);
+    let hit = sent(choose(view(at(40), &fleet, &parts), question(&prompt)));
+    assert_eq!((hit.member, hit.unread_tokens), (reader, 4_000));
+    fleet.get_mut(reader).expect("listed").own.in_flight = 32;
+    let fetched = sent(choose(view(at(40), &fleet, &parts), question(&prompt)));
+    assert_eq!(fetched.member, other);
+    assert_eq!(fetched.fetch_from, Some(address(1)));
+    assert_eq!(fetched.unread_tokens, 4_000);
+}
+
+#[test]
+fn parts_of_other_weights_or_behind_a_wall_are_not_shared() {
+    let open = CacheDomain::of(MODEL, 1, "");
+    assert_ne!(open, CacheDomain::of(MODEL, 2, ""));
+    assert_ne!(open, CacheDomain::of(MODEL, 1, "walled"));
+    let mut fleet = Fleet::default();
+    let key = added(&mut fleet, entry("n", "near", 1));
+    let mut parts = PartIndex::default();
+    parts.note_used(at(0), &chain(1), key, 0);
+    let prompt = review();
+    let mut walled = question(&prompt);
+    walled.wall = "walled";
+    let choice = sent(choose(view(at(1), &fleet, &parts), walled));
+    assert_eq!((choice.missing_tokens, choice.fetch_from), (13_000, None));
+}
+
+#[test]
+fn a_part_is_believed_gone_once_the_memory_has_been_read_over() {
+    let mut fleet = Fleet::default();
+    let key = added(&mut fleet, entry("n", "near", 1));
+    let mut parts = PartIndex::default();
+    parts.note_used(at(0), &chain(1), key, 0);
+    let prompt = review();
+    fleet.get_mut(key).expect("listed").read_mark = 90_000;
+    let choice = sent(choose(view(at(1), &fleet, &parts), question(&prompt)));
+    assert_eq!(choice.missing_tokens, 13_000);
+}
+
+#[test]
+fn a_new_life_under_an_old_identity_has_nothing_of_the_former() {
+    let mut fleet = Fleet::default();
+    let old = added(&mut fleet, entry("n", "near", 2));
+    fleet.get_mut(old).expect("listed").own.in_flight = 9;
+    // An entry that lags behind what the upstream said itself changes nothing.
+    assert_eq!(fleet.apply(entry("n", "near", 1)), EntryChange::Same(old));
+    let mut reborn = entry("n", "near", 1);
+    reborn.born = 2;
+    let EntryChange::Restarted { new, .. } = fleet.apply(reborn) else {
+        panic!("not taken as a restart");
+    };
+    assert!(fleet.get(old).is_none());
+    let member = fleet.get(new).expect("listed");
+    assert_eq!((member.own.in_flight, member.version()), (0, Some(1)));
+}
+
+#[test]
+fn failed_dials_pause_an_upstream_for_longer_each_time() {
+    let mut fleet = Fleet::default();
+    let key = added(&mut fleet, entry("n", "near", 1));
+    let member = fleet.get_mut(key).expect("listed");
+    member.note_outcome(at(0), MemberOutcome::Unreachable);
+    assert!(!member.is_open(at(399)) && member.is_open(at(400)));
+    member.note_outcome(at(400), MemberOutcome::Unreachable);
+    assert!(!member.is_open(at(1_199)) && member.is_open(at(1_200)));
+}
--- /dev/null
+++ b/tests/route_table.rs
@@ -0,0 +1,118 @@
+//! Routes, customers and ranks of a configuration.
+
+use std::time::Duration;
+
+use bulrushslip::decide::route_table::{
+    AdmittedRoute, CallerLimits, CustomerRule, RouteConfiguration, RouteKind, RouteQuestion,
+    RouteRule, RouteStep, RouteTable, RouteTarget, ServiceId,
+};
+
+fn rule(prefix: &str, priority: u32, services: &[(&str, f64)]) -> RouteRule {
+    let targets = services.iter().map(|(name, weight)| RouteTarget {
+        service: ServiceId::of(name),
+        weight: *weight,
+    });
+    RouteRule {
+        host: "h.example".to_owned(),
+        prefix: prefix.to_owned(),
+        kind: RouteKind::Idempotent,
+        timeout_ms: 1_000,
+        objective_ms: 100,
+        max_attempts: 2,
+        priority,
+        is_public: prefix == "/open/",
+        has_prompts: false,
+        targets: targets.collect(),
+    }
+}
+
+fn customer(name: &str, priority: Option<u32>) -> CustomerRule {
+    CustomerRule {
+        name: name.to_owned(),
+        priority,
+        is_isolated: false,
+        keys: vec![format!("key-{name}")],
+    }
+}
+
+fn table(customers: Option<Vec<CustomerRule>>) -> RouteTable {
+    RouteTable::new(RouteConfiguration {
+        version: 1,
+        routes: vec![
+            rule("/", 2, &[("review", 1.0)]),
+            rule("/a/b/", 0, &[("query", 1.0)]),
+            rule("/a/", 2, &[("query", 3.0), ("review", 1.0)]),
+            rule("/open/", 2, &[("plain", 1.0)]),
+        ],
+        services: Vec::new(),
+        kept_store: None,
+        customers,
+        limits: CallerLimits {
+            head_bytes: 1,
+            body_bytes: 1,
+            request_wait: Duration::ZERO,
+            idle_wait: Duration::ZERO,
+        },
+    })
+}
+
+fn find(table: &RouteTable, path: &str, key: Option<&str>, draw: f64) -> RouteStep {
+    table.find(RouteQuestion {
+        host: "h.example:80",
+        path,
+        key,
+        draw,
+    })
+}
+
+fn admitted(table: &RouteTable, path: &str, key: Option<&str>, draw: f64) -> AdmittedRoute {
+    match find(table, path, key, draw) {
+        RouteStep::Admit(route) => route,
+        other => panic!("{path}: {other:?}"),
+    }
+}
+
+#[test]
+fn the_longest_prefix_wins_and_splits_follow_their_weights() {
+    let table = table(None);
+    let service = |path, draw| admitted(&table, path, None, draw).service;
+    assert_eq!(service("/a/b/c", 0.0), ServiceId::of("query"));
+    assert_eq!(service("/a/x", 0.74), ServiceId::of("query"));
+    assert_eq!(service("/a/x", 0.76), ServiceId::of("review"));
+    assert_eq!(service("/a", 0.0), ServiceId::of("review"));
+    let other_host = RouteQuestion {
+        host: "other.example",
+        path: "/",
+        key: None,
+        draw: 0.0,
+    };
+    assert_eq!(table.find(other_host), RouteStep::Unrouted);
+}
+
+#[test]
+fn a_key_is_needed_except_on_public_routes() {
+    let table = table(Some(vec![customer("one", None)]));
+    assert_eq!(find(&table, "/a/x", None, 0.0), RouteStep::Unauthorized);
+    assert_eq!(
+        find(&table, "/a/x", Some("revoked"), 0.0),
+        RouteStep::Unauthorized
+    );
+    assert_eq!(admitted(&table, "/open/x", None, 0.0).customer, None);
+    let known = admitted(&table, "/a/x", Some("key-one"), 0.0);
+    assert_eq!(known.customer.as_deref(), Some("one"));
+}
+
+/// Equal priorities of customers once hid the routes': queries waited behind long prompts.
+#[test]
+fn the_routes_priority_decides_among_customers_of_equal_priority() {
+    let table = table(Some(vec![
+        customer("one", Some(1)),
+        customer("first", Some(0)),
+    ]));
+    let query = admitted(&table, "/a/b/", Some("key-one"), 0.0);
+    let review = admitted(&table, "/a/x", Some("key-one"), 0.0);
+    assert!(query.engine_rank < review.engine_rank);
+    assert!(query.is_urgent && !review.is_urgent);
+    let preferred = admitted(&table, "/a/x", Some("key-first"), 0.0);
+    assert!(preferred.engine_rank < query.engine_rank);
+}
--- a/tests/standin.rs
+++ b/tests/standin.rs
@@ -4,7 +4,13 @@
 
 use std::time::Duration;
 
+use bulrushslip::decide::ids::LogOffset;
+use bulrushslip::decide::keyed_view::KeyedRecord;
 use bulrushslip::platform::http_client::{self, HttpError};
+use bulrushslip::platform::log_client::{
+    AppendOutcome, LogClient, LogPage, LogRecord, ReadOutcome, ReadWindow,
+};
+use bulrushslip::platform::store_client::{AppendStep, ReadStep, StoreClient};
 use bulrushslip::standin::token_text::{text_seed, token};
 use hyper::{Method, StatusCode};
 use serde_json::{Value, json};
@@ -231,44 +237,81 @@
 #[tokio::test]
 async fn the_log_numbers_records_wakes_readers_and_fails_on_demand() {
     let platform = Standin::start("platform", "--retention-records 3");
-    let append = |body| platform.call("POST", "/streams/s/append", body);
-    let (page, offset) = tokio::join!(
-        platform.json("GET", "/streams/s?from=0&wait_ms=10000", ""),
-        async { append("one").await.expect("an answer").body }
-    );
-    assert_eq!(offset, r#"{"offset":0}"#);
-    assert_eq!(page["records"], json!([{ "offset": 0, "body": "one" }]));
+    let append = |body: &str| {
+        let body = body.to_owned();
+        let log = LogClient::new(platform.address, "s");
+        async move { log.append(body).await }
+    };
+    let read = |from, wait| {
+        let log = LogClient::new(platform.address, "s");
+        let window = ReadWindow {
+            from: LogOffset(from),
+            limit: 1,
+            wait,
+        };
+        async move { log.read(window).await }
+    };
+    let page = |first, next, offset, body: &str| {
+        ReadOutcome::Page(LogPage {
+            first: LogOffset(first),
+            next: LogOffset(next),
+            records: vec![LogRecord {
+                offset: LogOffset(offset),
+                body: body.to_owned(),
+            }],
+        })
+    };
+    let (first, offset) = tokio::join!(read(0, Duration::from_secs(10)), append("one"));
+    assert_eq!(offset, AppendOutcome::Appended(LogOffset(0)));
+    assert_eq!(first, page(0, 1, 0, "one"));
     platform
         .json("POST", "/admin/lose-answers?next=1", "")
         .await;
-    let lost = append("two").await.expect_err("the answer is lost");
-    assert!(!lost.is_unsent());
-    let page = platform.json("GET", "/streams/s?from=1", "").await;
-    assert_eq!(
-        page,
-        json!({ "first": 0, "next": 2, "records": [{ "offset": 1, "body": "two" }] })
-    );
+    let lost = append("two").await;
+    assert!(matches!(lost, AppendOutcome::Unknown(_)), "{lost:?}");
+    assert_eq!(read(1, Duration::ZERO).await, page(0, 2, 1, "two"));
     platform.json("POST", "/admin/outage?ms=60000", "").await;
-    assert_eq!(
-        append("no").await.expect("an answer").status,
-        StatusCode::SERVICE_UNAVAILABLE
-    );
-    let read = platform
-        .call("GET", "/streams/s", "")
-        .await
-        .expect("an answer");
-    assert_eq!(read.status, StatusCode::SERVICE_UNAVAILABLE);
+    let refused = append("no").await;
+    assert!(matches!(refused, AppendOutcome::Refused(_)), "{refused:?}");
+    let unread = read(0, Duration::ZERO).await;
+    assert!(matches!(unread, ReadOutcome::Unavailable(_)), "{unread:?}");
     platform.json("POST", "/admin/outage?ms=0", "").await;
     for body in ["three", "four", "five"] {
-        append(body).await.expect("an answer");
+        append(body).await;
     }
-    let page = platform.json("GET", "/streams/s?from=0&limit=1", "").await;
-    let records = json!([{ "offset": 2, "body": "three" }]);
-    assert_eq!(page, json!({ "first": 2, "next": 5, "records": records }));
+    assert_eq!(read(0, Duration::ZERO).await, page(2, 5, 2, "three"));
     platform
         .json("POST", "/admin/retain?stream=s&first=4", "")
         .await;
-    assert_eq!(platform.json("GET", "/streams/s", "").await["first"], 4);
+    assert_eq!(read(0, Duration::ZERO).await, page(4, 5, 4, "five"));
+}
+
+#[tokio::test]
+async fn the_log_appends_on_a_condition_and_keeps_the_newest_of_each_key() {
+    let platform = Standin::start("platform", "--retention-records 2");
+    let mut store = StoreClient::new(platform.address);
+    let keyed = |key: &str, value: &str| {
+        let length = u8::try_from(key.len()).expect("a short key");
+        [&[length][..], key.as_bytes(), value.as_bytes()].concat()
+    };
+    for (at, key, value) in [(0, "a", "1"), (1, "b", "2"), (2, "a", "3"), (3, "b", "")] {
+        let record = keyed(key, value);
+        let appended = store.append_at("keyed.t", LogOffset(at), &record);
+        let appended = appended.await.expect("an answer");
+        assert!(matches!(appended, AppendStep::Appended(offset) if offset.0 == at));
+    }
+    let record = keyed("a", "4");
+    let moved = store.append_at("keyed.t", LogOffset(3), &record);
+    assert!(matches!(moved.await, Ok(AppendStep::Moved)));
+    let newest = store.newest("keyed.t").await.expect("an answer");
+    let record = KeyedRecord {
+        key: "a".to_owned(),
+        value: Some("3".into()),
+        offset: LogOffset(2),
+    };
+    assert_eq!((newest.records, newest.end), (vec![record], LogOffset(4)));
+    let deleted = store.read("keyed.t", LogOffset(0), Duration::ZERO).await;
+    assert!(matches!(deleted, Ok(ReadStep::Deleted { first }) if first.0 == 2));
 }
 
 #[tokio::test]
--- a/tests/standin_decisions.rs
+++ b/tests/standin_decisions.rs
@@ -101,7 +101,7 @@
         retention_records: 10,
         appends_per_second: 400,
     });
-    let tries = (0..10_000).map(|try_at_ms| log.append(at(try_at_ms), "s", "x"));
+    let tries = (0..10_000).map(|try_at_ms| log.append(at(try_at_ms), "s", "x", None));
     let accepted = tries.filter(|outcome| *outcome != AppendOutcome::Unavailable);
     let accepted = accepted.count();
     assert!(
