--- a/src/decide/member_choice.rs
+++ b/src/decide/member_choice.rs
@@ -53,6 +53,10 @@
 /// Unread tokens beyond which it gets no further prompt at all; about 0.8 s.
 const SHORT_BACKLOG_TOKENS: u64 = 40_000;
 
+/// Share of the time of reading a prompt that each run beside it loses: its tokens wait while a
+/// piece of the prompt is read.
+const DISTURBANCE_SHARE: f64 = 0.05;
+
 /// Largest difference that the order of preference makes, in microseconds of waiting; it sends
 /// equal prompts to equal upstreams while nothing else tells them apart.
 const PREFERENCE_US: f64 = 6_000.0;
@@ -287,6 +291,8 @@
         choice.awaits = view.parts.pending(view.now, &chain);
     }
     cost += tokens(load.unread_tokens) * TOKEN_READ_US;
+    let reading_us = tokens(unread) * TOKEN_READ_US;
+    cost += reading_us * f64::from(load.in_flight) * DISTURBANCE_SHARE;
     let home = chain.last().map_or(question.draw, |(chain, _)| *chain);
     cost += preference(home, member.id_hash);
     choice.domain = Some(domain);
