--- a/src/ctl/args.rs
+++ b/src/ctl/args.rs
@@ -10,6 +10,7 @@
 use super::plan::PlanArgs;
 use super::request::RequestArgs;
 use super::status::StatusArgs;
+use super::story::StoryArgs;
 
 /// Changes and shows the configuration of bulrushslip.
 #[derive(Debug, FromArgs)]
@@ -35,6 +36,8 @@
     Dump(DumpArgs),
     /// Tells what was decided for one request.
     Explain(ExplainArgs),
+    /// Tells a request's story from log files.
+    Story(StoryArgs),
     /// Sends one request.
     Request(RequestArgs),
     /// Hashes a bearer key.
--- a/src/ctl/mod.rs
+++ b/src/ctl/mod.rs
@@ -11,6 +11,7 @@
 pub mod plan;
 pub mod request;
 pub mod status;
+pub mod story;
 
 use args::{Command, CtlArgs};
 use exit::ExitStatus;
@@ -24,6 +25,7 @@
         Command::Status(args) => status::run(&args).await,
         Command::Dump(args) => dump::run(&args).await,
         Command::Explain(args) => explain::run(&args).await,
+        Command::Story(args) => story::run(&args),
         Command::Request(args) => request::run(&args).await,
         Command::Hash(args) => {
             println!("{}", blake3::hash(args.bearer_key.as_bytes()));
--- a/src/gateway/attempts.rs
+++ b/src/gateway/attempts.rs
@@ -93,6 +93,8 @@
     pub excluded: Vec<MemberKey>,
     /// Last event that the caller has.
     pub last_event: Option<u64>,
+    /// Upstream and outcome of the last send that brought no answer, for logs.
+    pub last_send: Option<(String, MemberOutcome)>,
     /// Failure that an upstream answered before the request was sent again.
     failure: Option<WholeAnswer>,
 }
@@ -117,6 +119,7 @@
             },
             excluded: Vec::new(),
             last_event: request.last_event,
+            last_send: None,
             failure: None,
         }
     }
@@ -285,7 +288,13 @@
         Some(AttemptsEnd::Whole(Box::new(whole)))
     }
 
-    fn after(&self, end: SendEnd, upstream: &str, outcome: MemberOutcome) -> Option<AttemptsEnd> {
+    fn after(
+        &mut self,
+        end: SendEnd,
+        upstream: &str,
+        outcome: MemberOutcome,
+    ) -> Option<AttemptsEnd> {
+        self.last_send = Some((upstream.to_owned(), outcome));
         let route = &self.request.route;
         let is_late = self.request.deadline.is_due(self.directory.now());
         match self.history.next(end, route.kind, route.max_attempts) {
--- a/src/gateway/caller_front.rs
+++ b/src/gateway/caller_front.rs
@@ -14,7 +14,9 @@
 use super::mail::{DispatchMail, GatewayMail, PlaceRefusal};
 use super::relay;
 use super::request::{CallerRequest, EarlyAnswer};
+use crate::decide::fleet::MemberOutcome;
 use crate::decide::route_table::RouteKind;
+use crate::decide::send_step::SendHistory;
 use crate::events::{REQUEST_ANSWERED, REQUEST_FAILED, REQUEST_REFUSED, log_event};
 use crate::kernel::{Directory, Inbox, IoTask, Signal};
 use crate::platform::http_server::{RequestHandler, ResponseBody, ServerLimits, serve, whole_body};
@@ -32,6 +34,35 @@
 /// One in so many answered requests is logged; those that were not answered all are.
 const ANSWER_SAMPLE: u64 = 64;
 
+/// Why a request failed that may have run.
+#[derive(Debug)]
+struct FailedEnding {
+    status: StatusCode,
+    history: SendHistory,
+    /// Upstream of the last send, empty if there was none.
+    upstream: String,
+    outcome: &'static str,
+}
+
+impl FailedEnding {
+    fn new(
+        status: StatusCode,
+        history: SendHistory,
+        last_send: Option<(String, MemberOutcome)>,
+    ) -> Self {
+        let (upstream, outcome) = match last_send {
+            Some((upstream, outcome)) => (upstream, outcome.name()),
+            None => (String::new(), "none"),
+        };
+        Self {
+            status,
+            history,
+            upstream,
+            outcome,
+        }
+    }
+}
+
 /// Creates the I/O task.
 #[must_use]
 pub fn callers_task(listener: TcpListener, limits: ServerLimits) -> IoTask<GatewayMail> {
@@ -89,6 +120,7 @@
     let end = attempts.run().await;
     let history = attempts.history;
     let excluded = std::mem::take(&mut attempts.excluded);
+    let last_send = attempts.last_send.take();
     drop(attempts);
     match end {
         AttemptsEnd::Whole(whole) => {
@@ -109,8 +141,14 @@
             response
         }
         AttemptsEnd::NotRun(refusal) => refuse(directory, &request, refusal),
-        AttemptsEnd::Unknown => fail(directory, &request, StatusCode::BAD_GATEWAY),
-        AttemptsEnd::TimedOut => fail(directory, &request, StatusCode::GATEWAY_TIMEOUT),
+        AttemptsEnd::Unknown => {
+            let ending = FailedEnding::new(StatusCode::BAD_GATEWAY, history, last_send);
+            fail(directory, &request, &ending)
+        }
+        AttemptsEnd::TimedOut => {
+            let ending = FailedEnding::new(StatusCode::GATEWAY_TIMEOUT, history, last_send);
+            fail(directory, &request, &ending)
+        }
     }
 }
 
@@ -168,8 +206,9 @@
 fn fail(
     directory: &Directory<GatewayMail>,
     request: &CallerRequest,
-    status: StatusCode,
+    ending: &FailedEnding,
 ) -> Response<ResponseBody> {
+    let status = ending.status;
     let held = directory.now().since(request.received);
     let held_ms = held.as_millis();
     let outcome = if status == StatusCode::GATEWAY_TIMEOUT {
@@ -184,6 +223,10 @@
             ("request", &request.id),
             ("status", &status.as_u16()),
             ("held_ms", &held_ms),
+            ("upstream", &ending.upstream),
+            ("outcome", &ending.outcome),
+            ("offers", &ending.history.offers),
+            ("runs", &ending.history.runs),
             ("configuration", &request.route.version),
         ],
     );
--- a/src/gateway/metrics_port.rs
+++ b/src/gateway/metrics_port.rs
@@ -2,17 +2,12 @@
 
 use hyper::{Response, StatusCode};
 use tokio::net::TcpListener;
-use tokio::sync::oneshot;
 
 use super::dispatch;
 use super::mail::{DispatchMail, GatewayMail};
-use crate::kernel::{Directory, Inbox, IoTask, Signal};
-use crate::platform::http_server::{
-    RequestHandler, ServerLimits, json_response, serve, whole_body,
-};
-
-/// Connections of collectors served at the same time.
-const MAX_CONNECTIONS: usize = 16;
+use super::small_port::serve_until_stop;
+use crate::kernel::{Directory, Inbox, IoTask};
+use crate::platform::http_server::{RequestHandler, json_response, whole_body};
 
 /// Path of the counters; `/dump` shows the state of every part.
 pub const METRICS_PATH: &str = "/metrics";
@@ -47,23 +42,5 @@
             }
         }
     });
-    let limits = ServerLimits {
-        max_connections: MAX_CONNECTIONS,
-        leave_ms: 0,
-        drain_ms: 0,
-    };
-    // The port stays open until the process ends, so that the last counts can be collected.
-    let (_running, stopped) = oneshot::channel();
-    let serving = serve(listener, handler, limits, stopped);
-    tokio::pin!(serving);
-    loop {
-        tokio::select! {
-            () = &mut serving => return,
-            signal = inbox.receive() => match signal {
-                Some(Signal::Stop) | None => return,
-                Some(Signal::Dump(reply_to)) => reply_to.send(serde_json::json!({})),
-                Some(_) => {}
-            },
-        }
-    }
+    serve_until_stop(listener, handler, &mut inbox).await;
 }
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -17,6 +17,7 @@
 pub mod relay;
 pub mod request;
 pub mod settings_watch;
+pub mod small_port;
 pub mod start;
 pub mod store_watch;
 pub mod upstream_call;
--- a/src/gateway/peer_exchange.rs
+++ b/src/gateway/peer_exchange.rs
@@ -4,7 +4,6 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use futures::StreamExt;
 use tarpc::context::Context;
 use tarpc::server::{BaseChannel, Channel};
 use tokio::net::{TcpListener, TcpStream};
@@ -214,12 +213,7 @@
     watch_for_silence(&stream);
     let channel = BaseChannel::with_defaults(transport::framed(stream));
     let handler = ExchangeHandler { directory };
-    let responses = channel.execute(handler.serve());
-    responses
-        .for_each(|response| async {
-            tokio::spawn(response);
-        })
-        .await;
+    transport::run_calls(channel.execute(handler.serve())).await;
 }
 
 /// Takes in the news of a caller and answers with this instance's.
--- a/src/gateway/readiness.rs
+++ b/src/gateway/readiness.rs
@@ -2,15 +2,12 @@
 
 use hyper::{Response, StatusCode};
 use tokio::net::TcpListener;
-use tokio::sync::oneshot;
 
 use super::dispatch;
 use super::mail::{DispatchMail, GatewayMail};
-use crate::kernel::{Directory, Inbox, IoTask, Signal};
-use crate::platform::http_server::{RequestHandler, ServerLimits, serve, whole_body};
-
-/// Connections of balancers served at the same time.
-const MAX_CONNECTIONS: usize = 16;
+use super::small_port::serve_until_stop;
+use crate::kernel::{Directory, Inbox, IoTask};
+use crate::platform::http_server::{RequestHandler, whole_body};
 
 /// Creates the I/O task; it ends at once when the process is told to stop, which the balancer
 /// takes as not ready.
@@ -38,25 +35,7 @@
             response
         }
     });
-    let limits = ServerLimits {
-        max_connections: MAX_CONNECTIONS,
-        leave_ms: 0,
-        drain_ms: 0,
-    };
-    // The server is never asked to leave: its connections end with it.
-    let (_running, stopped) = oneshot::channel();
-    let serving = serve(listener, handler, limits, stopped);
-    tokio::pin!(serving);
-    loop {
-        tokio::select! {
-            () = &mut serving => return,
-            signal = inbox.receive() => match signal {
-                // Open connections of balancers outlive the task and are told so too.
-                Some(Signal::Stop) => return dispatch::tell(&asking, DispatchMail::Leaving),
-                None => return,
-                Some(Signal::Dump(reply_to)) => reply_to.send(serde_json::json!({})),
-                Some(_) => {}
-            },
-        }
-    }
+    serve_until_stop(listener, handler, &mut inbox).await;
+    // Open connections of balancers outlive the task and are told so too.
+    dispatch::tell(&asking, DispatchMail::Leaving);
 }
--- a/src/services/sidecar_rpc.rs
+++ b/src/services/sidecar_rpc.rs
@@ -2,7 +2,6 @@
 
 use std::time::Duration;
 
-use futures::StreamExt;
 use tarpc::context::Context;
 use tarpc::server::{BaseChannel, Channel};
 use tokio::net::{TcpListener, TcpStream};
@@ -70,12 +69,7 @@
 async fn serve(stream: TcpStream, directory: Directory<Mail>) {
     let channel = BaseChannel::with_defaults(transport::framed(stream));
     let calls = CallHandler { directory };
-    let responses = channel.execute(calls.serve());
-    responses
-        .for_each(|response| async {
-            tokio::spawn(response);
-        })
-        .await;
+    transport::run_calls(channel.execute(calls.serve())).await;
 }
 
 /// Hands each call to the service `ledger` and its reply back.
--- a/src/wire/transport.rs
+++ b/src/wire/transport.rs
@@ -1,5 +1,6 @@
 //! Framing of the connections between the system's own processes.
 
+use futures::{Stream, StreamExt};
 use serde::{Deserialize, Serialize};
 use tarpc::serde_transport::{Transport, new};
 use tarpc::tokio_serde::formats::Bincode;
@@ -25,3 +26,12 @@
     codec.set_max_frame_length(MAX_FRAME_BYTES);
     new(Framed::new(stream, codec), Bincode::default())
 }
+
+/// Runs the calls of a connection, each in a task of its own, until it is closed.
+pub async fn run_calls<F: Future<Output = ()> + Send + 'static>(calls: impl Stream<Item = F>) {
+    calls
+        .for_each(|call| async {
+            tokio::spawn(call);
+        })
+        .await;
+}
--- a/tests/events.rs
+++ b/tests/events.rs
@@ -40,7 +40,7 @@
          Every log line is a numbered event on standard error, as `key=value` fields or, with\n\
          `--log-format json`, as a JSON object. Numbers and names stay; 1xx process,\n\
          2xx configuration, 3xx entry, 4xx sidecar, 5xx operators. This page is made from\n\
-         `src/events.rs`.\n\n{}",
+         `src/events/catalogue.rs`.\n\n{}",
         markdown()
     );
     pages::check_page("docs/EVENTS.md", &page);
