Let two instances read the store for all

The two with the lowest identity read; how long ago the store confirmed what is known travels with the news, and each instance reads itself once that is 1.2 s old. Heartbeats that say nothing new are not handed on; the store's return from an outage is told, so that lapsed entries wait everywhere.

--- a/src/decide/fleet.rs
+++ b/src/decide/fleet.rs
@@ -189,7 +189,7 @@
                 new: self.insert(entry),
             };
         }
-        let was = (known.state, known.weights);
+        let was = known.clone();
         let known_version = known.weights.map_or(0, |weights| weights.version);
         let mut entry = entry;
         // What the upstream said itself may be newer than its entry.
@@ -200,10 +200,12 @@
             entry.weights = known.weights;
         }
         member.entry = entry;
-        match was {
-            (_, weights) if weights != member.entry.weights => EntryChange::Reloaded(old),
-            (state, _) if state != member.entry.state => EntryChange::Updated(old),
-            _ => EntryChange::Same(old),
+        if was.weights != member.entry.weights {
+            EntryChange::Reloaded(old)
+        } else if was != member.entry {
+            EntryChange::Updated(old)
+        } else {
+            EntryChange::Same(old)
         }
     }
 
--- a/src/gateway/dispatch/mod.rs
+++ b/src/gateway/dispatch/mod.rs
@@ -90,7 +90,7 @@
         DispatchMail::Records(records) => state.take_records(turn, &records),
         DispatchMail::Newest(records) => state.take_newest(turn, &records),
         DispatchMail::StoreFailed(topic) => state.note_store_failure(now, topic),
-        DispatchMail::Progress(topic, reply_to) => reply_to.send(state.view(topic).next),
+        DispatchMail::ReadNeed(topic, reply_to) => reply_to.send(state.read_need(now, topic)),
         DispatchMail::News(news) => state.take_news(turn, &news),
         DispatchMail::NewsFor(progress, reply_to) => reply_to.send(state.news_for(now, progress)),
         DispatchMail::Ended(end) => state.counters.note_end(end),
--- a/src/gateway/dispatch/news.rs
+++ b/src/gateway/dispatch/news.rs
@@ -9,7 +9,7 @@
 use crate::decide::ids::{EngineEpoch, Incarnation, LogOffset};
 use crate::decide::keyed_view::KeyedRecord;
 use crate::decide::suspects::{CrashId, Fingerprint};
-use crate::gateway::mail::{GatewayMail, PeerProgress};
+use crate::gateway::mail::{GatewayMail, PeerProgress, ReadNeed};
 use crate::kernel::{Moment, Turn};
 use crate::wire::peer_rpc::{
     PeerNews, WireLimit, WireLoad, WireProgress, WireRecord, WireSuspicion, WireTopic,
@@ -24,8 +24,15 @@
 /// Longest hold that is told at once; it is told again while it lasts.
 const TOLD_HOLD: Duration = Duration::from_millis(1_200);
 
-/// Age of the store's last answer up to which an instance needs no records handed on.
-const FRESH_READING: Duration = Duration::from_millis(1_200);
+/// Instances that read the store for all; a second one covers the loss of the first.
+const READERS: usize = 2;
+
+/// Age of the store's last confirmation, to anyone, from which an instance reads itself; with the
+/// reading it is well within the time in which a draining upstream may still get work.
+const CURRENT_AGE: Duration = Duration::from_millis(1_200);
+
+/// Time for which the store's return from an outage is told.
+const RETURN_NEWS: Duration = Duration::from_secs(4);
 
 impl DispatchState {
     /// Takes in another instance's news.
@@ -39,7 +46,7 @@
         } else {
             let peer = PeerState {
                 heard: now,
-                reaches_store: news.operator.is_fresh && news.upstream.is_fresh,
+                reaches_store: news.reaches_store,
             };
             self.peers.insert(news.sender, peer);
         }
@@ -121,22 +128,71 @@
         }
     }
 
+    /// Takes in records that another instance handed on, and how current they are.
     fn take_handed_records(&mut self, turn: &mut Turn<'_, GatewayMail>, news: &PeerNews) {
         for topic in [WireTopic::Operator, WireTopic::Upstream] {
+            let progress = match topic {
+                WireTopic::Operator => news.operator,
+                WireTopic::Upstream => news.upstream,
+            };
+            let own = self.view(topic).next.0;
+            let is_complete = progress.from.is_some_and(|from| from <= own);
+            if progress.next < own || (progress.next > own && !is_complete) {
+                continue;
+            }
+            self.take_return(turn.now, topic, progress.returned_ms);
             let records: Vec<KeyedRecord> = news
                 .records
                 .iter()
                 .filter(|record| record.topic == topic)
                 .map(KeyedRecord::from)
                 .collect();
-            if records.is_empty() {
-                continue;
-            }
-            let progress = match topic {
-                WireTopic::Operator => news.operator,
-                WireTopic::Upstream => news.upstream,
-            };
             self.take_handed_on(turn, topic, &records, LogOffset(progress.next));
+            let confirmed = moment_before(turn.now, progress.age_ms);
+            let health = self.health_mut(topic);
+            health.confirmed = health.confirmed.max(confirmed);
+        }
+    }
+
+    /// Learns of the store's return from an outage that another instance saw.
+    fn take_return(&mut self, now: Moment, topic: WireTopic, returned_ms: Option<u64>) {
+        let Some(returned_ms) = returned_ms else {
+            return;
+        };
+        let returned = moment_before(now, returned_ms);
+        let health = self.health_mut(topic);
+        health.regained = Some(
+            health
+                .regained
+                .map_or(returned, |known| known.max(returned)),
+        );
+    }
+
+    /// Says whether this instance reads a topic itself: few do, for all, and each does once what
+    /// it hears from others is no longer current.
+    pub(super) fn read_need(&self, now: Moment, topic: WireTopic) -> ReadNeed {
+        let next = self.view(topic).next;
+        let before = self
+            .peers
+            .iter()
+            .filter(|(id, peer)| **id < self.identity.id && peer.reaches_store)
+            .count();
+        let current_until = self.health(topic).confirmed.after(CURRENT_AGE);
+        if before < READERS || next == LogOffset::default() || current_until.is_due(now) {
+            return ReadNeed::Now(next);
+        }
+        ReadNeed::Later(current_until)
+    }
+
+    fn progress(&self, now: Moment, topic: WireTopic, from: Option<LogOffset>) -> WireProgress {
+        let health = self.health(topic);
+        let age = now.since(health.confirmed);
+        let returned = health.regained.map(|at| now.since(at));
+        WireProgress {
+            next: self.view(topic).next.0,
+            from: from.map(|from| from.0),
+            age_ms: whole_ms(age),
+            returned_ms: returned.filter(|age| *age < RETURN_NEWS).map(whole_ms),
         }
     }
 
@@ -154,24 +210,22 @@
             let member = self.fleet.get(*key)?;
             Some((member.id_hash, member.version()?))
         });
-        let mut records = handed_on(WireTopic::Operator, self.operator.since(progress.operator));
+        let mut records = Vec::new();
+        if let Some(from) = progress.operator {
+            records.extend(handed_on(WireTopic::Operator, self.operator.since(from)));
+        }
         if let Some(from) = progress.upstream {
             records.extend(handed_on(WireTopic::Upstream, self.upstreams.since(from)));
         }
+        let failing = [self.operator_health, self.upstream_health];
         PeerNews {
             sender: self.identity.id,
             address: Some(self.identity.peer_address),
             is_leaving: self.is_leaving,
             peers: Vec::new(),
-            operator: WireProgress {
-                next: self.operator.next.0,
-                is_fresh: self.operator_health.failing_since.is_none(),
-            },
-            upstream: WireProgress {
-                next: self.upstreams.next.0,
-                is_fresh: self.upstream_health.answered != Moment::START
-                    && now.since(self.upstream_health.answered) < FRESH_READING,
-            },
+            operator: self.progress(now, WireTopic::Operator, progress.operator),
+            upstream: self.progress(now, WireTopic::Upstream, progress.upstream),
+            reaches_store: failing.iter().all(|health| health.failing_since.is_none()),
             loads: busy
                 .map(|member| WireLoad {
                     upstream: member.id_hash,
@@ -195,7 +249,7 @@
             named.limits.iter().map(|(version, due)| WireLimit {
                 model: *model,
                 version: *version,
-                left_ms: u64::try_from(due.remaining(now).as_millis()).unwrap_or(u64::MAX),
+                left_ms: whole_ms(due.remaining(now)),
             })
         });
         limits.collect()
@@ -209,6 +263,15 @@
     }
 }
 
+/// Returns the moment that lies so many milliseconds back, at the earliest the start.
+const fn moment_before(now: Moment, age_ms: u64) -> Moment {
+    Moment::from_micros(now.as_micros().saturating_sub(age_ms.saturating_mul(1_000)))
+}
+
+fn whole_ms(time: Duration) -> u64 {
+    u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
+}
+
 fn handed_on(topic: WireTopic, records: Vec<KeyedRecord>) -> Vec<WireRecord> {
     let wire = records.into_iter().map(|record| WireRecord {
         topic,
--- a/src/gateway/dispatch/records.rs
+++ b/src/gateway/dispatch/records.rs
@@ -162,6 +162,9 @@
                 self.removals.retain(|removal| removal.id != record.key);
                 let state = entry.state;
                 let change = self.fleet.apply(entry);
+                if matches!(change, EntryChange::Same(_)) {
+                    self.upstreams.note_unchanged(&record.key);
+                }
                 self.note_change(now, change, state);
             }
             // An entry that cannot be read names no upstream; one known before is left as it was.
@@ -240,7 +243,7 @@
 
     fn note_store_answer(&mut self, now: Moment, topic: WireTopic) {
         let health = self.health_mut(topic);
-        health.answered = now;
+        health.confirmed = now;
         let Some(since) = health.failing_since.take() else {
             return;
         };
--- a/src/gateway/dispatch/state.rs
+++ b/src/gateway/dispatch/state.rs
@@ -105,8 +105,9 @@
 /// Health of the reading of one topic.
 #[derive(Debug, Clone, Copy, Default)]
 pub struct TopicHealth {
-    /// When the store answered last; `START` before it ever did.
-    pub answered: Moment,
+    /// When the store last confirmed, to this instance or another, that nothing newer was there;
+    /// `START` before it ever did.
+    pub confirmed: Moment,
     /// Since when it has failed, if it fails.
     pub failing_since: Option<Moment>,
     /// When it answered again after a failure.
@@ -221,6 +222,13 @@
         }
     }
 
+    pub(super) const fn health(&self, topic: WireTopic) -> &TopicHealth {
+        match topic {
+            WireTopic::Operator => &self.operator_health,
+            WireTopic::Upstream => &self.upstream_health,
+        }
+    }
+
     pub(super) const fn health_mut(&mut self, topic: WireTopic) -> &mut TopicHealth {
         match topic {
             WireTopic::Operator => &mut self.operator_health,
--- a/src/gateway/mail.rs
+++ b/src/gateway/mail.rs
@@ -50,8 +50,8 @@
     Newest(TopicRecords),
     /// The store has not answered for a topic.
     StoreFailed(WireTopic),
-    /// Asks how far a topic is known.
-    Progress(WireTopic, ReplyTo<LogOffset>),
+    /// Asks whether a topic is to be read now.
+    ReadNeed(WireTopic, ReplyTo<ReadNeed>),
     /// Another instance's news.
     News(PeerNews),
     /// Asks for this instance's news for one that has read as far as stated.
@@ -73,12 +73,21 @@
 /// How far another instance has read both topics.
 #[derive(Debug, Clone, Copy, Default)]
 pub struct PeerProgress {
-    /// What operators write.
-    pub operator: LogOffset,
-    /// What upstreams write; `None` when the other instance reads the store itself.
+    /// What operators write; `None` when no records are to be handed on.
+    pub operator: Option<LogOffset>,
+    /// What upstreams write.
     pub upstream: Option<LogOffset>,
 }
 
+/// Whether an instance reads a topic of the store itself.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum ReadNeed {
+    /// Read now, from this offset on.
+    Now(LogOffset),
+    /// Others read for all; ask again at the moment.
+    Later(Moment),
+}
+
 /// Records of one topic.
 #[derive(Debug)]
 pub struct TopicRecords {
--- a/src/gateway/peer_exchange.rs
+++ b/src/gateway/peer_exchange.rs
@@ -187,17 +187,17 @@
     /// Progress of an instance that needs nothing handed on.
     const fn nothing() -> Self {
         Self {
-            operator: LogOffset(u64::MAX),
+            operator: None,
             upstream: None,
         }
     }
 
     /// Returns what the sender of news lacks.
     fn of(news: &PeerNews) -> Self {
-        let needs = |progress: WireProgress| LogOffset(progress.next);
+        let needs = |progress: WireProgress| Some(LogOffset(progress.next));
         Self {
             operator: needs(news.operator),
-            upstream: (!news.upstream.is_fresh).then_some(needs(news.upstream)),
+            upstream: needs(news.upstream),
         }
     }
 }
--- a/src/gateway/store_watch.rs
+++ b/src/gateway/store_watch.rs
@@ -6,7 +6,7 @@
 use tokio::time::sleep_until;
 
 use super::dispatch;
-use super::mail::{DispatchMail, GatewayMail, TopicRecords};
+use super::mail::{DispatchMail, GatewayMail, ReadNeed, TopicRecords};
 use crate::decide::ids::LogOffset;
 use crate::kernel::{Directory, Inbox, IoTask, Moment, Signal};
 use crate::platform::store_client::{
@@ -115,20 +115,21 @@
         }
     }
 
-    /// Reads on from where records handed on by other instances end.
-    async fn skip_handed_on(&mut self, directory: &Directory<GatewayMail>) {
+    /// Makes one call, if one is needed, and tells `dispatch` what it brought.
+    async fn step(&mut self, directory: &Directory<GatewayMail>) {
         let topic = self.plan.topic;
-        let known = dispatch::ask(directory, |reply_to| {
-            DispatchMail::Progress(topic, reply_to)
-        })
-        .await;
-        if let (Some(next), Some(known)) = (self.next, known) {
-            self.next = Some(next.max(known));
+        let need = dispatch::ask(directory, |reply_to| {
+            DispatchMail::ReadNeed(topic, reply_to)
+        });
+        match need.await {
+            Some(ReadNeed::Later(due)) => {
+                self.due = due;
+                return;
+            }
+            // Records that others handed on need not be read again.
+            Some(ReadNeed::Now(known)) => self.next = self.next.map(|next| next.max(known)),
+            _ => {}
         }
-    }
-
-    /// Makes one call and tells `dispatch` what it brought.
-    async fn step(&mut self, directory: &Directory<GatewayMail>) {
         let started = directory.now();
         match self.call().await {
             Ok(Some(mail)) => {
@@ -138,10 +139,9 @@
             }
             Ok(None) => self.due = Moment::START,
             Err(_unanswered) => {
-                dispatch::tell(directory, DispatchMail::StoreFailed(self.plan.topic));
+                dispatch::tell(directory, DispatchMail::StoreFailed(topic));
                 self.due = directory.now().after(self.pause);
                 self.pause = (self.pause * 2).min(MAX_RETRY_PAUSE);
-                self.skip_handed_on(directory).await;
             }
         }
     }
--- a/src/wire/peer_rpc.rs
+++ b/src/wire/peer_rpc.rs
@@ -33,8 +33,12 @@
 pub struct WireProgress {
     /// Offset up to which all records are known.
     pub next: u64,
-    /// Whether the store itself has answered lately; others then need not hand records on.
-    pub is_fresh: bool,
+    /// Offset from which the records of this news are complete, if they are.
+    pub from: Option<u64>,
+    /// Milliseconds since the store confirmed to someone that nothing newer was there.
+    pub age_ms: u64,
+    /// Milliseconds since the store came back from an outage; `None` long after it.
+    pub returned_ms: Option<u64>,
 }
 
 /// A prompt part that an upstream was sent.
@@ -105,6 +109,8 @@
     pub sender: u64,
     /// Address at which the sender serves exchanges.
     pub address: Option<SocketAddr>,
+    /// Whether the store answers the sender, as far as the sender knows.
+    pub reaches_store: bool,
     /// Whether the sender has been told to stop and gives no more orders.
     pub is_leaving: bool,
     /// Other instances that the sender has heard of lately.
--- a/tests/gateway_news.rs
+++ b/tests/gateway_news.rs
@@ -95,7 +95,7 @@
 
     fn news(&mut self, now: Moment) -> PeerNews {
         let progress = PeerProgress {
-            operator: LogOffset(u64::MAX),
+            operator: None,
             upstream: None,
         };
         self.ask(now, |reply_to| DispatchMail::NewsFor(progress, reply_to))
