Keep callers' idle connections as long as operators state, and read the change once more

Cause: connections of callers were closed after 5 s of silence though the operators state 15 s, and two limits were decoded that nothing used. News of an ending instance without an address are ignored; a metrics port whose process is overloaded says so.

--- a/src/decide/route_table.rs
+++ b/src/decide/route_table.rs
@@ -2,7 +2,6 @@
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
-use std::time::Duration;
 
 use super::hashing::name_hash;
 use crate::kernel::{Arena, Key};
@@ -147,10 +146,6 @@
     pub head_bytes: usize,
     /// Longest request body, in bytes.
     pub body_bytes: usize,
-    /// Time within which a request must have been sent.
-    pub request_wait: Duration,
-    /// Time for which a connection may be idle.
-    pub idle_wait: Duration,
 }
 
 /// One configuration, as it was written.
--- a/src/entry.rs
+++ b/src/entry.rs
@@ -5,7 +5,7 @@
 use crate::decide::ids::Incarnation;
 use crate::decide::retry_budget::RetryPolicy;
 use crate::kernel::{Clock, TokioKernel};
-use crate::platform::http_server::ServerLimits;
+use crate::platform::http_server::{HEADER_TIMEOUT_MS, ServerLimits};
 use crate::process;
 use crate::services::callers::{CallerSettings, callers_task};
 use crate::services::journal::journal_service;
@@ -40,6 +40,7 @@
     ));
     let caller_settings = CallerSettings {
         limits: ServerLimits {
+            header_timeout_ms: HEADER_TIMEOUT_MS,
             max_connections: settings.max_connections,
             leave_ms: settings.leave_ms,
             drain_ms: common.drain_ms,
--- a/src/gateway/dispatch/mod.rs
+++ b/src/gateway/dispatch/mod.rs
@@ -41,7 +41,7 @@
     pub dropped_lines: DroppedLines,
 }
 
-/// Creates the service; `directory` comes with the first mail that needs it.
+/// Creates the service.
 #[must_use]
 pub fn dispatch_service(settings: DispatchSettings) -> Service<GatewayMail> {
     let mut state = DispatchState::new(settings);
--- a/src/gateway/dispatch/news.rs
+++ b/src/gateway/dispatch/news.rs
@@ -38,7 +38,8 @@
     /// Takes in another instance's news.
     pub(super) fn take_news(&mut self, turn: &mut Turn<'_, GatewayMail>, news: &PeerNews) {
         let now = turn.now;
-        if news.sender == self.identity.id {
+        // News without an address come from an instance that is ending and say nothing.
+        if news.sender == self.identity.id || news.address.is_none() {
             return;
         }
         if news.is_leaving {
--- a/src/gateway/mail.rs
+++ b/src/gateway/mail.rs
@@ -53,7 +53,7 @@
     /// Asks whether a topic is to be read now.
     ReadNeed(WireTopic, ReplyTo<ReadNeed>),
     /// Another instance's news.
-    News(PeerNews),
+    News(Box<PeerNews>),
     /// Asks for this instance's news for one that has read as far as stated.
     NewsFor(PeerProgress, ReplyTo<PeerNews>),
     /// A caller's request has ended.
--- a/src/gateway/metrics_port.rs
+++ b/src/gateway/metrics_port.rs
@@ -7,7 +7,7 @@
 use super::mail::{DispatchMail, GatewayMail};
 use super::small_port::serve_until_stop;
 use crate::kernel::{Directory, Inbox, IoTask};
-use crate::platform::http_server::{RequestHandler, json_response, whole_body};
+use crate::platform::http_server::{RequestHandler, ResponseBody, json_response, whole_body};
 
 /// Path of the counters; `/dump` shows the state of every part.
 pub const METRICS_PATH: &str = "/metrics";
@@ -29,18 +29,20 @@
         let directory = directory.clone();
         async move {
             match request.uri().path() {
-                METRICS_PATH => {
-                    let text = dispatch::ask(&directory, DispatchMail::Metrics).await;
-                    Response::new(whole_body(text.unwrap_or_default()))
-                }
+                METRICS_PATH => match dispatch::ask(&directory, DispatchMail::Metrics).await {
+                    Some(text) => Response::new(whole_body(text)),
+                    None => refusal(StatusCode::SERVICE_UNAVAILABLE, "overloaded"),
+                },
                 "/dump" => json_response(StatusCode::OK, &directory.dump().await),
-                _ => {
-                    let mut response = Response::new(whole_body("unknown path"));
-                    *response.status_mut() = StatusCode::NOT_FOUND;
-                    response
-                }
+                _ => refusal(StatusCode::NOT_FOUND, "unknown path"),
             }
         }
     });
     serve_until_stop(listener, handler, &mut inbox).await;
 }
+
+fn refusal(status: StatusCode, reason: &'static str) -> Response<ResponseBody> {
+    let mut response = Response::new(whole_body(reason));
+    *response.status_mut() = status;
+    response
+}
--- a/src/gateway/peer_exchange.rs
+++ b/src/gateway/peer_exchange.rs
@@ -161,7 +161,7 @@
         self.calling.remove(&link.address);
         if let Some(news) = answer {
             self.note(directory.now(), link.address, &news.peers);
-            dispatch::tell(directory, DispatchMail::News(news));
+            dispatch::tell(directory, DispatchMail::News(Box::new(news)));
         }
         self.links.insert(link.address, link);
     }
@@ -230,7 +230,8 @@
             // A full mailbox costs one notice; the next exchange brings it again.
             let _outcome = self.directory.send("peers", GatewayMail::Peers(heard));
         }
-        dispatch::tell(&self.directory, DispatchMail::News(news));
+        dispatch::tell(&self.directory, DispatchMail::News(Box::new(news)));
+        // Only an instance that is ending has none; what it answers then has no address.
         own_news(&self.directory, progress)
             .await
             .unwrap_or_default()
--- a/src/gateway/small_port.rs
+++ b/src/gateway/small_port.rs
@@ -5,7 +5,7 @@
 
 use super::mail::GatewayMail;
 use crate::kernel::{Inbox, Signal};
-use crate::platform::http_server::{RequestHandler, ServerLimits, serve};
+use crate::platform::http_server::{HEADER_TIMEOUT_MS, RequestHandler, ServerLimits, serve};
 
 /// Connections served at the same time.
 const MAX_CONNECTIONS: usize = 16;
@@ -17,6 +17,7 @@
     inbox: &mut Inbox<GatewayMail>,
 ) {
     let limits = ServerLimits {
+        header_timeout_ms: HEADER_TIMEOUT_MS,
         max_connections: MAX_CONNECTIONS,
         leave_ms: 0,
         drain_ms: 0,
--- a/src/gateway/start.rs
+++ b/src/gateway/start.rs
@@ -25,6 +25,10 @@
 /// Connections of callers served at the same time.
 const MAX_CONNECTIONS: usize = 2_000;
 
+/// Time in milliseconds for which a caller's connection may be idle, as the operators state it for
+/// the deployments in use.
+const CALLER_IDLE_MS: u64 = 15_000;
+
 /// Part of the grace for which a stopping instance still accepts connections, in percent; the
 /// balancer needs two missed questions to turn away.
 const LEAVE_PERCENT: u32 = 45;
@@ -72,6 +76,7 @@
     let leave = instance.stop_grace * LEAVE_PERCENT / 100;
     let drain = instance.stop_grace * DRAIN_PERCENT / 100;
     let limits = ServerLimits {
+        header_timeout_ms: CALLER_IDLE_MS,
         max_connections: MAX_CONNECTIONS,
         leave_ms: whole_ms(leave),
         drain_ms: whole_ms(drain),
--- a/src/platform/config_document.rs
+++ b/src/platform/config_document.rs
@@ -1,7 +1,6 @@
 //! The configuration as operators write it to the platform's store.
 
 use std::net::SocketAddr;
-use std::time::Duration;
 
 use serde::Deserialize;
 
@@ -79,8 +78,6 @@
 struct WireLimits {
     max_header_bytes: usize,
     max_body_bytes: usize,
-    header_timeout_ms: u64,
-    idle_timeout_ms: u64,
 }
 
 #[derive(Debug, Deserialize)]
@@ -144,8 +141,6 @@
             limits: CallerLimits {
                 head_bytes: wire.limits.max_header_bytes,
                 body_bytes: wire.limits.max_body_bytes,
-                request_wait: Duration::from_millis(wire.limits.header_timeout_ms),
-                idle_wait: Duration::from_millis(wire.limits.idle_timeout_ms),
             },
         }
     }
--- a/src/platform/engine_calls.rs
+++ b/src/platform/engine_calls.rs
@@ -82,6 +82,10 @@
 /// # Errors
 ///
 /// Returns an error when the upstream's name cannot stand in a header.
+///
+/// # Panics
+///
+/// Never: numbers and texts can always be encoded.
 pub fn order_request(order: &WeightsOrder<'_>) -> Result<Request<Full<Bytes>>, hyper::http::Error> {
     let wire = WireOrder {
         op: "version",
@@ -92,7 +96,7 @@
         fence: order.fence,
         expect: order.expected_orders,
     };
-    let body = serde_json::to_vec(&wire).unwrap_or_default();
+    let body = serde_json::to_vec(&wire).expect("an order of numbers and texts can be encoded");
     Request::builder()
         .method(Method::POST)
         .uri("/order")
--- a/src/platform/http_server.rs
+++ b/src/platform/http_server.rs
@@ -20,8 +20,9 @@
 use tokio::sync::{OwnedSemaphorePermit, Semaphore, oneshot, watch};
 use tokio::time::timeout;
 
-/// Time within which a caller must have sent its request headers.
-const HEADER_TIMEOUT: Duration = Duration::from_secs(5);
+/// Time within which a caller must have sent its request headers, where no limit is stated; it
+/// bounds idle connections too, as the library has one timer for both.
+pub const HEADER_TIMEOUT_MS: u64 = 5_000;
 
 /// Pause after a failed accept, such as when file descriptors have run out.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
@@ -66,6 +67,9 @@
 /// Bounds of a server.
 #[derive(Debug, Clone, Copy)]
 pub struct ServerLimits {
+    /// Time in milliseconds within which a caller must have sent its request headers, and for which
+    /// a connection may be idle.
+    pub header_timeout_ms: u64,
     /// Connections served at the same time; further ones wait in the listen queue.
     pub max_connections: usize,
     /// Time in milliseconds after the stop during which new connections are still accepted, so
@@ -80,6 +84,7 @@
     handler: RequestHandler,
     graceful: GracefulShutdown,
     slots: Arc<Semaphore>,
+    header_timeout: Duration,
     is_leaving: watch::Receiver<bool>,
 }
 
@@ -97,6 +102,7 @@
         handler,
         graceful: GracefulShutdown::new(),
         slots: Arc::new(Semaphore::new(limits.max_connections)),
+        header_timeout: Duration::from_millis(limits.header_timeout_ms),
         is_leaving,
     };
     tokio::select! {
@@ -177,7 +183,7 @@
         });
         let connection = http1::Builder::new()
             .timer(TokioTimer::new())
-            .header_read_timeout(HEADER_TIMEOUT)
+            .header_read_timeout(self.header_timeout)
             .serve_connection(TokioIo::new(stream), answer);
         let connection = self.graceful.watch(connection);
         tokio::spawn(async move {
--- a/src/services/operator.rs
+++ b/src/services/operator.rs
@@ -14,7 +14,7 @@
 use crate::events::{OPERATOR_DENIED, log_event};
 use crate::kernel::{Directory, Inbox, IoTask, Moment, Signal};
 use crate::platform::http_server::{
-    RequestHandler, ResponseBody, ServerLimits, json_response, serve,
+    HEADER_TIMEOUT_MS, RequestHandler, ResponseBody, ServerLimits, json_response, serve,
 };
 
 /// Name of the task.
@@ -22,6 +22,7 @@
 
 /// Bounds of the operator port.
 const LIMITS: ServerLimits = ServerLimits {
+    header_timeout_ms: HEADER_TIMEOUT_MS,
     max_connections: 16,
     leave_ms: 0,
     drain_ms: 1_000,
--- a/src/standin/roles.rs
+++ b/src/standin/roles.rs
@@ -26,10 +26,11 @@
 use super::weight_service::weight_service;
 use super::weight_store::WeightLimits;
 use crate::kernel::{Clock, TokioKernel};
-use crate::platform::http_server::{RequestHandler, ServerLimits, serve};
+use crate::platform::http_server::{HEADER_TIMEOUT_MS, RequestHandler, ServerLimits, serve};
 
 /// Bounds of a stand-in's server.
 const SERVER_LIMITS: ServerLimits = ServerLimits {
+    header_timeout_ms: HEADER_TIMEOUT_MS,
     max_connections: 16_384,
     leave_ms: 0,
     drain_ms: 100,
--- a/tests/gateway_news.rs
+++ b/tests/gateway_news.rs
@@ -10,7 +10,7 @@
 use bulrushslip::gateway::dispatch::{DispatchSettings, dispatch_service};
 use bulrushslip::gateway::identity::InstanceIdentity;
 use bulrushslip::gateway::mail::{
-    DispatchMail, GatewayMail, PeerProgress, RolloutAsk, TopicRecords,
+    DispatchMail, GatewayMail, PeerProgress, ReadNeed, RolloutAsk, TopicRecords,
 };
 use bulrushslip::kernel::{Moment, NameTable, ReplyTo, Service, Signal, Turn};
 use bulrushslip::log_queue::DroppedLines;
@@ -137,7 +137,7 @@
     for ms in (0..1_000).step_by(250) {
         let news = giver.news(at(ms));
         for other in &mut others {
-            other.tell(at(ms), DispatchMail::News(news.clone()));
+            other.tell(at(ms), DispatchMail::News(Box::new(news.clone())));
             assert!(!other.look(at(ms)).0);
         }
     }
@@ -145,8 +145,8 @@
     for ms in (1_000..3_000).step_by(250) {
         let [one, two] = &mut others;
         let (from_one, from_two) = (one.news(at(ms)), two.news(at(ms)));
-        one.tell(at(ms), DispatchMail::News(from_two));
-        two.tell(at(ms), DispatchMail::News(from_one));
+        one.tell(at(ms), DispatchMail::News(Box::new(from_two)));
+        two.tell(at(ms), DispatchMail::News(Box::new(from_one)));
     }
     for other in &mut others {
         assert!(other.look(at(3_000)).0, "still held 2 s after the order");
@@ -172,16 +172,51 @@
     late.tell(at(5_000), DispatchMail::Records(named(&version)));
     assert_eq!(late.look(at(8_000)).1, 1);
     let news = early.news(at(5_000));
-    late.tell(at(5_000), DispatchMail::News(news));
+    late.tell(at(5_000), DispatchMail::News(Box::new(news)));
     assert_eq!(late.look(at(8_000)).1, 2);
 }
 
+/// Each instance once read the store for itself, which cost most on a quiet day of a large fleet.
+#[test]
+fn two_instances_read_for_all_and_the_rest_once_what_they_hear_is_old() {
+    let mut instances: Vec<Instance> = (1..=4).map(Instance::new).collect();
+    let topic = WireTopic::Upstream;
+    for ms in (0..2_000).step_by(250) {
+        for sender in 0..instances.len() {
+            // Only the first two hear from the store.
+            if sender < 2 {
+                let records = TopicRecords {
+                    topic,
+                    records: Vec::new(),
+                    next: LogOffset(1),
+                };
+                instances[sender].tell(at(ms), DispatchMail::Records(records));
+            }
+            let news = instances[sender].news(at(ms));
+            for (receiver, instance) in instances.iter_mut().enumerate() {
+                if receiver != sender {
+                    instance.tell(at(ms), DispatchMail::News(Box::new(news.clone())));
+                }
+            }
+        }
+    }
+    let need = |instance: &mut Instance, ms| {
+        instance.ask(at(ms), |reply_to| DispatchMail::ReadNeed(topic, reply_to))
+    };
+    for (index, instance) in instances.iter_mut().enumerate() {
+        let is_reader = matches!(need(instance, 2_000), ReadNeed::Now(_));
+        assert_eq!(is_reader, index < 2, "instance {index}");
+        // Without news, each reads for itself before a draining upstream's time is up.
+        assert!(matches!(need(instance, 3_200), ReadNeed::Now(LogOffset(1))));
+    }
+}
+
 #[test]
 fn an_instance_that_leaves_is_not_ready_and_no_longer_counted() {
     let mut leaving = Instance::new(1);
     let mut other = Instance::new(2);
     let news = leaving.news(at(0));
-    other.tell(at(0), DispatchMail::News(news));
+    other.tell(at(0), DispatchMail::News(Box::new(news)));
     let peers = |instance: &mut Instance| {
         let text = instance.ask(at(0), DispatchMail::Metrics);
         text.contains("bulrushslip_peers 1")
@@ -190,6 +225,6 @@
     leaving.tell(at(0), DispatchMail::Leaving);
     assert!(!leaving.ask(at(0), DispatchMail::IsReady));
     let news = leaving.news(at(0));
-    other.tell(at(0), DispatchMail::News(news));
+    other.tell(at(0), DispatchMail::News(Box::new(news)));
     assert!(!peers(&mut other));
 }
--- a/tests/http_server.rs
+++ b/tests/http_server.rs
@@ -4,7 +4,9 @@
 use std::net::TcpStream;
 use std::time::Duration;
 
-use bulrushslip::platform::http_server::{RequestHandler, ServerLimits, serve, whole_body};
+use bulrushslip::platform::http_server::{
+    HEADER_TIMEOUT_MS, RequestHandler, ServerLimits, serve, whole_body,
+};
 use hyper::Response;
 use tokio::net::TcpListener;
 use tokio::sync::oneshot;
@@ -16,6 +18,7 @@
 const ROUNDS: usize = 16;
 
 const LIMITS: ServerLimits = ServerLimits {
+    header_timeout_ms: HEADER_TIMEOUT_MS,
     max_connections: QUEUED,
     leave_ms: 0,
     drain_ms: 5_000,
--- a/tests/keyed_view.rs
+++ b/tests/keyed_view.rs
@@ -53,6 +53,18 @@
     });
 }
 
+#[test]
+fn what_only_repeats_is_not_handed_on() {
+    let mut view = KeyedView::default();
+    view.apply(&record(0, 0, Some(1)));
+    view.apply(&record(4, 0, Some(1)));
+    view.note_unchanged("k0");
+    assert!(view.since(LogOffset(1)).is_empty());
+    assert_eq!(view.since(LogOffset(0))[0].offset, LogOffset(4));
+    view.apply(&record(5, 0, Some(2)));
+    assert_eq!(view.since(LogOffset(5)).len(), 1);
+}
+
 #[test]
 fn a_whole_reading_drops_what_it_does_not_name_but_nothing_newer() {
     let mut view = KeyedView::default();
--- a/tests/route_table.rs
+++ b/tests/route_table.rs
@@ -1,7 +1,5 @@
 //! Routes, customers and ranks of a configuration.
 
-use std::time::Duration;
-
 use bulrushslip::decide::route_table::{
     AdmittedRoute, CallerLimits, CustomerRule, RouteConfiguration, RouteKind, RouteQuestion,
     RouteRule, RouteStep, RouteTable, RouteTarget, ServiceId,
@@ -50,8 +48,6 @@
         limits: CallerLimits {
             head_bytes: 1,
             body_bytes: 1,
-            request_wait: Duration::ZERO,
-            idle_wait: Duration::ZERO,
         },
     })
 }
