--- a/bench/compare.sh
+++ b/bench/compare.sh
@@ -15,7 +15,7 @@
 engine_options=${ENGINE_OPTIONS:---slots 8 --cache-pieces 300 --prefill-us 60000 --decode-us 5000}
 out=${OUT:-$(mktemp -d)}
 centres=(caerdydd abertawe aberystwyth bangor)
-bin=${BIN:-target/release}
+bin=${BIN:-${CARGO_TARGET_DIR:-target}/release}
 
 policies=()
 while [ $# -gt 0 ] && [ "$1" != -- ]; do
--- a/bench/idle.sh
+++ b/bench/idle.sh
@@ -29,7 +29,7 @@
         --platform "$platform" --name "e$n" --data-centre d
 done
 echo "[$changes]" >"$work/changes.json"
-target/release/bulrushslip-ctl apply --platform "$platform" "$work/changes.json" >"$work/apply.out"
+${CARGO_TARGET_DIR:-target}/release/bulrushslip-ctl apply --platform "$platform" "$work/changes.json" >"$work/apply.out"
 sleep "$SETTLE_S"
 
 loopback_bytes() { awk '$1 == "lo:" {print $2}' /proc/net/dev; }
--- a/bench/lib.sh
+++ b/bench/lib.sh
@@ -3,7 +3,7 @@
 
 readonly START_TIMEOUT_S=30
 
-bin=target/release
+bin=${CARGO_TARGET_DIR:-target}/release
 work=$(mktemp -d)
 pids=()
 names=()
--- a/demo.sh
+++ b/demo.sh
@@ -6,6 +6,7 @@
 
 readonly API_KEY="demo-key-agency-0001"
 readonly MODEL="reviewer"
+readonly built=${CARGO_TARGET_DIR:-target}/release
 readonly START_TIMEOUT_S=20
 readonly POLL_PAUSE_S=0.05
 
@@ -39,7 +40,7 @@
 start() {
     local name=$1 binary=$2
     shift 2
-    "target/release/$binary" "$@" >"$work/$name.out" 2>"$work/$name.err" &
+    "$built/$binary" "$@" >"$work/$name.out" 2>"$work/$name.err" &
     pids+=($!)
 }
 
@@ -75,7 +76,7 @@
 
 echo "Building"
 cargo build --release --locked --quiet
-ctl=target/release/bulrushslip-ctl
+ctl=$built/bulrushslip-ctl
 
 echo "Starting stand-ins, three sidecars and two entries"
 start platform bulrushslip-standin platform --listen 127.0.0.1:0
