Use the placement and one conversion to milliseconds where they stood twice

Cause: attempts had a second struct for a place and its guard beside Placement, and the conversion of a time to whole milliseconds stood three times.

--- a/src/gateway/attempts.rs
+++ b/src/gateway/attempts.rs
@@ -9,7 +9,7 @@
 use tokio::time::timeout;
 
 use super::dispatch;
-use super::mail::{DispatchMail, GatewayMail, PlaceAsk, PlaceRefusal, PlacedAt};
+use super::mail::{DispatchMail, GatewayMail, PlaceAsk, PlaceRefusal};
 use super::placement_guard::{PlaceGuard, Placement, place};
 use super::request::CallerRequest;
 use super::upstream_call::{CallStep, UpstreamAnswer, call, usable_until};
@@ -99,12 +99,6 @@
     failure: Option<WholeAnswer>,
 }
 
-/// A place whose answer is being read.
-struct Place {
-    at: PlacedAt,
-    guard: PlaceGuard,
-}
-
 impl<'a> RequestAttempts<'a> {
     /// Starts with a request that has not been sent.
     #[must_use]
@@ -183,8 +177,8 @@
         let Placement { at, guard } = placement;
         let (end, outcome) = match step {
             CallStep::Answer(answer) => {
-                let place = Place { at, guard };
-                return self.answered(*answer, place, until).await;
+                let placement = Placement { at, guard };
+                return self.answered(*answer, placement, until).await;
             }
             CallStep::TurnedAway => (SendEnd::NotRun, MemberOutcome::TurnedAway),
             CallStep::Misdirected { weights } => {
@@ -215,10 +209,10 @@
     async fn answered(
         &mut self,
         answer: UpstreamAnswer,
-        place: Place,
+        placement: Placement,
         until: Moment,
     ) -> Option<AttemptsEnd> {
-        let Place { at, guard } = place;
+        let Placement { at, guard } = placement;
         let (head, body) = answer.response.into_parts();
         if let Some(version) = number(&head.headers, &ANSWER_WEIGHTS) {
             let seen = DispatchMail::SeenWeights(at.member, version);
--- a/src/gateway/dispatch/news.rs
+++ b/src/gateway/dispatch/news.rs
@@ -10,7 +10,7 @@
 use crate::decide::keyed_view::KeyedRecord;
 use crate::decide::suspects::{CrashId, Fingerprint};
 use crate::gateway::mail::{GatewayMail, PeerProgress, ReadNeed};
-use crate::kernel::{Moment, Turn};
+use crate::kernel::{Moment, Turn, whole_ms};
 use crate::wire::peer_rpc::{
     PeerNews, WireLimit, WireLoad, WireProgress, WireRecord, WireSuspicion, WireTopic,
 };
@@ -269,10 +269,6 @@
     Moment::from_micros(now.as_micros().saturating_sub(age_ms.saturating_mul(1_000)))
 }
 
-fn whole_ms(time: Duration) -> u64 {
-    u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
-}
-
 fn handed_on(topic: WireTopic, records: Vec<KeyedRecord>) -> Vec<WireRecord> {
     let wire = records.into_iter().map(|record| WireRecord {
         topic,
--- a/src/gateway/start.rs
+++ b/src/gateway/start.rs
@@ -2,7 +2,6 @@
 
 use std::io;
 use std::net::SocketAddr;
-use std::time::Duration;
 
 use log::LevelFilter;
 
@@ -16,7 +15,7 @@
 use super::settings_watch::settings_task;
 use super::store_watch::{operator_watch, upstream_watch};
 use crate::decide::ids::Incarnation;
-use crate::kernel::{Clock, TokioKernel};
+use crate::kernel::{Clock, TokioKernel, whole_ms};
 use crate::log_queue::BATCH_PAUSE;
 use crate::platform::http_server::ServerLimits;
 use crate::platform::settings_file::InstanceSettings;
@@ -104,7 +103,3 @@
     tokio::time::sleep(BATCH_PAUSE * 2).await;
     Ok(())
 }
-
-fn whole_ms(time: Duration) -> u64 {
-    u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
-}
--- a/src/gateway/upstream_call.rs
+++ b/src/gateway/upstream_call.rs
@@ -11,7 +11,7 @@
 
 use super::mail::PlacedAt;
 use super::request::CallerRequest;
-use crate::kernel::Moment;
+use crate::kernel::{Moment, whole_ms};
 use crate::platform::http_link::{OpenLink, dial};
 use crate::platform::request_headers::{
     ANSWER_WEIGHTS, CACHE_DOMAIN, CUSTOMER, DEADLINE_MS, ENGINE_RANK, EXPECTED_UPSTREAM,
@@ -147,8 +147,7 @@
         let host = request.head.uri.host().unwrap_or_default();
         set(&mut headers, HOST, host);
     }
-    let left_ms = request.deadline.remaining(now).as_millis();
-    let left_ms = u64::try_from(left_ms).unwrap_or(u64::MAX).max(1);
+    let left_ms = whole_ms(request.deadline.remaining(now)).max(1);
     headers.insert(DEADLINE_MS, HeaderValue::from(left_ms));
     set(&mut headers, EXPECTED_UPSTREAM, &at.upstream);
     if let Some(customer) = &request.route.customer {
--- a/src/kernel/moment.rs
+++ b/src/kernel/moment.rs
@@ -61,6 +61,12 @@
     }
 }
 
+/// Returns a time in whole milliseconds, at most `u64::MAX`.
+#[must_use]
+pub fn whole_ms(time: Duration) -> u64 {
+    u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
+}
+
 /// Turns the clock of the machine into [`Moment`]s; time in which it is suspended counts, so that
 /// a lease ends while its holder sleeps.
 #[derive(Debug, Clone, Copy)]
