--- a/src/ctl/fleet.rs
+++ b/src/ctl/fleet.rs
@@ -11,7 +11,7 @@
 use serde_json::Value;
 
 use crate::platform::http_client::{call, request};
-use crate::platform::instance_client::{InstanceClient, WireInstance, WireInstanceState};
+use crate::platform::instance_topics::{InstanceTopics, WireInstance, WireInstanceState};
 
 /// Time allowed for one process.
 const DUMP_TIMEOUT: Duration = Duration::from_secs(2);
@@ -45,16 +45,20 @@
 
 /// Returns the state of all listed processes; `None` if the list cannot be read.
 pub async fn processes(args: &FleetArgs) -> Option<Vec<ProcessState>> {
-    let client = InstanceClient {
-        platform: args.platform,
-    };
-    let instances = client.list().await?;
+    let instances = instances(args).await?;
     let states = stream::iter(instances).map(|instance| process(args, instance));
     let mut states: Vec<ProcessState> = states.buffer_unordered(MAX_CALLS).collect().await;
     states.sort_by(|a, b| a.name.cmp(&b.name));
     Some(states)
 }
 
+async fn instances(args: &FleetArgs) -> Option<Vec<WireInstance>> {
+    let listed = InstanceTopics::new(args.platform).list().await;
+    listed
+        .inspect_err(|error| eprintln!("the list of instances: {error}"))
+        .ok()
+}
+
 async fn process(args: &FleetArgs, instance: WireInstance) -> ProcessState {
     let dump = match instance.operator {
         Some(operator) => ask_operator(args, operator, "/dump").await,
@@ -73,10 +77,7 @@
 ///
 /// `None` if the list of instances cannot be read.
 pub async fn ask_entries(args: &FleetArgs, path: &str) -> Option<Value> {
-    let client = InstanceClient {
-        platform: args.platform,
-    };
-    let entries = client.list().await?.into_iter();
+    let entries = instances(args).await?.into_iter();
     let operators = entries.filter(|instance| instance.role == "entry");
     let operators = operators.filter_map(|instance| instance.operator);
     let answers = stream::iter(operators).map(|operator| ask_operator(args, operator, path));
--- a/src/ctl/follower.rs
+++ b/src/ctl/follower.rs
@@ -9,7 +9,7 @@
 use crate::decide::confirm::PlanCopy;
 use crate::decide::ids::LogOffset;
 use crate::platform::log_client::{LogClient, ReadOutcome, ReadWindow};
-use crate::services::config_history::DecodedPage;
+use crate::services::configuration::config_history::DecodedPage;
 
 /// Most records in one page.
 const PAGE_RECORDS: u32 = 256;
--- a/src/entry.rs
+++ b/src/entry.rs
@@ -7,9 +7,9 @@
 use crate::kernel::{Clock, TokioKernel};
 use crate::platform::http_server::{HEADER_TIMEOUT_MS, ServerLimits};
 use crate::process;
-use crate::services::callers::{CallerSettings, callers_task};
-use crate::services::journal::journal_service;
-use crate::services::tickets::tickets_service;
+use crate::services::caller_side::callers::{CallerSettings, callers_task};
+use crate::services::caller_side::journal::journal_service;
+use crate::services::caller_side::tickets::tickets_service;
 use crate::settings::EntrySettings;
 use crate::shared_parts::ProcessIdentity;
 
--- a/src/events/catalogue.rs
+++ b/src/events/catalogue.rs
@@ -147,6 +147,14 @@
     "The settings file has changed and cannot be used; the settings before stay in force.",
 );
 
+/// The store has not confirmed this process's entry.
+pub const REGISTRATION_FAILED: EventKind = event(
+    210,
+    Level::Warn,
+    "registration_failed",
+    "The platform's store did not confirm this process's entry on the list of instances.",
+);
+
 /// The answer to a request is lost.
 pub const ANSWER_LOST: EventKind = event(
     301,
@@ -284,7 +292,7 @@
 );
 
 /// All kinds of events in the order of their numbers.
-pub const CATALOGUE: [EventKind; 33] = [
+pub const CATALOGUE: [EventKind; 34] = [
     PROCESS_STARTED,
     LISTENING,
     STOP_BEGUN,
@@ -301,6 +309,7 @@
     UPSTREAM_CHANGED,
     SETTINGS_RELOADED,
     SETTINGS_REFUSED,
+    REGISTRATION_FAILED,
     ANSWER_LOST,
     REQUEST_ANSWERED,
     REQUEST_REFUSED,
--- a/src/gateway/dispatch/mod.rs
+++ b/src/gateway/dispatch/mod.rs
@@ -89,7 +89,9 @@
         DispatchMail::Hold(member, until) => state.hold(member, until),
         DispatchMail::Records(records) => state.take_records(turn, &records),
         DispatchMail::Newest(records) => state.take_newest(turn, &records),
-        DispatchMail::StoreFailed(topic) => state.note_store_failure(now, topic),
+        DispatchMail::StoreFailed(topic, reason) => {
+            state.note_store_failure(now, topic, &reason);
+        }
         DispatchMail::ReadNeed(topic, reply_to) => reply_to.send(state.read_need(now, topic)),
         DispatchMail::News(news) => state.take_news(turn, &news),
         DispatchMail::NewsFor(progress, reply_to) => reply_to.send(state.news_for(now, progress)),
--- a/src/gateway/dispatch/records.rs
+++ b/src/gateway/dispatch/records.rs
@@ -9,8 +9,8 @@
 use crate::decide::keyed_view::KeyedRecord;
 use crate::decide::route_table::RouteTable;
 use crate::events::{
-    CONFIGURATION_IN_FORCE, RECORD_SKIPPED, STORE_LOST, STORE_REGAINED, UPSTREAM_CHANGED,
-    WEIGHTS_NAMED, log_event,
+    CONFIGURATION_IN_FORCE, EventField, RECORD_SKIPPED, STORE_LOST, STORE_REGAINED,
+    UPSTREAM_CHANGED, WEIGHTS_NAMED, log_event,
 };
 use crate::gateway::mail::{GatewayMail, TopicRecords};
 use crate::kernel::{Moment, Turn};
@@ -259,11 +259,12 @@
     }
 
     /// Notes that the store has not answered.
-    pub(super) fn note_store_failure(&mut self, now: Moment, topic: WireTopic) {
+    pub(super) fn note_store_failure(&mut self, now: Moment, topic: WireTopic, reason: &str) {
         let health = self.health_mut(topic);
         if health.failing_since.is_none() {
             health.failing_since = Some(now);
-            log_event(&STORE_LOST, &[("topic", &topic_name(topic))]);
+            let fields: [EventField<'_>; 2] = [("topic", &topic_name(topic)), ("reason", &reason)];
+            log_event(&STORE_LOST, &fields);
         }
     }
 
--- a/src/gateway/mail.rs
+++ b/src/gateway/mail.rs
@@ -49,7 +49,7 @@
     /// All newest records of a topic were read from the store.
     Newest(TopicRecords),
     /// The store has not answered for a topic.
-    StoreFailed(WireTopic),
+    StoreFailed(WireTopic, String),
     /// Asks whether a topic is to be read now.
     ReadNeed(WireTopic, ReplyTo<ReadNeed>),
     /// Another instance's news.
--- a/src/gateway/store_watch.rs
+++ b/src/gateway/store_watch.rs
@@ -138,8 +138,9 @@
                 dispatch::tell(directory, mail);
             }
             Ok(None) => self.due = Moment::START,
-            Err(_unanswered) => {
-                dispatch::tell(directory, DispatchMail::StoreFailed(topic));
+            Err(error) => {
+                let failed = DispatchMail::StoreFailed(topic, error.to_string());
+                dispatch::tell(directory, failed);
                 self.due = directory.now().after(self.pause);
                 self.pause = (self.pause * 2).min(MAX_RETRY_PAUSE);
             }
--- a/src/platform/mod.rs
+++ b/src/platform/mod.rs
@@ -8,7 +8,7 @@
 pub mod http_client;
 pub mod http_link;
 pub mod http_server;
-pub mod instance_client;
+pub mod instance_topics;
 pub mod log_client;
 pub mod request_headers;
 pub mod settings_file;
--- a/src/platform/store_records.rs
+++ b/src/platform/store_records.rs
@@ -90,6 +90,18 @@
     })
 }
 
+/// Encodes a record of a keyed topic; an empty value drops the key. `None` for a key of more than
+/// 255 bytes, which the format cannot hold.
+#[must_use]
+pub fn encode_keyed(key: &str, value: &[u8]) -> Option<Bytes> {
+    let key_length = u8::try_from(key.len()).ok()?;
+    let mut body = BytesMut::with_capacity(1 + key.len() + value.len());
+    body.put_u8(key_length);
+    body.put_slice(key.as_bytes());
+    body.put_slice(value);
+    Some(body.freeze())
+}
+
 /// Frames one record for an append.
 #[must_use]
 pub fn frame(body: &[u8]) -> Bytes {
--- a/src/services/callers.rs
+++ b/src/services/caller_side/callers.rs
@@ -13,11 +13,8 @@
 use tokio::time::timeout;
 
 use super::caller_answer::{fault_response, model_answer};
-use super::config::CONFIG;
 use super::journal::request_id;
 use super::key_claim::{KeyClaim, StatedKey, stated_key};
-use super::mail::{ConfigMail, Mail};
-use super::operator::{self, OperatorMail};
 use super::plain_answer::plain_answer;
 use super::request_runner::{RequestRunner, UpstreamRequest};
 use super::turned_away::{Answered, TurnedAway, invalid, or_error};
@@ -33,6 +30,9 @@
 use crate::platform::http_server::{
     RequestHandler, ResponseBody, ServerLimits, json_response, serve,
 };
+use crate::services::common::mail::{ConfigMail, Mail};
+use crate::services::common::operator::{self, OperatorMail};
+use crate::services::configuration::config::CONFIG;
 use crate::wire::headers::forwarded_headers;
 use crate::wire::models::ModelList;
 use crate::wire::openai::{ApiKind, CallerFault, CallerRequest};
--- a/src/services/journal.rs
+++ b/src/services/caller_side/journal.rs
@@ -4,10 +4,10 @@
 
 use serde_json::{Value, json};
 
-use super::mail::{JournalMail, Mail};
 use crate::decide::ids::Ticket;
 use crate::decide::outcome::{RefusalReason, RunStatus};
 use crate::kernel::{Moment, NextStep, Service, Signal};
+use crate::services::common::mail::{JournalMail, Mail};
 
 /// Name of the service.
 pub const NAME: &str = "journal";
--- a/src/services/key_claim.rs
+++ b/src/services/caller_side/key_claim.rs
@@ -5,14 +5,14 @@
 
 use hyper::HeaderMap;
 
-use super::mail::Mail;
-use super::sidecar_calls::SidecarCalls;
 use crate::decide::claims::{
     ClaimRecord, ClaimTarget, ClaimVerdict, KeyAge, KeyHash, WindowPolicy, key_age,
 };
 use crate::decide::config::Configuration;
 use crate::decide::ids::Ticket;
 use crate::kernel::Directory;
+use crate::services::common::mail::Mail;
+use crate::services::common::sidecar_calls::SidecarCalls;
 
 /// Header with the key.
 const KEY_HEADER: &str = "idempotency-key";
--- a/src/services/request_meter.rs
+++ b/src/services/caller_side/request_meter.rs
@@ -1,11 +1,11 @@
 //! Metrics and log events of the requests of an entry.
 
 use super::journal::{RequestReport, request_id};
-use super::mail::Mail;
-use super::metrics::{MetricSample, MetricTag, MetricValue, record};
 use crate::decide::outcome::RunStatus;
 use crate::events::{ANSWER_LOST, log_event};
 use crate::kernel::Directory;
+use crate::services::common::mail::Mail;
+use crate::services::common::metrics::{MetricSample, MetricTag, MetricValue, record};
 
 /// Status of a request whose caller left before its end.
 const ABANDONED: &str = "abandoned";
--- a/src/services/request_runner.rs
+++ b/src/services/caller_side/request_runner.rs
@@ -7,9 +7,7 @@
 
 use super::journal::{self, ReportStep, RequestReport};
 use super::key_claim::KeyClaim;
-use super::mail::{DialerMail, JournalMail, Mail, MintOutcome, TicketsMail};
 use super::request_meter;
-use super::sidecar_calls::SidecarCalls;
 use super::upstream_choice::{UpstreamChoice, UpstreamChooser};
 use crate::decide::admission::Admission;
 use crate::decide::attempt::RequestAttempt;
@@ -20,6 +18,8 @@
 use crate::decide::outcome::{RefusalReason, RunStatus};
 use crate::decide::suspects::Fingerprint;
 use crate::kernel::{Directory, Moment};
+use crate::services::common::mail::{DialerMail, JournalMail, Mail, MintOutcome, TicketsMail};
+use crate::services::common::sidecar_calls::SidecarCalls;
 use crate::wire::rpc::{StreamItem, SubmitCall};
 
 /// Time that a request which has lost its answer waits for an upstream to come back.
--- a/src/services/upstream_choice.rs
+++ b/src/services/caller_side/upstream_choice.rs
@@ -8,8 +8,6 @@
 use futures::stream::FuturesUnordered;
 use tokio::time::{Instant, timeout_at};
 
-use super::mail::Mail;
-use super::sidecar_calls::SidecarCalls;
 use crate::decide::admission::Admission;
 use crate::decide::config::{Configuration, Upstream, UpstreamKey};
 use crate::decide::hashing::name_hash;
@@ -18,6 +16,8 @@
     CandidateQuote, PlacementHop, PlacementPolicy, PlacementRequest, PlacementTarget,
 };
 use crate::kernel::Directory;
+use crate::services::common::mail::Mail;
+use crate::services::common::sidecar_calls::SidecarCalls;
 use crate::wire::rpc::{QuoteCall, QuoteReply};
 
 /// Time that a choice waits for the first quote.
--- a/src/services/dialer.rs
+++ b/src/services/common/dialer.rs
@@ -10,8 +10,8 @@
 use tokio::time::timeout;
 
 use super::mail::{DialOutcome, DialerMail, Mail};
-use super::sidecar_calls::SidecarCalls;
 use crate::kernel::{Directory, Inbox, IoTask, ReplyTo, Signal};
+use crate::services::common::sidecar_calls::SidecarCalls;
 use crate::wire::rpc::SidecarRpcClient;
 use crate::wire::transport;
 
--- a/src/services/mail.rs
+++ b/src/services/common/mail.rs
@@ -3,7 +3,6 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
-use super::journal::RequestReport;
 use crate::decide::attempt_step::SubmitCause;
 use crate::decide::cache_index::{CacheList, CachePage, IndexStep};
 use crate::decide::claim_home::ClaimPage;
@@ -16,8 +15,9 @@
 use crate::decide::suspect_guard::SuspectNews;
 use crate::kernel::{Moment, ReplyTo};
 use crate::platform::log_client::LogPage;
-use crate::services::metrics::MetricSample;
-use crate::services::operator::OperatorMail;
+use crate::services::caller_side::journal::RequestReport;
+use crate::services::common::metrics::MetricSample;
+use crate::services::common::operator::OperatorMail;
 use crate::wire::config_page::ConfigPage;
 use crate::wire::rpc::{
     AttachReply, AttachVerdict, QuoteCall, QuoteReply, ReadCall, ReadReply, SidecarRpcClient,
--- a/src/services/operator.rs
+++ b/src/services/common/operator.rs
@@ -9,13 +9,13 @@
 use tokio::net::TcpListener;
 use tokio::sync::{oneshot, watch};
 
-use super::journal;
 use super::mail::{JournalMail, Mail};
 use crate::events::{OPERATOR_DENIED, log_event};
 use crate::kernel::{Directory, Inbox, IoTask, Moment, Signal};
 use crate::platform::http_server::{
     HEADER_TIMEOUT_MS, RequestHandler, ResponseBody, ServerLimits, json_response, serve,
 };
+use crate::services::caller_side::journal;
 
 /// Name of the task.
 pub const NAME: &str = "operator";
--- a/src/services/registration.rs
+++ b/src/services/common/registration.rs
@@ -1,19 +1,19 @@
-//! I/O task `registration`: keeps this process on the platform's instance list.
+//! I/O task `registration`: keeps this process announced in the platform's store.
 
-use std::time::Duration;
+use std::net::SocketAddr;
 
-use super::mail::{LedgerMail, Mail};
+use super::mail::Mail;
+use crate::events::{REGISTRATION_FAILED, log_event};
 use crate::kernel::{Directory, Inbox, IoTask, Signal};
-use crate::platform::instance_client::{InstanceClient, WireInstance, WireInstanceState};
-
-/// Interval between two renewals; an instance that is not renewed for 10 s drops out.
-const RENEWAL_INTERVAL: Duration = Duration::from_secs(2);
+use crate::platform::instance_topics::{
+    InstanceTopics, RENEWAL_INTERVAL, WireInstance, WireInstanceState,
+};
 
 /// Creates the I/O task `registration`.
 #[must_use]
-pub fn registration_task(client: InstanceClient, instance: WireInstance) -> IoTask<Mail> {
+pub fn registration_task(platform: SocketAddr, instance: WireInstance) -> IoTask<Mail> {
     IoTask::new("registration", move |inbox, directory| {
-        run(client, instance, inbox, directory)
+        run(InstanceTopics::new(platform), instance, inbox, directory)
     })
 }
 
@@ -22,21 +22,25 @@
 /// It is registered first, so that it stops last: a next life under the same name would otherwise
 /// find itself leaving.
 #[must_use]
-pub fn deregistration_task(client: InstanceClient, name: String) -> IoTask<Mail> {
+pub fn deregistration_task(platform: SocketAddr, name: String) -> IoTask<Mail> {
     IoTask::new("deregistration", move |mut inbox, _| async move {
         loop {
             match inbox.receive().await {
                 Some(Signal::Dump(reply_to)) => reply_to.send(serde_json::Value::Null),
-                Some(Signal::Stop) => break client.deregister(&name).await,
+                Some(Signal::Stop) => break,
                 None => return,
                 Some(_) => {}
             }
         }
+        // Without the store the entry lapses by itself.
+        if let Err(error) = InstanceTopics::new(platform).remove(&name).await {
+            log_event(&REGISTRATION_FAILED, &[("reason", &error)]);
+        }
     })
 }
 
 async fn run(
-    client: InstanceClient,
+    mut topics: InstanceTopics,
     mut instance: WireInstance,
     mut inbox: Inbox<Mail>,
     directory: Directory<Mail>,
@@ -52,25 +56,17 @@
                 Some(_) => {}
             },
             () = tokio::time::sleep_until(directory.clock().instant(next_renewal).into()) => {
-                let state = client.renew(&instance).await;
-                if state == Some(WireInstanceState::Leaving) {
-                    instance.state = WireInstanceState::Leaving;
-                    tell_ledger(&directory).await;
-                }
+                renew(&mut topics, &instance).await;
                 next_renewal = directory.now().after(RENEWAL_INTERVAL);
             }
         }
     }
     instance.state = WireInstanceState::Leaving;
-    // Without the platform the instance drops out of the list by itself.
-    let _state = client.renew(&instance).await;
+    renew(&mut topics, &instance).await;
 }
 
-/// Tells the sidecar's ledger that the platform wants this instance to go.
-async fn tell_ledger(directory: &Directory<Mail>) {
-    if directory.find("ledger").is_some() {
-        directory
-            .deliver("ledger", Mail::Ledger(LedgerMail::Leaving))
-            .await;
+async fn renew(topics: &mut InstanceTopics, instance: &WireInstance) {
+    if let Err(error) = topics.renew(instance).await {
+        log_event(&REGISTRATION_FAILED, &[("reason", &error)]);
     }
 }
--- a/src/services/sidecar_calls.rs
+++ b/src/services/common/sidecar_calls.rs
@@ -8,7 +8,6 @@
 use tokio::task::JoinHandle;
 use tokio::time::timeout;
 
-use super::mail::{ConfigMail, DialOutcome, DialerMail, Mail};
 use crate::decide::attempt_step::AttemptEvent;
 use crate::decide::claims::{ClaimRecord, ClaimVerdict};
 use crate::decide::ids::{Incarnation, Repeatability, Ticket};
@@ -16,6 +15,7 @@
 use crate::decide::spread::PeerOffset;
 use crate::decide::suspect_guard::SuspectNews;
 use crate::kernel::Directory;
+use crate::services::common::mail::{ConfigMail, DialOutcome, DialerMail, Mail};
 use crate::wire::claim_rpc::ClaimCall;
 use crate::wire::config_page::{ConfigPage, ConfigSinceCall};
 use crate::wire::rpc::{
--- a/src/services/wait.rs
+++ b/src/services/common/wait.rs
@@ -1,7 +1,7 @@
 //! Waiting as the I/O tasks need it.
 
 use crate::kernel::{Directory, Inbox, Moment, Signal};
-use crate::services::mail::Mail;
+use crate::services::common::mail::Mail;
 
 /// Sleeps until a deadline.
 pub async fn sleep_until(directory: &Directory<Mail>, deadline: Moment) {
--- a/src/services/config.rs
+++ b/src/services/configuration/config.rs
@@ -6,7 +6,6 @@
 use rand::{RngExt, SeedableRng};
 
 use super::config_history::{ConfigHistory, DecodedPage};
-use super::mail::{ConfigMail, LogTurn, Mail, PeerTurn, SnapshotTurn};
 use crate::decide::config::Configuration;
 use crate::decide::config_intake::{ConfigEntry, ConfigIntake, SkippedRecord};
 use crate::decide::ids::LogOffset;
@@ -16,6 +15,7 @@
 use crate::events::{RECORD_SKIPPED, log_event};
 use crate::kernel::{Moment, NextStep, ReplyTo, Service, Signal};
 use crate::platform::log_client::LogPage;
+use crate::services::common::mail::{ConfigMail, LogTurn, Mail, PeerTurn, SnapshotTurn};
 use crate::wire::config_page::{ConfigPage, WireEvidence};
 use crate::wire::config_snapshot::{decode_entry, encode_part};
 
--- a/src/services/log_reader.rs
+++ b/src/services/configuration/log_reader.rs
@@ -4,12 +4,12 @@
 use std::time::Duration;
 
 use super::config::CONFIG;
-use super::mail::{ConfigMail, LogTurn, Mail};
-use super::wait::{run_until_stop, sleep_until};
 use crate::decide::spread::LogStep;
 use crate::events::{LOG_UNREADABLE, log_event};
 use crate::kernel::{Directory, IoTask};
 use crate::platform::log_client::{LogClient, ReadOutcome, ReadWindow};
+use crate::services::common::mail::{ConfigMail, LogTurn, Mail};
+use crate::services::common::wait::{run_until_stop, sleep_until};
 use crate::wire::config_record::CONFIG_STREAM;
 
 /// Name of the task that reads the configuration stream.
--- a/src/services/peer_reader.rs
+++ b/src/services/configuration/peer_reader.rs
@@ -3,11 +3,11 @@
 use std::time::Duration;
 
 use super::config::CONFIG;
-use super::mail::{ConfigMail, Mail, PeerTurn};
-use super::sidecar_calls::SidecarCalls;
-use super::wait::{run_until_stop, sleep_until};
 use crate::decide::spread::{CallKind, PeerStep};
 use crate::kernel::{Directory, IoTask};
+use crate::services::common::mail::{ConfigMail, Mail, PeerTurn};
+use crate::services::common::sidecar_calls::SidecarCalls;
+use crate::services::common::wait::{run_until_stop, sleep_until};
 use crate::wire::config_page::ConfigSinceCall;
 
 /// Name of the task that asks sidecars for configuration.
--- a/src/services/snapshot_writer.rs
+++ b/src/services/configuration/snapshot_writer.rs
@@ -3,10 +3,10 @@
 use std::net::SocketAddr;
 
 use super::config::CONFIG;
-use super::mail::{ConfigMail, Mail, SnapshotTurn};
-use super::wait::{run_until_stop, sleep_until};
 use crate::kernel::{Directory, IoTask};
 use crate::platform::log_client::{AppendOutcome, LogClient};
+use crate::services::common::mail::{ConfigMail, Mail, SnapshotTurn};
+use crate::services::common::wait::{run_until_stop, sleep_until};
 use crate::wire::config_record::CONFIG_STREAM;
 
 /// Name of the task that appends snapshots.
--- a/src/services/mod.rs
+++ b/src/services/mod.rs
@@ -1,38 +1,6 @@
-//! Services and I/O tasks that the binaries are put together from.
+//! Services and I/O tasks that the binaries are put together from, by owner.
 
-pub mod cache_watch;
-pub mod caller_answer;
-pub mod callers;
-pub mod claim_log;
-pub mod claims;
-pub mod config;
-mod config_dump;
-pub mod config_feed;
-pub mod config_history;
-pub mod dialer;
-pub mod engine_stream;
-pub mod engine_task;
-pub mod engine_watch;
-pub mod journal;
-pub mod key_claim;
-pub mod lease_log;
-pub mod ledger;
-pub mod log_reader;
-pub mod mail;
-pub mod metrics;
-pub mod operator;
-pub mod orders;
-pub mod peer_reader;
-pub mod plain_answer;
-pub mod registration;
-pub mod request_meter;
-pub mod request_runner;
-pub mod sidecar_calls;
-pub mod sidecar_rpc;
-pub mod snapshot_writer;
-pub mod stream_buffer;
-pub mod suspect_feed;
-pub mod tickets;
-pub mod turned_away;
-pub mod upstream_choice;
-pub mod wait;
+pub mod caller_side;
+pub mod common;
+pub mod configuration;
+pub mod upstream_side;
--- a/src/services/cache_watch.rs
+++ b/src/services/upstream_side/cache_watch.rs
@@ -7,10 +7,10 @@
 use hyper::Method;
 use serde::de::DeserializeOwned;
 
-use super::mail::{LedgerMail, Mail};
 use crate::decide::cache_index::{CacheList, CachePage, IndexStep};
 use crate::kernel::{Directory, Inbox, IoTask, Signal};
 use crate::platform::http_client;
+use crate::services::common::mail::{LedgerMail, Mail};
 use crate::wire::cache_feed::{WireCacheKeys, WireCachePage};
 
 /// Time in milliseconds that the engine may hold back an answer without events.
--- a/src/services/claim_log.rs
+++ b/src/services/upstream_side/claim_log.rs
@@ -7,12 +7,12 @@
 use tokio::time::timeout;
 
 use super::claims::CLAIMS;
-use super::mail::{ClaimLogMail, ClaimsMail, Mail};
 use crate::decide::claim_home::ClaimPage;
 use crate::decide::claims::{ClaimRecord, PartitionId};
 use crate::decide::ids::LogOffset;
 use crate::kernel::{Directory, Inbox, IoTask, Signal};
 use crate::platform::log_client::{AppendOutcome, LogClient, LogPage, ReadOutcome, ReadWindow};
+use crate::services::common::mail::{ClaimLogMail, ClaimsMail, Mail};
 use crate::wire::claim_record::{decode_batch, encode_batch};
 
 /// Name of the task.
--- a/src/services/claims.rs
+++ b/src/services/upstream_side/claims.rs
@@ -6,12 +6,12 @@
 use serde_json::{Value, json};
 
 use super::claim_log::CLAIM_LOG;
-use super::mail::{ClaimLogMail, ClaimsMail, Mail};
 use crate::decide::claim_home::{
     ClaimHome, ClaimStep, HomeBounds, HomeStep, PendingKey, VerdictList,
 };
 use crate::decide::claims::{ClaimRecord, ClaimVerdict, PartitionId};
 use crate::kernel::{Moment, NextStep, ReplyTo, Service, Signal, Turn};
+use crate::services::common::mail::{ClaimLogMail, ClaimsMail, Mail};
 
 /// Name of the service.
 pub const CLAIMS: &str = "claims";
--- a/src/services/config_feed.rs
+++ b/src/services/upstream_side/config_feed.rs
@@ -1,9 +1,9 @@
 //! I/O task `config-feed` of a sidecar: hands each new configuration to the service `ledger`.
 
-use super::config::CONFIG;
-use super::mail::{ConfigMail, LedgerMail, Mail};
 use crate::decide::ids::LogOffset;
 use crate::kernel::{Directory, Inbox, IoTask, Signal};
+use crate::services::common::mail::{ConfigMail, LedgerMail, Mail};
+use crate::services::configuration::config::CONFIG;
 
 /// Creates the I/O task `config-feed`.
 #[must_use]
--- a/src/services/engine_stream.rs
+++ b/src/services/upstream_side/engine_stream.rs
@@ -10,12 +10,12 @@
 use tokio::time::timeout;
 
 use super::engine_task::{EngineKind, EngineTarget};
-use super::mail::{LedgerMail, Mail};
 use crate::decide::ids::{Repeatability, Ticket};
 use crate::decide::ledger::TicketKey;
 use crate::decide::outcome::{RefusalReason, StreamEnd};
 use crate::kernel::{Directory, Moment};
 use crate::platform::http_client::{self, HttpError, OpenResponse};
+use crate::services::common::mail::{LedgerMail, Mail};
 use crate::wire::headers::forwarded_headers;
 use crate::wire::rpc::{StreamItem, SubmitCall};
 use crate::wire::sse::{MAX_EVENT_BYTES, SseDecoder, SseStep};
--- a/src/services/engine_task.rs
+++ b/src/services/upstream_side/engine_task.rs
@@ -9,11 +9,11 @@
 use tokio::task::{AbortHandle, Id, JoinSet};
 
 use super::engine_stream::{EngineStream, StreamOrigin, resume_path};
-use super::mail::{EngineMail, LedgerMail, Mail};
 use crate::decide::ids::{Repeatability, Ticket};
 use crate::decide::ledger::TicketKey;
 use crate::kernel::{Directory, Inbox, IoTask, Signal};
 use crate::platform::http_client;
+use crate::services::common::mail::{EngineMail, LedgerMail, Mail};
 use crate::wire::rpc::AttachVerdict;
 
 /// Longest time for a cancellation or a lookup at the engine.
--- a/src/services/engine_watch.rs
+++ b/src/services/upstream_side/engine_watch.rs
@@ -7,11 +7,11 @@
 use serde::Deserialize;
 
 use super::engine_task::{EngineKind, EngineTarget};
-use super::mail::{EngineState, LedgerMail, Mail};
 use crate::decide::ids::EngineEpoch;
 use crate::events::{ENGINE_DOWN, ENGINE_RESTARTED, ENGINE_UP, EventField, log_event};
 use crate::kernel::{Directory, Inbox, IoTask, Signal};
 use crate::platform::http_client;
+use crate::services::common::mail::{EngineState, LedgerMail, Mail};
 
 /// Interval between two reads while the engine answers.
 const WATCH_INTERVAL: Duration = Duration::from_millis(500);
--- a/src/services/lease_log.rs
+++ b/src/services/upstream_side/lease_log.rs
@@ -2,11 +2,11 @@
 
 use std::time::Duration;
 
-use super::mail::Mail;
 use crate::decide::ids::{Incarnation, LogOffset};
 use crate::decide::lease::{LeaseRecord, LeaseTable, OwnLease};
 use crate::kernel::Directory;
 use crate::platform::log_client::{AppendOutcome, LogClient, ReadOutcome, ReadWindow};
+use crate::services::common::mail::Mail;
 use crate::wire::lease_record::{decode_lease, encode_lease};
 
 /// Most records in one page.
--- a/src/services/ledger/mod.rs
+++ b/src/services/upstream_side/ledger/mod.rs
@@ -6,8 +6,8 @@
 
 pub use state::{LedgerSettings, LedgerState};
 
-use super::mail::{LedgerMail, Mail};
 use crate::kernel::{Service, Signal, Turn};
+use crate::services::common::mail::{LedgerMail, Mail};
 
 /// Creates the service `ledger`.
 #[must_use]
--- a/src/services/ledger/running.rs
+++ b/src/services/upstream_side/ledger/running.rs
@@ -8,9 +8,9 @@
 use crate::decide::queue::QueueStep;
 use crate::decide::suspects::{Fingerprint, SoloStep};
 use crate::kernel::{Moment, NextStep, ReplyTo, Turn};
-use crate::services::mail::{EngineMail, EngineState, Mail};
-use crate::services::stream_buffer::PushOutcome;
-use crate::services::suspect_feed::SUSPECT_FEED;
+use crate::services::common::mail::{EngineMail, EngineState, Mail};
+use crate::services::upstream_side::stream_buffer::PushOutcome;
+use crate::services::upstream_side::suspect_feed::SUSPECT_FEED;
 use crate::wire::rpc::{AttachReply, AttachVerdict, StreamItem};
 
 use super::state::{LedgerState, new_job};
--- a/src/services/ledger/state.rs
+++ b/src/services/upstream_side/ledger/state.rs
@@ -15,8 +15,8 @@
 use crate::decide::suspects::{Fingerprint, SuspectPolicy, SuspectVerdict};
 use crate::decide::upstream_queue::{UpstreamQueue, WorkRequest};
 use crate::kernel::{Moment, Turn};
-use crate::services::mail::{EngineState, Mail, OrderReport};
-use crate::services::stream_buffer::StreamBuffer;
+use crate::services::common::mail::{EngineState, Mail, OrderReport};
+use crate::services::upstream_side::stream_buffer::StreamBuffer;
 use crate::wire::rpc::{
     QuoteCall, QuoteReply, ReplyHead, SubmitCall, SubmitReply, SubmitVerdict, WithdrawReply,
     WithdrawVerdict,
--- a/src/services/orders.rs
+++ b/src/services/upstream_side/orders.rs
@@ -8,10 +8,7 @@
 use hyper::{Method, StatusCode};
 use serde::Serialize;
 
-use super::config::CONFIG;
 use super::lease_log::LeaseLog;
-use super::mail::{ConfigMail, EngineState, LedgerMail, Mail, OrderReport};
-use super::wait::{run_until_stop, sleep_until};
 use crate::decide::config::Configuration;
 use crate::decide::ids::{EngineEpoch, Incarnation, LogOffset};
 use crate::decide::lease::{LeaseTable, ORDER_TIMEOUT_MS};
@@ -20,6 +17,9 @@
 use crate::kernel::{Directory, IoTask, Moment};
 use crate::platform::http_client;
 use crate::platform::log_client::LogClient;
+use crate::services::common::mail::{ConfigMail, EngineState, LedgerMail, Mail, OrderReport};
+use crate::services::common::wait::{run_until_stop, sleep_until};
+use crate::services::configuration::config::CONFIG;
 use crate::wire::lease_record::LEASE_STREAM;
 
 /// Name of the task that gives orders to the engine.
--- a/src/services/sidecar_rpc.rs
+++ b/src/services/upstream_side/sidecar_rpc.rs
@@ -8,13 +8,13 @@
 use tokio::task::JoinSet;
 
 use super::claims::CLAIMS;
-use super::config::CONFIG;
-use super::mail::{ClaimsMail, ConfigMail, LedgerMail, Mail};
 use crate::decide::claims::{ClaimRecord, ClaimVerdict};
 use crate::decide::ids::{Incarnation, LogOffset, Repeatability, Ticket};
 use crate::decide::outcome::RefusalReason;
 use crate::decide::suspect_guard::SuspectNews;
 use crate::kernel::{Directory, Inbox, IoTask, Moment, ReplyTo, Signal};
+use crate::services::common::mail::{ClaimsMail, ConfigMail, LedgerMail, Mail};
+use crate::services::configuration::config::CONFIG;
 use crate::wire::claim_rpc::{ClaimCall, ClaimReply};
 use crate::wire::config_page::{ConfigPage, ConfigSinceCall};
 use crate::wire::rpc::{
--- a/src/services/suspect_feed.rs
+++ b/src/services/upstream_side/suspect_feed.rs
@@ -7,12 +7,12 @@
 use futures::StreamExt;
 use tokio::task::JoinSet;
 
-use super::config::CONFIG;
-use super::mail::{ConfigMail, Mail};
-use super::sidecar_calls::SidecarCalls;
 use crate::decide::config::{Configuration, UpstreamKind};
 use crate::decide::suspect_guard::SuspectNews;
 use crate::kernel::{Directory, Inbox, IoTask, Signal};
+use crate::services::common::mail::{ConfigMail, Mail};
+use crate::services::common::sidecar_calls::SidecarCalls;
+use crate::services::configuration::config::CONFIG;
 
 /// Name of the task.
 pub const SUSPECT_FEED: &str = "suspect-feed";
--- a/src/settings/table.rs
+++ b/src/settings/table.rs
@@ -105,7 +105,7 @@
     "BULRUSHSLIP_PLATFORM",
     Fallback::Required,
     ValueKind::Address,
-    "address of the platform's log, instance list and weight store",
+    "address of the platform's log and weight store",
 );
 
 const NAME: SettingRow = row(
--- a/src/shared_parts.rs
+++ b/src/shared_parts.rs
@@ -6,16 +6,16 @@
 use tokio::net::TcpListener;
 
 use crate::kernel::TokioKernel;
-use crate::platform::instance_client::{InstanceClient, WireInstance, WireInstanceState};
-use crate::services::config::{ConfigSettings, config_service};
-use crate::services::dialer::dialer_task;
-use crate::services::log_reader::log_reader;
-use crate::services::mail::Mail;
-use crate::services::metrics;
-use crate::services::operator::{self, OperatorIdentity};
-use crate::services::peer_reader::peer_reader;
-use crate::services::registration::{deregistration_task, registration_task};
-use crate::services::snapshot_writer::snapshot_writer;
+use crate::platform::instance_topics::{WireInstance, WireInstanceState};
+use crate::services::common::dialer::dialer_task;
+use crate::services::common::mail::Mail;
+use crate::services::common::metrics;
+use crate::services::common::operator::{self, OperatorIdentity};
+use crate::services::common::registration::{deregistration_task, registration_task};
+use crate::services::configuration::config::{ConfigSettings, config_service};
+use crate::services::configuration::log_reader::log_reader;
+use crate::services::configuration::peer_reader::peer_reader;
+use crate::services::configuration::snapshot_writer::snapshot_writer;
 use crate::settings::CommonSettings;
 
 /// One process as its parts see it.
@@ -37,7 +37,7 @@
     /// Returns an error when no socket for metrics can be opened.
     pub fn add_first_parts(&self, kernel: &mut TokioKernel<Mail>) -> io::Result<()> {
         let common = self.common;
-        kernel.add_task(deregistration_task(self.instances(), common.name.clone()));
+        kernel.add_task(deregistration_task(common.platform, common.name.clone()));
         if let Some(address) = common.metrics {
             let tags = [("role", self.role), ("instance", common.name.as_str())];
             kernel.add(metrics::service(address, &tags)?);
@@ -81,13 +81,8 @@
             operator: Some(operator),
             data_centre: self.common.data_centre.clone(),
             state: WireInstanceState::Live,
+            renewed_ms: 0,
         };
-        kernel.add_task(registration_task(self.instances(), instance));
-    }
-
-    const fn instances(&self) -> InstanceClient {
-        InstanceClient {
-            platform: self.common.platform,
-        }
+        kernel.add_task(registration_task(self.common.platform, instance));
     }
 }
--- a/src/sidecar.rs
+++ b/src/sidecar.rs
@@ -9,17 +9,18 @@
 use crate::decide::upstream_queue::STARTING_LIMIT;
 use crate::kernel::{Clock, TokioKernel};
 use crate::process;
-use crate::services::cache_watch::cache_watch_task;
-use crate::services::claim_log::claim_log_task;
-use crate::services::claims::claims_service;
-use crate::services::config_feed::config_feed_task;
-use crate::services::engine_task::{EngineKind, EngineTarget, engine_task};
-use crate::services::engine_watch::engine_watch_task;
-use crate::services::ledger::LedgerSettings;
-use crate::services::ledger::ledger_service;
-use crate::services::orders::{OrderSettings, orders_task};
-use crate::services::sidecar_rpc::rpc_task;
-use crate::services::suspect_feed::suspect_feed_task;
+use crate::services::upstream_side::cache_watch::cache_watch_task;
+use crate::services::upstream_side::claim_log::claim_log_task;
+use crate::services::upstream_side::claims::claims_service;
+use crate::services::upstream_side::config_feed::config_feed_task;
+use crate::services::upstream_side::engine_task::{EngineKind, EngineTarget, engine_task};
+use crate::services::upstream_side::engine_watch::engine_watch_task;
+use crate::services::upstream_side::leaving_watch::leaving_watch;
+use crate::services::upstream_side::ledger::LedgerSettings;
+use crate::services::upstream_side::ledger::ledger_service;
+use crate::services::upstream_side::orders::{OrderSettings, orders_task};
+use crate::services::upstream_side::sidecar_rpc::rpc_task;
+use crate::services::upstream_side::suspect_feed::suspect_feed_task;
 use crate::settings::{SidecarSettings, TargetKind};
 use crate::shared_parts::ProcessIdentity;
 
@@ -93,6 +94,7 @@
     // The ledger stops before the tasks that its last answers pass through.
     kernel.add(ledger_service(ledger_settings));
     kernel.add_task(config_feed_task());
+    kernel.add_task(leaving_watch(common.platform, common.name.clone()));
     identity.add_registration(&mut kernel, address, operator);
     process::run_until_signal(kernel, clock, common.drain_ms).await
 }
--- a/src/sidecar_cli.rs
+++ b/src/sidecar_cli.rs
@@ -16,7 +16,7 @@
     /// bearer token of the operator port, required unless the port is on loopback
     #[argh(option)]
     operator_token: Option<String>,
-    /// address of the platform's log, instance list and weight store
+    /// address of the platform's log and weight store
     #[argh(option)]
     platform: Option<String>,
     /// sidecars to ask for the configuration while the log cannot be reached
--- /dev/null
+++ b/src/standin/group_calls.rs
@@ -0,0 +1,142 @@
+//! Service `groups`: owns the groups of readers, and the calls on them.
+
+use std::time::Duration;
+
+use hyper::{Response, StatusCode};
+use serde::Deserialize;
+use serde_json::json;
+
+use super::front::{FrontError, FrontRequest, StandinDirectory, done_response, error_response};
+use super::mail::StandinMail;
+use super::topic_groups::{GroupJoin, GroupShare, TopicGroups};
+use crate::kernel::{NextStep, ReplyTo, Service, Signal};
+use crate::platform::http_server::{ResponseBody, json_response};
+
+/// Messages to the service `groups`.
+#[derive(Debug)]
+pub enum GroupMail {
+    /// Join a group or stay in it; the reply is the generation and the member's topics.
+    Join(GroupJoin, ReplyTo<(u64, Vec<GroupShare>)>),
+    /// Leave a group.
+    Leave(String, String, ReplyTo<()>),
+    /// Commit an offset in a generation; the reply tells whether the member holds the topic.
+    Commit(String, u64, GroupShare, ReplyTo<bool>),
+    /// Say who holds which topic of a group.
+    Owners(String, ReplyTo<Vec<GroupShare>>),
+}
+
+#[derive(Debug, Deserialize)]
+struct JoinBody {
+    group: String,
+    member: String,
+    #[serde(default)]
+    topics: Vec<String>,
+    #[serde(default, rename = "ttl-ms")]
+    ttl_ms: u64,
+}
+
+#[derive(Debug, Deserialize)]
+struct CommitBody {
+    group: String,
+    member: String,
+    generation: u64,
+    topic: String,
+    offset: u64,
+}
+
+/// Creates the service.
+#[must_use]
+pub fn group_service() -> Service<StandinMail> {
+    let mut groups = TopicGroups::default();
+    Service::new("groups", move |turn, signal| {
+        match signal {
+            Signal::Mail(StandinMail::Groups(mail)) => match mail {
+                GroupMail::Join(join, reply) => reply.send(groups.join(turn.now, join)),
+                GroupMail::Leave(group, member, reply) => {
+                    groups.leave(&group, &member);
+                    reply.send(());
+                }
+                GroupMail::Commit(group, generation, share, reply) => {
+                    reply.send(groups.commit(&group, generation, share));
+                }
+                GroupMail::Owners(group, reply) => reply.send(groups.owners(turn.now, &group)),
+            },
+            Signal::Dump(reply) => reply.send(serde_json::Value::Null),
+            Signal::Stop => return NextStep::Stopped,
+            Signal::Start | Signal::Due | Signal::Mail(_) => {}
+        }
+        NextStep::Wait
+    })
+}
+
+/// Answers a call that joins a group.
+pub async fn join(
+    directory: &StandinDirectory,
+    request: &FrontRequest,
+) -> Option<Response<ResponseBody>> {
+    let Ok(body) = serde_json::from_slice::<JoinBody>(&request.body) else {
+        return Some(FrontError::BadBody.into());
+    };
+    let join = GroupJoin {
+        group: body.group,
+        member: body.member,
+        topics: body.topics,
+        until: directory.now().after(Duration::from_millis(body.ttl_ms)),
+    };
+    let mail = |reply| StandinMail::Groups(GroupMail::Join(join, reply));
+    let (generation, shares) = directory.ask("groups", mail).await?;
+    let parts = shares
+        .iter()
+        .map(|share| json!([share.topic, 0, share.offset]));
+    let answer = json!({ "generation": generation, "parts": parts.collect::<Vec<_>>() });
+    Some(json_response(StatusCode::OK, &answer))
+}
+
+/// Answers a call that leaves a group.
+pub async fn leave(
+    directory: &StandinDirectory,
+    request: &FrontRequest,
+) -> Option<Response<ResponseBody>> {
+    let Ok(body) = serde_json::from_slice::<JoinBody>(&request.body) else {
+        return Some(FrontError::BadBody.into());
+    };
+    let mail = |reply| StandinMail::Groups(GroupMail::Leave(body.group, body.member, reply));
+    directory.ask("groups", mail).await?;
+    Some(done_response())
+}
+
+/// Answers a call that commits an offset.
+pub async fn commit(
+    directory: &StandinDirectory,
+    request: &FrontRequest,
+) -> Option<Response<ResponseBody>> {
+    let Ok(body) = serde_json::from_slice::<CommitBody>(&request.body) else {
+        return Some(FrontError::BadBody.into());
+    };
+    let share = GroupShare {
+        topic: body.topic,
+        member: body.member,
+        offset: body.offset,
+    };
+    let (group, generation) = (body.group, body.generation);
+    let mail = |reply| StandinMail::Groups(GroupMail::Commit(group, generation, share, reply));
+    if directory.ask("groups", mail).await? {
+        return Some(done_response());
+    }
+    Some(error_response(StatusCode::CONFLICT, "not_the_holder"))
+}
+
+/// Answers a call that asks who holds which topic.
+pub async fn owners(
+    directory: &StandinDirectory,
+    request: &FrontRequest,
+) -> Option<Response<ResponseBody>> {
+    let group = request.parameter("group").unwrap_or_default().to_owned();
+    let mail = |reply| StandinMail::Groups(GroupMail::Owners(group, reply));
+    let shares = directory.ask("groups", mail).await?;
+    let rows = shares
+        .iter()
+        .map(|share| json!([share.topic, 0, share.member, share.offset]));
+    let answer = json!({ "owners": rows.collect::<Vec<_>>() });
+    Some(json_response(StatusCode::OK, &answer))
+}
--- a/src/standin/mail.rs
+++ b/src/standin/mail.rs
@@ -1,7 +1,7 @@
 //! Messages between the tasks of a stand-in, one variant for each receiving service.
 
 use super::engine_mail::EngineMail;
-use super::instance_service::InstanceMail;
+use super::group_calls::GroupMail;
 use super::kept_cache::KeptMail;
 use super::log_service::LogMail;
 use super::plain::PlainMail;
@@ -16,8 +16,8 @@
     Plain(PlainMail),
     /// To the service `log`.
     Log(LogMail),
-    /// To the service `instances`.
-    Instances(InstanceMail),
+    /// To the service `groups`.
+    Groups(GroupMail),
     /// To the service `weights`.
     Weights(WeightMail),
     /// To the service `kept-cache`.
--- a/src/standin/options.rs
+++ b/src/standin/options.rs
@@ -99,7 +99,7 @@
     pub latency_ms: u64,
 }
 
-/// Platform: log, instance list, weight store and kept-cache store.
+/// Platform: log, weight store and kept-cache store.
 #[derive(Debug, FromArgs)]
 #[argh(subcommand, name = "platform")]
 pub struct PlatformOptions {
@@ -112,9 +112,6 @@
     /// appends accepted a second
     #[argh(option, default = "400")]
     pub appends_per_second: u64,
-    /// time in milliseconds after which a change of the instance list is seen
-    #[argh(option, default = "0")]
-    pub list_lag_ms: u64,
     /// time in milliseconds of one transfer of weights
     #[argh(option, default = "600")]
     pub load_ms: u64,
--- a/src/standin/platform_http.rs
+++ b/src/standin/platform_http.rs
@@ -1,10 +1,9 @@
-//! HTTP front of the platform: log, instance list, weight store and kept-cache store.
+//! HTTP front of the platform: log, weight store and kept-cache store.
 
 use base64::Engine;
 use base64::engine::general_purpose::STANDARD;
 use hyper::body::Incoming;
 use hyper::{Request, Response, StatusCode};
-use serde::{Deserialize, Serialize};
 use serde_json::json;
 use tokio::time::sleep_until;
 
@@ -12,8 +11,7 @@
 use super::front::{
     FrontError, FrontRequest, StandinDirectory, done_response, dump_response, error_response,
 };
-use super::instance_list::{InstanceEntry, InstanceState};
-use super::instance_service::InstanceMail;
+use super::group_calls;
 use super::kept_cache::KeptMail;
 use super::log_service::{LogAnswer, LogFault, LogMail, LogReader, LogReply};
 use super::mail::StandinMail;
@@ -61,9 +59,14 @@
             let topic = topic(&request);
             ask_log(directory, |reply| LogMail::Newest(topic, reply)).await
         }
-        ("GET", ["instances"]) => list_instances(directory).await,
-        ("PUT", ["instances", name]) => put_instance(directory, name, &request).await,
-        ("DELETE", ["instances", name]) => remove_instance(directory, name).await,
+        ("POST", ["log-trim"]) => {
+            let (topic, before) = (topic(&request), request.number("before", 0));
+            ask_log(directory, |reply| LogMail::Retain(topic, before, reply)).await
+        }
+        ("POST", ["log-join"]) => group_calls::join(directory, &request).await,
+        ("POST", ["log-leave"]) => group_calls::leave(directory, &request).await,
+        ("POST", ["log-commit"]) => group_calls::commit(directory, &request).await,
+        ("GET", ["log-owners"]) => group_calls::owners(directory, &request).await,
         ("GET", ["weights", _model, _version]) => {
             let mail = |reply| StandinMail::Weights(WeightMail::Fetch(reply));
             directory.ask("weights", mail).await?;
@@ -127,17 +130,6 @@
         "outage" => LogFault::Outage(request.number("ms", 0)),
         "lose-answers" => LogFault::LoseAnswers(request.number("next", 1)),
         "delay" => LogFault::Delay(request.number("ms", 0)),
-        "leave" => {
-            let name = request.parameter("name").unwrap_or_default().to_owned();
-            let mail = |reply| StandinMail::Instances(InstanceMail::Leave(name, reply));
-            directory.ask("instances", mail).await?;
-            return Some(done_response());
-        }
-        "retain" => {
-            let stream = request.parameter("stream").unwrap_or_default().to_owned();
-            let first = request.number("first", 0);
-            return ask_log(directory, |reply| LogMail::Retain(stream, first, reply)).await;
-        }
         _ => return Some(FrontError::UnknownPath.into()),
     };
     ask_log(directory, |reply| LogMail::Fault(fault, reply)).await
@@ -204,42 +196,6 @@
     bytes
 }
 
-async fn list_instances(directory: &StandinDirectory) -> Option<Response<ResponseBody>> {
-    let mail = |reply| StandinMail::Instances(InstanceMail::List(reply));
-    let entries = directory.ask("instances", mail).await?;
-    let instances: Vec<InstanceBody> = entries.into_iter().map(InstanceBody::from).collect();
-    let list = json!({ "instances": instances });
-    Some(json_response(StatusCode::OK, &list))
-}
-
-async fn put_instance(
-    directory: &StandinDirectory,
-    name: &str,
-    request: &FrontRequest,
-) -> Option<Response<ResponseBody>> {
-    let Ok(body) = serde_json::from_slice::<InstanceBody>(&request.body) else {
-        return Some(FrontError::BadBody.into());
-    };
-    let mut entry = InstanceEntry::from(body);
-    name.clone_into(&mut entry.name);
-    let mail = |reply| StandinMail::Instances(InstanceMail::Put(entry, reply));
-    let entry = directory.ask("instances", mail).await?;
-    let body = json!(InstanceBody::from(entry));
-    Some(json_response(StatusCode::OK, &body))
-}
-
-async fn remove_instance(
-    directory: &StandinDirectory,
-    name: &str,
-) -> Option<Response<ResponseBody>> {
-    let name = name.to_owned();
-    let mail = |reply| StandinMail::Instances(InstanceMail::Remove(name, reply));
-    if directory.ask("instances", mail).await? {
-        return Some(done_response());
-    }
-    Some(error_response(StatusCode::NOT_FOUND, "unknown_instance"))
-}
-
 async fn get_value(directory: &StandinDirectory, key: &str) -> Option<Response<ResponseBody>> {
     let key = key.to_owned();
     let mail = |reply| StandinMail::Kept(KeptMail::Get(key, reply));
@@ -248,54 +204,3 @@
         None => Some(error_response(StatusCode::NOT_FOUND, "unknown_key")),
     }
 }
-
-#[derive(Debug, Clone, Copy, Serialize, Deserialize)]
-#[serde(rename_all = "lowercase")]
-enum StateBody {
-    Live,
-    Leaving,
-}
-
-#[derive(Debug, Serialize, Deserialize)]
-struct InstanceBody {
-    #[serde(default)]
-    name: String,
-    role: String,
-    address: String,
-    #[serde(default, skip_serializing_if = "Option::is_none")]
-    operator: Option<String>,
-    data_centre: String,
-    state: StateBody,
-}
-
-impl From<InstanceBody> for InstanceEntry {
-    fn from(body: InstanceBody) -> Self {
-        Self {
-            name: body.name,
-            role: body.role,
-            address: body.address,
-            operator: body.operator,
-            data_centre: body.data_centre,
-            state: match body.state {
-                StateBody::Live => InstanceState::Live,
-                StateBody::Leaving => InstanceState::Leaving,
-            },
-        }
-    }
-}
-
-impl From<InstanceEntry> for InstanceBody {
-    fn from(entry: InstanceEntry) -> Self {
-        Self {
-            name: entry.name,
-            role: entry.role,
-            address: entry.address,
-            operator: entry.operator,
-            data_centre: entry.data_centre,
-            state: match entry.state {
-                InstanceState::Live => StateBody::Live,
-                InstanceState::Leaving => StateBody::Leaving,
-            },
-        }
-    }
-}
--- a/src/standin/roles.rs
+++ b/src/standin/roles.rs
@@ -15,7 +15,7 @@
 use super::engine_http::{EngineFront, engine_handler};
 use super::engine_service::engine_service;
 use super::front::StandinDirectory;
-use super::instance_service::instance_service;
+use super::group_calls::group_service;
 use super::kept_cache::kept_service;
 use super::log_service::log_service;
 use super::mail::StandinMail;
@@ -107,7 +107,7 @@
         retention_records: options.retention_records,
         appends_per_second: options.appends_per_second,
     }));
-    kernel.add(instance_service(options.list_lag_ms));
+    kernel.add(group_service());
     kernel.add(weight_service(WeightLimits {
         load_ms: options.load_ms,
         concurrent_loads: options.concurrent_loads,
--- a/tests/answers.rs
+++ b/tests/answers.rs
@@ -10,8 +10,8 @@
 use bulrushslip::kernel::{
     MailboxKey, Moment, NextStep, ReplyTo, Service, Signal, SteppedKernel, Turn,
 };
-use bulrushslip::services::ledger::{LedgerSettings, ledger_service};
-use bulrushslip::services::mail::{EngineMail, EngineState, LedgerMail, Mail};
+use bulrushslip::services::common::mail::{EngineMail, EngineState, LedgerMail, Mail};
+use bulrushslip::services::upstream_side::ledger::{LedgerSettings, ledger_service};
 use bulrushslip::wire::rpc::{
     ReadCall, ReadVerdict, StreamItem, SubmitCall, SubmitVerdict, WireEnd, WireRank,
 };
--- a/tests/claims_service.rs
+++ b/tests/claims_service.rs
@@ -10,9 +10,9 @@
 use bulrushslip::decide::ids::{Incarnation, LogOffset, Ticket};
 use bulrushslip::decide::suspects::Fingerprint;
 use bulrushslip::kernel::{MailboxKey, Moment, NextStep, ReplyTo, Service, Signal, SteppedKernel};
-use bulrushslip::services::claim_log::CLAIM_LOG;
-use bulrushslip::services::claims::{CLAIMS, claims_service};
-use bulrushslip::services::mail::{ClaimLogMail, ClaimsMail, Mail};
+use bulrushslip::services::common::mail::{ClaimLogMail, ClaimsMail, Mail};
+use bulrushslip::services::upstream_side::claim_log::CLAIM_LOG;
+use bulrushslip::services::upstream_side::claims::{CLAIMS, claims_service};
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
 
--- a/tests/config_processes.rs
+++ b/tests/config_processes.rs
@@ -129,7 +129,7 @@
         part.is_some()
     })
     .await;
-    let path = format!("/admin/retain?stream=config&first={first}");
+    let path = format!("/log-trim?topic=config&part=0&before={first}");
     assert_eq!(post(platform, &path, &[], String::new()).await.status, 200);
     let late = entry(&platform.to_string(), "");
     until(TARGET, "served", async || serves(late.port("entry")).await).await;
--- /dev/null
+++ b/tests/instance_topics.rs
@@ -0,0 +1,155 @@
+//! The list of instances on the store's topics, and groups of readers, against the stand-in.
+
+mod standin_harness;
+
+use std::time::Duration;
+
+use bulrushslip::kernel::Moment;
+use bulrushslip::platform::instance_topics::{
+    INSTANCE_TOPIC, InstanceTopics, WireInstance, WireInstanceState,
+};
+use bulrushslip::platform::store_client::StoreClient;
+use bulrushslip::platform::store_records::encode_keyed;
+use bulrushslip::standin::topic_groups::{GroupJoin, GroupShare, TopicGroups};
+use serde_json::json;
+use standin_harness::Standin;
+
+fn instance(name: &str) -> WireInstance {
+    WireInstance {
+        name: name.to_owned(),
+        role: "sidecar".to_owned(),
+        address: "127.0.0.1:9".parse().expect("an address"),
+        operator: None,
+        data_centre: "Bangor".to_owned(),
+        state: WireInstanceState::Live,
+        renewed_ms: 0,
+    }
+}
+
+async fn listed(topics: &mut InstanceTopics) -> Vec<(String, WireInstanceState)> {
+    let list = topics.list().await.expect("an answer");
+    let entries = list.into_iter().map(|entry| (entry.name, entry.state));
+    entries.collect()
+}
+
+#[tokio::test]
+async fn the_list_names_who_renews_and_marks_who_is_to_go() {
+    let platform = Standin::start("platform", "");
+    let mut topics = InstanceTopics::new(platform.address);
+    for name in ["s1", "s2"] {
+        topics.renew(&instance(name)).await.expect("confirmed");
+    }
+    topics.mark_leaving("s2").await.expect("confirmed");
+    let (s1, s2) = ("s1".to_owned(), "s2".to_owned());
+    let marked = [
+        (s1, WireInstanceState::Live),
+        (s2, WireInstanceState::Leaving),
+    ];
+    assert_eq!(listed(&mut topics).await, marked);
+    // A renewal does not take the mark away; the end of the process does.
+    topics.renew(&instance("s2")).await.expect("confirmed");
+    assert_eq!(listed(&mut topics).await, marked);
+    topics.remove("s2").await.expect("confirmed");
+    topics.renew(&instance("s2")).await.expect("confirmed");
+    assert_eq!(listed(&mut topics).await[1].1, WireInstanceState::Live);
+}
+
+#[tokio::test]
+async fn entries_that_lapsed_or_cannot_be_read_name_no_instance() {
+    let platform = Standin::start("platform", "");
+    let mut store = StoreClient::new(platform.address);
+    let lapsed = json!({ "name": "old", "role": "entry", "address": "127.0.0.1:9",
+        "data_centre": "Bangor", "state": "live", "renewed_ms": 1_000 });
+    for (key, value) in [("old", lapsed.to_string()), ("bad", "{".to_owned())] {
+        let record = encode_keyed(key, value.as_bytes()).expect("a short key");
+        let appended = store.append(INSTANCE_TOPIC, &record).await;
+        appended.expect("an answer");
+    }
+    let mut topics = InstanceTopics::new(platform.address);
+    assert_eq!(listed(&mut topics).await, []);
+}
+
+#[tokio::test]
+async fn a_mark_is_seen_at_once_and_after_history_was_trimmed() {
+    let platform = Standin::start("platform", "");
+    let mut topics = InstanceTopics::new(platform.address);
+    let mut from = None;
+    let named = topics.await_leaving("s1", &mut from, Duration::ZERO).await;
+    assert!(!named.expect("an answer"));
+    let mut writer = InstanceTopics::new(platform.address);
+    let (named, _) = tokio::join!(
+        topics.await_leaving("s1", &mut from, Duration::from_secs(20)),
+        writer.mark_leaving("s1"),
+    );
+    assert!(named.expect("an answer"));
+    writer.mark_leaving("s2").await.expect("confirmed");
+    platform
+        .json("POST", "/log-trim?topic=keyed.leaving&part=0&before=2", "")
+        .await;
+    let mut behind = Some(bulrushslip::decide::ids::LogOffset(0));
+    for _ in 0..2 {
+        let named = topics
+            .await_leaving("s1", &mut behind, Duration::ZERO)
+            .await;
+        assert_eq!(named.expect("an answer"), behind.is_some());
+    }
+}
+
+fn at(ms: u64) -> Moment {
+    Moment::START.after(Duration::from_millis(ms))
+}
+
+fn join(member: &str, until_ms: u64) -> GroupJoin {
+    GroupJoin {
+        group: "g".to_owned(),
+        member: member.to_owned(),
+        topics: vec!["a".to_owned(), "b".to_owned()],
+        until: at(until_ms),
+    }
+}
+
+fn share(topic: &str, member: &str, offset: u64) -> GroupShare {
+    GroupShare {
+        topic: topic.to_owned(),
+        member: member.to_owned(),
+        offset,
+    }
+}
+
+#[test]
+fn groups_deal_topics_evenly_and_anew_when_a_member_lapses() {
+    let mut groups = TopicGroups::default();
+    let alone = groups.join(at(0), join("one", 100));
+    assert_eq!(alone, (1, vec![share("a", "one", 0), share("b", "one", 0)]));
+    let second = groups.join(at(10), join("two", 1_000));
+    assert_eq!(second, (2, vec![share("b", "two", 0)]));
+    assert!(groups.commit("g", 2, share("b", "two", 7)));
+    assert!(
+        !groups.commit("g", 2, share("b", "one", 9)),
+        "not its holder"
+    );
+    assert!(
+        !groups.commit("g", 1, share("b", "two", 9)),
+        "before it held it"
+    );
+    let left = groups.owners(at(200), "g");
+    assert_eq!(left, [share("a", "two", 0), share("b", "two", 7)]);
+    groups.leave("g", "two");
+    assert_eq!(groups.owners(at(200), "g"), []);
+}
+
+#[tokio::test]
+async fn group_calls_answer_on_the_wire() {
+    let platform = Standin::start("platform", "");
+    let body = json!({ "group": "g", "member": "m", "topics": ["t"], "ttl-ms": 60_000,
+        "generation": 0 });
+    let joined = platform.json("POST", "/log-join", &body.to_string()).await;
+    assert_eq!(joined, json!({ "generation": 1, "parts": [["t", 0, 0]] }));
+    let commit = json!({ "group": "g", "member": "m", "generation": 1, "topic": "t", "part": 0,
+        "offset": 5 });
+    platform
+        .json("POST", "/log-commit", &commit.to_string())
+        .await;
+    let owners = platform.json("GET", "/log-owners?group=g", "").await;
+    assert_eq!(owners, json!({ "owners": [["t", 0, "m", 5]] }));
+}
--- a/tests/outcome_world/mod.rs
+++ b/tests/outcome_world/mod.rs
@@ -15,7 +15,7 @@
 use bulrushslip::decide::outcome::{RefusalReason, RunStatus};
 use bulrushslip::decide::suspects::Fingerprint;
 use bulrushslip::kernel::{Moment, Signal};
-use bulrushslip::services::mail::Mail;
+use bulrushslip::services::common::mail::Mail;
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
 
--- a/tests/outcome_world/network.rs
+++ b/tests/outcome_world/network.rs
@@ -4,8 +4,8 @@
 use bulrushslip::decide::ids::{Incarnation, Repeatability};
 use bulrushslip::decide::outcome::RefusalReason;
 use bulrushslip::kernel::{Moment, Reply, ReplyTo};
-use bulrushslip::services::mail::LedgerMail;
-use bulrushslip::services::sidecar_calls::{
+use bulrushslip::services::common::mail::LedgerMail;
+use bulrushslip::services::common::sidecar_calls::{
     attach_event, read_outcome, submit_event, withdraw_event,
 };
 use bulrushslip::wire::rpc::{
--- a/tests/outcome_world/upstream.rs
+++ b/tests/outcome_world/upstream.rs
@@ -10,9 +10,9 @@
 use bulrushslip::decide::outcome::{RefusalReason, StreamEnd};
 use bulrushslip::decide::queue::{QueueDiscipline, QueuePolicy};
 use bulrushslip::kernel::{MailboxKey, Moment, NextStep, Service, Signal, SteppedKernel, Turn};
-use bulrushslip::services::ledger::LedgerSettings;
-use bulrushslip::services::ledger::ledger_service;
-use bulrushslip::services::mail::{EngineMail, EngineState, LedgerMail, Mail};
+use bulrushslip::services::common::mail::{EngineMail, EngineState, LedgerMail, Mail};
+use bulrushslip::services::upstream_side::ledger::LedgerSettings;
+use bulrushslip::services::upstream_side::ledger::ledger_service;
 use bulrushslip::wire::rpc::{AttachVerdict, StreamItem};
 
 /// Items of every whole answer.
--- a/tests/process_stops.rs
+++ b/tests/process_stops.rs
@@ -5,7 +5,8 @@
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
-use common::{ChatCall, Fleet, get, post};
+use bulrushslip::platform::instance_topics::InstanceTopics;
+use common::{ChatCall, Fleet, get};
 use tokio::task::JoinHandle;
 
 /// Requests offered at once; the engines' slots hold 16, the others wait in the sidecars.
@@ -96,8 +97,9 @@
     let leaving = queued_sidecar(&fleet).await;
     let platform = fleet.platform.port("platform");
     let left_at = Instant::now();
-    let path = format!("/admin/leave?name=sidecar-engine-{leaving}");
-    assert_eq!(post(platform, &path, &[], "").await.status, 200);
+    let name = format!("sidecar-engine-{leaving}");
+    let marked = InstanceTopics::new(platform).mark_leaving(&name).await;
+    marked.expect("the store takes the mark");
     let operator = fleet.sidecars[leaving].port("operator");
     while ledger(operator).await["leaving"] != true {
         assert!(left_at.elapsed() < LEAVE_LIMIT, "not leaving in time");
--- a/tests/retry_budget.rs
+++ b/tests/retry_budget.rs
@@ -6,8 +6,8 @@
 use bulrushslip::decide::ids::Incarnation;
 use bulrushslip::decide::retry_budget::{RetryBudget, RetryPolicy, RetryStep};
 use bulrushslip::kernel::{Moment, ReplyTo, Signal, SteppedKernel};
-use bulrushslip::services::mail::{Mail, MintOutcome, TicketsMail};
-use bulrushslip::services::tickets::tickets_service;
+use bulrushslip::services::caller_side::tickets::tickets_service;
+use bulrushslip::services::common::mail::{Mail, MintOutcome, TicketsMail};
 
 /// Generated inputs of each property.
 const CASES: u64 = 2_000;
--- a/tests/standin.rs
+++ b/tests/standin.rs
@@ -281,7 +281,7 @@
     }
     assert_eq!(read(0, Duration::ZERO).await, page(2, 5, 2, "three"));
     platform
-        .json("POST", "/admin/retain?stream=s&first=4", "")
+        .json("POST", "/log-trim?topic=s&part=0&before=4", "")
         .await;
     assert_eq!(read(0, Duration::ZERO).await, page(4, 5, 4, "five"));
 }
@@ -315,20 +315,8 @@
 }
 
 #[tokio::test]
-async fn the_platform_lists_instances_and_keeps_values() {
+async fn the_platform_serves_weights_and_keeps_values() {
     let platform = Standin::start("platform", "--load-ms 0");
-    let entry = json!({ "name": "s1", "role": "sidecar", "address": "127.0.0.1:9",
-        "data_centre": "Bangor", "state": "leaving" });
-    platform
-        .json("PUT", "/instances/s1", &entry.to_string())
-        .await;
-    let list = platform.json("GET", "/instances", "").await;
-    assert_eq!(list, json!({ "instances": [entry] }));
-    platform.json("DELETE", "/instances/s1", "").await;
-    assert_eq!(
-        platform.json("GET", "/instances", "").await["instances"],
-        json!([])
-    );
     platform.json("GET", "/weights/m/v2", "").await;
     platform.json("PUT", "/kv/piece", "bytes").await;
     assert_eq!(
--- a/tests/standin_decisions.rs
+++ b/tests/standin_decisions.rs
@@ -6,7 +6,6 @@
 
 use bulrushslip::kernel::Moment;
 use bulrushslip::standin::append_log::{AppendLog, AppendOutcome, LogLimits};
-use bulrushslip::standin::instance_list::{InstanceEntry, InstanceList, InstanceState};
 use bulrushslip::standin::prefix_cache::{CacheChange, PrefixCache};
 use bulrushslip::standin::weight_store::{WeightLimits, WeightStore};
 
@@ -55,25 +54,6 @@
     });
 }
 
-#[test]
-fn the_instance_list_lags_and_drops_what_is_not_renewed() {
-    let entry = InstanceEntry {
-        name: "s1".to_owned(),
-        role: "sidecar".to_owned(),
-        address: "127.0.0.1:9".to_owned(),
-        operator: None,
-        data_centre: "Bangor".to_owned(),
-        state: InstanceState::Live,
-    };
-    let mut list = InstanceList::new(500);
-    list.put(at(0), entry.clone());
-    assert_eq!(list.list(at(499)).len(), 0);
-    assert_eq!(list.list(at(500)).len(), 1);
-    list.put(at(6_000), entry.clone());
-    assert_eq!(list.list(at(16_499)), [entry]);
-    assert_eq!(list.list(at(16_500)), []);
-}
-
 #[test]
 fn transfers_of_weights_slow_down_in_proportion() {
     let limits = WeightLimits {
