Soak real gateways under faults from outside

Three gateways and the stand-in store run as processes; loopback proxies delay, reset, cut and silence their links, signals stop, freeze and kill them, upstreams fail and leave, configurations change.

--- a/tests/common/process.rs
+++ b/tests/common/process.rs
@@ -3,7 +3,7 @@
 use std::collections::HashMap;
 use std::io::{BufRead, BufReader};
 use std::net::SocketAddr;
-use std::process::{Child, Command, Stdio};
+use std::process::{Child, Command, ExitStatus, Stdio};
 use std::sync::mpsc;
 use std::time::{Duration, Instant};
 
@@ -94,6 +94,16 @@
         self.signal("-CONT");
     }
 
+    /// Tells the process that its settings have changed, by SIGHUP.
+    pub fn hang_up(&self) {
+        self.signal("-HUP");
+    }
+
+    /// Returns how the process ended, if it has.
+    pub fn ended(&mut self) -> Option<ExitStatus> {
+        self.child.try_wait().expect("a child")
+    }
+
     fn signal(&self, signal: &str) {
         let id = self.child.id().to_string();
         let status = Command::new("kill").args([signal, &id]).status();
--- a/tests/instance_topics.rs
+++ b/tests/instance_topics.rs
@@ -1,18 +1,48 @@
 //! The list of instances on the store's topics, and groups of readers, against the stand-in.
 
-mod standin_harness;
+#[path = "common/process.rs"]
+#[expect(dead_code, reason = "other tests use the rest")]
+mod process;
 
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use bulrushslip::kernel::Moment;
+use bulrushslip::platform::http_client::{call, request};
 use bulrushslip::platform::instance_topics::{
     INSTANCE_TOPIC, InstanceTopics, WireInstance, WireInstanceState,
 };
 use bulrushslip::platform::store_client::StoreClient;
 use bulrushslip::platform::store_records::encode_keyed;
 use bulrushslip::standin::topic_groups::{GroupJoin, GroupShare, TopicGroups};
-use serde_json::json;
-use standin_harness::Standin;
+use http_body_util::Full;
+use hyper::Method;
+use process::ChildProcess;
+use serde_json::{Value, json};
+
+/// Bound of every call; far above what any of them needs.
+const LIMIT: Duration = Duration::from_secs(10);
+
+/// The stand-in store as a process.
+struct Store(ChildProcess);
+
+impl Store {
+    fn start() -> Self {
+        let binary = env!("CARGO_BIN_EXE_bulrushslip-standin");
+        let arguments = ["platform", "--listen", "127.0.0.1:0"];
+        Self(ChildProcess::start(binary, &arguments, &["platform"]))
+    }
+
+    fn address(&self) -> SocketAddr {
+        self.0.port("platform")
+    }
+
+    async fn json(&self, method: Method, path: &str, body: &str) -> Value {
+        let request = request(method, self.address(), path).body(Full::from(body.to_owned()));
+        let answer = call(self.address(), request.expect("a request"), LIMIT).await;
+        serde_json::from_slice(&answer.expect("an answer").body).expect("a JSON answer")
+    }
+}
 
 fn instance(name: &str) -> WireInstance {
     WireInstance {
@@ -34,8 +64,8 @@
 
 #[tokio::test]
 async fn the_list_names_who_renews_and_marks_who_is_to_go() {
-    let platform = Standin::start("platform", "");
-    let mut topics = InstanceTopics::new(platform.address);
+    let platform = Store::start();
+    let mut topics = InstanceTopics::new(platform.address());
     for name in ["s1", "s2"] {
         topics.renew(&instance(name)).await.expect("confirmed");
     }
@@ -56,8 +86,8 @@
 
 #[tokio::test]
 async fn entries_that_lapsed_or_cannot_be_read_name_no_instance() {
-    let platform = Standin::start("platform", "");
-    let mut store = StoreClient::new(platform.address);
+    let platform = Store::start();
+    let mut store = StoreClient::new(platform.address());
     let lapsed = json!({ "name": "old", "role": "entry", "address": "127.0.0.1:9",
         "data_centre": "Bangor", "state": "live", "renewed_ms": 1_000 });
     for (key, value) in [("old", lapsed.to_string()), ("bad", "{".to_owned())] {
@@ -65,18 +95,18 @@
         let appended = store.append(INSTANCE_TOPIC, &record).await;
         appended.expect("an answer");
     }
-    let mut topics = InstanceTopics::new(platform.address);
+    let mut topics = InstanceTopics::new(platform.address());
     assert_eq!(listed(&mut topics).await, []);
 }
 
 #[tokio::test]
 async fn a_mark_is_seen_at_once_and_after_history_was_trimmed() {
-    let platform = Standin::start("platform", "");
-    let mut topics = InstanceTopics::new(platform.address);
+    let platform = Store::start();
+    let mut topics = InstanceTopics::new(platform.address());
     let mut from = None;
     let named = topics.await_leaving("s1", &mut from, Duration::ZERO).await;
     assert!(!named.expect("an answer"));
-    let mut writer = InstanceTopics::new(platform.address);
+    let mut writer = InstanceTopics::new(platform.address());
     let (named, _) = tokio::join!(
         topics.await_leaving("s1", &mut from, Duration::from_secs(20)),
         writer.mark_leaving("s1"),
@@ -84,7 +114,11 @@
     assert!(named.expect("an answer"));
     writer.mark_leaving("s2").await.expect("confirmed");
     platform
-        .json("POST", "/log-trim?topic=keyed.leaving&part=0&before=2", "")
+        .json(
+            Method::POST,
+            "/log-trim?topic=keyed.leaving&part=0&before=2",
+            "",
+        )
         .await;
     let mut behind = Some(bulrushslip::decide::ids::LogOffset(0));
     for _ in 0..2 {
@@ -140,16 +174,18 @@
 
 #[tokio::test]
 async fn group_calls_answer_on_the_wire() {
-    let platform = Standin::start("platform", "");
+    let platform = Store::start();
     let body = json!({ "group": "g", "member": "m", "topics": ["t"], "ttl-ms": 60_000,
         "generation": 0 });
-    let joined = platform.json("POST", "/log-join", &body.to_string()).await;
+    let joined = platform
+        .json(Method::POST, "/log-join", &body.to_string())
+        .await;
     assert_eq!(joined, json!({ "generation": 1, "parts": [["t", 0, 0]] }));
     let commit = json!({ "group": "g", "member": "m", "generation": 1, "topic": "t", "part": 0,
         "offset": 5 });
     platform
-        .json("POST", "/log-commit", &commit.to_string())
+        .json(Method::POST, "/log-commit", &commit.to_string())
         .await;
-    let owners = platform.json("GET", "/log-owners?group=g", "").await;
+    let owners = platform.json(Method::GET, "/log-owners?group=g", "").await;
     assert_eq!(owners, json!({ "owners": [["t", 0, "m", 5]] }));
 }
--- /dev/null
+++ b/tests/soak_world/caller.rs
@@ -0,0 +1,184 @@
+//! Callers of the soak: they keep their connections, check every answer, and some leave early.
+
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+use bulrushslip::platform::http_link::{OpenLink, dial};
+use bytes::{Bytes, BytesMut};
+use http_body_util::{BodyExt, Full};
+use hyper::body::Incoming;
+use hyper::{Request, Response};
+use tokio::sync::watch;
+use tokio::time::timeout;
+
+use super::ROUTE_TIME;
+use super::dice::Dice;
+use super::ledger::{Got, Kind, Sent, SharedLedger};
+use super::upstream::{EVENTS, LONG_EVENTS, LONG_HEADER, answer_text, event_text};
+
+/// Longest time for a dial.
+const DIAL_LIMIT: Duration = Duration::from_millis(500);
+
+/// Time that a caller waits beyond the route's time, to tell late answers from none.
+const PATIENCE: Duration = Duration::from_millis(1_500);
+
+/// One caller and its connection.
+#[derive(Debug)]
+pub struct Caller {
+    /// Number, for the ids of its requests.
+    pub number: u64,
+    /// Where the gateways take callers.
+    pub gateways: Vec<SocketAddr>,
+    /// Draws of its own.
+    pub dice: Dice,
+    /// What all callers share.
+    pub ledger: SharedLedger,
+    /// The gateway and connection that it uses.
+    pub link: Option<(usize, OpenLink)>,
+}
+
+impl Caller {
+    /// Sends requests until told to stop.
+    pub async fn run(mut self, stop: watch::Receiver<bool>) {
+        let mut sequence = 0;
+        while !*stop.borrow() {
+            sequence += 1;
+            let gateway = self.dice.index(self.gateways.len());
+            let id = format!("c{}-{sequence}", self.number);
+            let kind = Kind::ALL[self.dice.index(Kind::ALL.len())];
+            self.send(gateway, &id, kind).await;
+            let pause = self.dice.below(120);
+            tokio::time::sleep(Duration::from_millis(pause)).await;
+        }
+    }
+
+    /// Sends one request over the open connection, or a new one to the gateway; returns what came.
+    pub async fn send(&mut self, gateway: usize, id: &str, kind: Kind) -> Option<Got> {
+        let kept = self.link.take();
+        let (gateway, mut link) = match kept.filter(|(_, link)| !link.sender.is_closed()) {
+            Some(kept) => kept,
+            None => match dial(self.gateways[gateway], DIAL_LIMIT).await {
+                Ok(link) => (gateway, link),
+                // Nothing was sent; a balancer would choose another instance.
+                Err(_unreachable) => return None,
+            },
+        };
+        if link.sender.ready().await.is_err() {
+            return None;
+        }
+        let is_long = kind.is_stream() && self.dice.percent(15);
+        let leaves_after = Duration::from_millis(50 + self.dice.below(400));
+        let is_leaving = is_long || self.dice.percent(5);
+        let at = Instant::now();
+        let sent = Sent {
+            kind,
+            gateway,
+            at,
+            got: None,
+        };
+        self.ledger
+            .lock()
+            .expect("not poisoned")
+            .sent
+            .insert(id.to_owned(), sent);
+        let request = request(self.gateways[gateway], id, kind, is_long);
+        let limit = if is_leaving {
+            leaves_after
+        } else {
+            ROUTE_TIME + PATIENCE
+        };
+        let exchange = async {
+            let response = link.sender.send_request(request).await;
+            match response {
+                Ok(response) => self.read(response, id, kind, is_long).await,
+                Err(error) => Got::Broken(error.to_string()),
+            }
+        };
+        let got = match timeout(limit, exchange).await {
+            Ok(got) => got,
+            Err(_elapsed) if is_leaving => Got::Left,
+            Err(_elapsed) => Got::Overdue,
+        };
+        let is_reusable = matches!(
+            got,
+            Got::Success | Got::UpstreamFailure(_) | Got::OwnStatus(_)
+        );
+        // Dropping the link is how a caller leaves; the time is taken after it.
+        self.link = is_reusable.then_some((gateway, link));
+        let mut ledger = self.ledger.lock().expect("not poisoned");
+        let sent = ledger.sent.get_mut(id).expect("noted above");
+        sent.got = Some((got.clone(), Instant::now()));
+        Some(got)
+    }
+
+    async fn read(&self, response: Response<Incoming>, id: &str, kind: Kind, is_long: bool) -> Got {
+        let (head, mut body) = response.into_parts();
+        let status = head.status.as_u16();
+        let seal = head.headers.get("x-server-seal").cloned();
+        let mut read = BytesMut::new();
+        let mut is_broken = None;
+        while let Some(frame) = body.frame().await {
+            match frame {
+                Ok(frame) => read.extend(frame.into_data().unwrap_or_else(|_| Bytes::new())),
+                Err(error) => {
+                    is_broken = Some(error.to_string());
+                    break;
+                }
+            }
+        }
+        let breach = |rule: &str, what: &str| {
+            let mut ledger = self.ledger.lock().expect("not poisoned");
+            ledger.breach(rule, id, what);
+        };
+        let Some(_seal) = seal else {
+            if head.status.is_success() {
+                breach("answer", "a success without a signature");
+            }
+            return is_broken.map_or(Got::OwnStatus(status), Got::Broken);
+        };
+        if !head.status.is_success() {
+            let ledger = self.ledger.lock().expect("not poisoned");
+            let runs = ledger.runs.get(id).map(Vec::as_slice).unwrap_or_default();
+            let was_given = runs.iter().any(|run| run.status == status);
+            drop(ledger);
+            if !was_given {
+                breach(
+                    "answer",
+                    &format!("signed {status}, which no upstream gave"),
+                );
+            }
+            return Got::UpstreamFailure(status);
+        }
+        let wanted: String = if kind.is_stream() {
+            let events = if is_long { LONG_EVENTS } else { EVENTS };
+            (1..=events).map(|number| event_text(id, number)).collect()
+        } else {
+            answer_text(id)
+        };
+        if let Some(broken) = is_broken {
+            // Whole events before the break must be in order, the last one may be cut.
+            if kind.is_stream() && !wanted.as_bytes().starts_with(&read) {
+                breach("order", &String::from_utf8_lossy(&read));
+            }
+            return Got::Broken(broken);
+        }
+        if read != wanted.as_bytes() {
+            let text = String::from_utf8_lossy(&read).into_owned();
+            breach("answer", &format!("complete, but {text:?}"));
+        }
+        Got::Success
+    }
+}
+
+fn request(gateway: SocketAddr, id: &str, kind: Kind, is_long: bool) -> Request<Full<Bytes>> {
+    let mut builder = Request::post(kind.prefix())
+        .header("host", gateway.to_string())
+        .header("x-request-id", id)
+        .header("x-deadline-ms", "8000")
+        .header("x-api-key", "key");
+    if is_long {
+        builder = builder.header(LONG_HEADER, "1");
+    }
+    let body = Full::new(Bytes::from(id.to_owned()));
+    builder.body(body).expect("a request")
+}
--- /dev/null
+++ b/tests/soak_world/ledger.rs
@@ -0,0 +1,341 @@
+//! What callers sent and got, what upstreams ran, what was disturbed when, and the promises that
+//! are checked on it.
+
+use std::collections::HashMap;
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
+
+/// Time after a disturbance from which an instance is held to the limits again
+/// (`bounds.stable-window-ms` of the soak's settings).
+pub const SETTLING: Duration = Duration::from_secs(3);
+
+/// Time for which a leaving upstream may still get requests (`drain-ms`).
+const DRAIN_LIMIT: Duration = Duration::from_secs(2);
+
+/// Time within which work for a caller that left ends, as the operators state it.
+const LEAVE_LIMIT: Duration = Duration::from_millis(500);
+
+/// Time after the route's time limit by which a request has an answer, as the operators state it.
+const ANSWER_SLACK: Duration = Duration::from_millis(500);
+
+/// Time after a planned stop in which new requests are still to be served.
+const STOP_SERVES: Duration = Duration::from_secs(3);
+
+/// Runs of one caller's request on upstreams, at most (`max-attempts` of the routes).
+pub const MAX_ATTEMPTS: usize = 2;
+
+/// Kinds of requests.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Kind {
+    /// Runs at most once.
+    Once,
+    /// May run again.
+    Safe,
+    /// A stream that may go on at another upstream.
+    Resumable,
+    /// A stream that may not.
+    Stream,
+}
+
+impl Kind {
+    /// All kinds.
+    pub const ALL: [Self; 4] = [Self::Once, Self::Safe, Self::Resumable, Self::Stream];
+
+    /// Returns the prefix of its route.
+    pub const fn prefix(self) -> &'static str {
+        match self {
+            Self::Once => "/once/",
+            Self::Safe => "/safe/",
+            Self::Resumable => "/resumable/",
+            Self::Stream => "/stream/",
+        }
+    }
+
+    /// Tells whether it may run more than once.
+    pub const fn may_repeat(self) -> bool {
+        matches!(self, Self::Safe | Self::Resumable)
+    }
+
+    /// Tells whether it is answered by events.
+    pub const fn is_stream(self) -> bool {
+        matches!(self, Self::Resumable | Self::Stream)
+    }
+}
+
+/// What a caller got.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Got {
+    /// A whole success.
+    Success,
+    /// A failure of an upstream, handed on.
+    UpstreamFailure(u16),
+    /// An answer of the gateway's own.
+    OwnStatus(u16),
+    /// An answer that broke off, or none.
+    Broken(String),
+    /// The caller left before.
+    Left,
+    /// No answer in the time that the route allows, and half a second.
+    Overdue,
+}
+
+/// One request of a caller.
+#[derive(Debug, Clone)]
+pub struct Sent {
+    /// Its kind.
+    pub kind: Kind,
+    /// Index of the gateway that took it.
+    pub gateway: usize,
+    /// When it was sent.
+    pub at: Instant,
+    /// What came of it, and when.
+    pub got: Option<(Got, Instant)>,
+}
+
+/// One run at an upstream.
+#[derive(Debug, Clone)]
+pub struct Run {
+    /// Index of the upstream.
+    pub upstream: usize,
+    /// When it began.
+    pub at: Instant,
+    /// When it ended, by itself or because the connection closed.
+    pub ended: Option<Instant>,
+    /// Status that it was answered with.
+    pub status: u16,
+    /// Whether it would have gone on for a second more.
+    pub is_long: bool,
+}
+
+/// Who is disturbed.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Scope {
+    /// The store, for all.
+    Store,
+    /// One gateway or its link to the store.
+    Gateway(usize),
+    /// One upstream or the link to it.
+    Upstream(usize),
+}
+
+/// An upstream that was announced as leaving, until it returned.
+#[derive(Debug, Clone, Copy)]
+pub struct Leave {
+    /// Its index.
+    pub upstream: usize,
+    /// When the store had confirmed it.
+    pub told: Instant,
+    /// When it was about to be announced as ready again.
+    pub returned: Option<Instant>,
+}
+
+/// A disturbance and its span.
+#[derive(Debug, Clone)]
+struct Disturbance {
+    scope: Scope,
+    from: Instant,
+    until: Option<Instant>,
+}
+
+/// All that was seen.
+#[derive(Debug, Default)]
+pub struct Ledger {
+    /// Requests by id.
+    pub sent: HashMap<String, Sent>,
+    /// Runs by id.
+    pub runs: HashMap<String, Vec<Run>>,
+    /// Leaves of upstreams.
+    pub leaves: Vec<Leave>,
+    /// When gateways were told to stop.
+    pub stops: Vec<(usize, Instant)>,
+    disturbances: Vec<Disturbance>,
+    /// Promises broken, as they were seen.
+    pub broken: Vec<String>,
+}
+
+/// Shared by all tasks of a soak.
+pub type SharedLedger = Arc<Mutex<Ledger>>;
+
+impl Ledger {
+    /// Notes that a disturbance begins; returns its number.
+    pub fn begin(&mut self, scope: Scope) -> usize {
+        self.disturbances.push(Disturbance {
+            scope,
+            from: Instant::now(),
+            until: None,
+        });
+        self.disturbances.len() - 1
+    }
+
+    /// Notes that a disturbance has ended.
+    pub fn end(&mut self, number: usize) {
+        self.disturbances[number].until = Some(Instant::now());
+    }
+
+    /// Notes that an upstream is about to be announced as ready again.
+    pub fn note_return(&mut self, upstream: usize) {
+        let leaves = self.leaves.iter_mut().rev();
+        let mut leaves = leaves.filter(|leave| leave.upstream == upstream);
+        leaves.next().expect("it left before").returned = Some(Instant::now());
+    }
+
+    /// Notes a broken promise.
+    pub fn breach(&mut self, rule: &str, id: &str, what: &str) {
+        let sent = self.sent.get(id);
+        let runs = self.runs.get(id);
+        self.broken.push(format!(
+            "{rule}: {id}: {what}; sent {sent:?}; runs {runs:?}"
+        ));
+    }
+
+    /// Tells whether anything in scope was disturbed from a settling time before `from`.
+    fn is_disturbed(
+        &self,
+        from: Instant,
+        until: Instant,
+        in_scope: impl Fn(Scope) -> bool,
+    ) -> bool {
+        let from = from.checked_sub(SETTLING).unwrap_or(from);
+        self.disturbances.iter().any(|disturbance| {
+            in_scope(disturbance.scope)
+                && disturbance.from <= until
+                && disturbance.until.is_none_or(|ended| ended >= from)
+        })
+    }
+
+    fn is_any_disturbed(&self, from: Instant, until: Instant) -> bool {
+        self.is_disturbed(from, until, |_| true)
+    }
+
+    /// Checks all promises that need the whole record.
+    pub fn check(&mut self) {
+        let ids: Vec<String> = self.sent.keys().cloned().collect();
+        for id in &ids {
+            self.check_runs(id);
+            self.check_refusal(id);
+            self.check_leaving(id);
+            self.check_stop(id);
+        }
+        let unknown = self.runs.keys().filter(|id| !self.sent.contains_key(*id));
+        for id in unknown.cloned().collect::<Vec<_>>() {
+            self.breach("asked", &id, "ran and was never sent");
+        }
+        self.check_left();
+        self.check_overdue();
+    }
+
+    /// At most one run, or as many as the route allows.
+    fn check_runs(&mut self, id: &str) {
+        let runs = self.runs.get(id).map_or(0, Vec::len);
+        let kind = self.sent[id].kind;
+        let limit = if kind.may_repeat() { MAX_ATTEMPTS } else { 1 };
+        if runs > limit {
+            self.breach("runs", id, &format!("{runs} runs of {limit}"));
+        }
+    }
+
+    /// A refusal says that the request has not run and never will.
+    fn check_refusal(&mut self, id: &str) {
+        let sent = &self.sent[id];
+        let Some((Got::OwnStatus(status), _)) = sent.got else {
+            return;
+        };
+        let has_run = self.runs.contains_key(id);
+        match status {
+            408 | 421 | 429 | 503 if has_run && !sent.kind.may_repeat() => {
+                self.breach("refusal", id, "refused, but it has run");
+            }
+            408 | 421 | 429 | 502..=504 => {}
+            _ => self.breach("refusal", id, "a proper request was turned away"),
+        }
+    }
+
+    /// Nothing reaches an upstream that has been leaving for longer than the limit.
+    fn check_leaving(&mut self, id: &str) {
+        let sent = self.sent[id].clone();
+        let runs = self.runs.get(id).cloned().unwrap_or_default();
+        for run in runs {
+            let is_late = |leave: &&Leave| {
+                leave.upstream == run.upstream
+                    && run.at > leave.told + DRAIN_LIMIT
+                    && leave.returned.is_none_or(|returned| run.at < returned)
+            };
+            let Some(told) = self.leaves.iter().find(is_late).map(|leave| leave.told) else {
+                continue;
+            };
+            let in_scope = |scope| scope == Scope::Store || scope == Scope::Gateway(sent.gateway);
+            if !self.is_disturbed(told, run.at, in_scope) {
+                let late = run.at - told;
+                self.breach("drain", id, &format!("began {late:?} after the leave"));
+            }
+        }
+    }
+
+    /// A planned stop with nothing else amiss cuts no request.
+    fn check_stop(&mut self, id: &str) {
+        let sent = self.sent[id].clone();
+        let Some((Got::Broken(how), at)) = &sent.got else {
+            return;
+        };
+        let stop = self
+            .stops
+            .iter()
+            .find(|(gateway, told)| *gateway == sent.gateway && *told <= *at);
+        let Some((_, told)) = stop.copied() else {
+            return;
+        };
+        let is_owed = sent.at <= told + STOP_SERVES && *at >= told;
+        if is_owed && self.runs.contains_key(id) && !self.is_any_disturbed(sent.at, *at) {
+            let how = how.clone();
+            self.breach("stop", id, &format!("cut by a planned stop: {how}"));
+        }
+    }
+
+    /// Work for callers that left ends soon; one in four may be late.
+    fn check_left(&mut self) {
+        let (mut late, mut all) = (Vec::new(), 0);
+        for (id, sent) in &self.sent {
+            let Some((Got::Left, at)) = sent.got else {
+                continue;
+            };
+            if !sent.kind.may_repeat() || self.is_any_disturbed(sent.at, at + LEAVE_LIMIT) {
+                continue;
+            }
+            let runs = self.runs.get(id).into_iter().flatten();
+            for run in runs.filter(|run| run.is_long && run.at < at) {
+                all += 1;
+                if run.ended.is_none_or(|ended| ended > at + LEAVE_LIMIT) {
+                    late.push(id.clone());
+                }
+            }
+        }
+        if late.len() >= 4 && late.len() * 4 > all {
+            let count = late.len();
+            self.breach("left", &late[0], &format!("{count} of {all} went on"));
+        }
+    }
+
+    /// Requests have an answer half a second after the route's time; half may be late.
+    fn check_overdue(&mut self) {
+        let calm = |sent: &Sent, at: Instant| {
+            let in_scope = |scope| scope == Scope::Gateway(sent.gateway);
+            !self.is_disturbed(sent.at, at, in_scope)
+        };
+        let is_due = |sent: &&Sent| {
+            sent.got.as_ref().is_some_and(|(got, at)| {
+                let has_used = *at >= sent.at + super::ROUTE_TIME;
+                has_used && *got != Got::Left && calm(sent, *at)
+            })
+        };
+        let due: Vec<&Sent> = self.sent.values().filter(is_due).collect();
+        let is_late = |sent: &&&Sent| {
+            let (got, at) = sent.got.as_ref().expect("selected");
+            *got == Got::Overdue || *at > sent.at + super::ROUTE_TIME + ANSWER_SLACK
+        };
+        let late = due.iter().filter(is_late).count();
+        if late >= 4 && late * 2 > due.len() {
+            let what = format!("{late} of {} had no answer in time", due.len());
+            self.breach("overdue", "-", &what);
+        }
+    }
+}
--- /dev/null
+++ b/tests/soak_world/mod.rs
@@ -0,0 +1,563 @@
+//! One soak: real gateways and the stand-in store as processes, loopback proxies between them, and
+//! a seeded schedule of faults, signals and changes that come in series and overlap.
+
+pub mod caller;
+pub mod dice;
+pub mod ledger;
+#[path = "../common/process.rs"]
+#[expect(dead_code, reason = "other tests use the rest")]
+mod process;
+pub mod proxy;
+pub mod upstream;
+
+use std::net::{Ipv4Addr, SocketAddr, TcpListener};
+use std::path::PathBuf;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use bulrushslip::platform::http_client::{call, request};
+use bulrushslip::platform::store_client::{OPERATOR_TOPIC, StoreClient, UPSTREAM_TOPIC};
+use bulrushslip::platform::store_records::encode_keyed;
+use caller::Caller;
+use dice::Dice;
+use http_body_util::Full;
+use hyper::Method;
+use ledger::{Got, Kind, Leave, MAX_ATTEMPTS, Scope, SharedLedger};
+use process::ChildProcess;
+use proxy::{LINK_FAULTS, LinkFault, LinkProxy};
+use serde_json::json;
+use tokio::sync::watch;
+use tokio::task::JoinSet;
+use upstream::{BAD_MOODS, Mood, SoakUpstream};
+
+/// Time limit of the routes (`timeout-ms`).
+pub const ROUTE_TIME: Duration = Duration::from_secs(4);
+
+/// Time after which an undisturbed fleet serves again (`recovery-s` of the users' sites).
+const RECOVERY_LIMIT: Duration = Duration::from_secs(12);
+
+/// Time from the store's confirmation until a configuration is in force (`config-apply-ms`).
+const CONFIGURATION_LIMIT: Duration = Duration::from_secs(2);
+
+/// Grace of a planned stop (`grace-s`).
+const STOP_GRACE: Duration = Duration::from_secs(4);
+
+/// Time for a process to end beyond its grace before it counts as hung.
+const END_LIMIT: Duration = Duration::from_secs(3);
+
+/// Gateways of a soak.
+const GATEWAYS: usize = 3;
+
+/// Upstreams of a soak.
+const UPSTREAMS: usize = 4;
+
+/// Callers of a soak.
+const CALLERS: u64 = 10;
+
+/// Size of one soak.
+#[derive(Debug, Clone, Copy)]
+pub struct SoakPlan {
+    /// Names the schedule.
+    pub seed: u64,
+    /// Time in which faults come.
+    pub faults_for: Duration,
+    /// Gateways; the addresses of further ones count up.
+    pub gateways: usize,
+}
+
+impl SoakPlan {
+    /// Creates the plan of the usual size.
+    pub const fn new(seed: u64, faults_for: Duration) -> Self {
+        Self {
+            seed,
+            faults_for,
+            gateways: GATEWAYS,
+        }
+    }
+}
+
+/// A gateway, its link to the store and its settings file.
+#[derive(Debug)]
+struct SoakGateway {
+    process: ChildProcess,
+    store_link: LinkProxy,
+    settings: PathBuf,
+    callers: SocketAddr,
+    text: String,
+}
+
+/// An upstream and the link to it.
+#[derive(Debug)]
+struct LinkedUpstream {
+    upstream: SoakUpstream,
+    link: LinkProxy,
+}
+
+/// One soak under way.
+struct Soak {
+    plan: SoakPlan,
+    dice: Dice,
+    ledger: SharedLedger,
+    platform: ChildProcess,
+    gateways: Vec<SoakGateway>,
+    upstreams: Vec<LinkedUpstream>,
+    version: u64,
+    /// Faults that end: when, what, and their number in the ledger.
+    open: Vec<(Instant, Repair, usize)>,
+}
+
+/// What ends a fault.
+#[derive(Debug, Clone, Copy)]
+enum Repair {
+    Store,
+    StoreLink(usize),
+    UpstreamLink(usize),
+    Upstream(usize),
+    Thaw(usize),
+    Return(usize),
+    Restart(usize),
+    Reap(usize),
+}
+
+/// Runs a soak; returns the promises that were broken.
+pub async fn run(plan: SoakPlan) -> Vec<String> {
+    let mut soak = Soak::start(plan).await;
+    let (stop, stopped) = watch::channel(false);
+    let mut callers = JoinSet::new();
+    for number in 0..CALLERS {
+        callers.spawn(soak.caller(number).run(stopped.clone()));
+    }
+    soak.disturb().await;
+    soak.recover().await;
+    stop.send_replace(true);
+    callers.join_all().await;
+    soak.configure_and_check().await;
+    let mut ledger = soak.ledger.lock().expect("not poisoned");
+    ledger.check();
+    std::mem::take(&mut ledger.broken)
+}
+
+/// Returns a port that was free a moment ago on an address.
+fn free_port(ip: Ipv4Addr) -> u16 {
+    let listener = TcpListener::bind((ip, 0)).expect("a free port");
+    listener.local_addr().expect("a bound port").port()
+}
+
+/// Returns the address of a gateway; peers share a port, so each has an address of its own.
+fn gateway_ip(seed: u64, index: usize) -> Ipv4Addr {
+    let soak = u8::try_from(1 + seed % 250).expect("below 251");
+    let host = u8::try_from(1 + index).expect("few gateways");
+    Ipv4Addr::new(127, 77, soak, host)
+}
+
+impl Soak {
+    async fn start(plan: SoakPlan) -> Self {
+        let arguments = ["platform", "--listen", "127.0.0.1:0"];
+        let binary = env!("CARGO_BIN_EXE_bulrushslip-standin");
+        let platform = ChildProcess::start(binary, &arguments, &["platform"]);
+        let ledger = SharedLedger::default();
+        let mut upstreams = Vec::new();
+        for index in 0..UPSTREAMS {
+            let upstream =
+                SoakUpstream::start(index, &format!("i-{index}"), Arc::clone(&ledger)).await;
+            let link = LinkProxy::start(upstream.address).await;
+            upstreams.push(LinkedUpstream { upstream, link });
+        }
+        let mut soak = Self {
+            plan,
+            dice: Dice::new(plan.seed, 0),
+            ledger,
+            platform,
+            gateways: Vec::new(),
+            upstreams,
+            version: 0,
+            open: Vec::new(),
+        };
+        soak.configure().await;
+        for index in 0..UPSTREAMS {
+            soak.announce(index, "ready").await;
+        }
+        let peer_port = free_port(gateway_ip(plan.seed, 0));
+        for index in 0..plan.gateways {
+            let gateway = SoakGateway::start(&soak, index, peer_port).await;
+            soak.gateways.push(gateway);
+        }
+        for gateway in &soak.gateways {
+            gateway.until_ready().await;
+        }
+        soak
+    }
+
+    fn caller(&self, number: u64) -> Caller {
+        Caller {
+            number,
+            gateways: self
+                .gateways
+                .iter()
+                .map(|gateway| gateway.callers)
+                .collect(),
+            dice: Dice::new(self.plan.seed, 1 + number),
+            ledger: Arc::clone(&self.ledger),
+            link: None,
+        }
+    }
+
+    async fn put(&self, topic: &str, key: &str, value: &str) {
+        let record = encode_keyed(key, value.as_bytes()).expect("a short key");
+        // The operator's own link to the store is not disturbed; in an outage it tries again.
+        loop {
+            let mut store = StoreClient::new(self.platform.port("platform"));
+            if store.append(topic, &record).await.is_ok() {
+                return;
+            }
+            tokio::time::sleep(Duration::from_millis(50)).await;
+        }
+    }
+
+    /// Writes the next version, with one route more than the one before.
+    async fn configure(&mut self) {
+        self.version += 1;
+        let kinds = Kind::ALL.iter().map(|kind| {
+            let name = match kind {
+                Kind::Once => "non_idempotent",
+                Kind::Safe => "idempotent",
+                Kind::Resumable | Kind::Stream => "streaming",
+            };
+            (kind.prefix().to_owned(), name, *kind == Kind::Resumable)
+        });
+        let added =
+            (2..=self.version).map(|version| (format!("/v{version}/"), "idempotent", false));
+        let routes = kinds.chain(added).map(|(prefix, kind, is_resumable)| {
+            json!({"name": prefix, "host": "127.0.0.1", "path-prefix": prefix, "kind": kind,
+                "timeout-ms": 4000, "target-latency-ms": 500, "max-attempts": MAX_ATTEMPTS,
+                "service": "s", "resumable": is_resumable})
+        });
+        let document = json!({
+            "version": self.version,
+            "routes": routes.collect::<Vec<_>>(),
+            "services": [{"name": "s", "max-connections": 100}],
+            "limits": {"max-header-bytes": 4096, "max-body-bytes": 1000,
+                "header-timeout-ms": 3000, "idle-timeout-ms": 15000},
+            "tenants": [{"name": "customer", "api-keys": ["key"]}],
+        });
+        self.put(OPERATOR_TOPIC, "config", &document.to_string())
+            .await;
+    }
+
+    async fn announce(&self, index: usize, state: &str) {
+        let entry = json!({"service": "s", "address": self.upstreams[index].link.address,
+            "zone": "near", "slots": 16, "state": state, "born": 1, "models": []});
+        self.put(UPSTREAM_TOPIC, &format!("i-{index}"), &entry.to_string())
+            .await;
+    }
+
+    /// Begins faults, and ends them when they are due, until the time is over.
+    async fn disturb(&mut self) {
+        let end = Instant::now() + self.plan.faults_for;
+        while Instant::now() < end {
+            self.begin_fault().await;
+            let pause = Duration::from_millis(100 + self.dice.below(1_200));
+            tokio::time::sleep(pause).await;
+            self.repair(Instant::now()).await;
+        }
+    }
+
+    /// Draws a fault and begins it, unless what it befalls has one already.
+    async fn begin_fault(&mut self) {
+        let gateway = self.dice.index(self.gateways.len());
+        let upstream = self.dice.index(UPSTREAMS);
+        let lasts = Duration::from_millis(300 + self.dice.below(3_500));
+        let link_fault = LINK_FAULTS[self.dice.index(LINK_FAULTS.len())];
+        let mood = BAD_MOODS[self.dice.index(BAD_MOODS.len())];
+        let is_down = self.open.iter().any(|(_, repair, _)| match *repair {
+            Repair::Thaw(other) | Repair::Restart(other) | Repair::Reap(other) => other == gateway,
+            _ => false,
+        });
+        let is_hit = self.open.iter().any(|(_, repair, _)| match *repair {
+            Repair::Upstream(other) | Repair::UpstreamLink(other) | Repair::Return(other) => {
+                other == upstream
+            }
+            _ => false,
+        });
+        match self.dice.below(12) {
+            0 => {
+                let fault = match self.dice.below(3) {
+                    0 => "outage?ms=60000",
+                    1 => "delay?ms=600",
+                    _ => "lose-answers?next=5",
+                };
+                self.ask_store(fault).await;
+                self.hold(Scope::Store, lasts, Repair::Store);
+            }
+            1 | 2 => {
+                self.gateways[gateway].store_link.set(link_fault);
+                self.hold(Scope::Gateway(gateway), lasts, Repair::StoreLink(gateway));
+            }
+            3 | 4 if !is_hit => {
+                self.upstreams[upstream].link.set(link_fault);
+                self.hold(
+                    Scope::Upstream(upstream),
+                    lasts,
+                    Repair::UpstreamLink(upstream),
+                );
+            }
+            5 | 6 if !is_hit => {
+                self.upstreams[upstream].upstream.set(mood);
+                self.hold(Scope::Upstream(upstream), lasts, Repair::Upstream(upstream));
+            }
+            7 if !is_down => {
+                self.gateways[gateway].process.freeze();
+                self.hold(Scope::Gateway(gateway), lasts, Repair::Thaw(gateway));
+            }
+            8 if !is_down => {
+                self.gateways[gateway].process.kill();
+                self.hold(Scope::Gateway(gateway), lasts, Repair::Restart(gateway));
+            }
+            9 if !is_down => self.stop(gateway),
+            10 => self.configure().await,
+            11 if !is_hit => self.leave(upstream, lasts).await,
+            _ => self.gateways[gateway].reload(),
+        }
+    }
+
+    /// Notes a disturbance that is repaired after a time.
+    fn hold(&mut self, scope: Scope, lasts: Duration, repair: Repair) {
+        let number = self.ledger.lock().expect("not poisoned").begin(scope);
+        self.open.push((Instant::now() + lasts, repair, number));
+    }
+
+    /// Tells a gateway to stop, and notes the planned stop.
+    fn stop(&mut self, gateway: usize) {
+        self.gateways[gateway].process.terminate();
+        let mut ledger = self.ledger.lock().expect("not poisoned");
+        ledger.stops.push((gateway, Instant::now()));
+        drop(ledger);
+        // It counts as disturbed only once it is gone.
+        let due = Instant::now() + STOP_GRACE + END_LIMIT;
+        self.open.push((due, Repair::Reap(gateway), usize::MAX));
+    }
+
+    /// Announces that an upstream leaves; it returns under its name later.
+    async fn leave(&mut self, upstream: usize, lasts: Duration) {
+        self.announce(upstream, "draining").await;
+        let mut ledger = self.ledger.lock().expect("not poisoned");
+        ledger.leaves.push(Leave {
+            upstream,
+            told: Instant::now(),
+            returned: None,
+        });
+        drop(ledger);
+        let due = Instant::now() + lasts + Duration::from_secs(2);
+        self.open.push((due, Repair::Return(upstream), usize::MAX));
+    }
+
+    async fn ask_store(&self, fault: &str) {
+        let store = self.platform.port("platform");
+        let path = format!("/admin/{fault}");
+        let request = request(Method::POST, store, &path).body(Full::default());
+        let answer = call(store, request.expect("a request"), RECOVERY_LIMIT).await;
+        answer.expect("the stand-in takes faults at any time");
+    }
+
+    /// Ends the faults that are due.
+    async fn repair(&mut self, now: Instant) {
+        let (due, open) = std::mem::take(&mut self.open)
+            .into_iter()
+            .partition(|(until, _, _)| *until <= now);
+        self.open = open;
+        for (_, repair, number) in due {
+            match repair {
+                Repair::Store => {
+                    for fault in ["outage?ms=0", "delay?ms=0", "lose-answers?next=0"] {
+                        self.ask_store(fault).await;
+                    }
+                }
+                Repair::StoreLink(gateway) => {
+                    self.gateways[gateway].store_link.set(LinkFault::None);
+                }
+                Repair::UpstreamLink(index) => self.upstreams[index].link.set(LinkFault::None),
+                Repair::Upstream(index) => self.upstreams[index].upstream.set(Mood::Sound),
+                Repair::Return(index) => {
+                    self.ledger.lock().expect("not poisoned").note_return(index);
+                    self.announce(index, "ready").await;
+                }
+                Repair::Thaw(gateway) => self.gateways[gateway].process.thaw(),
+                Repair::Restart(gateway) => self.gateways[gateway].start_again(),
+                Repair::Reap(gateway) => self.reap(gateway),
+            }
+            if number != usize::MAX {
+                self.ledger.lock().expect("not poisoned").end(number);
+            }
+        }
+    }
+
+    /// Checks that a stopped gateway has ended in time, and starts its next life.
+    fn reap(&mut self, gateway: usize) {
+        let ended = self.gateways[gateway].process.ended();
+        let mut ledger = self.ledger.lock().expect("not poisoned");
+        if ended.is_none_or(|status| !status.success()) {
+            let what = format!("gateway {gateway} ended with {ended:?} after a planned stop");
+            ledger.breach("end", "-", &what);
+        }
+        let number = ledger.begin(Scope::Gateway(gateway));
+        drop(ledger);
+        self.gateways[gateway].start_again();
+        self.ledger.lock().expect("not poisoned").end(number);
+    }
+
+    /// Ends all faults and requires each gateway to serve each kind within the recovery time.
+    async fn recover(&mut self) {
+        let last = self.open.iter().map(|(until, _, _)| *until).max();
+        if let Some(stops) = last.filter(|_| self.has_stop()) {
+            tokio::time::sleep_until(stops.into()).await;
+        }
+        let end_of_all = Instant::now() + STOP_GRACE + END_LIMIT;
+        self.repair(end_of_all).await;
+        let healed = Instant::now();
+        for index in 0..self.gateways.len() {
+            for kind in Kind::ALL {
+                let mut probe = self.caller(1_000 + index as u64);
+                let mut tries = 0;
+                loop {
+                    tries += 1;
+                    probe.link = None;
+                    let id = format!("p{index}-{}-{tries}", kind.prefix().trim_matches('/'));
+                    let got = probe.send(index, &id, kind).await;
+                    if got == Some(Got::Success) {
+                        break;
+                    }
+                    if healed.elapsed() > RECOVERY_LIMIT {
+                        let mut ledger = self.ledger.lock().expect("not poisoned");
+                        let what = format!("gateway {index} does not serve {kind:?}: {got:?}");
+                        ledger.breach("recovery", &id, &what);
+                        break;
+                    }
+                    tokio::time::sleep(Duration::from_millis(50)).await;
+                }
+            }
+        }
+        for gateway in 0..self.gateways.len() {
+            if let Some(ended) = self.gateways[gateway].process.ended() {
+                let mut ledger = self.ledger.lock().expect("not poisoned");
+                let what = format!("gateway {gateway} ended by itself with {ended:?}");
+                ledger.breach("end", "-", &what);
+            }
+        }
+    }
+
+    fn has_stop(&self) -> bool {
+        self.open
+            .iter()
+            .any(|(_, repair, _)| matches!(repair, Repair::Reap(_)))
+    }
+
+    /// Requires a further configuration to be in force everywhere within its time.
+    async fn configure_and_check(&mut self) {
+        self.configure().await;
+        let confirmed = Instant::now();
+        let path = format!("/v{}/", self.version);
+        for (index, gateway) in self.gateways.iter().enumerate() {
+            loop {
+                let id = format!("n{index}-{}", confirmed.elapsed().as_millis());
+                let request = request(Method::POST, gateway.callers, &path)
+                    .header("x-request-id", &id)
+                    .header("x-api-key", "key")
+                    .body(Full::from(id.clone()));
+                self.note_probe(&id, index);
+                let answer = call(gateway.callers, request.expect("a request"), ROUTE_TIME).await;
+                if answer.is_ok_and(|answer| answer.status.is_success()) {
+                    break;
+                }
+                if confirmed.elapsed() > CONFIGURATION_LIMIT {
+                    let mut ledger = self.ledger.lock().expect("not poisoned");
+                    let what = format!("version {} not in force at {index}", self.version);
+                    ledger.breach("configuration", &id, &what);
+                    break;
+                }
+                tokio::time::sleep(Duration::from_millis(20)).await;
+            }
+        }
+    }
+
+    fn note_probe(&self, id: &str, gateway: usize) {
+        let sent = ledger::Sent {
+            kind: Kind::Safe,
+            gateway,
+            at: Instant::now(),
+            got: None,
+        };
+        let mut ledger = self.ledger.lock().expect("not poisoned");
+        ledger.sent.insert(id.to_owned(), sent);
+    }
+}
+
+impl SoakGateway {
+    async fn start(soak: &Soak, index: usize, peer_port: u16) -> Self {
+        let seed = soak.plan.seed;
+        let store_link = LinkProxy::start(soak.platform.port("platform")).await;
+        let seeds = (0..soak.plan.gateways).filter(|other| *other != index);
+        let seeds: Vec<String> = seeds
+            .map(|other| format!("{}:{peer_port}", gateway_ip(seed, other)))
+            .collect();
+        let local = Ipv4Addr::LOCALHOST;
+        let callers = SocketAddr::from((local, free_port(local)));
+        let text = format!(
+            "node-name=gateway-{index}\nzone=near\nip={}\nlisten.front={callers}\n\
+             listen.ready=127.0.0.1:{}\ninternal-ports={peer_port},{peer_port}\nseeds={}\n\
+             platform.address={}\nbounds.grace-s={}\nbounds.lease-ms=3000\n\
+             bounds.version-ms=8000\nbounds.stable-window-ms={}\n\
+             bounds.retry-budget-ratio=0.2\nbounds.budget-extra-retries=56\n",
+            gateway_ip(seed, index),
+            free_port(local),
+            seeds.join(","),
+            store_link.address,
+            STOP_GRACE.as_secs(),
+            ledger::SETTLING.as_millis(),
+        );
+        let folder = PathBuf::from(env!("CARGO_TARGET_TMPDIR"));
+        let settings = folder.join(format!("soak-{}-{seed}-{index}.conf", std::process::id()));
+        std::fs::write(&settings, &text).expect("a settings file");
+        Self {
+            process: Self::launch(&settings),
+            store_link,
+            settings,
+            callers,
+            text,
+        }
+    }
+
+    fn launch(settings: &std::path::Path) -> ChildProcess {
+        ChildProcess::start_with(
+            env!("CARGO_BIN_EXE_bulrushslip-gateway"),
+            &["--metrics-port", "0"],
+            &[("BULRUSHSLIP_SETTINGS", settings.to_str().expect("text"))],
+            &["callers", "readiness", "peers", "metrics"],
+        )
+    }
+
+    fn start_again(&mut self) {
+        self.process.kill();
+        self.process = Self::launch(&self.settings);
+    }
+
+    /// Changes a figure of the settings file and tells the process.
+    fn reload(&mut self) {
+        self.text += "bounds.budget-extra-retries=57\n";
+        std::fs::write(&self.settings, &self.text).expect("a settings file");
+        self.process.hang_up();
+    }
+
+    async fn until_ready(&self) {
+        let asked = Instant::now();
+        let address = self.process.port("readiness");
+        loop {
+            let request = request(Method::GET, address, "/readyz").body(Full::default());
+            let answer = call(address, request.expect("a request"), RECOVERY_LIMIT).await;
+            if answer.is_ok_and(|answer| answer.status.is_success()) {
+                return;
+            }
+            assert!(asked.elapsed() < RECOVERY_LIMIT, "not ready");
+            tokio::time::sleep(Duration::from_millis(20)).await;
+        }
+    }
+}
