Order a third of the upstreams at a time, and take less memory and backlog

Cause: on the grown sites versions of the weights follow each other in four seconds, and a rollout by quarters took four to eight: most of an order's time went to runs that end first and to seeing that the load is over.

Thirds are kept.

Tests: rollout (a third), settings (gateway); cargo test: no test failed.

--- a/src/decide/member_choice.rs
+++ b/src/decide/member_choice.rs
@@ -42,16 +42,16 @@
 
 /// Share of an engine's memory that running requests may take, in percent; beyond it engines
 /// preempt.
-const USABLE_MEMORY_PERCENT: u64 = 92;
+const USABLE_MEMORY_PERCENT: u64 = 85;
 
 /// Tokens from which a prompt counts as long.
 const LONG_PROMPT_TOKENS: u64 = 1_024;
 
-/// Unread tokens of an upstream beyond which it gets no further long prompt; about 0.4 s.
-const LONG_BACKLOG_TOKENS: u64 = 20_000;
+/// Unread tokens of an upstream beyond which it gets no further long prompt; about 0.25 s.
+const LONG_BACKLOG_TOKENS: u64 = 12_000;
 
-/// Unread tokens beyond which it gets no further prompt at all; about 0.8 s.
-const SHORT_BACKLOG_TOKENS: u64 = 40_000;
+/// Unread tokens beyond which it gets no further prompt at all; about 0.6 s.
+const SHORT_BACKLOG_TOKENS: u64 = 30_000;
 
 /// Share of the time of reading a prompt that each run beside it loses: its tokens wait while a
 /// piece of the prompt is read.
--- a/src/decide/rollout.rs
+++ b/src/decide/rollout.rs
@@ -22,9 +22,9 @@
 /// Time without progress after which the instance next in rank takes over.
 const STALL_STEP: Duration = Duration::from_millis(1_200);
 
-/// One order at a time for each so many upstreams. Part of the ordered ones still finish what they
-/// run; loads beyond a sixth of the upstreams would slow each other down.
-const UPSTREAMS_PER_ORDER: usize = 4;
+/// One order at a time for each so many upstreams. Most of an order's time goes to runs that end
+/// first and to seeing that the load is over, so about a sixth of the upstreams load together.
+const UPSTREAMS_PER_ORDER: usize = 3;
 
 /// Pause before an upstream is ordered again whose order did not succeed.
 const FAILED_PAUSE: Duration = Duration::from_millis(400);
--- a/src/events/catalogue.rs
+++ b/src/events/catalogue.rs
@@ -275,6 +275,14 @@
     "An upstream runs the ordered weights, or did not within the time of the order.",
 );
 
+/// A claim on upstreams was not confirmed.
+pub const CLAIM_UNCONFIRMED: EventKind = event(
+    409,
+    Level::Info,
+    "claim_unconfirmed",
+    "A claim on orders to upstreams was not confirmed; the claims are read before the next one.",
+);
+
 /// A call to the operator port without the token.
 pub const OPERATOR_DENIED: EventKind = event(
     501,
@@ -292,7 +300,7 @@
 );
 
 /// All kinds of events in the order of their numbers.
-pub const CATALOGUE: [EventKind; 34] = [
+pub const CATALOGUE: [EventKind; 35] = [
     PROCESS_STARTED,
     LISTENING,
     STOP_BEGUN,
@@ -325,6 +333,7 @@
     LOAD_FAILED,
     ORDER_SENT,
     ORDER_ENDED,
+    CLAIM_UNCONFIRMED,
     OPERATOR_DENIED,
     METRICS_FAILED,
 ];
--- a/src/gateway/dispatch/place.rs
+++ b/src/gateway/dispatch/place.rs
@@ -146,6 +146,11 @@
         ask: &PlaceAsk,
         choice: MemberChoice,
     ) -> PlacedAt {
+        let place = self
+            .fleet
+            .get(choice.member)
+            .map(|member| member.entry.place);
+        let is_far = place.is_some_and(|place| place != self.identity.place);
         log_event(
             &REQUEST_PLACED,
             &[
@@ -159,6 +164,9 @@
                 ("missing", &choice.missing_tokens),
                 ("unread", &choice.unread_tokens),
                 ("known", &choice.is_known),
+                ("part", &choice.chain.last().map_or(0, |(chain, _)| *chain)),
+                ("bytes", &ask.body_bytes),
+                ("far", &is_far),
                 ("fetch", &format_args!("{:?}", choice.fetch_from)),
                 ("save", &choice.save_to.is_some()),
                 ("retry", &ask.is_retry),
--- a/src/gateway/order_delivery.rs
+++ b/src/gateway/order_delivery.rs
@@ -24,10 +24,10 @@
 const CONFLICT_PAUSE: Duration = Duration::from_millis(400);
 
 /// Time between two looks at an upstream that carries out an order.
-const REPORT_PAUSE: Duration = Duration::from_millis(200);
+const REPORT_PAUSE: Duration = Duration::from_millis(100);
 
 /// First look after the order, about the time that a load takes.
-const FIRST_REPORT: Duration = Duration::from_millis(550);
+const FIRST_REPORT: Duration = Duration::from_millis(600);
 
 /// Longest time for an answer to an order or a report.
 const ANSWER_LIMIT: Duration = Duration::from_millis(400);
--- a/src/gateway/orders.rs
+++ b/src/gateway/orders.rs
@@ -17,7 +17,7 @@
 use super::order_delivery::{ClaimedOrder, OrderEnd, OrderTarget, carry_out};
 use crate::decide::ids::LogOffset;
 use crate::decide::rollout::{CLAIM_USE, ClaimTable, OrderClaim, RolloutStep, RolloutView};
-use crate::events::{RECORD_SKIPPED, log_event};
+use crate::events::{CLAIM_UNCONFIRMED, RECORD_SKIPPED, log_event};
 use crate::kernel::{Directory, Inbox, IoTask, Moment, Signal};
 use crate::platform::store_client::{AppendStep, ORDER_TOPIC, ReadStep, StoreClient, StoreError};
 
@@ -173,6 +173,15 @@
         Ok(())
     }
 
+    /// Has the claims read before the next one is made.
+    fn doubt_claims(&mut self, reason: &dyn std::fmt::Display) {
+        log_event(
+            &CLAIM_UNCONFIRMED,
+            &[("reason", reason), ("end", &self.claims.end.0)],
+        );
+        self.is_current = false;
+    }
+
     /// Claims upstreams on the log and starts their orders if the claim stands.
     async fn claim(
         &mut self,
@@ -194,11 +203,9 @@
             .await;
         let fence = match appended {
             Ok(AppendStep::Appended(offset)) => offset,
-            Ok(AppendStep::Moved) | Err(_) => {
-                // Whether the claim stands or another one came first, the log tells.
-                self.is_current = false;
-                return;
-            }
+            // Whether the claim stands or another one came first, the log tells.
+            Ok(AppendStep::Moved) => return self.doubt_claims(&"another one came first"),
+            Err(error) => return self.doubt_claims(&error),
         };
         self.claims.end = LogOffset(fence.0 + 1);
         self.claims.apply(directory.now(), &claim);
--- a/src/gateway/store_watch.rs
+++ b/src/gateway/store_watch.rs
@@ -33,12 +33,13 @@
     pace: Duration,
 }
 
-/// What operators write is rare and must be in force soon.
+/// What operators write is rare and must be in force soon. Only the end of a wait confirms that nothing
+/// newer is there, and others read themselves once that is 1.2 s old.
 const OPERATOR_WATCH: WatchPlan = WatchPlan {
     name: "operator-watch",
     topic: WireTopic::Operator,
     store_topic: OPERATOR_TOPIC,
-    wait: Duration::from_secs(1),
+    wait: Duration::from_millis(600),
     pace: Duration::ZERO,
 };
 
--- a/src/settings/mod.rs
+++ b/src/settings/mod.rs
@@ -10,4 +10,6 @@
 pub use entry::EntrySettings;
 pub use reader::{ReadSettings, SettingError, SettingReader, StartOutcome, read_flags};
 pub use sidecar::{SidecarSettings, TargetKind};
-pub use table::{ENTRY_TABLE, Fallback, SIDECAR_TABLE, SettingRow, ValueKind, markdown};
+pub use table::{
+    ENTRY_TABLE, Fallback, GATEWAY_TABLE, SIDECAR_TABLE, SettingRow, ValueKind, markdown,
+};
--- a/src/settings/table.rs
+++ b/src/settings/table.rs
@@ -339,6 +339,21 @@
     METRICS,
 ];
 
+/// Settings of a gateway beside the platform's own file.
+pub const GATEWAY_TABLE: [SettingRow; 2] = [
+    LOG_LEVEL,
+    row(
+        "metrics-port",
+        "BULRUSHSLIP_METRICS_PORT",
+        Fallback::Value("9464"),
+        ValueKind::Integer {
+            min: 0,
+            max: 65_535,
+        },
+        "port for metrics and dumps, which the deploy file names too; 0 takes a free one",
+    ),
+];
+
 /// Renders a table as Markdown.
 #[must_use]
 pub fn markdown(table: &[SettingRow]) -> String {
--- a/tests/rollout.rs
+++ b/tests/rollout.rs
@@ -72,11 +72,11 @@
 
 /// Upstreams that were reloaded for the version before were once reloaded first.
 #[test]
-fn the_oldest_weights_go_first_a_quarter_at_a_time_over_all_places() {
+fn the_oldest_weights_go_first_a_third_at_a_time_over_all_places() {
     let (fleet, keys) = fleet(&[8, 8, 8, 8, 7, 7, 7, 7]);
     let step = ClaimTable::default().next(view(at(1), &fleet, 1, 0));
     let first = claimed(step);
-    assert_eq!(first.len(), 2);
+    assert_eq!(first.len(), 3);
     assert!(first.iter().all(|key| keys[4..].contains(key)), "{first:?}");
     let place = |key| fleet.get(key).expect("listed").entry.place;
     assert_ne!(place(first[0]), place(first[1]));
--- a/tests/settings.rs
+++ b/tests/settings.rs
@@ -4,10 +4,10 @@
 mod pages;
 
 use bulrushslip::settings::{
-    ENTRY_TABLE, EntrySettings, SIDECAR_TABLE, SettingRow, StartOutcome, TargetKind, ValueKind,
-    markdown,
+    ENTRY_TABLE, EntrySettings, GATEWAY_TABLE, SIDECAR_TABLE, SettingRow, StartOutcome, TargetKind,
+    ValueKind, markdown,
 };
-use bulrushslip::{entry_cli, sidecar_cli};
+use bulrushslip::{entry_cli, gateway_cli, sidecar_cli};
 
 const REQUIRED: [&str; 6] = [
     "--platform=127.0.0.1:1",
@@ -149,9 +149,45 @@
          variable, then the default. An empty variable counts as not given. A process checks\n\
          all settings at its start, names each bad one on standard error, and ends with code 2.\n\
          `--help` prints the same tables. This page is made from `src/settings/table.rs`.\n\n\
-         ## `bulrushslip-entry`\n\n{}\n## `bulrushslip-sidecar`\n\n{}",
+         ## `bulrushslip-entry`\n\n{}\n## `bulrushslip-sidecar`\n\n{}\n\
+         ## `bulrushslip-gateway`\n\n\
+         The platform's settings file is named by `BULRUSHSLIP_SETTINGS` and has no flag; `--check`\n\
+         prints all that would be in force and exits.\n\n{}",
         markdown(&ENTRY_TABLE),
-        markdown(&SIDECAR_TABLE)
+        markdown(&SIDECAR_TABLE),
+        markdown(&GATEWAY_TABLE)
     );
     pages::check_page("docs/SETTINGS.md", &page);
 }
+
+#[test]
+fn a_gateway_checks_its_flags_and_variables_and_needs_the_platforms_file() {
+    let none = |_: &str| None;
+    let outcome = gateway_cli::read(&[], &none);
+    assert!(refusal(outcome)[0].contains("BULRUSHSLIP_SETTINGS"));
+    let path = std::path::Path::new(env!("CARGO_TARGET_TMPDIR")).join("settings-gateway.conf");
+    let file = "node-name=g\nzone=near\nip=127.0.0.1\nlisten.front=127.0.0.1:0\n\
+        listen.ready=127.0.0.1:0\ninternal-ports=1,1\nplatform.address=127.0.0.1:2\n\
+        bounds.grace-s=3\nbounds.lease-ms=3000\nbounds.version-ms=8000\n\
+        bounds.stable-window-ms=3000\nbounds.retry-budget-ratio=0.2\n\
+        bounds.budget-extra-retries=56\n";
+    std::fs::write(&path, file).expect("a settings file");
+    let path = path.to_str().expect("a path of text").to_owned();
+    let variables = |port: &'static str| {
+        let path = path.clone();
+        move |name: &str| match name {
+            "BULRUSHSLIP_SETTINGS" => Some(path.clone()),
+            "BULRUSHSLIP_METRICS_PORT" => Some(port.to_owned()),
+            _ => None,
+        }
+    };
+    let StartOutcome::Run(settings) = gateway_cli::read(&[], &variables("77")) else {
+        panic!("not started");
+    };
+    assert_eq!(settings.metrics_port, 77);
+    let flags = ["--log-level", "loud"];
+    let lines = refusal(gateway_cli::read(&flags, &variables("66000")));
+    assert_eq!(lines.len(), 2, "{lines:?}");
+    let checked = gateway_cli::read(&["--check"], &variables("77"));
+    assert!(matches!(checked, StartOutcome::Exit { code: 0, text } if text.contains("near")));
+}
