Order up to half of a large fleet at a time, a quarter of a small one

More than a quarter is ordered only while each data centre keeps four upstreams on average. Tests: rollout (shares of fleets of 1 to 40).

--- a/src/decide/rollout.rs
+++ b/src/decide/rollout.rs
@@ -4,7 +4,7 @@
 //! its append was sent; another instance claims the same upstream only after that time and the
 //! time for which holders must not take turns, counted from when it read the claim.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::time::Duration;
 
 use super::fleet::{Fleet, MemberKey, MemberState};
@@ -22,9 +22,16 @@
 /// Time without progress after which the instance next in rank takes over.
 const STALL_STEP: Duration = Duration::from_millis(1_200);
 
-/// One order at a time for each so many upstreams. Most of an order's time goes to runs that end
-/// first and to seeing that the load is over, so about a sixth of the upstreams load together.
-const UPSTREAMS_PER_ORDER: usize = 3;
+/// Share of the upstreams that may always be ordered at the same time, as one in so many; loads of
+/// more at once slow each other down.
+const ALWAYS_ORDERED: usize = 4;
+
+/// Largest such share where many upstreams are left: most of an order's time then goes to runs
+/// that end first.
+const AT_MOST_ORDERED: usize = 2;
+
+/// Upstreams that a data centre keeps, on average, before more than the first share is ordered.
+const KEPT_PER_PLACE: usize = 4;
 
 /// Pause before an upstream is ordered again whose order did not succeed.
 const FAILED_PAUSE: Duration = Duration::from_millis(400);
@@ -140,11 +147,7 @@
         if !patience.is_due(view.now) {
             return RolloutStep::Wait(patience);
         }
-        let engines = view.fleet.iter().filter(|(_, member)| {
-            let weights = member.entry.weights;
-            weights.is_some_and(|weights| weights.model == view.model)
-        });
-        let limit = engines.count().div_ceil(UPSTREAMS_PER_ORDER).max(1);
+        let limit = orders_at_once(view);
         let loading = behind
             .iter()
             .filter(|key| self.is_loading(view, **key))
@@ -190,6 +193,20 @@
     }
 }
 
+/// Returns how many upstreams of the model are ordered at the same time at most.
+fn orders_at_once(view: RolloutView<'_>) -> usize {
+    let members = view.fleet.iter().map(|(_, member)| &member.entry);
+    let engines = members.filter(|entry| {
+        let weights = entry.weights;
+        weights.is_some_and(|weights| weights.model == view.model)
+    });
+    let places: Vec<PlaceId> = engines.map(|entry| entry.place).collect();
+    let kept = places.iter().collect::<HashSet<_>>().len() * KEPT_PER_PLACE;
+    let spare = places.len().saturating_sub(kept);
+    let always = places.len().div_ceil(ALWAYS_ORDERED);
+    always.max(spare.min(places.len() / AT_MOST_ORDERED)).max(1)
+}
+
 /// Orders upstreams by the age of their weights, and so that neighbours lie in different data
 /// centres; in each of them those with the least to finish go first.
 fn spread_over_places(view: RolloutView<'_>, keys: &mut Vec<MemberKey>) {
--- a/tests/rollout.rs
+++ b/tests/rollout.rs
@@ -72,16 +72,26 @@
 
 /// Upstreams that were reloaded for the version before were once reloaded first.
 #[test]
-fn the_oldest_weights_go_first_a_third_at_a_time_over_all_places() {
+fn the_oldest_weights_go_first_a_quarter_at_a_time_over_all_places() {
     let (fleet, keys) = fleet(&[8, 8, 8, 8, 7, 7, 7, 7]);
     let step = ClaimTable::default().next(view(at(1), &fleet, 1, 0));
     let first = claimed(step);
-    assert_eq!(first.len(), 3);
+    assert_eq!(first.len(), 2);
     assert!(first.iter().all(|key| keys[4..].contains(key)), "{first:?}");
     let place = |key| fleet.get(key).expect("listed").entry.place;
     assert_ne!(place(first[0]), place(first[1]));
 }
 
+/// Versions that follow each other in seconds were never in force in a large fleet.
+#[test]
+fn a_large_fleet_is_ordered_by_halves_as_long_as_each_place_keeps_enough() {
+    for (upstreams, at_once) in [(1, 1), (8, 2), (12, 4), (14, 6), (40, 20)] {
+        let (fleet, _) = fleet(&vec![8; upstreams]);
+        let step = ClaimTable::default().next(view(at(1), &fleet, 1, 0));
+        assert_eq!(claimed(step).len(), at_once, "of {upstreams} at two places");
+    }
+}
+
 #[test]
 fn nothing_is_left_to_do_once_all_run_the_version() {
     let (fleet, _) = fleet(&[9, 9, 10]);
