Dial in one place

The one-call client dialled beside the kept link; it uses the link's dial now, which also breaks connections that have gone silent. cargo test: no test failed.

--- a/src/platform/http_client.rs
+++ b/src/platform/http_client.rs
@@ -6,17 +6,12 @@
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
-use hyper::client::conn::http1;
 use hyper::http::request;
 use hyper::{Method, Request, Response, StatusCode};
-use hyper_util::rt::TokioIo;
 use quick_error::quick_error;
-use tokio::net::TcpStream;
-use tokio::task::JoinHandle;
 use tokio::time::timeout;
 
-/// Largest response body that [`call`] collects, in bytes.
-pub const MAX_BODY_BYTES: usize = 64 * 1024 * 1024;
+use super::http_link::{ConnectionGuard, LinkError, MAX_BODY_BYTES, OpenLink, dial};
 
 quick_error! {
     /// Why a call failed.
@@ -56,23 +51,14 @@
     }
 }
 
-/// Ends the task that drives a connection when the exchange is dropped.
-#[derive(Debug)]
-pub struct ConnectionGuard {
-    driver: JoinHandle<()>,
-}
-
-impl ConnectionGuard {
-    /// Guards the task that drives a connection.
-    #[must_use]
-    pub const fn new(driver: JoinHandle<()>) -> Self {
-        Self { driver }
-    }
-}
-
-impl Drop for ConnectionGuard {
-    fn drop(&mut self) {
-        self.driver.abort();
+impl From<LinkError> for HttpError {
+    fn from(error: LinkError) -> Self {
+        match error {
+            LinkError::Dial(error) => Self::Connect(error),
+            LinkError::Broken(error) => Self::Exchange(error),
+            LinkError::Body(message) => Self::Body(message),
+            LinkError::Silent => Self::Timeout,
+        }
     }
 }
 
@@ -115,24 +101,14 @@
     request: Request<Full<Bytes>>,
     limit: Duration,
 ) -> Result<OpenResponse, HttpError> {
-    let stream = match timeout(limit, TcpStream::connect(address)).await {
-        Ok(connected) => connected.map_err(HttpError::Connect)?,
-        Err(_) => return Err(HttpError::Connect(std::io::ErrorKind::TimedOut.into())),
-    };
-    // Small writes must not wait for acknowledgements; a failure only costs latency.
-    drop(stream.set_nodelay(true));
-    let handshake = http1::handshake(TokioIo::new(stream)).await;
-    let (mut sender, connection) = handshake.map_err(HttpError::Exchange)?;
-    // Errors of the connection also reach the exchange itself.
-    let driver = tokio::spawn(async move { drop(connection.await) });
-    let connection = ConnectionGuard { driver };
+    let OpenLink { mut sender, guard } = dial(address, limit).await?;
     let exchange = timeout(limit, sender.send_request(request)).await;
     let response = exchange
         .map_err(|_elapsed| HttpError::Timeout)?
         .map_err(HttpError::Exchange)?;
     Ok(OpenResponse {
         response,
-        connection,
+        connection: guard,
     })
 }
 
--- a/src/platform/http_link.rs
+++ b/src/platform/http_link.rs
@@ -12,9 +12,11 @@
 use quick_error::quick_error;
 use socket2::{SockRef, TcpKeepalive};
 use tokio::net::TcpStream;
+use tokio::task::JoinHandle;
 use tokio::time::timeout;
 
-use super::http_client::{ConnectionGuard, MAX_BODY_BYTES};
+/// Largest response body that [`call`] collects, in bytes.
+pub const MAX_BODY_BYTES: usize = 64 * 1024 * 1024;
 
 /// Longest time for a dial; instances are a few milliseconds apart.
 pub const DIAL_LIMIT: Duration = Duration::from_millis(400);
@@ -47,6 +49,26 @@
     }
 }
 
+/// Ends the task that drives a connection when the exchange is dropped.
+#[derive(Debug)]
+pub struct ConnectionGuard {
+    driver: JoinHandle<()>,
+}
+
+impl ConnectionGuard {
+    /// Guards the task that drives a connection.
+    #[must_use]
+    pub const fn new(driver: JoinHandle<()>) -> Self {
+        Self { driver }
+    }
+}
+
+impl Drop for ConnectionGuard {
+    fn drop(&mut self) {
+        self.driver.abort();
+    }
+}
+
 /// An open connection and the task that drives it.
 #[derive(Debug)]
 pub struct OpenLink {
