Log and measure how long requests wait at upstreams with outdated weights

- Event 309 `outdated_start`: a request's first output came after half of the time that was left when it was sent for outdated weights.
- Metric `bulrushslip_start_seconds`: placement to first output.
- `request_placed` (debug) and `weights_named` name what is left of the limit.
- Deadlines of versions are a type of their own, kept as the time from which no request may start; the margin for the start is taken off where a request is placed.
Other instances are told the deadline itself, so one of the former build that reports 1.5 s less shortens the limit of this one by that; the reverse changes nothing.

--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -41,4 +41,5 @@
 pub mod suspects;
 pub mod tried_upstreams;
 pub mod upstream_queue;
+pub mod version_deadlines;
 pub mod work_estimate;
--- a/src/events/catalogue.rs
+++ b/src/events/catalogue.rs
@@ -219,6 +219,14 @@
     "An upstream was chosen for a request; shows its missing prompt tokens and their source.",
 );
 
+/// Logged when a request has waited long at an upstream with outdated weights.
+pub const OUTDATED_START: EventKind = event(
+    309,
+    Level::Info,
+    "outdated_start",
+    "A request started on outdated weights after half of the time allowed for that when it was sent.",
+);
+
 /// Logged when the upstream starts to respond.
 pub const ENGINE_UP: EventKind = event(
     401,
@@ -300,7 +308,7 @@
 );
 
 /// All kinds of log events in ascending order of their numbers.
-pub const CATALOGUE: [EventKind; 35] = [
+pub const CATALOGUE: [EventKind; 36] = [
     PROCESS_STARTED,
     LISTENING,
     STOP_BEGUN,
@@ -326,6 +334,7 @@
     STREAM_RESUMED,
     STREAM_BROKEN,
     REQUEST_PLACED,
+    OUTDATED_START,
     ENGINE_UP,
     ENGINE_DOWN,
     ENGINE_RESTARTED,
--- a/src/gateway/counters.rs
+++ b/src/gateway/counters.rs
@@ -68,6 +68,7 @@
     requests: Family<RequestLabels, Counter>,
     latencies: Family<KindLabels, Histogram>,
     sends: Family<OutcomeLabels, Counter>,
+    starts: Histogram,
     configuration: Gauge,
     open_upstreams: Gauge,
     waiting: Gauge,
@@ -83,6 +84,7 @@
             requests: Family::default(),
             latencies: Family::new_with_constructor(|| Histogram::new(LATENCY_BUCKETS)),
             sends: Family::default(),
+            starts: Histogram::new(LATENCY_BUCKETS),
             configuration: Gauge::default(),
             open_upstreams: Gauge::default(),
             waiting: Gauge::default(),
@@ -105,6 +107,9 @@
         registry.register("request_seconds", help, latencies);
         let sends = self.sends.clone();
         registry.register("sends", "Sends to upstreams by outcome", sends);
+        let starts = self.starts.clone();
+        let help = "Time from a placement to the first output of its stream, in seconds";
+        registry.register("start_seconds", help, starts);
         let gauges = [
             ("configuration", "Version in force", &self.configuration),
             (
@@ -147,6 +152,11 @@
         self.sends.get_or_create(&OutcomeLabels { outcome }).inc();
     }
 
+    /// Records how long a stream waited at its upstream before its first output.
+    pub fn observe_start(&self, waited: Duration) {
+        self.starts.observe(waited.as_secs_f64());
+    }
+
     /// Returns all metrics in text format.
     ///
     /// # Errors
--- a/src/gateway/dispatch/gossip.rs
+++ b/src/gateway/dispatch/gossip.rs
@@ -75,7 +75,7 @@
         for limit in &gossip.limits {
             let due = now.after(Duration::from_millis(limit.left_ms));
             if let Some(target) = self.target_versions.get_mut(&limit.model) {
-                target.shorten_limit(limit.version, due);
+                target.deadlines.shorten(limit.version, due);
             }
         }
         for (store, total) in &gossip.saved_tokens {
@@ -286,14 +286,12 @@
     fn limits(&self, now: Moment) -> Vec<WireVersionDeadline> {
         let targets = self.target_versions.iter();
         let limits = targets.flat_map(|(model, target)| {
-            target
-                .limits
-                .iter()
-                .map(|(version, due)| WireVersionDeadline {
-                    model: *model,
-                    version: *version,
-                    left_ms: whole_ms(due.remaining(now)),
-                })
+            let deadlines = target.deadlines.iter();
+            deadlines.map(|(version, due)| WireVersionDeadline {
+                model: *model,
+                version,
+                left_ms: whole_ms(due.remaining(now)),
+            })
         });
         limits.collect()
     }
--- a/src/gateway/dispatch/place.rs
+++ b/src/gateway/dispatch/place.rs
@@ -3,7 +3,8 @@
 
 use std::time::Duration;
 
-use super::state::{DispatchState, RunningRequest, WaitingRequest};
+use super::state::{DispatchState, OutdatedWeights, RunningRequest, WaitingRequest};
+use crate::decide::fleet::MemberKey;
 use crate::decide::ids::{Rank, Ticket};
 use crate::decide::member_choice::{
     ChoiceContext, ChoiceOutcome, ChoiceRequest, MemberChoice, NewestWeights, choose,
@@ -149,24 +150,37 @@
         choose(view, question)
     }
 
-    /// Assigns a request to the chosen upstream and adds its load there.
-    ///
-    /// # Panics
-    ///
-    /// Panics if the chosen upstream is not in the fleet.
-    pub(super) fn start_placement(
-        &mut self,
+    /// Returns the weights of an upstream if the request's model has a newer version, and until when
+    /// the request may start on them.
+    fn outdated_weights(
+        &self,
+        request: &PlacementRequest,
+        member: MemberKey,
+    ) -> Option<OutdatedWeights> {
+        let version = self.fleet.get(member)?.version()?;
+        let target = self.target_versions.get(&request.prompt.as_ref()?.model)?;
+        Some(OutdatedWeights {
+            version,
+            start_deadline: target.deadlines.start_deadline(version)?,
+        })
+    }
+
+    fn log_placement(
+        &self,
         now: Moment,
-        ticket: Ticket,
         request: &PlacementRequest,
-        choice: MemberChoice,
-    ) -> Placement {
+        choice: &MemberChoice,
+        outdated_weights: Option<OutdatedWeights>,
+    ) {
         let data_centre = self
             .fleet
             .get(choice.member)
             .map(|member| member.entry.data_centre);
         let is_remote =
             data_centre.is_some_and(|data_centre| data_centre != self.identity.data_centre);
+        let start_left_ms = outdated_weights.map_or(0, |weights| {
+            weights.start_deadline.remaining(now).as_millis()
+        });
         log_event(
             &REQUEST_PLACED,
             &[
@@ -192,8 +206,26 @@
                 ("fetch", &format_args!("{:?}", choice.fetch_from)),
                 ("save", &choice.save_to.is_some()),
                 ("retry", &request.is_retry),
+                ("outdated", &outdated_weights.is_some()),
+                ("start_left_ms", &start_left_ms),
             ],
         );
+    }
+
+    /// Assigns a request to the chosen upstream and adds its load there.
+    ///
+    /// # Panics
+    ///
+    /// Panics if the chosen upstream is not in the fleet.
+    pub(super) fn start_placement(
+        &mut self,
+        now: Moment,
+        ticket: Ticket,
+        request: &PlacementRequest,
+        choice: MemberChoice,
+    ) -> Placement {
+        let outdated_weights = self.outdated_weights(request, choice.member);
+        self.log_placement(now, request, &choice, outdated_weights);
         self.record_prefill_start(now, request, &choice);
         let member = self
             .fleet
@@ -203,6 +235,8 @@
         member.own.unread_tokens += choice.unread_tokens;
         member.own.memory_tokens += choice.memory_tokens;
         let running = RunningRequest {
+            request_id: request.request_id.clone(),
+            outdated_weights,
             member: choice.member,
             service: request.service,
             rank: request.rank.index(),
--- a/src/gateway/dispatch/records.rs
+++ b/src/gateway/dispatch/records.rs
@@ -25,14 +25,6 @@
 /// expired during the outage may be written again.
 const REMOVAL_DELAY: Duration = Duration::from_millis(2_100);
 
-/// Longest time that a placed request may wait at an upstream before it starts; subtracted from
-/// the time limit for older weights.
-const MAX_START_DELAY: Duration = Duration::from_millis(1_500);
-
-/// Maximum number of versions of a model whose deadlines are kept; newer versions supersede older
-/// ones.
-const MAX_VERSION_LIMITS: usize = 16;
-
 /// Minimum length of a store outage after which removed entries may merely have expired.
 const MIN_OUTAGE: Duration = Duration::from_secs(1);
 
@@ -140,7 +132,7 @@
         if known.is_some_and(|known| named.version <= known.version) {
             return;
         }
-        let mut limits = known.map_or_else(Vec::new, |known| known.limits.clone());
+        let mut deadlines = known.map_or_else(Default::default, |known| known.deadlines.clone());
         // Records of the first read may be of any age, so the settling time applies instead.
         let is_old = self.operator.next == LogOffset::default();
         let allowed = if is_old {
@@ -150,17 +142,18 @@
         };
         log_event(
             &WEIGHTS_NAMED,
-            &[("model", &named.model), ("version", &named.version)],
+            &[
+                ("model", &named.model),
+                ("version", &named.version),
+                ("allowed_ms", &allowed.as_millis()),
+            ],
         );
-        let allowed = allowed.saturating_sub(MAX_START_DELAY);
-        limits.push((named.version, turn.now.after(allowed)));
-        let excess = limits.len().saturating_sub(MAX_VERSION_LIMITS);
-        limits.drain(..excess);
+        deadlines.push(named.version, turn.now.after(allowed));
         let version = TargetVersion {
             name: named.model,
             version: named.version,
             received_at: turn.now,
-            limits,
+            deadlines,
         };
         self.target_versions.insert(model, version);
         turn.send("orders", GatewayMail::OrdersDue);
--- a/src/gateway/dispatch/state.rs
+++ b/src/gateway/dispatch/state.rs
@@ -1,6 +1,7 @@
 //! State of the service `dispatch`.
 
 use std::collections::{HashMap, VecDeque};
+use std::time::Duration;
 
 use serde_json::{Value, json};
 
@@ -14,6 +15,7 @@
 use crate::decide::retry_budget::RetryBudget;
 use crate::decide::route_table::{DataCentreId, RouteTable, ServiceId};
 use crate::decide::suspects::{Fingerprint, SuspectPolicy, SuspectTable};
+use crate::decide::version_deadlines::VersionDeadlines;
 use crate::events::{METRICS_FAILED, log_event};
 use crate::gateway::counters::{GatewayCounters, GatewayGauges};
 use crate::gateway::identity::InstanceIdentity;
@@ -22,6 +24,9 @@
 use crate::log_queue::DroppedLines;
 use crate::wire::peer_rpc::{WireSegment, WireSuspicion, WireTopic};
 
+/// Longest time that a placed request may wait at an upstream before it starts.
+const MAX_START_DELAY: Duration = Duration::from_millis(1_500);
+
 /// Version of a model's weights that operators want upstreams to run.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct TargetVersion {
@@ -31,32 +36,15 @@
     pub version: u64,
     /// Time at which this instance received the target version.
     pub received_at: Moment,
-    /// Versions, oldest first, each with the time from which older versions receive no requests.
-    pub limits: Vec<(u64, Moment)>,
+    /// Deadlines of this version and earlier ones.
+    pub deadlines: VersionDeadlines,
 }
 
 impl TargetVersion {
     /// Returns the oldest version of the weights to which requests may still be sent.
     #[must_use]
     pub fn oldest_allowed(&self, now: Moment) -> u64 {
-        let deadline = self
-            .limits
-            .iter()
-            .rev()
-            .find(|(_, limit)| limit.is_due(now));
-        deadline.map_or(0, |(version, _)| *version)
-    }
-
-    /// Moves the deadline of a version forward to `due` if another instance reported an earlier
-    /// one.
-    pub fn shorten_limit(&mut self, version: u64, due: Moment) {
-        let known = self
-            .limits
-            .iter_mut()
-            .find(|(listed, _)| *listed == version);
-        if let Some((_, limit)) = known {
-            *limit = (*limit).min(due);
-        }
+        self.deadlines.oldest_allowed(now, MAX_START_DELAY)
     }
 }
 
@@ -78,9 +66,20 @@
     pub reply_to: ReplyTo<PlacementReply>,
 }
 
+/// Weights older than the target version, and until when requests may start on them.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct OutdatedWeights {
+    /// Version of the weights.
+    pub version: u64,
+    /// Time from which no request may start on them.
+    pub start_deadline: Moment,
+}
+
 /// Request that was placed on an upstream and has not ended there.
 #[derive(Debug, Clone)]
 pub struct RunningRequest {
+    /// Request identifier from the client, for logs.
+    pub request_id: String,
     /// Upstream that runs the request.
     pub member: MemberKey,
     /// Service of the request.
@@ -97,6 +96,8 @@
     pub kv_store: Option<DataCentreId>,
     /// Time of the placement.
     pub placed_at: Moment,
+    /// Weights for which the request was sent, if they are not the target version.
+    pub outdated_weights: Option<OutdatedWeights>,
     /// Hash that is the same for equal requests.
     pub fingerprint: Fingerprint,
 }
