Add failing tests of requests that wait on older weights past their limit

The tests play that without the bench: a real gateway, one upstream on version 1 that takes a request and does not start it, and a version 2 that is named meanwhile. The bound is the operators' limit, 3 s here.

--- a/tests/gateway_world/mod.rs
+++ b/tests/gateway_world/mod.rs
@@ -11,7 +11,7 @@
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::sync::atomic::{AtomicU64, Ordering};
-use std::sync::mpsc::{Receiver, channel};
+use std::sync::mpsc::{Receiver, Sender, channel};
 use std::time::{Duration, Instant};
 
 use bulrushslip::platform::http_client::{CompleteResponse, HttpError, call, request};
@@ -64,6 +64,8 @@
     Stream(Vec<&'static str>, bool),
     /// Sends a first chunk and then nothing while the connection is open.
     Stall(&'static str),
+    /// Sends nothing while the connection is open, as for a request that has not started.
+    Wait,
 }
 
 /// Small upstream.
@@ -73,16 +75,33 @@
     pub address: SocketAddr,
     /// Requests that the upstream received.
     pub seen: Receiver<SeenRequest>,
-    /// Receives a message when a stalled response is dropped because its connection was closed.
-    pub dropped: Receiver<()>,
+    /// Receives stalled and waiting requests that are dropped because their connection was closed.
+    pub dropped: Receiver<DroppedRequest>,
 }
 
-struct DropNotification(std::sync::mpsc::Sender<()>);
+/// Request that an upstream had not completed when its connection was closed.
+#[derive(Debug, Clone)]
+pub struct DroppedRequest {
+    /// Path of the request, with its query.
+    pub path: String,
+    /// When the upstream noticed.
+    pub at: Instant,
+}
+
+/// Reports a request as dropped when it is dropped.
+struct DropNotification {
+    path: String,
+    sender: Sender<DroppedRequest>,
+}
 
 impl Drop for DropNotification {
     fn drop(&mut self) {
+        let request = DroppedRequest {
+            path: std::mem::take(&mut self.path),
+            at: Instant::now(),
+        };
         // The receiver is gone if the test has ended.
-        let _outcome = self.0.send(());
+        let _outcome = self.sender.send(request);
     }
 }
 
@@ -170,8 +189,17 @@
                             body: body.unwrap_or_default(),
                         };
                         drop(sender.send(seen));
+                        let path = head.uri.to_string();
+                        let notify = move || DropNotification {
+                            path,
+                            sender: drop_sender,
+                        };
+                        if matches!(behaviour, Behaviour::Wait) {
+                            let _notice = notify();
+                            return std::future::pending().await;
+                        }
                         let has_wrong_id = matches!(behaviour, Behaviour::WrongRequestId);
-                        let mut response = respond(behaviour, drop_sender);
+                        let mut response = respond(behaviour, notify);
                         if let Some(id) = id.filter(|_| !has_wrong_id) {
                             response.headers_mut().insert("x-request-id", id);
                         }
@@ -196,7 +224,10 @@
     }
 }
 
-fn respond(behaviour: Behaviour, dropped: std::sync::mpsc::Sender<()>) -> Response<ResponseBody> {
+fn respond(
+    behaviour: Behaviour,
+    notify: impl FnOnce() -> DropNotification,
+) -> Response<ResponseBody> {
     let signed = |status: u16, body: ResponseBody| {
         let builder = Response::builder()
             .status(status)
@@ -223,10 +254,11 @@
             response
         }
         Behaviour::Stream(texts, is_complete) => signed(200, chunked_body(texts, is_complete)),
+        Behaviour::Wait => unreachable!("a waiting request gets no response"),
         Behaviour::Stall(text) => {
             let first =
                 futures::stream::iter([Ok(Frame::data(Bytes::from_static(text.as_bytes())))]);
-            let notice = DropNotification(dropped);
+            let notice = notify();
             let never = futures::stream::once(async move {
                 let _notice = notice;
                 std::future::pending::<Result<Frame<Bytes>, std::io::Error>>().await
@@ -268,10 +300,22 @@
 
     /// Writes a configuration with the given routes to the service `s`.
     pub async fn configure(&self, version: u64, routes: &[Value]) {
+        let service = json!({"name": "s", "max-connections": 100});
+        self.configure_service(version, routes, &service).await;
+    }
+
+    /// Writes a configuration with the given routes to the service `s` of model engines.
+    pub async fn configure_engines(&self, version: u64, routes: &[Value]) {
+        let service = json!({"name": "s", "max-connections": 100,
+            "engine": {"kv-capacity-tokens": 100_000, "token-kv-bytes": 1000.0, "link-mbps": 1000.0}});
+        self.configure_service(version, routes, &service).await;
+    }
+
+    async fn configure_service(&self, version: u64, routes: &[Value], service: &Value) {
         let document = json!({
             "version": version,
             "routes": routes,
-            "services": [{"name": "s", "max-connections": 100}],
+            "services": [service],
             "limits": {"max-header-bytes": 4096, "max-body-bytes": 1000,
                 "header-timeout-ms": 3000, "idle-timeout-ms": 15000},
             "tenants": [{"name": "customer", "api-keys": ["key"]}],
@@ -292,6 +336,20 @@
         self.put(UPSTREAM_TOPIC, id, &entry.to_string()).await;
     }
 
+    /// Writes the entry of an engine that runs a version of the model `m`.
+    pub async fn announce_engine(&self, id: &str, upstream: &Upstream, version: u64) {
+        let entry = json!({"service": "s", "address": upstream.address, "zone": "near",
+            "slots": 8, "state": "ready", "born": 1, "models": [{"name": "m", "version": version}]});
+        self.put(UPSTREAM_TOPIC, id, &entry.to_string()).await;
+    }
+
+    /// Writes the target version of the model `m`.
+    pub async fn name_version(&self, version: u64) {
+        let target = json!({"model": "m", "version": version});
+        self.put(OPERATOR_TOPIC, "version/m", &target.to_string())
+            .await;
+    }
+
     /// Writes a value that is not a valid entry of an upstream.
     pub async fn announce_invalid(&self, id: &str, value: &str) {
         self.put(UPSTREAM_TOPIC, id, value).await;
@@ -356,6 +414,11 @@
 impl Gateway {
     /// Starts a gateway with a store and the peer addresses of other gateways.
     pub fn start(name: &str, store: SocketAddr, seeds: &[SocketAddr]) -> Self {
+        Self::start_with(name, store, seeds, "")
+    }
+
+    /// Starts a gateway with further lines in its settings file.
+    pub fn start_with(name: &str, store: SocketAddr, seeds: &[SocketAddr], more: &str) -> Self {
         // All instances use the same peer port, so each needs an IP address of its own.
         let ip = format!("127.0.0.{}", 10 + name.len());
         let port = seeds.first().map_or(0, SocketAddr::port);
@@ -365,7 +428,7 @@
              listen.ready=127.0.0.1:0\ninternal-ports={port},{port}\nseeds={}\n\
              platform.address={store}\nbounds.grace-s=3\nbounds.lease-ms=3000\n\
              bounds.version-ms=8000\nbounds.stable-window-ms=3000\n\
-             bounds.retry-budget-ratio=0.2\nbounds.budget-extra-retries=56\n",
+             bounds.retry-budget-ratio=0.2\nbounds.budget-extra-retries=56\n{more}",
             seeds.join(",")
         );
         let path = PathBuf::from(env!("CARGO_TARGET_TMPDIR"));
