Withdraw requests that have not started when older weights expire

An instance stops sending to older weights 1.5 s before their limit and took it that no request waits longer than that at an upstream. Nothing held the upstream to it: a slow one, or one with a long queue, starts a request seconds later.

A request that may run again is placed anew on newer weights; any other ends with 502, since it may have run. The deadline is looked up when it is due and not when the request is sent: a version may be named while a request already waits.

--- a/src/decide/fleet.rs
+++ b/src/decide/fleet.rs
@@ -96,11 +96,20 @@
     Lost,
     /// No response came in time.
     Silent,
+    /// The request was cancelled because it had not started before the deadline of its weights.
+    Withdrawn,
     /// The request was cancelled for a reason unrelated to the upstream.
     Abandoned,
 }
 
 impl MemberOutcome {
+    /// Reports whether the outcome shows something about the upstream, so that the same request is
+    /// better sent elsewhere.
+    #[must_use]
+    pub const fn is_about_upstream(self) -> bool {
+        !matches!(self, Self::Withdrawn | Self::Abandoned)
+    }
+
     /// Returns the name of the outcome in logs and metrics.
     #[must_use]
     pub const fn name(self) -> &'static str {
@@ -112,6 +121,7 @@
             Self::Unreachable => "unreachable",
             Self::Lost => "lost",
             Self::Silent => "silent",
+            Self::Withdrawn => "withdrawn",
             Self::Abandoned => "abandoned",
         }
     }
@@ -364,7 +374,7 @@
                 self.down_until = now.after(self.reconnect_pause);
                 self.reconnect_pause = (self.reconnect_pause * 2).min(MAX_RECONNECT_PAUSE);
             }
-            MemberOutcome::Abandoned => {}
+            MemberOutcome::Withdrawn | MemberOutcome::Abandoned => {}
         }
     }
 }
--- a/src/events/catalogue.rs
+++ b/src/events/catalogue.rs
@@ -227,6 +227,14 @@
     "A request started on outdated weights after half of the time allowed for that when it was sent.",
 );
 
+/// Logged when a request is withdrawn from an upstream.
+pub const REQUEST_WITHDRAWN: EventKind = event(
+    310,
+    Level::Info,
+    "request_withdrawn",
+    "A request was withdrawn because it had not started and may no longer start on outdated weights.",
+);
+
 /// Logged when the upstream starts to respond.
 pub const ENGINE_UP: EventKind = event(
     401,
@@ -308,7 +316,7 @@
 );
 
 /// All kinds of log events in ascending order of their numbers.
-pub const CATALOGUE: [EventKind; 36] = [
+pub const CATALOGUE: [EventKind; 37] = [
     PROCESS_STARTED,
     LISTENING,
     STOP_BEGUN,
@@ -335,6 +343,7 @@
     STREAM_BROKEN,
     REQUEST_PLACED,
     OUTDATED_START,
+    REQUEST_WITHDRAWN,
     ENGINE_UP,
     ENGINE_DOWN,
     ENGINE_RESTARTED,
--- a/src/gateway/attempts.rs
+++ b/src/gateway/attempts.rs
@@ -13,6 +13,7 @@
 use super::placement_guard::{GuardedPlacement, PlacementGuard, place};
 use super::request::CallerRequest;
 use super::upstream_call::{CallOutcome, UpstreamResponse, call, reusable_until};
+use super::withdrawal::WithdrawalSignal;
 use crate::decide::fleet::{MemberKey, MemberOutcome};
 use crate::decide::ids::Rank;
 use crate::decide::route_table::RouteKind;
@@ -57,6 +58,8 @@
     pub member: MemberKey,
     /// Name of the upstream.
     pub upstream: String,
+    /// Tells when the request is withdrawn because its stream has not started.
+    pub withdrawal: WithdrawalSignal,
     /// Ends the placement at the upstream when it is dropped.
     pub guard: PlacementGuard,
 }
@@ -182,7 +185,15 @@
     async fn attempt(&mut self, mut placement: GuardedPlacement) -> Option<AttemptsOutcome> {
         let now = self.directory.now();
         let until = self.attempt_deadline(now);
-        let outcome = call(self.request, &mut placement.at, self.last_event, now, until).await;
+        let clock = self.directory.clock();
+        let outcome = call(
+            self.request,
+            &mut placement.at,
+            self.last_event,
+            clock,
+            until,
+        )
+        .await;
         let GuardedPlacement { at, guard } = placement;
         let (end, outcome) = match outcome {
             CallOutcome::Response(response) => {
@@ -205,9 +216,10 @@
             CallOutcome::Unsent => (AttemptOutcome::NotArrived, MemberOutcome::Abandoned),
             CallOutcome::Lost => (AttemptOutcome::MayHaveRun, MemberOutcome::Lost),
             CallOutcome::Silent => (AttemptOutcome::MayHaveRun, MemberOutcome::Silent),
+            CallOutcome::Withdrawn => (AttemptOutcome::MayHaveRun, MemberOutcome::Withdrawn),
         };
         guard.end(outcome);
-        if !matches!(outcome, MemberOutcome::Abandoned) {
+        if outcome.is_about_upstream() {
             self.excluded.push(at.member);
         }
         self.history.record(end);
@@ -237,9 +249,11 @@
                 connection: response.connection,
                 member: at.member,
                 upstream: at.upstream,
+                withdrawal: at.withdrawal,
                 guard,
             })));
         }
+        guard.record_first_output();
         let now = self.directory.now();
         let reading = Limited::new(body, MAX_RESPONSE_BYTES).collect();
         let (end, outcome) = match timeout(until.remaining(now), reading).await {
--- a/src/gateway/dispatch/gossip.rs
+++ b/src/gateway/dispatch/gossip.rs
@@ -76,6 +76,7 @@
             let due = now.after(Duration::from_millis(limit.left_ms));
             if let Some(target) = self.target_versions.get_mut(&limit.model) {
                 target.deadlines.shorten(limit.version, due);
+                self.next_withdrawal = now;
             }
         }
         for (store, total) in &gossip.saved_tokens {
@@ -171,7 +172,7 @@
                 .map(KeyedRecord::from)
                 .collect();
             self.apply_forwarded(turn, topic, &records, LogOffset(progress.next));
-            let confirmed = moment_before(turn.now, progress.age_ms);
+            let confirmed = turn.now.before(Duration::from_millis(progress.age_ms));
             let health = self.health_mut(topic);
             health.confirmed_at = health.confirmed_at.max(confirmed);
         }
@@ -182,7 +183,7 @@
         let Some(returned_ms) = returned_ms else {
             return;
         };
-        let returned = moment_before(now, returned_ms);
+        let returned = now.before(Duration::from_millis(returned_ms));
         let health = self.health_mut(topic);
         health.recovered_at = Some(
             health
@@ -305,11 +306,6 @@
     }
 }
 
-/// Returns the time `age_ms` milliseconds before `now`, or `START` if that would be earlier.
-const fn moment_before(now: Moment, age_ms: u64) -> Moment {
-    Moment::from_micros(now.as_micros().saturating_sub(age_ms.saturating_mul(1_000)))
-}
-
 /// Converts records to the form in which gossip messages forward them.
 fn wire_records(topic: WireTopic, records: Vec<KeyedRecord>) -> Vec<WireTopicRecord> {
     let wire = records.into_iter().map(|record| WireTopicRecord {
--- a/src/gateway/dispatch/mod.rs
+++ b/src/gateway/dispatch/mod.rs
@@ -9,6 +9,7 @@
 mod records;
 mod release;
 mod state;
+mod withdrawal;
 
 pub use state::{DispatchState, TargetVersion};
 
@@ -18,7 +19,7 @@
 use super::mail::{DispatchMail, GatewayMail};
 use crate::decide::ids::Incarnation;
 use crate::decide::route_table::RouteQuery;
-use crate::kernel::{Directory, NextStep, Service, Signal, Turn};
+use crate::kernel::{Directory, Moment, NextStep, Service, Signal, Turn};
 use crate::log_queue::DroppedLines;
 
 /// Name under which the service is registered.
@@ -67,9 +68,11 @@
         state.sweep_connections(turn.now);
         state.apply_due_removals(turn);
     }
+    let withdrawal_due = state.withdraw_unstarted(turn.now);
     let parked_due = state.retry_parked(turn.now);
     let queue_due = state.serve_queues(turn.now);
-    NextStep::WaitUntil(state.next_sweep.min(queue_due).min(parked_due))
+    let dues = [state.next_sweep, withdrawal_due, parked_due, queue_due];
+    NextStep::WaitUntil(dues.into_iter().min().unwrap_or(Moment::NEVER))
 }
 
 fn handle_message(state: &mut DispatchState, turn: &mut Turn<'_, GatewayMail>, mail: DispatchMail) {
--- a/src/gateway/dispatch/place.rs
+++ b/src/gateway/dispatch/place.rs
@@ -3,8 +3,8 @@
 
 use std::time::Duration;
 
-use super::state::{DispatchState, OutdatedWeights, RunningRequest, WaitingRequest};
-use crate::decide::fleet::MemberKey;
+use super::state::{DispatchState, RunningRequest, WaitingRequest};
+use crate::decide::fleet::FleetMember;
 use crate::decide::ids::{Rank, Ticket};
 use crate::decide::member_choice::{
     ChoiceContext, ChoiceOutcome, ChoiceRequest, MemberChoice, NewestWeights, choose,
@@ -150,27 +150,12 @@
         choose(view, question)
     }
 
-    /// Returns the weights of an upstream if the request's model has a newer version, and until when
-    /// the request may start on them.
-    fn outdated_weights(
-        &self,
-        request: &PlacementRequest,
-        member: MemberKey,
-    ) -> Option<OutdatedWeights> {
-        let version = self.fleet.get(member)?.version()?;
-        let target = self.target_versions.get(&request.prompt.as_ref()?.model)?;
-        Some(OutdatedWeights {
-            version,
-            start_deadline: target.deadlines.start_deadline(version)?,
-        })
-    }
-
     fn log_placement(
         &self,
         now: Moment,
         request: &PlacementRequest,
         choice: &MemberChoice,
-        outdated_weights: Option<OutdatedWeights>,
+        weights: Option<u64>,
     ) {
         let data_centre = self
             .fleet
@@ -178,9 +163,8 @@
             .map(|member| member.entry.data_centre);
         let is_remote =
             data_centre.is_some_and(|data_centre| data_centre != self.identity.data_centre);
-        let start_left_ms = outdated_weights.map_or(0, |weights| {
-            weights.start_deadline.remaining(now).as_millis()
-        });
+        let target = request.prompt.as_ref();
+        let target = target.and_then(|prompt| self.target_versions.get(&prompt.model));
         log_event(
             &REQUEST_PLACED,
             &[
@@ -206,8 +190,8 @@
                 ("fetch", &format_args!("{:?}", choice.fetch_from)),
                 ("save", &choice.save_to.is_some()),
                 ("retry", &request.is_retry),
-                ("outdated", &outdated_weights.is_some()),
-                ("start_left_ms", &start_left_ms),
+                ("weights", &weights.unwrap_or(0)),
+                ("target", &target.map_or(0, |target| target.version)),
             ],
         );
     }
@@ -224,8 +208,10 @@
         request: &PlacementRequest,
         choice: MemberChoice,
     ) -> Placement {
-        let outdated_weights = self.outdated_weights(request, choice.member);
-        self.log_placement(now, request, &choice, outdated_weights);
+        let weights = self.fleet.get(choice.member).and_then(FleetMember::version);
+        let weights = request.prompt.as_ref().and(weights);
+        self.log_placement(now, request, &choice, weights);
+        let withdrawal = self.expect_start(ticket, request, weights);
         self.record_prefill_start(now, request, &choice);
         let member = self
             .fleet
@@ -236,7 +222,6 @@
         member.own.memory_tokens += choice.memory_tokens;
         let running = RunningRequest {
             request_id: request.request_id.clone(),
-            outdated_weights,
             member: choice.member,
             service: request.service,
             rank: request.rank.index(),
@@ -252,7 +237,8 @@
             member: choice.member,
             upstream: member.entry.id.clone(),
             address: member.entry.address,
-            weights: request.prompt.as_ref().and(member.version()),
+            weights,
+            withdrawal,
             cache_domain: choice.domain.map(CacheDomain::text),
             fetch_from: choice.fetch_from,
             save_to: choice.save_to.map(|store| store.address),
--- a/src/gateway/dispatch/records.rs
+++ b/src/gateway/dispatch/records.rs
@@ -156,6 +156,7 @@
             deadlines,
         };
         self.target_versions.insert(model, version);
+        self.next_withdrawal = turn.now;
         turn.send("orders", GatewayMail::OrdersDue);
     }
 
--- a/src/gateway/dispatch/release.rs
+++ b/src/gateway/dispatch/release.rs
@@ -7,7 +7,6 @@
 use crate::decide::fleet::{MemberKey, MemberOutcome};
 use crate::decide::ids::{EngineEpoch, Incarnation, Ticket};
 use crate::decide::suspects::CrashId;
-use crate::events::{OUTDATED_START, log_event};
 use crate::gateway::mail::PlacementEnd;
 use crate::kernel::Moment;
 use crate::wire::peer_rpc::WireSuspicion;
@@ -30,7 +29,7 @@
         };
         let read = std::mem::take(&mut running.unread_tokens);
         let running = running.clone();
-        self.report_start(now, &running);
+        self.report_start(now, ticket, &running);
         if let Some(member) = self.fleet.get_mut(running.member) {
             member.own.unread_tokens = member.own.unread_tokens.saturating_sub(read);
         }
@@ -40,36 +39,12 @@
         self.record_prefill_done(now, &running);
     }
 
-    /// Counts how long a request waited at its upstream before its first output, and logs the wait if
-    /// the request was sent for outdated weights and used up half of the time that was left.
-    fn report_start(&self, now: Moment, running: &RunningRequest) {
-        let waited = now.since(running.placed_at);
-        self.counters.observe_start(waited);
-        let Some(weights) = running.outdated_weights else {
-            return;
-        };
-        let left = weights.start_deadline.remaining(running.placed_at);
-        if waited < left / 2 {
-            return;
-        }
-        let upstream = self.fleet.get(running.member);
-        log_event(
-            &OUTDATED_START,
-            &[
-                ("request", &running.request_id),
-                ("upstream", &upstream.map_or("", |member| &member.entry.id)),
-                ("weights", &weights.version),
-                ("waited_ms", &waited.as_millis()),
-                ("left_when_sent_ms", &left.as_millis()),
-            ],
-        );
-    }
-
     /// Ends a placement: releases its load and keeps its connection for reuse.
     pub(super) fn release(&mut self, now: Moment, end: PlacementEnd) {
         let Some(running) = self.running.remove(&end.ticket) else {
             return;
         };
+        self.unstarted.remove(&end.ticket);
         if let Some(queue) = self.queues.get_mut(&running.service) {
             let ran = now.since(running.placed_at).as_micros();
             queue.record_end(end.ticket, u64::try_from(ran).unwrap_or(u64::MAX));
--- a/src/gateway/dispatch/state.rs
+++ b/src/gateway/dispatch/state.rs
@@ -7,6 +7,7 @@
 
 use super::DispatchSettings;
 use super::pool::ConnectionPool;
+use super::withdrawal::UnstartedRequest;
 use crate::decide::fleet::{Fleet, MemberKey};
 use crate::decide::ids::Ticket;
 use crate::decide::keyed_view::KeyedView;
@@ -24,8 +25,9 @@
 use crate::log_queue::DroppedLines;
 use crate::wire::peer_rpc::{WireSegment, WireSuspicion, WireTopic};
 
-/// Longest time that a placed request may wait at an upstream before it starts.
-const MAX_START_DELAY: Duration = Duration::from_millis(1_500);
+/// Time before the deadline of outdated weights from which no more requests are sent to them; those
+/// that have not started by the deadline are withdrawn.
+const START_ALLOWANCE: Duration = Duration::from_millis(1_500);
 
 /// Version of a model's weights that operators want upstreams to run.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -44,7 +46,7 @@
     /// Returns the oldest version of the weights to which requests may still be sent.
     #[must_use]
     pub fn oldest_allowed(&self, now: Moment) -> u64 {
-        self.deadlines.oldest_allowed(now, MAX_START_DELAY)
+        self.deadlines.oldest_allowed(now, START_ALLOWANCE)
     }
 }
 
@@ -66,15 +68,6 @@
     pub reply_to: ReplyTo<PlacementReply>,
 }
 
-/// Weights older than the target version, and until when requests may start on them.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct OutdatedWeights {
-    /// Version of the weights.
-    pub version: u64,
-    /// Time from which no request may start on them.
-    pub start_deadline: Moment,
-}
-
 /// Request that was placed on an upstream and has not ended there.
 #[derive(Debug, Clone)]
 pub struct RunningRequest {
@@ -96,8 +89,6 @@
     pub kv_store: Option<DataCentreId>,
     /// Time of the placement.
     pub placed_at: Moment,
-    /// Weights for which the request was sent, if they are not the target version.
-    pub outdated_weights: Option<OutdatedWeights>,
     /// Hash that is the same for equal requests.
     pub fingerprint: Fingerprint,
 }
@@ -161,6 +152,10 @@
     pub(super) parked: Vec<WaitingRequest>,
     /// Requests that were placed and have not ended, by ticket.
     pub(super) running: HashMap<Ticket, RunningRequest>,
+    /// Requests in `running` whose prompts have produced no output yet.
+    pub(super) unstarted: HashMap<Ticket, UnstartedRequest>,
+    /// Time at which requests in `unstarted` may have to be withdrawn.
+    pub(super) next_withdrawal: Moment,
     pub(super) budgets: HashMap<ServiceId, RetryBudget>,
     pub(super) suspects: SuspectTable,
     /// Suspicions that are sent to other instances, each with the time at which it was added.
@@ -208,6 +203,8 @@
             waiting: HashMap::new(),
             parked: Vec::new(),
             running: HashMap::new(),
+            unstarted: HashMap::new(),
+            next_withdrawal: Moment::NEVER,
             budgets: HashMap::new(),
             suspects: SuspectTable::new(SuspectPolicy::default()),
             recent_suspicions: VecDeque::new(),
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -22,3 +22,4 @@
 pub mod start;
 pub mod store_watch;
 pub mod upstream_call;
+pub mod withdrawal;
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -17,6 +17,7 @@
 use super::placement_guard::PlacementGuard;
 use super::request::CallerRequest;
 use super::upstream_call::reusable_until;
+use super::withdrawal::WithdrawalSignal;
 use crate::decide::fleet::{MemberKey, MemberOutcome};
 use crate::decide::route_table::RouteKind;
 use crate::decide::send_step::{AttemptOutcome, RetryDecision, SendHistory};
@@ -106,9 +107,10 @@
                 connection,
                 member,
                 upstream,
+                mut withdrawal,
                 guard,
             } = stream;
-            let end = self.forward(body, &guard).await;
+            let end = self.forward(body, &guard, &mut withdrawal).await;
             match end {
                 StreamEnd::Complete => {
                     let reusable = reusable_until(&head.headers, self.directory.now());
@@ -121,7 +123,9 @@
                 StreamEnd::Broken(outcome) => {
                     guard.end(outcome);
                     drop(connection);
-                    self.excluded.push(member);
+                    if outcome.is_about_upstream() {
+                        self.excluded.push(member);
+                    }
                 }
             }
             match self.resume(&upstream).await {
@@ -131,8 +135,14 @@
         }
     }
 
-    /// Forwards the stream of one upstream until it ends, breaks or stalls.
-    async fn forward(&mut self, mut body: Incoming, guard: &PlacementGuard) -> StreamEnd {
+    /// Forwards the stream of one upstream until it ends, breaks or stalls, or until it is withdrawn
+    /// because it has not started.
+    async fn forward(
+        &mut self,
+        mut body: Incoming,
+        guard: &PlacementGuard,
+        withdrawal: &mut WithdrawalSignal,
+    ) -> StreamEnd {
         let mut splitter = EventSplitter::default();
         let mut has_begun = false;
         loop {
@@ -141,6 +151,9 @@
             let frame = tokio::select! {
                 frame = body.frame() => frame,
                 () = self.frames.closed() => return StreamEnd::CallerGone,
+                () = withdrawal.received(), if !has_begun => {
+                    return StreamEnd::Broken(MemberOutcome::Withdrawn);
+                }
                 () = sleep_until(clock.instant(stalls_at).into()) => {
                     return if self.request.deadline.is_due(self.directory.now()) {
                         StreamEnd::TimedOut
--- a/src/gateway/upstream_call.rs
+++ b/src/gateway/upstream_call.rs
@@ -11,7 +11,7 @@
 
 use super::mail::Placement;
 use super::request::CallerRequest;
-use crate::kernel::{Moment, whole_ms};
+use crate::kernel::{Clock, Moment, whole_ms};
 use crate::platform::http_connection::{OpenConnection, dial};
 use crate::platform::request_headers::{
     CACHE_DOMAIN, CUSTOMER, DEADLINE_MS, ENGINE_RANK, EXPECTED_UPSTREAM, EXPECTED_WEIGHTS,
@@ -63,17 +63,21 @@
     Lost,
     /// No response head came in time; the request may have run.
     Silent,
+    /// The request was cancelled before a response head came, because requests may no longer start
+    /// on its weights; it may have run.
+    Withdrawn,
 }
 
-/// Sends a request to the upstream `at` and waits for the response head until `until`.
+/// Sends a request to the upstream `at` and waits for the response head until `until`, or until the
+/// request is withdrawn.
 pub async fn call(
     request: &CallerRequest,
     at: &mut Placement,
     last_event: Option<u64>,
-    now: Moment,
+    clock: Clock,
     until: Moment,
 ) -> CallOutcome {
-    let outgoing = match outgoing_request(request, at, last_event, now) {
+    let outgoing = match outgoing_request(request, at, last_event, clock.now()) {
         Ok(outgoing) => outgoing,
         // Cannot happen for headers that were received; only the upstream's name is new text.
         Err(_invalid) => return CallOutcome::Unsent,
@@ -85,8 +89,17 @@
             Err(_unreachable) => return CallOutcome::Unreachable,
         },
     };
+    let now = clock.now();
+    if at.withdrawal.is_due() {
+        return CallOutcome::Unsent;
+    }
     let exchange = connection.sender.try_send_request(outgoing);
-    let response = match timeout(until.remaining(now), exchange).await {
+    let exchange = timeout(until.remaining(now), exchange);
+    let response = tokio::select! {
+        response = exchange => response,
+        () = at.withdrawal.received() => return CallOutcome::Withdrawn,
+    };
+    let response = match response {
         Err(_elapsed) => return CallOutcome::Silent,
         Ok(Ok(response)) => response,
         Ok(Err(mut error)) => {
--- a/src/kernel/moment.rs
+++ b/src/kernel/moment.rs
@@ -42,6 +42,21 @@
         )
     }
 
+    /// Returns the moment `time` before this one, at least [`Moment::START`].
+    ///
+    /// ```
+    /// use bulrushslip::kernel::Moment;
+    /// let earlier = Moment::from_micros(2_500).before(std::time::Duration::from_millis(2));
+    /// assert_eq!(earlier.as_micros(), 500);
+    /// ```
+    #[must_use]
+    pub fn before(self, time: Duration) -> Self {
+        Self(
+            self.0
+                .saturating_sub(u64::try_from(time.as_micros()).unwrap_or(u64::MAX)),
+        )
+    }
+
     /// Returns the time from `now` until this moment, or zero if it has passed.
     #[must_use]
     pub const fn remaining(self, now: Self) -> Duration {
--- a/tests/weights_deadline.rs
+++ b/tests/weights_deadline.rs
@@ -59,12 +59,17 @@
         Instant::now()
     }
 
-    /// Waits until the old upstream has received a request, then starts one on version 2.
-    async fn add_new_upstream(&self) -> Upstream {
-        until("a request at the old upstream", async || {
+    /// Waits until the old upstream has received a stream.
+    async fn receive_stream(&self) {
+        until("a stream at the old upstream", async || {
             has_streams(&self.old)
         })
         .await;
+    }
+
+    /// Waits until the old upstream has received a stream, then starts one on version 2.
+    async fn add_new_upstream(&self) -> Upstream {
+        self.receive_stream().await;
         let new = Upstream::start(vec![Behaviour::Stream(vec!["id: 1\ndata: a\n\n"], true)]).await;
         self.environment.announce_engine("new", &new, 2).await;
         new
@@ -145,3 +150,18 @@
     let left_after = left_at - acknowledged;
     assert!(left_after > VERSION_LIMIT, "left after {left_after:?}");
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_request_sent_before_the_version_was_named_does_not_start_after_the_limit_either() {
+    let fleet = Fleet::start(Behaviour::Wait).await;
+    let request = fleet
+        .gateway
+        .send_with("/resumable/a", &PROMPT_HEADERS, "body");
+    let (answer, acknowledged) = tokio::join!(request, async {
+        fleet.receive_stream().await;
+        fleet.name_next_version().await
+    });
+    let left_after = fleet.left_at().await - acknowledged;
+    assert!(left_after < VERSION_LIMIT, "left after {left_after:?}");
+    assert_ne!(answer.expect("an answer").status, StatusCode::OK);
+}
