Keep the deadlines of versions that an instance has not read

An instance that was cut off while two versions followed each other reads only the newer one, since the store and other instances hand on the newest record of a key. What others report of the deadline of the version between was dropped, because it was not listed here, so requests went on to the oldest weights until the newest version's own deadline, seconds after that of the one between.

Deadlines are now a table by model of their own, filled from records and from gossip alike; the target version stays what it was, the newest record read. The earliest report of a deadline applies.

Test: deadline_of_a_version_that_an_instance_never_read_applies_there_too; on the code before, the oldest version allowed at 8 s is 1 instead of 2.

--- a/src/decide/version_deadlines.rs
+++ b/src/decide/version_deadlines.rs
@@ -16,22 +16,26 @@
 }
 
 impl VersionDeadlines {
-    /// Adds a version with its deadline.
-    pub fn push(&mut self, version: u64, deadline: Moment) {
-        self.deadlines.push((version, deadline));
+    /// Records the deadline of a version; of several reports the earliest deadline applies. Returns
+    /// whether this changed a deadline.
+    pub fn record(&mut self, version: u64, deadline: Moment) -> bool {
+        let position = self
+            .deadlines
+            .binary_search_by_key(&version, |(listed, _)| *listed);
+        match position {
+            Ok(known) if self.deadlines[known].1 <= deadline => return false,
+            Ok(known) => self.deadlines[known].1 = deadline,
+            Err(place) => self.deadlines.insert(place, (version, deadline)),
+        }
         let excess = self.deadlines.len().saturating_sub(MAX_VERSIONS);
         self.deadlines.drain(..excess);
+        true
     }
 
-    /// Moves the deadline of a known version forward to `deadline` if that is earlier.
-    pub fn shorten(&mut self, version: u64, deadline: Moment) {
-        let known = self
-            .deadlines
-            .iter_mut()
-            .find(|(listed, _)| *listed == version);
-        if let Some((_, due)) = known {
-            *due = (*due).min(deadline);
-        }
+    /// Returns the newest version with a deadline; 0 if there is none.
+    #[must_use]
+    pub fn newest(&self) -> u64 {
+        self.deadlines.last().map_or(0, |(version, _)| *version)
     }
 
     /// Returns the time from which no request may start on `version`; `None` if no newer version is
--- a/src/gateway/dispatch/gossip.rs
+++ b/src/gateway/dispatch/gossip.rs
@@ -74,10 +74,7 @@
         }
         for limit in &gossip.limits {
             let due = now.after(Duration::from_millis(limit.left_ms));
-            if let Some(target) = self.target_versions.get_mut(&limit.model) {
-                target.deadlines.shorten(limit.version, due);
-                self.next_withdrawal = now;
-            }
+            self.record_version_deadline(now, limit.model, limit.version, due);
         }
         for (store, total) in &gossip.saved_tokens {
             self.parts
@@ -285,10 +282,9 @@
 
     /// Returns the deadlines of all target versions as remaining times.
     fn limits(&self, now: Moment) -> Vec<WireVersionDeadline> {
-        let targets = self.target_versions.iter();
-        let limits = targets.flat_map(|(model, target)| {
-            let deadlines = target.deadlines.iter();
-            deadlines.map(|(version, due)| WireVersionDeadline {
+        let models = self.version_deadlines.iter();
+        let limits = models.flat_map(|(model, deadlines)| {
+            deadlines.iter().map(|(version, due)| WireVersionDeadline {
                 model: *model,
                 version,
                 left_ms: whole_ms(due.remaining(now)),
--- a/src/gateway/dispatch/place.rs
+++ b/src/gateway/dispatch/place.rs
@@ -124,7 +124,6 @@
         let routes = self.routes.as_ref();
         let service = routes.and_then(|routes| routes.services.get(&request.service));
         let prompt = request.prompt.as_deref();
-        let newest = prompt.and_then(|prompt| self.target_versions.get(&prompt.model));
         let view = ChoiceContext {
             now,
             data_centre: self.identity.data_centre,
@@ -132,11 +131,7 @@
             prefix_index: &self.parts,
             engine: service.and_then(|service| service.engine),
             kv_stores: routes.map_or(&[], |routes| &routes.kv_stores),
-            newest: newest.map(|target| NewestWeights {
-                version: target.version,
-                is_preferred: now.since(target.received_at) >= PREFERRED_AFTER,
-                oldest_allowed: target.oldest_allowed(now),
-            }),
+            newest: prompt.and_then(|prompt| self.newest_weights(now, prompt.model)),
         };
         let question = ChoiceRequest {
             service: request.service,
@@ -150,6 +145,20 @@
         choose(view, question)
     }
 
+    /// Returns the newest version of a model and the oldest one still allowed; `None` if this instance
+    /// knows of no version.
+    fn newest_weights(&self, now: Moment, model: u64) -> Option<NewestWeights> {
+        let target = self.target_versions.get(&model);
+        // Another instance may have reported the deadline of a version that is not read here yet.
+        let reported = self.version_deadlines.get(&model)?.newest();
+        Some(NewestWeights {
+            version: target.map_or(0, |target| target.version).max(reported),
+            is_preferred: target
+                .is_some_and(|target| now.since(target.received_at) >= PREFERRED_AFTER),
+            oldest_allowed: self.oldest_allowed(now, model),
+        })
+    }
+
     fn log_placement(
         &self,
         now: Moment,
--- a/src/gateway/dispatch/records.rs
+++ b/src/gateway/dispatch/records.rs
@@ -132,7 +132,6 @@
         if known.is_some_and(|known| named.version <= known.version) {
             return;
         }
-        let mut deadlines = known.map_or_else(Default::default, |known| known.deadlines.clone());
         // Records of the first read may be of any age, so the settling time applies instead.
         let is_old = self.operator.next == LogOffset::default();
         let allowed = if is_old {
@@ -148,15 +147,14 @@
                 ("allowed_ms", &allowed.as_millis()),
             ],
         );
-        deadlines.push(named.version, turn.now.after(allowed));
+        let deadline = turn.now.after(allowed);
+        self.record_version_deadline(turn.now, model, named.version, deadline);
         let version = TargetVersion {
             name: named.model,
             version: named.version,
             received_at: turn.now,
-            deadlines,
         };
         self.target_versions.insert(model, version);
-        self.next_withdrawal = turn.now;
         turn.send("orders", GatewayMail::OrdersDue);
     }
 
--- a/src/gateway/dispatch/state.rs
+++ b/src/gateway/dispatch/state.rs
@@ -38,16 +38,6 @@
     pub version: u64,
     /// Time at which this instance received the target version.
     pub received_at: Moment,
-    /// Deadlines of this version and earlier ones.
-    pub deadlines: VersionDeadlines,
-}
-
-impl TargetVersion {
-    /// Returns the oldest version of the weights to which requests may still be sent.
-    #[must_use]
-    pub fn oldest_allowed(&self, now: Moment) -> u64 {
-        self.deadlines.oldest_allowed(now, START_ALLOWANCE)
-    }
 }
 
 /// State of another gateway instance, as it last reported it.
@@ -127,6 +117,8 @@
     pub parts: PrefixIndex,
     /// Target versions by the hash of the model's name.
     pub target_versions: HashMap<u64, TargetVersion>,
+    /// Deadlines of target versions by the hash of the model's name, of this instance and of others.
+    pub(super) version_deadlines: HashMap<u64, VersionDeadlines>,
     /// Other instances that are alive and not shutting down, by the hash of their name.
     pub peers: HashMap<u64, PeerState>,
     /// Retries allowed per first attempt, as a ratio.
@@ -188,6 +180,7 @@
             fleet: Fleet::default(),
             parts: PrefixIndex::default(),
             target_versions: HashMap::new(),
+            version_deadlines: HashMap::new(),
             peers: HashMap::new(),
             retry_ratio: settings.retry_ratio,
             extra_retries: settings.extra_retries,
@@ -217,6 +210,29 @@
         }
     }
 
+    /// Records the time from which no request may start on weights older than a version.
+    pub(super) fn record_version_deadline(
+        &mut self,
+        now: Moment,
+        model: u64,
+        version: u64,
+        deadline: Moment,
+    ) {
+        let deadlines = self.version_deadlines.entry(model).or_default();
+        if deadlines.record(version, deadline) {
+            self.next_withdrawal = now;
+        }
+    }
+
+    /// Returns the oldest version of a model's weights to which requests may still be sent.
+    #[must_use]
+    pub fn oldest_allowed(&self, now: Moment, model: u64) -> u64 {
+        let deadlines = self.version_deadlines.get(&model);
+        deadlines.map_or(0, |deadlines| {
+            deadlines.oldest_allowed(now, START_ALLOWANCE)
+        })
+    }
+
     /// Reports whether the instance can serve clients: the configuration and the upstreams are
     /// known and the process is not shutting down.
     #[must_use]
--- a/src/gateway/dispatch/withdrawal.rs
+++ b/src/gateway/dispatch/withdrawal.rs
@@ -122,8 +122,8 @@
     }
 
     fn start_deadline(&self, unstarted: &UnstartedRequest) -> Option<Moment> {
-        let target = self.target_versions.get(&unstarted.model)?;
-        target.deadlines.start_deadline(unstarted.weights)
+        let deadlines = self.version_deadlines.get(&unstarted.model)?;
+        deadlines.start_deadline(unstarted.weights)
     }
 
     fn upstream_name(&self, running: &RunningRequest) -> &str {
--- a/tests/gateway_gossip.rs
+++ b/tests/gateway_gossip.rs
@@ -4,6 +4,7 @@
 use std::sync::mpsc;
 use std::time::Duration;
 
+use bulrushslip::decide::hashing::name_hash;
 use bulrushslip::decide::ids::{Incarnation, LogOffset};
 use bulrushslip::decide::keyed_view::KeyedRecord;
 use bulrushslip::decide::route_table::DataCentreId;
@@ -113,8 +114,8 @@
             DispatchMail::Inspect(StateQuery {
                 inspect: Box::new(move |now, state| {
                     let (_, member) = state.fleet.iter().next().expect("an upstream");
-                    let target = state.target_versions.values().next().expect("a version");
-                    reply_to.send((member.is_open(now), target.oldest_allowed(now)));
+                    let allowed = state.oldest_allowed(now, name_hash("m"));
+                    reply_to.send((member.is_open(now), allowed));
                 }),
             })
         })
@@ -189,6 +190,30 @@
     assert_eq!(late.upstream_view(at(8_000)).1, 2);
 }
 
+/// Guards against a lost deadline: an instance that reads only the latest of two target versions used
+/// to drop what others reported of the one before, and allowed the oldest weights for too long.
+#[test]
+fn deadline_of_a_version_that_an_instance_never_read_applies_there_too() {
+    let version = |version: u64| TopicRecords {
+        topic: WireTopic::Operator,
+        records: vec![KeyedRecord {
+            key: "version/m".to_owned(),
+            value: Some(format!(r#"{{"model":"m","version":{version}}}"#).into()),
+            offset: LogOffset(version - 1),
+        }],
+        next: LogOffset(version),
+    };
+    let mut early = Instance::new(1);
+    early.send(at(0), DispatchMail::Records(version(2)));
+    let mut late = Instance::new(2);
+    let gossip = early.gossip(at(5_000));
+    late.send(at(5_000), DispatchMail::Gossip(Box::new(gossip)));
+    late.send(at(5_500), DispatchMail::Records(version(3)));
+    assert_eq!(late.upstream_view(at(6_000)).1, 1);
+    assert_eq!(late.upstream_view(at(8_000)).1, 2);
+    assert_eq!(late.upstream_view(at(13_500)).1, 3);
+}
+
 /// Guards against every instance reading the store itself, which was the largest load of a large
 /// fleet without traffic.
 #[test]
