Use no upstream of unknown version once older weights have expired

An upstream whose entry names no weights counted as allowed whatever its model's target version: a request could run there on any version, and without the header that has an upstream reject it. It counts as the oldest version now, in the choice and for the withdrawal of requests that have not started.

Test: an_upstream_of_unknown_version_is_not_used_once_older_weights_have_expired; on the code before, the upstream is chosen.

--- a/src/decide/member_choice.rs
+++ b/src/decide/member_choice.rs
@@ -204,11 +204,10 @@
     }
 }
 
+/// Returns whether requests may not run on an upstream's weights; unknown ones count as the oldest.
 fn is_outdated(context: ChoiceContext<'_>, member: &FleetMember) -> bool {
-    context.newest.is_some_and(|newest| {
-        let own = member.version();
-        own.is_some_and(|own| own < newest.oldest_allowed)
-    })
+    let newest = context.newest;
+    newest.is_some_and(|newest| member.version().unwrap_or(0) < newest.oldest_allowed)
 }
 
 fn has_capacity(context: ChoiceContext<'_>, member: &FleetMember) -> bool {
--- a/src/gateway/dispatch/withdrawal.rs
+++ b/src/gateway/dispatch/withdrawal.rs
@@ -18,7 +18,7 @@
 pub(super) struct UnstartedRequest {
     /// Hash of the name of the request's model.
     model: u64,
-    /// Version of the weights that the request was sent for.
+    /// Version of the weights that the request was sent for; 0 if it is not known.
     weights: u64,
     sender: WithdrawalSender,
 }
@@ -32,13 +32,13 @@
         request: &PlacementRequest,
         weights: Option<u64>,
     ) -> WithdrawalSignal {
-        let (Some(prompt), Some(weights)) = (&request.prompt, weights) else {
+        let Some(prompt) = &request.prompt else {
             return WithdrawalSignal::never();
         };
         let (sender, signal) = withdrawal();
         let unstarted = UnstartedRequest {
             model: prompt.model,
-            weights,
+            weights: weights.unwrap_or(0),
             sender,
         };
         if let Some(deadline) = self.start_deadline(&unstarted) {
--- a/tests/member_choice.rs
+++ b/tests/member_choice.rs
@@ -200,6 +200,29 @@
 }
 
 /// A fetch once named an upstream whose prefill had not ended, so the prefix was computed twice.
+/// Guards against use of an upstream that states no version of its weights once older weights have
+/// expired: it counted as allowed.
+#[test]
+fn an_upstream_of_unknown_version_is_not_used_once_older_weights_have_expired() {
+    let mut fleet = Fleet::default();
+    let mut unknown = entry("a", "near", 1);
+    unknown.weights = None;
+    added(&mut fleet, unknown);
+    let prefix_index = PrefixIndex::default();
+    let prompt = review();
+    let step = |oldest_allowed: u64| {
+        let mut view = context(at(0), &fleet, &prefix_index);
+        view.newest = Some(NewestWeights {
+            version: 2,
+            is_preferred: true,
+            oldest_allowed,
+        });
+        choose(view, request(&prompt))
+    };
+    assert!(matches!(step(0), ChoiceOutcome::Send(_)));
+    assert_eq!(step(2), ChoiceOutcome::Full);
+}
+
 #[test]
 fn a_prefix_is_fetched_once_its_first_prefill_has_ended() {
     let mut fleet = Fleet::default();
