Give upstreams orders for new weights although other orders do not end

Upstreams stayed on older weights for 12 s after a version was named, so that work ran on them or, past their limit, found too few upstreams. Five upstreams got their first order 10 s after the version was named.

The limit on concurrent orders spares capacity and keeps loads from slowing each other; it stood for the time that other parties need. An order now holds its place only for as long as lets the last upstreams get theirs within 75% of the limit on older weights, and upstreams whose last order for this version is the oldest come first.

Tests that fail before (i-4 has no order after 8 s; some have none at all): orders_that_do_not_end_leave_no_upstream_without_one_before_the_limit, upstreams_without_an_order_come_before_those_whose_order_failed.

--- a/src/decide/rollout.rs
+++ b/src/decide/rollout.rs
@@ -8,7 +8,7 @@
 use std::collections::{HashMap, HashSet};
 use std::time::Duration;
 
-use super::fleet::{Fleet, MemberKey, MemberState};
+use super::fleet::{Fleet, FleetMember, MemberKey, MemberState, UpstreamEntry};
 use super::ids::LogOffset;
 use super::route_table::DataCentreId;
 use crate::kernel::Moment;
@@ -34,6 +34,10 @@
 /// `MIN_CONCURRENCY_DIVISOR` are ordered.
 const RESERVED_PER_DATA_CENTRE: usize = 4;
 
+/// Share of the time limit for older weights in which all upstreams get an order even if none of the
+/// orders ends, in percent; the rest is for the last ones to be carried out.
+const ORDERING_PERCENT: u32 = 75;
+
 /// Pause before an upstream is ordered again after a failed order.
 const FAILED_ORDER_PAUSE: Duration = Duration::from_millis(400);
 
@@ -54,6 +58,7 @@
 #[derive(Debug, Clone, Copy)]
 struct ObservedClaim {
     holder: u64,
+    version: u64,
     read_at: Moment,
     /// Time from which the load no longer counts as running.
     loading_until: Moment,
@@ -83,6 +88,8 @@
     pub version: u64,
     /// Time at which this instance learned of the version.
     pub target_since: Moment,
+    /// Time after operators set the version from which no request may start on older weights.
+    pub weights_limit: Duration,
     /// Minimum interval between orders of different holders to one upstream.
     pub min_holder_interval: Duration,
     /// All upstreams.
@@ -106,6 +113,7 @@
         self.latest = now;
         let observed = ObservedClaim {
             holder: claim.holder,
+            version: claim.version,
             read_at: now,
             loading_until: now.after(MAX_LOAD_TIME),
         };
@@ -152,9 +160,10 @@
             return RolloutStep::Wait(takeover_time);
         }
         let limit = max_concurrent_orders(view);
+        let place_time = place_time(view, limit);
         let loading = outdated
             .iter()
-            .filter(|key| self.is_loading(view, **key))
+            .filter(|key| self.holds_place(view, **key, place_time))
             .count();
         let remaining = limit.saturating_sub(loading);
         let mut claimable: Vec<MemberKey> = outdated
@@ -164,7 +173,7 @@
         if remaining == 0 || claimable.is_empty() {
             return RolloutStep::Wait(view.now.after(Duration::from_millis(100)));
         }
-        sort_for_rollout(view, &mut claimable);
+        self.sort_for_rollout(view, &mut claimable);
         claimable.truncate(remaining);
         RolloutStep::Claim(claimable)
     }
@@ -174,9 +183,20 @@
         self.claims.get(&member.entry.id).copied()
     }
 
-    fn is_loading(&self, view: RolloutView<'_>, key: MemberKey) -> bool {
+    /// Reports whether an upstream's order counts towards the limit on concurrent orders.
+    fn holds_place(&self, view: RolloutView<'_>, key: MemberKey, place_time: Duration) -> bool {
         let claim = self.claim_of(view, key);
-        claim.is_some_and(|claim| !claim.loading_until.is_due(view.now))
+        claim.is_some_and(|claim| {
+            let place_until = claim.read_at.after(place_time);
+            !claim.loading_until.min(place_until).is_due(view.now)
+        })
+    }
+
+    /// Returns when an upstream was last claimed for the target version.
+    fn ordered_at(&self, view: RolloutView<'_>, key: MemberKey) -> Option<Moment> {
+        let claim = self.claim_of(view, key);
+        let claim = claim.filter(|claim| claim.version == view.version);
+        claim.map(|claim| claim.read_at)
     }
 
     fn may_claim(&self, view: RolloutView<'_>, key: MemberKey) -> bool {
@@ -195,16 +215,40 @@
         let exclusive_time = CLAIM_VALIDITY + view.min_holder_interval + CLAIM_MARGIN;
         claim.read_at.after(exclusive_time).is_due(view.now)
     }
+
+    /// Sorts upstreams by the version of their weights, the oldest first, then by their last order for
+    /// the target version, and alternates between data centres; within one, upstreams with fewer
+    /// requests of this instance come first.
+    fn sort_for_rollout(&self, view: RolloutView<'_>, keys: &mut Vec<MemberKey>) {
+        keys.sort_by_key(|key| {
+            let member = view.fleet.get(*key);
+            let requests = member.map(|member| member.own.in_flight);
+            (
+                member.map(FleetMember::version),
+                self.ordered_at(view, *key),
+                requests,
+            )
+        });
+        let mut turns_by_data_centre: HashMap<DataCentreId, u32> = HashMap::new();
+        let mut turns = Vec::new();
+        for key in keys.drain(..) {
+            let Some(member) = view.fleet.get(key) else {
+                continue;
+            };
+            let turn = turns_by_data_centre
+                .entry(member.entry.data_centre)
+                .or_default();
+            turns.push((member.version(), self.ordered_at(view, key), *turn, key));
+            *turn += 1;
+        }
+        turns.sort_by_key(|(version, ordered_at, turn, _)| (*version, *ordered_at, *turn));
+        keys.extend(turns.into_iter().map(|(.., key)| key));
+    }
 }
 
 /// Returns how many upstreams of the model may be ordered concurrently.
 fn max_concurrent_orders(view: RolloutView<'_>) -> usize {
-    let members = view.fleet.iter().map(|(_, member)| &member.entry);
-    let engines = members.filter(|entry| {
-        let weights = entry.weights;
-        weights.is_some_and(|weights| weights.model == view.model)
-    });
-    let data_centres: Vec<DataCentreId> = engines.map(|entry| entry.data_centre).collect();
+    let data_centres: Vec<DataCentreId> = engines(view).map(|entry| entry.data_centre).collect();
     let reserved = data_centres.iter().collect::<HashSet<_>>().len() * RESERVED_PER_DATA_CENTRE;
     let available = data_centres.len().saturating_sub(reserved);
     let minimum = data_centres.len().div_ceil(MIN_CONCURRENCY_DIVISOR);
@@ -213,25 +257,19 @@
         .max(1)
 }
 
-/// Sorts upstreams by the version of their weights, the oldest first, and alternates between data
-/// centres; within one, upstreams with fewer requests of this instance come first.
-fn sort_for_rollout(view: RolloutView<'_>, keys: &mut Vec<MemberKey>) {
-    keys.sort_by_key(|key| {
-        let member = view.fleet.get(*key);
-        member.map(|member| (member.version(), member.own.in_flight))
-    });
-    let mut turns_by_data_centre: HashMap<DataCentreId, u32> = HashMap::new();
-    let mut turns: Vec<(Option<u64>, u32, MemberKey)> = Vec::new();
-    for key in keys.drain(..) {
-        let Some(member) = view.fleet.get(key) else {
-            continue;
-        };
-        let turn = turns_by_data_centre
-            .entry(member.entry.data_centre)
-            .or_default();
-        turns.push((member.version(), *turn, key));
-        *turn += 1;
-    }
-    turns.sort_by_key(|(version, turn, _)| (*version, *turn));
-    keys.extend(turns.into_iter().map(|(_, _, key)| key));
+/// Returns how long an order that does not end counts towards the limit on concurrent orders, such
+/// that the last upstreams get theirs in time.
+fn place_time(view: RolloutView<'_>, limit: usize) -> Duration {
+    let batches = engines(view).count().div_ceil(limit);
+    let earlier_batches = u32::try_from(batches.saturating_sub(1)).unwrap_or(u32::MAX);
+    view.weights_limit * ORDERING_PERCENT / 100 / earlier_batches.max(1)
+}
+
+/// Iterates over the upstreams of the model.
+fn engines(view: RolloutView<'_>) -> impl Iterator<Item = &UpstreamEntry> {
+    let members = view.fleet.iter().map(|(_, member)| &member.entry);
+    members.filter(move |entry| {
+        let weights = entry.weights;
+        weights.is_some_and(|weights| weights.model == view.model)
+    })
 }
--- a/src/gateway/orders.rs
+++ b/src/gateway/orders.rs
@@ -272,6 +272,7 @@
             model: *model,
             version: target.version,
             target_since: target.received_at,
+            weights_limit: state.identity.weights_limit,
             min_holder_interval: state.identity.min_holder_interval,
             fleet: &state.fleet,
         };
--- a/tests/rollout.rs
+++ b/tests/rollout.rs
@@ -52,6 +52,7 @@
         model: 1,
         version: 9,
         target_since: at(0),
+        weights_limit: Duration::from_secs(8),
         min_holder_interval: HOLDER_INTERVAL,
         fleet,
     }
@@ -157,3 +158,54 @@
     assert_eq!(claimed(claims.next(view(at(900), &fleet, 1, 0))), keys);
     assert_eq!(claims.end, LogOffset(0));
 }
+
+/// Plays a rollout in which no order succeeds, each ending after `order_ms` if that is given, and
+/// returns the times at which each upstream was claimed.
+fn claim_times(upstreams: usize, order_ms: Option<u64>, until_ms: u64) -> Vec<Vec<u64>> {
+    let (fleet, keys) = fleet(&vec![8; upstreams]);
+    let mut claims = OrderClaimTable::default();
+    let mut times = vec![Vec::new(); upstreams];
+    let mut ends: Vec<(u64, String)> = Vec::new();
+    for ms in (0..until_ms).step_by(50) {
+        for (_, upstream) in ends.extract_if(.., |(end, _)| *end <= ms) {
+            claims.finish(at(ms), &upstream, false);
+        }
+        let RolloutStep::Claim(claimed) = claims.next(view(at(ms), &fleet, 1, 0)) else {
+            continue;
+        };
+        let ids: Vec<&str> = claimed
+            .iter()
+            .map(|key| fleet.get(*key).expect("listed").entry.id.as_str())
+            .collect();
+        claims.apply(at(ms), &claim(1, &ids));
+        if let Some(order_ms) = order_ms {
+            ends.extend(ids.iter().map(|id| (ms + order_ms, (*id).to_owned())));
+        }
+        for (index, key) in keys.iter().enumerate() {
+            if claimed.contains(key) {
+                times[index].push(ms);
+            }
+        }
+    }
+    times
+}
+
+/// Upstreams that took seconds to end their requests once kept the places of the others, and were
+/// ordered again before others were ordered at all.
+#[test]
+fn orders_that_do_not_end_leave_no_upstream_without_one_before_the_limit() {
+    for (index, times) in claim_times(12, None, 8_000).iter().enumerate() {
+        assert!(!times.is_empty(), "i-{index} has no order after 8 s");
+    }
+}
+
+/// Orders that are not answered may be carried out late; upstreams that got such an order were once
+/// ordered again before others were ordered at all.
+#[test]
+fn upstreams_without_an_order_come_before_those_whose_order_failed() {
+    let times = claim_times(12, Some(700), 8_000);
+    let last_first = times.iter().filter_map(|times| times.first()).max();
+    let first_second = times.iter().filter_map(|times| times.get(1)).min();
+    assert!(times.iter().all(|times| !times.is_empty()));
+    assert!(last_first <= first_second, "{times:?}");
+}
