Limit the bytes that a client connection receives for one response

Callers of a gateway whose upstream sent leading zeros of a chunk size without end waited for the time-out of the route, and so did all others: hyper reads such bytes one by one in one poll, 128 reads of up to 400 KB before the task yields, and no limit of ours counted them. A repeatable request was answered with 504 after 4.5 s instead of by another upstream. A report of an upstream and a page of the store were buffered up to 64 MiB, each within its timeout.

A connection of a client now fails after a number of bytes since its last write, counted with head and framing: 32 MiB for an upstream's response, 8 MiB for the store, 1 MiB for a report or an order, 64 MiB else.

--- a/src/gateway/order_delivery.rs
+++ b/src/gateway/order_delivery.rs
@@ -14,7 +14,7 @@
 use crate::events::{ORDER_ENDED, ORDER_SENT, log_event};
 use crate::kernel::{Directory, Moment};
 use crate::platform::engine_calls::{
-    EngineState, OrderReply, WeightsOrder, order_request, report_request,
+    EngineState, MAX_REPORT_BYTES, OrderReply, WeightsOrder, order_request, report_request,
 };
 use crate::platform::http_connection::HttpConnection;
 
@@ -70,7 +70,7 @@
     order: ClaimedOrder,
 ) -> OrderResult {
     sleep(DRAIN_WAIT).await;
-    let mut connection = HttpConnection::new(order.target.address);
+    let mut connection = HttpConnection::new(order.target.address, MAX_REPORT_BYTES);
     let reply = send_order(&directory, &order, &mut connection).await;
     log_event(
         &ORDER_SENT,
--- a/src/gateway/upstream_call.rs
+++ b/src/gateway/upstream_call.rs
@@ -12,7 +12,7 @@
 use super::mail::Placement;
 use super::request::CallerRequest;
 use crate::kernel::{Moment, whole_ms};
-use crate::platform::http_connection::{OpenConnection, dial};
+use crate::platform::http_connection::{OpenConnection, SendError, dial_bounded};
 use crate::platform::request_headers::{
     CACHE_DOMAIN, CUSTOMER, DEADLINE_MS, ENGINE_RANK, EXPECTED_UPSTREAM, EXPECTED_WEIGHTS,
     FETCH_FROM, LAST_EVENT, NOT_RUN, REQUEST_ID, RESPONSE_WEIGHTS, SAVE_TO, forwardable_headers,
@@ -22,6 +22,10 @@
 /// Timeout for connecting to an upstream; the round trip to one takes a few milliseconds.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
 
+/// Largest response of an upstream, in bytes, with its head and framing; the connection breaks
+/// after it.
+const MAX_RESPONSE_BYTES: usize = 32 * 1024 * 1024;
+
 /// Time for which an idle connection is kept if the upstream sends no `keep-alive` timeout.
 const DEFAULT_IDLE_TIMEOUT: Duration = Duration::from_millis(400);
 
@@ -80,22 +84,17 @@
     };
     let mut connection = match at.connection.take() {
         Some(connection) => connection,
-        None => match dial(at.address, CONNECT_TIMEOUT).await {
+        None => match dial_bounded(at.address, CONNECT_TIMEOUT, MAX_RESPONSE_BYTES).await {
             Ok(connection) => connection,
             Err(_unreachable) => return CallOutcome::Unreachable,
         },
     };
-    let exchange = connection.sender.try_send_request(outgoing);
+    let exchange = connection.send(outgoing);
     let response = match timeout(until.remaining(now), exchange).await {
         Err(_elapsed) => return CallOutcome::Silent,
         Ok(Ok(response)) => response,
-        Ok(Err(mut error)) => {
-            // hyper returns the request only if no part of it was written to the connection.
-            return match error.take_message() {
-                Some(_unsent) => CallOutcome::Unsent,
-                None => CallOutcome::Lost,
-            };
-        }
+        Ok(Err(SendError::Unsent(_))) => return CallOutcome::Unsent,
+        Ok(Err(SendError::Broken(_))) => return CallOutcome::Lost,
     };
     classify_response(request, at, response, connection)
 }
--- a/src/platform/engine_calls.rs
+++ b/src/platform/engine_calls.rs
@@ -7,6 +7,10 @@
 
 use super::request_headers::EXPECTED_UPSTREAM;
 
+/// Largest response to an order or a request for a state report, in bytes; a report lists the
+/// running requests.
+pub const MAX_REPORT_BYTES: usize = 1024 * 1024;
+
 /// Order to an engine to load a version of a model's weights.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct WeightsOrder<'a> {
--- a/src/platform/http_client.rs
+++ b/src/platform/http_client.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
 use hyper::http::request;
 use hyper::{Method, Request, Response, StatusCode};
@@ -12,7 +12,7 @@
 use tokio::time::timeout;
 
 use super::http_connection::{
-    ConnectionError, ConnectionGuard, MAX_BODY_BYTES, OpenConnection, dial,
+    ConnectionError, ConnectionGuard, MAX_RESPONSE_BYTES, OpenConnection, dial, dial_bounded,
 };
 
 quick_error! {
@@ -34,7 +34,7 @@
             display("invalid request: {}", error)
             source(error)
         }
-        /// The response body was truncated or exceeds [`MAX_BODY_BYTES`].
+        /// The response body was truncated or is too long.
         Body(message: String) {
             display("cannot read response body: {}", message)
         }
@@ -93,7 +93,8 @@
         .header("host", address.to_string())
 }
 
-/// Connects, sends a request and waits for the response head.
+/// Connects, sends a request and waits for the response head. The connection breaks after
+/// [`MAX_RESPONSE_BYTES`] of the response.
 ///
 /// # Errors
 ///
@@ -103,18 +104,26 @@
     request: Request<Full<Bytes>>,
     limit: Duration,
 ) -> Result<OpenResponse, HttpError> {
-    let OpenConnection { mut sender, guard } = dial(address, limit).await?;
-    let exchange = timeout(limit, sender.send_request(request)).await;
-    let response = exchange
+    let connection = dial(address, limit).await?;
+    exchange_head(connection, request, limit).await
+}
+
+async fn exchange_head(
+    mut connection: OpenConnection,
+    request: Request<Full<Bytes>>,
+    limit: Duration,
+) -> Result<OpenResponse, HttpError> {
+    let response = timeout(limit, connection.send(request)).await;
+    let response = response
         .map_err(|_elapsed| HttpError::Timeout)?
-        .map_err(HttpError::Exchange)?;
+        .map_err(ConnectionError::from)?;
     Ok(OpenResponse {
         response,
-        connection: guard,
+        connection: connection.guard,
     })
 }
 
-/// Connects, sends a request and reads the complete response.
+/// Connects, sends a request and reads the complete response of at most [`MAX_RESPONSE_BYTES`].
 ///
 /// # Errors
 ///
@@ -123,14 +132,30 @@
     address: SocketAddr,
     request: Request<Full<Bytes>>,
     limit: Duration,
+) -> Result<CompleteResponse, HttpError> {
+    call_bounded(address, request, limit, MAX_RESPONSE_BYTES).await
+}
+
+/// Connects, sends a request and reads the complete response of at most `max_response_bytes`,
+/// counted with its head and framing.
+///
+/// # Errors
+///
+/// Returns [`HttpError`] when the exchange fails or does not end within `limit`.
+pub async fn call_bounded(
+    address: SocketAddr,
+    request: Request<Full<Bytes>>,
+    limit: Duration,
+    max_response_bytes: usize,
 ) -> Result<CompleteResponse, HttpError> {
     let exchange = async {
+        let connection = dial_bounded(address, limit, max_response_bytes).await?;
         let OpenResponse {
             response,
             connection,
-        } = open(address, request, limit).await?;
+        } = exchange_head(connection, request, limit).await?;
         let (head, body) = response.into_parts();
-        let collected = Limited::new(body, MAX_BODY_BYTES).collect().await;
+        let collected = body.collect().await;
         let body = collected
             .map_err(|error| HttpError::Body(error.to_string()))?
             .to_bytes();
--- a/src/platform/http_connection.rs
+++ b/src/platform/http_connection.rs
@@ -4,10 +4,11 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::{BodyExt, Full};
+use hyper::body::Incoming;
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper::header::{HOST, HeaderValue};
-use hyper::{Request, StatusCode};
+use hyper::{Request, Response, StatusCode};
 use hyper_util::rt::TokioIo;
 use quick_error::quick_error;
 use socket2::{SockRef, TcpKeepalive};
@@ -15,8 +16,13 @@
 use tokio::task::JoinHandle;
 use tokio::time::timeout;
 
-/// Largest response body that client calls buffer, in bytes.
-pub const MAX_BODY_BYTES: usize = 64 * 1024 * 1024;
+use super::bounded_stream::BoundedStream;
+
+/// Largest response that client calls receive, in bytes, with its head and framing.
+pub const MAX_RESPONSE_BYTES: usize = 64 * 1024 * 1024;
+
+/// Largest response head, in bytes; also the most that is received ahead of its reader.
+pub const MAX_HEAD_BYTES: usize = 64 * 1024;
 
 /// Timeout for connecting; the round trip between instances takes a few milliseconds.
 pub const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
@@ -39,7 +45,7 @@
             display("connection failed: {}", error)
             source(error)
         }
-        /// The response body was truncated or exceeds [`MAX_BODY_BYTES`].
+        /// The response body was truncated or is too long.
         Body(message: String) {
             display("cannot read response body: {}", message)
         }
@@ -79,18 +85,74 @@
     pub guard: ConnectionGuard,
 }
 
-/// Opens a connection to an address.
+/// Why a request on an open connection got no response.
+#[derive(Debug)]
+pub enum SendError {
+    /// The connection was closed before any part of the request was written.
+    Unsent(hyper::Error),
+    /// The connection broke, or sent no valid response head; the request may have arrived.
+    Broken(hyper::Error),
+}
+
+impl From<SendError> for ConnectionError {
+    fn from(error: SendError) -> Self {
+        match error {
+            SendError::Unsent(error) | SendError::Broken(error) => Self::Broken(error),
+        }
+    }
+}
+
+impl OpenConnection {
+    /// Sends a request and waits for the head of its response.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`SendError`] when no final response arrives; the connection is then of no use.
+    pub async fn send(
+        &mut self,
+        request: Request<Full<Bytes>>,
+    ) -> Result<Response<Incoming>, SendError> {
+        match self.sender.try_send_request(request).await {
+            Ok(response) => Ok(response),
+            // hyper returns the request only if no part of it was written to the connection.
+            Err(mut error) => match error.take_message() {
+                Some(_unsent) => Err(SendError::Unsent(error.into_error())),
+                None => Err(SendError::Broken(error.into_error())),
+            },
+        }
+    }
+}
+
+/// Opens a connection to an address, whose responses have at most [`MAX_RESPONSE_BYTES`].
 ///
 /// # Errors
 ///
 /// Returns [`ConnectionError::Dial`] when no connection is open within `limit`.
 pub async fn dial(address: SocketAddr, limit: Duration) -> Result<OpenConnection, ConnectionError> {
+    dial_bounded(address, limit, MAX_RESPONSE_BYTES).await
+}
+
+/// Opens a connection to an address, which breaks after `max_response_bytes` of a response,
+/// counted with its head and framing.
+///
+/// # Errors
+///
+/// Returns [`ConnectionError::Dial`] when no connection is open within `limit`.
+pub async fn dial_bounded(
+    address: SocketAddr,
+    limit: Duration,
+    max_response_bytes: usize,
+) -> Result<OpenConnection, ConnectionError> {
     let stream = match timeout(limit, TcpStream::connect(address)).await {
         Ok(connected) => connected.map_err(ConnectionError::Dial)?,
         Err(_) => return Err(ConnectionError::Dial(std::io::ErrorKind::TimedOut.into())),
     };
     set_tcp_options(&stream);
-    let handshake = http1::handshake(TokioIo::new(stream)).await;
+    let stream = BoundedStream::new(stream, max_response_bytes);
+    let handshake = http1::Builder::new()
+        .max_buf_size(MAX_HEAD_BYTES)
+        .handshake(TokioIo::new(stream))
+        .await;
     let (sender, connection) = handshake.map_err(ConnectionError::Broken)?;
     // The call that uses the connection receives its errors as well.
     let driver = tokio::spawn(async move { drop(connection.await) });
@@ -117,15 +179,18 @@
 #[derive(Debug)]
 pub struct HttpConnection {
     address: SocketAddr,
+    max_response_bytes: usize,
     open: Option<OpenConnection>,
 }
 
 impl HttpConnection {
-    /// Creates a client without an open connection.
+    /// Creates a client without an open connection, for responses of at most
+    /// `max_response_bytes`.
     #[must_use]
-    pub const fn new(address: SocketAddr) -> Self {
+    pub const fn new(address: SocketAddr, max_response_bytes: usize) -> Self {
         Self {
             address,
+            max_response_bytes,
             open: None,
         }
     }
@@ -149,7 +214,7 @@
         let open = self.open.take();
         let mut connection = match open.filter(|connection| !connection.sender.is_closed()) {
             Some(connection) => connection,
-            None => dial(self.address, CONNECT_TIMEOUT).await?,
+            None => dial_bounded(self.address, CONNECT_TIMEOUT, self.max_response_bytes).await?,
         };
         let exchange = async {
             connection
@@ -157,11 +222,11 @@
                 .ready()
                 .await
                 .map_err(ConnectionError::Broken)?;
-            let response = connection.sender.send_request(request).await;
-            let (head, body) = response.map_err(ConnectionError::Broken)?.into_parts();
-            let collected = Limited::new(body, MAX_BODY_BYTES).collect().await;
+            let response = connection.send(request).await;
+            let (head, body) = response.map_err(ConnectionError::from)?.into_parts();
+            let collected = body.collect().await;
             let body = collected.map_err(|error| ConnectionError::Body(error.to_string()))?;
-            Ok((head.status, body.to_bytes()))
+            Ok::<_, ConnectionError>((head.status, body.to_bytes()))
         };
         let response = timeout(limit, exchange)
             .await
--- a/src/platform/mod.rs
+++ b/src/platform/mod.rs
@@ -4,6 +4,7 @@
 //! This module makes no decisions: it decodes documents into the types of [`crate::decide`], where
 //! the meaning of their fields is documented.
 
+pub mod bounded_stream;
 pub mod config_document;
 pub mod engine_calls;
 pub mod http_client;
--- a/src/platform/store_client.rs
+++ b/src/platform/store_client.rs
@@ -30,6 +30,10 @@
 /// A response takes a few milliseconds, under heavy load some hundred.
 const RESPONSE_TIMEOUT: Duration = Duration::from_secs(1);
 
+/// Largest response of the store, in bytes; a read returns at most 1 MiB of records by default and
+/// a page of newest records 1 MB, which base64 lengthens by a third.
+const MAX_RESPONSE_BYTES: usize = 8 * 1024 * 1024;
+
 quick_error! {
     /// Error of a call to the store.
     #[derive(Debug)]
@@ -116,7 +120,7 @@
     #[must_use]
     pub const fn new(address: SocketAddr) -> Self {
         Self {
-            connection: HttpConnection::new(address),
+            connection: HttpConnection::new(address, MAX_RESPONSE_BYTES),
         }
     }
 
--- a/src/services/upstream_side/engine_task.rs
+++ b/src/services/upstream_side/engine_task.rs
@@ -12,6 +12,7 @@
 use crate::decide::ids::{Repeatability, Ticket};
 use crate::decide::ledger::TicketKey;
 use crate::kernel::{Directory, Inbox, IoTask, Signal};
+use crate::platform::engine_calls::MAX_REPORT_BYTES;
 use crate::platform::http_client;
 use crate::services::common::mail::{EngineMail, LedgerMail, Mail};
 use crate::wire::rpc::AttachVerdict;
@@ -150,7 +151,7 @@
     let request = http_client::request(Method::DELETE, address, &path).body(Full::default());
     let Ok(request) = request else { return };
     // If the cancellation is lost, the engine only finishes a response that nobody reads.
-    drop(http_client::call(address, request, CALL_TIMEOUT).await);
+    drop(http_client::call_bounded(address, request, CALL_TIMEOUT, MAX_REPORT_BYTES).await);
 }
 
 /// Looks up a ticket at the engine after a restart of the sidecar; plain services know none.
--- a/src/services/upstream_side/engine_watch.rs
+++ b/src/services/upstream_side/engine_watch.rs
@@ -10,6 +10,7 @@
 use crate::decide::ids::EngineEpoch;
 use crate::events::{ENGINE_DOWN, ENGINE_RESTARTED, ENGINE_UP, EventField, log_event};
 use crate::kernel::{Directory, Inbox, IoTask, Signal};
+use crate::platform::engine_calls::MAX_REPORT_BYTES;
 use crate::platform::http_client;
 use crate::services::common::mail::{EngineStatus, LedgerMail, Mail};
 
@@ -95,9 +96,10 @@
 async fn read_load(target: EngineTarget) -> Option<EngineStatus> {
     let request = http_client::request(Method::GET, target.address, "/load");
     let request = request.body(Full::default()).ok()?;
-    let response = http_client::call(target.address, request, POLL_TIMEOUT)
-        .await
-        .ok()?;
+    let response =
+        http_client::call_bounded(target.address, request, POLL_TIMEOUT, MAX_REPORT_BYTES)
+            .await
+            .ok()?;
     if !response.status.is_success() {
         return None;
     }
--- a/src/services/upstream_side/orders.rs
+++ b/src/services/upstream_side/orders.rs
@@ -15,6 +15,7 @@
 use crate::decide::orders::{EngineReport, OrderStep, OrderView, next_order};
 use crate::events::{LOAD_FAILED, WEIGHTS_LOADED, log_event};
 use crate::kernel::{Directory, IoTask, Moment};
+use crate::platform::engine_calls::MAX_REPORT_BYTES;
 use crate::platform::http_client;
 use crate::platform::log_client::LogClient;
 use crate::services::common::mail::{ConfigMail, EngineStatus, LedgerMail, Mail, OrderReport};
@@ -246,7 +247,7 @@
         .header("content-type", "application/json")
         .body(Full::new(body.into()))
         .map_err(|error| error.to_string())?;
-    match http_client::call(engine, request, limit).await {
+    match http_client::call_bounded(engine, request, limit, MAX_REPORT_BYTES).await {
         Ok(response) if response.status == StatusCode::OK => Ok(()),
         Ok(response) => Err(format!(
             "the engine responded with status {}",
