Fail a call after 16 interim responses or a switch of protocols

hyper skips responses 100 to 199 without a limit, so callers whose upstream sent them without end waited for the time-out of the route and got 504, while the gateway read and parsed as fast as the upstream wrote. A response 101, which hyper takes for a final one, was passed on to callers as an answer.

OpenConnection::send counts interim responses by hyper's callback and fails after 16; a response 101 fails as well. The request counts as one that may have run; a repeatable one goes to another upstream.

--- a/src/gateway/upstream_call.rs
+++ b/src/gateway/upstream_call.rs
@@ -94,7 +94,7 @@
         Err(_elapsed) => return CallOutcome::Silent,
         Ok(Ok(response)) => response,
         Ok(Err(SendError::Unsent(_))) => return CallOutcome::Unsent,
-        Ok(Err(SendError::Broken(_))) => return CallOutcome::Lost,
+        Ok(Err(SendError::Broken(_) | SendError::Interim)) => return CallOutcome::Lost,
     };
     classify_response(request, at, response, connection)
 }
--- a/src/platform/http_client.rs
+++ b/src/platform/http_client.rs
@@ -38,6 +38,10 @@
         Body(message: String) {
             display("cannot read response body: {}", message)
         }
+        /// Only interim responses arrived; the request may have been executed.
+        Interim {
+            display("too many interim responses")
+        }
         /// No response arrived in time; the request may have been executed.
         Timeout {
             display("no answer in time")
@@ -59,6 +63,7 @@
             ConnectionError::Dial(error) => Self::Connect(error),
             ConnectionError::Broken(error) => Self::Exchange(error),
             ConnectionError::Body(message) => Self::Body(message),
+            ConnectionError::Interim => Self::Interim,
             ConnectionError::Timeout => Self::Timeout,
         }
     }
--- a/src/platform/http_connection.rs
+++ b/src/platform/http_connection.rs
@@ -8,11 +8,12 @@
 use hyper::body::Incoming;
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper::header::{HOST, HeaderValue};
-use hyper::{Request, Response, StatusCode};
+use hyper::{Request, Response, StatusCode, ext};
 use hyper_util::rt::TokioIo;
 use quick_error::quick_error;
 use socket2::{SockRef, TcpKeepalive};
 use tokio::net::TcpStream;
+use tokio::sync::mpsc;
 use tokio::task::JoinHandle;
 use tokio::time::timeout;
 
@@ -24,6 +25,9 @@
 /// Largest response head, in bytes; also the most that is received ahead of its reader.
 pub const MAX_HEAD_BYTES: usize = 64 * 1024;
 
+/// Maximum number of interim responses (status 1xx) to one request.
+const MAX_INTERIM_RESPONSES: usize = 16;
+
 /// Timeout for connecting; the round trip between instances takes a few milliseconds.
 pub const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
 
@@ -49,6 +53,10 @@
         Body(message: String) {
             display("cannot read response body: {}", message)
         }
+        /// Only interim responses arrived; the request may have arrived.
+        Interim {
+            display("too many interim responses")
+        }
         /// No response arrived in time; the request may have arrived.
         Timeout {
             display("no answer in time")
@@ -92,12 +100,15 @@
     Unsent(hyper::Error),
     /// The connection broke, or sent no valid response head; the request may have arrived.
     Broken(hyper::Error),
+    /// Only interim responses arrived; the request may have arrived.
+    Interim,
 }
 
 impl From<SendError> for ConnectionError {
     fn from(error: SendError) -> Self {
         match error {
             SendError::Unsent(error) | SendError::Broken(error) => Self::Broken(error),
+            SendError::Interim => Self::Interim,
         }
     }
 }
@@ -110,9 +121,29 @@
     /// Returns [`SendError`] when no final response arrives; the connection is then of no use.
     pub async fn send(
         &mut self,
-        request: Request<Full<Bytes>>,
+        mut request: Request<Full<Bytes>>,
     ) -> Result<Response<Incoming>, SendError> {
-        match self.sender.try_send_request(request).await {
+        let (reporter, mut reports) = mpsc::channel(MAX_INTERIM_RESPONSES);
+        ext::on_informational(&mut request, move |_interim| {
+            // Reports beyond the maximum are not needed.
+            let _outcome = reporter.try_send(());
+        });
+        let mut reported = Vec::new();
+        let too_many_interim = async {
+            while reported.len() < MAX_INTERIM_RESPONSES {
+                if reports.recv_many(&mut reported, 1).await == 0 {
+                    std::future::pending::<()>().await;
+                }
+            }
+        };
+        let response = tokio::select! {
+            biased;
+            response = self.sender.try_send_request(request) => response,
+            () = too_many_interim => return Err(SendError::Interim),
+        };
+        match response {
+            // hyper returns a switch of protocols, which no request asks for, as a final response.
+            Ok(response) if response.status().is_informational() => Err(SendError::Interim),
             Ok(response) => Ok(response),
             // hyper returns the request only if no part of it was written to the connection.
             Err(mut error) => match error.take_message() {
--- a/tests/endless_bytes.rs
+++ b/tests/endless_bytes.rs
@@ -51,7 +51,14 @@
 }
 
 /// Bytes in which no response head ever ends.
-const ENDLESS_HEADS: [(&str, EndlessResponse); 7] = [
+const ENDLESS_HEADS: [(&str, EndlessResponse); 9] = [
+    (
+        "switch of protocols",
+        EndlessResponse::new(
+            "HTTP/1.1 101 Switching Protocols\r\nx-request-id: {id}\r\nx-server-seal: seal\r\n\r\n",
+            b"a",
+        ),
+    ),
     ("status line", EndlessResponse::new("HTTP/1.1 200 ", b"a")),
     (
         "header lines",
@@ -65,6 +72,10 @@
     ("binary junk", EndlessResponse::new("", b"\x00\xff\x17\x03")),
     ("text junk", EndlessResponse::new("", b"not a response ")),
     ("empty lines", EndlessResponse::new("", b"\r\n")),
+    (
+        "interim responses",
+        EndlessResponse::new("", b"HTTP/1.1 100 Continue\r\n\r\n"),
+    ),
 ];
 
 /// One chunk of 4 KiB.
