Break off a stream that may run once in an event without end

Callers of a stream that cannot be resumed got the bytes of an event without end until the time-out of the route, because only resumable streams are split into events. The relay now counts the bytes since the last end of an event, without buffering them, and breaks the caller's connection after 4 MiB, the limit that resumable streams have.

--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -177,6 +177,9 @@
         data: Bytes,
     ) -> Result<(), StreamEnd> {
         if self.request.route.kind != RouteKind::ResumableStream {
+            if !splitter.pass(&data) {
+                return Err(StreamEnd::Broken(MemberOutcome::Lost));
+            }
             return self.send(data).await;
         }
         splitter.push(&data);
--- a/src/wire/event_splitter.rs
+++ b/src/wire/event_splitter.rs
@@ -19,6 +19,10 @@
     buffer: BytesMut,
     /// Number of buffered bytes that contain no end of an event.
     searched: usize,
+    /// Number of bytes passed unsplit since the last end of an event.
+    passed: usize,
+    /// Whether the last line that was passed unsplit is still empty.
+    is_line_empty: bool,
 }
 
 /// Result of [`EventSplitter::next_event`].
@@ -58,6 +62,24 @@
         })
     }
 
+    /// Counts bytes that are forwarded as received, without buffering them; returns whether each
+    /// event has at most [`MAX_EVENT_BYTES`] so far.
+    pub fn pass(&mut self, bytes: &[u8]) -> bool {
+        for byte in bytes {
+            self.passed += 1;
+            match byte {
+                b'\n' if self.is_line_empty => self.passed = 0,
+                b'\n' => self.is_line_empty = true,
+                b'\r' => {}
+                _ => self.is_line_empty = false,
+            }
+            if self.passed > MAX_EVENT_BYTES {
+                return false;
+            }
+        }
+        true
+    }
+
     /// Returns whether bytes of an incomplete event are buffered.
     #[must_use]
     pub fn is_mid_event(&self) -> bool {
--- a/tests/endless_bytes.rs
+++ b/tests/endless_bytes.rs
@@ -9,6 +9,7 @@
 use std::time::{Duration, Instant};
 
 use bulrushslip::platform::engine_calls::{MAX_REPORT_BYTES, report_request};
+use bulrushslip::platform::http_client::HttpError;
 use bulrushslip::platform::http_connection::HttpConnection;
 use bulrushslip::platform::store_client::{OPERATOR_TOPIC, StoreClient, UPSTREAM_TOPIC};
 use endless_upstream::{
@@ -32,6 +33,9 @@
 /// Largest response, in bytes, that the gateway should read, with its framing.
 const RESPONSE_BYTES: u64 = 32 * 1024 * 1024;
 
+/// Largest event of a stream, in bytes, that the gateway should forward.
+const EVENT_BYTES: u64 = 4 * 1024 * 1024;
+
 /// Largest response body of the store, in bytes, that the gateway should buffer.
 const STORE_BYTES: u64 = 8 * 1024 * 1024;
 
@@ -258,6 +262,76 @@
     .await;
 }
 
+const EVENTS: &str = with_head!("content-length: 30\r\n\r\nid: 1\ndata: a\n\nid: 2\ndata: b\n\n");
+
+/// Bodies in which no event ever ends.
+const ENDLESS_EVENTS: [(&str, EndlessResponse); 3] = [
+    (
+        "one line",
+        EndlessResponse::new(
+            with_head!("content-length: 1000000000000\r\n\r\ndata: "),
+            b"a",
+        ),
+    ),
+    (
+        "data lines",
+        EndlessResponse::new(with_head!("\r\n"), b"data: a\n"),
+    ),
+    (
+        "comments",
+        EndlessResponse::new(
+            with_head!("transfer-encoding: chunked\r\n\r\n"),
+            b"10\r\n: 0123456789abc\n\r\n",
+        ),
+    ),
+];
+
+#[tokio::test]
+async fn a_resumable_stream_goes_on_elsewhere_after_an_event_without_end() {
+    check_each(ENDLESS_EVENTS, |name, response| {
+        assert_answered(name, "/resumable/", response, EVENTS)
+    })
+    .await;
+}
+
+#[tokio::test]
+async fn a_stream_that_runs_once_is_broken_off_in_an_event_without_end() {
+    check_each(ENDLESS_EVENTS, assert_broken_off).await;
+}
+
+async fn assert_broken_off(name: &str, response: EndlessResponse) {
+    let (_world, mut endless, gateway) = start(response).await;
+    let sent = Instant::now();
+    let response = gateway.send("/stream/").await;
+    assert!(
+        matches!(response, Err(HttpError::Body(_))),
+        "{name}: {response:?}"
+    );
+    let took = sent.elapsed();
+    assert!(took <= ANSWER_LIMIT, "{name}: broken off after {took:?}");
+    // The bytes pass through the kernel's buffers of the caller's connection as well.
+    let bytes = EVENT_BYTES + KERNEL_BYTES;
+    assert_closed(name, &mut endless, gateway.process.id(), bytes).await;
+}
+
+#[tokio::test]
+async fn a_stream_of_empty_events_ends_at_the_time_out_of_its_route() {
+    for path in ["/resumable/", "/stream/"] {
+        let mut response = EndlessResponse::new(with_head!("\r\n"), b":\n\n");
+        response.pace = Some(Duration::from_millis(1));
+        let (_world, mut endless, gateway) = start(response).await;
+        let sent = Instant::now();
+        let response = gateway.send(path).await;
+        assert!(
+            matches!(response, Err(HttpError::Body(_))),
+            "{path}: {response:?}"
+        );
+        let took = sent.elapsed();
+        assert!(took <= ANSWER_LIMIT, "{path}: broken off after {took:?}");
+        assert_closed(path, &mut endless, gateway.process.id(), 0).await;
+    }
+}
+
 /// Bytes without end that belong to no request, after a whole response.
 const EXTRA_BYTES: [(&str, &[u8]); 4] = [
     ("junk", b"\x00\xff"),
--- a/tests/event_cutter.rs
+++ b/tests/event_cutter.rs
@@ -4,6 +4,7 @@
 
 use bolero::TypeGenerator;
 use bulrushslip::wire::event_splitter::{EventSplitter, RawEvent, SplitStep};
+use bulrushslip::wire::sse::MAX_EVENT_BYTES;
 
 /// Number of generated inputs per property.
 const CASES: u64 = 2_000;
@@ -68,3 +69,21 @@
         assert_eq!(splitter.is_mid_event(), stream.incomplete_length > 0);
     });
 }
+
+/// Guards against a stream that is forwarded unsplit and sends one event without end.
+#[test]
+fn unsplit_bytes_are_limited_by_event() {
+    for end in ["\n", "\r\n"] {
+        let event = format!("data: {}{end}{end}", "x".repeat(MAX_EVENT_BYTES / 2));
+        for length in [1, 7, 4_096, usize::MAX] {
+            let mut splitter = EventSplitter::default();
+            let events = event.repeat(4);
+            for part in events.as_bytes().chunks(length) {
+                assert!(splitter.pass(part), "reads of {length}");
+            }
+            let long = "data: x\n".repeat(MAX_EVENT_BYTES / 8 + 1);
+            let mut parts = long.as_bytes().chunks(length);
+            assert!(!parts.all(|part| splitter.pass(part)), "reads of {length}");
+        }
+    }
+}
