Count a resumable stream as stalled after the last whole event

Each byte of an upstream put off the time at which a resumable stream counts as stalled, so a slow event without end was waited for until the time-out of the route, and the stream was then broken off instead of being resumed. The time now runs from the last event that was delivered, or from the response head.

Test before (the change taken out): slow event: cannot read response body: error reading a body from connection. With it the stream is resumed at the other upstream within the time-out.

--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -28,7 +28,7 @@
 /// Body frames that are buffered for a slow caller.
 const MAX_BUFFERED_FRAMES: usize = 8;
 
-/// Time without data after which a resumable stream is resumed at another upstream, in percent of
+/// Time without a complete event after which a resumable stream is resumed at another upstream, in percent of
 /// the route's target latency for the first event.
 const STALL_PERCENT: u64 = 250;
 
@@ -72,6 +72,8 @@
     history: SendHistory,
     excluded: Vec<MemberKey>,
     last_event: Option<u64>,
+    /// Time of the last delivered event, or of the head of the current response.
+    progress_at: Moment,
 }
 
 /// Starts a task that forwards a stream and returns the response body for the caller.
@@ -86,6 +88,7 @@
     let (frames, receiver) = mpsc::channel(MAX_BUFFERED_FRAMES);
     let relay = StreamRelay {
         last_event: request.last_event,
+        progress_at: directory.now(),
         directory,
         request,
         frames,
@@ -135,6 +138,7 @@
     async fn forward(&mut self, mut body: Incoming, guard: &PlacementGuard) -> StreamEnd {
         let mut splitter = EventSplitter::default();
         let mut has_begun = false;
+        self.progress_at = self.directory.now();
         loop {
             let stalls_at = self.stall_deadline();
             let clock = self.directory.clock();
@@ -190,6 +194,7 @@
                 SplitStep::Event(event) => {
                     self.send(event.bytes).await?;
                     self.last_event = event.id.or(self.last_event);
+                    self.progress_at = self.directory.now();
                 }
             }
         }
@@ -210,7 +215,7 @@
             return self.request.deadline;
         }
         let stall = Duration::from_millis(route.target_latency_ms * STALL_PERCENT / 100);
-        self.directory.now().after(stall).min(self.request.deadline)
+        self.progress_at.after(stall).min(self.request.deadline)
     }
 
     /// Requests the rest of the stream, after the last delivered event, from another upstream.
--- a/tests/endless_bytes.rs
+++ b/tests/endless_bytes.rs
@@ -294,6 +294,16 @@
     .await;
 }
 
+#[tokio::test]
+async fn a_resumable_stream_goes_on_elsewhere_after_a_slow_event_without_end() {
+    let mut response = EndlessResponse::new(
+        with_head!("transfer-encoding: chunked\r\n\r\n"),
+        b"1\r\na\r\n",
+    );
+    response.pace = Some(Duration::from_millis(20));
+    assert_answered("slow event", "/resumable/", response, EVENTS).await;
+}
+
 #[tokio::test]
 async fn a_stream_that_runs_once_is_broken_off_in_an_event_without_end() {
     check_each(ENDLESS_EVENTS, assert_broken_off).await;
