Keep a caller's chunk size without end from holding up the others

One caller that sent leading zeros of a chunk size without end held up all requests of the gateway: hyper reads them one by one in one poll, 128 reads of up to 400 KB before the task yields. The 408 that was due after the caller's 2 s could not be sent in time, and the connection was still open after 15.5 s. Connections of the HTTP server now return at most 8 KiB a read and break after 64 MiB of one request, as those of the client do.

--- a/src/platform/http_server.rs
+++ b/src/platform/http_server.rs
@@ -20,6 +20,8 @@
 use tokio::sync::{OwnedSemaphorePermit, Semaphore, oneshot, watch};
 use tokio::time::timeout;
 
+use super::bounded_stream::BoundedStream;
+
 /// Default time limit for a client to send its request headers, in milliseconds. It is also the
 /// idle timeout, because hyper has one timer for both.
 pub const HEADER_TIMEOUT_MS: u64 = 5_000;
@@ -30,6 +32,9 @@
 /// Time after the port is closed in which open connections still accept requests in transit.
 const IN_TRANSIT_GRACE: Duration = Duration::from_millis(200);
 
+/// Largest request, in bytes, with its head and framing; the connection breaks after it.
+pub const MAX_REQUEST_BYTES: usize = 64 * 1024 * 1024;
+
 /// Body of a response, complete or streamed.
 pub type ResponseBody = BoxBody<Bytes, std::io::Error>;
 
@@ -182,6 +187,7 @@
                 }
             }
         });
+        let stream = BoundedStream::new(stream, MAX_REQUEST_BYTES);
         let connection = http1::Builder::new()
             .timer(TokioTimer::new())
             .header_read_timeout(self.header_timeout)
