Bound the wait of a removed upstream by the drain limit

Mend: an instance takes over the end of an outage only if it had no news of the store itself; a removal waits for the drain limit less 250 ms after the last confirmation that the entry was there at most, unless the outage lies between; and due removals are carried out before the next message. The limit comes from bounds.drain-ms, 2 s if the settings state none.

--- a/src/gateway/dispatch/gossip.rs
+++ b/src/gateway/dispatch/gossip.rs
@@ -5,6 +5,7 @@
 
 use bytes::Bytes;
 
+use super::records::MIN_OUTAGE;
 use super::state::{DispatchState, PeerState};
 use crate::decide::fleet::MemberLoad;
 use crate::decide::ids::{EngineEpoch, Incarnation, LogOffset};
@@ -170,18 +171,21 @@
                 .collect();
             self.apply_forwarded(turn, topic, &records, LogOffset(progress.next));
             let confirmed = turn.now.before(Duration::from_millis(progress.age_ms));
-            let health = self.health_mut(topic);
-            health.confirmed_at = health.confirmed_at.max(confirmed);
+            self.record_confirmation(topic, confirmed);
         }
     }
 
-    /// Takes over the end of a store outage that another instance has seen.
+    /// Takes over the end of a store outage that another instance has seen, if this instance was
+    /// without news from the store as well: the store may have refused only the other instance.
     fn apply_store_recovery(&mut self, now: Moment, topic: WireTopic, returned_ms: Option<u64>) {
         let Some(returned_ms) = returned_ms else {
             return;
         };
         let returned = now.before(Duration::from_millis(returned_ms));
         let health = self.health_mut(topic);
+        if returned.since(health.confirmed_at) < MIN_OUTAGE {
+            return;
+        }
         health.recovered_at = Some(
             health
                 .recovered_at
--- a/src/gateway/dispatch/mod.rs
+++ b/src/gateway/dispatch/mod.rs
@@ -25,7 +25,7 @@
 /// Name under which the service is registered.
 pub const NAME: &str = "dispatch";
 
-/// Time between two sweeps over idle connections and deferred removals of upstreams.
+/// Time between two sweeps over idle connections.
 const SWEEP_INTERVAL: Duration = Duration::from_millis(250);
 
 /// Settings with which the service starts.
@@ -57,6 +57,7 @@
     turn: &mut Turn<'_, GatewayMail>,
     signal: Signal<GatewayMail>,
 ) -> NextStep {
+    state.apply_due_removals(turn.now);
     match signal {
         Signal::Mail(GatewayMail::Dispatch(mail)) => handle_message(state, turn, *mail),
         Signal::Dump(reply_to) => reply_to.send(state.dump(turn.now)),
@@ -66,12 +67,12 @@
     if state.next_sweep.is_due(turn.now) {
         state.next_sweep = turn.now.after(SWEEP_INTERVAL);
         state.sweep_connections(turn.now);
-        state.apply_due_removals(turn);
     }
     let withdrawal_due = state.withdraw_unstarted(turn.now);
     let parked_due = state.retry_parked(turn.now);
     let queue_due = state.serve_queues(turn.now);
-    let dues = [state.next_sweep, withdrawal_due, parked_due, queue_due];
+    let sweep_due = state.next_sweep.min(state.next_removal());
+    let dues = [sweep_due, withdrawal_due, parked_due, queue_due];
     NextStep::WaitUntil(dues.into_iter().min().unwrap_or(Moment::NEVER))
 }
 
--- a/src/gateway/dispatch/records.rs
+++ b/src/gateway/dispatch/records.rs
@@ -25,8 +25,11 @@
 /// expired during the outage may be written again.
 const REMOVAL_DELAY: Duration = Duration::from_millis(2_100);
 
+/// Time reserved from the choice of an upstream until the request reaches it.
+pub(super) const SEND_TIME: Duration = Duration::from_millis(250);
+
 /// Minimum length of a store outage after which removed entries may merely have expired.
-const MIN_OUTAGE: Duration = Duration::from_secs(1);
+pub(super) const MIN_OUTAGE: Duration = Duration::from_secs(1);
 
 /// Time for which a version of weights seen at an upstream is reported to other instances.
 const WEIGHTS_REPEAT_TIME: Duration = Duration::from_secs(2);
@@ -39,6 +42,7 @@
             self.apply_record(turn, read.topic, record);
         }
         self.view_mut(read.topic).advance(read.next);
+        self.record_confirmation(read.topic, turn.now);
     }
 
     /// Applies a complete snapshot of a topic; keys that are missing from it have been removed.
@@ -51,6 +55,7 @@
             self.apply_record(turn, read.topic, record);
         }
         self.view_mut(read.topic).advance(read.next);
+        self.record_confirmation(read.topic, turn.now);
     }
 
     /// Applies records that another instance forwarded.
@@ -226,12 +231,27 @@
         match returned {
             Some(at) => self.removals.push(DeferredRemoval {
                 id: id.to_owned(),
-                due: at.after(REMOVAL_DELAY),
+                due: self.removal_due(now, at),
             }),
             None => self.remove_member(id, "removed"),
         }
     }
 
+    /// Returns when a removal takes effect that is read after an outage which ended at
+    /// `recovered_at`.
+    fn removal_due(&self, now: Moment, recovered_at: Moment) -> Moment {
+        let due = recovered_at.after(REMOVAL_DELAY);
+        // The removal was written after the last confirmation. If that is older than the limit,
+        // the outage lies between, and the entry may have expired in it.
+        let limit = self.identity.drain_limit.saturating_sub(SEND_TIME);
+        let written_limit = self.upstream_health.confirmed_at.after(limit);
+        if written_limit.is_due(now) {
+            due
+        } else {
+            due.min(written_limit)
+        }
+    }
+
     fn remove_member(&mut self, id: &str, change: &str) {
         let Some(key) = self.fleet.find(id) else {
             return;
@@ -243,20 +263,25 @@
     }
 
     /// Removes upstreams whose entries were not written again in time.
-    pub(super) fn apply_due_removals(&mut self, turn: &Turn<'_, GatewayMail>) {
+    pub(super) fn apply_due_removals(&mut self, now: Moment) {
         let due: Vec<DeferredRemoval> = self
             .removals
-            .extract_if(.., |removal| removal.due.is_due(turn.now))
+            .extract_if(.., |removal| removal.due.is_due(now))
             .collect();
         for removal in due {
             self.remove_member(&removal.id, "lapsed");
         }
     }
 
+    /// Returns the time of the next deferred removal.
+    pub(super) fn next_removal(&self) -> Moment {
+        let due = self.removals.iter().map(|removal| removal.due);
+        due.min().unwrap_or(Moment::NEVER)
+    }
+
     /// Records a successful read from the store, which ends an outage.
     fn record_store_success(&mut self, now: Moment, topic: WireTopic) {
         let health = self.health_mut(topic);
-        health.confirmed_at = now;
         let Some(since) = health.failing_since.take() else {
             return;
         };
@@ -271,6 +296,13 @@
         );
     }
 
+    /// Records that the store had no records of a topic at `confirmed_at` that are not applied
+    /// here.
+    pub(super) fn record_confirmation(&mut self, topic: WireTopic, confirmed_at: Moment) {
+        let health = self.health_mut(topic);
+        health.confirmed_at = health.confirmed_at.max(confirmed_at);
+    }
+
     /// Records that a read from the store failed.
     pub(super) fn record_store_failure(&mut self, now: Moment, topic: WireTopic, reason: &str) {
         let health = self.health_mut(topic);
--- a/src/gateway/identity.rs
+++ b/src/gateway/identity.rs
@@ -25,6 +25,9 @@
     pub settling_time: Duration,
     /// Time after one instance's last claim on an upstream before another instance may order it.
     pub min_holder_interval: Duration,
+    /// Time after an upstream has announced its leaving, or lost its entry, within which the last
+    /// request may reach it.
+    pub drain_limit: Duration,
 }
 
 impl From<&InstanceSettings> for InstanceIdentity {
@@ -37,6 +40,7 @@
             weights_limit: settings.weights_limit,
             settling_time: settings.settling_time,
             min_holder_interval: settings.holder_turn,
+            drain_limit: settings.drain_limit,
         }
     }
 }
--- a/src/platform/settings_file.rs
+++ b/src/platform/settings_file.rs
@@ -10,6 +10,9 @@
 /// Environment variable that holds the path of the settings file.
 pub const SETTINGS_VARIABLE: &str = "BULRUSHSLIP_SETTINGS";
 
+/// Drain limit of deployments whose settings state none.
+const DEFAULT_DRAIN_LIMIT: Duration = Duration::from_secs(2);
+
 quick_error! {
     /// Error of a settings file that cannot be loaded.
     #[derive(Debug)]
@@ -62,6 +65,9 @@
     /// Time without a fault after which the operators' time limits apply to an instance
     /// (`bounds.stable-window-ms`).
     pub settling_time: Duration,
+    /// Time after an upstream has announced its leaving, or lost its entry, within which the last
+    /// request may reach it (`bounds.drain-ms`).
+    pub drain_limit: Duration,
     /// Retries that a service may make per new request (`bounds.retry-budget-ratio`).
     pub retry_ratio: f64,
     /// Retries that the whole fleet may make beyond `retry_ratio` (`bounds.budget-extra-retries`).
@@ -149,6 +155,10 @@
             holder_turn: table.duration("bounds.lease-ms", 0.001)?,
             weights_limit: table.duration("bounds.version-ms", 0.001)?,
             settling_time: table.duration("bounds.stable-window-ms", 0.001)?,
+            drain_limit: match table.duration("bounds.drain-ms", 0.001) {
+                Err(SettingsError::Missing(_)) => DEFAULT_DRAIN_LIMIT,
+                limit => limit?,
+            },
             retry_ratio: table.parsed("bounds.retry-budget-ratio")?,
             extra_retries: table.parsed("bounds.budget-extra-retries")?,
         })
--- a/tests/gateway_gossip.rs
+++ b/tests/gateway_gossip.rs
@@ -41,6 +41,7 @@
                 weights_limit: Duration::from_secs(8),
                 settling_time: Duration::from_secs(3),
                 min_holder_interval: Duration::from_secs(3),
+                drain_limit: Duration::from_secs(2),
             },
             incarnation: Incarnation(id),
             retry_ratio: 0.2,
--- a/tests/platform_formats.rs
+++ b/tests/platform_formats.rs
@@ -61,6 +61,12 @@
         );
         assert_eq!(error.to_string().lines().count(), 1);
     }
+    // Deployments without the drain contract state no drain limit.
+    let stated = format!("{SETTINGS}\nbounds.drain-ms=3500\n");
+    for (text, limit_ms) in [(SETTINGS, 2_000), (&stated, 3_500)] {
+        let settings = InstanceSettings::parse(text).expect("valid settings");
+        assert_eq!(settings.drain_limit.as_millis(), limit_ms);
+    }
     let wrong = SETTINGS.replace("bounds.grace-s=8", "bounds.grace-s=soon");
     let error = InstanceSettings::parse(&wrong).expect_err("a word instead of a number");
     assert_eq!(
