Count the age of store records from the sending of the read

Cause: an instance counted the records of a topic as current from the moment at which a response of the store was applied, and a peer's age_ms from the moment at which its message arrived. What the store confirms is older: a response with records confirms the time of the read, a long poll without one its end, and both may then be in transit for up to two seconds; a gossip message may wait in a send buffer for 1.5 s. Each hop dropped this time and rounded the age down, so an instance whose own links are sound could take old records for current and read the store itself too late.

Mend: TopicRecords carries the time up to which the store confirmed them, from the start of the read; a page that is not the last one confirms nothing. The ages in the response to a call count from the start of the call. The message of a caller brings records and loads as before but confirms nothing, because nothing tells how long it was on its way. The end of an outage travels the same way. The long poll of the upstreams' topic becomes 600 ms as that of the operators' topic, since it now confirms its end and not its arrival.

Tests: gateway_drain, two new ones: the times that a read confirms, and gossip that spent 700 ms (response) and 1,900 ms (call) in transit; the latter fails if the arrival counts. The test of gateway_gossip on who reads the store now passes responses instead of calls, with the same limits.

Not measured: large fleets, where one more round of gossip may be needed until an instance has a recent confirmation.

--- a/src/gateway/dispatch/gossip.rs
+++ b/src/gateway/dispatch/gossip.rs
@@ -45,11 +45,13 @@
 const RECOVERY_REPEAT_TIME: Duration = Duration::from_secs(4);
 
 impl DispatchState {
-    /// Applies a gossip message of another instance.
+    /// Applies a gossip message of another instance. `built_after` is a time before the message was
+    /// built, if one is known.
     pub(super) fn apply_gossip(
         &mut self,
         turn: &mut Turn<'_, GatewayMail>,
         gossip: &GossipMessage,
+        built_after: Option<Moment>,
     ) {
         let now = turn.now;
         // A message without an address is the empty reply of an instance that is shutting down.
@@ -95,7 +97,7 @@
                 self.recent_suspicions.push_back((now, *suspicion));
             }
         }
-        self.apply_peer_records(turn, gossip);
+        self.apply_peer_records(turn, gossip, built_after);
     }
 
     /// Applies the sender's load and holds to each upstream.
@@ -149,8 +151,14 @@
     }
 
     /// Applies store records that another instance forwarded, and the time at which the store
-    /// last confirmed them.
-    fn apply_peer_records(&mut self, turn: &mut Turn<'_, GatewayMail>, gossip: &GossipMessage) {
+    /// last confirmed them. Ages in the message count only if `built_after` is known, because the
+    /// time in transit adds to them.
+    fn apply_peer_records(
+        &mut self,
+        turn: &mut Turn<'_, GatewayMail>,
+        gossip: &GossipMessage,
+        built_after: Option<Moment>,
+    ) {
         for topic in [WireTopic::Operator, WireTopic::Upstream] {
             let progress = match topic {
                 WireTopic::Operator => gossip.operator,
@@ -162,7 +170,9 @@
             if progress.next < own || (progress.next > own && !is_complete) {
                 continue;
             }
-            self.apply_store_recovery(turn.now, topic, progress.returned_ms);
+            if let Some(built_after) = built_after {
+                self.apply_store_recovery(built_after, topic, progress.returned_ms);
+            }
             let records: Vec<KeyedRecord> = gossip
                 .records
                 .iter()
@@ -170,18 +180,25 @@
                 .map(KeyedRecord::from)
                 .collect();
             self.apply_forwarded(turn, topic, &records, LogOffset(progress.next));
-            let confirmed = turn.now.before(Duration::from_millis(progress.age_ms));
-            self.record_confirmation(topic, confirmed);
+            if let Some(built_after) = built_after {
+                let confirmed_at = built_after.before(Duration::from_millis(progress.age_ms));
+                self.record_confirmation(topic, confirmed_at);
+            }
         }
     }
 
     /// Takes over the end of a store outage that another instance has seen, if this instance was
     /// without news from the store as well: the store may have refused only the other instance.
-    fn apply_store_recovery(&mut self, now: Moment, topic: WireTopic, returned_ms: Option<u64>) {
+    fn apply_store_recovery(
+        &mut self,
+        built_after: Moment,
+        topic: WireTopic,
+        returned_ms: Option<u64>,
+    ) {
         let Some(returned_ms) = returned_ms else {
             return;
         };
-        let returned = now.before(Duration::from_millis(returned_ms));
+        let returned = built_after.before(Duration::from_millis(returned_ms));
         let health = self.health_mut(topic);
         if returned.since(health.confirmed_at) < MIN_OUTAGE {
             return;
@@ -218,7 +235,8 @@
         WireProgress {
             next: self.view(topic).next.0,
             from: from.map(|from| from.0),
-            age_ms: whole_ms(age),
+            // Rounded up, because each instance on the way adds its own rounding.
+            age_ms: whole_ms(age).saturating_add(1),
             returned_ms: returned
                 .filter(|age| *age < RECOVERY_REPEAT_TIME)
                 .map(whole_ms),
--- a/src/gateway/dispatch/mod.rs
+++ b/src/gateway/dispatch/mod.rs
@@ -100,7 +100,10 @@
             state.record_store_failure(now, topic, &reason);
         }
         DispatchMail::ReadNeed(topic, reply_to) => reply_to.send(state.read_need(now, topic)),
-        DispatchMail::Gossip(gossip) => state.apply_gossip(turn, &gossip),
+        DispatchMail::Gossip(gossip) => state.apply_gossip(turn, &gossip, None),
+        DispatchMail::GossipResponse(gossip, called_at) => {
+            state.apply_gossip(turn, &gossip, Some(called_at));
+        }
         DispatchMail::BuildGossip(from, reply_to) => reply_to.send(state.build_gossip(now, from)),
         DispatchMail::RequestEnded(end) => state.counters.count_request(end),
         DispatchMail::Metrics(reply_to) => reply_to.send(state.metrics_text(now)),
--- a/src/gateway/dispatch/records.rs
+++ b/src/gateway/dispatch/records.rs
@@ -42,7 +42,7 @@
             self.apply_record(turn, read.topic, record);
         }
         self.view_mut(read.topic).advance(read.next);
-        self.record_confirmation(read.topic, turn.now);
+        self.record_confirmation(read.topic, read.confirmed_at);
     }
 
     /// Applies a complete snapshot of a topic; keys that are missing from it have been removed.
@@ -55,7 +55,7 @@
             self.apply_record(turn, read.topic, record);
         }
         self.view_mut(read.topic).advance(read.next);
-        self.record_confirmation(read.topic, turn.now);
+        self.record_confirmation(read.topic, read.confirmed_at);
     }
 
     /// Applies records that another instance forwarded.
--- a/src/gateway/mail.rs
+++ b/src/gateway/mail.rs
@@ -53,8 +53,11 @@
     StoreFailed(WireTopic, String),
     /// Asks whether this instance is to read a topic from the store now.
     ReadNeed(WireTopic, ReplyTo<ReadNeed>),
-    /// Gossip message of another instance.
+    /// Gossip message of another instance that called; it may have been in transit for any time.
     Gossip(Box<GossipMessage>),
+    /// Gossip message with which another instance responded to a call that began at the given
+    /// time.
+    GossipResponse(Box<GossipMessage>, Moment),
     /// Asks for this instance's gossip message to an instance that has made the given progress.
     BuildGossip(PeerProgress, ReplyTo<GossipMessage>),
     /// A request of a client has ended.
@@ -100,6 +103,8 @@
     pub records: Vec<KeyedRecord>,
     /// Offset up to which all records of the topic are known.
     pub next: LogOffset,
+    /// Time at which the topic had no record after these; [`Moment::START`] if it had more.
+    pub confirmed_at: Moment,
 }
 
 /// Properties of a request by which its route is looked up.
--- a/src/gateway/peer_exchange.rs
+++ b/src/gateway/peer_exchange.rs
@@ -75,8 +75,15 @@
     All,
 }
 
-/// Result of one exchange: its connection and the response, if there was one.
-type ExchangeResult = (PeerConnection, Option<GossipMessage>);
+/// Result of one exchange.
+#[derive(Debug)]
+struct ExchangeResult {
+    connection: PeerConnection,
+    /// Time at which the exchange began.
+    called_at: Moment,
+    /// Message of the other instance; `None` if it did not respond.
+    response: Option<GossipMessage>,
+}
 
 /// Another instance that is known by its address.
 #[derive(Debug, Clone, Copy)]
@@ -208,19 +215,25 @@
                 .remove(&address)
                 .unwrap_or_else(|| PeerConnection::new(address));
             let gossip = gossip.clone();
+            let called_at = directory.now();
             self.exchanges.spawn(async move {
                 let response = connection.exchange(gossip).await;
-                (connection, response)
+                ExchangeResult {
+                    connection,
+                    called_at,
+                    response,
+                }
             });
         }
     }
 
     /// Applies the response of an exchange and keeps its connection.
-    fn finish_exchange(
-        &mut self,
-        directory: &Directory<GatewayMail>,
-        (connection, response): ExchangeResult,
-    ) {
+    fn finish_exchange(&mut self, directory: &Directory<GatewayMail>, result: ExchangeResult) {
+        let ExchangeResult {
+            connection,
+            called_at,
+            response,
+        } = result;
         self.in_exchange.remove(&connection.address);
         if let Some(gossip) = response {
             self.record_peer(
@@ -229,7 +242,8 @@
                 gossip.data_centre(),
                 &gossip.peers,
             );
-            dispatch::tell(directory, DispatchMail::Gossip(Box::new(gossip)));
+            let mail = DispatchMail::GossipResponse(Box::new(gossip), called_at);
+            dispatch::tell(directory, mail);
         }
         self.connections.insert(connection.address, connection);
     }
--- a/src/gateway/store_watch.rs
+++ b/src/gateway/store_watch.rs
@@ -13,7 +13,7 @@
 use crate::platform::store_client::{
     OPERATOR_TOPIC, StoreClient, StoreError, StoreRead, UPSTREAM_TOPIC,
 };
-use crate::platform::store_records::decode_keyed;
+use crate::platform::store_records::{StorePage, decode_keyed};
 use crate::wire::peer_rpc::WireTopic;
 
 /// Maximum delay between two attempts while the store does not respond.
@@ -49,12 +49,12 @@
 };
 
 /// Upstreams write continuously; a change must take effect while a draining upstream still
-/// accepts requests.
+/// accepts requests. A read that ends without a record confirms as late as an operators' read.
 const UPSTREAM_PARAMETERS: TopicParameters = TopicParameters {
     name: "upstream-watch",
     topic: WireTopic::Upstream,
     store_topic: UPSTREAM_TOPIC,
-    long_poll: Duration::from_secs(1),
+    long_poll: Duration::from_millis(600),
     interval: Duration::from_millis(400),
 };
 
@@ -140,7 +140,7 @@
             _ => {}
         }
         let started = directory.now();
-        match self.read().await {
+        match self.read(directory).await {
             Ok(Some(mail)) => {
                 self.retry_delay = INITIAL_RETRY_DELAY;
                 self.due = started.after(self.parameters.interval);
@@ -158,8 +158,12 @@
 
     /// Reads a snapshot or the next records; `None` if the records at `next` have been deleted, so
     /// that a snapshot has to be read.
-    async fn read(&mut self) -> Result<Option<DispatchMail>, StoreError> {
+    async fn read(
+        &mut self,
+        directory: &Directory<GatewayMail>,
+    ) -> Result<Option<DispatchMail>, StoreError> {
         let topic = self.parameters.topic;
+        let started = directory.now();
         let Some(from) = self.next else {
             let newest = self.client.newest(self.parameters.store_topic).await?;
             self.next = Some(newest.end);
@@ -167,11 +171,13 @@
                 topic,
                 records: newest.records,
                 next: newest.end,
+                confirmed_at: started,
             })));
         };
+        let long_poll = self.parameters.long_poll;
         let read = self
             .client
-            .read(self.parameters.store_topic, from, self.parameters.long_poll);
+            .read(self.parameters.store_topic, from, long_poll);
         match read.await? {
             StoreRead::Deleted { .. } => {
                 self.next = None;
@@ -180,12 +186,47 @@
             StoreRead::Page(page) => {
                 let next = page.next(from);
                 self.next = Some(next);
+                let read = ReadTimes {
+                    started,
+                    long_poll,
+                    ended: directory.now(),
+                };
+                let confirmed_at = read.confirmed_at(&page, from);
                 Ok(Some(DispatchMail::Records(TopicRecords {
                     topic,
                     records: page.records.iter().filter_map(decode_keyed).collect(),
                     next,
+                    confirmed_at,
                 })))
             }
         }
     }
 }
+
+/// Times of a read from a topic.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct ReadTimes {
+    /// Time before the read was sent.
+    pub started: Moment,
+    /// Time for which the store was asked to wait for a record.
+    pub long_poll: Duration,
+    /// Time at which the response was received.
+    pub ended: Moment,
+}
+
+impl ReadTimes {
+    /// Returns a time at which the topic had no record after the page that was read from the
+    /// offset `from`; [`Moment::START`] if it had more. The response may have been in transit for
+    /// any time, so only the start of the read counts, and the long poll if it brought no record.
+    #[must_use]
+    pub fn confirmed_at(self, page: &StorePage, from: LogOffset) -> Moment {
+        let poll_end = self.started.after(self.long_poll);
+        if page.next(from) < page.end {
+            Moment::START
+        } else if page.records.is_empty() && poll_end.is_due(self.ended) {
+            poll_end
+        } else {
+            self.started
+        }
+    }
+}
--- a/tests/gateway_drain.rs
+++ b/tests/gateway_drain.rs
@@ -13,10 +13,12 @@
 use bulrushslip::gateway::identity::InstanceIdentity;
 use bulrushslip::gateway::mail::{
     DispatchMail, GatewayMail, PeerProgress, PlacementRefusal, PlacementReply, PlacementRequest,
-    TopicRecords,
+    ReadNeed, TopicRecords,
 };
+use bulrushslip::gateway::store_watch::ReadTimes;
 use bulrushslip::kernel::{Moment, NameTable, ReplyTo, Service, Signal, Turn};
 use bulrushslip::log_queue::DroppedLines;
+use bulrushslip::platform::store_records::{StorePage, StoreRecord};
 use bulrushslip::wire::peer_rpc::{GossipMessage, WireTopic};
 
 /// Drain limit of the tests, in milliseconds.
@@ -61,7 +63,10 @@
         });
         let mut instance = Self { service, names };
         let entry = upstream_record(0, Some(READY));
-        instance.send(0, DispatchMail::Snapshot(topic_records(vec![entry], 1)));
+        instance.send(
+            0,
+            DispatchMail::Snapshot(topic_records(vec![entry], 1, at(0))),
+        );
         instance
     }
 
@@ -90,7 +95,39 @@
 
     /// Passes records that were read from the store.
     fn read(&mut self, ms: u64, records: Vec<KeyedRecord>, next: u64) {
-        self.send(ms, DispatchMail::Records(topic_records(records, next)));
+        self.send(
+            ms,
+            DispatchMail::Records(topic_records(records, next, at(ms))),
+        );
+    }
+
+    /// Passes the response of another instance to a call that began at `called_ms`.
+    fn respond(&mut self, called_ms: u64, ms: u64, gossip: GossipMessage) {
+        let mail = DispatchMail::GossipResponse(Box::new(gossip), at(called_ms));
+        self.send(ms, mail);
+    }
+
+    /// Returns the time until which the instance relies on others for the upstreams' records;
+    /// `None` if it reads them itself.
+    fn relies_until(&mut self, ms: u64) -> Option<Moment> {
+        let (sender, receiver) = mpsc::channel();
+        let reply_to = ReplyTo::new(move |reply| sender.send(reply).expect("an open receiver"));
+        let mail = DispatchMail::ReadNeed(WireTopic::Upstream, reply_to);
+        self.send(ms, mail);
+        match receiver.try_recv().expect("a reply") {
+            ReadNeed::Now(_) => None,
+            ReadNeed::Later(due) => Some(due),
+        }
+    }
+
+    /// Passes the responses of `readers` to calls of this instance; returns what
+    /// [`Self::relies_until`] does then.
+    fn relies_on(&mut self, readers: &mut [Instance], called_ms: u64, ms: u64) -> Option<Moment> {
+        for reader in readers {
+            let gossip = reader.gossip(called_ms);
+            self.respond(called_ms, ms, gossip);
+        }
+        self.relies_until(ms)
     }
 
     fn fail_read(&mut self, ms: u64) {
@@ -148,11 +185,12 @@
     }
 }
 
-fn topic_records(records: Vec<KeyedRecord>, next: u64) -> TopicRecords {
+fn topic_records(records: Vec<KeyedRecord>, next: u64, confirmed_at: Moment) -> TopicRecords {
     TopicRecords {
         topic: WireTopic::Upstream,
         records,
         next: LogOffset(next),
+        confirmed_at,
     }
 }
 
@@ -175,7 +213,7 @@
         steady.read(ms, Vec::new(), 1);
     }
     let gossip = returned.gossip(10_000);
-    steady.send(10_005, DispatchMail::Gossip(Box::new(gossip)));
+    steady.respond(10_000, 10_005, gossip);
     assert!(steady.sends(10_010));
     steady.read(10_020, vec![upstream_record(1, None)], 2);
     let refused = steady.place(10_030).try_recv().expect("a reply");
@@ -218,3 +256,63 @@
     instance.wake(13_000);
     assert!(instance.sends(13_000));
 }
+
+/// Guards against a confirmation that counts from the arrival of a response: a response that was
+/// in transit for seconds made old records look current.
+#[test]
+fn a_read_confirms_no_later_moment_than_the_store_can_have_meant() {
+    let from = LogOffset(4);
+    let page = |end, offsets: &[u64]| StorePage {
+        end: LogOffset(end),
+        first: LogOffset(0),
+        records: offsets
+            .iter()
+            .map(|offset| StoreRecord {
+                offset: LogOffset(*offset),
+                body: bytes::Bytes::new(),
+            })
+            .collect(),
+    };
+    let read = |ended_ms| ReadTimes {
+        started: at(1_000),
+        long_poll: Duration::from_millis(600),
+        ended: at(ended_ms),
+    };
+    for (ended_ms, page, confirmed_at) in [
+        (2_500, page(6, &[4, 5]), at(1_000)),
+        (2_500, page(4, &[]), at(1_600)),
+        (1_400, page(4, &[]), at(1_000)),
+        (1_400, page(9, &[4, 5]), Moment::START),
+    ] {
+        let confirmed = read(ended_ms).confirmed_at(&page, from);
+        assert_eq!(confirmed, confirmed_at, "{page:?}");
+    }
+}
+
+/// Guards against gossip that makes old records look current: the time that a message spends in
+/// transit used not to count, neither that of a call nor that of a response.
+#[test]
+fn time_in_transit_counts_as_age_of_the_records() {
+    let mut readers = [Instance::new(1), Instance::new(2)];
+    let mut instance = Instance::new(3);
+    for reader in &mut readers {
+        reader.read(10_000, Vec::new(), 1);
+    }
+    let limit = instance.relies_on(&mut readers, 10_000, 10_000);
+    let limit = limit.expect("recent records").since(at(10_000));
+    for reader in &mut readers {
+        reader.read(20_000, Vec::new(), 1);
+    }
+    let relies_until = instance.relies_on(&mut readers, 20_000, 20_700);
+    assert!(
+        relies_until.is_some_and(|until| until.since(at(20_000)) <= limit),
+        "{relies_until:?}"
+    );
+    // The time at which a call was sent is unknown to the instance that is called.
+    for reader in &mut readers {
+        reader.read(30_000, Vec::new(), 1);
+        let gossip = reader.gossip(30_000);
+        instance.send(31_900, DispatchMail::Gossip(Box::new(gossip)));
+    }
+    assert_eq!(instance.relies_until(31_900), None);
+}
--- a/tests/gateway_gossip.rs
+++ b/tests/gateway_gossip.rs
@@ -67,6 +67,7 @@
                 topic,
                 records: vec![record],
                 next: LogOffset(1),
+                confirmed_at: at(0),
             };
             instance.send(at(0), DispatchMail::Snapshot(records));
         }
@@ -177,14 +178,16 @@
         value: Some(r#"{"model":"m","version":2}"#.to_owned().into()),
         offset: LogOffset(1),
     };
-    let with_version = |record: &KeyedRecord| TopicRecords {
+    let with_version = |record: &KeyedRecord, confirmed_at| TopicRecords {
         topic: WireTopic::Operator,
         records: vec![record.clone()],
         next: LogOffset(2),
+        confirmed_at,
     };
-    early.send(at(0), DispatchMail::Records(with_version(&version)));
+    early.send(at(0), DispatchMail::Records(with_version(&version, at(0))));
     let mut late = Instance::new(2);
-    late.send(at(5_000), DispatchMail::Records(with_version(&version)));
+    let records = with_version(&version, at(5_000));
+    late.send(at(5_000), DispatchMail::Records(records));
     assert_eq!(late.upstream_view(at(8_000)).1, 1);
     let gossip = early.gossip(at(5_000));
     late.send(at(5_000), DispatchMail::Gossip(Box::new(gossip)));
@@ -203,6 +206,7 @@
             offset: LogOffset(version - 1),
         }],
         next: LogOffset(version),
+        confirmed_at: Moment::START,
     };
     let mut early = Instance::new(1);
     early.send(at(0), DispatchMail::Records(version(2)));
@@ -229,13 +233,15 @@
                     topic,
                     records: Vec::new(),
                     next: LogOffset(1),
+                    confirmed_at: at(ms),
                 };
                 instances[sender].send(at(ms), DispatchMail::Records(records));
             }
             let gossip = instances[sender].gossip(at(ms));
             for (receiver, instance) in instances.iter_mut().enumerate() {
                 if receiver != sender {
-                    instance.send(at(ms), DispatchMail::Gossip(Box::new(gossip.clone())));
+                    let response = Box::new(gossip.clone());
+                    instance.send(at(ms), DispatchMail::GossipResponse(response, at(ms)));
                 }
             }
         }
