Send no request on a list of upstreams older than the drain limit

Cause: an instance that got no news from others read the store itself once the last confirmation was 1.2 s old, and nothing held what came after: the read could hang for 2.4 s (connecting, long poll, response), a placement could wait for a connection or for the processor, and requests were sent all the while. The constants together exceed the drain limit as soon as one step is slow.

Mend, in three places: - A request is placed only while the list of upstreams is younger than the drain limit less 250 ms for the send; else it waits in the queue until the list is confirmed. If a read has failed since the last confirmation, the list stays in use, so an outage of the store stops no request. - A placement is valid for 20 ms; a send after that (a new connection, a busy machine) asks dispatch again whether the upstream has left or the list has become too old, and is placed again if so; nothing has been sent then. - The first read after a pause or a failure asks for an immediate response, and while the store responds a read fails 500 ms after its long poll instead of 1 s, so that with the limit of 2 s an outage is noticed before requests wait. After a failure the longer timeout applies, for a store that is slow.

Not run: a fleet of 30 or more instances; a store that answers after 500 ms.

--- a/src/events/catalogue.rs
+++ b/src/events/catalogue.rs
@@ -155,6 +155,14 @@
     "The platform's store did not confirm this process's record on the list of instances.",
 );
 
+/// Logged when requests wait because the list of upstreams is too old.
+pub const UPSTREAMS_OUTDATED: EventKind = event(
+    211,
+    Level::Warn,
+    "upstreams_outdated",
+    "The list of upstreams is too old for the drain limit and no read has failed; requests wait.",
+);
+
 /// Logged when the response to a request is lost.
 pub const ANSWER_LOST: EventKind = event(
     301,
@@ -216,7 +224,7 @@
     308,
     Level::Debug,
     "request_placed",
-    "An upstream was chosen for a request; shows its missing prompt tokens and their source.",
+    "An upstream was chosen for a request; shows its missing prompt tokens and the list's age.",
 );
 
 /// Logged when a request has waited long at an upstream with outdated weights.
@@ -235,6 +243,14 @@
     "A request was withdrawn because it had not started and may no longer start on outdated weights.",
 );
 
+/// Logged when a placed request is not sent because its upstream may have left.
+pub const SEND_WITHDRAWN: EventKind = event(
+    311,
+    Level::Info,
+    "send_withdrawn",
+    "A placed request was not sent, because its upstream has left or may have; it is placed again.",
+);
+
 /// Logged when the upstream starts to respond.
 pub const ENGINE_UP: EventKind = event(
     401,
@@ -316,7 +332,7 @@
 );
 
 /// All kinds of log events in ascending order of their numbers.
-pub const CATALOGUE: [EventKind; 37] = [
+pub const CATALOGUE: [EventKind; 39] = [
     PROCESS_STARTED,
     LISTENING,
     STOP_BEGUN,
@@ -334,6 +350,7 @@
     SETTINGS_RELOADED,
     SETTINGS_REFUSED,
     REGISTRATION_FAILED,
+    UPSTREAMS_OUTDATED,
     ANSWER_LOST,
     REQUEST_ANSWERED,
     REQUEST_REFUSED,
@@ -344,6 +361,7 @@
     REQUEST_PLACED,
     OUTDATED_START,
     REQUEST_WITHDRAWN,
+    SEND_WITHDRAWN,
     ENGINE_UP,
     ENGINE_DOWN,
     ENGINE_RESTARTED,
--- a/src/gateway/attempts.rs
+++ b/src/gateway/attempts.rs
@@ -185,15 +185,9 @@
     async fn attempt(&mut self, mut placement: GuardedPlacement) -> Option<AttemptsOutcome> {
         let now = self.directory.now();
         let until = self.attempt_deadline(now);
-        let clock = self.directory.clock();
-        let outcome = call(
-            self.request,
-            &mut placement.at,
-            self.last_event,
-            clock,
-            until,
-        )
-        .await;
+        let (request, last_event) = (self.request, self.last_event);
+        let at = &mut placement.at;
+        let outcome = call(self.directory, request, at, last_event, until).await;
         let GuardedPlacement { at, guard } = placement;
         let (end, outcome) = match outcome {
             CallOutcome::Response(response) => {
--- a/src/gateway/dispatch/mod.rs
+++ b/src/gateway/dispatch/mod.rs
@@ -8,6 +8,7 @@
 mod reading;
 mod records;
 mod release;
+mod send_check;
 mod state;
 mod withdrawal;
 
@@ -71,6 +72,7 @@
     let withdrawal_due = state.withdraw_unstarted(turn.now);
     let parked_due = state.retry_parked(turn.now);
     let queue_due = state.serve_queues(turn.now);
+    state.log_outdated_list(turn.now);
     let sweep_due = state.next_sweep.min(state.next_removal());
     let dues = [sweep_due, withdrawal_due, parked_due, queue_due];
     NextStep::WaitUntil(dues.into_iter().min().unwrap_or(Moment::NEVER))
@@ -90,6 +92,7 @@
             reply_to.send(state.routes.as_ref().map(|routes| routes.find(question)));
         }
         DispatchMail::Place(ask, reply_to) => state.place(now, *ask, reply_to),
+        DispatchMail::CheckSend(ticket, reply_to) => reply_to.send(state.check_send(now, ticket)),
         DispatchMail::FirstOutput(ticket) => state.record_first_output(now, ticket),
         DispatchMail::PlacementEnded(end) => state.release(now, *end),
         DispatchMail::WeightsSeen(member, version) => state.record_weights(now, member, version),
--- a/src/gateway/dispatch/place.rs
+++ b/src/gateway/dispatch/place.rs
@@ -142,7 +142,10 @@
             prefill_deadline: request.prefill_deadline,
             request_hash: request.fingerprint.0,
         };
-        choose(view, question)
+        match choose(view, question) {
+            ChoiceOutcome::Send(_) if !self.is_sendable(now) => ChoiceOutcome::Full,
+            choice => choice,
+        }
     }
 
     /// Returns the newest version of a model and the oldest one still allowed; `None` if this instance
@@ -201,6 +204,10 @@
                 ("retry", &request.is_retry),
                 ("weights", &weights.unwrap_or(0)),
                 ("target", &target.map_or(0, |target| target.version)),
+                (
+                    "list_age_ms",
+                    &now.since(self.upstream_health.confirmed_at).as_millis(),
+                ),
             ],
         );
     }
@@ -222,6 +229,7 @@
         self.log_placement(now, request, &choice, weights);
         let withdrawal = self.expect_start(ticket, request, weights);
         self.record_prefill_start(now, request, &choice);
+        let valid_until = self.placement_end(now);
         let member = self
             .fleet
             .get_mut(choice.member)
@@ -252,6 +260,7 @@
             fetch_from: choice.fetch_from,
             save_to: choice.save_to.map(|store| store.address),
             connection: self.pool.take(now, choice.member),
+            valid_until,
         };
         self.running.insert(ticket, running);
         placement
--- a/src/gateway/dispatch/records.rs
+++ b/src/gateway/dispatch/records.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use super::send_check::SEND_TIME;
 use super::state::{DeferredRemoval, DispatchState, TargetVersion};
 use crate::decide::fleet::{EntryChange, MemberKey, MemberState};
 use crate::decide::hashing::name_hash;
@@ -25,9 +26,6 @@
 /// expired during the outage may be written again.
 const REMOVAL_DELAY: Duration = Duration::from_millis(2_100);
 
-/// Time reserved from the choice of an upstream until the request reaches it.
-pub(super) const SEND_TIME: Duration = Duration::from_millis(250);
-
 /// Minimum length of a store outage after which removed entries may merely have expired.
 pub(super) const MIN_OUTAGE: Duration = Duration::from_secs(1);
 
@@ -306,6 +304,7 @@
     /// Records that a read from the store failed.
     pub(super) fn record_store_failure(&mut self, now: Moment, topic: WireTopic, reason: &str) {
         let health = self.health_mut(topic);
+        health.failed_at = now;
         if health.failing_since.is_none() {
             health.failing_since = Some(now);
             let fields: [EventField<'_>; 2] = [("topic", &topic_name(topic)), ("reason", &reason)];
--- a/src/gateway/dispatch/state.rs
+++ b/src/gateway/dispatch/state.rs
@@ -91,6 +91,8 @@
     pub confirmed_at: Moment,
     /// Time of the first failure since the last successful read; `None` while reads succeed.
     pub failing_since: Option<Moment>,
+    /// Time of the last failed read; `START` if none has failed.
+    pub failed_at: Moment,
     /// Time of the first successful read after the last outage.
     pub recovered_at: Option<Moment>,
 }
@@ -159,6 +161,8 @@
     /// Upstreams whose weights changed lately, each with the time of the change.
     pub(super) recent_weights: VecDeque<(Moment, MemberKey)>,
     pub(super) next_sweep: Moment,
+    /// Whether requests wait for a newer list of upstreams, and the log tells so.
+    pub(super) is_outdated_logged: bool,
     /// Whether this process is shutting down.
     pub is_leaving: bool,
     incarnation: crate::decide::ids::Incarnation,
@@ -205,6 +209,7 @@
             recent_parts: VecDeque::new(),
             recent_weights: VecDeque::new(),
             next_sweep: Moment::START,
+            is_outdated_logged: false,
             is_leaving: false,
             sequence: 0,
         }
--- a/src/gateway/mail.rs
+++ b/src/gateway/mail.rs
@@ -37,6 +37,8 @@
     Route(RouteLookup, ReplyTo<Option<RouteDecision>>),
     /// Asks for a placement; the reply comes once the request is placed or refused.
     Place(Box<PlacementRequest>, ReplyTo<PlacementReply>),
+    /// Asks whether a placed request may still be sent.
+    CheckSend(Ticket, ReplyTo<SendCheck>),
     /// A request has produced its first output.
     FirstOutput(Ticket),
     /// A placement has ended.
@@ -198,6 +200,31 @@
     pub save_to: Option<SocketAddr>,
     /// Idle connection to the upstream, if there is one.
     pub connection: Option<OpenConnection>,
+    /// Time from which the request is sent only after another check.
+    pub valid_until: Moment,
+}
+
+/// Whether a placed request may still be sent.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum SendCheck {
+    /// The request may be sent.
+    Send,
+    /// The upstream is leaving or was removed.
+    UpstreamLeft,
+    /// The upstream may have left since its entry was last confirmed.
+    Outdated,
+}
+
+impl SendCheck {
+    /// Returns the name for logs.
+    #[must_use]
+    pub const fn name(self) -> &'static str {
+        match self {
+            Self::Send => "send",
+            Self::UpstreamLeft => "upstream_left",
+            Self::Outdated => "outdated",
+        }
+    }
 }
 
 /// Reply to a request for a placement.
--- a/src/gateway/store_watch.rs
+++ b/src/gateway/store_watch.rs
@@ -4,12 +4,13 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use tokio::time::sleep_until;
+use tokio::time::{sleep_until, timeout};
 
 use super::dispatch;
 use super::mail::{DispatchMail, GatewayMail, ReadNeed, TopicRecords};
 use crate::decide::ids::LogOffset;
 use crate::kernel::{Directory, Inbox, IoTask, Moment, Signal};
+use crate::platform::http_connection::ConnectionError;
 use crate::platform::store_client::{
     OPERATOR_TOPIC, StoreClient, StoreError, StoreRead, UPSTREAM_TOPIC,
 };
@@ -22,6 +23,11 @@
 /// Delay after the first failed attempt; it doubles with each further one.
 const INITIAL_RETRY_DELAY: Duration = Duration::from_millis(100);
 
+/// Time for the response to a read, in addition to its long poll, while the store responds. A late
+/// response counts as a failure, so that requests do not wait for it; the next reads get the
+/// client's longer timeout.
+const RESPONSE_TIMEOUT: Duration = Duration::from_millis(500);
+
 /// Parameters for reading a topic.
 #[derive(Debug, Clone, Copy)]
 struct TopicParameters {
@@ -79,6 +85,7 @@
             next: None,
             retry_delay: INITIAL_RETRY_DELAY,
             due: Moment::START,
+            is_current: false,
         };
         watch.run(inbox, directory)
     })
@@ -96,6 +103,8 @@
     retry_delay: Duration,
     /// Time of the next read.
     due: Moment,
+    /// Whether the last read succeeded and no pause followed, so that what is known is recent.
+    is_current: bool,
 }
 
 impl TopicWatch {
@@ -133,6 +142,7 @@
         match need.await {
             Some(ReadNeed::Later(due)) => {
                 self.due = due;
+                self.is_current = false;
                 return;
             }
             // Records that other instances have forwarded are skipped.
@@ -143,6 +153,7 @@
         match self.read(directory).await {
             Ok(Some(mail)) => {
                 self.retry_delay = INITIAL_RETRY_DELAY;
+                self.is_current = true;
                 self.due = started.after(self.parameters.interval);
                 dispatch::tell(directory, mail);
             }
@@ -150,6 +161,7 @@
             Err(error) => {
                 let failure = DispatchMail::StoreFailed(topic, error.to_string());
                 dispatch::tell(directory, failure);
+                self.is_current = false;
                 self.due = directory.now().after(self.retry_delay);
                 self.retry_delay = (self.retry_delay * 2).min(MAX_RETRY_DELAY);
             }
@@ -174,11 +186,24 @@
                 confirmed_at: started,
             })));
         };
-        let long_poll = self.parameters.long_poll;
+        // What is known may be too old to wait for the next record.
+        let long_poll = if self.is_current {
+            self.parameters.long_poll
+        } else {
+            Duration::ZERO
+        };
+        let has_failed = self.retry_delay != INITIAL_RETRY_DELAY;
         let read = self
             .client
             .read(self.parameters.store_topic, from, long_poll);
-        match read.await? {
+        let page = if has_failed {
+            read.await?
+        } else {
+            timeout(long_poll + RESPONSE_TIMEOUT, read)
+                .await
+                .map_err(|_elapsed| StoreError::from(ConnectionError::Timeout))??
+        };
+        match page {
             StoreRead::Deleted { .. } => {
                 self.next = None;
                 Ok(None)
--- a/src/gateway/upstream_call.rs
+++ b/src/gateway/upstream_call.rs
@@ -9,9 +9,11 @@
 use hyper::{Request, Response, StatusCode};
 use tokio::time::timeout;
 
-use super::mail::Placement;
+use super::dispatch;
+use super::mail::{DispatchMail, GatewayMail, Placement, SendCheck};
 use super::request::CallerRequest;
-use crate::kernel::{Clock, Moment, whole_ms};
+use crate::events::{SEND_WITHDRAWN, log_event};
+use crate::kernel::{Directory, Moment, whole_ms};
 use crate::platform::http_connection::{OpenConnection, dial};
 use crate::platform::request_headers::{
     CACHE_DOMAIN, CUSTOMER, DEADLINE_MS, ENGINE_RANK, EXPECTED_UPSTREAM, EXPECTED_WEIGHTS,
@@ -57,7 +59,8 @@
     },
     /// No connection could be made; the request has not run.
     Unreachable,
-    /// The connection was closed before the request was sent; the request has not run.
+    /// The connection was closed before the request was sent, or the upstream may have left; the
+    /// request has not run.
     Unsent,
     /// The connection broke, or the response is not authentic; the request may have run.
     Lost,
@@ -71,13 +74,13 @@
 /// Sends a request to the upstream `at` and waits for the response head until `until`, or until the
 /// request is withdrawn.
 pub async fn call(
+    directory: &Directory<GatewayMail>,
     request: &CallerRequest,
     at: &mut Placement,
     last_event: Option<u64>,
-    clock: Clock,
     until: Moment,
 ) -> CallOutcome {
-    let outgoing = match outgoing_request(request, at, last_event, clock.now()) {
+    let outgoing = match outgoing_request(request, at, last_event, directory.now()) {
         Ok(outgoing) => outgoing,
         // Cannot happen for headers that were received; only the upstream's name is new text.
         Err(_invalid) => return CallOutcome::Unsent,
@@ -89,7 +92,10 @@
             Err(_unreachable) => return CallOutcome::Unreachable,
         },
     };
-    let now = clock.now();
+    if at.valid_until.is_due(directory.now()) && !may_send(directory, request, at).await {
+        return CallOutcome::Unsent;
+    }
+    let now = directory.now();
     if at.withdrawal.is_due() {
         return CallOutcome::Unsent;
     }
@@ -113,6 +119,32 @@
     classify_response(request, at, response, connection)
 }
 
+/// Asks `dispatch` whether the request may still be sent to the upstream at which it was placed.
+async fn may_send(
+    directory: &Directory<GatewayMail>,
+    request: &CallerRequest,
+    at: &Placement,
+) -> bool {
+    let ticket = at.ticket;
+    let check = dispatch::ask(directory, |reply_to| {
+        DispatchMail::CheckSend(ticket, reply_to)
+    });
+    let reason = match check.await {
+        Some(SendCheck::Send) => return true,
+        Some(check) => check.name(),
+        None => "no_reply",
+    };
+    log_event(
+        &SEND_WITHDRAWN,
+        &[
+            ("request", &request.id),
+            ("upstream", &at.upstream),
+            ("reason", &reason),
+        ],
+    );
+    false
+}
+
 fn classify_response(
     request: &CallerRequest,
     at: &Placement,
--- a/tests/gateway_drain.rs
+++ b/tests/gateway_drain.rs
@@ -12,8 +12,8 @@
 use bulrushslip::gateway::dispatch::{DispatchSettings, dispatch_service};
 use bulrushslip::gateway::identity::InstanceIdentity;
 use bulrushslip::gateway::mail::{
-    DispatchMail, GatewayMail, PeerProgress, PlacementRefusal, PlacementReply, PlacementRequest,
-    ReadNeed, TopicRecords,
+    DispatchMail, GatewayMail, PeerProgress, Placement, PlacementRefusal, PlacementReply,
+    PlacementRequest, ReadNeed, SendCheck, TopicRecords,
 };
 use bulrushslip::gateway::store_watch::ReadTimes;
 use bulrushslip::kernel::{Moment, NameTable, ReplyTo, Service, Signal, Turn};
@@ -173,7 +173,7 @@
 
     /// Returns whether a request is sent to an upstream at once.
     fn sends(&mut self, ms: u64) -> bool {
-        matches!(self.place(ms).try_recv(), Ok(PlacementReply::Placed(_)))
+        placed(&self.place(ms)).is_some()
     }
 }
 
@@ -316,3 +316,77 @@
     }
     assert_eq!(instance.relies_until(31_900), None);
 }
+
+/// Returns the placement in a reply.
+fn placed(reply: &Receiver<PlacementReply>) -> Option<Placement> {
+    match reply.try_recv() {
+        Ok(PlacementReply::Placed(placement)) => Some(*placement),
+        _ => None,
+    }
+}
+
+/// Guards against a send on a list of upstreams that is older than the drain limit, when a read
+/// takes longer than the times around it allow for.
+#[test]
+fn requests_wait_while_the_list_of_upstreams_is_too_old() {
+    let mut instance = Instance::new(1);
+    instance.read(10_000, Vec::new(), 1);
+    assert!(instance.sends(11_000));
+    let reply = instance.place(10_000 + DRAIN_LIMIT_MS);
+    assert!(placed(&reply).is_none(), "sent on an old list");
+    instance.read(12_100, Vec::new(), 1);
+    assert!(placed(&reply).is_some(), "the list is recent again");
+    // The answer to a read that was sent long ago makes the list no more recent.
+    let records = topic_records(Vec::new(), 1, at(13_000));
+    instance.send(16_000, DispatchMail::Records(records));
+    assert!(!instance.sends(16_000));
+}
+
+/// Guards against the loss of service while the store is out.
+#[test]
+fn an_outage_of_the_store_stops_no_request() {
+    let mut instance = Instance::new(1);
+    instance.read(10_000, Vec::new(), 1);
+    let reply = instance.place(10_000 + DRAIN_LIMIT_MS);
+    assert!(placed(&reply).is_none());
+    instance.fail_read(12_100);
+    assert!(placed(&reply).is_some(), "waits during an outage");
+    for ms in (12_500..60_000).step_by(10_000) {
+        assert!(instance.sends(ms), "{ms}");
+    }
+    // Others confirm the list for a while and stop; reads of this instance go on to fail.
+    let mut reader = Instance::new(2);
+    reader.read(60_000, Vec::new(), 1);
+    let gossip = reader.gossip(60_000);
+    instance.respond(60_000, 60_010, gossip);
+    assert!(!instance.sends(62_500));
+    instance.fail_read(62_600);
+    assert!(instance.sends(62_600));
+}
+
+/// Guards against a request that was placed before its upstream left and is sent long after, when
+/// connecting or waiting for the processor took long.
+#[test]
+fn a_placement_is_checked_again_before_a_late_send() {
+    let mut instance = Instance::new(1);
+    instance.read(10_000, Vec::new(), 1);
+    let reply = instance.place(10_100);
+    let placement = placed(&reply).expect("a placement");
+    assert!(placement.valid_until <= at(10_000 + DRAIN_LIMIT_MS));
+    assert!(placement.valid_until.since(at(10_100)) < Duration::from_millis(250));
+    let check = |ms, instance: &mut Instance| {
+        let (sender, receiver) = mpsc::channel();
+        let reply_to = ReplyTo::new(move |reply| sender.send(reply).expect("an open receiver"));
+        let mail = DispatchMail::CheckSend(placement.ticket, reply_to);
+        instance.send(ms, mail);
+        receiver.try_recv().expect("a reply")
+    };
+    assert_eq!(check(10_200, &mut instance), SendCheck::Send);
+    let too_old_ms = 10_000 + DRAIN_LIMIT_MS;
+    assert_eq!(check(too_old_ms, &mut instance), SendCheck::Outdated);
+    let draining = READY.replace("ready", "draining");
+    instance.read(12_100, vec![upstream_record(1, Some(&draining))], 2);
+    assert_eq!(check(12_100, &mut instance), SendCheck::UpstreamLeft);
+    instance.read(12_200, vec![upstream_record(2, None)], 3);
+    assert_eq!(check(12_200, &mut instance), SendCheck::UpstreamLeft);
+}
--- /dev/null
+++ b/tests/gateway_late_send.rs
@@ -0,0 +1,147 @@
+//! Requests that were placed and are sent late, on the real service `dispatch` and a real
+//! connection to the upstream.
+
+mod gateway_world;
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bulrushslip::decide::ids::{Incarnation, LogOffset, Rank};
+use bulrushslip::decide::keyed_view::KeyedRecord;
+use bulrushslip::decide::route_table::{
+    AdmittedRoute, CallerLimits, DataCentreId, RouteKind, ServiceId,
+};
+use bulrushslip::decide::suspects::Fingerprint;
+use bulrushslip::gateway::dispatch::{self, DispatchSettings, dispatch_service};
+use bulrushslip::gateway::identity::InstanceIdentity;
+use bulrushslip::gateway::mail::{DispatchMail, GatewayMail, PlacementRequest, TopicRecords};
+use bulrushslip::gateway::placement_guard::place;
+use bulrushslip::gateway::request::CallerRequest;
+use bulrushslip::gateway::upstream_call::{CallOutcome, call};
+use bulrushslip::kernel::{Clock, Directory, Moment, RunningKernel, TokioKernel};
+use bulrushslip::log_queue::DroppedLines;
+use bulrushslip::wire::peer_rpc::WireTopic;
+use bytes::Bytes;
+use gateway_world::{Behaviour, LIMIT, Upstream, until};
+use hyper::Request;
+
+/// Starts the service `dispatch` of one instance.
+fn launch() -> RunningKernel<GatewayMail> {
+    let mut kernel = TokioKernel::new();
+    kernel.add(dispatch_service(DispatchSettings {
+        identity: InstanceIdentity {
+            name: "front".to_owned(),
+            id: 1,
+            data_centre: DataCentreId::of("near"),
+            peer_address: SocketAddr::from(([127, 0, 0, 1], 1)),
+            weights_limit: Duration::from_secs(8),
+            settling_time: Duration::from_secs(3),
+            min_holder_interval: Duration::from_secs(3),
+            drain_limit: Duration::from_mins(1),
+        },
+        incarnation: Incarnation(1),
+        retry_ratio: 0.2,
+        extra_retries: 56.0,
+        dropped_lines: DroppedLines::default(),
+    }));
+    kernel.launch(Clock::start())
+}
+
+/// Passes the entry of the upstream to `dispatch` as if it had been read from the store.
+fn announce(directory: &Directory<GatewayMail>, upstream: &Upstream, offset: u64, state: &str) {
+    let entry = format!(
+        r#"{{"service":"s","address":"{}","zone":"near","slots":8,"state":"{state}","born":1}}"#,
+        upstream.address
+    );
+    let records = TopicRecords {
+        topic: WireTopic::Upstream,
+        records: vec![KeyedRecord {
+            key: "i-0".to_owned(),
+            value: Some(entry.into()),
+            offset: LogOffset(offset),
+        }],
+        next: LogOffset(offset + 1),
+        confirmed_at: directory.now(),
+    };
+    dispatch::tell(directory, DispatchMail::Records(records));
+}
+
+fn caller_request(now: Moment) -> CallerRequest {
+    let head = Request::builder().uri("/a").header("x-request-id", "r");
+    let (head, ()) = head.body(()).expect("a request").into_parts();
+    CallerRequest {
+        id: "r".to_owned(),
+        head,
+        body: Bytes::new(),
+        route: AdmittedRoute {
+            version: 1,
+            service: ServiceId::of("s"),
+            kind: RouteKind::Idempotent,
+            timeout_ms: 4_000,
+            target_latency_ms: 500,
+            max_attempts: 2,
+            engine_rank: 0,
+            is_urgent: true,
+            has_prompts: false,
+            customer: None,
+            is_isolated: false,
+            limits: CallerLimits {
+                head_bytes: 4_096,
+                body_bytes: 1_000,
+            },
+        },
+        prompt: None,
+        last_event: None,
+        received: now,
+        deadline: now.after(LIMIT),
+        fingerprint: Fingerprint(1),
+    }
+}
+
+fn placement_request(request: &CallerRequest) -> PlacementRequest {
+    PlacementRequest {
+        request_id: request.id.clone(),
+        service: request.route.service,
+        prompt: None,
+        customer: String::new(),
+        is_isolated: false,
+        body_bytes: 0,
+        excluded: Vec::new(),
+        is_retry: false,
+        received: request.received,
+        rank: Rank::Urgent,
+        start_by: request.deadline,
+        prefill_deadline: request.deadline,
+        fingerprint: request.fingerprint,
+    }
+}
+
+/// Guards against a request that reaches an upstream long after its leave is known here, because
+/// it was placed before and connecting took long.
+#[tokio::test]
+async fn a_late_send_does_not_reach_an_upstream_that_has_left() {
+    let upstream = Upstream::start(vec![Behaviour::Answer(200, "made")]).await;
+    let kernel = launch();
+    let directory = &kernel.directory;
+    announce(directory, &upstream, 0, "ready");
+    for (offset, state) in [(1, "ready"), (2, "draining")] {
+        let request = caller_request(directory.now());
+        let ask = placement_request(&request);
+        let mut placement = place(directory, ask).await.expect("a placement");
+        let valid_until = placement.at.valid_until;
+        announce(directory, &upstream, offset, state);
+        until("late", async || valid_until.is_due(directory.now())).await;
+        let outcome = call(
+            directory,
+            &request,
+            &mut placement.at,
+            None,
+            request.deadline,
+        )
+        .await;
+        let is_sent = matches!(outcome, CallOutcome::Response(_));
+        assert_eq!(is_sent, state == "ready", "{state}: {outcome:?}");
+        assert!(is_sent || matches!(outcome, CallOutcome::Unsent));
+        assert_eq!(upstream.received().len(), usize::from(is_sent), "{state}");
+    }
+}
