--- a/src/gateway/dispatch/mod.rs
+++ b/src/gateway/dispatch/mod.rs
@@ -8,6 +8,7 @@
 mod reading;
 mod records;
 mod release;
+mod send_check;
 mod state;
 mod withdrawal;
 
@@ -25,7 +26,7 @@
 /// Name under which the service is registered.
 pub const NAME: &str = "dispatch";
 
-/// Time between two sweeps over idle connections and deferred removals of upstreams.
+/// Time between two sweeps over idle connections.
 const SWEEP_INTERVAL: Duration = Duration::from_millis(250);
 
 /// Settings with which the service starts.
@@ -57,6 +58,7 @@
     turn: &mut Turn<'_, GatewayMail>,
     signal: Signal<GatewayMail>,
 ) -> NextStep {
+    state.apply_due_removals(turn.now);
     match signal {
         Signal::Mail(GatewayMail::Dispatch(mail)) => handle_message(state, turn, *mail),
         Signal::Dump(reply_to) => reply_to.send(state.dump(turn.now)),
@@ -66,12 +68,13 @@
     if state.next_sweep.is_due(turn.now) {
         state.next_sweep = turn.now.after(SWEEP_INTERVAL);
         state.sweep_connections(turn.now);
-        state.apply_due_removals(turn);
     }
     let withdrawal_due = state.withdraw_unstarted(turn.now);
     let parked_due = state.retry_parked(turn.now);
     let queue_due = state.serve_queues(turn.now);
-    let dues = [state.next_sweep, withdrawal_due, parked_due, queue_due];
+    state.log_outdated_list(turn.now);
+    let sweep_due = state.next_sweep.min(state.next_removal());
+    let dues = [sweep_due, withdrawal_due, parked_due, queue_due];
     NextStep::WaitUntil(dues.into_iter().min().unwrap_or(Moment::NEVER))
 }
 
@@ -89,6 +92,7 @@
             reply_to.send(state.routes.as_ref().map(|routes| routes.find(question)));
         }
         DispatchMail::Place(ask, reply_to) => state.place(now, *ask, reply_to),
+        DispatchMail::CheckSend(ticket, reply_to) => reply_to.send(state.check_send(now, ticket)),
         DispatchMail::FirstOutput(ticket) => state.record_first_output(now, ticket),
         DispatchMail::PlacementEnded(end) => state.release(now, *end),
         DispatchMail::WeightsSeen(member, version) => state.record_weights(now, member, version),
@@ -99,7 +103,10 @@
             state.record_store_failure(now, topic, &reason);
         }
         DispatchMail::ReadNeed(topic, reply_to) => reply_to.send(state.read_need(now, topic)),
-        DispatchMail::Gossip(gossip) => state.apply_gossip(turn, &gossip),
+        DispatchMail::Gossip(gossip) => state.apply_gossip(turn, &gossip, None),
+        DispatchMail::GossipResponse(gossip, called_at) => {
+            state.apply_gossip(turn, &gossip, Some(called_at));
+        }
         DispatchMail::BuildGossip(from, reply_to) => reply_to.send(state.build_gossip(now, from)),
         DispatchMail::RequestEnded(end) => state.counters.count_request(end),
         DispatchMail::Metrics(reply_to) => reply_to.send(state.metrics_text(now)),
--- a/src/gateway/mail.rs
+++ b/src/gateway/mail.rs
@@ -37,6 +37,8 @@
     Route(RouteLookup, ReplyTo<Option<RouteDecision>>),
     /// Asks for a placement; the reply comes once the request is placed or refused.
     Place(Box<PlacementRequest>, ReplyTo<PlacementReply>),
+    /// Asks whether a placed request may still be sent.
+    CheckSend(Ticket, ReplyTo<SendCheck>),
     /// A request has produced its first output.
     FirstOutput(Ticket),
     /// A placement has ended.
@@ -53,8 +55,11 @@
     StoreFailed(WireTopic, String),
     /// Asks whether this instance is to read a topic from the store now.
     ReadNeed(WireTopic, ReplyTo<ReadNeed>),
-    /// Gossip message of another instance.
+    /// Gossip message of another instance that called; it may have been in transit for any time.
     Gossip(Box<GossipMessage>),
+    /// Gossip message with which another instance responded to a call that began at the given
+    /// time.
+    GossipResponse(Box<GossipMessage>, Moment),
     /// Asks for this instance's gossip message to an instance that has made the given progress.
     BuildGossip(PeerProgress, ReplyTo<GossipMessage>),
     /// A request of a client has ended.
@@ -100,6 +105,8 @@
     pub records: Vec<KeyedRecord>,
     /// Offset up to which all records of the topic are known.
     pub next: LogOffset,
+    /// Time at which the topic had no record after these; [`Moment::START`] if it had more.
+    pub confirmed_at: Moment,
 }
 
 /// Properties of a request by which its route is looked up.
@@ -193,6 +200,31 @@
     pub save_to: Option<SocketAddr>,
     /// Idle connection to the upstream, if there is one.
     pub connection: Option<OpenConnection>,
+    /// Time from which the request is sent only after another check.
+    pub valid_until: Moment,
+}
+
+/// Whether a placed request may still be sent.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum SendCheck {
+    /// The request may be sent.
+    Send,
+    /// The upstream is leaving or was removed.
+    UpstreamLeft,
+    /// The upstream may have left since its entry was last confirmed.
+    Outdated,
+}
+
+impl SendCheck {
+    /// Returns the name for logs.
+    #[must_use]
+    pub const fn name(self) -> &'static str {
+        match self {
+            Self::Send => "send",
+            Self::UpstreamLeft => "upstream_left",
+            Self::Outdated => "outdated",
+        }
+    }
 }
 
 /// Reply to a request for a placement.
--- a/src/gateway/store_watch.rs
+++ b/src/gateway/store_watch.rs
@@ -4,16 +4,17 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use tokio::time::sleep_until;
+use tokio::time::{sleep_until, timeout};
 
 use super::dispatch;
 use super::mail::{DispatchMail, GatewayMail, ReadNeed, TopicRecords};
 use crate::decide::ids::LogOffset;
 use crate::kernel::{Directory, Inbox, IoTask, Moment, Signal};
+use crate::platform::http_connection::ConnectionError;
 use crate::platform::store_client::{
     OPERATOR_TOPIC, StoreClient, StoreError, StoreRead, UPSTREAM_TOPIC,
 };
-use crate::platform::store_records::decode_keyed;
+use crate::platform::store_records::{StorePage, decode_keyed};
 use crate::wire::peer_rpc::WireTopic;
 
 /// Maximum delay between two attempts while the store does not respond.
@@ -22,6 +23,11 @@
 /// Delay after the first failed attempt; it doubles with each further one.
 const INITIAL_RETRY_DELAY: Duration = Duration::from_millis(100);
 
+/// Time for the response to a read, in addition to its long poll, while the store responds. A late
+/// response counts as a failure, so that requests do not wait for it; the next reads get the
+/// client's longer timeout.
+const RESPONSE_TIMEOUT: Duration = Duration::from_millis(500);
+
 /// Parameters for reading a topic.
 #[derive(Debug, Clone, Copy)]
 struct TopicParameters {
@@ -49,12 +55,12 @@
 };
 
 /// Upstreams write continuously; a change must take effect while a draining upstream still
-/// accepts requests.
+/// accepts requests. A read that ends without a record confirms as late as an operators' read.
 const UPSTREAM_PARAMETERS: TopicParameters = TopicParameters {
     name: "upstream-watch",
     topic: WireTopic::Upstream,
     store_topic: UPSTREAM_TOPIC,
-    long_poll: Duration::from_secs(1),
+    long_poll: Duration::from_millis(600),
     interval: Duration::from_millis(400),
 };
 
@@ -79,6 +85,7 @@
             next: None,
             retry_delay: INITIAL_RETRY_DELAY,
             due: Moment::START,
+            is_current: false,
         };
         watch.run(inbox, directory)
     })
@@ -96,6 +103,8 @@
     retry_delay: Duration,
     /// Time of the next read.
     due: Moment,
+    /// Whether the last read succeeded and no pause followed, so that what is known is recent.
+    is_current: bool,
 }
 
 impl TopicWatch {
@@ -133,6 +142,7 @@
         match need.await {
             Some(ReadNeed::Later(due)) => {
                 self.due = due;
+                self.is_current = false;
                 return;
             }
             // Records that other instances have forwarded are skipped.
@@ -140,9 +150,10 @@
             _ => {}
         }
         let started = directory.now();
-        match self.read().await {
+        match self.read(directory).await {
             Ok(Some(mail)) => {
                 self.retry_delay = INITIAL_RETRY_DELAY;
+                self.is_current = true;
                 self.due = started.after(self.parameters.interval);
                 dispatch::tell(directory, mail);
             }
@@ -150,6 +161,7 @@
             Err(error) => {
                 let failure = DispatchMail::StoreFailed(topic, error.to_string());
                 dispatch::tell(directory, failure);
+                self.is_current = false;
                 self.due = directory.now().after(self.retry_delay);
                 self.retry_delay = (self.retry_delay * 2).min(MAX_RETRY_DELAY);
             }
@@ -158,8 +170,12 @@
 
     /// Reads a snapshot or the next records; `None` if the records at `next` have been deleted, so
     /// that a snapshot has to be read.
-    async fn read(&mut self) -> Result<Option<DispatchMail>, StoreError> {
+    async fn read(
+        &mut self,
+        directory: &Directory<GatewayMail>,
+    ) -> Result<Option<DispatchMail>, StoreError> {
         let topic = self.parameters.topic;
+        let started = directory.now();
         let Some(from) = self.next else {
             let newest = self.client.newest(self.parameters.store_topic).await?;
             self.next = Some(newest.end);
@@ -167,12 +183,27 @@
                 topic,
                 records: newest.records,
                 next: newest.end,
+                confirmed_at: started,
             })));
         };
+        // What is known may be too old to wait for the next record.
+        let long_poll = if self.is_current {
+            self.parameters.long_poll
+        } else {
+            Duration::ZERO
+        };
+        let has_failed = self.retry_delay != INITIAL_RETRY_DELAY;
         let read = self
             .client
-            .read(self.parameters.store_topic, from, self.parameters.long_poll);
-        match read.await? {
+            .read(self.parameters.store_topic, from, long_poll);
+        let page = if has_failed {
+            read.await?
+        } else {
+            timeout(long_poll + RESPONSE_TIMEOUT, read)
+                .await
+                .map_err(|_elapsed| StoreError::from(ConnectionError::Timeout))??
+        };
+        match page {
             StoreRead::Deleted { .. } => {
                 self.next = None;
                 Ok(None)
@@ -180,12 +211,47 @@
             StoreRead::Page(page) => {
                 let next = page.next(from);
                 self.next = Some(next);
+                let read = ReadTimes {
+                    started,
+                    long_poll,
+                    ended: directory.now(),
+                };
+                let confirmed_at = read.confirmed_at(&page, from);
                 Ok(Some(DispatchMail::Records(TopicRecords {
                     topic,
                     records: page.records.iter().filter_map(decode_keyed).collect(),
                     next,
+                    confirmed_at,
                 })))
             }
         }
     }
 }
+
+/// Times of a read from a topic.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct ReadTimes {
+    /// Time before the read was sent.
+    pub started: Moment,
+    /// Time for which the store was asked to wait for a record.
+    pub long_poll: Duration,
+    /// Time at which the response was received.
+    pub ended: Moment,
+}
+
+impl ReadTimes {
+    /// Returns a time at which the topic had no record after the page that was read from the
+    /// offset `from`; [`Moment::START`] if it had more. The response may have been in transit for
+    /// any time, so only the start of the read counts, and the long poll if it brought no record.
+    #[must_use]
+    pub fn confirmed_at(self, page: &StorePage, from: LogOffset) -> Moment {
+        let poll_end = self.started.after(self.long_poll);
+        if page.next(from) < page.end {
+            Moment::START
+        } else if page.records.is_empty() && poll_end.is_due(self.ended) {
+            poll_end
+        } else {
+            self.started
+        }
+    }
+}
