Refuse connections beyond the memory limit, and queue more in the kernel

The queue had 128 places; what found it full was dropped or, with SYN cookies, reset.

Cause: the bound on connections was a constant, unrelated to the memory of the machine.

Fix: the bound follows from `limits.memory-mb` (or `--memory-mb`) and the measured bytes of a connection; a connection beyond it gets 503 with Retry-After at once and is closed once its caller has read that; buffers hold 20 KB (heads up to 16 KB, as the platform configures); the listen queue has 1,024 places. An entry still leaves connections in its queue.

--- a/src/entry.rs
+++ b/src/entry.rs
@@ -5,7 +5,7 @@
 use crate::decide::ids::Incarnation;
 use crate::decide::retry_budget::RetryPolicy;
 use crate::kernel::{Clock, TokioKernel};
-use crate::platform::http_server::{HEADER_TIMEOUT_MS, ServerLimits};
+use crate::platform::http_server::{BUFFER_BYTES, FullPolicy, HEADER_TIMEOUT_MS, ServerLimits};
 use crate::process;
 use crate::services::caller_side::callers::{CallerSettings, callers_task};
 use crate::services::caller_side::journal::journal_service;
@@ -22,8 +22,8 @@
     let common = &settings.common;
     process::init_logging("entry", common);
     let clock = Clock::start();
-    let callers = process::listen("entry", common.listen).await?;
-    let operators = process::listen("operator", common.operator_listen).await?;
+    let callers = process::listen("entry", common.listen)?;
+    let operators = process::listen("operator", common.operator_listen)?;
     let address = callers.local_addr()?;
     let operator = operators.local_addr()?;
     let identity = ProcessIdentity {
@@ -42,6 +42,8 @@
         limits: ServerLimits {
             header_timeout_ms: HEADER_TIMEOUT_MS,
             max_connections: settings.max_connections,
+            when_full: FullPolicy::Queue,
+            buffer_bytes: BUFFER_BYTES,
             leave_ms: settings.leave_ms,
             drain_ms: common.drain_ms,
         },
--- a/src/gateway/internal_server.rs
+++ b/src/gateway/internal_server.rs
@@ -5,7 +5,9 @@
 
 use super::mail::GatewayMail;
 use crate::kernel::{Inbox, Signal};
-use crate::platform::http_server::{HEADER_TIMEOUT_MS, RequestHandler, ServerLimits, serve};
+use crate::platform::http_server::{
+    BUFFER_BYTES, FullPolicy, HEADER_TIMEOUT_MS, RequestHandler, ServerLimits, serve,
+};
 
 /// Most connections that one internal port serves at the same time.
 const MAX_CONNECTIONS: usize = 16;
@@ -21,6 +23,8 @@
     let limits = ServerLimits {
         header_timeout_ms: HEADER_TIMEOUT_MS,
         max_connections: MAX_CONNECTIONS,
+        when_full: FullPolicy::Queue,
+        buffer_bytes: BUFFER_BYTES,
         leave_ms: 0,
         drain_ms: 0,
     };
--- a/src/gateway/start.rs
+++ b/src/gateway/start.rs
@@ -16,15 +16,19 @@
 use super::settings_watch::settings_task;
 use super::store_watch::{operator_watch, upstream_watch};
 use crate::decide::ids::Incarnation;
+use crate::decide::memory_plan::MemoryPlan;
 use crate::kernel::{Clock, TokioKernel, whole_ms};
 use crate::log_queue::BATCH_PAUSE;
-use crate::platform::http_server::ServerLimits;
+use crate::platform::http_server::{FullPolicy, ServerLimits};
 use crate::platform::settings_file::InstanceSettings;
 use crate::process;
 
 /// Most caller connections that are served at the same time.
 const MAX_CALLER_CONNECTIONS: usize = 2_000;
 
+/// Largest buffer of a caller connection, and largest request head, in bytes.
+const CALLER_BUFFER_BYTES: usize = 20 * 1024;
+
 /// Idle timeout of caller connections, in milliseconds, as operators specify it for the deployments
 /// in use.
 const CALLER_IDLE_TIMEOUT_MS: u64 = 15_000;
@@ -49,6 +53,8 @@
     pub metrics_port: u16,
     /// Lowest level of log events that are written.
     pub log_level: LevelFilter,
+    /// Memory limit of the process, in bytes.
+    pub memory_limit: u64,
 }
 
 /// Runs a gateway until a stop signal.
@@ -67,18 +73,21 @@
     let dropped_lines = log_task.dropped();
     tokio::spawn(log_task.run());
     let clock = Clock::start();
-    let callers = process::listen("callers", instance.caller_address).await?;
-    let readiness = process::listen("readiness", instance.ready_address).await?;
-    let peers = process::listen("peers", instance.peer_address).await?;
+    let callers = process::listen("callers", instance.caller_address)?;
+    let readiness = process::listen("readiness", instance.ready_address)?;
+    let peers = process::listen("peers", instance.peer_address)?;
     let metrics_address = SocketAddr::new(instance.peer_address.ip(), settings.metrics_port);
-    let metrics = process::listen("metrics", metrics_address).await?;
+    let metrics = process::listen("metrics", metrics_address)?;
     let mut identity = InstanceIdentity::from(&instance);
     identity.peer_address = peers.local_addr()?;
     let leave = instance.stop_grace * LEAVE_PERCENT / 100;
     let drain = instance.stop_grace * DRAIN_PERCENT / 100;
+    let plan = MemoryPlan::for_limit(settings.memory_limit);
     let limits = ServerLimits {
         header_timeout_ms: CALLER_IDLE_TIMEOUT_MS,
-        max_connections: MAX_CALLER_CONNECTIONS,
+        max_connections: plan.max_connections.min(MAX_CALLER_CONNECTIONS),
+        when_full: FullPolicy::Refuse,
+        buffer_bytes: CALLER_BUFFER_BYTES,
         leave_ms: whole_ms(leave),
         drain_ms: whole_ms(drain),
     };
--- a/src/gateway_cli.rs
+++ b/src/gateway_cli.rs
@@ -3,7 +3,7 @@
 use argh::FromArgs;
 
 use crate::gateway::start::GatewaySettings;
-use crate::platform::settings_file::{InstanceSettings, SETTINGS_VARIABLE};
+use crate::platform::settings_file::{BYTES_PER_MB, InstanceSettings, SETTINGS_VARIABLE};
 use crate::settings::{GATEWAY_TABLE, SettingReader, StartOutcome, read_flags};
 
 /// Exit code for a settings file that is missing or invalid.
@@ -16,6 +16,9 @@
     /// lowest level of events that are logged
     #[argh(option)]
     log_level: Option<String>,
+    /// memory limit in megabytes if the settings file states none
+    #[argh(option)]
+    memory_mb: Option<String>,
     /// port for metrics and dumps; 0 takes a free one
     #[argh(option)]
     metrics_port: Option<String>,
@@ -28,6 +31,7 @@
     const fn given(&self) -> [(&'static str, Option<&String>); GATEWAY_TABLE.len()] {
         [
             ("log-level", self.log_level.as_ref()),
+            ("memory-mb", self.memory_mb.as_ref()),
             ("metrics-port", self.metrics_port.as_ref()),
         ]
     }
@@ -55,7 +59,9 @@
             };
         }
     };
+    let default_limit = reader.integer("memory-mb") * BYTES_PER_MB;
     let settings = GatewaySettings {
+        memory_limit: instance.memory_limit.unwrap_or(default_limit),
         path: path.unwrap_or_default(),
         instance,
         metrics_port: u16::try_from(reader.integer("metrics-port")).unwrap_or_default(),
--- a/src/platform/http_connection.rs
+++ b/src/platform/http_connection.rs
@@ -18,6 +18,9 @@
 /// Largest response body that client calls buffer, in bytes.
 pub const MAX_BODY_BYTES: usize = 64 * 1024 * 1024;
 
+/// Largest read and write buffer of a connection, and largest response head, in bytes.
+const BUFFER_BYTES: usize = 32 * 1024;
+
 /// Timeout for connecting; the round trip between instances takes a few milliseconds.
 pub const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
 
@@ -90,7 +93,10 @@
         Err(_) => return Err(ConnectionError::Dial(std::io::ErrorKind::TimedOut.into())),
     };
     set_tcp_options(&stream);
-    let handshake = http1::handshake(TokioIo::new(stream)).await;
+    let handshake = http1::Builder::new()
+        .max_buf_size(BUFFER_BYTES)
+        .handshake(TokioIo::new(stream))
+        .await;
     let (sender, connection) = handshake.map_err(ConnectionError::Broken)?;
     // The call that uses the connection receives its errors as well.
     let driver = tokio::spawn(async move { drop(connection.await) });
--- a/src/platform/http_server.rs
+++ b/src/platform/http_server.rs
@@ -16,6 +16,7 @@
 use hyper::{Request, Response, StatusCode};
 use hyper_util::rt::{TokioIo, TokioTimer};
 use hyper_util::server::graceful::GracefulShutdown;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{OwnedSemaphorePermit, Semaphore, oneshot, watch};
 use tokio::time::timeout;
@@ -24,9 +25,26 @@
 /// idle timeout, because hyper has one timer for both.
 pub const HEADER_TIMEOUT_MS: u64 = 5_000;
 
+/// Default size of a connection's buffers, in bytes.
+pub const BUFFER_BYTES: usize = 408 * 1024;
+
 /// Pause after a failed accept, for example when no file descriptors are left.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 
+/// Most refused connections that are kept open until their callers have read the response; further
+/// ones are closed at once.
+const MAX_REFUSALS: usize = 1_024;
+
+/// Time without bytes from a refused caller after which its connection is closed.
+const REFUSAL_QUIET: Duration = Duration::from_millis(100);
+
+/// Longest time for which a refused connection is kept open.
+const REFUSAL_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// Response to a connection above the limit.
+const REFUSAL: &[u8] = b"HTTP/1.1 503 Service Unavailable\r\nretry-after: 1.00\r\n\
+    connection: close\r\ncontent-length: 11\r\n\r\nconnections";
+
 /// Time after the port is closed in which open connections still accept requests in transit.
 const IN_TRANSIT_GRACE: Duration = Duration::from_millis(200);
 
@@ -64,14 +82,27 @@
     }
 }
 
+/// What a server does with a connection above its limit.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum FullPolicy {
+    /// Leaves it in the listen queue.
+    Queue,
+    /// Responds with status 503 and closes it.
+    Refuse,
+}
+
 /// Time limits and connection limit of a server.
 #[derive(Debug, Clone, Copy)]
 pub struct ServerLimits {
     /// Time limit for a client to send its request headers, and idle timeout of a connection, in
     /// milliseconds.
     pub header_timeout_ms: u64,
-    /// Most connections that are served at the same time; further ones wait in the listen queue.
+    /// Most connections that are served at the same time.
     pub max_connections: usize,
+    /// What happens to further connections.
+    pub when_full: FullPolicy,
+    /// Largest read and write buffer of a connection, and largest request head, in bytes.
+    pub buffer_bytes: usize,
     /// Time after the stop signal in which new connections are still accepted, in milliseconds, so
     /// that a balancer can remove the server first. Each response then closes its connection.
     pub leave_ms: u64,
@@ -79,11 +110,22 @@
     pub drain_ms: u64,
 }
 
+/// Right to accept a connection.
+enum AcceptSlot {
+    /// The connection is served.
+    Serve(OwnedSemaphorePermit),
+    /// The connection is refused unless a served one is closed first.
+    Refuse,
+}
+
 /// State that the accept loop shares with all connections.
 struct ServerContext {
     handler: RequestHandler,
     graceful: GracefulShutdown,
     slots: Arc<Semaphore>,
+    refusals: Arc<Semaphore>,
+    when_full: FullPolicy,
+    buffer_bytes: usize,
     header_timeout: Duration,
     is_leaving: watch::Receiver<bool>,
 }
@@ -102,6 +144,9 @@
         handler,
         graceful: GracefulShutdown::new(),
         slots: Arc::new(Semaphore::new(limits.max_connections)),
+        refusals: Arc::new(Semaphore::new(MAX_REFUSALS)),
+        when_full: limits.when_full,
+        buffer_bytes: limits.buffer_bytes,
         header_timeout: Duration::from_millis(limits.header_timeout_ms),
         is_leaving,
     };
@@ -119,14 +164,39 @@
 }
 
 async fn accept_connections(listener: &TcpListener, context: &ServerContext) {
-    while let Some(slot) = context.acquire_slot().await {
-        match listener.accept().await {
-            Ok((stream, _peer)) => context.serve_connection(stream, slot),
-            Err(_) => tokio::time::sleep(ACCEPT_PAUSE).await,
+    while let Some(slot) = context.acquire_accept_slot().await {
+        let Ok((stream, _peer)) = listener.accept().await else {
+            tokio::time::sleep(ACCEPT_PAUSE).await;
+            continue;
+        };
+        match slot {
+            AcceptSlot::Serve(slot) => context.serve_connection(stream, slot),
+            AcceptSlot::Refuse => match Arc::clone(&context.slots).try_acquire_owned() {
+                Ok(slot) => context.serve_connection(stream, slot),
+                Err(_full) => context.refuse_connection(stream),
+            },
         }
     }
 }
 
+/// Closes a connection that was refused, once its caller has read the response.
+async fn close_refused(mut stream: TcpStream, refusal: OwnedSemaphorePermit) {
+    let closing = async {
+        stream.shutdown().await?;
+        // Closing a socket with unread bytes would reset it, and the response could be lost.
+        let mut unread = [0; 1024];
+        while let Ok(read) = timeout(REFUSAL_QUIET, stream.read(&mut unread)).await {
+            if read? == 0 {
+                break;
+            }
+        }
+        io::Result::Ok(())
+    };
+    // A caller that keeps its side open, or sends without end, is cut off.
+    drop(timeout(REFUSAL_TIMEOUT, closing).await);
+    drop(refusal);
+}
+
 /// Closes a listener and returns the connections that were waiting in its queue.
 fn close_and_take_queue(listener: TcpListener) -> Vec<TcpStream> {
     let mut streams = Vec::new();
@@ -162,6 +232,24 @@
         Arc::clone(&self.slots).acquire_owned().await.ok()
     }
 
+    /// Waits until a connection may be accepted.
+    async fn acquire_accept_slot(&self) -> Option<AcceptSlot> {
+        if self.when_full == FullPolicy::Queue {
+            return self.acquire_slot().await.map(AcceptSlot::Serve);
+        }
+        let slot = Arc::clone(&self.slots).try_acquire_owned();
+        Some(slot.map_or(AcceptSlot::Refuse, AcceptSlot::Serve))
+    }
+
+    /// Responds to a connection with status 503 before its request is read, and closes it.
+    fn refuse_connection(&self, stream: TcpStream) {
+        // The send buffer of a new connection has room for the response.
+        drop(stream.try_write(REFUSAL));
+        if let Ok(refusal) = Arc::clone(&self.refusals).try_acquire_owned() {
+            tokio::spawn(close_refused(stream, refusal));
+        }
+    }
+
     fn serve_connection(&self, stream: TcpStream, slot: OwnedSemaphorePermit) {
         // Disables Nagle's algorithm; a failure costs only latency.
         drop(stream.set_nodelay(true));
@@ -185,6 +273,7 @@
         let connection = http1::Builder::new()
             .timer(TokioTimer::new())
             .header_read_timeout(self.header_timeout)
+            .max_buf_size(self.buffer_bytes)
             .serve_connection(TokioIo::new(stream), service);
         let connection = self.graceful.watch(connection);
         tokio::spawn(async move {
--- a/src/platform/settings_file.rs
+++ b/src/platform/settings_file.rs
@@ -10,6 +10,9 @@
 /// Environment variable that holds the path of the settings file.
 pub const SETTINGS_VARIABLE: &str = "BULRUSHSLIP_SETTINGS";
 
+/// Bytes of a megabyte, as the platform counts memory limits.
+pub const BYTES_PER_MB: u64 = 1_000_000;
+
 quick_error! {
     /// Error of a settings file that cannot be loaded.
     #[derive(Debug)]
@@ -66,6 +69,8 @@
     pub retry_ratio: f64,
     /// Retries that the whole fleet may make beyond `retry_ratio` (`bounds.budget-extra-retries`).
     pub extra_retries: f64,
+    /// Memory limit of the process in bytes (`limits.memory-mb`); `None` if the file states none.
+    pub memory_limit: Option<u64>,
 }
 
 /// Values of a settings file by their field names; of repeated fields the last value counts.
@@ -96,6 +101,15 @@
             .map_err(|_unparsed| SettingsError::Invalid(name, value.to_owned()))
     }
 
+    /// Returns an optional size in megabytes as bytes; 0 stands for no limit.
+    fn memory(&self, name: &'static str) -> Result<Option<u64>, SettingsError> {
+        if self.text(name).is_err() {
+            return Ok(None);
+        }
+        let megabytes: u64 = self.parsed(name)?;
+        Ok(Some(megabytes.saturating_mul(BYTES_PER_MB)).filter(|bytes| *bytes > 0))
+    }
+
     fn duration(&self, name: &'static str, unit_s: f64) -> Result<Duration, SettingsError> {
         let amount: f64 = self.parsed(name)?;
         Duration::try_from_secs_f64(amount * unit_s)
@@ -151,6 +165,7 @@
             settling_time: table.duration("bounds.stable-window-ms", 0.001)?,
             retry_ratio: table.parsed("bounds.retry-budget-ratio")?,
             extra_retries: table.parsed("bounds.budget-extra-retries")?,
+            memory_limit: table.memory("limits.memory-mb")?,
         })
     }
 }
--- a/src/process.rs
+++ b/src/process.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use log::LevelFilter;
-use tokio::net::TcpListener;
+use tokio::net::{TcpListener, TcpSocket};
 use tokio::runtime::Builder;
 use tokio::signal::unix::{Signal, SignalKind, signal};
 
@@ -23,6 +23,9 @@
 /// Exit code when a second signal ends the process before the graceful stop is complete.
 const FORCED_STOP_CODE: i32 = 130;
 
+/// Connections that the kernel queues until they are accepted; a full queue drops or resets them.
+const LISTEN_QUEUE: u32 = 1_024;
+
 /// Time after the drain time that the components have to stop.
 const STOP_GRACE: Duration = Duration::from_secs(2);
 
@@ -73,14 +76,24 @@
     );
 }
 
+/// Opens a TCP port with a queue for [`LISTEN_QUEUE`] connections.
+fn bind(address: SocketAddr) -> std::io::Result<TcpListener> {
+    let socket = match address {
+        SocketAddr::V4(_) => TcpSocket::new_v4()?,
+        SocketAddr::V6(_) => TcpSocket::new_v6()?,
+    };
+    socket.set_reuseaddr(true)?;
+    socket.bind(address)?;
+    socket.listen(LISTEN_QUEUE)
+}
+
 /// Opens a TCP port, logs it and prints `listening ROLE ADDRESS` on standard output.
 ///
 /// # Errors
 ///
 /// Returns an error when the port cannot be opened.
-pub async fn listen(role: &'static str, address: SocketAddr) -> std::io::Result<TcpListener> {
-    let bound = TcpListener::bind(address).await;
-    let listener = bound.inspect_err(|error| {
+pub fn listen(role: &'static str, address: SocketAddr) -> std::io::Result<TcpListener> {
+    let listener = bind(address).inspect_err(|error| {
         let fields: [(&str, &dyn std::fmt::Display); 3] =
             [("role", &role), ("address", &address), ("error", error)];
         log_event(&BIND_FAILED, &fields);
--- a/src/services/common/operator.rs
+++ b/src/services/common/operator.rs
@@ -14,7 +14,8 @@
 use crate::events::{OPERATOR_DENIED, log_event};
 use crate::kernel::{Directory, Inbox, IoTask, Moment, Signal};
 use crate::platform::http_server::{
-    HEADER_TIMEOUT_MS, RequestHandler, ResponseBody, ServerLimits, json_response, serve,
+    BUFFER_BYTES, FullPolicy, HEADER_TIMEOUT_MS, RequestHandler, ResponseBody, ServerLimits,
+    json_response, serve,
 };
 use crate::services::caller_side::journal;
 
@@ -25,6 +26,8 @@
 const LIMITS: ServerLimits = ServerLimits {
     header_timeout_ms: HEADER_TIMEOUT_MS,
     max_connections: 16,
+    when_full: FullPolicy::Queue,
+    buffer_bytes: BUFFER_BYTES,
     leave_ms: 0,
     drain_ms: 1_000,
 };
--- a/src/settings/table.rs
+++ b/src/settings/table.rs
@@ -340,8 +340,18 @@
 ];
 
 /// Settings of `bulrushslip-gateway` in addition to those in the platform's settings file.
-pub const GATEWAY_TABLE: [SettingRow; 2] = [
+pub const GATEWAY_TABLE: [SettingRow; 3] = [
     LOG_LEVEL,
+    row(
+        "memory-mb",
+        "BULRUSHSLIP_MEMORY_MB",
+        Fallback::Value("256"),
+        ValueKind::Integer {
+            min: 48,
+            max: 1_048_576,
+        },
+        "memory limit of the process if the settings file states none, in megabytes",
+    ),
     row(
         "metrics-port",
         "BULRUSHSLIP_METRICS_PORT",
--- a/src/sidecar.rs
+++ b/src/sidecar.rs
@@ -37,8 +37,8 @@
     let common = &settings.common;
     process::init_logging("sidecar", common);
     let clock = Clock::start();
-    let entries = process::listen("sidecar", common.listen).await?;
-    let operators = process::listen("operator", common.operator_listen).await?;
+    let entries = process::listen("sidecar", common.listen)?;
+    let operators = process::listen("operator", common.operator_listen)?;
     let target = EngineTarget {
         address: settings.target,
         kind: match settings.target_kind {
--- a/src/standin/roles.rs
+++ b/src/standin/roles.rs
@@ -26,12 +26,16 @@
 use super::weight_service::weight_service;
 use super::weight_store::WeightLimits;
 use crate::kernel::{Clock, TokioKernel};
-use crate::platform::http_server::{HEADER_TIMEOUT_MS, RequestHandler, ServerLimits, serve};
+use crate::platform::http_server::{
+    BUFFER_BYTES, FullPolicy, HEADER_TIMEOUT_MS, RequestHandler, ServerLimits, serve,
+};
 
 /// Limits of the HTTP server of a stand-in.
 const SERVER_LIMITS: ServerLimits = ServerLimits {
     header_timeout_ms: HEADER_TIMEOUT_MS,
     max_connections: 16_384,
+    when_full: FullPolicy::Queue,
+    buffer_bytes: BUFFER_BYTES,
     leave_ms: 0,
     drain_ms: 100,
 };
--- a/tests/gateway_world/mod.rs
+++ b/tests/gateway_world/mod.rs
@@ -268,11 +268,16 @@
 
     /// Writes a configuration with the given routes to the service `s`.
     pub async fn configure(&self, version: u64, routes: &[Value]) {
+        self.configure_bodies(version, routes, 1_000).await;
+    }
+
+    /// Writes a configuration with the given routes and limit on request bodies.
+    pub async fn configure_bodies(&self, version: u64, routes: &[Value], body_bytes: usize) {
         let document = json!({
             "version": version,
             "routes": routes,
             "services": [{"name": "s", "max-connections": 100}],
-            "limits": {"max-header-bytes": 4096, "max-body-bytes": 1000,
+            "limits": {"max-header-bytes": 4096, "max-body-bytes": body_bytes,
                 "header-timeout-ms": 3000, "idle-timeout-ms": 15000},
             "tenants": [{"name": "customer", "api-keys": ["key"]}],
         });
@@ -356,6 +361,11 @@
 impl Gateway {
     /// Starts a gateway with a store and the peer addresses of other gateways.
     pub fn start(name: &str, store: SocketAddr, seeds: &[SocketAddr]) -> Self {
+        Self::start_with(name, store, seeds, "")
+    }
+
+    /// Starts a gateway with further lines of its settings file.
+    pub fn start_with(name: &str, store: SocketAddr, seeds: &[SocketAddr], lines: &str) -> Self {
         // All instances use the same peer port, so each needs an IP address of its own.
         let ip = format!("127.0.0.{}", 10 + name.len());
         let port = seeds.first().map_or(0, SocketAddr::port);
@@ -365,7 +375,7 @@
              listen.ready=127.0.0.1:0\ninternal-ports={port},{port}\nseeds={}\n\
              platform.address={store}\nbounds.grace-s=3\nbounds.lease-ms=3000\n\
              bounds.version-ms=8000\nbounds.stable-window-ms=3000\n\
-             bounds.retry-budget-ratio=0.2\nbounds.budget-extra-retries=56\n",
+             bounds.retry-budget-ratio=0.2\nbounds.budget-extra-retries=56\n{lines}",
             seeds.join(",")
         );
         let path = PathBuf::from(env!("CARGO_TARGET_TMPDIR"));
--- a/tests/http_server.rs
+++ b/tests/http_server.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use bulrushslip::platform::http_server::{
-    HEADER_TIMEOUT_MS, RequestHandler, ServerLimits, full_body, serve,
+    BUFFER_BYTES, FullPolicy, HEADER_TIMEOUT_MS, RequestHandler, ServerLimits, full_body, serve,
 };
 use hyper::Response;
 use tokio::net::TcpListener;
@@ -21,6 +21,8 @@
 const LIMITS: ServerLimits = ServerLimits {
     header_timeout_ms: HEADER_TIMEOUT_MS,
     max_connections: QUEUED,
+    when_full: FullPolicy::Queue,
+    buffer_bytes: BUFFER_BYTES,
     leave_ms: 0,
     drain_ms: 5_000,
 };
--- a/tests/operator.rs
+++ b/tests/operator.rs
@@ -31,11 +31,9 @@
 }
 
 /// Starts a kernel with the operator port and the counter; returns the address of the port.
-async fn start_kernel(token: Option<&str>) -> (RunningKernel<Mail>, SocketAddr) {
+fn start_kernel(token: Option<&str>) -> (RunningKernel<Mail>, SocketAddr) {
     let loopback = "127.0.0.1:0".parse().expect("the address is invalid");
-    let listener = listen("operator", loopback)
-        .await
-        .expect("the port cannot be opened");
+    let listener = listen("operator", loopback).expect("the port cannot be opened");
     let address = listener.local_addr().expect("the port has no address");
     let identity = OperatorIdentity {
         role: "entry",
@@ -63,7 +61,7 @@
 
 #[tokio::test]
 async fn the_dump_requires_the_token_and_contains_every_service() {
-    let (running, address) = start_kernel(Some(TOKEN)).await;
+    let (running, address) = start_kernel(Some(TOKEN));
     for wrong in [None, Some("0123456789abcdeg"), Some("")] {
         let refused = get(address, "/dump", wrong).await;
         assert_eq!(refused.status, 401);
@@ -117,7 +115,7 @@
 
 #[tokio::test]
 async fn without_a_metrics_address_samples_are_ignored() {
-    let (running, _) = start_kernel(None).await;
+    let (running, _) = start_kernel(None);
     let sample = MetricSample {
         name: "requests",
         tag: None,
