Refuse requests beyond the memory limit before their bodies are read

Cause: the body of every request was collected, up to 4 MB each, before anything decided whether the gateway had room for it, and requests that waited for a shared prefix (`parked`) had no bound at all.

Fix: `dispatch` reserves bytes for the head and body with the look-up of the route (`decide::memory_budget`), before the body is read; a guard returns them when the request ends, so requests that wait, are parked or run all count. Routine requests may use 70% of the budget and urgent ones 85%; a customer may hold four times what stays free, so the one that holds most is refused first. A body without a length reserves steps of 64 kB. A refused request gets 503 `no_memory` with Retry-After at once, while its body is read and dropped beside it, as closing the connection before could cost the caller the response. It is counted as `no_memory` in `bulrushslip_requests_total`; `bulrushslip_reserved_bytes` is new.

--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -19,6 +19,7 @@
 pub mod ledger;
 pub mod ledger_step;
 pub mod member_choice;
+pub mod memory_budget;
 pub mod memory_plan;
 pub mod orders;
 pub mod outcome;
--- a/src/decide/route_table.rs
+++ b/src/decide/route_table.rs
@@ -4,6 +4,7 @@
 use std::net::SocketAddr;
 
 use super::hashing::name_hash;
+use super::ids::Rank;
 use crate::kernel::{Arena, Key};
 
 /// Number of route priorities that are distinguished within one customer priority.
@@ -196,6 +197,18 @@
     pub limits: CallerLimits,
 }
 
+impl AdmittedRoute {
+    /// Returns the rank (priority class) of the request.
+    #[must_use]
+    pub const fn rank(&self) -> Rank {
+        if self.is_urgent {
+            Rank::Urgent
+        } else {
+            Rank::Routine
+        }
+    }
+}
+
 /// Result of a route lookup.
 #[derive(Debug, Clone, PartialEq)]
 pub enum RouteDecision {
--- a/src/gateway/caller_server.rs
+++ b/src/gateway/caller_server.rs
@@ -175,10 +175,15 @@
     *response.status_mut() = rejection.status();
     match rejection {
         Rejection::NotReady => set_retry_after(&mut response, MIN_RETRY_AFTER),
+        Rejection::NoMemory { is_unread } => {
+            set_retry_after(&mut response, MAX_RETRY_AFTER);
+            if is_unread {
+                set_close(&mut response);
+            }
+        }
         // Unread bytes of the body would be parsed as the next request.
         Rejection::BodyTooLong | Rejection::BodyTooSlow | Rejection::BodyInvalid => {
-            let close = HeaderValue::from_static("close");
-            response.headers_mut().insert(CONNECTION, close);
+            set_close(&mut response);
         }
         Rejection::Unrouted | Rejection::Unauthorized | Rejection::HeadTooLong => {}
     }
@@ -243,6 +248,11 @@
     response
 }
 
+fn set_close(response: &mut Response<ResponseBody>) {
+    let close = HeaderValue::from_static("close");
+    response.headers_mut().insert(CONNECTION, close);
+}
+
 fn set_retry_after(response: &mut Response<ResponseBody>, wait: Duration) {
     let seconds = format!("{:.2}", wait.as_secs_f64());
     if let Ok(value) = HeaderValue::from_str(&seconds) {
--- a/src/gateway/counters.rs
+++ b/src/gateway/counters.rs
@@ -59,6 +59,8 @@
     pub peers: usize,
     /// Number of log lines that were dropped because standard output was blocked.
     pub dropped_lines: u64,
+    /// Bytes that requests have reserved.
+    pub reserved_bytes: u64,
 }
 
 /// All metrics of the gateway; owned by the service `dispatch`.
@@ -74,6 +76,7 @@
     running: Gauge,
     peers: Gauge,
     dropped_lines: Gauge,
+    reserved_bytes: Gauge,
 }
 
 impl Default for GatewayCounters {
@@ -89,6 +92,7 @@
             running: Gauge::default(),
             peers: Gauge::default(),
             dropped_lines: Gauge::default(),
+            reserved_bytes: Gauge::default(),
         };
         counters.register();
         counters
@@ -124,6 +128,11 @@
                 "Log lines that were dropped",
                 &self.dropped_lines,
             ),
+            (
+                "reserved_bytes",
+                "Bytes reserved for requests",
+                &self.reserved_bytes,
+            ),
         ];
         for (name, help, gauge) in gauges {
             registry.register(name, help, gauge.clone());
@@ -160,6 +169,7 @@
         self.running.set(signed(gauges.running as u64));
         self.peers.set(signed(gauges.peers as u64));
         self.dropped_lines.set(signed(gauges.dropped_lines));
+        self.reserved_bytes.set(signed(gauges.reserved_bytes));
         let mut text = String::new();
         encode(&mut text, &self.registry)?;
         Ok(text)
--- a/src/gateway/dispatch/mod.rs
+++ b/src/gateway/dispatch/mod.rs
@@ -8,6 +8,7 @@
 mod reading;
 mod records;
 mod release;
+mod routing;
 mod state;
 
 pub use state::{DispatchState, TargetVersion};
@@ -17,7 +18,6 @@
 use super::identity::InstanceIdentity;
 use super::mail::{DispatchMail, GatewayMail};
 use crate::decide::ids::Incarnation;
-use crate::decide::route_table::RouteQuery;
 use crate::kernel::{Directory, NextStep, Service, Signal, Turn};
 use crate::log_queue::DroppedLines;
 
@@ -40,6 +40,8 @@
     pub extra_retries: f64,
     /// Counter of log lines that were dropped.
     pub dropped_lines: DroppedLines,
+    /// Bytes that requests may hold together.
+    pub request_memory: u64,
 }
 
 /// Creates the service `dispatch`.
@@ -75,16 +77,11 @@
 fn handle_message(state: &mut DispatchState, turn: &mut Turn<'_, GatewayMail>, mail: DispatchMail) {
     let now = turn.now;
     match mail {
-        DispatchMail::Route(lookup, reply_to) => {
-            let draw = state.random_fraction();
-            let question = RouteQuery {
-                host: &lookup.host,
-                path: &lookup.path,
-                key: lookup.key.as_deref(),
-                draw,
-            };
-            reply_to.send(state.routes.as_ref().map(|routes| routes.find(question)));
+        DispatchMail::Route(lookup, reply_to) => reply_to.send(state.find_route(&lookup)),
+        DispatchMail::GrowMemory(reservation, bytes, purpose, reply_to) => {
+            reply_to.send(state.memory.grow(reservation, bytes, purpose));
         }
+        DispatchMail::ReleaseMemory(reservation) => state.memory.release(reservation),
         DispatchMail::Place(ask, reply_to) => state.place(now, *ask, reply_to),
         DispatchMail::FirstOutput(ticket) => state.record_first_output(now, ticket),
         DispatchMail::PlacementEnded(end) => state.release(now, *end),
--- a/src/gateway/dispatch/state.rs
+++ b/src/gateway/dispatch/state.rs
@@ -9,6 +9,7 @@
 use crate::decide::fleet::{Fleet, MemberKey};
 use crate::decide::ids::Ticket;
 use crate::decide::keyed_view::KeyedView;
+use crate::decide::memory_budget::MemoryBudget;
 use crate::decide::prompt_parts::PrefixIndex;
 use crate::decide::queue::FairQueue;
 use crate::decide::retry_budget::RetryBudget;
@@ -153,6 +154,8 @@
     /// Removals of upstreams that were deferred because of a store outage.
     pub(super) removals: Vec<DeferredRemoval>,
     pub(super) pool: ConnectionPool,
+    /// Memory that requests hold.
+    pub(super) memory: MemoryBudget,
     pub(super) queues: HashMap<ServiceId, FairQueue>,
     /// Requests in `queues`, by ticket.
     pub(super) waiting: HashMap<Ticket, WaitingRequest>,
@@ -203,6 +206,7 @@
             upstream_health: TopicHealth::default(),
             removals: Vec::new(),
             pool: ConnectionPool::default(),
+            memory: MemoryBudget::new(settings.request_memory),
             queues: HashMap::new(),
             waiting: HashMap::new(),
             parked: Vec::new(),
@@ -282,6 +286,7 @@
             running: self.running.len(),
             peers: self.peers.len(),
             dropped_lines: self.dropped_lines.count(),
+            reserved_bytes: self.memory.reserved(),
         };
         self.counters.text(gauges).unwrap_or_else(|error| {
             log_event(&METRICS_FAILED, &[("reason", &error)]);
@@ -311,6 +316,7 @@
             "waiting": self.waiting.len(),
             "parked": self.parked.len(),
             "running": self.running.len(),
+            "reserved_bytes": self.memory.reserved(),
             "parts": self.parts.len(),
             "suspects": self.suspects.len(),
             "peers": self.peers.len(),
--- a/src/gateway/mail.rs
+++ b/src/gateway/mail.rs
@@ -6,6 +6,7 @@
 use crate::decide::fleet::{MemberKey, MemberOutcome};
 use crate::decide::ids::{LogOffset, Rank, Ticket};
 use crate::decide::keyed_view::KeyedRecord;
+use crate::decide::memory_budget::{MemoryUse, ReservationKey};
 use crate::decide::prompt_parts::PromptShape;
 use crate::decide::route_table::{DataCentreId, RouteDecision, ServiceId};
 use crate::decide::suspects::Fingerprint;
@@ -32,8 +33,12 @@
 /// Message to the service `dispatch`.
 #[derive(Debug)]
 pub enum DispatchMail {
-    /// Looks up the route of a request; the reply is `None` until a configuration is in force.
-    Route(RouteLookup, ReplyTo<Option<RouteDecision>>),
+    /// Looks up the route of a request and reserves memory for the request.
+    Route(RouteLookup, ReplyTo<RouteReply>),
+    /// Adds bytes to the reserved memory of a request; the reply tells whether they fit.
+    GrowMemory(ReservationKey, u64, MemoryUse, ReplyTo<bool>),
+    /// Returns the reserved memory of a request.
+    ReleaseMemory(ReservationKey),
     /// Asks for a placement; the reply comes once the request is placed or refused.
     Place(Box<PlacementRequest>, ReplyTo<PlacementReply>),
     /// A request has produced its first output.
@@ -110,6 +115,19 @@
     pub path: String,
     /// API key of the customer.
     pub key: Option<String>,
+    /// Size of the head, in bytes.
+    pub head_bytes: usize,
+    /// Size of the body, as far as it is known before it is read, in bytes.
+    pub body_bytes: usize,
+}
+
+/// Reply to a route lookup.
+#[derive(Debug)]
+pub struct RouteReply {
+    /// Whether a route admits the request; `None` until a configuration is in force.
+    pub decision: Option<RouteDecision>,
+    /// Memory that is reserved for an admitted request; `None` if there is no room for it.
+    pub reservation: Option<ReservationKey>,
 }
 
 /// Request for a placement on an upstream.
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -9,6 +9,7 @@
 pub mod identity;
 pub mod internal_server;
 pub mod mail;
+pub mod memory_guard;
 pub mod metrics_server;
 pub mod order_delivery;
 pub mod orders;
--- a/src/gateway/request.rs
+++ b/src/gateway/request.rs
@@ -3,16 +3,17 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use bytes::Bytes;
-use http_body_util::{BodyExt, LengthLimitError, Limited};
-use hyper::body::Incoming;
+use bytes::{Bytes, BytesMut};
+use http_body_util::BodyExt;
+use hyper::body::{Body, Incoming};
 use hyper::http::request::Parts;
 use hyper::{Request, StatusCode};
 use tokio::time::timeout;
 
-use super::dispatch;
-use super::mail::{DispatchMail, GatewayMail, RouteLookup};
+use super::mail::{GatewayMail, RouteLookup};
+use super::memory_guard::{MemoryGuard, find_route};
 use crate::decide::ids::Rank;
+use crate::decide::memory_budget::MemoryUse;
 use crate::decide::prompt_parts::PromptShape;
 use crate::decide::route_table::{AdmittedRoute, RouteDecision};
 use crate::decide::suspects::Fingerprint;
@@ -22,6 +23,15 @@
     request_host,
 };
 
+/// Bytes by which the reserved memory of a body without a stated length grows.
+const GROW_BYTES: usize = 64 * 1024;
+
+/// Longest body of a refused request that is read to its end; a longer one closes its connection.
+const MAX_DISCARDED_BYTES: u64 = 4 * 1024 * 1024;
+
+/// Longest time for which the body of a refused request is read.
+const DISCARD_TIMEOUT: Duration = Duration::from_secs(2);
+
 /// A request that was read completely and that a route of the configuration admits.
 #[derive(Debug)]
 pub struct CallerRequest {
@@ -43,6 +53,8 @@
     pub deadline: Moment,
     /// Hash of customer, method, path and body; equal for repeated requests.
     pub fingerprint: Fingerprint,
+    /// Memory that is reserved for the request.
+    pub memory: MemoryGuard,
 }
 
 /// Why a request is rejected before it is sent to any upstream.
@@ -62,6 +74,11 @@
     BodyTooSlow,
     /// The request body was truncated or is framed incorrectly.
     BodyInvalid,
+    /// The instance has no memory left for the request.
+    NoMemory {
+        /// Whether bytes of the body may still arrive on the connection.
+        is_unread: bool,
+    },
 }
 
 impl Rejection {
@@ -69,7 +86,7 @@
     #[must_use]
     pub const fn status(self) -> StatusCode {
         match self {
-            Self::NotReady => StatusCode::SERVICE_UNAVAILABLE,
+            Self::NotReady | Self::NoMemory { .. } => StatusCode::SERVICE_UNAVAILABLE,
             Self::Unrouted => StatusCode::NOT_FOUND,
             Self::Unauthorized => StatusCode::UNAUTHORIZED,
             Self::HeadTooLong => StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE,
@@ -90,6 +107,7 @@
             Self::BodyTooLong => "body_too_long",
             Self::BodyTooSlow => "body_too_slow",
             Self::BodyInvalid => "body_invalid",
+            Self::NoMemory { .. } => "no_memory",
         }
     }
 }
@@ -105,15 +123,24 @@
         request: Request<Incoming>,
     ) -> Result<Self, Rejection> {
         let received = directory.now();
-        let route = admit(directory, &request).await?;
         let (head, body) = request.into_parts();
+        let known_bytes = known_body_bytes(&body);
+        let (route, memory) = admit(directory, &head, known_bytes).await?;
         if head_bytes(&head) > route.limits.head_bytes {
             return Err(Rejection::HeadTooLong);
         }
+        let Some(memory) = memory else {
+            let is_unread = !discard_body(body);
+            return Err(Rejection::NoMemory { is_unread });
+        };
         let caller_wait_ms = header_number(&head.headers, &DEADLINE_MS).unwrap_or(u64::MAX);
         let allowed = Duration::from_millis(caller_wait_ms.min(route.timeout_ms));
         let deadline = received.after(allowed);
-        let body = read_body(body, route.limits.body_bytes, allowed).await?;
+        let reading = read_body(body, route.limits.body_bytes, known_bytes, &memory);
+        let body = match timeout(allowed, reading).await {
+            Ok(body) => body?,
+            Err(_elapsed) => return Err(Rejection::BodyTooSlow),
+        };
         let customer = route.customer.as_deref().unwrap_or_default();
         let path = head.uri.path();
         Ok(Self {
@@ -132,48 +159,106 @@
             route,
             received,
             deadline,
+            memory,
         })
     }
 
     /// Returns the rank (priority class) of the request.
     #[must_use]
     pub const fn rank(&self) -> Rank {
-        if self.route.is_urgent {
-            Rank::Urgent
-        } else {
-            Rank::Routine
-        }
+        self.route.rank()
     }
 }
 
 async fn admit(
     directory: &Directory<GatewayMail>,
-    request: &Request<Incoming>,
-) -> Result<AdmittedRoute, Rejection> {
-    let ask = RouteLookup {
-        host: request_host(request).to_owned(),
-        path: request.uri().path().to_owned(),
-        key: header_text(request.headers(), &CUSTOMER_KEY).map(str::to_owned),
+    head: &Parts,
+    body_bytes: usize,
+) -> Result<(AdmittedRoute, Option<MemoryGuard>), Rejection> {
+    let lookup = RouteLookup {
+        host: request_host(head).to_owned(),
+        path: head.uri.path().to_owned(),
+        key: header_text(&head.headers, &CUSTOMER_KEY).map(str::to_owned),
+        head_bytes: head_bytes(head),
+        body_bytes,
     };
-    let step = dispatch::ask(directory, |reply_to| DispatchMail::Route(ask, reply_to)).await;
-    match step.flatten() {
+    let Some((decision, memory)) = find_route(directory, lookup).await else {
+        return Err(Rejection::NotReady);
+    };
+    match decision {
         None => Err(Rejection::NotReady),
         Some(RouteDecision::Unrouted) => Err(Rejection::Unrouted),
         Some(RouteDecision::Unauthorized) => Err(Rejection::Unauthorized),
-        Some(RouteDecision::Admit(route)) => Ok(route),
+        Some(RouteDecision::Admit(route)) => Ok((route, memory)),
     }
 }
 
-async fn read_body(body: Incoming, limit: usize, allowed: Duration) -> Result<Bytes, Rejection> {
-    let collected = match timeout(allowed, Limited::new(body, limit).collect()).await {
-        Ok(collected) => collected,
-        Err(_elapsed) => return Err(Rejection::BodyTooSlow),
-    };
-    match collected {
-        Ok(collected) => Ok(collected.to_bytes()),
-        Err(error) if error.is::<LengthLimitError>() => Err(Rejection::BodyTooLong),
-        Err(_cut) => Err(Rejection::BodyInvalid),
+/// Returns the bytes of a body that are known before it is read: its length, or one step of a body
+/// whose length is not stated.
+fn known_body_bytes(body: &Incoming) -> usize {
+    let stated = body.size_hint().exact();
+    stated.map_or(GROW_BYTES, |stated| {
+        usize::try_from(stated).unwrap_or(usize::MAX)
+    })
+}
+
+/// Reads a body of up to `limit` bytes. `reserved` bytes are reserved already; further ones are
+/// reserved before they are kept.
+async fn read_body(
+    mut body: Incoming,
+    limit: usize,
+    mut reserved: usize,
+    memory: &MemoryGuard,
+) -> Result<Bytes, Rejection> {
+    // The frames lie in larger read buffers, which are free again once they are copied.
+    let mut read = BytesMut::new();
+    while let Some(frame) = body.frame().await {
+        let Ok(frame) = frame else {
+            return Err(Rejection::BodyInvalid);
+        };
+        let Ok(data) = frame.into_data() else {
+            continue;
+        };
+        let size = read.len() + data.len();
+        if size > limit {
+            return Err(Rejection::BodyTooLong);
+        }
+        while size > reserved {
+            if !memory.grow(GROW_BYTES as u64, MemoryUse::Body).await {
+                let is_unread = !discard_body(body);
+                return Err(Rejection::NoMemory { is_unread });
+            }
+            reserved += GROW_BYTES;
+        }
+        if read.is_empty() {
+            read.reserve(reserved.min(limit));
+        }
+        read.extend_from_slice(&data);
+    }
+    Ok(read.freeze())
+}
+
+/// Starts to read the rest of a body without keeping it, beside the response, so that the caller
+/// receives the response and can use the connection again. Returns whether the body is short
+/// enough for that.
+fn discard_body(mut body: Incoming) -> bool {
+    if body.size_hint().lower() > MAX_DISCARDED_BYTES {
+        return false;
     }
+    tokio::spawn(async move {
+        let reading = async {
+            let mut discarded = 0;
+            while let Some(Ok(frame)) = body.frame().await {
+                discarded += frame.data_ref().map_or(0, Bytes::len) as u64;
+                if discarded > MAX_DISCARDED_BYTES {
+                    return;
+                }
+            }
+        };
+        // Dropping a body before its end closes the connection.
+        drop(timeout(DISCARD_TIMEOUT, reading).await);
+    });
+    true
 }
 
 /// Returns the length of a request head in bytes, without optional whitespace.
--- a/src/gateway/start.rs
+++ b/src/gateway/start.rs
@@ -98,6 +98,7 @@
         retry_ratio: instance.retry_ratio,
         extra_retries: instance.extra_retries,
         dropped_lines,
+        request_memory: plan.request_bytes,
     }));
     kernel.add_task(metrics_task(metrics));
     kernel.add_task(operator_watch(instance.store_address));
--- a/src/platform/request_headers.rs
+++ b/src/platform/request_headers.rs
@@ -153,7 +153,7 @@
 /// Returns the host of a request from the `host` header or else the target, empty if neither has
 /// one.
 #[must_use]
-pub fn request_host<B>(request: &hyper::Request<B>) -> &str {
-    let header = header_text(request.headers(), &HOST);
-    header.or_else(|| request.uri().host()).unwrap_or_default()
+pub fn request_host(head: &hyper::http::request::Parts) -> &str {
+    let header = header_text(&head.headers, &HOST);
+    header.or_else(|| head.uri.host()).unwrap_or_default()
 }
--- a/tests/gateway_gossip.rs
+++ b/tests/gateway_gossip.rs
@@ -45,6 +45,7 @@
             retry_ratio: 0.2,
             extra_retries: 56.0,
             dropped_lines: DroppedLines::default(),
+            request_memory: 1_000_000,
         });
         let mut instance = Self { service, names };
         let entry = r#"{"service":"llm","address":"127.0.0.1:2","zone":"near","slots":8,
--- a/tests/gateway_memory.rs
+++ b/tests/gateway_memory.rs
@@ -197,6 +197,26 @@
     (world, gateway, address)
 }
 
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn bodies_beyond_the_memory_limit_are_refused() {
+    let (_world, mut gateway, address) = start(64).await;
+    let wait = REFUSAL_LIMIT * 2;
+    let responses = burst(address, "/once/hang", 100, 1_000_000, wait).await;
+    assert_below_limit(&mut gateway, 64);
+    assert!(count_refusals(&responses) > 50);
+    assert_serves(address).await;
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn waiting_requests_beyond_the_memory_limit_are_refused() {
+    let (_world, mut gateway, address) = start(64).await;
+    let wait = REFUSAL_LIMIT * 2;
+    let responses = burst(address, "/once/hang", 1_000, 100_000, wait).await;
+    assert_below_limit(&mut gateway, 64);
+    assert!(count_refusals(&responses) > 500);
+    assert_serves(address).await;
+}
+
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn connections_beyond_the_memory_limit_are_refused() {
     let (_world, mut gateway, address) = start(64).await;
