Bound the responses that a gateway buffers by its memory limit

Cause: complete responses of up to 16 MB each were collected without a common bound, and stayed in memory as long as a slow caller took to read them.

Fix: a response reserves its stated length, or doubles its reservation as it grows, and waits for room while it does not fit; the deadline of the attempt still applies. Responses may use the whole budget, of which new requests leave 15%. The reservation is tied to the bytes of the response and returns when they are sent or the connection ends.

--- a/src/gateway/attempts.rs
+++ b/src/gateway/attempts.rs
@@ -3,7 +3,6 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
 use hyper::http::response::Parts;
 use tokio::time::timeout;
@@ -12,6 +11,7 @@
 use super::mail::{DispatchMail, GatewayMail, PlacementRefusal, PlacementRequest};
 use super::placement_guard::{GuardedPlacement, PlacementGuard, place};
 use super::request::CallerRequest;
+use super::response_body::read_response_body;
 use super::upstream_call::{CallOutcome, UpstreamResponse, call, reusable_until};
 use crate::decide::fleet::{MemberKey, MemberOutcome};
 use crate::decide::ids::Rank;
@@ -33,9 +33,6 @@
 /// target latency. Callers of streams give up at four times the target latency.
 const PREFILL_WAIT_PERCENT: u64 = 300;
 
-/// Largest response body that is buffered, in bytes.
-const MAX_RESPONSE_BYTES: usize = 16 * 1024 * 1024;
-
 /// Time without a complete response after which an idempotent request is retried at another
 /// upstream, in percent of the route's target latency.
 const RESPONSE_TIMEOUT_PERCENT: u64 = 200;
@@ -241,11 +238,11 @@
             })));
         }
         let now = self.directory.now();
-        let reading = Limited::new(body, MAX_RESPONSE_BYTES).collect();
+        let reading = read_response_body(body, &self.request.memory);
         let (end, outcome) = match timeout(until.remaining(now), reading).await {
             Err(_elapsed) => (AttemptOutcome::MayHaveRun, MemberOutcome::Silent),
-            Ok(Err(_cut)) => (AttemptOutcome::MayHaveRun, MemberOutcome::Lost),
-            Ok(Ok(read)) => {
+            Ok(Err(_cut_or_too_long)) => (AttemptOutcome::MayHaveRun, MemberOutcome::Lost),
+            Ok(Ok(body)) => {
                 let reusable = reusable_until(&head.headers, self.directory.now());
                 let is_failure = head.status.is_server_error();
                 let outcome = if is_failure {
@@ -256,7 +253,7 @@
                 guard.end_with_connection(outcome, response.connection, reusable);
                 let complete = BufferedResponse {
                     head,
-                    body: read.to_bytes(),
+                    body,
                     upstream: at.upstream,
                 };
                 return self.finish_or_retry(complete, at.member, is_failure);
--- a/src/gateway/caller_server.rs
+++ b/src/gateway/caller_server.rs
@@ -133,7 +133,7 @@
                 &complete.upstream,
                 complete.head.status,
             );
-            let mut response = Response::new(full_body(complete.body));
+            let mut response = Response::new(full_body(request.memory.hold(complete.body)));
             *response.status_mut() = complete.head.status;
             *response.headers_mut() = forwardable_headers(&complete.head.headers);
             response
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -19,6 +19,7 @@
 pub mod readiness;
 pub mod relay;
 pub mod request;
+pub mod response_body;
 pub mod settings_watch;
 pub mod start;
 pub mod store_watch;
--- a/tests/gateway_memory.rs
+++ b/tests/gateway_memory.rs
@@ -23,6 +23,9 @@
 /// Time within which a request that is not run is refused.
 const REFUSAL_LIMIT: Duration = Duration::from_secs(2);
 
+/// Time after a burst within which the memory is returned.
+const RETURN_LIMIT: Duration = Duration::from_secs(15);
+
 /// Starts an upstream that treats each request by its path: `hang` is never answered, `stream` gets
 /// events without end, `large` a large response, and all others a short one.
 async fn upstream() -> SocketAddr {
@@ -231,6 +234,15 @@
     assert_serves(address).await;
 }
 
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn responses_to_slow_readers_stay_below_the_memory_limit() {
+    let (_world, mut gateway, address) = start(64).await;
+    let held = burst(address, "/once/large", 100, 0, REFUSAL_LIMIT * 2).await;
+    assert_below_limit(&mut gateway, 64);
+    drop(held);
+    assert_serves(address).await;
+}
+
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn streams_to_slow_readers_stay_below_the_memory_limit() {
     let (_world, mut gateway, address) = start(64).await;
@@ -240,6 +252,40 @@
     assert_serves(address).await;
 }
 
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_burst_of_all_kinds_stays_below_the_memory_limit_and_is_returned() {
+    let (_world, mut gateway, address) = start(110).await;
+    let process = gateway.process.id();
+    let idle = memory(process, "VmRSS:");
+    let wait = REFUSAL_LIMIT * 2;
+    let bursts = tokio::join!(
+        burst(address, "/once/hang", 1_500, 34_000, wait),
+        burst(address, "/once/hang", 200, 500_000, wait),
+        burst(address, "/once/large", 200, 0, wait),
+        burst(address, "/stream/stream", 200, 0, wait),
+        burst(address, "/once/", 500, 1_000, wait),
+    );
+    assert_below_limit(&mut gateway, 110);
+    drop(bursts);
+    assert_serves(address).await;
+    let ended = Instant::now();
+    // The allocator returns memory while it is used.
+    loop {
+        for id in 0..50 {
+            exchange(address, "/once/", id, 10_000).await;
+        }
+        let held = memory(process, "VmRSS:").saturating_sub(idle);
+        if held < 16_000_000 {
+            break;
+        }
+        assert!(
+            ended.elapsed() < RETURN_LIMIT,
+            "{held} bytes are still held"
+        );
+    }
+    assert_below_limit(&mut gateway, 110);
+}
+
 /// Prints the bytes of each state, as listed in docs/CAPACITY.md.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 #[ignore = "prints figures and checks nothing"]
