--- a/src/platform/http_connection.rs
+++ b/src/platform/http_connection.rs
@@ -23,7 +23,7 @@
 pub const MAX_RESPONSE_BYTES: usize = 64 * 1024 * 1024;
 
 /// Largest response head, in bytes; also the most that is received ahead of its reader.
-pub const MAX_HEAD_BYTES: usize = 64 * 1024;
+pub const MAX_HEAD_BYTES: usize = 20 * 1024;
 
 /// Maximum number of interim responses (status 1xx) to one request.
 const MAX_INTERIM_RESPONSES: usize = 16;
--- a/src/platform/settings_file.rs
+++ b/src/platform/settings_file.rs
@@ -13,6 +13,9 @@
 /// Drain limit of deployments whose settings state none.
 const DEFAULT_DRAIN_LIMIT: Duration = Duration::from_secs(2);
 
+/// Bytes of a megabyte, as the platform counts memory limits.
+pub const BYTES_PER_MB: u64 = 1_000_000;
+
 quick_error! {
     /// Error of a settings file that cannot be loaded.
     #[derive(Debug)]
@@ -72,6 +75,8 @@
     pub retry_ratio: f64,
     /// Retries that the whole fleet may make beyond `retry_ratio` (`bounds.budget-extra-retries`).
     pub extra_retries: f64,
+    /// Memory limit of the process in bytes (`limits.memory-mb`); `None` if the file states none.
+    pub memory_limit: Option<u64>,
 }
 
 /// Values of a settings file by their field names; of repeated fields the last value counts.
@@ -102,6 +107,15 @@
             .map_err(|_unparsed| SettingsError::Invalid(name, value.to_owned()))
     }
 
+    /// Returns an optional size in megabytes as bytes; 0 stands for no limit.
+    fn memory(&self, name: &'static str) -> Result<Option<u64>, SettingsError> {
+        if self.text(name).is_err() {
+            return Ok(None);
+        }
+        let megabytes: u64 = self.parsed(name)?;
+        Ok(Some(megabytes.saturating_mul(BYTES_PER_MB)).filter(|bytes| *bytes > 0))
+    }
+
     fn duration(&self, name: &'static str, unit_s: f64) -> Result<Duration, SettingsError> {
         let amount: f64 = self.parsed(name)?;
         Duration::try_from_secs_f64(amount * unit_s)
@@ -161,6 +175,7 @@
             },
             retry_ratio: table.parsed("bounds.retry-budget-ratio")?,
             extra_retries: table.parsed("bounds.budget-extra-retries")?,
+            memory_limit: table.memory("limits.memory-mb")?,
         })
     }
 }
--- a/tests/gateway_late_send.rs
+++ b/tests/gateway_late_send.rs
@@ -8,6 +8,7 @@
 
 use bulrushslip::decide::ids::{Incarnation, LogOffset, Rank};
 use bulrushslip::decide::keyed_view::KeyedRecord;
+use bulrushslip::decide::memory_budget::{MemoryBudget, MemoryClaim};
 use bulrushslip::decide::route_table::{
     AdmittedRoute, CallerLimits, DataCentreId, RouteKind, ServiceId,
 };
@@ -15,10 +16,11 @@
 use bulrushslip::gateway::dispatch::{self, DispatchSettings, dispatch_service};
 use bulrushslip::gateway::identity::InstanceIdentity;
 use bulrushslip::gateway::mail::{DispatchMail, GatewayMail, PlacementRequest, TopicRecords};
+use bulrushslip::gateway::memory_guard::MemoryGuard;
 use bulrushslip::gateway::placement_guard::place;
 use bulrushslip::gateway::request::CallerRequest;
 use bulrushslip::gateway::upstream_call::{CallOutcome, call};
-use bulrushslip::kernel::{Clock, Directory, Moment, RunningKernel, TokioKernel};
+use bulrushslip::kernel::{Clock, Directory, RunningKernel, TokioKernel};
 use bulrushslip::log_queue::DroppedLines;
 use bulrushslip::wire::peer_rpc::WireTopic;
 use bytes::Bytes;
@@ -43,6 +45,7 @@
         retry_ratio: 0.2,
         extra_retries: 56.0,
         dropped_lines: DroppedLines::default(),
+        request_memory: 1_000_000,
     }));
     kernel.launch(Clock::start())
 }
@@ -66,7 +69,15 @@
     dispatch::tell(directory, DispatchMail::Records(records));
 }
 
-fn caller_request(now: Moment) -> CallerRequest {
+fn caller_request(directory: &Directory<GatewayMail>) -> CallerRequest {
+    let now = directory.now();
+    let claim = MemoryClaim {
+        customer: "",
+        rank: Rank::Urgent,
+        bytes: 1,
+    };
+    let reservation = MemoryBudget::new(1_000).reserve(claim);
+    let reservation = reservation.expect("an empty budget has room");
     let head = Request::builder().uri("/a").header("x-request-id", "r");
     let (head, ()) = head.body(()).expect("a request").into_parts();
     CallerRequest {
@@ -95,6 +106,7 @@
         received: now,
         deadline: now.after(LIMIT),
         fingerprint: Fingerprint(1),
+        memory: MemoryGuard::new(directory.clone(), reservation),
     }
 }
 
@@ -125,7 +137,7 @@
     let directory = &kernel.directory;
     announce(directory, &upstream, 0, "ready");
     for (offset, state) in [(1, "ready"), (2, "draining")] {
-        let request = caller_request(directory.now());
+        let request = caller_request(directory);
         let ask = placement_request(&request);
         let mut placement = place(directory, ask).await.expect("a placement");
         let valid_until = placement.at.valid_until;
--- a/tests/gateway_world/mod.rs
+++ b/tests/gateway_world/mod.rs
@@ -300,23 +300,36 @@
 
     /// Writes a configuration with the given routes to the service `s`.
     pub async fn configure(&self, version: u64, routes: &[Value]) {
+        self.configure_bodies(version, routes, 1_000).await;
+    }
+
+    /// Writes a configuration with the given routes and limit on request bodies.
+    pub async fn configure_bodies(&self, version: u64, routes: &[Value], body_bytes: usize) {
         let service = json!({"name": "s", "max-connections": 100});
-        self.configure_service(version, routes, &service).await;
+        self.configure_service(version, routes, &service, body_bytes)
+            .await;
     }
 
     /// Writes a configuration with the given routes to the service `s` of model engines.
     pub async fn configure_engines(&self, version: u64, routes: &[Value]) {
         let service = json!({"name": "s", "max-connections": 100,
             "engine": {"kv-capacity-tokens": 100_000, "token-kv-bytes": 1000.0, "link-mbps": 1000.0}});
-        self.configure_service(version, routes, &service).await;
+        self.configure_service(version, routes, &service, 1_000)
+            .await;
     }
 
-    async fn configure_service(&self, version: u64, routes: &[Value], service: &Value) {
+    async fn configure_service(
+        &self,
+        version: u64,
+        routes: &[Value],
+        service: &Value,
+        body_bytes: usize,
+    ) {
         let document = json!({
             "version": version,
             "routes": routes,
             "services": [service],
-            "limits": {"max-header-bytes": 4096, "max-body-bytes": 1000,
+            "limits": {"max-header-bytes": 4096, "max-body-bytes": body_bytes,
                 "header-timeout-ms": 3000, "idle-timeout-ms": 15000},
             "tenants": [{"name": "customer", "api-keys": ["key"]}],
         });
