Log the attempts of a request whose answer is lost

Event 301 said that an answer was lost but not how: the report with the attempts is kept in the entry's memory and is gone when the process ends, as it does in the tests of stops. The event now lists the steps of the report, each with its time after the admission. Checked by the new test in tests/events.rs.

--- a/src/events/catalogue.rs
+++ b/src/events/catalogue.rs
@@ -160,7 +160,7 @@
     301,
     Level::Warn,
     "answer_lost",
-    "A request ran or may have run, as `status` says, and its caller got no complete response.",
+    "A request ran or may have run, as `status` says, and its caller got no complete response; `steps` shows its attempts.",
 );
 
 /// Logged when an upstream has responded to a request.
--- a/src/services/caller_side/journal.rs
+++ b/src/services/caller_side/journal.rs
@@ -89,6 +89,24 @@
         })
     }
 
+    /// Returns the events as text, each with its time in milliseconds after the admission.
+    #[must_use]
+    pub fn steps_text(&self) -> String {
+        let texts = self.steps.iter().map(|step| self.step_text(step));
+        let mut texts: Vec<String> = texts.collect();
+        if self.dropped_steps > 0 {
+            texts.push(format!("{} more", self.dropped_steps));
+        }
+        texts.join("; ")
+    }
+
+    fn step_text(&self, step: &ReportStep) -> String {
+        let after_ms = step.at.since(self.admitted_at).as_millis();
+        let ticket = step.ticket.map(|ticket| ticket.to_string());
+        let ticket = ticket.as_deref().unwrap_or("-");
+        format!("{after_ms} ms {} {ticket} {}", step.upstream, step.event)
+    }
+
     fn step_json(&self, step: &ReportStep) -> Value {
         json!({
             "after_ms": step.at.since(self.admitted_at).as_secs_f64() * 1_000.0,
--- a/src/services/caller_side/request_metrics.rs
+++ b/src/services/caller_side/request_metrics.rs
@@ -46,6 +46,7 @@
                 ("customer", &report.customer),
                 ("rank", &report.rank),
                 ("target", &report.target),
+                ("steps", &report.steps_text()),
             ],
         );
     }
--- a/tests/events.rs
+++ b/tests/events.rs
@@ -3,7 +3,10 @@
 #[path = "common/pages.rs"]
 mod pages;
 
+use bulrushslip::decide::ids::{Incarnation, Ticket};
 use bulrushslip::events::{CATALOGUE, LOG_UNREADABLE, json_line, markdown, text_line};
+use bulrushslip::kernel::Moment;
+use bulrushslip::services::caller_side::journal::{ReportStep, RequestReport};
 
 #[test]
 fn numbers_ascend_and_names_are_unique() {
@@ -33,6 +36,34 @@
     );
 }
 
+#[test]
+fn the_steps_of_a_request_are_listed_with_their_times() {
+    let step = |at_ms: u64, ticket, event: &str| ReportStep {
+        at: Moment::from_micros(at_ms * 1_000),
+        upstream: "engine-0".to_owned(),
+        ticket,
+        event: event.to_owned(),
+    };
+    let ticket = Ticket {
+        entry: Incarnation(0xab),
+        sequence: 7,
+    };
+    let report = RequestReport {
+        id: 1,
+        customer: "agency".to_owned(),
+        rank: "urgent",
+        target: "service gates".to_owned(),
+        admitted_at: Moment::from_micros(5_000),
+        steps: vec![step(6, None, "Chosen"), step(1_005, Some(ticket), "Lost")],
+        dropped_steps: 3,
+        reported: None,
+    };
+    assert_eq!(
+        report.steps_text(),
+        "1 ms engine-0 - Chosen; 1000 ms engine-0 00000000000000ab-7 Lost; 3 more"
+    );
+}
+
 #[test]
 fn the_events_page_matches_the_catalogue() {
     let page = format!(
