Stop a sidecar only after entries have received the ends of its responses

Cause: the ledger counted the end of a response as read once it had sent the reply. Where the entry had given that read up after its 1 s, nobody had the end; the ledger was drained, the port stayed open for 1.5 s more, and the entry then found no process for the 20 s for which it tries.

Fix: the end has an index of its own, and an entry acknowledges it by one more read beyond it; a stopping ledger waits for that read, or until nobody has read the ticket for 10 s, as before for ends that nobody reads. So the stop depends on what the entry has received and not on how long it takes. A sidecar of the former version answers such a read as any other; an entry of the former version never acknowledges, and a stop then takes up to 10 s longer. A stopping entry finishes its acknowledgements.

Not covered: a loser of an idempotency key that reads along and acknowledges first; an entry that reaches the sidecar for the first time again between 10 and 20 s after its last read.

--- a/src/services/caller_side/request_runner.rs
+++ b/src/services/caller_side/request_runner.rs
@@ -319,6 +319,10 @@
             SidecarCall::Read(ticket, from_index) => {
                 let outcome = calls.read(ticket, incarnation, from_index).await;
                 if from_index == self.state.next_index() && starts_at(&outcome.event, from_index) {
+                    if let Some(end_index) = outcome.end_index() {
+                        let mail = DialerMail::Acknowledge(address, ticket, incarnation, end_index);
+                        self.directory.send("dialer", Mail::Dialer(mail));
+                    }
                     self.items.extend(outcome.items);
                 }
                 outcome.event
--- a/src/services/common/dialer.rs
+++ b/src/services/common/dialer.rs
@@ -39,20 +39,25 @@
 struct SidecarConnections {
     connections: HashMap<SocketAddr, SidecarConnection>,
     dials: JoinSet<(SocketAddr, Option<SidecarRpcClient>)>,
+    /// Calls for requests that have ended; a stop waits for them.
+    closing_calls: JoinSet<()>,
     /// Completed dials, which also number the connections.
     dialled: u64,
 }
 
 async fn run(mut inbox: Inbox<Mail>, directory: Directory<Mail>) {
     let mut state = SidecarConnections::default();
-    loop {
+    let mut stopping = false;
+    while !stopping || !state.closing_calls.is_empty() {
         tokio::select! {
             signal = inbox.receive() => match signal {
                 Some(Signal::Mail(Mail::Dialer(mail))) => state.handle(&directory, mail),
                 Some(Signal::Dump(reply_to)) => reply_to.send(state.dump()),
-                Some(Signal::Stop) | None => return,
+                Some(Signal::Stop) => stopping = true,
+                None => return,
                 Some(_) => {}
             },
+            Some(_ended) = state.closing_calls.join_next() => {}
             Some(Ok((peer, client))) = state.dials.join_next() => state.on_dialled(peer, client),
         }
     }
@@ -74,11 +79,16 @@
                 }
             },
             DialerMail::Abandon(address, ticket, incarnation) => {
-                let calls = SidecarCalls {
-                    directory: directory.clone(),
-                    address,
-                };
-                tokio::spawn(async move { calls.withdraw(ticket, incarnation).await });
+                let calls = sidecar_calls(directory, address);
+                self.closing_calls.spawn(async move {
+                    calls.withdraw(ticket, incarnation).await;
+                });
+            }
+            DialerMail::Acknowledge(address, ticket, incarnation, end_index) => {
+                let calls = sidecar_calls(directory, address);
+                self.closing_calls.spawn(async move {
+                    calls.acknowledge_end(ticket, incarnation, end_index).await;
+                });
             }
             DialerMail::Broken(address, number) => {
                 let connection = self.connections.get(&address);
@@ -118,6 +128,13 @@
     }
 }
 
+fn sidecar_calls(directory: &Directory<Mail>, address: SocketAddr) -> SidecarCalls {
+    SidecarCalls {
+        directory: directory.clone(),
+        address,
+    }
+}
+
 async fn dial(address: SocketAddr) -> Option<SidecarRpcClient> {
     let stream = timeout(DIAL_TIMEOUT, TcpStream::connect(address))
         .await
--- a/src/services/common/mail.rs
+++ b/src/services/common/mail.rs
@@ -206,6 +206,9 @@
     Broken(SocketAddr, u64),
     /// Withdraws a ticket, submitted to the given incarnation, whose caller has disconnected.
     Abandon(SocketAddr, Ticket, Incarnation),
+    /// Tells the given incarnation of a sidecar that the end of a ticket's response, which has this
+    /// index, has been received.
+    Acknowledge(SocketAddr, Ticket, Incarnation, u64),
 }
 
 /// Reply to [`DialerMail::Connect`].
--- a/src/services/common/sidecar_calls.rs
+++ b/src/services/common/sidecar_calls.rs
@@ -54,6 +54,21 @@
     pub items: Vec<StreamItem>,
 }
 
+impl TicketRead {
+    /// Returns the index of the end of the response, if the read has returned it.
+    #[must_use]
+    pub const fn end_index(&self) -> Option<u64> {
+        match self.event {
+            RequestEvent::Items {
+                from_index,
+                count,
+                end: Some(_),
+            } => Some(from_index + count),
+            _ => None,
+        }
+    }
+}
+
 /// Client for calls to one sidecar.
 #[derive(Debug, Clone)]
 pub struct SidecarCalls {
@@ -127,6 +142,24 @@
         ticket_read(reply)
     }
 
+    /// Acknowledges the end of a ticket's response, which has the given index.
+    ///
+    /// If the call is lost, the sidecar keeps the response for longer than needed.
+    pub async fn acknowledge_end(&self, ticket: Ticket, incarnation: Incarnation, end_index: u64) {
+        let Some(connection) = self.connect().await else {
+            return;
+        };
+        let call = ReadCall {
+            ticket: ticket.into(),
+            incarnation: incarnation.0,
+            from_index: end_index + 1,
+            wait_us: 0,
+        };
+        let reply = connection.client.read(deadline(CALL_TIMEOUT), call);
+        let reply = await_reply(CALL_TIMEOUT, reply).await;
+        self.handle_reply(&connection, reply, |reply| reply.head);
+    }
+
     /// Withdraws a ticket that was submitted to the given incarnation of the sidecar.
     pub async fn withdraw(&self, ticket: Ticket, incarnation: Incarnation) -> RequestEvent {
         let Some(connection) = self.connect().await else {
--- a/src/services/upstream_side/ledger/mod.rs
+++ b/src/services/upstream_side/ledger/mod.rs
@@ -1,5 +1,6 @@
 //! Service `ledger` of a sidecar: tickets, queue and buffered responses of one upstream.
 
+mod job;
 mod reads;
 mod running;
 mod state;
--- a/src/services/upstream_side/ledger/reads.rs
+++ b/src/services/upstream_side/ledger/reads.rs
@@ -45,6 +45,13 @@
             self.reply_to_read(key, read, true);
             return;
         };
+        let end_index = job.buffer.next_index();
+        let has_ended = matches!(
+            self.ledger.get(key).map(|entry| entry.state),
+            Some(TicketState::Ended(_))
+        );
+        // A read from a lower index shows that a reader still waits for the end.
+        job.end_acknowledged = has_ended && call.from_index > end_index;
         if !job.keep_all {
             self.response_bytes -= job.buffer.acknowledge(call.from_index);
         }
@@ -105,7 +112,6 @@
                 job.pending_read = Some(read);
                 return;
             }
-            job.end_read |= end.is_some();
         }
         let verdict = ReadVerdict::Items { items, end };
         read.reply_to.send(ReadReply {
--- a/src/services/upstream_side/ledger/running.rs
+++ b/src/services/upstream_side/ledger/running.rs
@@ -13,7 +13,8 @@
 use crate::services::upstream_side::suspect_feed::SUSPECT_FEED;
 use crate::wire::rpc::{AttachReply, AttachVerdict, StreamItem};
 
-use super::state::{LedgerState, new_job};
+use super::job::new_job;
+use super::state::LedgerState;
 
 /// Interval between checks of a stopping ledger for responses that are no longer read.
 const STOP_CHECK_INTERVAL: Duration = Duration::from_millis(500);
--- a/src/services/upstream_side/ledger/state.rs
+++ b/src/services/upstream_side/ledger/state.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use super::reads::PendingRead;
+use super::job::{TicketJob, new_job};
 use crate::decide::cache_index::{CacheList, CachePage, IndexStep};
 use crate::decide::config::{Configuration, Upstream};
 use crate::decide::ids::{Incarnation, Rank, Repeatability, Ticket};
@@ -16,7 +16,6 @@
 use crate::decide::upstream_queue::{UpstreamQueue, WorkRequest};
 use crate::kernel::{Moment, Turn};
 use crate::services::common::mail::{EngineStatus, Mail, OrderReport};
-use crate::services::upstream_side::stream_buffer::StreamBuffer;
 use crate::wire::rpc::{
     QuoteCall, QuoteReply, ReplyHead, SubmitCall, SubmitReply, SubmitVerdict, WithdrawReply,
     WithdrawVerdict,
@@ -39,23 +38,6 @@
     pub max_prefills: u32,
 }
 
-/// An accepted request and its buffered response.
-#[derive(Debug)]
-pub(super) struct TicketJob {
-    pub(super) ticket: Ticket,
-    pub(super) call: Option<Arc<SubmitCall>>,
-    pub(super) buffer: StreamBuffer,
-    pub(super) pending_read: Option<PendingRead>,
-    pub(super) started: bool,
-    pub(super) cached_pieces: Option<u32>,
-    /// Number of data items that the engine has produced.
-    pub(super) output_items: u32,
-    /// Whether the caller has received the end or does not wait for it.
-    pub(super) end_read: bool,
-    /// Whether acknowledged items stay buffered, for a read from the start.
-    pub(super) keep_all: bool,
-}
-
 /// State of the service `ledger`.
 #[derive(Debug)]
 pub struct LedgerState {
@@ -253,7 +235,9 @@
             WithdrawStep::Cancel(key) => {
                 self.cancel(turn, key);
                 // A caller that withdraws a ticket does not read its end.
-                self.jobs.entry(key).and_modify(|job| job.end_read = true);
+                self.jobs
+                    .entry(key)
+                    .and_modify(|job| job.end_acknowledged = true);
                 WithdrawVerdict::Cancelled
             }
             WithdrawStep::Running(_) => WithdrawVerdict::Running,
@@ -283,7 +267,7 @@
         }
     }
 
-    /// Begins a planned stop: like `begin_leaving`, and stops once all responses have been read.
+    /// Begins a planned stop: like `begin_leaving`, and stops once all responses have been received.
     pub fn begin_stop(&mut self, now: Moment) {
         self.stopping = true;
         self.begin_leaving(now);
@@ -338,12 +322,14 @@
         )
     }
 
-    /// Returns whether nothing runs and each end has been read or is no longer waited for.
+    /// Returns whether nothing runs and each end has been acknowledged or is no longer waited for.
+    ///
+    /// A reply that was sent may be lost, and only this process can repeat it.
     pub(super) fn is_drained(&self, now: Moment) -> bool {
         self.jobs.iter().all(|(key, job)| {
             let entry = self.ledger.get(*key);
             let is_orphaned = entry.is_none_or(|entry| entry.orphan_at.is_due(now));
-            !job.started && (job.end_read || is_orphaned)
+            !job.started && (job.end_acknowledged || is_orphaned)
         })
     }
 
@@ -382,17 +368,3 @@
         })
     }
 }
-
-pub(super) fn new_job(ticket: Ticket, call: Option<Arc<SubmitCall>>, keep_all: bool) -> TicketJob {
-    TicketJob {
-        ticket,
-        call,
-        buffer: StreamBuffer::default(),
-        pending_read: None,
-        started: false,
-        cached_pieces: None,
-        output_items: 0,
-        end_read: false,
-        keep_all,
-    }
-}
--- a/src/services/upstream_side/sidecar_rpc.rs
+++ b/src/services/upstream_side/sidecar_rpc.rs
@@ -30,8 +30,8 @@
 /// Maximum long-poll wait of a call for configuration.
 const MAX_CONFIG_WAIT: Duration = Duration::from_secs(5);
 
-/// Time that a stopping sidecar keeps serving, so that callers receive its last replies and
-/// submissions that follow an earlier quote are refused instead of losing their connection.
+/// Time that a stopping sidecar keeps serving after the ledger has stopped, so that submissions that
+/// follow an earlier quote are refused instead of losing their connection.
 const STOP_LINGER: Duration = Duration::from_millis(1_500);
 
 /// Creates the I/O task `rpc`, which serves connections of the listener.
--- a/src/wire/rpc.rs
+++ b/src/wire/rpc.rs
@@ -165,7 +165,8 @@
     pub ticket: WireTicket,
     /// Incarnation of the sidecar that accepted the ticket.
     pub incarnation: u64,
-    /// Index of the first requested item; the sidecar may discard all items below it.
+    /// Index of the first requested item; the sidecar may discard all items below it. The end of
+    /// the stream has the index after the last item, so a read beyond it acknowledges the end.
     pub from_index: u64,
     /// Longest wait for the item before the reply is empty, in microseconds.
     pub wait_us: u64,
--- /dev/null
+++ b/tests/entry_calls.rs
@@ -0,0 +1,262 @@
+//! What an entry tells sidecars about the attempts of a request: a request runner with the real
+//! dialer, and sidecars that record their calls.
+
+use std::collections::VecDeque;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bulrushslip::decide::admission::Admission;
+use bulrushslip::decide::config::{Configuration, Upstream, UpstreamKind};
+use bulrushslip::decide::ids::{Incarnation, Rank, Repeatability};
+use bulrushslip::decide::outcome::RunStatus;
+use bulrushslip::decide::placement::STANDARD;
+use bulrushslip::decide::request_step::RequestPolicy;
+use bulrushslip::decide::retry_budget::RetryPolicy;
+use bulrushslip::decide::suspects::Fingerprint;
+use bulrushslip::kernel::{Clock, Directory, Moment, NextStep, Service, TokioKernel};
+use bulrushslip::services::caller_side::journal::journal_service;
+use bulrushslip::services::caller_side::request_runner::{
+    RequestRunner, RunnerOutput, UpstreamRequest,
+};
+use bulrushslip::services::caller_side::tickets::tickets_service;
+use bulrushslip::services::caller_side::upstream_choice::{UpstreamChooser, UpstreamScope};
+use bulrushslip::services::common::dialer::dialer_task;
+use bulrushslip::services::common::mail::Mail;
+use bulrushslip::wire::claim_rpc::{ClaimCall, ClaimReply};
+use bulrushslip::wire::config_page::{ConfigPage, ConfigSinceCall};
+use bulrushslip::wire::rpc::{
+    AttachReply, AttachVerdict, QuoteCall, QuoteReply, ReadCall, ReadReply, ReadVerdict, ReplyHead,
+    SidecarRpc, StreamItem, SubmitCall, SubmitReply, SubmitVerdict, WireStreamEnd, WireTicket,
+    WithdrawReply, WithdrawVerdict,
+};
+use bulrushslip::wire::suspect_rpc::WireSuspectUpdate;
+use bulrushslip::wire::transport;
+use tarpc::context::Context;
+use tarpc::server::{BaseChannel, Channel};
+use tokio::net::TcpListener;
+use tokio::sync::mpsc;
+use tokio::time::timeout;
+
+/// Incarnation of every sidecar.
+const INCARNATION: u64 = 7;
+
+/// Sequence number of the ticket whose answer is lost.
+const LOST_TICKET: u64 = 1;
+
+/// Time limit for a call that the entry makes after the end of a request.
+const CALL_LIMIT: Duration = Duration::from_secs(10);
+
+/// Call that a sidecar has received.
+#[derive(Debug, PartialEq, Eq)]
+enum RecordedCall {
+    /// Sequence number of the submitted ticket.
+    Submit(u64),
+    /// Sequence number of the ticket and index that the read starts at.
+    Read(u64, u64),
+}
+
+/// Sidecar whose engine crashes under the first ticket and completes the others.
+#[derive(Debug, Clone)]
+struct RecordingSidecar {
+    calls: mpsc::UnboundedSender<RecordedCall>,
+}
+
+fn head() -> ReplyHead {
+    ReplyHead {
+        incarnation: INCARNATION,
+        ..ReplyHead::default()
+    }
+}
+
+impl RecordingSidecar {
+    fn record(&self, call: RecordedCall) {
+        self.calls.send(call).expect("the test holds the receiver");
+    }
+}
+
+impl SidecarRpc for RecordingSidecar {
+    async fn quote(self, _: Context, _: QuoteCall) -> QuoteReply {
+        QuoteReply {
+            head: head(),
+            open: true,
+            wait_us: 0,
+            missing_pieces: 0,
+            piece_us: 0,
+        }
+    }
+
+    async fn submit(self, _: Context, call: SubmitCall) -> SubmitReply {
+        self.record(RecordedCall::Submit(call.ticket.sequence));
+        SubmitReply {
+            head: head(),
+            verdict: SubmitVerdict::Accepted,
+        }
+    }
+
+    async fn read(self, _: Context, call: ReadCall) -> ReadReply {
+        let sequence = call.ticket.sequence;
+        self.record(RecordedCall::Read(sequence, call.from_index));
+        let (end, items) = if sequence == LOST_TICKET {
+            (WireStreamEnd::EngineLost, Vec::new())
+        } else {
+            let head = StreamItem::Head {
+                status: 200,
+                headers: Vec::new(),
+            };
+            let items = vec![head, StreamItem::Data(b"answer".to_vec())];
+            (WireStreamEnd::Complete, items)
+        };
+        ReadReply {
+            head: head(),
+            from_index: call.from_index,
+            verdict: ReadVerdict::Items {
+                items,
+                end: Some(end),
+            },
+        }
+    }
+
+    async fn withdraw(self, _: Context, _: WireTicket, _: u64) -> WithdrawReply {
+        WithdrawReply {
+            head: head(),
+            verdict: WithdrawVerdict::Done,
+        }
+    }
+
+    async fn suspect(self, _: Context, _: Vec<WireSuspectUpdate>) {}
+
+    async fn claim(self, _: Context, _: ClaimCall) -> ClaimReply {
+        ClaimReply::Unavailable
+    }
+
+    async fn attach(self, _: Context, _: WireTicket, _: bool) -> AttachReply {
+        AttachReply {
+            head: head(),
+            verdict: AttachVerdict::NotFound,
+        }
+    }
+
+    async fn config_since(self, _: Context, _: ConfigSinceCall) -> ConfigPage {
+        ConfigPage::default()
+    }
+}
+
+/// Serves a recording sidecar and returns its address.
+async fn start_sidecar(calls: mpsc::UnboundedSender<RecordedCall>) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+    let address = listener.local_addr().expect("an address");
+    tokio::spawn(async move {
+        while let Ok((stream, _)) = listener.accept().await {
+            let channel = BaseChannel::with_defaults(transport::framed(stream));
+            let sidecar = RecordingSidecar {
+                calls: calls.clone(),
+            };
+            tokio::spawn(transport::run_calls(channel.execute(sidecar.serve())));
+        }
+    });
+    address
+}
+
+/// Starts the components of an entry that a request runner calls.
+fn start_entry() -> Directory<Mail> {
+    let mut kernel = TokioKernel::new();
+    kernel.add(Service::new("config", |_turn, _signal| NextStep::Wait));
+    kernel.add_task(dialer_task());
+    kernel.add(journal_service());
+    let policy = RetryPolicy::default();
+    kernel.add(tickets_service(Incarnation(1), policy));
+    kernel.launch(Clock::start()).directory
+}
+
+fn upstream(number: usize, sidecar: SocketAddr) -> Upstream {
+    Upstream {
+        name: format!("gates-{number}"),
+        data_centre: "bangor".to_owned(),
+        sidecar,
+        kind: UpstreamKind::Plain {
+            service: "gates".to_owned(),
+        },
+        slots: 8,
+        retired: false,
+    }
+}
+
+fn runner(directory: Directory<Mail>, configuration: Configuration) -> RequestRunner {
+    let admission = Admission {
+        customer: "agency".to_owned(),
+        rank: Rank::Urgent,
+        repeatability: Repeatability::Idempotent,
+        version: String::new(),
+        piece_bytes: 0,
+        placement_pieces: 0,
+        start_timeout_ms: 60_000,
+    };
+    let chooser = UpstreamChooser {
+        directory: directory.clone(),
+        policy: STANDARD,
+        scope: UpstreamScope::Service("gates".to_owned()),
+        keys: Vec::new(),
+        random: 0,
+        choices: VecDeque::new(),
+    };
+    let request = UpstreamRequest {
+        method: "GET".to_owned(),
+        path: "/".to_owned(),
+        headers: Vec::new(),
+        body: Vec::new(),
+        output_tokens: 0,
+        fingerprint: Fingerprint(1),
+    };
+    let policy = RequestPolicy {
+        repeatability: Repeatability::Idempotent,
+        continuable: false,
+        start_by: Moment::NEVER,
+        max_submissions: 3,
+    };
+    let configuration = Arc::new(configuration);
+    RequestRunner::new(
+        directory,
+        configuration,
+        admission,
+        chooser,
+        request,
+        policy,
+    )
+}
+
+/// Runs a request whose first answer is lost in a crash and returns the calls to the sidecars.
+async fn run_request() -> mpsc::UnboundedReceiver<RecordedCall> {
+    let (calls, recorded) = mpsc::unbounded_channel();
+    let mut configuration = Configuration::default();
+    for number in 0..2 {
+        let address = start_sidecar(calls.clone()).await;
+        configuration.upstreams.insert(upstream(number, address));
+    }
+    let mut runner = runner(start_entry(), configuration);
+    loop {
+        match runner.next().await {
+            RunnerOutput::Item(_) => {}
+            RunnerOutput::Finished(status, _) => {
+                assert_eq!(status, RunStatus::Complete);
+                return recorded;
+            }
+            RunnerOutput::NeedsContinuation => panic!("no item of the lost answer arrived"),
+        }
+    }
+}
+
+/// Waits for a call.
+async fn wait_for(recorded: &mut mpsc::UnboundedReceiver<RecordedCall>, expected: &RecordedCall) {
+    let found = async { while recorded.recv().await.expect("a call") != *expected {} };
+    let found = timeout(CALL_LIMIT, found).await;
+    assert!(found.is_ok(), "no {expected:?}");
+}
+
+#[tokio::test]
+async fn the_end_of_each_response_is_acknowledged() {
+    let mut recorded = run_request().await;
+    // The lost answer has no item, so its end has index 0; the complete one has two.
+    wait_for(&mut recorded, &RecordedCall::Read(1, 1)).await;
+    wait_for(&mut recorded, &RecordedCall::Read(2, 3)).await;
+}
