Tell how many requests have run when a test finds none running

a_rolling_restart_of_the_sidecars_loses_no_request failed in 7 runs under load with "no engine runs a request". With the counts, four of four such failures show that all requests of the round had been answered between two looks (24 started and 24 finished, 16 and 16, 40 and 40, 24 and 24; eight a round): the test misses the time in which they run.

--- a/tests/common/fleet.rs
+++ b/tests/common/fleet.rs
@@ -202,7 +202,11 @@
                     return index;
                 }
             }
-            assert!(Instant::now() < deadline, "no engine runs a request");
+            if Instant::now() >= deadline {
+                let started = self.total_count("started").await;
+                let finished = self.total_count("finished").await;
+                panic!("no engine runs a request; {started} started, {finished} finished");
+            }
             tokio::time::sleep(POLL_PAUSE).await;
         }
     }
