Carry the crashes of a request on its retries

Cause: all requests that ran in a crash are suspects, which run alone. The other sidecars learn that from a broadcast, which is sent when the readers are told of the loss, so it races with the retries of the entries. A retry is at the other engine 1 to 20 ms after the loss. Where the broadcast came later, the suspects started together, the second crash hit them too, and the third submission was refused as poisonous.

Ruled out: retry budget and limit of submissions (no refusal names them).

A crash is named by sidecar and epoch, so the broadcast of the same one adds nothing. The suspicion arrives with the retry, however long the broadcast takes.

The broadcast stays for callers that resend through another entry, and that race stays with it.

--- a/src/decide/suspect_guard.rs
+++ b/src/decide/suspect_guard.rs
@@ -77,14 +77,17 @@
     }
 
     /// Records the end of a ticket; a completion clears its fingerprint, a loss reports a crash.
-    pub fn end(&mut self, now: Moment, ticket: Ticket, end: StreamEnd) {
-        let Some(run) = self.remove(ticket) else {
-            return;
-        };
+    ///
+    /// Returns the crash, so that the next attempt can be recognised before an update arrives.
+    pub fn end(&mut self, now: Moment, ticket: Ticket, end: StreamEnd) -> Option<CrashId> {
+        let run = self.remove(ticket)?;
         match end {
-            StreamEnd::Complete => self.record_completion(now, run.fingerprint),
+            StreamEnd::Complete => {
+                self.record_completion(now, run.fingerprint);
+                None
+            }
             StreamEnd::EngineLost | StreamEnd::Uncertain => self.record_loss(now, run),
-            StreamEnd::NotRun(_) | StreamEnd::Cancelled => {}
+            StreamEnd::NotRun(_) | StreamEnd::Cancelled => None,
         }
     }
 
@@ -123,10 +126,10 @@
         });
     }
 
-    fn record_loss(&mut self, now: Moment, run: RunningTicket) {
+    fn record_loss(&mut self, now: Moment, run: RunningTicket) -> Option<CrashId> {
         if run.epoch == EngineEpoch::default() {
             // Without an epoch, two crashes cannot be distinguished.
-            return;
+            return None;
         }
         let crash = CrashId {
             sidecar: self.sidecar,
@@ -138,5 +141,6 @@
             seen_in: Some(crash),
             cleared_of: Vec::new(),
         });
+        Some(crash)
     }
 }
--- a/src/services/caller_side/callers.rs
+++ b/src/services/caller_side/callers.rs
@@ -80,7 +80,7 @@
             directory: shared.clone(),
             settings,
         };
-        async move { exchange.respond(request).await }
+        async move { Box::pin(exchange.respond(request)).await }
     });
     let server = tokio::spawn(serve(listener, handler, settings.limits, stopped));
     while let Some(signal) = inbox.receive().await {
@@ -175,6 +175,7 @@
             body: request.upstream_body(),
             output_tokens: request.output_limit().unwrap_or(0),
             fingerprint: Fingerprint::of(&admission.customer, "POST", kind.path(), &body),
+            seen_in: Vec::new(),
         };
         let chooser = self.chooser(UpstreamScope::Model(request.model.clone()), keys);
         let continuable = request.choices == 1;
@@ -220,6 +221,7 @@
             headers: forwarded_headers(&head.headers),
             body,
             output_tokens: 0,
+            seen_in: Vec::new(),
         };
         let chooser = self.chooser(UpstreamScope::Service(service.to_owned()), Vec::new());
         let runner = self.runner(configuration, admission, chooser, request, false);
--- a/src/services/caller_side/request_runner.rs
+++ b/src/services/caller_side/request_runner.rs
@@ -16,11 +16,12 @@
 use crate::decide::outcome::{RefusalReason, RunStatus};
 use crate::decide::request_state::RequestState;
 use crate::decide::request_step::{RequestEvent, RequestPolicy, RequestStep, SidecarCall};
-use crate::decide::suspects::Fingerprint;
+use crate::decide::suspects::{CrashId, Fingerprint};
 use crate::kernel::{Directory, Moment};
 use crate::services::common::mail::{DialerMail, JournalMail, Mail, MintOutcome, TicketsMail};
 use crate::services::common::sidecar_calls::SidecarCalls;
 use crate::wire::rpc::{StreamItem, SubmitCall};
+use crate::wire::suspect_rpc::WireCrash;
 
 /// Time for which a request that may have run waits for an upstream to become available again.
 const UPSTREAM_RETURN_TIMEOUT: Duration = Duration::from_secs(3);
@@ -43,6 +44,8 @@
     pub output_tokens: u32,
     /// Hash of the caller's request, the same for requests with equal content.
     pub fingerprint: Fingerprint,
+    /// Engine crashes in which earlier attempts were running.
+    pub seen_in: Vec<CrashId>,
 }
 
 /// Output of a [`RequestRunner`].
@@ -324,6 +327,7 @@
                         self.directory.send("dialer", Mail::Dialer(mail));
                     }
                     self.items.extend(outcome.items);
+                    self.request.seen_in.extend(outcome.crash);
                 }
                 outcome.event
             }
@@ -352,6 +356,12 @@
             path: request.path.clone(),
             headers: request.headers.clone(),
             body: request.body.clone(),
+            seen_in: request
+                .seen_in
+                .iter()
+                .copied()
+                .map(WireCrash::from)
+                .collect(),
         }
     }
 }
--- a/src/services/common/sidecar_calls.rs
+++ b/src/services/common/sidecar_calls.rs
@@ -15,6 +15,7 @@
 use crate::decide::propagation::PeerOffset;
 use crate::decide::request_step::RequestEvent;
 use crate::decide::suspect_guard::SuspectUpdate;
+use crate::decide::suspects::CrashId;
 use crate::kernel::Directory;
 use crate::services::common::mail::{ConfigMail, DialOutcome, DialerMail, Mail};
 use crate::wire::claim_rpc::ClaimCall;
@@ -52,6 +53,8 @@
     pub event: RequestEvent,
     /// Items that the event counts.
     pub items: Vec<StreamItem>,
+    /// Engine crash that ended the ticket.
+    pub crash: Option<CrashId>,
 }
 
 impl TicketRead {
@@ -123,6 +126,7 @@
         let event = |event| TicketRead {
             event,
             items: Vec::new(),
+            crash: None,
         };
         let Some(connection) = self.connect().await else {
             return event(RequestEvent::Unsent);
@@ -285,6 +289,7 @@
         ReadVerdict::UnknownTicket => TicketRead {
             event: RequestEvent::UnknownTicket(reply.head.incarnation()),
             items: Vec::new(),
+            crash: None,
         },
         ReadVerdict::Items { items, end } => {
             let end = end.map(|end| StreamEnd::try_from(end).unwrap_or(StreamEnd::Uncertain));
@@ -293,7 +298,11 @@
                 count: items.len() as u64,
                 end,
             };
-            TicketRead { event, items }
+            TicketRead {
+                event,
+                items,
+                crash: reply.crash.map(CrashId::from),
+            }
         }
     }
 }
--- a/src/services/upstream_side/ledger/job.rs
+++ b/src/services/upstream_side/ledger/job.rs
@@ -4,6 +4,7 @@
 
 use super::reads::PendingRead;
 use crate::decide::ids::Ticket;
+use crate::decide::suspects::CrashId;
 use crate::services::upstream_side::stream_buffer::StreamBuffer;
 use crate::wire::rpc::SubmitCall;
 
@@ -20,6 +21,8 @@
     pub(super) output_items: u32,
     /// Whether the caller has acknowledged the end or does not wait for it.
     pub(super) end_acknowledged: bool,
+    /// Engine crash that ended the ticket.
+    pub(super) crash: Option<CrashId>,
     /// Whether acknowledged items stay buffered, for a read from the start.
     pub(super) keep_all: bool,
 }
@@ -35,6 +38,7 @@
         cached_pieces: None,
         output_items: 0,
         end_acknowledged: false,
+        crash: None,
         keep_all,
     }
 }
--- a/src/services/upstream_side/ledger/reads.rs
+++ b/src/services/upstream_side/ledger/reads.rs
@@ -6,6 +6,7 @@
 use crate::decide::ledger::{TicketKey, TicketState};
 use crate::kernel::{Moment, ReplyTo};
 use crate::wire::rpc::{ReadCall, ReadReply, ReadVerdict, WireStreamEnd};
+use crate::wire::suspect_rpc::WireCrash;
 
 use super::state::LedgerState;
 
@@ -32,6 +33,7 @@
                 head: self.reply_head(),
                 from_index: call.from_index,
                 verdict,
+                crash: None,
             });
             return;
         };
@@ -98,12 +100,14 @@
         let state = self.ledger.get(key).map(|entry| entry.state);
         let head = self.reply_head();
         let mut items = Vec::new();
+        let mut crash = None;
         let mut end = match state {
             Some(TicketState::Ended(end)) => Some(WireStreamEnd::from(end)),
             _ => None,
         };
         if let Some(job) = self.jobs.get_mut(&key) {
             items = job.buffer.read(read.from_index);
+            crash = job.crash.map(WireCrash::from);
             if read.from_index + (items.len() as u64) < job.buffer.next_index() {
                 end = None;
             }
@@ -118,6 +122,7 @@
             head,
             from_index: read.from_index,
             verdict,
+            crash,
         });
     }
 }
--- a/src/services/upstream_side/ledger/running.rs
+++ b/src/services/upstream_side/ledger/running.rs
@@ -153,8 +153,8 @@
 
     /// Handles the end of a ticket at the engine.
     pub fn on_end(&mut self, now: Moment, key: TicketKey, end: StreamEnd) {
-        if let Some(job) = self.jobs.get(&key) {
-            self.guard.end(now, job.ticket, end);
+        if let Some(job) = self.jobs.get_mut(&key) {
+            job.crash = self.guard.end(now, job.ticket, end);
         }
         self.awaits_engine_state |= matches!(end, StreamEnd::EngineLost | StreamEnd::Uncertain);
         self.ledger.end(now, key, end);
--- a/src/services/upstream_side/sidecar_rpc.rs
+++ b/src/services/upstream_side/sidecar_rpc.rs
@@ -126,6 +126,7 @@
                 items: Vec::new(),
                 end: None,
             },
+            crash: None,
         })
     }
 
--- a/src/wire/rpc.rs
+++ b/src/wire/rpc.rs
@@ -6,7 +6,7 @@
 use super::claim_rpc::{ClaimCall, ClaimReply};
 use super::config_page::{ConfigPage, ConfigSinceCall};
 pub use super::ids::{UnknownValue, WireRank, WireRefusalReason, WireTicket};
-use super::suspect_rpc::WireSuspectUpdate;
+use super::suspect_rpc::{WireCrash, WireSuspectUpdate};
 use crate::decide::ids::{EngineEpoch, Incarnation, LogOffset, PrefixKey, Repeatability};
 use crate::decide::outcome::StreamEnd;
 
@@ -115,6 +115,8 @@
     pub headers: Vec<(String, String)>,
     /// Body of the request to the upstream.
     pub body: Vec<u8>,
+    /// Engine crashes in which earlier attempts of the request were running.
+    pub seen_in: Vec<WireCrash>,
 }
 
 impl SubmitCall {
@@ -250,6 +252,8 @@
     pub from_index: u64,
     /// Outcome of the read.
     pub verdict: ReadVerdict,
+    /// Engine crash that ended the ticket.
+    pub crash: Option<WireCrash>,
 }
 
 /// Outcome of the withdrawal of a ticket.
--- a/tests/entry_calls.rs
+++ b/tests/entry_calls.rs
@@ -30,7 +30,7 @@
     SidecarRpc, StreamItem, SubmitCall, SubmitReply, SubmitVerdict, WireStreamEnd, WireTicket,
     WithdrawReply, WithdrawVerdict,
 };
-use bulrushslip::wire::suspect_rpc::WireSuspectUpdate;
+use bulrushslip::wire::suspect_rpc::{WireCrash, WireSuspectUpdate};
 use bulrushslip::wire::transport;
 use tarpc::context::Context;
 use tarpc::server::{BaseChannel, Channel};
@@ -41,6 +41,9 @@
 /// Incarnation of every sidecar.
 const INCARNATION: u64 = 7;
 
+/// Engine crash that ends the first ticket.
+const CRASH: (u64, u64) = (INCARNATION, 3);
+
 /// Sequence number of the ticket whose answer is lost.
 const LOST_TICKET: u64 = 1;
 
@@ -50,8 +53,8 @@
 /// Call that a sidecar has received.
 #[derive(Debug, PartialEq, Eq)]
 enum RecordedCall {
-    /// Sequence number of the submitted ticket.
-    Submit(u64),
+    /// Sequence number of the submitted ticket, and the crashes that the submission names.
+    Submit(u64, Vec<(u64, u64)>),
     /// Sequence number of the ticket and index that the read starts at.
     Read(u64, u64),
 }
@@ -87,7 +90,9 @@
     }
 
     async fn submit(self, _: Context, call: SubmitCall) -> SubmitReply {
-        self.record(RecordedCall::Submit(call.ticket.sequence));
+        let seen_in = call.seen_in.iter();
+        let seen_in = seen_in.map(|crash| (crash.sidecar, crash.epoch)).collect();
+        self.record(RecordedCall::Submit(call.ticket.sequence, seen_in));
         SubmitReply {
             head: head(),
             verdict: SubmitVerdict::Accepted,
@@ -97,7 +102,8 @@
     async fn read(self, _: Context, call: ReadCall) -> ReadReply {
         let sequence = call.ticket.sequence;
         self.record(RecordedCall::Read(sequence, call.from_index));
-        let (end, items) = if sequence == LOST_TICKET {
+        let is_lost = sequence == LOST_TICKET;
+        let (end, items) = if is_lost {
             (WireStreamEnd::EngineLost, Vec::new())
         } else {
             let head = StreamItem::Head {
@@ -107,6 +113,7 @@
             let items = vec![head, StreamItem::Data(b"answer".to_vec())];
             (WireStreamEnd::Complete, items)
         };
+        let (sidecar, epoch) = CRASH;
         ReadReply {
             head: head(),
             from_index: call.from_index,
@@ -114,6 +121,7 @@
                 items,
                 end: Some(end),
             },
+            crash: is_lost.then_some(WireCrash { sidecar, epoch }),
         }
     }
 
@@ -207,6 +215,7 @@
         body: Vec::new(),
         output_tokens: 0,
         fingerprint: Fingerprint(1),
+        seen_in: Vec::new(),
     };
     let policy = RequestPolicy {
         repeatability: Repeatability::Idempotent,
@@ -253,6 +262,13 @@
     assert!(found.is_ok(), "no {expected:?}");
 }
 
+#[tokio::test]
+async fn a_retry_names_the_crash_that_ended_the_previous_attempt() {
+    let mut recorded = run_request().await;
+    wait_for(&mut recorded, &RecordedCall::Submit(1, Vec::new())).await;
+    wait_for(&mut recorded, &RecordedCall::Submit(2, vec![CRASH])).await;
+}
+
 #[tokio::test]
 async fn the_end_of_each_response_is_acknowledged() {
     let mut recorded = run_request().await;
--- a/tests/ledger_harness/mod.rs
+++ b/tests/ledger_harness/mod.rs
@@ -27,6 +27,9 @@
 /// Incarnation of the sidecar.
 pub const INCARNATION: Incarnation = Incarnation(7);
 
+/// Epoch of the engine.
+pub const EPOCH: EngineEpoch = EngineEpoch(1);
+
 /// Ledger service of a sidecar, and the messages that it sends to its engine task.
 pub struct Sidecar {
     pub kernel: SteppedKernel<Mail>,
@@ -79,7 +82,7 @@
         sidecar.post(LedgerMail::Configured(Arc::new(configuration())));
         let version = String::new();
         sidecar.post(LedgerMail::EngineStatus(EngineStatus::Up {
-            epoch: EngineEpoch(1),
+            epoch: EPOCH,
             version,
         }));
         sidecar
@@ -203,5 +206,6 @@
         path: "/".to_owned(),
         headers: Vec::new(),
         body: Vec::new(),
+        seen_in: Vec::new(),
     }
 }
