Count an engine that streams as up although it is late for a poll

A sidecar took its engine for down, and refused new requests as engine_down, when one poll of its load got no reply within 1 s, although the engine was sending tokens all the time.

Fix: silence is told apart from a refused or closed connection, which still counts as down at once.

--- a/src/events/catalogue.rs
+++ b/src/events/catalogue.rs
@@ -299,6 +299,14 @@
     "A claim on orders to upstreams was not confirmed; claims are read again before the next one.",
 );
 
+/// Logged when a poll of the upstream gets no reply while its responses go on.
+pub const ENGINE_SLOW: EventKind = event(
+    410,
+    Level::Info,
+    "engine_slow",
+    "The upstream did not reply to a poll in time but sent response data; it counts as up.",
+);
+
 /// Logged when a call to the operator port is refused for its token.
 pub const OPERATOR_DENIED: EventKind = event(
     501,
@@ -316,7 +324,7 @@
 );
 
 /// All kinds of log events in ascending order of their numbers.
-pub const CATALOGUE: [EventKind; 37] = [
+pub const CATALOGUE: [EventKind; 38] = [
     PROCESS_STARTED,
     LISTENING,
     STOP_BEGUN,
@@ -352,6 +360,7 @@
     ORDER_SENT,
     ORDER_ENDED,
     CLAIM_UNCONFIRMED,
+    ENGINE_SLOW,
     OPERATOR_DENIED,
     METRICS_FAILED,
 ];
--- a/src/platform/http_client.rs
+++ b/src/platform/http_client.rs
@@ -46,6 +46,16 @@
 }
 
 impl HttpError {
+    /// Returns whether the peer was silent, as opposed to closing or refusing the connection.
+    #[must_use]
+    pub fn is_timeout(&self) -> bool {
+        match self {
+            Self::Timeout => true,
+            Self::Connect(error) => error.kind() == std::io::ErrorKind::TimedOut,
+            _ => false,
+        }
+    }
+
     /// Returns whether it is certain that no part of the request was sent.
     #[must_use]
     pub const fn is_unsent(&self) -> bool {
--- a/src/services/common/mail.rs
+++ b/src/services/common/mail.rs
@@ -138,6 +138,9 @@
     LookupResult(TicketKey, AttachVerdict, ReplyTo<AttachReply>),
     /// The status of the engine was polled.
     EngineStatus(EngineStatus),
+    /// The engine has not replied to a poll that began at the given time; requests the status that
+    /// is in force now.
+    EngineSilent(Moment, ReplyTo<EngineStatus>),
     /// Refuses new requests until the moment, and requests a report of what is unfinished.
     HoldForOrder(Moment, ReplyTo<OrderReport>),
     /// The platform asks this instance to leave.
--- a/src/services/upstream_side/engine_watch.rs
+++ b/src/services/upstream_side/engine_watch.rs
@@ -5,12 +5,13 @@
 use http_body_util::Full;
 use hyper::Method;
 use serde::Deserialize;
+use tokio::net::TcpStream;
 
 use super::engine_task::{EngineKind, EngineTarget};
 use crate::decide::ids::EngineEpoch;
-use crate::events::{ENGINE_DOWN, ENGINE_RESTARTED, ENGINE_UP, EventField, log_event};
+use crate::events::{ENGINE_DOWN, ENGINE_RESTARTED, ENGINE_SLOW, ENGINE_UP, EventField, log_event};
 use crate::kernel::{Directory, Inbox, IoTask, Signal};
-use crate::platform::http_client;
+use crate::platform::http_client::{self, CompleteResponse};
 use crate::services::common::mail::{EngineStatus, LedgerMail, Mail};
 
 /// Poll interval while the engine responds.
@@ -29,6 +30,14 @@
     version: String,
 }
 
+/// Outcome of one poll.
+enum PollOutcome {
+    /// The upstream has replied, or has refused or closed the connection.
+    Replied(EngineStatus),
+    /// Nothing has arrived in time.
+    Silent,
+}
+
 /// Creates the I/O task `engine-watch` for an upstream.
 #[must_use]
 pub fn engine_watch_task(target: EngineTarget) -> IoTask<Mail> {
@@ -48,13 +57,10 @@
                 Some(_) => {}
             },
             () = tokio::time::sleep_until(directory.clock().instant(next_poll).into()) => {
-                let state = read_state(target).await;
+                let state = poll(target, &directory).await;
                 log_change(target, previous.as_ref(), &state);
-                previous = Some(state.clone());
                 let is_up = state != EngineStatus::Down;
-                directory
-                    .send_waiting("ledger", Mail::Ledger(LedgerMail::EngineStatus(state)))
-                    .await;
+                previous = Some(state);
                 let interval = if is_up { UP_INTERVAL } else { DOWN_INTERVAL };
                 next_poll = directory.now().after(interval);
             }
@@ -62,6 +68,26 @@
     }
 }
 
+/// Polls the upstream, reports the result to the service `ledger` and returns the status in force.
+async fn poll(target: EngineTarget, directory: &Directory<Mail>) -> EngineStatus {
+    let polled_at = directory.now();
+    let state = match read_state(target).await {
+        PollOutcome::Replied(state) => state,
+        PollOutcome::Silent => {
+            let message = |reply_to| Mail::Ledger(LedgerMail::EngineSilent(polled_at, reply_to));
+            let in_force = directory.ask("ledger", message).await;
+            let in_force = in_force.unwrap_or(EngineStatus::Down);
+            if in_force != EngineStatus::Down {
+                log_event(&ENGINE_SLOW, &[("upstream", &target.address)]);
+            }
+            return in_force;
+        }
+    };
+    let mail = Mail::Ledger(LedgerMail::EngineStatus(state.clone()));
+    directory.send_waiting("ledger", mail).await;
+    state
+}
+
 /// Logs an engine that has come up, gone down or restarted since the previous poll.
 fn log_change(target: EngineTarget, previous: Option<&EngineStatus>, state: &EngineStatus) {
     let upstream: EventField<'_> = ("upstream", &target.address);
@@ -78,26 +104,34 @@
 }
 
 /// Polls the state of the upstream; a plain service is up if it accepts a connection.
-async fn read_state(target: EngineTarget) -> EngineStatus {
+async fn read_state(target: EngineTarget) -> PollOutcome {
     match target.kind {
-        EngineKind::Model => read_load(target).await.unwrap_or(EngineStatus::Down),
-        EngineKind::Plain => match tokio::net::TcpStream::connect(target.address).await {
+        EngineKind::Model => read_load(target).await,
+        EngineKind::Plain => PollOutcome::Replied(match TcpStream::connect(target.address).await {
             Ok(_) => EngineStatus::Up {
                 epoch: EngineEpoch(1),
                 version: String::new(),
             },
             Err(_) => EngineStatus::Down,
-        },
+        }),
     }
 }
 
-/// Reads the load report of a model engine; `None` if it does not respond with one.
-async fn read_load(target: EngineTarget) -> Option<EngineStatus> {
+/// Reads the load report of a model engine.
+async fn read_load(target: EngineTarget) -> PollOutcome {
     let request = http_client::request(Method::GET, target.address, "/load");
-    let request = request.body(Full::default()).ok()?;
-    let response = http_client::call(target.address, request, POLL_TIMEOUT)
-        .await
-        .ok()?;
+    let Ok(request) = request.body(Full::default()) else {
+        return PollOutcome::Replied(EngineStatus::Down);
+    };
+    match http_client::call(target.address, request, POLL_TIMEOUT).await {
+        Ok(response) => PollOutcome::Replied(load_status(&response).unwrap_or(EngineStatus::Down)),
+        Err(error) if error.is_timeout() => PollOutcome::Silent,
+        Err(_) => PollOutcome::Replied(EngineStatus::Down),
+    }
+}
+
+/// Returns the status from a response to `/load`; `None` if it contains no load report.
+fn load_status(response: &CompleteResponse) -> Option<EngineStatus> {
     if !response.status.is_success() {
         return None;
     }
--- a/src/services/upstream_side/ledger/mod.rs
+++ b/src/services/upstream_side/ledger/mod.rs
@@ -46,6 +46,9 @@
             reply_to.send(state.order_report(closed_until));
         }
         LedgerMail::EngineStatus(engine) => state.on_engine_state(engine),
+        LedgerMail::EngineSilent(polled_at, reply_to) => {
+            reply_to.send(state.on_engine_silent(polled_at));
+        }
         LedgerMail::CacheEvents(page, reply_to) => reply_to.send(state.on_cache_events(&page)),
         LedgerMail::CacheKeys(list, reply_to) => reply_to.send(state.on_cache_keys(&list)),
         LedgerMail::Leaving => state.begin_leaving(now),
--- a/src/services/upstream_side/ledger/running.rs
+++ b/src/services/upstream_side/ledger/running.rs
@@ -95,6 +95,7 @@
 
     /// Buffers items that the engine has produced.
     pub fn on_items(&mut self, turn: &mut Turn<'_, Mail>, key: TicketKey, items: Vec<StreamItem>) {
+        self.last_data_at = turn.now;
         let Some(job) = self.jobs.get_mut(&key) else {
             return;
         };
--- a/src/services/upstream_side/ledger/state.rs
+++ b/src/services/upstream_side/ledger/state.rs
@@ -43,6 +43,8 @@
 pub struct LedgerState {
     /// Latest state of the engine.
     pub engine: EngineStatus,
+    /// Time of the latest response data from the engine.
+    pub(super) last_data_at: Moment,
     pub(super) settings: LedgerSettings,
     pub(super) configuration: Option<Arc<Configuration>>,
     pub(super) upstream: Option<Upstream>,
@@ -70,6 +72,7 @@
     pub fn new(settings: LedgerSettings) -> Self {
         Self {
             engine: EngineStatus::Down,
+            last_data_at: Moment::START,
             configuration: None,
             upstream: None,
             ledger: TicketLedger::new(settings.bounds),
@@ -147,6 +150,16 @@
         self.engine = engine;
     }
 
+    /// Records that the engine has not replied to a poll and returns its status.
+    ///
+    /// A busy engine may reply late; while its responses go on, it counts as up.
+    pub fn on_engine_silent(&mut self, polled_at: Moment) -> EngineStatus {
+        if self.last_data_at < polled_at {
+            self.engine = EngineStatus::Down;
+        }
+        self.engine.clone()
+    }
+
     /// Queues a submission or refuses it.
     pub fn submit(&mut self, now: Moment, call: SubmitCall) -> SubmitReply {
         let verdict = match self.admit(now, call) {
