Wait longer for a sidecar that does not reply in time

Callers saw unknown, or not-run with start_deadline, after up to 20 s although entry and sidecar lived: each read or submission was given up after 1 s and sent again, and on a machine where a reply takes longer, no call ever succeeded.

Fix: each call in a row without a reply doubles the limit of the next, within the time after which the request gives the sidecar up. Broken connections are still replaced after the first second, and repeatable requests still go elsewhere as soon as before. a_sidecar_that_replies_late_is_read_to_the_end (a sidecar that takes 2.5 s for each read) ends as unknown after 21 s without the fix and is complete after 6 s with it.

--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -4,6 +4,7 @@
 
 pub mod admission;
 pub mod cache_index;
+pub mod call_patience;
 pub mod claim_coordinator;
 pub mod claims;
 pub mod config;
--- a/src/services/caller_side/request_runner.rs
+++ b/src/services/caller_side/request_runner.rs
@@ -10,6 +10,7 @@
 use super::request_metrics;
 use super::upstream_choice::{UpstreamChoice, UpstreamChooser};
 use crate::decide::admission::Admission;
+use crate::decide::call_patience::CallPatience;
 use crate::decide::claims::{ClaimTarget, ClaimVerdict};
 use crate::decide::config::Configuration;
 use crate::decide::ids::{Incarnation, Repeatability, Ticket};
@@ -19,7 +20,7 @@
 use crate::decide::suspects::{CrashId, Fingerprint};
 use crate::kernel::{Directory, Moment};
 use crate::services::common::mail::{DialerMail, JournalMail, Mail, MintOutcome, TicketsMail};
-use crate::services::common::sidecar_calls::SidecarCalls;
+use crate::services::common::sidecar_calls::{CALL_TIMEOUT, SidecarCalls};
 use crate::wire::rpc::{StreamItem, SubmitCall};
 use crate::wire::suspect_rpc::WireCrash;
 
@@ -78,6 +79,7 @@
     has_data: bool,
     report: RequestReport,
     key_claim: Option<KeyClaim>,
+    patience: CallPatience,
 }
 
 impl RequestRunner {
@@ -117,6 +119,7 @@
             finished: false,
             key_claim: None,
             has_data: false,
+            patience: CallPatience::default(),
         }
     }
 
@@ -160,7 +163,10 @@
                 }
             };
             self.record_event(&event);
-            self.step = self.state.handle(self.directory.now(), event);
+            let now = self.directory.now();
+            let recovery_time = self.state.policy.recovery_time();
+            self.patience.record(now, &event, recovery_time);
+            self.step = self.state.handle(now, event);
         }
     }
 
@@ -317,10 +323,14 @@
             directory: self.directory.clone(),
             address,
         };
+        let limit = self.patience.limit(self.directory.now(), CALL_TIMEOUT);
         match call {
-            SidecarCall::Submit(ticket) => calls.submit(self.submission(ticket, incarnation)).await,
+            SidecarCall::Submit(ticket) => {
+                let submission = self.submission(ticket, incarnation);
+                calls.submit(submission, limit).await
+            }
             SidecarCall::Read(ticket, from_index) => {
-                let outcome = calls.read(ticket, incarnation, from_index).await;
+                let outcome = calls.read(ticket, incarnation, from_index, limit).await;
                 if from_index == self.state.next_index() && starts_at(&outcome.event, from_index) {
                     if let Some(end_index) = outcome.end_index() {
                         let mail = DialerMail::Acknowledge(address, ticket, incarnation, end_index);
@@ -331,7 +341,7 @@
                 }
                 outcome.event
             }
-            SidecarCall::Withdraw(ticket) => calls.withdraw(ticket, incarnation).await,
+            SidecarCall::Withdraw(ticket) => calls.withdraw(ticket, incarnation, limit).await,
             SidecarCall::Attach(ticket) => calls.attach(ticket, self.admission.repeatability).await,
         }
     }
--- a/src/services/common/dialer.rs
+++ b/src/services/common/dialer.rs
@@ -11,7 +11,7 @@
 
 use super::mail::{DialOutcome, DialerMail, Mail};
 use crate::kernel::{Directory, Inbox, IoTask, ReplyTo, Signal};
-use crate::services::common::sidecar_calls::SidecarCalls;
+use crate::services::common::sidecar_calls::{CALL_TIMEOUT, SidecarCalls};
 use crate::wire::rpc::SidecarRpcClient;
 use crate::wire::transport;
 
@@ -81,7 +81,7 @@
             DialerMail::Abandon(address, ticket, incarnation) => {
                 let calls = sidecar_calls(directory, address);
                 self.closing_calls.spawn(async move {
-                    calls.withdraw(ticket, incarnation).await;
+                    calls.withdraw(ticket, incarnation, CALL_TIMEOUT).await;
                 });
             }
             DialerMail::Acknowledge(address, ticket, incarnation, end_index) => {
--- a/src/services/common/sidecar_calls.rs
+++ b/src/services/common/sidecar_calls.rs
@@ -27,8 +27,9 @@
 };
 use crate::wire::suspect_rpc::WireSuspectUpdate;
 
-/// Timeout of a call to which the sidecar replies immediately.
-const CALL_TIMEOUT: Duration = Duration::from_secs(1);
+/// Timeout of a call to which the sidecar replies immediately, or of a read with [`READ_WAIT`]
+/// included; the connection counts as broken after that.
+pub const CALL_TIMEOUT: Duration = Duration::from_secs(1);
 
 /// Timeout of a quote; the connection counts as broken after that.
 const QUOTE_TIMEOUT: Duration = Duration::from_millis(300);
@@ -36,9 +37,6 @@
 /// Time for which a sidecar may hold a read open until there are items (long polling).
 const READ_WAIT: Duration = Duration::from_millis(500);
 
-/// Timeout of a read, [`READ_WAIT`] included; the connection counts as broken after that.
-const READ_TIMEOUT: Duration = Duration::from_secs(1);
-
 /// Time beyond its deadline for which a call is awaited; the RPC client normally ends the call at
 /// the deadline.
 const CALL_SLACK: Duration = Duration::from_millis(100);
@@ -104,12 +102,12 @@
     }
 
     /// Submits a request and returns the event for its state machine.
-    pub async fn submit(&self, call: SubmitCall) -> RequestEvent {
+    pub async fn submit(&self, call: SubmitCall, limit: Duration) -> RequestEvent {
         let Some(connection) = self.connect().await else {
             return RequestEvent::Unsent;
         };
-        let reply = connection.client.submit(deadline(CALL_TIMEOUT), call);
-        let reply = await_reply(CALL_TIMEOUT, reply).await;
+        let reply = connection.client.submit(deadline(limit), call);
+        let reply = await_reply(limit, reply).await;
         let Some(reply) = self.handle_reply(&connection, reply, |reply| reply.head) else {
             return RequestEvent::Lost;
         };
@@ -122,6 +120,7 @@
         ticket: Ticket,
         incarnation: Incarnation,
         from_index: u64,
+        limit: Duration,
     ) -> TicketRead {
         let event = |event| TicketRead {
             event,
@@ -138,8 +137,8 @@
             from_index,
             wait_us,
         };
-        let reply = connection.client.read(deadline(READ_TIMEOUT), call);
-        let reply = await_reply(READ_TIMEOUT, reply).await;
+        let reply = connection.client.read(deadline(limit), call);
+        let reply = await_reply(limit, reply).await;
         let Some(reply) = self.handle_reply(&connection, reply, |reply| reply.head) else {
             return event(RequestEvent::Lost);
         };
@@ -165,15 +164,19 @@
     }
 
     /// Withdraws a ticket that was submitted to the given incarnation of the sidecar.
-    pub async fn withdraw(&self, ticket: Ticket, incarnation: Incarnation) -> RequestEvent {
+    pub async fn withdraw(
+        &self,
+        ticket: Ticket,
+        incarnation: Incarnation,
+        limit: Duration,
+    ) -> RequestEvent {
         let Some(connection) = self.connect().await else {
             return RequestEvent::Unsent;
         };
-        let reply =
-            connection
-                .client
-                .withdraw(deadline(CALL_TIMEOUT), ticket.into(), incarnation.0);
-        let reply = await_reply(CALL_TIMEOUT, reply).await;
+        let reply = connection
+            .client
+            .withdraw(deadline(limit), ticket.into(), incarnation.0);
+        let reply = await_reply(limit, reply).await;
         let Some(reply) = self.handle_reply(&connection, reply, |reply| reply.head) else {
             return RequestEvent::Lost;
         };
--- a/tests/entry_calls.rs
+++ b/tests/entry_calls.rs
@@ -47,6 +47,9 @@
 /// Sequence number of the ticket whose answer is lost.
 const LOST_TICKET: u64 = 1;
 
+/// Time after which a slow sidecar replies to a read; the first limit of a read is 1 s.
+const LATE_REPLY: Duration = Duration::from_millis(2_500);
+
 /// Time limit for a call that the entry makes after the end of a request.
 const CALL_LIMIT: Duration = Duration::from_secs(10);
 
@@ -59,10 +62,12 @@
     Read(u64, u64),
 }
 
-/// Sidecar whose engine crashes under the first ticket and completes the others.
+/// Sidecar whose engine crashes under one ticket and completes the others.
 #[derive(Debug, Clone)]
 struct RecordingSidecar {
     calls: mpsc::UnboundedSender<RecordedCall>,
+    lost_ticket: Option<u64>,
+    read_delay: Duration,
 }
 
 fn head() -> ReplyHead {
@@ -102,7 +107,8 @@
     async fn read(self, _: Context, call: ReadCall) -> ReadReply {
         let sequence = call.ticket.sequence;
         self.record(RecordedCall::Read(sequence, call.from_index));
-        let is_lost = sequence == LOST_TICKET;
+        tokio::time::sleep(self.read_delay).await;
+        let is_lost = self.lost_ticket == Some(sequence);
         let (end, items) = if is_lost {
             (WireStreamEnd::EngineLost, Vec::new())
         } else {
@@ -150,17 +156,15 @@
     }
 }
 
-/// Serves a recording sidecar and returns its address.
-async fn start_sidecar(calls: mpsc::UnboundedSender<RecordedCall>) -> SocketAddr {
+/// Serves a sidecar and returns its address.
+async fn start_sidecar(sidecar: RecordingSidecar) -> SocketAddr {
     let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
     let address = listener.local_addr().expect("an address");
     tokio::spawn(async move {
         while let Ok((stream, _)) = listener.accept().await {
             let channel = BaseChannel::with_defaults(transport::framed(stream));
-            let sidecar = RecordingSidecar {
-                calls: calls.clone(),
-            };
-            tokio::spawn(transport::run_calls(channel.execute(sidecar.serve())));
+            let calls = sidecar.clone().serve();
+            tokio::spawn(transport::run_calls(channel.execute(calls)));
         }
     });
     address
@@ -190,11 +194,12 @@
     }
 }
 
-fn runner(directory: Directory<Mail>, configuration: Configuration) -> RequestRunner {
+fn runner(configuration: Configuration, repeatability: Repeatability) -> RequestRunner {
+    let directory = start_entry();
     let admission = Admission {
         customer: "agency".to_owned(),
         rank: Rank::Urgent,
-        repeatability: Repeatability::Idempotent,
+        repeatability,
         version: String::new(),
         piece_bytes: 0,
         placement_pieces: 0,
@@ -218,7 +223,7 @@
         seen_in: Vec::new(),
     };
     let policy = RequestPolicy {
-        repeatability: Repeatability::Idempotent,
+        repeatability,
         continuable: false,
         start_by: Moment::NEVER,
         max_submissions: 3,
@@ -234,25 +239,33 @@
     )
 }
 
+/// Runs a request to its end and returns what the caller is told.
+async fn run_to_end(mut runner: RequestRunner) -> RunStatus {
+    loop {
+        match runner.next().await {
+            RunnerOutput::Item(_) => {}
+            RunnerOutput::Finished(status, _) => return status,
+            RunnerOutput::NeedsContinuation => panic!("the answer is lost after its first item"),
+        }
+    }
+}
+
 /// Runs a request whose first answer is lost in a crash and returns the calls to the sidecars.
 async fn run_request() -> mpsc::UnboundedReceiver<RecordedCall> {
     let (calls, recorded) = mpsc::unbounded_channel();
+    let sidecar = RecordingSidecar {
+        calls,
+        lost_ticket: Some(LOST_TICKET),
+        read_delay: Duration::ZERO,
+    };
     let mut configuration = Configuration::default();
     for number in 0..2 {
-        let address = start_sidecar(calls.clone()).await;
+        let address = start_sidecar(sidecar.clone()).await;
         configuration.upstreams.insert(upstream(number, address));
     }
-    let mut runner = runner(start_entry(), configuration);
-    loop {
-        match runner.next().await {
-            RunnerOutput::Item(_) => {}
-            RunnerOutput::Finished(status, _) => {
-                assert_eq!(status, RunStatus::Complete);
-                return recorded;
-            }
-            RunnerOutput::NeedsContinuation => panic!("no item of the lost answer arrived"),
-        }
-    }
+    let runner = runner(configuration, Repeatability::Idempotent);
+    assert_eq!(run_to_end(runner).await, RunStatus::Complete);
+    recorded
 }
 
 /// Waits for a call.
@@ -262,6 +275,21 @@
     assert!(found.is_ok(), "no {expected:?}");
 }
 
+#[tokio::test]
+async fn a_sidecar_that_replies_late_is_read_to_the_end() {
+    let (calls, _recorded) = mpsc::unbounded_channel();
+    let sidecar = RecordingSidecar {
+        calls,
+        lost_ticket: None,
+        read_delay: LATE_REPLY,
+    };
+    let mut configuration = Configuration::default();
+    let address = start_sidecar(sidecar).await;
+    configuration.upstreams.insert(upstream(0, address));
+    let runner = runner(configuration, Repeatability::NonIdempotent);
+    assert_eq!(run_to_end(runner).await, RunStatus::Complete);
+}
+
 #[tokio::test]
 async fn a_retry_names_the_crash_that_ended_the_previous_attempt() {
     let mut recorded = run_request().await;
