--- a/src/events/catalogue.rs
+++ b/src/events/catalogue.rs
@@ -168,7 +168,7 @@
     301,
     Level::Warn,
     "answer_lost",
-    "A request ran or may have run, as `status` says, and its caller got no complete response.",
+    "A request ran or may have run, as `status` says, and its caller got no complete response; `steps` shows its attempts.",
 );
 
 /// Logged when an upstream has responded to a request.
@@ -315,6 +315,14 @@
     "A claim on orders to upstreams was not confirmed; claims are read again before the next one.",
 );
 
+/// Logged when a poll of the upstream gets no reply while its responses go on.
+pub const ENGINE_SLOW: EventKind = event(
+    410,
+    Level::Info,
+    "engine_slow",
+    "The upstream did not reply to a poll in time but sent response data; it counts as up.",
+);
+
 /// Logged when a call to the operator port is refused for its token.
 pub const OPERATOR_DENIED: EventKind = event(
     501,
@@ -332,7 +340,7 @@
 );
 
 /// All kinds of log events in ascending order of their numbers.
-pub const CATALOGUE: [EventKind; 39] = [
+pub const CATALOGUE: [EventKind; 40] = [
     PROCESS_STARTED,
     LISTENING,
     STOP_BEGUN,
@@ -370,6 +378,7 @@
     ORDER_SENT,
     ORDER_ENDED,
     CLAIM_UNCONFIRMED,
+    ENGINE_SLOW,
     OPERATOR_DENIED,
     METRICS_FAILED,
 ];
--- a/src/services/common/mail.rs
+++ b/src/services/common/mail.rs
@@ -138,6 +138,9 @@
     LookupResult(TicketKey, AttachVerdict, ReplyTo<AttachReply>),
     /// The status of the engine was polled.
     EngineStatus(EngineStatus),
+    /// The engine has not replied to a poll that began at the given time; requests the status that
+    /// is in force now.
+    EngineSilent(Moment, ReplyTo<EngineStatus>),
     /// Refuses new requests until the moment, and requests a report of what is unfinished.
     HoldForOrder(Moment, ReplyTo<OrderReport>),
     /// The platform asks this instance to leave.
@@ -206,6 +209,9 @@
     Broken(SocketAddr, u64),
     /// Withdraws a ticket, submitted to the given incarnation, whose caller has disconnected.
     Abandon(SocketAddr, Ticket, Incarnation),
+    /// Tells the given incarnation of a sidecar that the end of a ticket's response, which has this
+    /// index, has been received.
+    Acknowledge(SocketAddr, Ticket, Incarnation, u64),
 }
 
 /// Reply to [`DialerMail::Connect`].
--- a/src/services/common/sidecar_calls.rs
+++ b/src/services/common/sidecar_calls.rs
@@ -15,6 +15,7 @@
 use crate::decide::propagation::PeerOffset;
 use crate::decide::request_step::RequestEvent;
 use crate::decide::suspect_guard::SuspectUpdate;
+use crate::decide::suspects::CrashId;
 use crate::kernel::Directory;
 use crate::services::common::mail::{ConfigMail, DialOutcome, DialerMail, Mail};
 use crate::wire::claim_rpc::ClaimCall;
@@ -26,8 +27,9 @@
 };
 use crate::wire::suspect_rpc::WireSuspectUpdate;
 
-/// Timeout of a call to which the sidecar replies immediately.
-const CALL_TIMEOUT: Duration = Duration::from_secs(1);
+/// Timeout of a call to which the sidecar replies immediately, or of a read with [`READ_WAIT`]
+/// included; the connection counts as broken after that.
+pub const CALL_TIMEOUT: Duration = Duration::from_secs(1);
 
 /// Timeout of a quote; the connection counts as broken after that.
 const QUOTE_TIMEOUT: Duration = Duration::from_millis(300);
@@ -35,9 +37,6 @@
 /// Time for which a sidecar may hold a read open until there are items (long polling).
 const READ_WAIT: Duration = Duration::from_millis(500);
 
-/// Timeout of a read, [`READ_WAIT`] included; the connection counts as broken after that.
-const READ_TIMEOUT: Duration = Duration::from_secs(1);
-
 /// Time beyond its deadline for which a call is awaited; the RPC client normally ends the call at
 /// the deadline.
 const CALL_SLACK: Duration = Duration::from_millis(100);
@@ -52,6 +51,23 @@
     pub event: RequestEvent,
     /// Items that the event counts.
     pub items: Vec<StreamItem>,
+    /// Engine crash that ended the ticket.
+    pub crash: Option<CrashId>,
+}
+
+impl TicketRead {
+    /// Returns the index of the end of the response, if the read has returned it.
+    #[must_use]
+    pub const fn end_index(&self) -> Option<u64> {
+        match self.event {
+            RequestEvent::Items {
+                from_index,
+                count,
+                end: Some(_),
+            } => Some(from_index + count),
+            _ => None,
+        }
+    }
 }
 
 /// Client for calls to one sidecar.
@@ -86,12 +102,12 @@
     }
 
     /// Submits a request and returns the event for its state machine.
-    pub async fn submit(&self, call: SubmitCall) -> RequestEvent {
+    pub async fn submit(&self, call: SubmitCall, limit: Duration) -> RequestEvent {
         let Some(connection) = self.connect().await else {
             return RequestEvent::Unsent;
         };
-        let reply = connection.client.submit(deadline(CALL_TIMEOUT), call);
-        let reply = await_reply(CALL_TIMEOUT, reply).await;
+        let reply = connection.client.submit(deadline(limit), call);
+        let reply = await_reply(limit, reply).await;
         let Some(reply) = self.handle_reply(&connection, reply, |reply| reply.head) else {
             return RequestEvent::Lost;
         };
@@ -104,10 +120,12 @@
         ticket: Ticket,
         incarnation: Incarnation,
         from_index: u64,
+        limit: Duration,
     ) -> TicketRead {
         let event = |event| TicketRead {
             event,
             items: Vec::new(),
+            crash: None,
         };
         let Some(connection) = self.connect().await else {
             return event(RequestEvent::Unsent);
@@ -119,24 +137,46 @@
             from_index,
             wait_us,
         };
-        let reply = connection.client.read(deadline(READ_TIMEOUT), call);
-        let reply = await_reply(READ_TIMEOUT, reply).await;
+        let reply = connection.client.read(deadline(limit), call);
+        let reply = await_reply(limit, reply).await;
         let Some(reply) = self.handle_reply(&connection, reply, |reply| reply.head) else {
             return event(RequestEvent::Lost);
         };
         ticket_read(reply)
     }
 
+    /// Acknowledges the end of a ticket's response, which has the given index.
+    ///
+    /// If the call is lost, the sidecar keeps the response for longer than needed.
+    pub async fn acknowledge_end(&self, ticket: Ticket, incarnation: Incarnation, end_index: u64) {
+        let Some(connection) = self.connect().await else {
+            return;
+        };
+        let call = ReadCall {
+            ticket: ticket.into(),
+            incarnation: incarnation.0,
+            from_index: end_index + 1,
+            wait_us: 0,
+        };
+        let reply = connection.client.read(deadline(CALL_TIMEOUT), call);
+        let reply = await_reply(CALL_TIMEOUT, reply).await;
+        self.handle_reply(&connection, reply, |reply| reply.head);
+    }
+
     /// Withdraws a ticket that was submitted to the given incarnation of the sidecar.
-    pub async fn withdraw(&self, ticket: Ticket, incarnation: Incarnation) -> RequestEvent {
+    pub async fn withdraw(
+        &self,
+        ticket: Ticket,
+        incarnation: Incarnation,
+        limit: Duration,
+    ) -> RequestEvent {
         let Some(connection) = self.connect().await else {
             return RequestEvent::Unsent;
         };
-        let reply =
-            connection
-                .client
-                .withdraw(deadline(CALL_TIMEOUT), ticket.into(), incarnation.0);
-        let reply = await_reply(CALL_TIMEOUT, reply).await;
+        let reply = connection
+            .client
+            .withdraw(deadline(limit), ticket.into(), incarnation.0);
+        let reply = await_reply(limit, reply).await;
         let Some(reply) = self.handle_reply(&connection, reply, |reply| reply.head) else {
             return RequestEvent::Lost;
         };
@@ -252,6 +292,7 @@
         ReadVerdict::UnknownTicket => TicketRead {
             event: RequestEvent::UnknownTicket(reply.head.incarnation()),
             items: Vec::new(),
+            crash: None,
         },
         ReadVerdict::Items { items, end } => {
             let end = end.map(|end| StreamEnd::try_from(end).unwrap_or(StreamEnd::Uncertain));
@@ -260,7 +301,11 @@
                 count: items.len() as u64,
                 end,
             };
-            TicketRead { event, items }
+            TicketRead {
+                event,
+                items,
+                crash: reply.crash.map(CrashId::from),
+            }
         }
     }
 }
--- a/src/services/upstream_side/ledger/reads.rs
+++ b/src/services/upstream_side/ledger/reads.rs
@@ -6,6 +6,7 @@
 use crate::decide::ledger::{TicketKey, TicketState};
 use crate::kernel::{Moment, ReplyTo};
 use crate::wire::rpc::{ReadCall, ReadReply, ReadVerdict, WireStreamEnd};
+use crate::wire::suspect_rpc::WireCrash;
 
 use super::state::LedgerState;
 
@@ -32,6 +33,7 @@
                 head: self.reply_head(),
                 from_index: call.from_index,
                 verdict,
+                crash: None,
             });
             return;
         };
@@ -45,6 +47,13 @@
             self.reply_to_read(key, read, true);
             return;
         };
+        let end_index = job.buffer.next_index();
+        let has_ended = matches!(
+            self.ledger.get(key).map(|entry| entry.state),
+            Some(TicketState::Ended(_))
+        );
+        // A read from a lower index shows that a reader still waits for the end.
+        job.end_acknowledged = has_ended && call.from_index > end_index;
         if !job.keep_all {
             self.response_bytes -= job.buffer.acknowledge(call.from_index);
         }
@@ -91,12 +100,14 @@
         let state = self.ledger.get(key).map(|entry| entry.state);
         let head = self.reply_head();
         let mut items = Vec::new();
+        let mut crash = None;
         let mut end = match state {
             Some(TicketState::Ended(end)) => Some(WireStreamEnd::from(end)),
             _ => None,
         };
         if let Some(job) = self.jobs.get_mut(&key) {
             items = job.buffer.read(read.from_index);
+            crash = job.crash.map(WireCrash::from);
             if read.from_index + (items.len() as u64) < job.buffer.next_index() {
                 end = None;
             }
@@ -105,13 +116,13 @@
                 job.pending_read = Some(read);
                 return;
             }
-            job.end_read |= end.is_some();
         }
         let verdict = ReadVerdict::Items { items, end };
         read.reply_to.send(ReadReply {
             head,
             from_index: read.from_index,
             verdict,
+            crash,
         });
     }
 }
--- a/src/services/upstream_side/ledger/running.rs
+++ b/src/services/upstream_side/ledger/running.rs
@@ -13,7 +13,8 @@
 use crate::services::upstream_side::suspect_feed::SUSPECT_FEED;
 use crate::wire::rpc::{AttachReply, AttachVerdict, StreamItem};
 
-use super::state::{LedgerState, new_job};
+use super::job::new_job;
+use super::state::LedgerState;
 
 /// Interval between checks of a stopping ledger for responses that are no longer read.
 const STOP_CHECK_INTERVAL: Duration = Duration::from_millis(500);
@@ -94,6 +95,7 @@
 
     /// Buffers items that the engine has produced.
     pub fn on_items(&mut self, turn: &mut Turn<'_, Mail>, key: TicketKey, items: Vec<StreamItem>) {
+        self.last_data_at = turn.now;
         let Some(job) = self.jobs.get_mut(&key) else {
             return;
         };
@@ -152,8 +154,8 @@
 
     /// Handles the end of a ticket at the engine.
     pub fn on_end(&mut self, now: Moment, key: TicketKey, end: StreamEnd) {
-        if let Some(job) = self.jobs.get(&key) {
-            self.guard.end(now, job.ticket, end);
+        if let Some(job) = self.jobs.get_mut(&key) {
+            job.crash = self.guard.end(now, job.ticket, end);
         }
         self.awaits_engine_state |= matches!(end, StreamEnd::EngineLost | StreamEnd::Uncertain);
         self.ledger.end(now, key, end);
