Mend what the review of the start deadline found

- Cancelled requests stay listed until their placement ends, so a first output that comes after all is logged (`outdated_start`); before, no log could show that a request started after its limit.
- A response or frame that has arrived goes before the cancellation.
- The time of the next cancellation is taken after requests are placed.
- `start_seconds` counts prompts that start, not failures and plain services.
- "Withdrawn" means "not run" in the glossary, and these requests may have run: they are now called cancelled (event 310 `start_cancelled`).

--- a/src/decide/fleet.rs
+++ b/src/decide/fleet.rs
@@ -97,7 +97,7 @@
     /// No response came in time.
     Silent,
     /// The request was cancelled because it had not started before the deadline of its weights.
-    Withdrawn,
+    Cancelled,
     /// The request was cancelled for a reason unrelated to the upstream.
     Abandoned,
 }
@@ -107,7 +107,7 @@
     /// better sent elsewhere.
     #[must_use]
     pub const fn is_about_upstream(self) -> bool {
-        !matches!(self, Self::Withdrawn | Self::Abandoned)
+        !matches!(self, Self::Cancelled | Self::Abandoned)
     }
 
     /// Returns the name of the outcome in logs and metrics.
@@ -121,7 +121,7 @@
             Self::Unreachable => "unreachable",
             Self::Lost => "lost",
             Self::Silent => "silent",
-            Self::Withdrawn => "withdrawn",
+            Self::Cancelled => "cancelled",
             Self::Abandoned => "abandoned",
         }
     }
@@ -374,7 +374,7 @@
                 self.down_until = now.after(self.reconnect_pause);
                 self.reconnect_pause = (self.reconnect_pause * 2).min(MAX_RECONNECT_PAUSE);
             }
-            MemberOutcome::Withdrawn | MemberOutcome::Abandoned => {}
+            MemberOutcome::Cancelled | MemberOutcome::Abandoned => {}
         }
     }
 }
--- a/src/decide/version_deadlines.rs
+++ b/src/decide/version_deadlines.rs
@@ -8,6 +8,13 @@
 /// ones.
 const MAX_VERSIONS: usize = 16;
 
+/// Time before the deadline of outdated weights from which no more requests are sent to them; those
+/// that have not started by the deadline are cancelled.
+const START_ALLOWANCE: Duration = Duration::from_millis(1_500);
+
+/// Time in which an upstream notices that a request was cancelled.
+const CANCELLATION_TIME: Duration = Duration::from_millis(250);
+
 /// Deadlines of the versions of one model.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct VersionDeadlines {
@@ -23,6 +30,7 @@
             .deadlines
             .binary_search_by_key(&version, |(listed, _)| *listed);
         match position {
+            Err(0) if self.deadlines.len() == MAX_VERSIONS => return false,
             Ok(known) if self.deadlines[known].1 <= deadline => return false,
             Ok(known) => self.deadlines[known].1 = deadline,
             Err(place) => self.deadlines.insert(place, (version, deadline)),
@@ -46,11 +54,18 @@
         newer.map(|(_, deadline)| *deadline).min()
     }
 
-    /// Returns the oldest version on which a request that is sent now may still start, if that takes
-    /// `start_delay`.
+    /// Returns the time at which a request on `version` that has not started is cancelled; `None` if
+    /// no newer version is known.
+    #[must_use]
+    pub fn cancel_at(&self, version: u64) -> Option<Moment> {
+        let deadline = self.start_deadline(version)?;
+        Some(deadline.before(CANCELLATION_TIME))
+    }
+
+    /// Returns the oldest version to which requests may still be sent.
     #[must_use]
-    pub fn oldest_allowed(&self, now: Moment, start_delay: Duration) -> u64 {
-        let started_at = now.after(start_delay);
+    pub fn oldest_allowed(&self, now: Moment) -> u64 {
+        let started_at = now.after(START_ALLOWANCE);
         let expired = self
             .deadlines
             .iter()
--- a/src/events/catalogue.rs
+++ b/src/events/catalogue.rs
@@ -235,12 +235,12 @@
     "A request started on outdated weights after half of the time allowed for that when it was sent.",
 );
 
-/// Logged when a request is withdrawn from an upstream.
-pub const REQUEST_WITHDRAWN: EventKind = event(
+/// Logged when a request that has not started at its upstream is cancelled.
+pub const START_CANCELLED: EventKind = event(
     310,
     Level::Info,
-    "request_withdrawn",
-    "A request was withdrawn because it had not started and may no longer start on outdated weights.",
+    "start_cancelled",
+    "A request was cancelled because it had not started and may no longer start on outdated weights.",
 );
 
 /// Logged when a placed request is not sent because its upstream may have left.
@@ -368,7 +368,7 @@
     STREAM_BROKEN,
     REQUEST_PLACED,
     OUTDATED_START,
-    REQUEST_WITHDRAWN,
+    START_CANCELLED,
     SEND_WITHDRAWN,
     ENGINE_UP,
     ENGINE_DOWN,
--- a/src/gateway/attempts.rs
+++ b/src/gateway/attempts.rs
@@ -7,13 +7,13 @@
 use hyper::http::response::Parts;
 use tokio::time::timeout;
 
+use super::cancellation::CancelSignal;
 use super::dispatch;
 use super::mail::{DispatchMail, GatewayMail, PlacementRefusal, PlacementRequest};
 use super::placement_guard::{GuardedPlacement, PlacementGuard, place};
 use super::request::CallerRequest;
 use super::response_body::read_response_body;
 use super::upstream_call::{CallOutcome, UpstreamResponse, call, reusable_until};
-use super::withdrawal::WithdrawalSignal;
 use crate::decide::fleet::{MemberKey, MemberOutcome};
 use crate::decide::ids::Rank;
 use crate::decide::route_table::RouteKind;
@@ -55,8 +55,8 @@
     pub member: MemberKey,
     /// Name of the upstream.
     pub upstream: String,
-    /// Tells when the request is withdrawn because its stream has not started.
-    pub withdrawal: WithdrawalSignal,
+    /// Tells when the request is cancelled because its stream has not started.
+    pub cancellation: CancelSignal,
     /// Ends the placement at the upstream when it is dropped.
     pub guard: PlacementGuard,
 }
@@ -207,7 +207,7 @@
             CallOutcome::Unsent => (AttemptOutcome::NotArrived, MemberOutcome::Abandoned),
             CallOutcome::Lost => (AttemptOutcome::MayHaveRun, MemberOutcome::Lost),
             CallOutcome::Silent => (AttemptOutcome::MayHaveRun, MemberOutcome::Silent),
-            CallOutcome::Withdrawn => (AttemptOutcome::MayHaveRun, MemberOutcome::Withdrawn),
+            CallOutcome::Cancelled => (AttemptOutcome::MayHaveRun, MemberOutcome::Cancelled),
         };
         guard.end(outcome);
         if outcome.is_about_upstream() {
@@ -240,11 +240,13 @@
                 connection: response.connection,
                 member: at.member,
                 upstream: at.upstream,
-                withdrawal: at.withdrawal,
+                cancellation: at.cancellation,
                 guard,
             })));
         }
-        guard.record_first_output();
+        if head.status.is_success() {
+            guard.record_first_output();
+        }
         let now = self.directory.now();
         let reading = read_response_body(body, &self.request.memory);
         let (end, outcome) = match timeout(until.remaining(now), reading).await {
--- a/src/gateway/dispatch/mod.rs
+++ b/src/gateway/dispatch/mod.rs
@@ -10,8 +10,8 @@
 mod release;
 mod routing;
 mod send_check;
+mod start_deadline;
 mod state;
-mod withdrawal;
 
 pub use state::{DispatchState, TargetVersion};
 
@@ -71,12 +71,12 @@
         state.next_sweep = turn.now.after(SWEEP_INTERVAL);
         state.sweep_connections(turn.now);
     }
-    let withdrawal_due = state.withdraw_unstarted(turn.now);
+    state.cancel_unstarted(turn.now);
     let parked_due = state.retry_parked(turn.now);
     let queue_due = state.serve_queues(turn.now);
     state.log_outdated_list(turn.now);
     let sweep_due = state.next_sweep.min(state.next_removal());
-    let dues = [sweep_due, withdrawal_due, parked_due, queue_due];
+    let dues = [sweep_due, state.next_cancellation, parked_due, queue_due];
     NextStep::WaitUntil(dues.into_iter().min().unwrap_or(Moment::NEVER))
 }
 
--- a/src/gateway/dispatch/place.rs
+++ b/src/gateway/dispatch/place.rs
@@ -227,7 +227,7 @@
         let weights = self.fleet.get(choice.member).and_then(FleetMember::version);
         let weights = request.prompt.as_ref().and(weights);
         self.log_placement(now, request, &choice, weights);
-        let withdrawal = self.expect_start(ticket, request, weights);
+        let cancellation = self.expect_start(ticket, request, weights);
         self.record_prefill_start(now, request, &choice);
         let valid_until = self.placement_end(now);
         let member = self
@@ -255,7 +255,7 @@
             upstream: member.entry.id.clone(),
             address: member.entry.address,
             weights,
-            withdrawal,
+            cancellation,
             cache_domain: choice.domain.map(CacheDomain::text),
             fetch_from: choice.fetch_from,
             save_to: choice.save_to.map(|store| store.address),
--- a/src/gateway/dispatch/withdrawal.rs
+++ b/src/gateway/dispatch/start_deadline.rs
@@ -1,18 +1,13 @@
-//! Withdrawal of requests that have not started at their upstream when no request may start on its
+//! Cancellation of requests that have not started at their upstream when no request may start on its
 //! weights any more.
 
-use std::time::Duration;
-
 use super::state::{DispatchState, RunningRequest};
 use crate::decide::ids::Ticket;
-use crate::events::{OUTDATED_START, REQUEST_WITHDRAWN, log_event};
+use crate::events::{OUTDATED_START, START_CANCELLED, log_event};
+use crate::gateway::cancellation::{CancelSender, CancelSignal, cancellation};
 use crate::gateway::mail::PlacementRequest;
-use crate::gateway::withdrawal::{WithdrawalSender, WithdrawalSignal, withdrawal};
 use crate::kernel::Moment;
 
-/// Time in which an upstream notices that a request was withdrawn.
-const WITHDRAWAL_TIME: Duration = Duration::from_millis(250);
-
 /// Request that was sent to an upstream and has produced no output yet.
 #[derive(Debug)]
 pub(super) struct UnstartedRequest {
@@ -20,89 +15,90 @@
     model: u64,
     /// Version of the weights that the request was sent for; 0 if it is not known.
     weights: u64,
-    sender: WithdrawalSender,
+    /// Cancels the request; `None` once it is cancelled.
+    sender: Option<CancelSender>,
 }
 
 impl DispatchState {
-    /// Registers a placement so that it is withdrawn unless the request starts in time. Newer
+    /// Registers a placement so that it is cancelled unless the request starts in time. Newer
     /// versions may be named after the placement.
     pub(super) fn expect_start(
         &mut self,
         ticket: Ticket,
         request: &PlacementRequest,
         weights: Option<u64>,
-    ) -> WithdrawalSignal {
+    ) -> CancelSignal {
         let Some(prompt) = &request.prompt else {
-            return WithdrawalSignal::never();
+            return CancelSignal::never();
         };
-        let (sender, signal) = withdrawal();
+        let (sender, signal) = cancellation();
         let unstarted = UnstartedRequest {
             model: prompt.model,
             weights: weights.unwrap_or(0),
-            sender,
+            sender: Some(sender),
         };
-        if let Some(deadline) = self.start_deadline(&unstarted) {
-            let due = deadline.before(WITHDRAWAL_TIME);
-            self.next_withdrawal = self.next_withdrawal.min(due);
+        if let Some(due) = self.cancel_at(&unstarted) {
+            self.next_cancellation = self.next_cancellation.min(due);
         }
         self.unstarted.insert(ticket, unstarted);
         signal
     }
 
-    /// Withdraws the requests that have not started and may no longer start. Returns the time of the
-    /// next withdrawal.
-    pub(super) fn withdraw_unstarted(&mut self, now: Moment) -> Moment {
-        if !self.next_withdrawal.is_due(now) {
-            return self.next_withdrawal;
+    /// Cancels the requests that have not started and may no longer start, and sets the time of the
+    /// next cancellation.
+    pub(super) fn cancel_unstarted(&mut self, now: Moment) {
+        if !self.next_cancellation.is_due(now) {
+            return;
         }
         let mut next = Moment::NEVER;
         let mut expired = Vec::new();
         for (ticket, unstarted) in &self.unstarted {
-            let Some(deadline) = self.start_deadline(unstarted) else {
-                continue;
-            };
-            let due = deadline.before(WITHDRAWAL_TIME);
-            if due.is_due(now) {
-                expired.push(*ticket);
-            } else {
-                next = next.min(due);
+            match self.cancel_at(unstarted) {
+                Some(due) if due.is_due(now) => expired.push(*ticket),
+                Some(due) => next = next.min(due),
+                None => {}
             }
         }
         for ticket in expired {
-            self.withdraw(now, ticket);
+            self.cancel(now, ticket);
         }
-        self.next_withdrawal = next;
-        next
+        self.next_cancellation = next;
     }
 
-    fn withdraw(&mut self, now: Moment, ticket: Ticket) {
-        let Some(unstarted) = self.unstarted.remove(&ticket) else {
+    fn cancel(&mut self, now: Moment, ticket: Ticket) {
+        let Some(unstarted) = self.unstarted.get_mut(&ticket) else {
+            return;
+        };
+        let Some(sender) = unstarted.sender.take() else {
             return;
         };
+        let weights = unstarted.weights;
         if let Some(running) = self.running.get(&ticket) {
             let waited = now.since(running.placed_at);
             log_event(
-                &REQUEST_WITHDRAWN,
+                &START_CANCELLED,
                 &[
                     ("request", &running.request_id),
                     ("upstream", &self.upstream_name(running)),
-                    ("weights", &unstarted.weights),
+                    ("weights", &weights),
                     ("waited_ms", &waited.as_millis()),
                 ],
             );
         }
-        unstarted.sender.send();
+        sender.send();
     }
 
-    /// Counts how long a request waited at its upstream before its first output, and logs the wait if
+    /// Counts how long a prompt waited at its upstream before its first output, and logs the wait if
     /// newer weights were named and it used up half of the time that was left when it was sent.
     pub(super) fn report_start(&mut self, now: Moment, ticket: Ticket, running: &RunningRequest) {
-        let waited = now.since(running.placed_at);
-        self.counters.observe_start(waited);
         let Some(unstarted) = self.unstarted.remove(&ticket) else {
             return;
         };
-        let Some(deadline) = self.start_deadline(&unstarted) else {
+        let waited = now.since(running.placed_at);
+        self.counters.observe_start(waited);
+        let deadlines = self.version_deadlines.get(&unstarted.model);
+        let deadline = deadlines.and_then(|known| known.start_deadline(unstarted.weights));
+        let Some(deadline) = deadline else {
             return;
         };
         let left = deadline.remaining(running.placed_at);
@@ -121,9 +117,9 @@
         );
     }
 
-    fn start_deadline(&self, unstarted: &UnstartedRequest) -> Option<Moment> {
+    fn cancel_at(&self, unstarted: &UnstartedRequest) -> Option<Moment> {
         let deadlines = self.version_deadlines.get(&unstarted.model)?;
-        deadlines.start_deadline(unstarted.weights)
+        deadlines.cancel_at(unstarted.weights)
     }
 
     fn upstream_name(&self, running: &RunningRequest) -> &str {
--- a/src/gateway/dispatch/state.rs
+++ b/src/gateway/dispatch/state.rs
@@ -1,13 +1,12 @@
 //! State of the service `dispatch`.
 
 use std::collections::{HashMap, VecDeque};
-use std::time::Duration;
 
 use serde_json::{Value, json};
 
 use super::DispatchSettings;
 use super::pool::ConnectionPool;
-use super::withdrawal::UnstartedRequest;
+use super::start_deadline::UnstartedRequest;
 use crate::decide::fleet::{Fleet, MemberKey};
 use crate::decide::ids::Ticket;
 use crate::decide::keyed_view::KeyedView;
@@ -26,10 +25,6 @@
 use crate::log_queue::DroppedLines;
 use crate::wire::peer_rpc::{WireSegment, WireSuspicion, WireTopic};
 
-/// Time before the deadline of outdated weights from which no more requests are sent to them; those
-/// that have not started by the deadline are withdrawn.
-const START_ALLOWANCE: Duration = Duration::from_millis(1_500);
-
 /// Version of a model's weights that operators want upstreams to run.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct TargetVersion {
@@ -151,8 +146,8 @@
     pub(super) running: HashMap<Ticket, RunningRequest>,
     /// Requests in `running` whose prompts have produced no output yet.
     pub(super) unstarted: HashMap<Ticket, UnstartedRequest>,
-    /// Time at which requests in `unstarted` may have to be withdrawn.
-    pub(super) next_withdrawal: Moment,
+    /// Time at which requests in `unstarted` may have to be cancelled.
+    pub(super) next_cancellation: Moment,
     pub(super) budgets: HashMap<ServiceId, RetryBudget>,
     pub(super) suspects: SuspectTable,
     /// Suspicions that are sent to other instances, each with the time at which it was added.
@@ -205,7 +200,7 @@
             parked: Vec::new(),
             running: HashMap::new(),
             unstarted: HashMap::new(),
-            next_withdrawal: Moment::NEVER,
+            next_cancellation: Moment::NEVER,
             budgets: HashMap::new(),
             suspects: SuspectTable::new(SuspectPolicy::default()),
             recent_suspicions: VecDeque::new(),
@@ -229,7 +224,7 @@
     ) {
         let deadlines = self.version_deadlines.entry(model).or_default();
         if deadlines.record(version, deadline) {
-            self.next_withdrawal = now;
+            self.next_cancellation = now;
         }
     }
 
@@ -237,9 +232,7 @@
     #[must_use]
     pub fn oldest_allowed(&self, now: Moment, model: u64) -> u64 {
         let deadlines = self.version_deadlines.get(&model);
-        deadlines.map_or(0, |deadlines| {
-            deadlines.oldest_allowed(now, START_ALLOWANCE)
-        })
+        deadlines.map_or(0, |deadlines| deadlines.oldest_allowed(now))
     }
 
     /// Reports whether the instance can serve clients: the configuration and the upstreams are
--- a/src/gateway/mail.rs
+++ b/src/gateway/mail.rs
@@ -10,9 +10,9 @@
 use crate::decide::prompt_parts::PromptShape;
 use crate::decide::route_table::{DataCentreId, RouteDecision, ServiceId};
 use crate::decide::suspects::Fingerprint;
+use crate::gateway::cancellation::CancelSignal;
 use crate::gateway::counters::RequestEnd;
 use crate::gateway::dispatch::DispatchState;
-use crate::gateway::withdrawal::WithdrawalSignal;
 use crate::kernel::{Moment, ReplyTo};
 use crate::platform::http_connection::OpenConnection;
 use crate::platform::settings_file::InstanceSettings;
@@ -208,8 +208,8 @@
     pub address: SocketAddr,
     /// Version of the weights that the request is meant for.
     pub weights: Option<u64>,
-    /// Tells when the request is withdrawn because it has not started.
-    pub withdrawal: WithdrawalSignal,
+    /// Tells when the request is cancelled because it has not started.
+    pub cancellation: CancelSignal,
     /// Name of the cache domain under which the engine stores the KV cache of the prompt.
     pub cache_domain: Option<String>,
     /// Address from which the engine fetches KV cache that it lacks.
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -4,6 +4,7 @@
 
 pub mod attempts;
 pub mod caller_server;
+pub mod cancellation;
 pub mod counters;
 pub mod dispatch;
 pub mod identity;
@@ -24,4 +25,3 @@
 pub mod start;
 pub mod store_watch;
 pub mod upstream_call;
-pub mod withdrawal;
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -13,11 +13,11 @@
 use tokio::time::{sleep, sleep_until};
 
 use super::attempts::{AttemptsOutcome, PlacedStream, RequestAttempts};
+use super::cancellation::CancelSignal;
 use super::mail::GatewayMail;
 use super::placement_guard::PlacementGuard;
 use super::request::CallerRequest;
 use super::upstream_call::reusable_until;
-use super::withdrawal::WithdrawalSignal;
 use crate::decide::fleet::{MemberKey, MemberOutcome};
 use crate::decide::memory_plan::STREAM_BYTES;
 use crate::decide::route_table::RouteKind;
@@ -117,10 +117,10 @@
                 connection,
                 member,
                 upstream,
-                mut withdrawal,
+                mut cancellation,
                 guard,
             } = stream;
-            let end = self.forward(body, &guard, &mut withdrawal).await;
+            let end = self.forward(body, &guard, &mut cancellation).await;
             match end {
                 StreamEnd::Complete => {
                     let reusable = reusable_until(&head.headers, self.directory.now());
@@ -155,13 +155,13 @@
         }
     }
 
-    /// Forwards the stream of one upstream until it ends, breaks or stalls, or until it is withdrawn
+    /// Forwards the stream of one upstream until it ends, breaks or stalls, or until it is cancelled
     /// because it has not started.
     async fn forward(
         &mut self,
         mut body: Incoming,
         guard: &PlacementGuard,
-        withdrawal: &mut WithdrawalSignal,
+        cancellation: &mut CancelSignal,
     ) -> StreamEnd {
         let mut splitter = EventSplitter::default();
         let mut has_begun = false;
@@ -170,10 +170,11 @@
             let stalls_at = self.stall_deadline();
             let clock = self.directory.clock();
             let frame = tokio::select! {
+                biased;
                 frame = body.frame() => frame,
                 () = self.frames.closed() => return StreamEnd::CallerGone,
-                () = withdrawal.received(), if !has_begun => {
-                    return StreamEnd::Broken(MemberOutcome::Withdrawn);
+                () = cancellation.received(), if !has_begun => {
+                    return StreamEnd::Broken(MemberOutcome::Cancelled);
                 }
                 () = sleep_until(clock.instant(stalls_at).into()) => {
                     return if self.request.deadline.is_due(self.directory.now()) {
--- a/src/gateway/upstream_call.rs
+++ b/src/gateway/upstream_call.rs
@@ -72,11 +72,11 @@
     Silent,
     /// The request was cancelled before a response head came, because requests may no longer start
     /// on its weights; it may have run.
-    Withdrawn,
+    Cancelled,
 }
 
 /// Sends a request to the upstream `at` and waits for the response head until `until`, or until the
-/// request is withdrawn.
+/// request is cancelled.
 pub async fn call(
     directory: &Directory<GatewayMail>,
     request: &CallerRequest,
@@ -100,14 +100,15 @@
         return CallOutcome::Unsent;
     }
     let now = directory.now();
-    if at.withdrawal.is_due() {
+    if at.cancellation.is_due() {
         return CallOutcome::Unsent;
     }
     let exchange = connection.send(outgoing);
     let exchange = timeout(until.remaining(now), exchange);
     let response = tokio::select! {
+        biased;
         response = exchange => response,
-        () = at.withdrawal.received() => return CallOutcome::Withdrawn,
+        () = at.cancellation.received() => return CallOutcome::Cancelled,
     };
     let response = match response {
         Err(_elapsed) => return CallOutcome::Silent,
