End a stream of an engine that sends bytes without a new event

A request whose engine sent comments, empty lines, identifiers or the same event without end never ended: the sidecar waited for the next event for as long as bytes came, and a connection that broke without an event was replaced at once and without end. The engine now counts as lost after 8 MiB without a new event, and when its connection breaks again without one once the time for resuming is over.

With only the check after a break taken out: one event again and again: a head: Timeout.

--- a/src/services/upstream_side/engine_stream.rs
+++ b/src/services/upstream_side/engine_stream.rs
@@ -35,6 +35,10 @@
 /// Pause between two attempts to resume.
 const RESUME_PAUSE: Duration = Duration::from_millis(50);
 
+/// Bytes of a stream without a new event, with comments and repeated events, after which the engine
+/// counts as lost.
+const MAX_IDLE_BYTES: usize = 2 * MAX_EVENT_BYTES;
+
 /// Payload of the event that ends a complete stream.
 const DONE: &[u8] = b"[DONE]";
 
@@ -223,14 +227,17 @@
             connection,
         } = open;
         let (head, mut body) = response.into_parts();
-        self.recover_by = Moment::NEVER;
         self.epoch = epoch_of(&head.headers);
         self.send_head(head.status, &head.headers).await;
         let mut decoder = SseDecoder::new(MAX_EVENT_BYTES);
+        let mut idle_bytes = 0;
         loop {
             let frame = match timeout(SILENCE_TIMEOUT, body.frame()).await {
                 // The engine is slow or the connection is dead; a new connection shows which.
-                Err(_elapsed) => return StreamStep::Resume,
+                Err(_elapsed) => {
+                    self.recover_by = Moment::NEVER;
+                    return StreamStep::Resume;
+                }
                 Ok(None | Some(Err(_))) => break,
                 Ok(Some(Ok(frame))) => frame,
             };
@@ -238,7 +245,13 @@
                 continue;
             };
             decoder.push(&bytes);
+            idle_bytes += bytes.len();
+            let before = self.next_event;
             match self.forward_events(&mut decoder).await {
+                EventsOutcome::More if self.next_event > before => idle_bytes = 0,
+                EventsOutcome::More if idle_bytes > MAX_IDLE_BYTES => {
+                    return StreamStep::End(StreamEnd::EngineLost);
+                }
                 EventsOutcome::More => {}
                 EventsOutcome::Done => {
                     drop(connection);
@@ -247,6 +260,10 @@
                 EventsOutcome::Unreadable => return StreamStep::End(StreamEnd::EngineLost),
             }
         }
+        if self.recover_by.is_due(self.directory.now()) {
+            // No event has come since an earlier break.
+            return StreamStep::End(self.lost_end());
+        }
         // The body ended early: the engine has crashed, or only the connection was closed.
         StreamStep::Resume
     }
@@ -274,6 +291,7 @@
             items.push(StreamItem::Data(event.data));
         };
         if !items.is_empty() {
+            self.recover_by = Moment::NEVER;
             self.report(LedgerMail::Items(self.key, items)).await;
         }
         outcome
--- a/tests/common/fleet.rs
+++ b/tests/common/fleet.rs
@@ -41,6 +41,8 @@
     pub entry: Vec<&'static str>,
     /// Address of the plain service, if it is not to be the stand-in.
     pub plain_address: Option<SocketAddr>,
+    /// Address of the model engine of all upstreams, if it is not to be the stand-ins.
+    pub engine_address: Option<SocketAddr>,
     /// Further arguments of the plain service.
     pub plain: Vec<&'static str>,
     /// Whether a relay stands between the entries and each sidecar.
@@ -86,7 +88,8 @@
         let platform_address = platform.port("platform").to_string();
         let mut sidecars = Vec::new();
         for (i, engine) in engines.iter().enumerate() {
-            let target = engine.port("engine").to_string();
+            let target = options.engine_address;
+            let target = target.unwrap_or_else(|| engine.port("engine")).to_string();
             let name = format!("engine-{i}");
             let upstream = ["--upstream", &name, "--engine", &target];
             sidecars.push(sidecar(&platform_address, &upstream, &options.sidecar));
