End the command request in an event without end

`bulrushslip-ctl request` ignored that an event exceeds the limit of 4 MiB and went on reading; it ends now, with the message that the response ended before its end marker.

--- a/src/ctl/request.rs
+++ b/src/ctl/request.rs
@@ -129,11 +129,13 @@
         if let Some(bytes) = frame.data_ref() {
             decoder.push(bytes);
         }
-        while let SseStep::Event(event) = decoder.next_event() {
-            if event.data == DONE {
-                return StreamEnd::Complete;
+        loop {
+            match decoder.next_event() {
+                SseStep::Event(event) if event.data == DONE => return StreamEnd::Complete,
+                SseStep::Event(event) => print_chunk(&event.data),
+                SseStep::NeedMore => break,
+                SseStep::TooLarge => return StreamEnd::Truncated,
             }
-            print_chunk(&event.data);
         }
     }
 }
--- a/tests/endless_engine.rs
+++ b/tests/endless_engine.rs
@@ -1,12 +1,15 @@
-//! Engines and plain services that send bytes without end to a sidecar.
+//! Engines and plain services that send bytes without end to a sidecar, and an entry that sends them
+//! to the command line.
 
 mod common;
 mod endless_upstream;
 
 use std::panic::AssertUnwindSafe;
+use std::process::Command;
 use std::time::{Duration, Instant};
 
 use bulrushslip::platform::http_client::{HttpError, call};
+use bulrushslip::wire::sse::MAX_EVENT_BYTES;
 use common::{API_KEY, ChatCall, Fleet, FleetOptions, build};
 use endless_upstream::{EndlessResponse, EndlessUpstream, KERNEL_BYTES, peak_memory};
 use futures::FutureExt;
@@ -220,3 +223,33 @@
     })
     .await;
 }
+
+#[test]
+fn the_command_line_ends_in_an_event_without_end() {
+    let runtime = tokio::runtime::Runtime::new().expect("a runtime");
+    let response = EndlessResponse::new(engine_head!("x-run-status: pending\r\n\r\ndata: "), b"a");
+    let mut endless = runtime.block_on(EndlessUpstream::start(response));
+    let address = endless.address.to_string();
+    let request = [
+        "request",
+        "--entry",
+        &address,
+        "--api-key",
+        "key",
+        "--model",
+        "m",
+        "text",
+    ];
+    let output = Command::new(env!("CARGO_BIN_EXE_bulrushslip-ctl"))
+        .args(request)
+        .output()
+        .expect("the binary runs");
+    assert!(!output.status.success(), "{output:?}");
+    let closed = runtime.block_on(endless.closed_within(LIMIT));
+    let written = closed.expect("a closed connection").written;
+    let allowed = MAX_EVENT_BYTES as u64 + KERNEL_BYTES;
+    assert!(
+        written <= allowed,
+        "{written} bytes were taken, not {allowed}"
+    );
+}
