Let the soak check versions of weights

Its upstreams are engines now: streams carry model, token usage and prompt prefix, a request that expects another version gets 421 with instance and version, orders are answered 202, 200, 400, 409 or 412 and wait for the runs on the old weights, waiting requests get 503 during a load. New faults: requests that wait up to 3.5 s before they begin, a third of them beginning as they are withdrawn; orders without an answer that are carried out late; a crash now ends the load, clears orders and fences and keeps the weights. After the recovery, operators name one or two versions while the store and all links are undisturbed and, in half of the seeds, a gateway is frozen or killed.

New checks: no request begins on weights older than the limit allows, no cache domain is used under two versions, prompts arrive unchanged, a request that begins at another upstream ends at the one before, fencing tokens never fall. The check on two gateways' orders was excused by any disturbance under way; now only by a thaw or a healed link just before, as the operators state it. The limit is 3 s instead of the users' 8 s, so that a run stays short; the rollout keeps the users' 11 s.

Gateways listen below the ports of outgoing connections now.

Seeds 18 and 22, in which no request waits while versions are named, take their place. BULRUSHSLIP_TEST_LOGS keeps the output of the processes of any test.

--- a/tests/common/process.rs
+++ b/tests/common/process.rs
@@ -1,8 +1,10 @@
 //! One child process and the ports that it printed.
 
 use std::collections::HashMap;
-use std::io::{BufRead, BufReader};
+use std::fs::File;
+use std::io::{BufRead, BufReader, Write};
 use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
 use std::process::{Child, Command, ExitStatus, Stdio};
 use std::sync::mpsc;
 use std::time::{Duration, Instant};
@@ -10,6 +12,17 @@
 /// Time within which a process must have opened its ports.
 const START_LIMIT: Duration = Duration::from_secs(20);
 
+/// Names a folder in which the output of each process is kept.
+const LOGS_VARIABLE: &str = "BULRUSHSLIP_TEST_LOGS";
+
+/// Creates the file for the output of a process, if the output is to be kept.
+fn output_log(binary: &str, id: u32) -> Option<File> {
+    let folder = PathBuf::from(std::env::var_os(LOGS_VARIABLE)?);
+    let name = Path::new(binary).file_stem()?.to_string_lossy();
+    let log = File::create(folder.join(format!("{name}-{id}.log")));
+    Some(log.expect("a folder for logs"))
+}
+
 /// A running binary; it is killed on drop.
 #[derive(Debug)]
 pub struct ChildProcess {
@@ -41,10 +54,14 @@
             .spawn()
             .unwrap_or_else(|error| panic!("{binary}: {error}"));
         let output = child.stdout.take().expect("the output is piped");
+        let mut log = output_log(binary, child.id());
         let (sender, lines) = mpsc::channel();
         // The reader outlives the start, so that the process never blocks on a full pipe.
         std::thread::spawn(move || {
             for line in BufReader::new(output).lines().map_while(Result::ok) {
+                if let Some(log) = &mut log {
+                    writeln!(log, "{line}").expect("a file that can be written");
+                }
                 drop(sender.send(line));
             }
         });
--- a/tests/soak.rs
+++ b/tests/soak.rs
@@ -1,7 +1,8 @@
 //! Randomized soak of real gateways under faults from outside; docs/SOAK.md says how to run it.
 //!
 //! `BULRUSHSLIP_SOAK_SEEDS=FROM-UNTIL` runs other seeds, `BULRUSHSLIP_SOAK_SECONDS=N` changes how
-//! long faults come, `BULRUSHSLIP_SOAK_GATEWAYS=N` how many gateways there are.
+//! long faults come, `BULRUSHSLIP_SOAK_GATEWAYS=N` how many gateways there are,
+//! `BULRUSHSLIP_SOAK_VERSION_MS=N` the time limit of older weights.
 
 mod soak_world;
 
@@ -10,45 +11,50 @@
 use soak_world::SoakPlan;
 
 /// Seeds of the run in CI.
-const CI_SEEDS: [u64; 2] = [1, 2];
+const CI_SEEDS: [u64; 2] = [18, 22];
 
 /// Seeds that failed once and the gateways they had; docs/SOAK.md says what they showed.
 const REGRESSIONS: [(u64, usize); 1] = [(102, 16)];
 
+/// Seeds that failed once while requests waited at slow upstreams and versions were named.
+const SLOW_SEEDS: [u64; 5] = [1, 2, 4, 17, 21];
+
+/// Callers of these seeds; many, so that each slow upstream has requests that wait.
+const SLOW_CALLERS: u64 = 30;
+
 /// Time in which faults come in CI.
 const CI_FAULTS: Duration = Duration::from_secs(8);
 
+/// Time in which faults come before versions are named to slow upstreams.
+const BRIEF_FAULTS: Duration = Duration::from_secs(1);
+
 fn number<T: std::str::FromStr>(name: &str) -> Option<T> {
     std::env::var(name).ok()?.parse().ok()
 }
 
-fn plans(faults_for: Duration) -> Vec<SoakPlan> {
-    let plan = |seed| SoakPlan::new(seed, faults_for);
-    let range = std::env::var("BULRUSHSLIP_SOAK_SEEDS").unwrap_or_default();
-    let range = range.split_once('-');
-    let range =
-        range.and_then(|(from, until)| Some(from.parse::<u64>().ok()?..=until.parse().ok()?));
-    if let Some(range) = range {
+/// Returns the plans that the variables name, if they name any.
+fn named_plans() -> Option<Vec<SoakPlan>> {
+    let range = std::env::var("BULRUSHSLIP_SOAK_SEEDS").ok()?;
+    let (from, until) = range.split_once('-')?;
+    let range = from.parse::<u64>().ok()?..=until.parse().ok()?;
+    let sized = |seed| {
+        let mut plan = SoakPlan::new(seed, faults_for(CI_FAULTS));
         let gateways = number("BULRUSHSLIP_SOAK_GATEWAYS");
-        let sized = |seed| {
-            let mut plan = plan(seed);
-            plan.gateways = gateways.unwrap_or(plan.gateways);
-            plan
-        };
-        return range.map(sized).collect();
-    }
-    let regressions = REGRESSIONS.iter().map(|(seed, gateways)| SoakPlan {
-        gateways: *gateways,
-        ..plan(*seed)
-    });
-    CI_SEEDS.into_iter().map(plan).chain(regressions).collect()
+        plan.gateways = gateways.unwrap_or(plan.gateways);
+        let limit = number("BULRUSHSLIP_SOAK_VERSION_MS").map(Duration::from_millis);
+        plan.weights_limit = limit.unwrap_or(plan.weights_limit);
+        plan
+    };
+    Some(range.map(sized).collect())
 }
 
-#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
-async fn promises_hold_under_faults_from_outside() {
-    let faults_for = number("BULRUSHSLIP_SOAK_SECONDS").map_or(CI_FAULTS, Duration::from_secs);
+fn faults_for(usual: Duration) -> Duration {
+    number("BULRUSHSLIP_SOAK_SECONDS").map_or(usual, Duration::from_secs)
+}
+
+async fn run(plans: Vec<SoakPlan>) {
     let mut failed = Vec::new();
-    for plan in plans(faults_for) {
+    for plan in plans {
         let seed = plan.seed;
         let broken = soak_world::run(plan).await;
         println!("seed {seed}: {} promises broken", broken.len());
@@ -61,3 +67,29 @@
     }
     assert!(failed.is_empty(), "seeds {failed:?} broke promises");
 }
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn promises_hold_under_faults_from_outside() {
+    let usual = || {
+        let plan = |seed| SoakPlan::new(seed, faults_for(CI_FAULTS));
+        let regressions = REGRESSIONS.iter().map(|(seed, gateways)| SoakPlan {
+            gateways: *gateways,
+            ..plan(*seed)
+        });
+        CI_SEEDS.into_iter().map(plan).chain(regressions).collect()
+    };
+    run(named_plans().unwrap_or_else(usual)).await;
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn promises_hold_while_requests_wait_at_slow_upstreams() {
+    // Seeds that are named run in the other test.
+    if named_plans().is_some() {
+        return;
+    }
+    let plan = |seed| SoakPlan {
+        callers: SLOW_CALLERS,
+        ..SoakPlan::new(seed, faults_for(BRIEF_FAULTS))
+    };
+    run(SLOW_SEEDS.into_iter().map(plan).collect()).await;
+}
--- a/tests/soak_world/caller.rs
+++ b/tests/soak_world/caller.rs
@@ -14,7 +14,9 @@
 use super::ROUTE_TIME;
 use super::dice::Dice;
 use super::ledger::{Got, Kind, Sent, SharedLedger};
+use super::prompt::{TOKEN_USAGE, prompt_prefix};
 use super::upstream::{EVENTS, LONG_EVENTS, LONG_HEADER, answer_text, event_text};
+use super::weights::MODEL;
 
 /// Longest time for a dial.
 const DIAL_LIMIT: Duration = Duration::from_millis(500);
@@ -180,6 +182,12 @@
     if is_long {
         builder = builder.header(LONG_HEADER, "1");
     }
+    if kind.is_stream() {
+        builder = builder
+            .header("x-model", MODEL)
+            .header("x-token-usage", TOKEN_USAGE)
+            .header("x-prompt-prefix", prompt_prefix(kind, id));
+    }
     let body = Full::new(Bytes::from(id.to_owned()));
     builder.body(body).expect("a request")
 }
--- a/tests/soak_world/ledger.rs
+++ b/tests/soak_world/ledger.rs
@@ -21,13 +21,6 @@
 /// Time after a planned stop in which new requests are still to be served.
 const STOP_SERVES: Duration = Duration::from_secs(3);
 
-/// Time within which two gateways must not order one upstream in turn (`lease-ms`).
-const LEASE: Duration = Duration::from_secs(3);
-
-/// Time after the end of a disturbance in which an order that was held up may come
-/// (`thaw-slack-ms`).
-const THAW_SLACK: Duration = Duration::from_millis(300);
-
 /// Runs of one caller's request on upstreams, at most (`max-attempts` of the routes).
 pub const MAX_ATTEMPTS: usize = 2;
 
@@ -104,6 +97,8 @@
 pub struct Run {
     /// Index of the upstream.
     pub upstream: usize,
+    /// When its request had arrived.
+    pub arrived: Instant,
     /// When it began.
     pub at: Instant,
     /// When it ended, by itself or because the connection closed.
@@ -112,6 +107,17 @@
     pub status: u16,
     /// Whether it would have gone on for a second more.
     pub is_long: bool,
+    /// Version of the weights that it began on, if it has a prompt.
+    pub weights: Option<u64>,
+}
+
+/// A version of the weights that operators named.
+#[derive(Debug, Clone, Copy)]
+pub struct NamedVersion {
+    /// The version.
+    pub version: u64,
+    /// When the store had confirmed it.
+    pub confirmed: Option<Instant>,
 }
 
 /// An order as an upstream received it.
@@ -127,17 +133,28 @@
     pub fence: u64,
 }
 
-/// Who is disturbed.
+/// What is disturbed.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Scope {
     /// The store, for all.
     Store,
-    /// One gateway or its link to the store.
-    Gateway(usize),
-    /// One upstream or the link to it.
+    /// The process of a gateway.
+    Process(usize),
+    /// The link from a gateway to the store.
+    StoreLink(usize),
+    /// The link to an upstream.
+    UpstreamLink(usize),
+    /// An upstream itself.
     Upstream(usize),
 }
 
+impl Scope {
+    /// Tells whether it is a gateway or its link to the store.
+    pub const fn is_gateway(self, gateway: usize) -> bool {
+        matches!(self, Self::Process(other) | Self::StoreLink(other) if other == gateway)
+    }
+}
+
 /// An upstream that was announced as leaving, until it returned.
 #[derive(Debug, Clone, Copy)]
 pub struct Leave {
@@ -151,10 +168,10 @@
 
 /// A disturbance and its span.
 #[derive(Debug, Clone)]
-struct Disturbance {
-    scope: Scope,
-    from: Instant,
-    until: Option<Instant>,
+pub(super) struct Disturbance {
+    pub(super) scope: Scope,
+    pub(super) from: Instant,
+    pub(super) until: Option<Instant>,
 }
 
 /// All that was seen.
@@ -170,7 +187,11 @@
     pub orders: Vec<Order>,
     /// When gateways were told to stop.
     pub stops: Vec<(usize, Instant)>,
-    disturbances: Vec<Disturbance>,
+    /// Versions of the weights that operators named, oldest first.
+    pub named: Vec<NamedVersion>,
+    /// Cache domains with the version of the weights under which each was first used.
+    pub(super) caches: HashMap<String, u64>,
+    pub(super) disturbances: Vec<Disturbance>,
     /// Promises broken, as they were seen.
     pub broken: Vec<String>,
 }
@@ -211,7 +232,7 @@
     }
 
     /// Tells whether anything in scope was disturbed from a settling time before `from`.
-    fn is_disturbed(
+    pub(super) fn is_disturbed(
         &self,
         from: Instant,
         until: Instant,
@@ -230,7 +251,7 @@
     }
 
     /// Checks all promises that need the whole record.
-    pub fn check(&mut self) {
+    pub fn check(&mut self, weights_limit: Duration) {
         let ids: Vec<String> = self.sent.keys().cloned().collect();
         for id in &ids {
             self.check_runs(id);
@@ -244,34 +265,11 @@
         }
         self.check_left();
         self.check_overdue();
+        self.check_versions(weights_limit);
+        self.check_overlaps();
         self.check_orders();
     }
 
-    /// Orders of two gateways to one upstream are a lease apart, and fencing tokens only grow.
-    fn check_orders(&mut self) {
-        let orders = std::mem::take(&mut self.orders);
-        for (index, order) in orders.iter().enumerate() {
-            let before = orders[..index]
-                .iter()
-                .rfind(|other| other.upstream == order.upstream);
-            let Some(before) = before.filter(|before| before.holder != order.holder) else {
-                continue;
-            };
-            let healed = |disturbance: &Disturbance| {
-                let ended = disturbance
-                    .until
-                    .is_none_or(|until| until + THAW_SLACK >= order.at);
-                disturbance.from <= order.at && ended
-            };
-            if self.disturbances.iter().any(healed) {
-                continue;
-            }
-            if order.fence <= before.fence || order.at < before.at + LEASE {
-                self.breach("orders", "-", &format!("{order:?} after {before:?}"));
-            }
-        }
-    }
-
     /// At most one run, or as many as the route allows.
     fn check_runs(&mut self, id: &str) {
         let runs = self.runs.get(id).map_or(0, Vec::len);
@@ -311,7 +309,7 @@
             let Some(told) = self.leaves.iter().find(is_late).map(|leave| leave.told) else {
                 continue;
             };
-            let in_scope = |scope| scope == Scope::Store || scope == Scope::Gateway(sent.gateway);
+            let in_scope = |scope: Scope| scope == Scope::Store || scope.is_gateway(sent.gateway);
             if !self.is_disturbed(told, run.at, in_scope) {
                 let late = run.at - told;
                 self.breach("drain", id, &format!("began {late:?} after the leave"));
@@ -366,7 +364,7 @@
     /// Requests have an answer half a second after the route's time; half may be late.
     fn check_overdue(&mut self) {
         let calm = |sent: &Sent, at: Instant| {
-            let in_scope = |scope| scope == Scope::Gateway(sent.gateway);
+            let in_scope = |scope: Scope| scope.is_gateway(sent.gateway);
             !self.is_disturbed(sent.at, at, in_scope)
         };
         let is_due = |sent: &&Sent| {
--- a/tests/soak_world/mod.rs
+++ b/tests/soak_world/mod.rs
@@ -3,16 +3,23 @@
 
 pub mod caller;
 pub mod dice;
+pub mod entry;
 pub mod ledger;
 #[path = "../common/process.rs"]
 #[expect(dead_code, reason = "other tests use the rest")]
 mod process;
+pub mod prompt;
 pub mod proxy;
+pub mod renewal;
 pub mod upstream;
+pub mod weights;
+pub mod weights_checks;
 
 use std::net::{Ipv4Addr, SocketAddr, TcpListener};
+use std::ops::Range;
 use std::path::PathBuf;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicU32, Ordering};
 use std::time::{Duration, Instant};
 
 use bulrushslip::platform::http_client::{call, request};
@@ -22,13 +29,14 @@
 use dice::Dice;
 use http_body_util::Full;
 use hyper::Method;
-use ledger::{Got, Kind, Leave, MAX_ATTEMPTS, Scope, SharedLedger};
+use ledger::{Got, Kind, Leave, MAX_ATTEMPTS, NamedVersion, Scope, SharedLedger};
 use process::ChildProcess;
 use proxy::{LINK_FAULTS, LinkFault, LinkProxy};
 use serde_json::json;
 use tokio::sync::watch;
 use tokio::task::JoinSet;
-use upstream::{BAD_MOODS, MODEL, Mood, SoakUpstream};
+use upstream::{BAD_MOODS, Mood, SoakUpstream};
+use weights::MODEL;
 
 /// Time limit of the routes (`timeout-ms`).
 pub const ROUTE_TIME: Duration = Duration::from_secs(4);
@@ -39,6 +47,9 @@
 /// Time from the store's confirmation until a configuration is in force (`config-apply-ms`).
 const CONFIGURATION_LIMIT: Duration = Duration::from_secs(2);
 
+/// Time limit of older weights, shorter than the users' 8 s so that a short run covers it.
+const VERSION_LIMIT: Duration = Duration::from_secs(3);
+
 /// Time after which all upstreams run the newest weights (`version-all-ms`).
 const WEIGHTS_LIMIT: Duration = Duration::from_secs(11);
 
@@ -48,6 +59,12 @@
 /// Time for a process to end beyond its grace before it counts as hung.
 const END_LIMIT: Duration = Duration::from_secs(3);
 
+/// Ports on which gateways listen.
+const PORTS: Range<u16> = 20_000..32_000;
+
+/// Ports between those that two processes with neighbouring ids try first.
+const PORT_STRIDE: u32 = 97;
+
 /// Gateways of a soak.
 const GATEWAYS: usize = 3;
 
@@ -66,6 +83,11 @@
     pub faults_for: Duration,
     /// Gateways; the addresses of further ones count up.
     pub gateways: usize,
+    /// Callers that send requests all the time.
+    pub callers: u64,
+    /// Time from the store's confirmation of a version until no request begins on an older one
+    /// (`version-ms`).
+    pub weights_limit: Duration,
 }
 
 impl SoakPlan {
@@ -75,6 +97,8 @@
             seed,
             faults_for,
             gateways: GATEWAYS,
+            callers: CALLERS,
+            weights_limit: VERSION_LIMIT,
         }
     }
 }
@@ -128,24 +152,35 @@
     let mut soak = Soak::start(plan).await;
     let (stop, stopped) = watch::channel(false);
     let mut callers = JoinSet::new();
-    for number in 0..CALLERS {
+    for number in 0..plan.callers {
         callers.spawn(soak.caller(number).run(stopped.clone()));
     }
     soak.disturb().await;
     soak.recover().await;
+    soak.renew_weights().await;
     soak.await_weights().await;
     stop.send_replace(true);
     callers.join_all().await;
     soak.configure_and_check().await;
     let mut ledger = soak.ledger.lock().expect("not poisoned");
-    ledger.check();
+    ledger.check(plan.weights_limit);
     std::mem::take(&mut ledger.broken)
 }
 
-/// Returns a port that was free a moment ago on an address.
+/// Returns a port that was free a moment ago on an address. It lies below those that the system
+/// gives to outgoing connections, which could take it before the gateway does.
 fn free_port(ip: Ipv4Addr) -> u16 {
-    let listener = TcpListener::bind((ip, 0)).expect("a free port");
-    listener.local_addr().expect("a bound port").port()
+    static TRIED: AtomicU32 = AtomicU32::new(0);
+    let count = u32::from(PORTS.end - PORTS.start);
+    // Processes start a stride apart, so that soaks at the same time try different ports.
+    let first = std::process::id().wrapping_mul(PORT_STRIDE);
+    loop {
+        let tried = first.wrapping_add(TRIED.fetch_add(1, Ordering::Relaxed));
+        let port = PORTS.start + u16::try_from(tried % count).expect("below the count");
+        if TcpListener::bind((ip, port)).is_ok() {
+            return port;
+        }
+    }
 }
 
 /// Returns the address of a gateway; peers share a port, so each has an address of its own.
@@ -234,14 +269,19 @@
         let added =
             (2..=self.version).map(|version| (format!("/v{version}/"), "idempotent", false));
         let routes = kinds.chain(added).map(|(prefix, kind, is_resumable)| {
+            let has_prompts = kind == "streaming";
+            let (target_ms, priority) = if is_resumable { (1_000, 2) } else { (500, 0) };
             json!({"name": prefix, "host": "127.0.0.1", "path-prefix": prefix, "kind": kind,
-                "timeout-ms": 4000, "target-latency-ms": 500, "max-attempts": MAX_ATTEMPTS,
-                "service": "s", "resumable": is_resumable})
+                "timeout-ms": 4000, "target-latency-ms": target_ms, "priority": priority,
+                "max-attempts": MAX_ATTEMPTS, "service": "s", "resumable": is_resumable,
+                "sticky": has_prompts})
         });
+        let engine = json!({"slots": 16, "kv-capacity-tokens": 157_385, "token-kv-bytes": 327_680,
+            "link-mbps": 280_000.0, "models": [{"name": MODEL}]});
         let document = json!({
             "version": self.version,
             "routes": routes.collect::<Vec<_>>(),
-            "services": [{"name": "s", "max-connections": 100}],
+            "services": [{"name": "s", "max-connections": 100, "engine": engine}],
             "limits": {"max-header-bytes": 4096, "max-body-bytes": 1000,
                 "header-timeout-ms": 3000, "idle-timeout-ms": 15000},
             "tenants": [{"name": "customer", "api-keys": ["key"]}],
@@ -253,6 +293,11 @@
     /// Names the next version of the weights.
     async fn name_weights(&mut self) {
         self.weights += 1;
+        let sent = NamedVersion {
+            version: self.weights,
+            confirmed: None,
+        };
+        self.ledger.lock().expect("not poisoned").named.push(sent);
         let named = json!({"model": MODEL, "version": self.weights});
         self.put(
             OPERATOR_TOPIC,
@@ -260,6 +305,9 @@
             &named.to_string(),
         )
         .await;
+        let mut ledger = self.ledger.lock().expect("not poisoned");
+        let named = ledger.named.last_mut().expect("noted above");
+        named.confirmed = Some(Instant::now());
     }
 
     /// Begins faults, and ends them when they are due, until the time is over.
@@ -302,12 +350,12 @@
             }
             1 | 2 => {
                 self.gateways[gateway].store_link.set(link_fault);
-                self.hold(Scope::Gateway(gateway), lasts, Repair::StoreLink(gateway));
+                self.hold(Scope::StoreLink(gateway), lasts, Repair::StoreLink(gateway));
             }
             3 | 4 if !is_hit => {
                 self.upstreams[upstream].link.set(link_fault);
                 self.hold(
-                    Scope::Upstream(upstream),
+                    Scope::UpstreamLink(upstream),
                     lasts,
                     Repair::UpstreamLink(upstream),
                 );
@@ -318,11 +366,11 @@
             }
             7 if !is_down => {
                 self.gateways[gateway].process.freeze();
-                self.hold(Scope::Gateway(gateway), lasts, Repair::Thaw(gateway));
+                self.hold(Scope::Process(gateway), lasts, Repair::Thaw(gateway));
             }
             8 if !is_down => {
                 self.gateways[gateway].process.kill();
-                self.hold(Scope::Gateway(gateway), lasts, Repair::Restart(gateway));
+                self.hold(Scope::Process(gateway), lasts, Repair::Restart(gateway));
             }
             9 if !is_down => self.stop(gateway),
             10 => self.configure().await,
@@ -413,7 +461,7 @@
             let what = format!("gateway {gateway} ended with {ended:?} after a planned stop");
             ledger.breach("end", "-", &what);
         }
-        let number = ledger.begin(Scope::Gateway(gateway));
+        let number = ledger.begin(Scope::Process(gateway));
         drop(ledger);
         self.gateways[gateway].start_again();
         self.ledger.lock().expect("not poisoned").end(number);
@@ -537,13 +585,14 @@
             "node-name=gateway-{index}\nzone=near\nip={}\nlisten.front={callers}\n\
              listen.ready=127.0.0.1:{}\ninternal-ports={peer_port},{peer_port}\nseeds={}\n\
              platform.address={}\nbounds.grace-s={}\nbounds.lease-ms=3000\n\
-             bounds.version-ms=8000\nbounds.stable-window-ms={}\n\
+             bounds.version-ms={}\nbounds.stable-window-ms={}\n\
              bounds.retry-budget-ratio=0.2\nbounds.budget-extra-retries=56\n",
             gateway_ip(seed, index),
             free_port(local),
             seeds.join(","),
             store_link.address,
             STOP_GRACE.as_secs(),
+            soak.plan.weights_limit.as_millis(),
             ledger::SETTLING.as_millis(),
         );
         let folder = PathBuf::from(env!("CARGO_TARGET_TMPDIR"));
--- a/tests/soak_world/upstream.rs
+++ b/tests/soak_world/upstream.rs
@@ -5,8 +5,6 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use bulrushslip::platform::store_client::{StoreClient, UPSTREAM_TOPIC};
-use bulrushslip::platform::store_records::encode_keyed;
 use bytes::Bytes;
 use futures::StreamExt;
 use http_body_util::combinators::UnsyncBoxBody;
@@ -17,12 +15,14 @@
 use hyper::service::service_fn;
 use hyper::{Request, Response, StatusCode};
 use hyper_util::rt::TokioIo;
-use serde_json::{Value, json};
 use tokio::net::TcpListener;
 use tokio::sync::watch;
-use tokio::task::JoinSet;
+use tokio::task::{AbortHandle, JoinSet};
 
-use super::ledger::{Order, Run, SharedLedger};
+use super::entry::{EntryWriter, UpstreamState};
+use super::ledger::{Kind, Ledger, Run, SharedLedger};
+use super::prompt::{TOKEN_USAGE, prompt_prefix};
+use super::weights::{self, MODEL, WeightsRun};
 
 /// Events of a whole stream.
 pub const EVENTS: u64 = 12;
@@ -33,15 +33,12 @@
 /// Pause between two events.
 const EVENT_PAUSE: Duration = Duration::from_millis(20);
 
+/// Time in which an upstream notices that a connection was closed.
+const CLOSE_NOTICE: Duration = Duration::from_millis(100);
+
 /// Header of a caller that asks for a long answer.
 pub const LONG_HEADER: &str = "x-soak-long";
 
-/// The model that all upstreams run.
-pub const MODEL: &str = "m";
-
-/// Time that an upstream takes to load weights.
-const LOAD_TIME: Duration = Duration::from_millis(570);
-
 /// How an upstream behaves.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Mood {
@@ -57,79 +54,26 @@
     Slow,
     /// Sends an answer without its signature every third time.
     Unsigned,
-    /// Closes all connections and takes none.
+    /// Closes all connections and takes none; later starts again with the weights that it had.
     Crashed,
+    /// Lets requests with prompts wait for up to some seconds before they begin.
+    Waiting,
+    /// Leaves orders unanswered and carries them out late.
+    LateOrders,
 }
 
 /// Moods other than sound ones.
-pub const BAD_MOODS: [Mood; 6] = [
+pub const BAD_MOODS: [Mood; 8] = [
     Mood::Failing,
     Mood::Full,
     Mood::Breaking,
     Mood::Slow,
     Mood::Unsigned,
     Mood::Crashed,
+    Mood::Waiting,
+    Mood::LateOrders,
 ];
 
-/// What an upstream says of itself.
-#[derive(Debug, Clone, Copy)]
-pub struct SaidState {
-    /// Address that it is reached under.
-    pub address: SocketAddr,
-    /// Whether it leaves.
-    pub is_leaving: bool,
-    /// Version of its weights.
-    pub version: u64,
-    /// Whether it loads others.
-    pub is_busy: bool,
-    /// Orders that it has accepted.
-    pub orders: u64,
-}
-
-/// Writes an upstream's entry in the store; one writer at a time, each with the newest state.
-#[derive(Debug)]
-pub struct EntryWriter {
-    name: String,
-    store: tokio::sync::Mutex<StoreClient>,
-    state: watch::Sender<SaidState>,
-}
-
-impl EntryWriter {
-    /// Writes the entry and waits until the store has confirmed it.
-    pub async fn write(&self) {
-        let mut store = self.store.lock().await;
-        loop {
-            let state = *self.state.borrow();
-            let word = if state.is_leaving {
-                "draining"
-            } else {
-                "ready"
-            };
-            let entry = json!({"service": "s", "address": state.address, "zone": "near",
-                "slots": 16, "state": word, "born": 1,
-                "models": [{"name": MODEL, "version": state.version}]});
-            let record = encode_keyed(&self.name, entry.to_string().as_bytes());
-            let record = record.expect("a short key");
-            if store.append(UPSTREAM_TOPIC, &record).await.is_ok() {
-                return;
-            }
-            tokio::time::sleep(Duration::from_millis(50)).await;
-        }
-    }
-
-    /// Says from now on whether the upstream leaves.
-    pub async fn announce(&self, is_leaving: bool) {
-        self.state
-            .send_modify(|state| state.is_leaving = is_leaving);
-        self.write().await;
-    }
-
-    /// Returns the version of its weights.
-    pub fn version(&self) -> u64 {
-        self.state.borrow().version
-    }
-}
-
 /// A running upstream.
 #[derive(Debug)]
 pub struct SoakUpstream {
@@ -143,16 +87,24 @@
 
 /// What a request's task needs to know of its upstream.
 #[derive(Debug, Clone)]
-struct Place {
-    index: usize,
-    name: String,
-    mood: watch::Receiver<Mood>,
-    entry: Arc<EntryWriter>,
-    ledger: SharedLedger,
+pub struct Place {
+    /// Index of the upstream.
+    pub index: usize,
+    /// Its name.
+    pub name: String,
+    /// How it behaves.
+    pub mood: watch::Receiver<Mood>,
+    /// Its state and entry.
+    pub entry: Arc<EntryWriter>,
+    /// What all share.
+    pub ledger: SharedLedger,
+    /// Whether the connection of the request was closed.
+    pub closed: watch::Receiver<bool>,
     count: u64,
 }
 
-type AnswerBody = UnsyncBoxBody<Bytes, std::io::Error>;
+/// Body of an answer.
+pub type AnswerBody = UnsyncBoxBody<Bytes, std::io::Error>;
 
 impl SoakUpstream {
     /// Starts the upstream with an index and a name.
@@ -160,24 +112,14 @@
         let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
         let address = listener.local_addr().expect("a bound port");
         let (mood, moods) = watch::channel(Mood::Sound);
-        let (state, _) = watch::channel(SaidState {
-            address,
-            is_leaving: false,
-            version: 1,
-            is_busy: false,
-            orders: 0,
-        });
-        let entry = Arc::new(EntryWriter {
-            name: name.to_owned(),
-            store: tokio::sync::Mutex::new(StoreClient::new(store)),
-            state,
-        });
+        let entry = Arc::new(EntryWriter::new(name, store, UpstreamState::new(address)));
         let place = Place {
             index,
             name: name.to_owned(),
             mood: moods,
             entry: Arc::clone(&entry),
             ledger,
+            closed: watch::channel(false).1,
             count: 0,
         };
         let mut tasks = JoinSet::new();
@@ -205,6 +147,7 @@
 
 async fn serve(listener: TcpListener, mut place: Place) {
     let mut connections = JoinSet::new();
+    let mut was_crashed = false;
     loop {
         tokio::select! {
             accepted = listener.accept() => {
@@ -215,8 +158,10 @@
                 place.count += 1;
                 let here = place.clone();
                 let answer = service_fn(move |request| {
-                    let here = here.clone();
-                    async move { run(here, request).await }
+                    let mut here = here.clone();
+                    let (closing, closed) = watch::channel(false);
+                    here.closed = closed;
+                    async move { run_until_closed(run(here, request), closing).await }
                 });
                 let connection =
                     http1::Builder::new().serve_connection(TokioIo::new(stream), answer);
@@ -226,20 +171,59 @@
                 if changed.is_err() {
                     return;
                 }
-                if *place.mood.borrow_and_update() == Mood::Crashed {
+                let is_crashed = *place.mood.borrow_and_update() == Mood::Crashed;
+                if is_crashed {
+                    place.entry.state.send_modify(UpstreamState::crash);
                     connections.abort_all();
+                } else if was_crashed {
+                    let entry = Arc::clone(&place.entry);
+                    connections.spawn(async move { entry.write().await });
                 }
+                was_crashed = is_crashed;
             }
             Some(_ended) = connections.join_next() => {}
         }
     }
 }
 
+/// Ends a request's task a little after its connection has closed.
+struct CloseGuard {
+    task: AbortHandle,
+    closing: watch::Sender<bool>,
+}
+
+impl Drop for CloseGuard {
+    fn drop(&mut self) {
+        self.closing.send_replace(true);
+        let task = self.task.clone();
+        tokio::spawn(async move {
+            tokio::time::sleep(CLOSE_NOTICE).await;
+            task.abort();
+        });
+    }
+}
+
+/// Runs a request in a task of its own, so that it may still begin just after its caller has closed
+/// the connection.
+async fn run_until_closed<T: Send + 'static>(
+    request: impl Future<Output = T> + Send + 'static,
+    closing: watch::Sender<bool>,
+) -> T {
+    let task = tokio::spawn(request);
+    let _guard = CloseGuard {
+        task: task.abort_handle(),
+        closing,
+    };
+    task.await
+        .expect("it is aborted only after the wait for it")
+}
+
 /// Ends a run in the ledger when the answer is dropped: sent, or its connection closed.
 struct RunGuard {
     ledger: SharedLedger,
     id: String,
     index: usize,
+    _weights: Option<WeightsRun>,
 }
 
 impl Drop for RunGuard {
@@ -255,7 +239,8 @@
     }
 }
 
-fn text<'a>(headers: &'a HeaderMap, name: &str) -> &'a str {
+/// Returns the text of a header, empty if it is missing.
+pub fn text<'a>(headers: &'a HeaderMap, name: &str) -> &'a str {
     let value = headers.get(name).and_then(|value| value.to_str().ok());
     value.unwrap_or_default()
 }
@@ -268,6 +253,7 @@
     // A request that did not arrive whole is not run.
     let body = body.collect().await.map_err(std::io::Error::other)?;
     let body = body.to_bytes();
+    let arrived = Instant::now();
     let id = text(&head.headers, "x-request-id").to_owned();
     let mood = *place.mood.borrow();
     // The draw depends on the request, so that a second try has another chance.
@@ -276,8 +262,8 @@
         return Ok(not_run(StatusCode::MISDIRECTED_REQUEST, &id));
     }
     match head.uri.path() {
-        "/report" => return Ok(report(&place)),
-        "/order" => return Ok(take_order(&place, &body)),
+        "/report" => return Ok(weights::report(&place)),
+        "/order" => return Ok(weights::take_order(&place, &body).await),
         _ => {}
     }
     if mood == Mood::Full && draw.is_multiple_of(2) {
@@ -288,7 +274,25 @@
     let is_long = is_stream && head.headers.contains_key(LONG_HEADER);
     let is_failing = mood == Mood::Failing && draw.is_multiple_of(3);
     let status = if is_failing { 500 } else { 200 };
-    let guard = note(&place, &id, &head, &body, status, is_long);
+    let weights = if head.headers.contains_key("x-model") {
+        match weights::begin(&place, &head.headers, draw).await {
+            Ok(begun) => Some(begun),
+            Err(refusal) => return Ok(refusal.answer(&place, &id)),
+        }
+    } else {
+        None
+    };
+    let version = weights.as_ref().map(|weights| weights.version);
+    let run = Run {
+        upstream: place.index,
+        arrived,
+        at: Instant::now(),
+        ended: None,
+        status,
+        is_long,
+        weights: version,
+    };
+    let guard = note(&place, &id, &head, &body, run, weights);
     if mood == Mood::Slow {
         tokio::time::sleep(Duration::from_millis(400)).await;
     }
@@ -296,6 +300,10 @@
     let builder = Response::builder()
         .status(status)
         .header("x-request-id", &id);
+    let builder = match version {
+        Some(version) => builder.header("x-weight-versions", version),
+        None => builder,
+    };
     let builder = if mood == Mood::Unsigned && draw.is_multiple_of(3) {
         builder
     } else {
@@ -323,83 +331,49 @@
     response.map_err(std::io::Error::other)
 }
 
-fn report(place: &Place) -> Response<AnswerBody> {
-    let state = *place.entry.state.borrow();
-    let report = json!({"models": [{"name": MODEL, "version": state.version}],
-        "busy": state.is_busy, "sequence": state.orders});
-    Response::new(whole(report.to_string()))
-}
-
-/// Takes an order of weights, which are loaded a little later.
-fn take_order(place: &Place, body: &Bytes) -> Response<AnswerBody> {
-    let order: Value = serde_json::from_slice(body).unwrap_or_default();
-    let number = |name: &str| order[name].as_u64().unwrap_or_default();
-    place
-        .ledger
-        .lock()
-        .expect("not poisoned")
-        .orders
-        .push(Order {
-            upstream: place.index,
-            at: Instant::now(),
-            holder: order["holder"].as_str().unwrap_or_default().to_owned(),
-            fence: number("fence"),
-        });
-    let state = *place.entry.state.borrow();
-    let status = if state.is_busy || number("expect") != state.orders {
-        StatusCode::CONFLICT
-    } else if state.version >= number("version") {
-        StatusCode::OK
-    } else {
-        place.entry.state.send_modify(|state| {
-            state.is_busy = true;
-            state.orders += 1;
-        });
-        let (entry, version) = (Arc::clone(&place.entry), number("version"));
-        tokio::spawn(async move {
-            tokio::time::sleep(LOAD_TIME).await;
-            entry.state.send_modify(|state| {
-                state.is_busy = false;
-                state.version = version;
-            });
-            entry.write().await;
-        });
-        StatusCode::ACCEPTED
-    };
-    let mut response = Response::new(whole(String::new()));
-    *response.status_mut() = status;
-    response
-}
-
 /// Notes a run and checks what arrived.
 fn note(
     place: &Place,
     id: &str,
     head: &hyper::http::request::Parts,
     body: &Bytes,
-    status: u16,
-    is_long: bool,
+    run: Run,
+    weights: Option<WeightsRun>,
 ) -> RunGuard {
     let mut ledger = place.ledger.lock().expect("not poisoned");
     let runs = ledger.runs.entry(id.to_owned()).or_default();
     let index = runs.len();
-    runs.push(Run {
-        upstream: place.index,
-        at: Instant::now(),
-        ended: None,
-        status,
-        is_long,
-    });
+    runs.push(run);
     if text(&head.headers, "x-tenant") != "customer" || head.headers.contains_key("x-api-key") {
         ledger.breach("asked", id, "ran as another customer's");
     }
     if body != id.as_bytes() {
         ledger.breach("asked", id, "ran with another body");
     }
+    if let Some(weights) = &weights {
+        check_prompt(head, id, &mut ledger);
+        ledger.note_cache(id, text(&head.headers, "x-cache-salt"), weights.version);
+    }
     RunGuard {
         ledger: Arc::clone(&place.ledger),
         id: id.to_owned(),
         index,
+        _weights: weights,
+    }
+}
+
+/// Checks that a prompt is described as its caller did.
+fn check_prompt(head: &hyper::http::request::Parts, id: &str, ledger: &mut Ledger) {
+    let kind = if head.uri.path().starts_with(Kind::Resumable.prefix()) {
+        Kind::Resumable
+    } else {
+        Kind::Stream
+    };
+    let is_same = text(&head.headers, "x-model") == MODEL
+        && text(&head.headers, "x-token-usage") == TOKEN_USAGE
+        && text(&head.headers, "x-prompt-prefix") == prompt_prefix(kind, id);
+    if !is_same {
+        ledger.breach("asked", id, "ran with another prompt");
     }
 }
 
@@ -431,12 +405,14 @@
     BodyExt::boxed_unsync(StreamBody::new(frames))
 }
 
-fn whole(text: String) -> AnswerBody {
+/// Returns a body that is sent at once.
+pub fn whole(text: String) -> AnswerBody {
     let never = |never: Infallible| match never {};
     BodyExt::boxed_unsync(Full::new(Bytes::from(text)).map_err(never))
 }
 
-fn not_run(status: StatusCode, id: &str) -> Response<AnswerBody> {
+/// Returns the answer to a request that was not run.
+pub fn not_run(status: StatusCode, id: &str) -> Response<AnswerBody> {
     let builder = Response::builder()
         .status(status)
         .header("x-request-id", id)
