Give up waiting for a load after four seconds instead of forty reports

The wait for an upstream to run ordered weights counted 40 reports, 100 ms apart. A report that gets no answer takes up to 400 ms more, so the wait could last 20 s at an upstream that stays silent, while its hold had ended after 4 s and its order counted as running. It is a deadline now.

--- a/src/gateway/order_delivery.rs
+++ b/src/gateway/order_delivery.rs
@@ -83,7 +83,7 @@
     );
     let is_loaded = match reply {
         Some(OrderReply::Holds) => true,
-        Some(OrderReply::Accepted) => wait_for_load(&order, &mut connection).await,
+        Some(OrderReply::Accepted) => wait_for_load(&directory, &order, &mut connection).await,
         _ => false,
     };
     if is_loaded {
@@ -138,10 +138,14 @@
 }
 
 /// Waits until the upstream runs the version; false if it does not within `MAX_HOLD`.
-async fn wait_for_load(order: &ClaimedOrder, connection: &mut HttpConnection) -> bool {
+async fn wait_for_load(
+    directory: &Directory<GatewayMail>,
+    order: &ClaimedOrder,
+    connection: &mut HttpConnection,
+) -> bool {
+    let deadline = directory.now().after(MAX_HOLD);
     sleep(FIRST_REPORT_DELAY).await;
-    let looks = MAX_HOLD.as_millis() / REPORT_INTERVAL.as_millis();
-    for _ in 0..looks {
+    while !deadline.is_due(directory.now()) {
         if let Some(state) = request_state(order, connection).await {
             let runs = state
                 .models
