Keep a deadline that a starting instance assumes to itself

An instance that starts does not know the age of a version that it reads first, so it assumes that requests may start on older weights for the settling time, 3 s of the 8 s. It reported that to the others as if it had seen the version then, and each of them took the earlier deadline: a restart just after a version was named took the older weights from the whole fleet 5 s too early, and since requests are cancelled at the deadline, ended those that had not started.

An assumed deadline is kept beside the observed one and not reported; the earlier of both applies here.

Test: deadline_that_a_starting_instance_assumes_does_not_bind_others; before, the starting instance's message holds a deadline.

--- a/src/decide/version_deadlines.rs
+++ b/src/decide/version_deadlines.rs
@@ -15,43 +15,89 @@
 /// Time in which an upstream notices that a request was cancelled.
 const CANCELLATION_TIME: Duration = Duration::from_millis(250);
 
+/// Time from which no request may start on weights older than a version.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+struct VersionDeadline {
+    version: u64,
+    /// Earliest deadline that an instance counted from the time at which it read the new version;
+    /// `NEVER` without one.
+    observed: Moment,
+    /// Deadline that this instance assumes because it does not know the version's age; `NEVER` without
+    /// one.
+    assumed: Moment,
+}
+
+impl VersionDeadline {
+    fn due(&self) -> Moment {
+        self.observed.min(self.assumed)
+    }
+}
+
 /// Deadlines of the versions of one model.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct VersionDeadlines {
-    /// Versions, oldest first, each with the time from which no request may start on older weights.
-    deadlines: Vec<(u64, Moment)>,
+    /// One entry for each version, oldest first.
+    deadlines: Vec<VersionDeadline>,
 }
 
 impl VersionDeadlines {
-    /// Records the deadline of a version; of several reports the earliest deadline applies. Returns
-    /// whether this changed a deadline.
+    /// Records the deadline of a version that this instance or another one observed; the earliest
+    /// applies. Returns whether this changed the deadline.
     pub fn record(&mut self, version: u64, deadline: Moment) -> bool {
+        self.update(version, |entry| {
+            entry.observed = entry.observed.min(deadline);
+        })
+    }
+
+    /// Assumes a deadline for a version of unknown age, which other instances are not told. Returns
+    /// whether this changed the deadline.
+    pub fn assume(&mut self, version: u64, deadline: Moment) -> bool {
+        self.update(version, |entry| {
+            entry.assumed = entry.assumed.min(deadline);
+        })
+    }
+
+    fn update(&mut self, version: u64, change: impl FnOnce(&mut VersionDeadline)) -> bool {
         let position = self
             .deadlines
-            .binary_search_by_key(&version, |(listed, _)| *listed);
-        match position {
+            .binary_search_by_key(&version, |entry| entry.version);
+        let place = match position {
             Err(0) if self.deadlines.len() == MAX_VERSIONS => return false,
-            Ok(known) if self.deadlines[known].1 <= deadline => return false,
-            Ok(known) => self.deadlines[known].1 = deadline,
-            Err(place) => self.deadlines.insert(place, (version, deadline)),
-        }
+            Err(place) => {
+                let entry = VersionDeadline {
+                    version,
+                    observed: Moment::NEVER,
+                    assumed: Moment::NEVER,
+                };
+                self.deadlines.insert(place, entry);
+                place
+            }
+            Ok(place) => place,
+        };
+        let entry = &mut self.deadlines[place];
+        let before = entry.due();
+        change(entry);
+        let is_changed = entry.due() != before;
         let excess = self.deadlines.len().saturating_sub(MAX_VERSIONS);
         self.deadlines.drain(..excess);
-        true
+        is_changed
     }
 
     /// Returns the newest version with a deadline; 0 if there is none.
     #[must_use]
     pub fn newest(&self) -> u64 {
-        self.deadlines.last().map_or(0, |(version, _)| *version)
+        self.deadlines.last().map_or(0, |entry| entry.version)
     }
 
     /// Returns the time from which no request may start on `version`; `None` if no newer version is
     /// known.
     #[must_use]
     pub fn start_deadline(&self, version: u64) -> Option<Moment> {
-        let newer = self.deadlines.iter().filter(|(newer, _)| *newer > version);
-        newer.map(|(_, deadline)| *deadline).min()
+        let newer = self
+            .deadlines
+            .iter()
+            .filter(|entry| entry.version > version);
+        newer.map(VersionDeadline::due).min()
     }
 
     /// Returns the time at which a request on `version` that has not started is cancelled; `None` if
@@ -70,12 +116,14 @@
             .deadlines
             .iter()
             .rev()
-            .find(|(_, deadline)| deadline.is_due(started_at));
-        expired.map_or(0, |(version, _)| *version)
+            .find(|entry| entry.due().is_due(started_at));
+        expired.map_or(0, |entry| entry.version)
     }
 
-    /// Iterates over the versions and their deadlines, oldest version first.
-    pub fn iter(&self) -> impl Iterator<Item = (u64, Moment)> {
-        self.deadlines.iter().copied()
+    /// Iterates over the versions with an observed deadline, oldest first.
+    pub fn observed(&self) -> impl Iterator<Item = (u64, Moment)> {
+        let observed = self.deadlines.iter();
+        let observed = observed.filter(|entry| entry.observed != Moment::NEVER);
+        observed.map(|entry| (entry.version, entry.observed))
     }
 }
--- a/src/gateway/dispatch/gossip.rs
+++ b/src/gateway/dispatch/gossip.rs
@@ -306,11 +306,14 @@
     fn limits(&self, now: Moment) -> Vec<WireVersionDeadline> {
         let models = self.version_deadlines.iter();
         let limits = models.flat_map(|(model, deadlines)| {
-            deadlines.iter().map(|(version, due)| WireVersionDeadline {
-                model: *model,
-                version,
-                left_ms: whole_ms(due.remaining(now)),
-            })
+            deadlines
+                .observed()
+                .map(|(version, due)| WireVersionDeadline {
+                    model: *model,
+                    version,
+                    // Rounded up, so that no instance shortens the deadline by passing it on.
+                    left_ms: whole_ms(due.remaining(now)).saturating_add(1),
+                })
         });
         limits.collect()
     }
--- a/src/gateway/dispatch/records.rs
+++ b/src/gateway/dispatch/records.rs
@@ -135,12 +135,13 @@
         if known.is_some_and(|known| named.version <= known.version) {
             return;
         }
-        // Records of the first read may be of any age, so the settling time applies instead.
-        let is_old = self.operator.next == LogOffset::default();
-        let allowed = if is_old {
-            self.identity.settling_time
+        // Records of the first read may be of any age.
+        let is_of_unknown_age = self.operator.next == LogOffset::default();
+        let limit = self.identity.weights_limit;
+        let allowed = if is_of_unknown_age {
+            self.identity.settling_time.min(limit)
         } else {
-            self.identity.weights_limit
+            limit
         };
         log_event(
             &WEIGHTS_NAMED,
@@ -151,7 +152,13 @@
             ],
         );
         let deadline = turn.now.after(allowed);
-        self.record_version_deadline(turn.now, model, named.version, deadline);
+        let deadlines = self.version_deadlines.entry(model).or_default();
+        if is_of_unknown_age {
+            deadlines.assume(named.version, deadline);
+        } else {
+            deadlines.record(named.version, deadline);
+        }
+        self.next_cancellation = turn.now;
         let version = TargetVersion {
             name: named.model,
             version: named.version,
--- a/tests/gateway_gossip.rs
+++ b/tests/gateway_gossip.rs
@@ -220,6 +220,30 @@
     assert_eq!(late.upstream_view(at(13_500)).1, 3);
 }
 
+/// Guards against a deadline that an instance only assumes because it has just started: others used to
+/// take it over and stopped using older weights seconds too early.
+#[test]
+fn deadline_that_a_starting_instance_assumes_does_not_bind_others() {
+    let mut starting = Instance::new(1);
+    let gossip = starting.gossip(at(0));
+    let mut running = Instance::new(2);
+    assert_eq!(starting.upstream_view(at(3_000)).1, 1);
+    let version = TopicRecords {
+        topic: WireTopic::Operator,
+        records: vec![KeyedRecord {
+            key: "version/m".to_owned(),
+            value: Some(r#"{"model":"m","version":2}"#.to_owned().into()),
+            offset: LogOffset(1),
+        }],
+        next: LogOffset(2),
+        confirmed_at: at(0),
+    };
+    running.send(at(0), DispatchMail::Records(version));
+    running.send(at(0), DispatchMail::Gossip(Box::new(gossip)));
+    assert!(starting.gossip(at(0)).limits.is_empty());
+    assert_eq!(running.gossip(at(0)).limits.len(), 1);
+}
+
 /// Guards against every instance reading the store itself, which was the largest load of a large
 /// fleet without traffic.
 #[test]
--- a/tests/version_deadlines.rs
+++ b/tests/version_deadlines.rs
@@ -42,13 +42,23 @@
     assert_eq!(deadlines.oldest_allowed(at(0)), 0);
 }
 
+#[test]
+fn an_assumed_deadline_applies_here_and_is_not_reported() {
+    let mut deadlines = VersionDeadlines::default();
+    assert!(deadlines.assume(2, at(3_000)));
+    assert_eq!(deadlines.observed().count(), 0);
+    assert!(!deadlines.record(2, at(8_000)));
+    assert_eq!(deadlines.start_deadline(1), Some(at(3_000)));
+    assert_eq!(deadlines.observed().next(), Some((2, at(8_000))));
+}
+
 #[test]
 fn a_full_table_takes_no_older_version() {
     let mut deadlines = VersionDeadlines::default();
     for version in 2..100 {
         deadlines.record(version, at(version));
     }
-    let oldest = deadlines.iter().next().expect("a version").0;
+    let oldest = deadlines.observed().next().expect("a version").0;
     assert!(!deadlines.record(oldest - 1, at(1)));
     assert_eq!(deadlines.newest(), 99);
 }
