Let a stream that waits for memory be cancelled, and read frames fairly

A stream that waits for memory before its first event did not see that its start was cancelled, so the upstream kept a request that no longer may start. It sees it now, and a resumable one goes on elsewhere.

The order in which the relay looks at frames and at the caller is random again.

--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -76,6 +76,8 @@
     last_event: Option<u64>,
     /// Time of the last delivered event, or of the head of the current response.
     progress_at: Moment,
+    /// Whether the memory for the buffers is reserved.
+    has_memory: bool,
 }
 
 /// Starts a task that forwards a stream and returns the response body for the caller.
@@ -90,6 +92,7 @@
     let (frames, receiver) = mpsc::channel(MAX_BUFFERED_FRAMES);
     let relay = StreamRelay {
         last_event: request.last_event,
+        has_memory: false,
         progress_at: directory.now(),
         directory,
         request,
@@ -103,12 +106,6 @@
 
 impl StreamRelay {
     async fn run(mut self, first: PlacedStream) {
-        if let Err(end) = self.reserve_memory().await {
-            return match end {
-                StreamEnd::CallerGone => {}
-                end => self.abort(&first.upstream, end).await,
-            };
-        }
         let mut stream = first;
         loop {
             let PlacedStream {
@@ -120,7 +117,10 @@
                 mut cancellation,
                 guard,
             } = stream;
-            let end = self.forward(body, &guard, &mut cancellation).await;
+            let end = match self.reserve_memory(&mut cancellation).await {
+                Ok(()) => self.forward(body, &guard, &mut cancellation).await,
+                Err(end) => end,
+            };
             match end {
                 StreamEnd::Complete => {
                     let reusable = reusable_until(&head.headers, self.directory.now());
@@ -145,14 +145,22 @@
         }
     }
 
-    /// Reserves memory for the buffers of the stream; the upstream waits while there is none.
-    async fn reserve_memory(&self) -> Result<(), StreamEnd> {
+    /// Reserves memory for the buffers of the stream, once; the upstream waits while there is none.
+    async fn reserve_memory(&mut self, cancellation: &mut CancelSignal) -> Result<(), StreamEnd> {
+        if self.has_memory {
+            return Ok(());
+        }
         let remaining = self.request.deadline.remaining(self.directory.now());
         tokio::select! {
-            () = self.request.memory.grow_for_response(STREAM_BYTES) => Ok(()),
-            () = self.frames.closed() => Err(StreamEnd::CallerGone),
-            () = sleep(remaining) => Err(StreamEnd::TimedOut),
+            () = self.request.memory.grow_for_response(STREAM_BYTES) => {}
+            () = self.frames.closed() => return Err(StreamEnd::CallerGone),
+            () = cancellation.received() => {
+                return Err(StreamEnd::Broken(MemberOutcome::Cancelled));
+            }
+            () = sleep(remaining) => return Err(StreamEnd::TimedOut),
         }
+        self.has_memory = true;
+        Ok(())
     }
 
     /// Forwards the stream of one upstream until it ends, breaks or stalls, or until it is cancelled
@@ -170,7 +178,6 @@
             let stalls_at = self.stall_deadline();
             let clock = self.directory.clock();
             let frame = tokio::select! {
-                biased;
                 frame = body.frame() => frame,
                 () = self.frames.closed() => return StreamEnd::CallerGone,
                 () = cancellation.received(), if !has_begun => {
