Name the crashes of a request without a change of the messages

Cause: added SubmitCall.seen_in and ReadReply.crash. The transport encodes in bincode, which is positional, so that a message with one field more cannot be decoded.

The sidecar states the epoch of the lost engine in the head of the reply that tells of the loss, or 0 if it has reported no crash (an answer cut for its size ends as EngineLost too). Nothing read that epoch before. The present epoch would not do: in process_crashes a loss is reported about 200 ms after the crash, when the restart has often been polled. The entry (decide::seen_crashes) names the crash only if the acceptance or the first items of the ticket stated the same epoch, as a sidecar of a former build states the present one; a crash under a wrong name would make a request poisonous that was in one crash. Before a retry it sends the crashes with the existing call `suspect` and awaits the reply; an update without a reply counts as a lost submission. Requests without crashes make no further call. A failed `suspect` call now reports its connection as broken, as other calls do, also in the broadcast.

Without the update, two tests of entry_calls fail; without the epoch of the lost engine, two of ledger_suspects.

What is left: in a mixed fleet a sidecar of the former build often states another epoch with a loss; the entry then names no crash, as before. One that cuts an answer for its size is taken for one whose engine crashed.

--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -37,6 +37,7 @@
 pub mod retry_budget;
 pub mod rollout;
 pub mod route_table;
+pub mod seen_crashes;
 pub mod send_step;
 pub mod snapshot;
 pub mod snapshot_timer;
--- a/src/decide/suspect_guard.rs
+++ b/src/decide/suspect_guard.rs
@@ -78,7 +78,7 @@
 
     /// Records the end of a ticket; a completion clears its fingerprint, a loss reports a crash.
     ///
-    /// Returns the crash, so that the next attempt can be recognised before an update arrives.
+    /// Returns the crash, for the reply that tells the entry of the loss.
     pub fn end(&mut self, now: Moment, ticket: Ticket, end: StreamEnd) -> Option<CrashId> {
         let run = self.remove(ticket)?;
         match end {
--- a/src/services/caller_side/callers.rs
+++ b/src/services/caller_side/callers.rs
@@ -17,8 +17,9 @@
 use super::model_response::{caller_error_response, model_response};
 use super::plain_response::plain_response;
 use super::rejection::{HandlerResult, Rejection, invalid_value, response_or_error};
-use super::request_runner::{RequestRunner, UpstreamRequest};
+use super::request_runner::RequestRunner;
 use super::upstream_choice::{UpstreamChooser, UpstreamScope};
+use super::upstream_request::UpstreamRequest;
 use crate::decide::admission::{Admission, AdmissionQuery, AdmissionTarget, admit, authenticate};
 use crate::decide::config::{BearerHash, Configuration};
 use crate::decide::ids::{PrefixKey, Rank};
@@ -175,7 +176,6 @@
             body: request.upstream_body(),
             output_tokens: request.output_limit().unwrap_or(0),
             fingerprint: Fingerprint::of(&admission.customer, "POST", kind.path(), &body),
-            seen_in: Vec::new(),
         };
         let chooser = self.chooser(UpstreamScope::Model(request.model.clone()), keys);
         let continuable = request.choices == 1;
@@ -221,7 +221,6 @@
             headers: forwarded_headers(&head.headers),
             body,
             output_tokens: 0,
-            seen_in: Vec::new(),
         };
         let chooser = self.chooser(UpstreamScope::Service(service.to_owned()), Vec::new());
         let runner = self.runner(configuration, admission, chooser, request, false);
--- a/src/services/caller_side/mod.rs
+++ b/src/services/caller_side/mod.rs
@@ -10,3 +10,4 @@
 pub mod request_runner;
 pub mod tickets;
 pub mod upstream_choice;
+pub mod upstream_request;
--- a/src/services/caller_side/request_runner.rs
+++ b/src/services/caller_side/request_runner.rs
@@ -9,6 +9,7 @@
 use super::key_claim::KeyClaim;
 use super::request_metrics;
 use super::upstream_choice::{UpstreamChoice, UpstreamChooser};
+use super::upstream_request::UpstreamRequest;
 use crate::decide::admission::Admission;
 use crate::decide::call_patience::CallPatience;
 use crate::decide::claims::{ClaimTarget, ClaimVerdict};
@@ -17,12 +18,12 @@
 use crate::decide::outcome::{RefusalReason, RunStatus};
 use crate::decide::request_state::RequestState;
 use crate::decide::request_step::{RequestEvent, RequestPolicy, RequestStep, SidecarCall};
-use crate::decide::suspects::{CrashId, Fingerprint};
+use crate::decide::seen_crashes::SeenCrashes;
+use crate::decide::suspects::CrashId;
 use crate::kernel::{Directory, Moment};
 use crate::services::common::mail::{DialerMail, JournalMail, Mail, MintOutcome, TicketsMail};
 use crate::services::common::sidecar_calls::{CALL_TIMEOUT, SidecarCalls};
 use crate::wire::rpc::{StreamItem, SubmitCall};
-use crate::wire::suspect_rpc::WireCrash;
 
 /// Time for which a request that may have run waits for an upstream to become available again.
 const UPSTREAM_RETURN_TIMEOUT: Duration = Duration::from_secs(3);
@@ -30,25 +31,6 @@
 /// Interval at which a waiting request checks whether an upstream is available again.
 const UPSTREAM_RETURN_INTERVAL: Duration = Duration::from_millis(100);
 
-/// HTTP request that is sent to an upstream.
-#[derive(Debug, Clone)]
-pub struct UpstreamRequest {
-    /// Method of the request.
-    pub method: String,
-    /// Path and query string of the request.
-    pub path: String,
-    /// Header names and values of the request.
-    pub headers: Vec<(String, String)>,
-    /// Body of the request.
-    pub body: Vec<u8>,
-    /// Maximum number of output tokens; 0 if the caller set none.
-    pub output_tokens: u32,
-    /// Hash of the caller's request, the same for requests with equal content.
-    pub fingerprint: Fingerprint,
-    /// Engine crashes in which earlier attempts were running.
-    pub seen_in: Vec<CrashId>,
-}
-
 /// Output of a [`RequestRunner`].
 #[derive(Debug)]
 pub enum RunnerOutput {
@@ -80,6 +62,7 @@
     report: RequestReport,
     key_claim: Option<KeyClaim>,
     patience: CallPatience,
+    crashes: SeenCrashes,
 }
 
 impl RequestRunner {
@@ -120,6 +103,7 @@
             key_claim: None,
             has_data: false,
             patience: CallPatience::default(),
+            crashes: SeenCrashes::default(),
         }
     }
 
@@ -326,18 +310,20 @@
         let limit = self.patience.limit(self.directory.now(), CALL_TIMEOUT);
         match call {
             SidecarCall::Submit(ticket) => {
-                let submission = self.submission(ticket, incarnation);
-                calls.submit(submission, limit).await
+                let (event, crash) = self.submit(&calls, ticket, incarnation, limit).await;
+                self.crashes.record_submission(ticket, &event, crash);
+                event
             }
             SidecarCall::Read(ticket, from_index) => {
                 let outcome = calls.read(ticket, incarnation, from_index, limit).await;
+                self.crashes
+                    .record_read(ticket, &outcome.event, outcome.crash);
                 if from_index == self.state.next_index() && starts_at(&outcome.event, from_index) {
                     if let Some(end_index) = outcome.end_index() {
                         let mail = DialerMail::Acknowledge(address, ticket, incarnation, end_index);
                         self.directory.send("dialer", Mail::Dialer(mail));
                     }
                     self.items.extend(outcome.items);
-                    self.request.seen_in.extend(outcome.crash);
                 }
                 outcome.event
             }
@@ -346,6 +332,24 @@
         }
     }
 
+    /// Sends the crashes of earlier attempts, if there are any, and then the submission.
+    async fn submit(
+        &self,
+        calls: &SidecarCalls,
+        ticket: Ticket,
+        incarnation: Incarnation,
+        limit: Duration,
+    ) -> (RequestEvent, Option<CrashId>) {
+        let updates = self.crashes.updates(self.request.fingerprint);
+        if !updates.is_empty()
+            && let Err(event) = calls.suspect(&updates, limit).await
+        {
+            return (event, None);
+        }
+        let submission = self.submission(ticket, incarnation);
+        calls.submit(submission, limit).await
+    }
+
     fn submission(&self, ticket: Ticket, incarnation: Incarnation) -> SubmitCall {
         let now = self.directory.now();
         let budget = self.state.policy.start_by.remaining(now);
@@ -366,12 +370,6 @@
             path: request.path.clone(),
             headers: request.headers.clone(),
             body: request.body.clone(),
-            seen_in: request
-                .seen_in
-                .iter()
-                .copied()
-                .map(WireCrash::from)
-                .collect(),
         }
     }
 }
--- a/src/services/common/sidecar_calls.rs
+++ b/src/services/common/sidecar_calls.rs
@@ -51,7 +51,7 @@
     pub event: RequestEvent,
     /// Items that the event counts.
     pub items: Vec<StreamItem>,
-    /// Engine crash that ended the ticket.
+    /// Crash that the loss of the stated engine would be, or was if the event tells of a loss.
     pub crash: Option<CrashId>,
 }
 
@@ -101,17 +101,22 @@
         })
     }
 
-    /// Submits a request and returns the event for its state machine.
-    pub async fn submit(&self, call: SubmitCall, limit: Duration) -> RequestEvent {
+    /// Submits a request and returns the event for its state machine, and the crash that the loss of
+    /// the stated engine would be.
+    pub async fn submit(
+        &self,
+        call: SubmitCall,
+        limit: Duration,
+    ) -> (RequestEvent, Option<CrashId>) {
         let Some(connection) = self.connect().await else {
-            return RequestEvent::Unsent;
+            return (RequestEvent::Unsent, None);
         };
         let reply = connection.client.submit(deadline(limit), call);
         let reply = await_reply(limit, reply).await;
         let Some(reply) = self.handle_reply(&connection, reply, |reply| reply.head) else {
-            return RequestEvent::Lost;
+            return (RequestEvent::Lost, None);
         };
-        submit_event(&reply)
+        (submit_event(&reply), reply.head.crash())
     }
 
     /// Reads items of a ticket's response from an index on.
@@ -183,18 +188,24 @@
         withdraw_event(&reply)
     }
 
-    /// Sends updates about suspects to the sidecar; returns `false` when it does not reply in time.
-    pub async fn suspect(&self, updates: &[SuspectUpdate], limit: Duration) -> bool {
+    /// Sends updates about suspects to the sidecar.
+    ///
+    /// # Errors
+    ///
+    /// Returns the event of the failed call if the sidecar does not reply in time.
+    pub async fn suspect(
+        &self,
+        updates: &[SuspectUpdate],
+        limit: Duration,
+    ) -> Result<(), RequestEvent> {
+        let connection = self.connect().await.ok_or(RequestEvent::Unsent)?;
         let updates = updates.iter().map(WireSuspectUpdate::from).collect();
-        let call = async {
-            let connection = self.connect().await?;
-            connection
-                .client
-                .suspect(deadline(limit), updates)
-                .await
-                .ok()
-        };
-        matches!(tokio::time::timeout(limit, call).await, Ok(Some(())))
+        let reply = connection.client.suspect(deadline(limit), updates);
+        let reply = await_reply(limit, reply).await;
+        if reply.is_err() {
+            self.report_broken(&connection);
+        }
+        reply.map_err(|_unanswered| RequestEvent::Lost)
     }
 
     /// Claims or releases an idempotency key; returns `None` when there is no verdict within the
@@ -248,6 +259,11 @@
         }
     }
 
+    fn report_broken(&self, connection: &NumberedConnection) {
+        let mail = DialerMail::Broken(self.address, connection.number);
+        self.directory.send("dialer", Mail::Dialer(mail));
+    }
+
     /// Reports the sidecar's configuration offset from a reply to the service `config`; reports the
     /// connection of a failed call to the dialer as broken.
     fn handle_reply<T, E>(
@@ -257,8 +273,7 @@
         head: impl FnOnce(&T) -> ReplyHead,
     ) -> Option<T> {
         let Ok(reply) = reply else {
-            let mail = DialerMail::Broken(self.address, connection.number);
-            self.directory.send("dialer", Mail::Dialer(mail));
+            self.report_broken(connection);
             return None;
         };
         let offset = PeerOffset {
@@ -288,11 +303,12 @@
 /// Converts a reply to a read into an event of the request and its items.
 #[must_use]
 pub fn ticket_read(reply: ReadReply) -> TicketRead {
+    let crash = reply.head.crash();
     match reply.verdict {
         ReadVerdict::UnknownTicket => TicketRead {
             event: RequestEvent::UnknownTicket(reply.head.incarnation()),
             items: Vec::new(),
-            crash: None,
+            crash,
         },
         ReadVerdict::Items { items, end } => {
             let end = end.map(|end| StreamEnd::try_from(end).unwrap_or(StreamEnd::Uncertain));
@@ -304,7 +320,7 @@
             TicketRead {
                 event,
                 items,
-                crash: reply.crash.map(CrashId::from),
+                crash,
             }
         }
     }
--- a/src/services/upstream_side/ledger/reads.rs
+++ b/src/services/upstream_side/ledger/reads.rs
@@ -6,7 +6,6 @@
 use crate::decide::ledger::{TicketKey, TicketState};
 use crate::kernel::{Moment, ReplyTo};
 use crate::wire::rpc::{ReadCall, ReadReply, ReadVerdict, WireStreamEnd};
-use crate::wire::suspect_rpc::WireCrash;
 
 use super::state::LedgerState;
 
@@ -33,7 +32,6 @@
                 head: self.reply_head(),
                 from_index: call.from_index,
                 verdict,
-                crash: None,
             });
             return;
         };
@@ -98,7 +96,7 @@
     /// Without any, the read becomes pending, unless `must_reply` is set.
     fn reply_to_read(&mut self, key: TicketKey, read: PendingRead, must_reply: bool) {
         let state = self.ledger.get(key).map(|entry| entry.state);
-        let head = self.reply_head();
+        let mut head = self.reply_head();
         let mut items = Vec::new();
         let mut crash = None;
         let mut end = match state {
@@ -107,7 +105,7 @@
         };
         if let Some(job) = self.jobs.get_mut(&key) {
             items = job.buffer.read(read.from_index);
-            crash = job.crash.map(WireCrash::from);
+            crash = job.crash;
             if read.from_index + (items.len() as u64) < job.buffer.next_index() {
                 end = None;
             }
@@ -117,12 +115,15 @@
                 return;
             }
         }
+        if let Some(WireStreamEnd::EngineLost | WireStreamEnd::Uncertain) = end {
+            // The engine may have restarted since; the entry reports this crash with a retry.
+            head.epoch = crash.map_or(0, |crash| crash.epoch.0);
+        }
         let verdict = ReadVerdict::Items { items, end };
         read.reply_to.send(ReadReply {
             head,
             from_index: read.from_index,
             verdict,
-            crash,
         });
     }
 }
--- a/src/services/upstream_side/ledger/state.rs
+++ b/src/services/upstream_side/ledger/state.rs
@@ -12,7 +12,7 @@
 use crate::decide::outcome::{RefusalReason, StreamEnd};
 use crate::decide::queue::{CustomerShare, OfferOutcome, QueueDiscipline, QueuePolicy};
 use crate::decide::suspect_guard::{SuspectGuard, SuspectUpdate};
-use crate::decide::suspects::{CrashId, Fingerprint, SuspectPolicy, SuspectVerdict};
+use crate::decide::suspects::{Fingerprint, SuspectPolicy, SuspectVerdict};
 use crate::decide::upstream_queue::{UpstreamQueue, WorkRequest};
 use crate::kernel::{Moment, Turn};
 use crate::services::common::mail::{EngineStatus, Mail, OrderReport};
@@ -193,12 +193,6 @@
             return Err(reason);
         }
         let fingerprint = Fingerprint(call.fingerprint);
-        // Another sidecar's update about the same crash may arrive later than the retry.
-        for crash in &call.seen_in {
-            self.guard
-                .table
-                .report(now, fingerprint, CrashId::from(*crash));
-        }
         if self.guard.table.verdict(now, fingerprint) == SuspectVerdict::Poisonous {
             let reason = RefusalReason::Poisonous;
             self.ledger.end(now, key, StreamEnd::NotRun(reason));
--- a/src/services/upstream_side/sidecar_rpc.rs
+++ b/src/services/upstream_side/sidecar_rpc.rs
@@ -126,7 +126,6 @@
                 items: Vec::new(),
                 end: None,
             },
-            crash: None,
         })
     }
 
--- a/src/services/upstream_side/suspect_feed.rs
+++ b/src/services/upstream_side/suspect_feed.rs
@@ -68,8 +68,8 @@
         let updates = Arc::clone(&updates);
         async move {
             // Retried once; an update that is lost costs at most one more engine crash.
-            if !calls.suspect(&updates, CALL_TIMEOUT).await {
-                calls.suspect(&updates, CALL_TIMEOUT).await;
+            if calls.suspect(&updates, CALL_TIMEOUT).await.is_err() {
+                let _retried = calls.suspect(&updates, CALL_TIMEOUT).await;
             }
         }
     });
--- a/src/wire/rpc.rs
+++ b/src/wire/rpc.rs
@@ -6,9 +6,10 @@
 use super::claim_rpc::{ClaimCall, ClaimReply};
 use super::config_page::{ConfigPage, ConfigSinceCall};
 pub use super::ids::{UnknownValue, WireRank, WireRefusalReason, WireTicket};
-use super::suspect_rpc::{WireCrash, WireSuspectUpdate};
+use super::suspect_rpc::WireSuspectUpdate;
 use crate::decide::ids::{EngineEpoch, Incarnation, LogOffset, PrefixKey, Repeatability};
 use crate::decide::outcome::StreamEnd;
+use crate::decide::suspects::CrashId;
 
 /// Maximum size of one message on an RPC connection, in bytes.
 pub const MAX_FRAME_BYTES: usize = 32 * 1024 * 1024;
@@ -39,6 +40,16 @@
         EngineEpoch(self.epoch)
     }
 
+    /// Returns the crash that the loss of the engine would be; `None` if its epoch is unknown.
+    #[must_use]
+    pub fn crash(&self) -> Option<CrashId> {
+        let crash = CrashId {
+            sidecar: self.incarnation(),
+            epoch: self.epoch(),
+        };
+        (crash.epoch != EngineEpoch::default()).then_some(crash)
+    }
+
     /// Returns the offset below which the sidecar has applied all configuration records.
     #[must_use]
     pub const fn next_offset(&self) -> LogOffset {
@@ -115,8 +126,6 @@
     pub headers: Vec<(String, String)>,
     /// Body of the request to the upstream.
     pub body: Vec<u8>,
-    /// Engine crashes in which earlier attempts of the request were running.
-    pub seen_in: Vec<WireCrash>,
 }
 
 impl SubmitCall {
@@ -246,14 +255,13 @@
 /// Reply to a [`ReadCall`].
 #[derive(Debug, Clone, Serialize, Deserialize)]
 pub struct ReadReply {
-    /// State of the sidecar.
+    /// State of the sidecar. With an end by the loss of the engine, the epoch is the one that was
+    /// lost, or 0 if the sidecar has not reported a crash.
     pub head: ReplyHead,
     /// Index of the first item in the reply.
     pub from_index: u64,
     /// Outcome of the read.
     pub verdict: ReadVerdict,
-    /// Engine crash that ended the ticket.
-    pub crash: Option<WireCrash>,
 }
 
 /// Outcome of the withdrawal of a ticket.
--- a/tests/entry_calls.rs
+++ b/tests/entry_calls.rs
@@ -4,6 +4,7 @@
 use std::collections::VecDeque;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
 use bulrushslip::decide::admission::Admission;
@@ -16,11 +17,10 @@
 use bulrushslip::decide::suspects::Fingerprint;
 use bulrushslip::kernel::{Clock, Directory, Moment, NextStep, Service, TokioKernel};
 use bulrushslip::services::caller_side::journal::journal_service;
-use bulrushslip::services::caller_side::request_runner::{
-    RequestRunner, RunnerOutput, UpstreamRequest,
-};
+use bulrushslip::services::caller_side::request_runner::{RequestRunner, RunnerOutput};
 use bulrushslip::services::caller_side::tickets::tickets_service;
 use bulrushslip::services::caller_side::upstream_choice::{UpstreamChooser, UpstreamScope};
+use bulrushslip::services::caller_side::upstream_request::UpstreamRequest;
 use bulrushslip::services::common::dialer::dialer_task;
 use bulrushslip::services::common::mail::Mail;
 use bulrushslip::wire::claim_rpc::{ClaimCall, ClaimReply};
@@ -30,7 +30,7 @@
     SidecarRpc, StreamItem, SubmitCall, SubmitReply, SubmitVerdict, WireStreamEnd, WireTicket,
     WithdrawReply, WithdrawVerdict,
 };
-use bulrushslip::wire::suspect_rpc::{WireCrash, WireSuspectUpdate};
+use bulrushslip::wire::suspect_rpc::WireSuspectUpdate;
 use bulrushslip::wire::transport;
 use tarpc::context::Context;
 use tarpc::server::{BaseChannel, Channel};
@@ -41,8 +41,11 @@
 /// Incarnation of every sidecar.
 const INCARNATION: u64 = 7;
 
-/// Engine crash that ends the first ticket.
-const CRASH: (u64, u64) = (INCARNATION, 3);
+/// Epoch of every engine.
+const EPOCH: u64 = 3;
+
+/// Fingerprint of every request.
+const FINGERPRINT: u64 = 1;
 
 /// Sequence number of the ticket whose answer is lost.
 const LOST_TICKET: u64 = 1;
@@ -56,10 +59,12 @@
 /// Call that a sidecar has received.
 #[derive(Debug, PartialEq, Eq)]
 enum RecordedCall {
-    /// Sequence number of the submitted ticket, and the crashes that the submission names.
-    Submit(u64, Vec<(u64, u64)>),
+    /// Sequence number of the submitted ticket.
+    Submit(u64),
     /// Sequence number of the ticket and index that the read starts at.
     Read(u64, u64),
+    /// Fingerprints and the crashes, by sidecar and epoch, that they were seen in.
+    Suspect(Vec<(u64, Option<(u64, u64)>)>),
 }
 
 /// Sidecar whose engine crashes under one ticket and completes the others.
@@ -67,12 +72,17 @@
 struct RecordingSidecar {
     calls: mpsc::UnboundedSender<RecordedCall>,
     lost_ticket: Option<u64>,
+    /// Epoch that the reply about the lost ticket states.
+    loss_epoch: u64,
+    /// Whether the next suspect update gets no reply.
+    drops_update: Arc<AtomicBool>,
     read_delay: Duration,
 }
 
 fn head() -> ReplyHead {
     ReplyHead {
         incarnation: INCARNATION,
+        epoch: EPOCH,
         ..ReplyHead::default()
     }
 }
@@ -95,9 +105,7 @@
     }
 
     async fn submit(self, _: Context, call: SubmitCall) -> SubmitReply {
-        let seen_in = call.seen_in.iter();
-        let seen_in = seen_in.map(|crash| (crash.sidecar, crash.epoch)).collect();
-        self.record(RecordedCall::Submit(call.ticket.sequence, seen_in));
+        self.record(RecordedCall::Submit(call.ticket.sequence));
         SubmitReply {
             head: head(),
             verdict: SubmitVerdict::Accepted,
@@ -119,15 +127,14 @@
             let items = vec![head, StreamItem::Data(b"answer".to_vec())];
             (WireStreamEnd::Complete, items)
         };
-        let (sidecar, epoch) = CRASH;
+        let epoch = if is_lost { self.loss_epoch } else { EPOCH };
         ReadReply {
-            head: head(),
+            head: ReplyHead { epoch, ..head() },
             from_index: call.from_index,
             verdict: ReadVerdict::Items {
                 items,
                 end: Some(end),
             },
-            crash: is_lost.then_some(WireCrash { sidecar, epoch }),
         }
     }
 
@@ -138,7 +145,17 @@
         }
     }
 
-    async fn suspect(self, _: Context, _: Vec<WireSuspectUpdate>) {}
+    async fn suspect(self, _: Context, updates: Vec<WireSuspectUpdate>) {
+        let suspects = updates.iter().map(|update| {
+            let crash = update.seen_in;
+            let crash = crash.map(|crash| (crash.sidecar, crash.epoch));
+            (update.fingerprint, crash)
+        });
+        self.record(RecordedCall::Suspect(suspects.collect()));
+        if self.drops_update.swap(false, Ordering::Relaxed) {
+            std::future::pending::<()>().await;
+        }
+    }
 
     async fn claim(self, _: Context, _: ClaimCall) -> ClaimReply {
         ClaimReply::Unavailable
@@ -219,8 +236,7 @@
         headers: Vec::new(),
         body: Vec::new(),
         output_tokens: 0,
-        fingerprint: Fingerprint(1),
-        seen_in: Vec::new(),
+        fingerprint: Fingerprint(FINGERPRINT),
     };
     let policy = RequestPolicy {
         repeatability,
@@ -251,11 +267,13 @@
 }
 
 /// Runs a request whose first answer is lost in a crash and returns the calls to the sidecars.
-async fn run_request() -> mpsc::UnboundedReceiver<RecordedCall> {
+async fn run_request(loss_epoch: u64, drops_update: bool) -> mpsc::UnboundedReceiver<RecordedCall> {
     let (calls, recorded) = mpsc::unbounded_channel();
     let sidecar = RecordingSidecar {
         calls,
         lost_ticket: Some(LOST_TICKET),
+        loss_epoch,
+        drops_update: Arc::new(AtomicBool::new(drops_update)),
         read_delay: Duration::ZERO,
     };
     let mut configuration = Configuration::default();
@@ -268,6 +286,23 @@
     recorded
 }
 
+/// Returns the update that tells a sidecar of the crash under the first attempt.
+fn crash_update() -> RecordedCall {
+    RecordedCall::Suspect(vec![(FINGERPRINT, Some((INCARNATION, EPOCH)))])
+}
+
+/// Returns the submissions and updates before the submission of the second ticket.
+fn calls_before_retry(recorded: &mut mpsc::UnboundedReceiver<RecordedCall>) -> Vec<RecordedCall> {
+    let mut calls = Vec::new();
+    loop {
+        match recorded.try_recv().expect("a retry") {
+            RecordedCall::Submit(2) => return calls,
+            RecordedCall::Read(..) => {}
+            call => calls.push(call),
+        }
+    }
+}
+
 /// Waits for a call.
 async fn wait_for(recorded: &mut mpsc::UnboundedReceiver<RecordedCall>, expected: &RecordedCall) {
     let found = async { while recorded.recv().await.expect("a call") != *expected {} };
@@ -281,6 +316,8 @@
     let sidecar = RecordingSidecar {
         calls,
         lost_ticket: None,
+        loss_epoch: EPOCH,
+        drops_update: Arc::default(),
         read_delay: LATE_REPLY,
     };
     let mut configuration = Configuration::default();
@@ -292,14 +329,30 @@
 
 #[tokio::test]
 async fn a_retry_names_the_crash_that_ended_the_previous_attempt() {
-    let mut recorded = run_request().await;
-    wait_for(&mut recorded, &RecordedCall::Submit(1, Vec::new())).await;
-    wait_for(&mut recorded, &RecordedCall::Submit(2, vec![CRASH])).await;
+    let mut recorded = run_request(EPOCH, false).await;
+    let expected = [RecordedCall::Submit(1), crash_update()];
+    assert_eq!(calls_before_retry(&mut recorded), expected);
+}
+
+#[tokio::test]
+async fn a_retry_names_no_crash_if_the_loss_states_another_engine() {
+    for loss_epoch in [0, EPOCH + 1] {
+        let mut recorded = run_request(loss_epoch, false).await;
+        let expected = [RecordedCall::Submit(1)];
+        assert_eq!(calls_before_retry(&mut recorded), expected);
+    }
+}
+
+#[tokio::test]
+async fn a_retry_is_not_submitted_before_the_sidecar_has_answered_the_update() {
+    let mut recorded = run_request(EPOCH, true).await;
+    let expected = [RecordedCall::Submit(1), crash_update(), crash_update()];
+    assert_eq!(calls_before_retry(&mut recorded), expected);
 }
 
 #[tokio::test]
 async fn the_end_of_each_response_is_acknowledged() {
-    let mut recorded = run_request().await;
+    let mut recorded = run_request(EPOCH, false).await;
     // The lost answer has no item, so its end has index 0; the complete one has two.
     wait_for(&mut recorded, &RecordedCall::Read(1, 1)).await;
     wait_for(&mut recorded, &RecordedCall::Read(2, 3)).await;
--- a/tests/ledger_harness/mod.rs
+++ b/tests/ledger_harness/mod.rs
@@ -8,9 +8,11 @@
 use bulrushslip::decide::ids::{EngineEpoch, Incarnation, LogOffset, Ticket};
 use bulrushslip::decide::ledger::{LedgerBounds, TicketKey};
 use bulrushslip::decide::queue::{QueueDiscipline, QueuePolicy};
+use bulrushslip::decide::suspect_guard::SuspectUpdate;
 use bulrushslip::kernel::{MailboxKey, NextStep, ReplyTo, Service, Signal, SteppedKernel, Turn};
 use bulrushslip::services::common::mail::{EngineMail, EngineStatus, LedgerMail, Mail};
 use bulrushslip::services::upstream_side::ledger::{LedgerSettings, ledger_service};
+use bulrushslip::services::upstream_side::suspect_feed::SUSPECT_FEED;
 use bulrushslip::wire::rpc::{
     ReadCall, ReadVerdict, StreamItem, SubmitCall, SubmitVerdict, WireRank,
 };
@@ -38,6 +40,8 @@
     pub started: mpsc::Receiver<TicketKey>,
     /// Tickets that the ledger has cancelled at the engine.
     pub cancelled: mpsc::Receiver<Ticket>,
+    /// Suspect updates that the ledger has issued for other sidecars.
+    pub updates: mpsc::Receiver<Vec<SuspectUpdate>>,
 }
 
 impl Sidecar {
@@ -73,11 +77,19 @@
             NextStep::Wait
         };
         kernel.add(Service::new("engine", engine));
+        let (issue, updates) = mpsc::channel();
+        kernel.add(Service::new(SUSPECT_FEED, move |_turn, signal| {
+            if let Signal::Mail(Mail::SuspectFeed(issued)) = signal {
+                issue.send(issued).expect("the test holds the receiver");
+            }
+            NextStep::Wait
+        }));
         let mut sidecar = Self {
             kernel,
             ledger,
             started,
             cancelled,
+            updates,
         };
         sidecar.post(LedgerMail::Configured(Arc::new(configuration())));
         let version = String::new();
@@ -206,6 +218,5 @@
         path: "/".to_owned(),
         headers: Vec::new(),
         body: Vec::new(),
-        seen_in: Vec::new(),
     }
 }
--- a/tests/ledger_suspects.rs
+++ b/tests/ledger_suspects.rs
@@ -1,37 +1,55 @@
-//! Retries of requests that were running in an engine crash, before any update from the sidecar of
-//! that engine has arrived: the ledger service on the stepped kernel.
+//! Retries of requests that were running in an engine crash, after the entry has
+//! reported the crash: the ledger service on the stepped kernel.
 
 mod ledger_harness;
 
+use bulrushslip::decide::ids::{EngineEpoch, Incarnation};
 use bulrushslip::decide::outcome::{RefusalReason, StreamEnd};
-use bulrushslip::services::common::mail::LedgerMail;
-use bulrushslip::wire::rpc::{ReadCall, SubmitCall, SubmitReply, SubmitVerdict};
-use bulrushslip::wire::suspect_rpc::WireCrash;
-use ledger_harness::{EPOCH, INCARNATION, Sidecar, submit_call, ticket};
+use bulrushslip::decide::suspect_guard::SuspectUpdate;
+use bulrushslip::decide::suspects::{CrashId, Fingerprint};
+use bulrushslip::services::common::mail::{EngineStatus, LedgerMail};
+use bulrushslip::wire::rpc::{ReadCall, ReadReply, ReadVerdict, SubmitReply, SubmitVerdict};
+use bulrushslip::wire::rpc::{SubmitCall, WireStreamEnd};
+use ledger_harness::{EPOCH, INCARNATION, MAX_ANSWER_BYTES, Sidecar, submit_call, ticket};
 
 /// Crash of another sidecar's engine.
-const OTHER_CRASH: WireCrash = WireCrash {
-    sidecar: 99,
-    epoch: 1,
+const OTHER_CRASH: CrashId = CrashId {
+    sidecar: Incarnation(99),
+    epoch: EngineEpoch(1),
 };
 
-/// Returns a submission of a request that was running in the crash.
-fn retry_call(sequence: u64) -> SubmitCall {
-    SubmitCall {
-        seen_in: vec![OTHER_CRASH],
-        ..submit_call(sequence, true)
-    }
-}
-
 fn submit(sidecar: &mut Sidecar, call: SubmitCall) -> SubmitReply {
     sidecar.ask(|reply_to| LedgerMail::Submit(call, reply_to))
 }
 
+/// Submits a request after its entry has reported that it was running in the other crash.
+fn retry(sidecar: &mut Sidecar, sequence: u64) -> SubmitReply {
+    let call = submit_call(sequence, true);
+    let updates = vec![SuspectUpdate {
+        fingerprint: Fingerprint(call.fingerprint),
+        seen_in: Some(OTHER_CRASH),
+        cleared_of: Vec::new(),
+    }];
+    sidecar.ask(|reply_to| LedgerMail::Suspects(updates, reply_to));
+    submit(sidecar, call)
+}
+
+/// Reads the first ticket from the start.
+fn read(sidecar: &mut Sidecar) -> ReadReply {
+    let call = ReadCall {
+        ticket: ticket(1).into(),
+        incarnation: INCARNATION.0,
+        from_index: 0,
+        wait_us: 0,
+    };
+    sidecar.ask(|reply_to| LedgerMail::Read(call, reply_to))
+}
+
 #[test]
 fn requests_that_were_in_one_crash_are_retried_one_at_a_time() {
     let mut sidecar = Sidecar::start();
     for sequence in [1, 2] {
-        let reply = submit(&mut sidecar, retry_call(sequence));
+        let reply = retry(&mut sidecar, sequence);
         assert!(matches!(reply.verdict, SubmitVerdict::Accepted));
     }
     let first = sidecar.started.try_recv().expect("the engine is idle");
@@ -43,7 +61,7 @@
 #[test]
 fn a_request_that_was_in_two_crashes_is_refused() {
     let mut sidecar = Sidecar::start();
-    submit(&mut sidecar, retry_call(1));
+    retry(&mut sidecar, 1);
     let started = sidecar.started.try_recv().expect("the engine is idle");
     sidecar.post(LedgerMail::ResponseEnded(started, StreamEnd::EngineLost));
     let again = SubmitCall {
@@ -59,16 +77,37 @@
 
 #[test]
 fn the_end_of_a_lost_response_names_the_crash() {
+    let version = String::new();
+    let epoch = EngineEpoch(EPOCH.0 + 1);
+    let restarted = EngineStatus::Up { epoch, version };
+    for status in [None, Some(EngineStatus::Down), Some(restarted)] {
+        let mut sidecar = Sidecar::start();
+        let key = sidecar.submit(1, true);
+        if let Some(status) = status.clone() {
+            sidecar.post(LedgerMail::EngineStatus(status));
+        }
+        sidecar.post(LedgerMail::ResponseEnded(key, StreamEnd::EngineLost));
+        let named = read(&mut sidecar).head.crash();
+        let expected = CrashId {
+            sidecar: INCARNATION,
+            epoch: EPOCH,
+        };
+        assert_eq!(named, Some(expected), "{status:?}");
+        let issued = sidecar.updates.try_recv().expect("an update");
+        assert_eq!(issued[0].seen_in, named, "{status:?}");
+    }
+}
+
+#[test]
+fn the_end_of_a_response_that_is_too_large_names_no_crash() {
     let mut sidecar = Sidecar::start();
     let key = sidecar.submit(1, true);
-    sidecar.post(LedgerMail::ResponseEnded(key, StreamEnd::EngineLost));
-    let call = ReadCall {
-        ticket: ticket(1).into(),
-        incarnation: INCARNATION.0,
-        from_index: 0,
-        wait_us: 0,
+    sidecar.send_data(key, MAX_ANSWER_BYTES + 1);
+    let reply = read(&mut sidecar);
+    let ReadVerdict::Items { end, .. } = reply.verdict else {
+        panic!("unknown ticket");
     };
-    let reply = sidecar.ask(|reply_to| LedgerMail::Read(call, reply_to));
-    let crash = reply.crash.map(|crash| (crash.sidecar, crash.epoch));
-    assert_eq!(crash, Some((INCARNATION.0, EPOCH.0)));
+    assert!(matches!(end, Some(WireStreamEnd::EngineLost)), "{end:?}");
+    assert_eq!(reply.head.crash(), None);
+    assert!(sidecar.updates.try_recv().is_err(), "reported as a crash");
 }
--- a/tests/outcome_world/network.rs
+++ b/tests/outcome_world/network.rs
@@ -75,7 +75,6 @@
                 path: "/".to_owned(),
                 headers: Vec::new(),
                 body: Vec::new(),
-                seen_in: Vec::new(),
             };
             (
                 LedgerMail::Submit(call, reply_to),
@@ -136,7 +135,6 @@
                     head,
                     from_index,
                     verdict,
-                    crash: None,
                 })?;
                 let has_stopped = reply.head == head;
                 let outcome = ticket_read(reply);
