Refuse late in a planned stop what may outlast the instance

A caller's stream was cut off 7.2 s after a stop signal. The instance had accepted it 3.8 s after the signal, when new connections are just no longer accepted, with 3.2 s left for a request that may take 12 s.

An instance that stops accepts a request that may outlast it only in the first 40% of the stop; later ones get 503, not run, at once and are sent elsewhere. Requests whose time ends before the instance does, and retries, go on.

Test: an_instance_that_stops_accepts_late_only_what_ends_before_it fails at 3,100 ms with the share at 100%.

--- a/src/gateway/attempts.rs
+++ b/src/gateway/attempts.rs
@@ -173,6 +173,7 @@
             received: request.received,
             rank: request.rank(),
             start_by,
+            deadline: request.deadline,
             prefill_deadline: wait_until(PREFILL_WAIT_PERCENT),
             fingerprint: request.fingerprint,
         }
--- a/src/gateway/dispatch/mod.rs
+++ b/src/gateway/dispatch/mod.rs
@@ -108,7 +108,7 @@
         DispatchMail::RequestEnded(end) => state.counters.count_request(end),
         DispatchMail::Metrics(reply_to) => reply_to.send(state.metrics_text(now)),
         DispatchMail::IsReady(reply_to) => reply_to.send(state.is_ready()),
-        DispatchMail::Leaving => state.is_leaving = true,
+        DispatchMail::Leaving => state.leave(now),
         DispatchMail::Inspect(query) => (query.inspect)(now, state),
         DispatchMail::Settings(settings) => {
             state.extra_retries = settings.extra_retries;
--- a/src/gateway/dispatch/place.rs
+++ b/src/gateway/dispatch/place.rs
@@ -24,6 +24,10 @@
 /// differences between their counts of instances.
 const BUDGET_USE_PERCENT: f64 = 70.0;
 
+/// Share of the time from the stop signal to the end of the process in which requests are accepted
+/// that may outlast the process, in percent.
+const STOP_ACCEPT_PERCENT: u32 = 40;
+
 /// Maximum number of retries of one request.
 const MAX_RETRIES: u32 = 4;
 
@@ -39,6 +43,10 @@
             reply_to.send(PlacementReply::Refused(PlacementRefusal::Poisonous));
             return;
         }
+        if !request.is_retry && self.may_be_cut(now, request.deadline) {
+            reply_to.send(PlacementReply::Refused(PlacementRefusal::Leaving));
+            return;
+        }
         if let Some(refusal) = self.charge_retry_budget(&request) {
             reply_to.send(PlacementReply::Refused(refusal));
             return;
@@ -46,6 +54,19 @@
         self.place_or_queue(now, request, reply_to);
     }
 
+    /// Marks the process as shutting down.
+    pub(super) fn leave(&mut self, now: Moment) {
+        self.is_leaving = true;
+        self.stop_ends_at = now.after(self.identity.stop_time);
+    }
+
+    /// Reports whether the end of the process would probably cut off a request with this deadline.
+    fn may_be_cut(&self, now: Moment, deadline: Moment) -> bool {
+        let accepts_for = self.identity.stop_time * STOP_ACCEPT_PERCENT / 100;
+        let left = self.stop_ends_at.remaining(now);
+        deadline > self.stop_ends_at && left < self.identity.stop_time.saturating_sub(accepts_for)
+    }
+
     /// Places or queues a request that the retry budget already accounts for.
     pub(super) fn place_or_queue(
         &mut self,
--- a/src/gateway/dispatch/state.rs
+++ b/src/gateway/dispatch/state.rs
@@ -163,6 +163,8 @@
     pub(super) is_outdated_logged: bool,
     /// Whether this process is shutting down.
     pub is_leaving: bool,
+    /// Time at which this process ends; `NEVER` before the stop signal.
+    pub(super) stop_ends_at: Moment,
     incarnation: crate::decide::ids::Incarnation,
     /// Sequence number of the last ticket.
     sequence: u64,
@@ -210,6 +212,7 @@
             next_sweep: Moment::START,
             is_outdated_logged: false,
             is_leaving: false,
+            stop_ends_at: Moment::NEVER,
             sequence: 0,
         }
     }
--- a/src/gateway/identity.rs
+++ b/src/gateway/identity.rs
@@ -25,6 +25,8 @@
     pub settling_time: Duration,
     /// Time after one instance's last claim on an upstream before another instance may order it.
     pub min_holder_interval: Duration,
+    /// Longest time from a stop signal to the end of the process.
+    pub stop_time: Duration,
     /// Time after an upstream has announced its leaving, or lost its entry, within which the last
     /// request may reach it.
     pub drain_limit: Duration,
@@ -40,6 +42,7 @@
             weights_limit: settings.weights_limit,
             settling_time: settings.settling_time,
             min_holder_interval: settings.holder_turn,
+            stop_time: settings.stop_grace,
             drain_limit: settings.drain_limit,
         }
     }
--- a/src/gateway/mail.rs
+++ b/src/gateway/mail.rs
@@ -163,6 +163,8 @@
     pub rank: Rank,
     /// Time at which the request is refused if it is still waiting.
     pub start_by: Moment,
+    /// Time at which the request times out.
+    pub deadline: Moment,
     /// Time until which the request may wait for a running prefill of its shared prefix.
     pub prefill_deadline: Moment,
     /// Hash that is the same for equal requests.
@@ -180,6 +182,8 @@
     BudgetExhausted,
     /// Equal requests have crashed several upstreams.
     Poisonous,
+    /// The process is shutting down and may end before the request does.
+    Leaving,
 }
 
 impl PlacementRefusal {
@@ -191,6 +195,7 @@
             Self::NoUpstream => "no_upstream",
             Self::BudgetExhausted => "retry_budget",
             Self::Poisonous => "poisonous",
+            Self::Leaving => "leaving",
         }
     }
 }
--- a/src/gateway/start.rs
+++ b/src/gateway/start.rs
@@ -82,6 +82,7 @@
     identity.peer_address = peers.local_addr()?;
     let leave = instance.stop_grace * LEAVE_PERCENT / 100;
     let drain = instance.stop_grace * DRAIN_PERCENT / 100;
+    identity.stop_time = leave + drain;
     let plan = MemoryPlan::for_limit(settings.memory_limit);
     let limits = ServerLimits {
         header_timeout_ms: CALLER_IDLE_TIMEOUT_MS,
--- a/tests/gateway_drain.rs
+++ b/tests/gateway_drain.rs
@@ -1,5 +1,5 @@
-//! Leaves of upstreams: how long the service `dispatch` of one instance goes on sending requests
-//! to an upstream that has left, tested without sockets and with explicit times.
+//! Leaves of upstreams and of the instance itself: how long the service `dispatch` goes on sending
+//! requests, tested without sockets and with explicit times.
 
 mod dispatch_harness;
 
@@ -116,6 +116,11 @@
 
     /// Asks for the placement of a request.
     fn place(&mut self, ms: u64) -> Receiver<PlacementReply> {
+        self.place_until(ms, ms + 60_000)
+    }
+
+    /// Asks for the placement of a request that times out at the given time.
+    fn place_until(&mut self, ms: u64, deadline_ms: u64) -> Receiver<PlacementReply> {
         let (sender, receiver) = mpsc::channel();
         // A test that does not read a later reply has dropped the receiver.
         let reply_to = ReplyTo::new(move |reply| drop(sender.send(reply)));
@@ -130,8 +135,9 @@
             is_retry: false,
             received: at(ms),
             rank: Rank::Urgent,
-            start_by: at(ms + 60_000),
-            prefill_deadline: at(ms + 60_000),
+            start_by: at(deadline_ms),
+            deadline: at(deadline_ms),
+            prefill_deadline: at(deadline_ms),
             fingerprint: Fingerprint(ms),
         };
         self.send(ms, DispatchMail::Place(Box::new(request), reply_to));
@@ -357,3 +363,21 @@
     instance.read(12_200, vec![upstream_record(2, None)], 3);
     assert_eq!(check(12_200, &mut instance), SendCheck::UpstreamLeft);
 }
+
+/// Guards against streams that the planned end of an instance cut off: one that was accepted 3.8 s
+/// after the stop signal had 3.2 s left of its 12 s.
+#[test]
+fn an_instance_that_stops_accepts_late_only_what_ends_before_it() {
+    let mut instance = Instance::new(1);
+    instance.read(100, Vec::new(), 1);
+    instance.send(200, DispatchMail::Leaving);
+    let stop_end_ms = 7_200;
+    for ms in [300, 2_900, 3_100, 4_000] {
+        instance.read(ms - 10, Vec::new(), 1);
+        let short = instance.place_until(ms, stop_end_ms);
+        assert!(placed(&short).is_some(), "a short request at {ms} ms");
+        let long = instance.place_until(ms, ms + 12_000);
+        let is_accepted = placed(&long).is_some();
+        assert_eq!(is_accepted, ms < 3_000, "a long request at {ms} ms");
+    }
+}
--- a/tests/gateway_late_send.rs
+++ b/tests/gateway_late_send.rs
@@ -106,6 +106,7 @@
         received: request.received,
         rank: Rank::Urgent,
         start_by: request.deadline,
+        deadline: request.deadline,
         prefill_deadline: request.deadline,
         fingerprint: request.fingerprint,
     }
