--- a/src/decide/rollout.rs
+++ b/src/decide/rollout.rs
@@ -216,8 +216,8 @@
         claim.read_at.after(exclusive_time).is_due(view.now)
     }
 
-    /// Sorts upstreams by the version of their weights, the oldest first, then by their last order for
-    /// the target version, and alternates between data centres; within one, upstreams with fewer
+    /// Sorts upstreams by the version of their weights, the oldest first, then by their last order
+    /// for the target version, and alternates between data centres; within one, upstreams with fewer
     /// requests of this instance come first.
     fn sort_for_rollout(&self, view: RolloutView<'_>, keys: &mut Vec<MemberKey>) {
         keys.sort_by_key(|key| {
--- a/src/decide/version_deadlines.rs
+++ b/src/decide/version_deadlines.rs
@@ -22,8 +22,8 @@
     /// Earliest deadline that an instance counted from the time at which it read the new version;
     /// `NEVER` without one.
     observed: Moment,
-    /// Deadline that this instance assumes because it does not know the version's age; `NEVER` without
-    /// one.
+    /// Deadline that this instance assumes because it does not know the version's age; `NEVER`
+    /// without one.
     assumed: Moment,
 }
 
--- a/src/gateway/dispatch/place.rs
+++ b/src/gateway/dispatch/place.rs
@@ -169,8 +169,8 @@
         }
     }
 
-    /// Returns the newest version of a model and the oldest one still allowed; `None` if this instance
-    /// knows of no version.
+    /// Returns the newest version of a model and the oldest one still allowed; `None` if this
+    /// instance knows of no version.
     fn newest_weights(&self, now: Moment, model: u64) -> Option<NewestWeights> {
         let target = self.target_versions.get(&model);
         // Another instance may have reported the deadline of a version that is not read here yet.
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -30,8 +30,8 @@
 /// Body frames that are buffered for a slow caller.
 const MAX_BUFFERED_FRAMES: usize = 2;
 
-/// Time without a complete event after which a resumable stream is resumed at another upstream, in percent of
-/// the route's target latency for the first event.
+/// Time without a complete event after which a resumable stream is resumed at another upstream, in
+/// percent of the route's target latency for the first event.
 const STALL_PERCENT: u64 = 250;
 
 /// A body frame for the caller; an error aborts the caller's connection.
--- a/tests/gateway_gossip.rs
+++ b/tests/gateway_gossip.rs
@@ -184,8 +184,8 @@
     assert_eq!(late.upstream_view(at(13_500)).1, 3);
 }
 
-/// Guards against a deadline that an instance only assumes because it has just started: others used to
-/// take it over and stopped using older weights seconds too early.
+/// Guards against a deadline that an instance only assumes because it has just started: others used
+/// to take it over and stopped using older weights seconds too early.
 #[test]
 fn deadline_that_a_starting_instance_assumes_does_not_bind_others() {
     let mut starting = Instance::new(1);
