--- a/tests/soak.rs
+++ b/tests/soak.rs
@@ -6,9 +6,10 @@
 
 mod soak_world;
 
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use soak_world::SoakPlan;
+use soak_world::ledger::{Kind, Leave, Ledger, Run, Sent};
 
 /// Seeds of the run in CI.
 const CI_SEEDS: [u64; 2] = [18, 22];
@@ -93,3 +94,47 @@
     };
     run(SLOW_SEEDS.into_iter().map(plan).collect()).await;
 }
+
+/// Checks a request that arrives and begins at given times after its upstream's leave.
+fn check_after_leave(arrived: Duration, begun: Duration) -> Vec<String> {
+    let told = Instant::now();
+    let mut ledger = Ledger::default();
+    ledger.leaves.push(Leave {
+        upstream: 0,
+        told,
+        returned: None,
+    });
+    let sent = Sent {
+        kind: Kind::Stream,
+        gateway: 0,
+        at: told,
+        got: None,
+    };
+    ledger.sent.insert("a".to_owned(), sent);
+    let run = Run {
+        upstream: 0,
+        arrived: told + arrived,
+        at: told + begun,
+        ended: None,
+        status: 200,
+        is_long: false,
+        weights: None,
+    };
+    ledger.runs.insert("a".to_owned(), vec![run]);
+    ledger.check(Duration::from_secs(3));
+    ledger.broken
+}
+
+#[test]
+fn a_request_that_waits_at_an_upstream_when_it_leaves_may_begin_later() {
+    let broken = check_after_leave(Duration::from_millis(100), Duration::from_millis(2_200));
+    assert!(broken.is_empty(), "{broken:?}");
+}
+
+#[test]
+fn a_request_that_arrives_late_at_a_leaving_upstream_breaks_the_promise() {
+    let late = Duration::from_millis(2_001);
+    let broken = check_after_leave(late, late);
+    assert_eq!(broken.len(), 1, "{broken:?}");
+    assert!(broken[0].starts_with("drain: a: "), "{broken:?}");
+}
