Let explain read log files, in place of a command of its own

Operators had two commands for one question: `explain` asked the entries of the product's own path and `story` read log files.

--- a/src/ctl/args.rs
+++ b/src/ctl/args.rs
@@ -10,7 +10,6 @@
 use super::plan::PlanArgs;
 use super::request::RequestArgs;
 use super::status::StatusArgs;
-use super::story::StoryArgs;
 
 /// Changes and shows the configuration and the state of a bulrushslip fleet.
 #[derive(Debug, FromArgs)]
@@ -37,7 +36,6 @@
     /// Shows the decisions of an entry on one request.
     Explain(ExplainArgs),
     /// Shows the timeline of one request from log files.
-    Story(StoryArgs),
     /// Sends one chat request.
     Request(RequestArgs),
     /// Hashes a bearer key.
--- a/src/ctl/explain.rs
+++ b/src/ctl/explain.rs
@@ -1,26 +1,37 @@
-//! Command `explain`: shows the decisions of an entry on one request and their reasons.
+//! Command `explain`: shows the decisions on one request and their reasons, from the journal of an
+//! entry or from log files.
 
 use std::net::SocketAddr;
+use std::path::PathBuf;
 
 use argh::FromArgs;
 use serde_json::Value;
 
 use super::exit::ExitStatus;
 use super::fleet::{FleetAccess, query_entries};
+use super::story::explain_from_logs;
 
-/// Shows the decisions on one request, from the journal of the entry that received it.
+/// Shows the decisions on one request, from the journal of the entry that received it, or from
+/// files of JSON log lines: its events and the state changes of its upstreams before and during it.
 #[derive(Debug, FromArgs)]
 #[argh(subcommand, name = "explain")]
 pub struct ExplainArgs {
-    /// IP address and port of the platform
+    /// IP address and port of the platform, to ask the entries
     #[argh(option)]
-    pub platform: SocketAddr,
+    pub platform: Option<SocketAddr>,
     /// bearer token of the operator ports
     #[argh(option)]
     pub operator_token: Option<String>,
-    /// print JSON
+    /// print JSON, with --platform only
     #[argh(switch)]
     pub json: bool,
+    /// file of JSON log lines, in place of --platform; may be repeated
+    #[argh(option)]
+    pub log: Vec<PathBuf>,
+    /// milliseconds before the first event of the request from which state changes are shown, with
+    /// --log only
+    #[argh(option, default = "5000")]
+    pub before_ms: u64,
     /// id of the request, from its x-request-id header
     #[argh(positional)]
     pub id: String,
@@ -28,6 +39,26 @@
 
 /// Runs the command `explain`.
 pub async fn run(args: &ExplainArgs) -> ExitStatus {
+    match (args.platform, args.log.as_slice()) {
+        (None, []) => {
+            eprintln!("either --platform or --log is needed");
+            ExitStatus::BadInput
+        }
+        (Some(_), [_, ..]) => {
+            eprintln!("--platform and --log cannot be used together");
+            ExitStatus::BadInput
+        }
+        (None, _) if args.json => {
+            eprintln!("--json cannot be used with --log");
+            ExitStatus::BadInput
+        }
+        (None, files) => explain_from_logs(files, &args.id, args.before_ms),
+        (Some(platform), []) => explain_from_entries(platform, args).await,
+    }
+}
+
+/// Shows the journal of the entry that received the request.
+async fn explain_from_entries(platform: SocketAddr, args: &ExplainArgs) -> ExitStatus {
     let is_id_char = |c: char| c.is_ascii_alphanumeric() || c == '-';
     if args.id.is_empty() || !args.id.chars().all(is_id_char) {
         eprintln!(
@@ -37,7 +68,7 @@
         return ExitStatus::BadInput;
     }
     let fleet = FleetAccess {
-        platform: args.platform,
+        platform,
         operator_token: args.operator_token.clone(),
     };
     match query_entries(&fleet, &format!("/explain/{}", args.id)).await {
--- a/src/ctl/mod.rs
+++ b/src/ctl/mod.rs
@@ -25,7 +25,6 @@
         Command::Status(args) => status::run(&args).await,
         Command::Dump(args) => dump::run(&args).await,
         Command::Explain(args) => explain::run(&args).await,
-        Command::Story(args) => story::run(&args),
         Command::Request(args) => request::run(&args).await,
         Command::Hash(args) => {
             println!("{}", blake3::hash(args.bearer_key.as_bytes()));
--- a/src/ctl/story.rs
+++ b/src/ctl/story.rs
@@ -1,10 +1,9 @@
-//! Command `story`: shows the timeline of one request from the log files of several processes.
+//! The timeline of one request, from the log files of several processes.
 
 use std::fmt::Write;
 use std::fs;
 use std::path::PathBuf;
 
-use argh::FromArgs;
 use serde_json::Value;
 
 use super::exit::ExitStatus;
@@ -22,27 +21,11 @@
 /// Fields that are left out of the list of fields at the end of a formatted line.
 const COMMON_FIELDS: [&str; 5] = ["time_ms", "level", "event", "name", "request"];
 
-/// Shows the timeline of a request from files of JSON log lines: the events of the request and the
-/// state changes of its upstreams shortly before and during it.
-#[derive(Debug, FromArgs)]
-#[argh(subcommand, name = "story")]
-pub struct StoryArgs {
-    /// milliseconds before the first event of the request from which state changes are shown
-    #[argh(option, default = "5000")]
-    pub before_ms: u64,
-    /// file of log lines; may be repeated
-    #[argh(option)]
-    pub log: Vec<PathBuf>,
-    /// id of the request, from its x-request-id header
-    #[argh(positional)]
-    pub id: String,
-}
-
-/// Runs the command `story`.
+/// Prints the timeline of a request from files of JSON log lines.
 #[must_use]
-pub fn run(args: &StoryArgs) -> ExitStatus {
+pub fn explain_from_logs(files: &[PathBuf], id: &str, before_ms: u64) -> ExitStatus {
     let mut lines = Vec::new();
-    for path in &args.log {
+    for path in files {
         match fs::read_to_string(path) {
             Ok(text) => lines.extend(text.lines().filter_map(parse_line)),
             Err(error) => {
@@ -51,11 +34,10 @@
             }
         }
     }
-    let timeline = request_timeline(&mut lines, &args.id, args.before_ms);
+    let timeline = request_timeline(&mut lines, id, before_ms);
     if timeline.is_empty() {
         eprintln!(
-            "no log line contains request {}; only a sample of successful requests is logged",
-            args.id
+            "no log line contains request {id}; only a sample of successful requests is logged"
         );
         return ExitStatus::Refused;
     }
