Release an upstream at the deadline of a caller that does not read

A caller that took a stream and did not read it held the stream's place at its upstream, the connection to it and the memory of its buffers without end: the relay waited for room in the caller's buffers, past the deadline of the request, and a relay that broke off waited for room for the error while it still held the place. The relay now waits until the deadline, releases the upstream first, and marks a complete stream apart from its frames, so that a body whose frames merely end aborts the caller's connection.

--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -3,14 +3,14 @@
 
 use std::io;
 use std::pin::Pin;
-use std::task::{Context, Poll};
+use std::task::{Context, Poll, ready};
 use std::time::Duration;
 
 use bytes::Bytes;
 use http_body_util::BodyExt;
 use hyper::body::{Body, Frame, Incoming};
-use tokio::sync::mpsc;
-use tokio::time::{sleep, sleep_until};
+use tokio::sync::{mpsc, oneshot};
+use tokio::time::{sleep, sleep_until, timeout};
 
 use super::attempts::{AttemptsOutcome, PlacedStream, RequestAttempts};
 use super::cancellation::CancelSignal;
@@ -34,21 +34,33 @@
 /// percent of the route's target latency for the first event.
 const STALL_PERCENT: u64 = 250;
 
-/// A body frame for the caller; an error aborts the caller's connection.
-type RelayFrame = Result<Frame<Bytes>, io::Error>;
-
 /// Response body of the caller; the task that feeds it ends when it is dropped.
+///
+/// A body whose frames end without completion aborts the caller's connection, so that a truncated
+/// stream does not look complete.
 #[derive(Debug)]
 struct RelayBody {
-    frames: mpsc::Receiver<RelayFrame>,
+    frames: mpsc::Receiver<Frame<Bytes>>,
+    completion: oneshot::Receiver<()>,
+    is_complete: bool,
 }
 
 impl Body for RelayBody {
     type Data = Bytes;
     type Error = io::Error;
 
-    fn poll_frame(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<Option<RelayFrame>> {
-        self.frames.poll_recv(cx)
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<io::Result<Frame<Bytes>>>> {
+        if let Some(frame) = ready!(self.frames.poll_recv(cx)) {
+            return Poll::Ready(Some(Ok(frame)));
+        }
+        self.is_complete |= self.completion.try_recv().is_ok();
+        if self.is_complete {
+            return Poll::Ready(None);
+        }
+        Poll::Ready(Some(Err(io::ErrorKind::ConnectionAborted.into())))
     }
 }
 
@@ -70,7 +82,9 @@
 struct StreamRelay {
     directory: Directory<GatewayMail>,
     request: CallerRequest,
-    frames: mpsc::Sender<RelayFrame>,
+    frames: mpsc::Sender<Frame<Bytes>>,
+    /// Receives the completion of the stream; closed when the caller's connection is.
+    completion: oneshot::Sender<()>,
     history: SendHistory,
     excluded: Vec<MemberKey>,
     last_event: Option<u64>,
@@ -90,6 +104,7 @@
     excluded: Vec<MemberKey>,
 ) -> ResponseBody {
     let (frames, receiver) = mpsc::channel(MAX_BUFFERED_FRAMES);
+    let (completion, completed) = oneshot::channel();
     let relay = StreamRelay {
         last_event: request.last_event,
         has_memory: false,
@@ -97,11 +112,17 @@
         directory,
         request,
         frames,
+        completion,
         history,
         excluded,
     };
     tokio::spawn(relay.run(stream));
-    RelayBody { frames: receiver }.boxed()
+    let body = RelayBody {
+        frames: receiver,
+        completion: completed,
+        is_complete: false,
+    };
+    body.boxed()
 }
 
 impl StreamRelay {
@@ -125,11 +146,16 @@
                 StreamEnd::Complete => {
                     let reusable = reusable_until(&head.headers, self.directory.now());
                     guard.end_with_connection(MemberOutcome::Answered, connection, reusable);
+                    // Fails if the caller has closed its connection.
+                    let _is_received = self.completion.send(());
                     return;
                 }
                 // Dropping the guard and the connection cancels the request at the upstream.
                 StreamEnd::CallerGone => return,
-                StreamEnd::TimedOut => return self.abort(&upstream, end).await,
+                StreamEnd::TimedOut => {
+                    drop((guard, connection));
+                    return self.abort(&upstream, end).await;
+                }
                 StreamEnd::Broken(outcome) => {
                     guard.end(outcome);
                     drop(connection);
@@ -238,9 +264,13 @@
         }
     }
 
+    /// Sends bytes to the caller; a caller that does not read them is awaited until the deadline.
     async fn send(&self, data: Bytes) -> Result<(), StreamEnd> {
-        let sent = self.frames.send(Ok(Frame::data(data))).await;
-        sent.map_err(|_gone| StreamEnd::CallerGone)
+        let remaining = self.request.deadline.remaining(self.directory.now());
+        match timeout(remaining, self.frames.send(Frame::data(data))).await {
+            Ok(sent) => sent.map_err(|_gone| StreamEnd::CallerGone),
+            Err(_elapsed) => Err(StreamEnd::TimedOut),
+        }
     }
 
     /// Returns when the stream counts as stalled: at the request's deadline, or earlier if it can
@@ -292,8 +322,8 @@
         Some(*stream)
     }
 
-    /// Aborts the caller's connection, so that a truncated stream does not look complete.
-    async fn abort(self, upstream: &str, end: StreamEnd) {
+    /// Aborts the caller's connection, and keeps the memory of its buffers until it is closed.
+    async fn abort(mut self, upstream: &str, end: StreamEnd) {
         log_event(
             &STREAM_BROKEN,
             &[
@@ -304,8 +334,7 @@
                 ("runs", &self.history.runs),
             ],
         );
-        let aborted = io::Error::from(io::ErrorKind::ConnectionAborted);
-        // Fails if the caller has already closed its connection.
-        drop(self.frames.send(Err(aborted)).await);
+        drop(self.frames);
+        self.completion.closed().await;
     }
 }
