Close connections of clients that do not read a response

A client that asked and did not read held its connection, one of a limited number, and the memory of its response without end. A write that waits for 30 s without a byte taken now ends the connection; the limit begins anew with each byte taken, so that slow readers get their whole response, and streams within the deadline of their request only meet it when all buffers of the connection have been full for that time.

--- a/src/entry.rs
+++ b/src/entry.rs
@@ -5,7 +5,9 @@
 use crate::decide::ids::Incarnation;
 use crate::decide::retry_budget::RetryPolicy;
 use crate::kernel::{Clock, TokioKernel};
-use crate::platform::http_server::{BUFFER_BYTES, FullPolicy, HEADER_TIMEOUT_MS, ServerLimits};
+use crate::platform::http_server::{
+    BUFFER_BYTES, FullPolicy, HEADER_TIMEOUT_MS, ServerLimits, WRITE_TIMEOUT_MS,
+};
 use crate::process;
 use crate::services::caller_side::callers::{CallerSettings, callers_task};
 use crate::services::caller_side::journal::journal_service;
@@ -41,6 +43,7 @@
     let caller_settings = CallerSettings {
         limits: ServerLimits {
             header_timeout_ms: HEADER_TIMEOUT_MS,
+            write_timeout_ms: WRITE_TIMEOUT_MS,
             max_connections: settings.max_connections,
             when_full: FullPolicy::Queue,
             buffer_bytes: BUFFER_BYTES,
--- a/src/gateway/internal_server.rs
+++ b/src/gateway/internal_server.rs
@@ -6,7 +6,8 @@
 use super::mail::GatewayMail;
 use crate::kernel::{Inbox, Signal};
 use crate::platform::http_server::{
-    BUFFER_BYTES, FullPolicy, HEADER_TIMEOUT_MS, RequestHandler, ServerLimits, serve,
+    BUFFER_BYTES, FullPolicy, HEADER_TIMEOUT_MS, RequestHandler, ServerLimits, WRITE_TIMEOUT_MS,
+    serve,
 };
 
 /// Most connections that one internal port serves at the same time.
@@ -22,6 +23,7 @@
 ) {
     let limits = ServerLimits {
         header_timeout_ms: HEADER_TIMEOUT_MS,
+        write_timeout_ms: WRITE_TIMEOUT_MS,
         max_connections: MAX_CONNECTIONS,
         when_full: FullPolicy::Queue,
         buffer_bytes: BUFFER_BYTES,
--- a/src/gateway/start.rs
+++ b/src/gateway/start.rs
@@ -19,7 +19,7 @@
 use crate::decide::memory_plan::MemoryPlan;
 use crate::kernel::{Clock, TokioKernel, whole_ms};
 use crate::log_queue::BATCH_PAUSE;
-use crate::platform::http_server::{FullPolicy, ServerLimits};
+use crate::platform::http_server::{FullPolicy, ServerLimits, WRITE_TIMEOUT_MS};
 use crate::platform::settings_file::InstanceSettings;
 use crate::process;
 
@@ -86,6 +86,7 @@
     let plan = MemoryPlan::for_limit(settings.memory_limit);
     let limits = ServerLimits {
         header_timeout_ms: CALLER_IDLE_TIMEOUT_MS,
+        write_timeout_ms: WRITE_TIMEOUT_MS,
         max_connections: plan.max_connections.min(MAX_CALLER_CONNECTIONS),
         when_full: FullPolicy::Refuse,
         buffer_bytes: CALLER_BUFFER_BYTES,
--- a/src/platform/http_server.rs
+++ b/src/platform/http_server.rs
@@ -22,11 +22,16 @@
 use tokio::time::timeout;
 
 use super::bounded_stream::BoundedStream;
+use super::write_timeout::WriteTimeout;
 
 /// Default time limit for a client to send its request headers, in milliseconds. It is also the
 /// idle timeout, because hyper has one timer for both.
 pub const HEADER_TIMEOUT_MS: u64 = 5_000;
 
+/// Default time without a byte read by a client after which a response to it is broken off, in
+/// milliseconds.
+pub const WRITE_TIMEOUT_MS: u64 = 30_000;
+
 /// Default size of a connection's buffers, in bytes.
 pub const BUFFER_BYTES: usize = 408 * 1024;
 
@@ -102,6 +107,8 @@
     /// Time limit for a client to send its request headers, and idle timeout of a connection, in
     /// milliseconds.
     pub header_timeout_ms: u64,
+    /// Time without a byte read by a client after which its connection is closed, in milliseconds.
+    pub write_timeout_ms: u64,
     /// Most connections that are served at the same time.
     pub max_connections: usize,
     /// What happens to further connections.
@@ -132,6 +139,7 @@
     when_full: FullPolicy,
     buffer_bytes: usize,
     header_timeout: Duration,
+    write_timeout: Duration,
     is_leaving: watch::Receiver<bool>,
 }
 
@@ -153,6 +161,7 @@
         when_full: limits.when_full,
         buffer_bytes: limits.buffer_bytes,
         header_timeout: Duration::from_millis(limits.header_timeout_ms),
+        write_timeout: Duration::from_millis(limits.write_timeout_ms),
         is_leaving,
     };
     tokio::select! {
@@ -276,6 +285,7 @@
             }
         });
         let stream = BoundedStream::new(stream, MAX_REQUEST_BYTES);
+        let stream = WriteTimeout::new(stream, self.write_timeout);
         let connection = http1::Builder::new()
             .timer(TokioTimer::new())
             .header_read_timeout(self.header_timeout)
--- a/src/services/common/operator.rs
+++ b/src/services/common/operator.rs
@@ -15,7 +15,7 @@
 use crate::kernel::{Directory, Inbox, IoTask, Moment, Signal};
 use crate::platform::http_server::{
     BUFFER_BYTES, FullPolicy, HEADER_TIMEOUT_MS, RequestHandler, ResponseBody, ServerLimits,
-    json_response, serve,
+    WRITE_TIMEOUT_MS, json_response, serve,
 };
 use crate::services::caller_side::journal;
 
@@ -25,6 +25,7 @@
 /// Limits of the operator port's HTTP server.
 const LIMITS: ServerLimits = ServerLimits {
     header_timeout_ms: HEADER_TIMEOUT_MS,
+    write_timeout_ms: WRITE_TIMEOUT_MS,
     max_connections: 16,
     when_full: FullPolicy::Queue,
     buffer_bytes: BUFFER_BYTES,
--- a/src/standin/roles.rs
+++ b/src/standin/roles.rs
@@ -27,12 +27,14 @@
 use super::weight_store::WeightLimits;
 use crate::kernel::{Clock, TokioKernel};
 use crate::platform::http_server::{
-    BUFFER_BYTES, FullPolicy, HEADER_TIMEOUT_MS, RequestHandler, ServerLimits, serve,
+    BUFFER_BYTES, FullPolicy, HEADER_TIMEOUT_MS, RequestHandler, ServerLimits, WRITE_TIMEOUT_MS,
+    serve,
 };
 
 /// Limits of the HTTP server of a stand-in.
 const SERVER_LIMITS: ServerLimits = ServerLimits {
     header_timeout_ms: HEADER_TIMEOUT_MS,
+    write_timeout_ms: WRITE_TIMEOUT_MS,
     max_connections: 16_384,
     when_full: FullPolicy::Queue,
     buffer_bytes: BUFFER_BYTES,
