Give up on pages of newest records that do not end

The newest records of a topic are read page by page while the store says that there are more. A store that says so for ever held the reader, a store watch or the list of instances, and grew its memory with each page. The pages of one call now have at most 16 MiB and 30 s together, and a page that ends with the key after which it was asked for is a failure.

The new test failed before, with the limits taken out: 10 s of pages, both with new keys and with the same key, had no outcome.

--- a/src/platform/store_client.rs
+++ b/src/platform/store_client.rs
@@ -10,6 +10,7 @@
 use hyper::{Method, Request, StatusCode};
 use quick_error::quick_error;
 use serde::Deserialize;
+use tokio::time::timeout;
 
 use super::http_connection::{ConnectionError, HttpConnection};
 use super::store_records::{StorePage, frame};
@@ -34,6 +35,12 @@
 /// a page of newest records 1 MB, which base64 lengthens by a third.
 const MAX_RESPONSE_BYTES: usize = 8 * 1024 * 1024;
 
+/// Largest size of all pages of the newest records of a topic, in bytes.
+const MAX_NEWEST_BYTES: usize = 16 * 1024 * 1024;
+
+/// Timeout for reading all pages of the newest records of a topic.
+const NEWEST_TIMEOUT: Duration = Duration::from_secs(30);
+
 quick_error! {
     /// Error of a call to the store.
     #[derive(Debug)]
@@ -51,6 +58,10 @@
         Unreadable {
             display("the store's response cannot be decoded")
         }
+        /// The pages of a topic do not end, or are too long.
+        TooManyPages {
+            display("the store's pages do not end")
+        }
     }
 }
 
@@ -177,11 +188,18 @@
     ///
     /// # Errors
     ///
-    /// Returns [`StoreError`] when any page cannot be read.
+    /// Returns [`StoreError`] when any page cannot be read or the pages do not end.
     pub async fn newest(&mut self, topic: &str) -> Result<NewestRecords, StoreError> {
+        timeout(NEWEST_TIMEOUT, self.newest_pages(topic))
+            .await
+            .unwrap_or(Err(StoreError::TooManyPages))
+    }
+
+    async fn newest_pages(&mut self, topic: &str) -> Result<NewestRecords, StoreError> {
         let mut records = Vec::new();
         let mut end = None;
         let mut after = String::new();
+        let mut bytes = 0;
         loop {
             let path = if after.is_empty() {
                 format!("/log-newest?topic={topic}&part=0")
@@ -193,6 +211,7 @@
             if status != StatusCode::OK {
                 return Err(StoreError::Refused(status));
             }
+            bytes += body.len();
             let page: WireNewest =
                 serde_json::from_slice(&body).map_err(|_unreadable| StoreError::Unreadable)?;
             end.get_or_insert(LogOffset(page.end));
@@ -200,6 +219,10 @@
             let last_key = page.items.last().map(|item| item.key.clone());
             records.extend(page.items.into_iter().map(KeyedRecord::from));
             match last_key {
+                Some(_) if !is_last && bytes > MAX_NEWEST_BYTES => {
+                    return Err(StoreError::TooManyPages);
+                }
+                Some(key) if !is_last && key == after => return Err(StoreError::TooManyPages),
                 Some(key) if !is_last => after = key,
                 _ => break,
             }
