Log requests whose callers leave before the response is complete

Handling that is dropped before its outcome is known, and a stream whose caller leaves, is logged as `request_abandoned` with the time held, the last upstream, offers and runs; an empty upstream means that the request waited in the queue. One line a request, like refusals; the queue of log lines stays bounded.

The new test of gateway_process waits for the line, for a stream and for a response that is read whole; it cannot pass without the change, as the event does not exist there.

--- a/src/events/catalogue.rs
+++ b/src/events/catalogue.rs
@@ -251,6 +251,14 @@
     "A placed request was not sent, because its upstream has left or may have; it is placed again.",
 );
 
+/// Logged when the handling of a request is dropped.
+pub const REQUEST_ABANDONED: EventKind = event(
+    312,
+    Level::Info,
+    "request_abandoned",
+    "The caller closed its connection before the response was complete, or this instance stopped.",
+);
+
 /// Logged when the upstream starts to respond.
 pub const ENGINE_UP: EventKind = event(
     401,
@@ -340,7 +348,7 @@
 );
 
 /// All kinds of log events in ascending order of their numbers.
-pub const CATALOGUE: [EventKind; 40] = [
+pub const CATALOGUE: [EventKind; 41] = [
     PROCESS_STARTED,
     LISTENING,
     STOP_BEGUN,
@@ -370,6 +378,7 @@
     OUTDATED_START,
     START_CANCELLED,
     SEND_WITHDRAWN,
+    REQUEST_ABANDONED,
     ENGINE_UP,
     ENGINE_DOWN,
     ENGINE_RESTARTED,
--- a/src/gateway/attempts.rs
+++ b/src/gateway/attempts.rs
@@ -7,6 +7,7 @@
 use hyper::http::response::Parts;
 use tokio::time::timeout;
 
+use super::abandonment::log_abandoned;
 use super::cancellation::CancelSignal;
 use super::dispatch;
 use super::mail::{DispatchMail, GatewayMail, PlacementRefusal, PlacementRequest};
@@ -98,6 +99,10 @@
     pub excluded: Vec<MemberKey>,
     /// Identifier of the last stream event that the caller received.
     pub last_event: Option<u64>,
+    /// Upstream that the request was last sent to; empty before the first attempt.
+    upstream: String,
+    /// Whether the outcome is known.
+    has_ended: bool,
     /// Upstream and outcome of the last failed attempt, for log events.
     pub last_failure: Option<(String, MemberOutcome)>,
     /// Last 5xx response that led to a retry, returned if no later attempt succeeds.
@@ -118,6 +123,8 @@
             },
             excluded: Vec::new(),
             last_event: request.last_event,
+            upstream: String::new(),
+            has_ended: false,
             last_failure: None,
             failed_response: None,
         }
@@ -125,17 +132,24 @@
 
     /// Sends the request until an upstream responds or no further attempt is allowed.
     pub async fn run(&mut self) -> AttemptsOutcome {
+        let end = self.run_to_end().await;
+        self.has_ended = true;
+        self.or_failed_response(end)
+    }
+
+    async fn run_to_end(&mut self) -> AttemptsOutcome {
         loop {
             let now = self.directory.now();
             if self.request.deadline.is_due(now) {
-                return self.or_failed_response(self.timed_out());
+                return self.timed_out();
             }
             let placement = match place(self.directory, self.placement_request(now)).await {
                 Ok(placement) => placement,
-                Err(refusal) => return self.or_failed_response(self.refused(refusal)),
+                Err(refusal) => return self.refused(refusal),
             };
+            self.upstream.clone_from(&placement.at.upstream);
             if let Some(end) = self.attempt(placement).await {
-                return self.or_failed_response(end);
+                return end;
             }
         }
     }
@@ -366,3 +380,11 @@
         }
     }
 }
+
+impl Drop for RequestAttempts<'_> {
+    fn drop(&mut self) {
+        if !self.has_ended {
+            log_abandoned(self.directory, self.request, &self.upstream, self.history);
+        }
+    }
+}
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -2,6 +2,7 @@
 //! forwards each to an upstream. The request queue, the load of the upstreams and the index of
 //! their KV caches are kept in the same process.
 
+pub mod abandonment;
 pub mod attempts;
 pub mod caller_server;
 pub mod cancellation;
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -12,6 +12,7 @@
 use tokio::sync::{mpsc, oneshot};
 use tokio::time::{sleep, sleep_until, timeout};
 
+use super::abandonment::log_abandoned;
 use super::attempts::{AttemptsOutcome, PlacedStream, RequestAttempts};
 use super::cancellation::CancelSignal;
 use super::mail::GatewayMail;
@@ -151,7 +152,7 @@
                     return;
                 }
                 // Dropping the guard and the connection cancels the request at the upstream.
-                StreamEnd::CallerGone => return,
+                StreamEnd::CallerGone => return self.log_abandoned(&upstream),
                 StreamEnd::TimedOut => {
                     drop((guard, connection));
                     return self.abort(&upstream, end).await;
@@ -322,6 +323,10 @@
         Some(*stream)
     }
 
+    fn log_abandoned(&self, upstream: &str) {
+        log_abandoned(&self.directory, &self.request, upstream, self.history);
+    }
+
     /// Aborts the caller's connection, and keeps the memory of its buffers until it is closed.
     async fn abort(mut self, upstream: &str, end: StreamEnd) {
         log_event(
--- a/tests/common/process.rs
+++ b/tests/common/process.rs
@@ -6,7 +6,7 @@
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, ExitStatus, Stdio};
-use std::sync::mpsc;
+use std::sync::{Mutex, mpsc};
 use std::time::{Duration, Instant};
 
 /// Time within which a process must have opened its ports.
@@ -15,6 +15,9 @@
 /// Names a folder in which the output of each process is kept.
 const LOGS_VARIABLE: &str = "BULRUSHSLIP_TEST_LOGS";
 
+/// Lines of output that are kept until a test reads them; further ones are dropped.
+const MAX_LINES: usize = 4_096;
+
 /// Creates the file for the output of a process, if the output is to be kept.
 fn output_log(binary: &str, id: u32) -> Option<File> {
     let folder = PathBuf::from(std::env::var_os(LOGS_VARIABLE)?);
@@ -31,6 +34,7 @@
     arguments: Vec<String>,
     /// Addresses by role, as printed in `listening ROLE ADDRESS`.
     pub ports: HashMap<String, SocketAddr>,
+    lines: Mutex<mpsc::Receiver<String>>,
 }
 
 impl ChildProcess {
@@ -55,24 +59,19 @@
             .unwrap_or_else(|error| panic!("{binary}: {error}"));
         let output = child.stdout.take().expect("the output is piped");
         let mut log = output_log(binary, child.id());
-        let (sender, lines) = mpsc::channel();
+        let (sender, lines) = mpsc::sync_channel(MAX_LINES);
         // The reader outlives the start, so that the process never blocks on a full pipe.
         std::thread::spawn(move || {
             for line in BufReader::new(output).lines().map_while(Result::ok) {
                 if let Some(log) = &mut log {
                     writeln!(log, "{line}").expect("a file that can be written");
                 }
-                drop(sender.send(line));
+                drop(sender.try_send(line));
             }
         });
-        let mut process = Self {
-            child,
-            binary: binary.to_owned(),
-            arguments: arguments.iter().map(|&text| text.to_owned()).collect(),
-            ports: HashMap::new(),
-        };
+        let mut ports = HashMap::new();
         let deadline = Instant::now() + START_LIMIT;
-        while !roles.iter().all(|role| process.ports.contains_key(*role)) {
+        while !roles.iter().all(|role| ports.contains_key(*role)) {
             let remaining = deadline.saturating_duration_since(Instant::now());
             let line = lines
                 .recv_timeout(remaining)
@@ -80,10 +79,22 @@
             let words: Vec<&str> = line.split_whitespace().collect();
             if let ["listening", role, address] = words[..] {
                 let address = address.parse().expect("an address");
-                process.ports.insert(role.to_owned(), address);
+                ports.insert(role.to_owned(), address);
             }
         }
-        process
+        Self {
+            child,
+            binary: binary.to_owned(),
+            arguments: arguments.iter().map(|&text| text.to_owned()).collect(),
+            ports,
+            lines: Mutex::new(lines),
+        }
+    }
+
+    /// Returns the lines that the process has printed since the last call.
+    pub fn new_lines(&self) -> Vec<String> {
+        let lines = self.lines.lock().expect("not poisoned");
+        lines.try_iter().collect()
     }
 
     /// Returns the address that was printed for a role.
--- a/tests/gateway_process.rs
+++ b/tests/gateway_process.rs
@@ -244,6 +244,26 @@
     }
 }
 
+#[tokio::test]
+async fn a_disconnect_of_the_caller_is_logged_with_the_upstream() {
+    let stall = Behaviour::Stall("id: 1\ndata: a\n\n");
+    let (_world, _upstreams, gateway) = start(vec![vec![stall]]).await;
+    let mut lines = Vec::new();
+    for path in ["/stream/", "/safe/"] {
+        let sending = tokio::time::timeout(Duration::from_millis(300), gateway.send(path));
+        assert!(sending.await.is_err(), "the response ended");
+        until("a log line", async || {
+            lines.extend(gateway.process.new_lines());
+            let is_abandoned = |line: &String| {
+                line.contains("request_abandoned") && line.contains(r#""upstream":"i-0""#)
+            };
+            let found = lines.iter().position(is_abandoned);
+            found.map(|index| lines.remove(index)).is_some()
+        })
+        .await;
+    }
+}
+
 #[tokio::test]
 async fn draining_upstreams_and_malformed_entries_get_no_requests() {
     let responds = |text| vec![Behaviour::Answer(200, text)];
