--- a/tests/story.rs
+++ b/tests/story.rs
@@ -52,11 +52,8 @@
     let lines = log_lines();
     let (before, after) = lines.split_at(3);
     for (path, lines) in [(&first, before), (&second, after)] {
-        let text: String = lines
-            .iter()
-            .map(|line| format!("front-1 {line}\n"))
-            .collect();
-        std::fs::write(path, text).expect("the folder of the tests is writable");
+        let lines: Vec<String> = lines.iter().map(|line| format!("front-1 {line}")).collect();
+        std::fs::write(path, lines.join("\n")).expect("the folder of the tests is writable");
     }
     let [first, second] = [&first, &second].map(|path| path.to_str().expect("UTF-8"));
     let output = explain(&["--log", first, "--log", second, "--before-ms", "600", "r1"]);
