Read the log again before a command of ctl gives up

Callers saw: `apply`, `plan` and `confirm` ended with status 4 ("the configuration log cannot be read") after a single failed read. A store that has just started, is out for a moment or misses the one second of a call failed a change that would have gone through shortly after.

Cause: `ConfigFollower::catch_up` returned the first failed read. Appends were repeated, reads were not, and a failed read between two appends ended the confirmation as unknown.

Now failed reads are repeated for 5 s, from where the replay stands. The outcome after that is as before, with the reason printed by `apply` too.

The new test breaks the log for 1.5 s before `apply` and `plan`; without the repetition it failed with status 4, "the store responded with 503".

--- a/src/ctl/apply.rs
+++ b/src/ctl/apply.rs
@@ -23,9 +23,16 @@
     };
     let log = LogClient::new(args.platform, CONFIG_STREAM);
     let mut follower = ConfigFollower::new(log, None);
-    if follower.catch_up().await != CatchUpOutcome::AtEnd {
-        eprintln!("the configuration log cannot be read");
-        return ExitStatus::Unavailable;
+    match follower.catch_up().await {
+        CatchUpOutcome::AtEnd => {}
+        CatchUpOutcome::Unreadable(reason) => {
+            eprintln!("the configuration log cannot be read: {reason}");
+            return ExitStatus::Unavailable;
+        }
+        CatchUpOutcome::RecordsMissing => {
+            eprintln!("the log has dropped records and has no complete snapshot of them");
+            return ExitStatus::Unavailable;
+        }
     }
     let record = PlanRecord {
         plan_id: PlanId(rand::rng().random()),
--- a/src/ctl/follower.rs
+++ b/src/ctl/follower.rs
@@ -3,6 +3,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use tokio::time::{Instant, sleep};
+
 use crate::decide::config::Configuration;
 use crate::decide::config_change::PlanId;
 use crate::decide::config_replica::{ConfigReplica, SkippedRecord, StreamPage, StreamRecord};
@@ -14,6 +16,13 @@
 /// Maximum number of records read in one page.
 const PAGE_RECORDS: u32 = 256;
 
+/// Time for which a log that cannot be read is read again; a store that has just started or is under
+/// heavy load may miss the timeout of a call.
+const UNREADABLE_TIMEOUT: Duration = Duration::from_secs(5);
+
+/// Pause before a failed read is repeated.
+const RETRY_PAUSE: Duration = Duration::from_millis(200);
+
 /// Reads the configuration stream from the log and replays it into a replica.
 #[derive(Debug)]
 pub struct ConfigFollower {
@@ -32,7 +41,7 @@
 pub enum CatchUpOutcome {
     /// All records on the log were replayed.
     AtEnd,
-    /// The log could not be read, for this reason.
+    /// The log could not be read, despite repeated reads, for this reason.
     Unreadable(String),
     /// The log has dropped records that are needed and has no complete snapshot of them.
     RecordsMissing,
@@ -82,8 +91,21 @@
         skipped.map_or("unknown", |skipped| &skipped.reason)
     }
 
-    /// Reads and replays records up to the end of the stream.
+    /// Reads and replays records up to the end of the stream; a failed read is repeated for a bounded
+    /// time.
     pub async fn catch_up(&mut self) -> CatchUpOutcome {
+        let deadline = Instant::now() + UNREADABLE_TIMEOUT;
+        loop {
+            match self.replay_to_end().await {
+                CatchUpOutcome::Unreadable(_) if Instant::now() < deadline => {
+                    sleep(RETRY_PAUSE).await;
+                }
+                outcome => return outcome,
+            }
+        }
+    }
+
+    async fn replay_to_end(&mut self) -> CatchUpOutcome {
         loop {
             let window = ReadWindow {
                 from: self.read_from,
--- a/tests/config_ctl.rs
+++ b/tests/config_ctl.rs
@@ -158,6 +158,26 @@
     }
 }
 
+#[tokio::test]
+async fn a_short_log_outage_delays_a_change_and_does_not_fail_it() {
+    let fleet = Fleet::start().await;
+    let operator = Operator::new(&fleet, "short-outage");
+    let platform = fleet.platform.port("platform");
+    let changes = operator.plan_path("changes");
+    let change = r#"[{"put_service":{"name":"roads"}}]"#;
+    std::fs::write(&changes, change).expect("the file can be written");
+    for (name, arguments) in [
+        ("apply", vec![changes.as_str()]),
+        ("plan", vec!["load", "engine-0", "v2"]),
+    ] {
+        post(platform, "/admin/outage?ms=1500", &[], String::new()).await;
+        let output = operator.run(name, &arguments);
+        let error = text(&output.stderr);
+        assert_eq!(output.status.code(), DONE, "{name}: {error}");
+    }
+    assert_eq!(operator.status()["log_next_offset"], 2);
+}
+
 #[tokio::test]
 async fn a_lost_append_response_is_resolved_and_a_log_outage_changes_nothing() {
     let mut fleet = Fleet::start().await;
