Keep a queued ticket whose submission is repeated

Callers saw: 503 `start_deadline`, not run, about 15 s after the arrival of a request that had 60 s to start, once its first sidecar had handed it back.

Cause: a queued ticket is dropped as orphaned when nobody has read it for 10 s. An entry that gets no reply to its submission cannot read; it repeats the submission, after 1, 2 and 4 s. A repeated submission did not postpone the deadline, so a slow sidecar dropped a ticket whose entry was still calling, and reported the start deadline as the reason.

The same holds for a repeated attachment to a restarted sidecar; it now postpones the deadline too. A ticket of an entry that is gone is dropped as before.

The new test repeats a submission every 8 s; before, the ticket expired at 16 s.

--- a/src/decide/ledger.rs
+++ b/src/decide/ledger.rs
@@ -11,7 +11,7 @@
 use super::outcome::{RefusalReason, StreamEnd};
 use crate::kernel::{Arena, Moment};
 
-/// Time without a read after which a ticket counts as orphaned.
+/// Time without a call of its reader after which a ticket counts as orphaned.
 const ORPHAN_TIMEOUT: Duration = Duration::from_secs(10);
 
 #[derive(Debug, Clone, Copy)]
@@ -67,7 +67,8 @@
         }
     }
 
-    /// Submits a ticket; a repeated submission has no further effect.
+    /// Submits a ticket; a repeated submission only postpones the ticket's orphan and eviction
+    /// deadlines.
     pub fn submit(
         &mut self,
         now: Moment,
@@ -75,7 +76,7 @@
         repeatability: Repeatability,
         start_by: Moment,
     ) -> SubmitStep {
-        if let Some(key) = self.find(ticket) {
+        if let Some(key) = self.renew(now, ticket) {
             return match self.tickets.get(key).map(|entry| entry.state) {
                 Some(TicketState::Ended(StreamEnd::NotRun(reason))) => SubmitStep::Refused(reason),
                 _ => SubmitStep::Known(key),
@@ -182,8 +183,8 @@
         }
     }
 
-    /// Finds a ticket for a read and postpones its orphan and eviction deadlines.
-    pub fn read(&mut self, now: Moment, ticket: Ticket) -> Option<TicketKey> {
+    /// Finds a ticket whose reader has called and postpones its orphan and eviction deadlines.
+    pub fn renew(&mut self, now: Moment, ticket: Ticket) -> Option<TicketKey> {
         let key = self.find(ticket)?;
         self.change(key, |entry| {
             entry.orphan_at = now.after(ORPHAN_TIMEOUT);
--- a/src/services/upstream_side/ledger/reads.rs
+++ b/src/services/upstream_side/ledger/reads.rs
@@ -26,7 +26,7 @@
     /// A new read of a ticket replaces the pending one, which is replied to at once.
     pub fn read(&mut self, now: Moment, call: ReadCall, reply_to: ReplyTo<ReadReply>) {
         let ticket = Ticket::from(call.ticket);
-        let Some(key) = self.ledger.read(now, ticket) else {
+        let Some(key) = self.ledger.renew(now, ticket) else {
             let verdict = ReadVerdict::UnknownTicket;
             reply_to.send(ReadReply {
                 head: self.reply_head(),
--- a/src/services/upstream_side/ledger/running.rs
+++ b/src/services/upstream_side/ledger/running.rs
@@ -56,7 +56,7 @@
         repeatability: Repeatability,
         reply_to: ReplyTo<AttachReply>,
     ) {
-        if self.ledger.find(ticket).is_some() {
+        if self.ledger.renew(turn.now, ticket).is_some() {
             let verdict = AttachVerdict::Attached;
             reply_to.send(AttachReply {
                 head: self.reply_head(),
--- a/tests/ledger.rs
+++ b/tests/ledger.rs
@@ -21,6 +21,9 @@
 /// Number of generated inputs of each property.
 const CASES: u64 = 2_000;
 
+/// Interval at which an entry repeats a submission without a reply.
+const REPEAT_INTERVAL: Duration = Duration::from_secs(8);
+
 /// Longer than the retention time of ends.
 const LONG_PAUSE: Duration = Duration::from_mins(10);
 
@@ -196,8 +199,28 @@
         sequence: 2,
     };
     assert_eq!(
-        ledger.read(later, kept),
+        ledger.renew(later, kept),
         Some(running[1]),
         "the answer of a non-idempotent ticket is kept"
     );
 }
+
+#[test]
+fn a_queued_ticket_is_kept_while_its_submission_is_repeated() {
+    let mut ledger = TicketLedger::new(BOUNDS);
+    let ticket = ticket(0, 0);
+    let submit = |ledger: &mut TicketLedger, now| {
+        ledger.submit(now, ticket, Repeatability::NonIdempotent, Moment::NEVER)
+    };
+    let SubmitStep::Queued(key) = submit(&mut ledger, Moment::START) else {
+        panic!("the ticket is new");
+    };
+    let mut now = Moment::START;
+    for _ in 0..4 {
+        now = now.after(REPEAT_INTERVAL);
+        assert_eq!(ledger.expire(now), None, "at {now:?}");
+        assert_eq!(submit(&mut ledger, now), SubmitStep::Known(key));
+    }
+    let later = now.after(LONG_PAUSE);
+    assert_eq!(ledger.expire(later), Some(ExpiryStep::NotStarted(key)));
+}
