Tell by /ready whether a process accepts requests

Callers saw: 503 `no_configuration` or `engine_down`, not run, right after the start of a fleet although its entries listed the model. Nothing told an operator or a test when the sidecars had read the configuration and reached their engines, and an entry without a configuration passed the balancer's check.

`GET /ready` of the operator port answers 200 while a process accepts requests, else 503 with the reason: a sidecar asks its ledger with the rule that refuses submissions, an entry whether its configuration has customers. `/health` stays as it was.

New tests: readiness of the ledger (ready, engine down, another version, not declared, leaving) and the responses of the port; before, the port answered 401 or 404 and the ledger had no such question.

--- a/src/services/common/mail.rs
+++ b/src/services/common/mail.rs
@@ -9,7 +9,7 @@
 use crate::decide::config::Configuration;
 use crate::decide::ids::{EngineEpoch, Incarnation, LogOffset, Repeatability, Ticket};
 use crate::decide::ledger::TicketKey;
-use crate::decide::outcome::StreamEnd;
+use crate::decide::outcome::{RefusalReason, StreamEnd};
 use crate::decide::propagation::{CallKind, LogStep, PeerOffset, PeerStep};
 use crate::decide::request_step::SubmitCause;
 use crate::decide::suspect_guard::SuspectUpdate;
@@ -143,6 +143,8 @@
     EngineSilent(Moment, ReplyTo<EngineStatus>),
     /// Refuses new requests until the moment, and requests a report of what is unfinished.
     HoldForOrder(Moment, ReplyTo<OrderReport>),
+    /// Requests the reason why requests for the declared version are refused at present, if they are.
+    Readiness(ReplyTo<Option<RefusalReason>>),
     /// The platform asks this instance to leave.
     Leaving,
     /// A page of the engine's cache events; the reply says what to fetch next.
--- a/src/services/common/operator.rs
+++ b/src/services/common/operator.rs
@@ -1,5 +1,5 @@
-//! I/O task `operator`: HTTP server of the operator port, with health, state dump and request
-//! reports.
+//! I/O task `operator`: HTTP server of the operator port, with health, readiness, state dump and
+//! request reports.
 
 use std::sync::Arc;
 
@@ -10,7 +10,8 @@
 use tokio::net::TcpListener;
 use tokio::sync::{oneshot, watch};
 
-use super::mail::{JournalMail, Mail};
+use super::mail::{ConfigMail, JournalMail, LedgerMail, Mail};
+use crate::decide::outcome::RefusalReason;
 use crate::events::{OPERATOR_DENIED, log_event};
 use crate::kernel::{Directory, Inbox, IoTask, Moment, Signal};
 use crate::platform::http_server::{
@@ -18,6 +19,8 @@
     json_response, serve,
 };
 use crate::services::caller_side::journal;
+use crate::services::configuration::config::CONFIG;
+use crate::services::upstream_side::ledger::LEDGER;
 
 /// Name of the I/O task that serves the operator port.
 pub const NAME: &str = "operator";
@@ -118,6 +121,9 @@
         if path == "/health" {
             return self.health();
         }
+        if path == "/ready" {
+            return self.ready().await;
+        }
         if !is_authorized(request.headers(), self.identity.token.as_deref()) {
             log_event(&OPERATOR_DENIED, &[("path", &path)]);
             let message = "the operator token is missing or wrong";
@@ -148,6 +154,34 @@
         }
     }
 
+    /// Responds with status 200 if the process accepts requests, otherwise with the reason for which
+    /// it refuses them.
+    async fn ready(&self) -> Response<ResponseBody> {
+        match self.unready_reason().await {
+            None => json_response(StatusCode::OK, &json!({"status": "ready"})),
+            Some(reason) => {
+                let body = json!({"status": "not_ready", "reason": reason.code()});
+                json_response(StatusCode::SERVICE_UNAVAILABLE, &body)
+            }
+        }
+    }
+
+    async fn unready_reason(&self) -> Option<RefusalReason> {
+        if self.is_leaving {
+            return Some(RefusalReason::Leaving);
+        }
+        if self.directory.find(LEDGER).is_some() {
+            let message = |reply_to| Mail::Ledger(LedgerMail::Readiness(reply_to));
+            let reply = self.directory.ask(LEDGER, message).await;
+            // A ledger that does not reply has stopped.
+            return reply.unwrap_or(Some(RefusalReason::Leaving));
+        }
+        let message = |reply_to| Mail::Config(ConfigMail::Current(reply_to));
+        let configuration = self.directory.ask(CONFIG, message).await;
+        let is_configured = configuration.is_some_and(|current| !current.customers.is_empty());
+        (!is_configured).then_some(RefusalReason::NoConfiguration)
+    }
+
     fn health(&self) -> Response<ResponseBody> {
         let uptime = self.directory.now().since(Moment::START).as_secs();
         let (status, text) = if self.is_leaving {
--- a/src/services/upstream_side/ledger/mod.rs
+++ b/src/services/upstream_side/ledger/mod.rs
@@ -10,11 +10,14 @@
 use crate::kernel::{Service, Signal, Turn};
 use crate::services::common::mail::{LedgerMail, Mail};
 
+/// Name of the service that owns the tickets of a sidecar.
+pub const LEDGER: &str = "ledger";
+
 /// Creates the service `ledger`.
 #[must_use]
 pub fn ledger_service(settings: LedgerSettings) -> Service<Mail> {
     let mut state = LedgerState::new(settings);
-    Service::new("ledger", move |turn, signal| {
+    Service::new(LEDGER, move |turn, signal| {
         match signal {
             Signal::Mail(Mail::Ledger(mail)) => handle(&mut state, turn, mail),
             Signal::Start | Signal::Due | Signal::Mail(_) => {}
@@ -45,6 +48,7 @@
         LedgerMail::HoldForOrder(closed_until, reply_to) => {
             reply_to.send(state.order_report(closed_until));
         }
+        LedgerMail::Readiness(reply_to) => reply_to.send(state.unready_reason(now)),
         LedgerMail::EngineStatus(engine) => state.on_engine_state(engine),
         LedgerMail::EngineSilent(polled_at, reply_to) => {
             reply_to.send(state.on_engine_silent(polled_at));
--- a/src/services/upstream_side/ledger/state.rs
+++ b/src/services/upstream_side/ledger/state.rs
@@ -6,7 +6,7 @@
 
 use super::job::{TicketJob, new_job};
 use crate::decide::cache_index::{CacheList, CachePage, IndexStep};
-use crate::decide::config::{Configuration, Upstream};
+use crate::decide::config::{Configuration, Upstream, UpstreamKind};
 use crate::decide::ids::{Incarnation, Rank, Repeatability, Ticket};
 use crate::decide::ledger::{LedgerBounds, SubmitStep, TicketKey, TicketLedger, WithdrawStep};
 use crate::decide::outcome::{RefusalReason, StreamEnd};
@@ -298,6 +298,17 @@
         }
     }
 
+    /// Returns why requests for the declared version are refused at present, if they are.
+    #[must_use]
+    pub fn unready_reason(&self, now: Moment) -> Option<RefusalReason> {
+        let kind = self.upstream.as_ref().map(|upstream| &upstream.kind);
+        let version = match kind {
+            Some(UpstreamKind::Engine { version, .. }) => version,
+            Some(UpstreamKind::Plain { .. }) | None => "",
+        };
+        self.refusal_reason(now, version)
+    }
+
     /// Returns why a request for a version is refused at present, if it is.
     fn refusal_reason(&self, now: Moment, version: &str) -> Option<RefusalReason> {
         let Some(upstream) = &self.upstream else {
--- a/tests/common/fleet.rs
+++ b/tests/common/fleet.rs
@@ -67,12 +67,12 @@
 }
 
 impl Fleet {
-    /// Starts the usual fleet and waits until both entries serve.
+    /// Starts the usual fleet and waits until both entries serve and all sidecars accept requests.
     pub async fn start() -> Self {
         Self::start_with(&FleetOptions::default()).await
     }
 
-    /// Starts a fleet and waits until both entries serve.
+    /// Starts a fleet and waits until both entries serve and all sidecars accept requests.
     pub async fn start_with(options: &FleetOptions) -> Self {
         let platform = standin("platform", &[]);
         let engines: Vec<ChildProcess> = (0..2)
@@ -123,6 +123,9 @@
             relays,
         };
         fleet.wait_until_served().await;
+        for sidecar in 0..fleet.sidecars.len() {
+            fleet.until_ready(sidecar, CONFIG_LIMIT).await;
+        }
         fleet
     }
 
@@ -200,10 +203,8 @@
     pub async fn busy_engine(&self) -> usize {
         let deadline = Instant::now() + CONFIG_LIMIT;
         loop {
-            for index in 0..self.engines.len() {
-                if self.engine_count(index, "running").await > 0 {
-                    return index;
-                }
+            if let Some(index) = self.running_engine().await {
+                return index;
             }
             if Instant::now() >= deadline {
                 let started = self.total_count("started").await;
@@ -214,6 +215,16 @@
         }
     }
 
+    /// Returns the index of an engine that runs a request, if there is one.
+    pub async fn running_engine(&self) -> Option<usize> {
+        for index in 0..self.engines.len() {
+            if self.engine_count(index, "running").await > 0 {
+                return Some(index);
+            }
+        }
+        None
+    }
+
     /// Waits until no engine is down after a crash.
     pub async fn until_engines_up(&self) {
         let deadline = Instant::now() + CONFIG_LIMIT;
@@ -234,6 +245,20 @@
         assert_eq!(answer.status, 200, "{fault}");
     }
 
+    /// Waits until a sidecar accepts requests, at most for the given time.
+    pub async fn until_ready(&self, sidecar: usize, limit: Duration) {
+        let operator = self.sidecars[sidecar].port("operator");
+        let deadline = Instant::now() + limit;
+        loop {
+            let answer = get(operator, "/ready", &[]).await;
+            if answer.status == 200 {
+                return;
+            }
+            assert!(Instant::now() < deadline, "not ready: {}", answer.text);
+            tokio::time::sleep(POLL_PAUSE).await;
+        }
+    }
+
     /// Waits until every entry has the declared configuration in force.
     pub async fn wait_until_served(&self) {
         let deadline = Instant::now() + CONFIG_LIMIT;
--- a/tests/ledger_engine.rs
+++ b/tests/ledger_engine.rs
@@ -1,14 +1,16 @@
-//! What a sidecar concludes from polls that its engine does not reply to: the ledger service on the
+//! What a sidecar concludes from polls of its engine, and its readiness: the ledger service on the
 //! stepped kernel.
 
 mod ledger_harness;
 
+use std::sync::Arc;
 use std::time::Duration;
 
+use bulrushslip::decide::ids::LogOffset;
 use bulrushslip::decide::outcome::RefusalReason;
 use bulrushslip::services::common::mail::{EngineStatus, LedgerMail};
 use bulrushslip::wire::rpc::SubmitVerdict;
-use ledger_harness::{EPOCH, Sidecar, submit_call};
+use ledger_harness::{EPOCH, Sidecar, configuration, submit_call};
 
 /// Time that a poll waits for its reply.
 const POLL_TIME: Duration = Duration::from_secs(1);
@@ -52,3 +54,28 @@
     let reason = RefusalReason::try_from(reason);
     assert_eq!(reason, Ok(RefusalReason::EngineDown));
 }
+
+#[test]
+fn a_sidecar_is_ready_while_it_accepts_requests_for_the_declared_version() {
+    let mut sidecar = Sidecar::start();
+    let readiness = |sidecar: &mut Sidecar| sidecar.ask(LedgerMail::Readiness);
+    assert_eq!(readiness(&mut sidecar), None);
+    sidecar.post(LedgerMail::EngineStatus(EngineStatus::Down));
+    assert_eq!(readiness(&mut sidecar), Some(RefusalReason::EngineDown));
+    sidecar.post(LedgerMail::EngineStatus(EngineStatus::Up {
+        epoch: EPOCH,
+        version: "v2".to_owned(),
+    }));
+    assert_eq!(readiness(&mut sidecar), Some(RefusalReason::WrongVersion));
+    let mut undeclared = configuration();
+    undeclared.upstreams = bulrushslip::kernel::Arena::new();
+    undeclared.next_offset = LogOffset(2);
+    sidecar.post(LedgerMail::Configured(Arc::new(undeclared)));
+    let unready = readiness(&mut sidecar);
+    assert_eq!(unready, Some(RefusalReason::NoConfiguration));
+    let mut declared = configuration();
+    declared.next_offset = LogOffset(3);
+    sidecar.post(LedgerMail::Configured(Arc::new(declared)));
+    sidecar.post(LedgerMail::Leaving);
+    assert_eq!(readiness(&mut sidecar), Some(RefusalReason::Leaving));
+}
--- a/tests/operator.rs
+++ b/tests/operator.rs
@@ -1,14 +1,20 @@
 //! The operator port and the metrics service on a running kernel.
 
+use std::collections::BTreeMap;
 use std::net::{SocketAddr, UdpSocket};
+use std::sync::Arc;
 use std::time::Duration;
 
+use bulrushslip::decide::config::{Configuration, Customer};
+use bulrushslip::decide::outcome::RefusalReason;
 use bulrushslip::kernel::{Clock, Moment, NextStep, RunningKernel, Service, Signal, TokioKernel};
 use bulrushslip::platform::http_client::{CompleteResponse, call, request};
 use bulrushslip::process::listen;
-use bulrushslip::services::common::mail::Mail;
+use bulrushslip::services::common::mail::{ConfigMail, LedgerMail, Mail};
 use bulrushslip::services::common::metrics::{self, MetricSample, MetricValue};
 use bulrushslip::services::common::operator::{self, OperatorIdentity};
+use bulrushslip::services::configuration::config::CONFIG;
+use bulrushslip::services::upstream_side::ledger::LEDGER;
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::Method;
@@ -30,8 +36,28 @@
     })
 }
 
+/// Creates a service that answers each message and ends when the kernel stops.
+fn responder(name: &'static str, respond: impl Fn(Mail) + Send + 'static) -> Service<Mail> {
+    Service::new(name, move |_turn, signal| {
+        match signal {
+            Signal::Mail(mail) => respond(mail),
+            Signal::Stop => return NextStep::Stopped,
+            _ => {}
+        }
+        NextStep::Wait
+    })
+}
+
 /// Starts a kernel with the operator port and the counter; returns the address of the port.
 fn start_kernel(token: Option<&str>) -> (RunningKernel<Mail>, SocketAddr) {
+    start_kernel_with(token, counter())
+}
+
+/// Starts a kernel with the operator port and a service; returns the address of the port.
+fn start_kernel_with(
+    token: Option<&str>,
+    service: Service<Mail>,
+) -> (RunningKernel<Mail>, SocketAddr) {
     let loopback = "127.0.0.1:0".parse().expect("the address is invalid");
     let listener = listen("operator", loopback).expect("the port cannot be opened");
     let address = listener.local_addr().expect("the port has no address");
@@ -43,7 +69,7 @@
     };
     let mut kernel = TokioKernel::new();
     kernel.add_task(operator::task(listener, identity));
-    kernel.add(counter());
+    kernel.add(service);
     (kernel.launch(Clock::start()), address)
 }
 
@@ -80,6 +106,56 @@
     assert!(clock.now() < Moment::START.after(LIMIT));
 }
 
+/// Asserts the response to `/ready`, which needs no token, of a kernel with a service.
+async fn assert_ready(service: Service<Mail>, status: u16, reason: Option<&str>) {
+    let (_running, address) = start_kernel_with(Some(TOKEN), service);
+    let response = get(address, "/ready", None).await;
+    let body: serde_json::Value =
+        serde_json::from_slice(&response.body).expect("the response is not JSON");
+    let told = (response.status.as_u16(), body["reason"].as_str());
+    assert_eq!(told, (status, reason));
+}
+
+#[tokio::test]
+async fn a_sidecar_is_ready_unless_its_ledger_refuses_requests() {
+    for (refusal, status) in [(None, 200), (Some(RefusalReason::EngineDown), 503)] {
+        let ledger = responder(LEDGER, move |mail| {
+            if let Mail::Ledger(LedgerMail::Readiness(reply_to)) = mail {
+                reply_to.send(refusal);
+            }
+        });
+        assert_ready(ledger, status, refusal.map(RefusalReason::code)).await;
+    }
+    // Dropping the message leaves the call without a reply, as in a ledger that has stopped.
+    assert_ready(responder(LEDGER, drop), 503, Some("leaving")).await;
+}
+
+#[tokio::test]
+async fn an_entry_is_ready_once_it_has_a_configuration_with_customers() {
+    let mut declared = Configuration::default();
+    declared.customers.insert(Customer {
+        name: "agency".to_owned(),
+        bearer_hashes: Vec::new(),
+        ranks: Vec::new(),
+        weight: 1,
+        max_in_flight: 1,
+        placement_pieces: 0,
+        versions: BTreeMap::new(),
+    });
+    for (configuration, status, reason) in [
+        (Configuration::default(), 503, Some("no_configuration")),
+        (declared, 200, None),
+    ] {
+        let configuration = Arc::new(configuration);
+        let config = responder(CONFIG, move |mail| {
+            if let Mail::Config(ConfigMail::Current(reply_to)) = mail {
+                reply_to.send(Arc::clone(&configuration));
+            }
+        });
+        assert_ready(config, status, reason).await;
+    }
+}
+
 #[tokio::test]
 async fn counts_are_summed_and_sent_once_per_interval() {
     let receiver = UdpSocket::bind("127.0.0.1:0").expect("the port cannot be opened");
