--- a/src/platform/http_server.rs
+++ b/src/platform/http_server.rs
@@ -22,7 +22,7 @@
 use tokio::time::timeout;
 
 use super::bounded_stream::BoundedStream;
-use super::write_timeout::WriteTimeout;
+use crate::wire::write_timeout::WriteTimeout;
 
 /// Default time limit for a client to send its request headers, in milliseconds. It is also the
 /// idle timeout, because hyper has one timer for both.
--- a/src/platform/mod.rs
+++ b/src/platform/mod.rs
@@ -17,4 +17,3 @@
 pub mod store_client;
 pub mod store_records;
 pub mod upstream_entry;
-pub mod write_timeout;
