End responses of engines that send bytes without progress

A response behind a sidecar was bounded in bytes, not in time: an engine that sent comments, blank lines, a partial event or an old event a few bytes at a time, or only a head again on each connection, held its ticket, its slot and the connection without end, and so did a plain service that sent its body byte by byte. Callers without a limit of their own waited as long. A model engine now has a minute for each new event, whatever bytes it sends meanwhile, and any response 30 minutes. The end says that the request ran or may have run.

--- a/src/services/upstream_side/engine_stream.rs
+++ b/src/services/upstream_side/engine_stream.rs
@@ -9,7 +9,7 @@
 use hyper::{HeaderMap, Method, Request, Response, StatusCode};
 use tokio::time::timeout;
 
-use super::engine_task::{EngineKind, EngineTarget};
+use super::engine_task::{EngineKind, EngineTarget, ResponseLimits};
 use crate::decide::ids::{Repeatability, Ticket};
 use crate::decide::ledger::TicketKey;
 use crate::decide::outcome::{RefusalReason, StreamEnd};
@@ -72,6 +72,7 @@
 #[derive(Debug)]
 pub struct EngineStream {
     target: EngineTarget,
+    limits: ResponseLimits,
     directory: Directory<Mail>,
     key: TicketKey,
     ticket: Ticket,
@@ -80,6 +81,8 @@
     head_sent: bool,
     epoch: Option<String>,
     recover_by: Moment,
+    /// When an engine without a new event counts as lost.
+    progress_by: Moment,
 }
 
 impl EngineStream {
@@ -87,6 +90,7 @@
     #[must_use]
     pub const fn new(
         target: EngineTarget,
+        limits: ResponseLimits,
         directory: Directory<Mail>,
         key: TicketKey,
         ticket: Ticket,
@@ -94,6 +98,7 @@
     ) -> Self {
         Self {
             target,
+            limits,
             directory,
             key,
             ticket,
@@ -102,22 +107,39 @@
             head_sent: false,
             epoch: None,
             recover_by: Moment::NEVER,
+            progress_by: Moment::NEVER,
         }
     }
 
-    /// Runs the stream to its end and reports the end.
+    /// Runs the stream to its end, at most for its time limit, and reports the end.
     pub async fn run(mut self, origin: StreamOrigin) {
+        self.record_progress();
+        let end = match timeout(self.limits.total, self.follow(origin)).await {
+            Ok(end) => end,
+            Err(_elapsed) => self.lost_end(),
+        };
+        self.report(LedgerMail::ResponseEnded(self.key, end)).await;
+    }
+
+    /// Follows the stream through all its connections to its end.
+    async fn follow(&mut self, origin: StreamOrigin) -> StreamEnd {
         let mut next = match origin {
             StreamOrigin::Submit(call) => self.submit(&call).await,
             StreamOrigin::Resume => StreamStep::Resume,
         };
-        let end = loop {
+        loop {
             match next {
-                StreamStep::End(end) => break end,
+                StreamStep::End(end) => return end,
+                StreamStep::Resume if self.progress_by.is_due(self.directory.now()) => {
+                    return self.lost_end();
+                }
                 StreamStep::Resume => next = self.resume().await,
             }
-        };
-        self.report(LedgerMail::ResponseEnded(self.key, end)).await;
+        }
+    }
+
+    fn record_progress(&mut self) {
+        self.progress_by = self.directory.now().after(self.limits.progress);
     }
 
     /// Sends the request and streams the response.
@@ -249,7 +271,10 @@
             let before = self.next_event;
             match self.forward_events(&mut decoder).await {
                 EventsOutcome::More if self.next_event > before => idle_bytes = 0,
-                EventsOutcome::More if idle_bytes > MAX_IDLE_BYTES => {
+                EventsOutcome::More
+                    if idle_bytes > MAX_IDLE_BYTES
+                        || self.progress_by.is_due(self.directory.now()) =>
+                {
                     return StreamStep::End(StreamEnd::EngineLost);
                 }
                 EventsOutcome::More => {}
@@ -292,6 +317,7 @@
         };
         if !items.is_empty() {
             self.recover_by = Moment::NEVER;
+            self.record_progress();
             self.report(LedgerMail::Items(self.key, items)).await;
         }
         outcome
--- a/src/services/upstream_side/engine_task.rs
+++ b/src/services/upstream_side/engine_task.rs
@@ -38,26 +38,51 @@
     pub kind: EngineKind,
 }
 
+/// Time limits of a response.
+#[derive(Debug, Clone, Copy)]
+pub struct ResponseLimits {
+    /// Time without a new event after which a model engine counts as lost, though it sends bytes.
+    pub progress: Duration,
+    /// Time after which a response that still goes on is broken off.
+    pub total: Duration,
+}
+
+impl Default for ResponseLimits {
+    fn default() -> Self {
+        Self {
+            progress: Duration::from_mins(1),
+            total: Duration::from_mins(30),
+        }
+    }
+}
+
 /// Creates the I/O task `engine` for an upstream.
 #[must_use]
-pub fn engine_task(target: EngineTarget) -> IoTask<Mail> {
+pub fn engine_task(target: EngineTarget, limits: ResponseLimits) -> IoTask<Mail> {
     IoTask::new("engine", move |inbox, directory| {
-        run(target, inbox, directory)
+        run(target, limits, inbox, directory)
     })
 }
 
 /// Child tasks of the running tickets.
 struct RunningStreams {
     target: EngineTarget,
+    limits: ResponseLimits,
     directory: Directory<Mail>,
     tasks: JoinSet<()>,
     by_key: HashMap<TicketKey, AbortHandle>,
     by_task: HashMap<Id, TicketKey>,
 }
 
-async fn run(target: EngineTarget, mut inbox: Inbox<Mail>, directory: Directory<Mail>) {
+async fn run(
+    target: EngineTarget,
+    limits: ResponseLimits,
+    mut inbox: Inbox<Mail>,
+    directory: Directory<Mail>,
+) {
     let mut streams = RunningStreams {
         target,
+        limits,
         directory,
         tasks: JoinSet::new(),
         by_key: HashMap::new(),
@@ -117,7 +142,14 @@
         repeatability: Repeatability,
     ) -> EngineStream {
         let directory = self.directory.clone();
-        EngineStream::new(self.target, directory, key, ticket, repeatability)
+        EngineStream::new(
+            self.target,
+            self.limits,
+            directory,
+            key,
+            ticket,
+            repeatability,
+        )
     }
 
     /// Records the child task of a ticket.
--- a/src/sidecar.rs
+++ b/src/sidecar.rs
@@ -13,7 +13,9 @@
 use crate::services::upstream_side::claim_log::claim_log_task;
 use crate::services::upstream_side::claims::claims_service;
 use crate::services::upstream_side::config_feed::config_feed_task;
-use crate::services::upstream_side::engine_task::{EngineKind, EngineTarget, engine_task};
+use crate::services::upstream_side::engine_task::{
+    EngineKind, EngineTarget, ResponseLimits, engine_task,
+};
 use crate::services::upstream_side::engine_watch::engine_watch_task;
 use crate::services::upstream_side::leaving_watch::leaving_watch_task;
 use crate::services::upstream_side::ledger::LedgerSettings;
@@ -73,7 +75,7 @@
     };
     let mut kernel = TokioKernel::new();
     identity.add_base_components(&mut kernel)?;
-    kernel.add_task(engine_task(target));
+    kernel.add_task(engine_task(target, ResponseLimits::default()));
     kernel.add_task(engine_watch_task(target));
     if target.kind == EngineKind::Model {
         kernel.add_task(cache_watch_task(target.address));
