Limit the time of a health check of a plain service

A plain service whose host or listen queue did not answer attempts to connect held the poll of its state for as long as the system retries, about two minutes, and the ledger kept the last state meanwhile. A poll without an outcome within a second now counts as silence, as that of a model engine does.

The new test, with a full listen queue, failed before: no outcome after 10 s. It now comes after 1.1 s.

--- a/src/services/upstream_side/engine_watch.rs
+++ b/src/services/upstream_side/engine_watch.rs
@@ -6,6 +6,7 @@
 use hyper::Method;
 use serde::Deserialize;
 use tokio::net::TcpStream;
+use tokio::time::timeout;
 
 use super::engine_task::{EngineKind, EngineTarget};
 use crate::decide::ids::EngineEpoch;
@@ -108,13 +109,19 @@
 async fn read_state(target: EngineTarget) -> PollOutcome {
     match target.kind {
         EngineKind::Model => read_load(target).await,
-        EngineKind::Plain => PollOutcome::Replied(match TcpStream::connect(target.address).await {
-            Ok(_) => EngineStatus::Up {
-                epoch: EngineEpoch(1),
-                version: String::new(),
-            },
-            Err(_) => EngineStatus::Down,
+        EngineKind::Plain => connect(target).await,
+    }
+}
+
+/// Connects to a plain service.
+async fn connect(target: EngineTarget) -> PollOutcome {
+    match timeout(POLL_TIMEOUT, TcpStream::connect(target.address)).await {
+        Ok(Ok(_connection)) => PollOutcome::Replied(EngineStatus::Up {
+            epoch: EngineEpoch(1),
+            version: String::new(),
         }),
+        Ok(Err(_refused)) => PollOutcome::Replied(EngineStatus::Down),
+        Err(_elapsed) => PollOutcome::Silent,
     }
 }
 
--- a/tests/slow_engine.rs
+++ b/tests/slow_engine.rs
@@ -11,13 +11,15 @@
 use bulrushslip::decide::ledger::{LedgerBounds, SubmitStep, TicketLedger};
 use bulrushslip::decide::outcome::StreamEnd;
 use bulrushslip::kernel::{Clock, Moment, NextStep, Service, Signal, TokioKernel, Turn};
-use bulrushslip::services::common::mail::{EngineMail, LedgerMail, Mail};
+use bulrushslip::services::common::mail::{EngineMail, EngineStatus, LedgerMail, Mail};
 use bulrushslip::services::upstream_side::engine_task::{
     EngineKind, EngineTarget, ResponseLimits, engine_task,
 };
+use bulrushslip::services::upstream_side::engine_watch::engine_watch_task;
 use bulrushslip::wire::rpc::{SubmitCall, WireRank};
 use endless_upstream::{EndlessResponse, EndlessUpstream};
-use tokio::net::TcpListener;
+use socket2::{Domain, Socket, Type};
+use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::mpsc;
 use tokio::time::timeout;
 
@@ -222,3 +224,33 @@
     assert_eq!(end, StreamEnd::EngineLost);
     assert!(took >= LIMITS.total, "{took:?}");
 }
+
+#[tokio::test]
+async fn a_plain_service_that_accepts_no_connection_is_silent() {
+    let address: SocketAddr = "127.0.0.1:0".parse().expect("an address");
+    let socket = Socket::new(Domain::IPV4, Type::STREAM, None).expect("a socket");
+    socket.bind(&address.into()).expect("a port");
+    socket.listen(0).expect("a listener");
+    let address = socket.local_addr().expect("an address");
+    let address = address.as_socket().expect("an IP address");
+    // Attempts to connect to a full listen queue get no reply.
+    let mut queued = Vec::new();
+    while let Ok(Ok(stream)) = timeout(PACE, TcpStream::connect(address)).await {
+        queued.push(stream);
+    }
+    let (sender, mut silent) = mpsc::unbounded_channel();
+    let mut kernel = TokioKernel::new();
+    let service = move |_turn: &mut Turn<'_, Mail>, signal| {
+        if let Signal::Mail(Mail::Ledger(LedgerMail::EngineSilent(_, reply_to))) = signal {
+            reply_to.send(EngineStatus::Down);
+            drop(sender.send(()));
+        }
+        NextStep::Wait
+    };
+    kernel.add(Service::new("ledger", service));
+    let kind = EngineKind::Plain;
+    kernel.add_task(engine_watch_task(EngineTarget { address, kind }));
+    let _running = kernel.launch(Clock::start());
+    let reported = timeout(END_LIMIT, silent.recv()).await;
+    assert!(reported.is_ok(), "no outcome of a poll after {END_LIMIT:?}");
+}
