--- a/tests/http_server.rs
+++ b/tests/http_server.rs
@@ -2,6 +2,7 @@
 
 use std::io::{Read, Write};
 use std::net::TcpStream;
+use std::sync::mpsc::RecvTimeoutError;
 use std::time::{Duration, Instant};
 
 use bulrushslip::platform::http_server::{
@@ -107,6 +108,28 @@
     assert_eq!(&first, b"HTTP/1.1");
 }
 
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_client_that_reads_byte_by_byte_gives_its_connection_up_to_others() {
+    let address = serve_large_body().await;
+    let mut slow = send_request(address);
+    let (stop, stopped) = std::sync::mpsc::channel::<()>();
+    let reader = std::thread::spawn(move || {
+        let mut byte = [0];
+        let pace = Duration::from_millis(10);
+        while stopped.recv_timeout(pace) == Err(RecvTimeoutError::Timeout) {
+            if !matches!(slow.read(&mut byte), Ok(1)) {
+                return;
+            }
+        }
+    });
+    let mut other = send_request(address);
+    let mut first = [0; 8];
+    let read = other.read_exact(&mut first);
+    assert!(read.is_ok(), "{read:?}");
+    drop(stop);
+    reader.join().expect("a reader");
+}
+
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn a_client_that_reads_slowly_receives_the_whole_response() {
     let address = serve_large_body().await;
--- a/tests/rpc_frames.rs
+++ b/tests/rpc_frames.rs
@@ -106,3 +106,19 @@
     let closed = futures::future::join_all(checks).await;
     assert_eq!(closed, [true; 2]);
 }
+
+#[tokio::test]
+async fn a_gateway_closes_connections_with_junk_without_end() {
+    let world = TestEnvironment::start();
+    let gateway = world.gateway("g");
+    let address = gateway.process.port("peers");
+    // Lengths beyond the maximum, empty frames, and frames that are no messages.
+    let junk: [&[u8]; 3] = [&[255], &[0], &[0, 0, 0, 4, 255, 255, 255, 255]];
+    for repeated in junk {
+        let mut stream = TcpStream::connect(address).await.expect("a connection");
+        let block = repeated.repeat(1_024);
+        let sending = async { while stream.write_all(&block).await.is_ok() {} };
+        let closed = timeout(CLOSE_LIMIT, sending).await;
+        assert!(closed.is_ok(), "{repeated:?}: not closed");
+    }
+}
