--- a/tests/slow_engine.rs
+++ b/tests/slow_engine.rs
@@ -95,7 +95,7 @@
     let mut kernel = TokioKernel::new();
     let service = move |_turn: &mut Turn<'_, Mail>, signal| {
         if let Signal::Mail(Mail::Ledger(LedgerMail::ResponseEnded(_, end))) = signal {
-            drop(sender.send(end));
+            let _is_received = sender.send(end);
         }
         NextStep::Wait
     };
@@ -243,7 +243,7 @@
     let service = move |_turn: &mut Turn<'_, Mail>, signal| {
         if let Signal::Mail(Mail::Ledger(LedgerMail::EngineSilent(_, reply_to))) = signal {
             reply_to.send(EngineStatus::Down);
-            drop(sender.send(()));
+            let _is_received = sender.send(());
         }
         NextStep::Wait
     };
