--- a/tests/gateway_memory.rs
+++ b/tests/gateway_memory.rs
@@ -286,6 +286,19 @@
     assert_below_limit(&mut gateway, 110);
 }
 
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn the_allocator_asks_for_no_huge_pages() {
+    let (_world, gateway, address) = start(110).await;
+    burst(address, "/once/", 100, 10_000, REFUSAL_LIMIT).await;
+    let process = gateway.process.id();
+    let mappings = std::fs::read_to_string(format!("/proc/{process}/smaps")).expect("mappings");
+    let flags = mappings
+        .lines()
+        .filter_map(|line| line.strip_prefix("VmFlags:"));
+    let of_huge_pages = flags.filter(|flags| flags.split_whitespace().any(|flag| flag == "hg"));
+    assert_eq!(of_huge_pages.count(), 0);
+}
+
 /// Prints the bytes of each state, as listed in docs/CAPACITY.md.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 #[ignore = "prints figures and checks nothing"]
