--- a/tests/http_server.rs
+++ b/tests/http_server.rs
@@ -1,8 +1,7 @@
-//! Shutdown of the HTTP server loop, and clients that do not read.
+//! Shutdown of the HTTP server loop, and its choice of connections when it is full.
 
 use std::io::{Read, Write};
-use std::net::TcpStream;
-use std::sync::mpsc::RecvTimeoutError;
+use std::net::{SocketAddr, TcpStream};
 use std::time::{Duration, Instant};
 
 use bulrushslip::platform::http_server::{
@@ -62,110 +61,91 @@
     }
 }
 
-/// Body that the kernel's buffers of a connection do not hold.
-const LARGE_BODY: &[u8] = &[b'a'; 32 * 1024 * 1024];
+/// Connections of a server that refuses further ones.
+const PLACES: usize = 3;
 
-/// Largest part of it that a slow client reads, in bytes.
-const SLOW_READ_BYTES: usize = 1024 * 1024;
+/// Limits with an idle timeout that is longer than the tests.
+const FULL_LIMITS: ServerLimits = ServerLimits {
+    header_timeout_ms: 60_000,
+    max_connections: PLACES,
+    when_full: FullPolicy::Refuse,
+    ..LIMITS
+};
+
+/// Time within which a new caller gets the place of an idle connection.
+const REPLACE_LIMIT: Duration = Duration::from_secs(3);
 
-/// Starts a server that sends the large body and breaks off after 500 ms without a write.
-async fn serve_large_body() -> std::net::SocketAddr {
+/// Starts a server that never responds to the path `/hang`.
+async fn full_server() -> SocketAddr {
     let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
     let address = listener.local_addr().expect("an address");
-    let handler = RequestHandler::new(|_| async { Response::new(full_body(LARGE_BODY)) });
-    let limits = ServerLimits {
-        max_connections: 1,
-        write_timeout_ms: 500,
-        ..LIMITS
-    };
+    let handler = RequestHandler::new(|request| async move {
+        if request.uri().path() == "/hang" {
+            return std::future::pending().await;
+        }
+        Response::new(full_body("answered"))
+    });
     tokio::spawn(async move {
-        let (_running, never_stopped) = oneshot::channel();
-        serve(listener, handler, limits, never_stopped).await;
+        let (_stop, stopped) = oneshot::channel();
+        serve(listener, handler, FULL_LIMITS, stopped).await;
     });
     address
 }
 
-fn send_request(address: std::net::SocketAddr) -> TcpStream {
-    let mut client = TcpStream::connect(address).expect("a connection");
-    let request = b"GET / HTTP/1.1\r\nhost: x\r\nconnection: close\r\n\r\n";
-    client.write_all(request).expect("a sent request");
-    let read_timeout = Some(Duration::from_secs(5));
-    client
-        .set_read_timeout(read_timeout)
-        .expect("a read timeout");
-    client
+/// Opens a connection and sends bytes over it.
+fn connect(address: SocketAddr, bytes: &[u8]) -> TcpStream {
+    let mut caller = TcpStream::connect(address).expect("a connection");
+    caller.write_all(bytes).expect("sent bytes");
+    let limit = Some(REPLACE_LIMIT);
+    caller.set_read_timeout(limit).expect("a read timeout");
+    caller
 }
 
-#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
-async fn a_client_that_does_not_read_gives_its_connection_up_to_others() {
-    let address = serve_large_body().await;
-    let _silent = send_request(address);
-    let mut other = send_request(address);
-    let sent = Instant::now();
-    let mut first = [0; 8];
-    let read = other.read_exact(&mut first);
-    assert!(read.is_ok(), "{read:?} after {:?}", sent.elapsed());
-    assert_eq!(&first, b"HTTP/1.1");
+/// Returns the status of a response to a new caller.
+fn new_caller(address: SocketAddr) -> String {
+    let request = b"GET / HTTP/1.1\r\nhost: x\r\nconnection: close\r\n\r\n";
+    let mut caller = connect(address, request);
+    let mut answer = String::new();
+    drop(caller.read_to_string(&mut answer));
+    answer.split(' ').nth(1).unwrap_or_default().to_owned()
 }
 
-#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
-async fn a_client_that_reads_byte_by_byte_gives_its_connection_up_to_others() {
-    let address = serve_large_body().await;
-    let mut slow = send_request(address);
-    let (stop, stopped) = std::sync::mpsc::channel::<()>();
-    let reader = std::thread::spawn(move || {
-        let mut byte = [0];
-        let pace = Duration::from_millis(10);
-        while stopped.recv_timeout(pace) == Err(RecvTimeoutError::Timeout) {
-            if !matches!(slow.read(&mut byte), Ok(1)) {
-                return;
-            }
-        }
-    });
-    let mut other = send_request(address);
-    let mut first = [0; 8];
-    let read = other.read_exact(&mut first);
-    assert!(read.is_ok(), "{read:?}");
-    drop(stop);
-    reader.join().expect("a reader");
+/// Repeats a new caller's request until it is served.
+fn assert_gets_place(address: SocketAddr) {
+    let started = Instant::now();
+    while new_caller(address) != "200" {
+        assert!(started.elapsed() < REPLACE_LIMIT, "not served");
+    }
 }
 
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
-async fn a_client_that_reads_slowly_receives_the_whole_response() {
-    let address = serve_large_body().await;
-    let mut client = send_request(address);
-    let mut part = vec![0; SLOW_READ_BYTES];
-    let mut received = 0;
-    let begun = Instant::now();
-    loop {
-        let count = client.read(&mut part).expect("a read");
-        if count == 0 {
-            break;
-        }
-        received += count;
-        // Stays behind the server, which waits for this client many times.
-        std::thread::sleep(Duration::from_millis(20));
+async fn a_new_caller_gets_the_place_of_an_idle_connection() {
+    for sent in [
+        "",
+        "GET / HTTP/1.1\r\nho",
+        "GET / HTTP/1.1\r\nhost: x\r\n\r\n",
+    ] {
+        let address = full_server().await;
+        let idle: Vec<TcpStream> = (0..PLACES)
+            .map(|_| connect(address, sent.as_bytes()))
+            .collect();
+        assert_gets_place(address);
+        drop(idle);
     }
-    assert!(received > LARGE_BODY.len(), "{received} bytes");
-    assert!(begun.elapsed() > Duration::from_millis(500));
 }
 
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
-async fn a_head_that_comes_byte_by_byte_is_limited_as_a_whole() {
-    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
-    let address = listener.local_addr().expect("an address");
-    let handler = RequestHandler::new(|_| async { Response::new(full_body("answered")) });
-    let limits = ServerLimits {
-        header_timeout_ms: 500,
-        ..LIMITS
-    };
-    let (_running, never_stopped) = oneshot::channel();
-    tokio::spawn(serve(listener, handler, limits, never_stopped));
-    let mut client = TcpStream::connect(address).expect("a connection");
-    let begun = Instant::now();
-    while client.write_all(b"G").is_ok() {
-        let held = begun.elapsed();
-        assert!(held < Duration::from_secs(2), "open after {held:?}");
-        std::thread::sleep(Duration::from_millis(50));
+async fn a_connection_with_an_open_request_keeps_its_place() {
+    let address = full_server().await;
+    let request = b"GET /hang HTTP/1.1\r\nhost: x\r\n\r\n";
+    let mut open: Vec<TcpStream> = (0..PLACES).map(|_| connect(address, request)).collect();
+    let started = Instant::now();
+    while started.elapsed() < REPLACE_LIMIT / 2 {
+        assert_eq!(new_caller(address), "503");
+    }
+    for caller in &mut open {
+        caller.set_nonblocking(true).expect("an open socket");
+        let read = caller.read(&mut [0; 1]).map_err(|error| error.kind());
+        assert_eq!(read, Err(std::io::ErrorKind::WouldBlock));
     }
 }
