Free the place of a failed order before its pause is over

Callers saw: requests on older weights, cancelled or refused near their limit, because the last upstreams were ordered to load a new version only 3.9 s after it was named.

Cause: an order that failed kept its place among the concurrent ones during the pause of 400 ms before its own upstream may be ordered again, although nothing is loaded in it. The end of the place and the time of the next order were one moment.

Now: two moments. Other instances still count the place for the time of a load.

Test: a_failed_order_frees_its_place_before_its_upstream_may_be_ordered_again failed before (Wait instead of a claim).

--- a/src/decide/rollout.rs
+++ b/src/decide/rollout.rs
@@ -41,7 +41,7 @@
 /// Pause before an upstream is ordered again after a failed order.
 const FAILED_ORDER_PAUSE: Duration = Duration::from_millis(400);
 
-/// Time after which a claimed load no longer counts as running.
+/// Time after which an order that was claimed no longer counts as running.
 const MAX_LOAD_TIME: Duration = Duration::from_secs(4);
 
 /// Claim on the right to order upstreams, as read from the log.
@@ -60,8 +60,10 @@
     holder: u64,
     version: u64,
     read_at: Moment,
-    /// Time from which the load no longer counts as running.
-    loading_until: Moment,
+    /// Time until which the order counts towards the limit on concurrent orders.
+    place_until: Moment,
+    /// Time from which the holder may claim the upstream again.
+    retry_at: Moment,
 }
 
 /// Latest claim on each upstream, as read from the log.
@@ -115,13 +117,15 @@
             holder: claim.holder,
             version: claim.version,
             read_at: now,
-            loading_until: now.after(MAX_LOAD_TIME),
+            place_until: now.after(MAX_LOAD_TIME),
+            retry_at: now.after(MAX_LOAD_TIME),
         };
         let claimed = claim.upstreams.iter().map(|id| (id.clone(), observed));
         self.claims.extend(claimed);
     }
 
-    /// Records that an order to an upstream has ended; after a failed one the upstream is paused.
+    /// Records that an order to an upstream has ended, which frees its place; after a failed one the
+    /// upstream is not ordered again at once.
     pub fn finish(&mut self, now: Moment, upstream: &str, is_loaded: bool) {
         let pause = if is_loaded {
             Duration::ZERO
@@ -129,7 +133,8 @@
             FAILED_ORDER_PAUSE
         };
         if let Some(claim) = self.claims.get_mut(upstream) {
-            claim.loading_until = now.after(pause);
+            claim.place_until = now;
+            claim.retry_at = now.after(pause);
         }
     }
 
@@ -187,8 +192,8 @@
     fn holds_place(&self, view: RolloutView<'_>, key: MemberKey, place_time: Duration) -> bool {
         let claim = self.claim_of(view, key);
         claim.is_some_and(|claim| {
-            let place_until = claim.read_at.after(place_time);
-            !claim.loading_until.min(place_until).is_due(view.now)
+            let place_until = claim.place_until.min(claim.read_at.after(place_time));
+            !place_until.is_due(view.now)
         })
     }
 
@@ -210,7 +215,7 @@
             return true;
         };
         if claim.holder == view.own {
-            return claim.loading_until.is_due(view.now);
+            return claim.retry_at.is_due(view.now);
         }
         let exclusive_time = CLAIM_VALIDITY + view.min_holder_interval + CLAIM_MARGIN;
         claim.read_at.after(exclusive_time).is_due(view.now)
--- a/tests/rollout.rs
+++ b/tests/rollout.rs
@@ -209,3 +209,26 @@
     assert!(times.iter().all(|times| !times.is_empty()));
     assert!(last_first <= first_second, "{times:?}");
 }
+
+/// Failed orders once kept their places during the pause before the next attempt, in which nothing is
+/// loaded.
+#[test]
+fn a_failed_order_frees_its_place_before_its_upstream_may_be_ordered_again() {
+    let (fleet, keys) = fleet(&[8; 4]);
+    let mut claims = OrderClaimTable::default();
+    let first = claimed(claims.next(view(at(0), &fleet, 1, 0)));
+    assert_eq!(first.len(), 1);
+    let failed = fleet.get(first[0]).expect("listed").entry.id.clone();
+    claims.apply(at(0), &claim(1, &[&failed]));
+    claims.finish(at(650), &failed, false);
+    let second = claimed(claims.next(view(at(650), &fleet, 1, 0)));
+    assert_eq!(second.len(), 1);
+    assert_ne!(second, first);
+    for key in keys.iter().filter(|key| **key != first[0]) {
+        let id = &fleet.get(*key).expect("listed").entry.id;
+        claims.apply(at(650), &claim(1, &[id]));
+        claims.finish(at(700), id, true);
+    }
+    let pause = claims.next(view(at(700), &fleet, 1, 0));
+    assert_ne!(pause, RolloutStep::Claim(first), "ordered again at once");
+}
