Order upstreams with expired weights all at once

Cause: the limit on concurrent orders keeps upstreams in use. One with expired weights is not in use, so the limit only delayed it.

Now: expired upstreams are ordered whatever others load.

Tests: all_upstreams_with_expired_weights_are_ordered_whatever_others_load failed before (Wait instead of a claim of the rest); only_upstreams_with_requests_on_allowed_weights_are_drained is new with its function.

--- a/src/decide/rollout.rs
+++ b/src/decide/rollout.rs
@@ -92,6 +92,8 @@
     pub target_since: Moment,
     /// Time after operators set the version from which no request may start on older weights.
     pub weights_limit: Duration,
+    /// Oldest version to which requests may still be sent.
+    pub oldest_allowed: u64,
     /// Minimum interval between orders of different holders to one upstream.
     pub min_holder_interval: Duration,
     /// All upstreams.
@@ -109,6 +111,23 @@
     Wait(Moment),
 }
 
+impl RolloutView<'_> {
+    /// Reports whether requests may no longer be sent to the weights of an upstream.
+    fn is_expired(&self, key: MemberKey) -> bool {
+        let version = self.fleet.get(key).and_then(FleetMember::version);
+        version.is_some_and(|version| version < self.oldest_allowed)
+    }
+
+    /// Reports whether requests are to end before an upstream is ordered: an idle one has none, and one
+    /// with expired weights is better off if it refuses those that wait.
+    #[must_use]
+    pub fn needs_drain(&self, key: MemberKey) -> bool {
+        let member = self.fleet.get(key);
+        let is_idle = member.is_none_or(|member| member.load(self.now).in_flight == 0);
+        !is_idle && !self.is_expired(key)
+    }
+}
+
 impl OrderClaimTable {
     /// Records a claim read from the log.
     pub fn apply(&mut self, now: Moment, claim: &OrderClaim) {
@@ -170,11 +189,16 @@
             .iter()
             .filter(|key| self.holds_place(view, **key, place_time))
             .count();
-        let remaining = limit.saturating_sub(loading);
         let mut claimable: Vec<MemberKey> = outdated
             .into_iter()
             .filter(|key| self.may_claim(view, *key))
             .collect();
+        // An upstream that may serve no more requests loses nothing by a concurrent load.
+        let expired = claimable
+            .iter()
+            .filter(|key| view.is_expired(**key))
+            .count();
+        let remaining = limit.saturating_sub(loading).max(expired);
         if remaining == 0 || claimable.is_empty() {
             return RolloutStep::Wait(view.now.after(Duration::from_millis(100)));
         }
--- a/src/gateway/order_delivery.rs
+++ b/src/gateway/order_delivery.rs
@@ -41,6 +41,8 @@
     pub(super) member: MemberKey,
     pub(super) id: String,
     pub(super) address: SocketAddr,
+    /// Whether running requests get time to end before the order is sent.
+    pub(super) needs_drain: bool,
 }
 
 /// Order to one upstream, with the claim that permits it.
@@ -69,7 +71,9 @@
     directory: Directory<GatewayMail>,
     order: ClaimedOrder,
 ) -> OrderResult {
-    sleep(DRAIN_WAIT).await;
+    if order.target.needs_drain {
+        sleep(DRAIN_WAIT).await;
+    }
     let mut connection = HttpConnection::new(order.target.address, MAX_REPORT_BYTES);
     let reply = send_order(&directory, &order, &mut connection).await;
     log_event(
--- a/src/gateway/orders.rs
+++ b/src/gateway/orders.rs
@@ -273,6 +273,7 @@
             version: target.version,
             target_since: target.received_at,
             weights_limit: state.identity.weights_limit,
+            oldest_allowed: state.oldest_allowed(now, *model),
             min_holder_interval: state.identity.min_holder_interval,
             fleet: &state.fleet,
         };
@@ -286,6 +287,7 @@
                         member: key,
                         id: member.entry.id.clone(),
                         address: member.entry.address,
+                        needs_drain: view.needs_drain(key),
                     })
                 });
                 return OrderPlan::Claim {
--- a/tests/rollout.rs
+++ b/tests/rollout.rs
@@ -53,6 +53,7 @@
         version: 9,
         target_since: at(0),
         weights_limit: Duration::from_secs(8),
+        oldest_allowed: 0,
         min_holder_interval: HOLDER_INTERVAL,
         fleet,
     }
@@ -232,3 +233,48 @@
     let pause = claims.next(view(at(700), &fleet, 1, 0));
     assert_ne!(pause, RolloutStep::Claim(first), "ordered again at once");
 }
+
+/// Upstreams whose weights have expired serve nothing until they load the version; they were once
+/// ordered a quarter at a time.
+#[test]
+fn all_upstreams_with_expired_weights_are_ordered_whatever_others_load() {
+    let (fleet, keys) = fleet(&[8, 8, 8, 8, 7, 7, 7, 7]);
+    let mut claims = OrderClaimTable::default();
+    let allowed = view(at(0), &fleet, 1, 0);
+    let ids = claimed(claims.next(allowed))
+        .iter()
+        .map(|key| fleet.get(*key).expect("listed").entry.id.clone())
+        .collect();
+    let first = OrderClaim {
+        holder: 1,
+        upstreams: ids,
+        version: 9,
+    };
+    claims.apply(at(0), &first);
+    let step = claims.next(RolloutView {
+        oldest_allowed: 8,
+        ..view(at(100), &fleet, 1, 0)
+    });
+    let unordered = keys[4..].iter().copied().filter(|key| {
+        let id = &fleet.get(*key).expect("listed").entry.id;
+        !first.upstreams.contains(id)
+    });
+    let unordered: Vec<MemberKey> = unordered.collect();
+    let rest = claimed(step);
+    assert_eq!(rest.len(), unordered.len());
+    assert!(unordered.iter().all(|key| rest.contains(key)), "{rest:?}");
+}
+
+#[test]
+fn only_upstreams_with_requests_on_allowed_weights_are_drained() {
+    let (mut fleet, keys) = fleet(&[8, 8, 7]);
+    for key in &keys[1..] {
+        fleet.get_mut(*key).expect("listed").own.in_flight = 1;
+    }
+    let view = RolloutView {
+        oldest_allowed: 8,
+        ..view(at(0), &fleet, 1, 0)
+    };
+    let drained: Vec<bool> = keys.iter().map(|key| view.needs_drain(*key)).collect();
+    assert_eq!(drained, [false, true, false]);
+}
