End an order when its upstream no longer carries it out

Callers saw: rollouts that stalled for seconds after an upstream had crashed during its load.

Orders were also sent to upstreams that still carried out an earlier one, and refused.

Now: an order ends when a report shows an older version and no order in progress, or when three reports fail. An order without a response is looked for in the next report. If an earlier order is carried out, or the version is loaded already, none is sent. order_ended names the step that failed (`end`), and order_sent is logged only for orders that were sent.

Tests: tests/weights_orders.rs.

--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -22,6 +22,7 @@
 pub mod member_choice;
 pub mod memory_budget;
 pub mod memory_plan;
+pub mod order_progress;
 pub mod orders;
 pub mod outcome;
 pub mod placement;
--- a/src/events/catalogue.rs
+++ b/src/events/catalogue.rs
@@ -304,7 +304,7 @@
     408,
     Level::Info,
     "order_ended",
-    "An upstream runs the ordered weights, or the order has failed or expired.",
+    "An upstream runs the ordered weights, or the order has failed or expired; `end` tells how.",
 );
 
 /// Logged when a claim on the right to order upstreams is not confirmed.
--- a/src/gateway/order_delivery.rs
+++ b/src/gateway/order_delivery.rs
@@ -1,5 +1,5 @@
 //! Delivery of one order to one upstream: waits until its running requests have ended, sends the
-//! order and waits until the upstream runs the weights.
+//! order and waits until the upstream runs the weights or no longer carries the order out.
 
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -11,6 +11,7 @@
 use super::orders::MAX_HOLD;
 use crate::decide::fleet::MemberKey;
 use crate::decide::ids::LogOffset;
+use crate::decide::order_progress::{OrderProgress, ReportedWeights};
 use crate::events::{ORDER_ENDED, ORDER_SENT, log_event};
 use crate::kernel::{Directory, Moment};
 use crate::platform::engine_calls::{
@@ -32,6 +33,10 @@
 /// Time from the order to the first state report; a load takes about this long.
 const FIRST_REPORT_DELAY: Duration = Duration::from_millis(600);
 
+/// Number of state reports without a response, one after the other, after which the order counts as
+/// lost.
+const MAX_MISSED_REPORTS: u32 = 3;
+
 /// Timeout of an order or a state report.
 const RESPONSE_TIMEOUT: Duration = Duration::from_millis(400);
 
@@ -59,6 +64,42 @@
     pub(super) usable_until: Moment,
 }
 
+/// How an order has ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum OrderEnd {
+    /// The upstream runs the version.
+    Loaded,
+    /// The upstream did not report its state, so that the order was not sent.
+    Unreachable,
+    /// The claim expired before the order was sent.
+    ClaimExpired,
+    /// The order got no response, and the upstream's report shows no sign of it.
+    Unanswered,
+    /// The upstream refused the order.
+    Refused(OrderReply),
+    /// The upstream no longer carries the order out and runs an older version.
+    Dropped,
+    /// The upstream stopped responding while it carried the order out.
+    Lost,
+    /// The upstream did not finish within `MAX_HOLD`.
+    TimedOut,
+}
+
+impl OrderEnd {
+    const fn name(self) -> &'static str {
+        match self {
+            Self::Loaded => "loaded",
+            Self::Unreachable => "unreachable",
+            Self::ClaimExpired => "claim_expired",
+            Self::Unanswered => "unanswered",
+            Self::Refused(_) => "refused",
+            Self::Dropped => "dropped",
+            Self::Lost => "lost",
+            Self::TimedOut => "timed_out",
+        }
+    }
+}
+
 /// Result of an order.
 #[derive(Debug)]
 pub(super) struct OrderResult {
@@ -75,26 +116,13 @@
         sleep(DRAIN_WAIT).await;
     }
     let mut connection = HttpConnection::new(order.target.address, MAX_REPORT_BYTES);
-    let reply = send_order(&directory, &order, &mut connection).await;
-    log_event(
-        &ORDER_SENT,
-        &[
-            ("upstream", &order.target.id),
-            ("version", &order.version),
-            ("fence", &order.fence.0),
-            ("reply", &format_args!("{reply:?}")),
-        ],
-    );
-    let is_loaded = match reply {
-        Some(OrderReply::Holds) => true,
-        Some(OrderReply::Accepted) => wait_for_load(&directory, &order, &mut connection).await,
-        _ => false,
-    };
+    let end = carry_out(&directory, &order, &mut connection).await;
+    let is_loaded = end == OrderEnd::Loaded;
     if is_loaded {
         let report = DispatchMail::WeightsSeen(order.target.member, order.version);
         dispatch::tell(&directory, report);
     }
-    let pause = if reply == Some(OrderReply::Conflict) {
+    let pause = if end == OrderEnd::Refused(OrderReply::Conflict) {
         CONFLICT_HOLD
     } else {
         Duration::ZERO
@@ -107,6 +135,7 @@
             ("upstream", &order.target.id),
             ("version", &order.version),
             ("loaded", &is_loaded),
+            ("end", &end.name()),
         ],
     );
     OrderResult {
@@ -115,64 +144,113 @@
     }
 }
 
-/// Sends the order unless the claim has expired; `None` if it was not sent or no response came.
+/// Sends an order unless the upstream already carries one out, and waits for its end.
+async fn carry_out(
+    directory: &Directory<GatewayMail>,
+    order: &ClaimedOrder,
+    connection: &mut HttpConnection,
+) -> OrderEnd {
+    let Some(before) = request_state(order, connection).await else {
+        return OrderEnd::Unreachable;
+    };
+    match before.progress(order.version) {
+        OrderProgress::Loaded => return OrderEnd::Loaded,
+        // An earlier order without a response is being carried out.
+        OrderProgress::Loading => {
+            return wait_for_load(directory, order, connection, REPORT_INTERVAL).await;
+        }
+        OrderProgress::Idle => {}
+    }
+    if order.usable_until.is_due(directory.now()) {
+        return OrderEnd::ClaimExpired;
+    }
+    let reply = send_order(order, before, connection).await;
+    log_event(
+        &ORDER_SENT,
+        &[
+            ("upstream", &order.target.id),
+            ("version", &order.version),
+            ("fence", &order.fence.0),
+            ("reply", &format_args!("{reply:?}")),
+        ],
+    );
+    match reply {
+        Some(OrderReply::Holds) => OrderEnd::Loaded,
+        Some(OrderReply::Accepted) => {
+            wait_for_load(directory, order, connection, FIRST_REPORT_DELAY).await
+        }
+        Some(refusal) => OrderEnd::Refused(refusal),
+        None => {
+            let state = request_state(order, connection).await;
+            if state.is_some_and(|state| state.has_accepted_since(before)) {
+                wait_for_load(directory, order, connection, REPORT_INTERVAL).await
+            } else {
+                OrderEnd::Unanswered
+            }
+        }
+    }
+}
+
+/// Sends the order; `None` if no response came.
 ///
 /// The order names the number of orders that the upstream has accepted so far, so that an order
 /// which arrives late has no effect after a newer one.
 async fn send_order(
-    directory: &Directory<GatewayMail>,
     order: &ClaimedOrder,
+    before: ReportedWeights,
     connection: &mut HttpConnection,
 ) -> Option<OrderReply> {
-    let state = request_state(order, connection).await?;
     let wire = WeightsOrder {
         upstream: &order.target.id,
         model: &order.model,
         version: order.version,
         holder: &order.holder,
         fence: order.fence.0,
-        expected_orders: state.orders,
+        expected_orders: before.accepted_orders,
     };
     let request = order_request(&wire).ok()?;
-    if order.usable_until.is_due(directory.now()) {
-        return None;
-    }
     let response = connection.call(request, RESPONSE_TIMEOUT).await.ok()?;
     Some(OrderReply::from(response.0))
 }
 
-/// Waits until the upstream runs the version; false if it does not within `MAX_HOLD`.
+/// Waits until the upstream runs the version, no longer carries an order out, does not respond, or
+/// `MAX_HOLD` is over.
 async fn wait_for_load(
     directory: &Directory<GatewayMail>,
     order: &ClaimedOrder,
     connection: &mut HttpConnection,
-) -> bool {
+    first_delay: Duration,
+) -> OrderEnd {
     let deadline = directory.now().after(MAX_HOLD);
-    sleep(FIRST_REPORT_DELAY).await;
+    let mut missed_reports = 0;
+    sleep(first_delay).await;
     while !deadline.is_due(directory.now()) {
-        if let Some(state) = request_state(order, connection).await {
-            let runs = state
-                .models
-                .iter()
-                .any(|model| model.name == order.model && model.version >= order.version);
-            if runs && !state.busy {
-                return true;
-            }
+        let state = request_state(order, connection).await;
+        match state.map(|state| state.progress(order.version)) {
+            Some(OrderProgress::Loaded) => return OrderEnd::Loaded,
+            Some(OrderProgress::Idle) => return OrderEnd::Dropped,
+            Some(OrderProgress::Loading) => missed_reports = 0,
+            None => missed_reports += 1,
+        }
+        if missed_reports == MAX_MISSED_REPORTS {
+            return OrderEnd::Lost;
         }
         sleep(REPORT_INTERVAL).await;
     }
-    false
+    OrderEnd::TimedOut
 }
 
-/// Requests the state of the upstream; `None` if it does not respond with success.
+/// Requests what the upstream reports of the model's weights; `None` if it does not respond with
+/// success.
 async fn request_state(
     order: &ClaimedOrder,
     connection: &mut HttpConnection,
-) -> Option<EngineState> {
+) -> Option<ReportedWeights> {
     let request = report_request(&order.target.id).ok()?;
     let (status, body) = connection.call(request, RESPONSE_TIMEOUT).await.ok()?;
     if !status.is_success() {
         return None;
     }
-    serde_json::from_slice(&body).ok()
+    let state: EngineState = serde_json::from_slice(&body).ok()?;
+    Some(state.weights_of(&order.model))
 }
--- a/src/platform/engine_calls.rs
+++ b/src/platform/engine_calls.rs
@@ -6,6 +6,7 @@
 use serde::{Deserialize, Serialize};
 
 use super::request_headers::EXPECTED_UPSTREAM;
+use crate::decide::order_progress::ReportedWeights;
 
 /// Largest response to an order or a request for a state report, in bytes; a report lists the
 /// running requests.
@@ -82,6 +83,19 @@
     pub version: u64,
 }
 
+impl EngineState {
+    /// Returns what the report says of the weights of a model.
+    #[must_use]
+    pub fn weights_of(&self, model: &str) -> ReportedWeights {
+        let reported = self.models.iter().find(|reported| reported.name == model);
+        ReportedWeights {
+            version: reported.map(|reported| reported.version),
+            is_busy: self.busy,
+            accepted_orders: self.orders,
+        }
+    }
+}
+
 /// Builds the HTTP request for an order.
 ///
 /// # Errors
--- /dev/null
+++ b/tests/weights_orders.rs
@@ -0,0 +1,107 @@
+//! Orders for new weights, and what the reports of their upstream make of them.
+
+mod gateway_world;
+
+use std::time::{Duration, Instant};
+
+use bulrushslip::decide::order_progress::{OrderProgress, ReportedWeights};
+use gateway_world::{Behaviour, Gateway, TestEnvironment, Upstream, until};
+
+/// Time for which an upstream that carries an order out is waited for.
+const MAX_LOAD_TIME: Duration = Duration::from_secs(4);
+
+const IDLE: &str = r#"{"models":[{"name":"m","version":1}],"busy":false,"sequence":0}"#;
+const BUSY: &str = r#"{"models":[{"name":"m","version":1}],"busy":true,"sequence":1}"#;
+const LOADED: &str = r#"{"models":[{"name":"m","version":2}],"busy":false,"sequence":1}"#;
+
+const fn report(text: &'static str) -> Behaviour {
+    Behaviour::Answer(200, text)
+}
+
+/// Fleet of one upstream on version 1 that responds as told, while version 2 is named.
+struct Fleet {
+    _environment: TestEnvironment,
+    _gateway: Gateway,
+    upstream: Upstream,
+    paths: Vec<String>,
+}
+
+impl Fleet {
+    async fn start(behaviours: Vec<Behaviour>) -> Self {
+        let environment = TestEnvironment::start();
+        let upstream = Upstream::start(behaviours).await;
+        environment.configure_engines(1, &[]).await;
+        environment.announce_engine("old", &upstream, 1).await;
+        environment.name_version(2).await;
+        let gateway = Gateway::start_with("g", environment.store(), &[], "");
+        Self {
+            _environment: environment,
+            _gateway: gateway,
+            upstream,
+            paths: Vec::new(),
+        }
+    }
+
+    /// Waits until the upstream has received this many calls of `path` and returns when that was seen.
+    async fn receive(&mut self, path: &str, count: usize) -> Instant {
+        until("a call of the upstream", async || {
+            let received = self.upstream.received();
+            let received = received.into_iter().map(|request| request.path);
+            self.paths.extend(received);
+            self.paths.iter().filter(|seen| *seen == path).count() >= count
+        })
+        .await;
+        Instant::now()
+    }
+}
+
+fn reported(version: u64, is_busy: bool, accepted_orders: u64) -> ReportedWeights {
+    ReportedWeights {
+        version: Some(version),
+        is_busy,
+        accepted_orders,
+    }
+}
+
+#[test]
+fn a_report_tells_whether_an_order_is_carried_out() {
+    assert_eq!(reported(2, false, 1).progress(2), OrderProgress::Loaded);
+    assert_eq!(reported(3, false, 1).progress(2), OrderProgress::Loaded);
+    assert_eq!(reported(2, true, 1).progress(2), OrderProgress::Loading);
+    assert_eq!(reported(1, true, 1).progress(2), OrderProgress::Loading);
+    assert_eq!(reported(1, false, 1).progress(2), OrderProgress::Idle);
+    let unknown = ReportedWeights {
+        version: None,
+        ..reported(0, false, 0)
+    };
+    assert_eq!(unknown.progress(2), OrderProgress::Idle);
+}
+
+#[test]
+fn a_report_shows_an_order_that_was_accepted_without_a_response() {
+    let before = reported(1, false, 3);
+    assert!(!reported(1, false, 3).has_accepted_since(before));
+    assert!(reported(1, true, 3).has_accepted_since(before));
+    assert!(reported(2, false, 4).has_accepted_since(before));
+}
+
+/// An order whose upstream restarted once kept its place and its upstream for four seconds.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_upstream_that_no_longer_carries_an_order_out_is_ordered_again_at_once() {
+    let accepted = Behaviour::Answer(202, "");
+    let mut fleet = Fleet::start(vec![report(IDLE), accepted, report(IDLE)]).await;
+    let first = fleet.receive("/order", 1).await;
+    let second = fleet.receive("/order", 2).await;
+    let pause = second - first;
+    assert!(pause < MAX_LOAD_TIME, "ordered again after {pause:?}");
+}
+
+/// An order without a response may be carried out late; the next one was once sent although the upstream
+/// was loading, and refused.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_upstream_that_carries_out_an_earlier_order_gets_no_other_one() {
+    let behaviours = vec![report(BUSY), report(BUSY), report(BUSY), report(LOADED)];
+    let mut fleet = Fleet::start(behaviours).await;
+    fleet.receive("/report", 4).await;
+    assert!(fleet.paths.iter().all(|path| path == "/report"));
+}
