Do not repeat an order that takes its whole time

Cause: the holder could claim again 4 s after its claim, but an order may take the drain, the calls before it is accepted and then 4 s.

Now: 8 s unless the end was recorded. The place is still counted for 4 s.

Test: an_order_that_takes_its_whole_time_is_not_repeated_before_it_ends failed before (claimed at 4,000 ms).

--- a/src/decide/rollout.rs
+++ b/src/decide/rollout.rs
@@ -41,9 +41,13 @@
 /// Pause before an upstream is ordered again after a failed order.
 const FAILED_ORDER_PAUSE: Duration = Duration::from_millis(400);
 
-/// Time after which an order that was claimed no longer counts as running.
+/// Time after which an order that was claimed no longer counts towards the limit on concurrent orders.
 const MAX_LOAD_TIME: Duration = Duration::from_secs(4);
 
+/// Time after which the holder may order an upstream again although the end of its last order was not
+/// recorded. It covers the drain, the calls before the order is accepted and the wait for the load.
+const MAX_DELIVERY_TIME: Duration = Duration::from_secs(8);
+
 /// Claim on the right to order upstreams, as read from the log.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct OrderClaim {
@@ -137,7 +141,7 @@
             version: claim.version,
             read_at: now,
             place_until: now.after(MAX_LOAD_TIME),
-            retry_at: now.after(MAX_LOAD_TIME),
+            retry_at: now.after(MAX_DELIVERY_TIME),
         };
         let claimed = claim.upstreams.iter().map(|id| (id.clone(), observed));
         self.claims.extend(claimed);
--- a/tests/rollout.rs
+++ b/tests/rollout.rs
@@ -278,3 +278,18 @@
     let drained: Vec<bool> = keys.iter().map(|key| view.needs_drain(*key)).collect();
     assert_eq!(drained, [false, true, false]);
 }
+
+/// An order that took its whole time was once repeated before it ended, and the end of the first one was
+/// taken for that of the second.
+#[test]
+fn an_order_that_takes_its_whole_time_is_not_repeated_before_it_ends() {
+    let (fleet, keys) = fleet(&[8]);
+    let mut claims = OrderClaimTable::default();
+    claims.apply(at(0), &claim(1, &["i-0"]));
+    for ms in (0..6_000).step_by(100) {
+        let step = claims.next(view(at(ms), &fleet, 1, 0));
+        assert!(matches!(step, RolloutStep::Wait(_)), "{ms} ms: {step:?}");
+    }
+    claims.finish(at(6_000), "i-0", false);
+    assert_eq!(claimed(claims.next(view(at(6_400), &fleet, 1, 0))), keys);
+}
