--- a/src/decide/rollout.rs
+++ b/src/decide/rollout.rs
@@ -41,9 +41,13 @@
 /// Pause before an upstream is ordered again after a failed order.
 const FAILED_ORDER_PAUSE: Duration = Duration::from_millis(400);
 
-/// Time after which a claimed load no longer counts as running.
+/// Time after which an order that was claimed no longer counts towards the limit on concurrent orders.
 const MAX_LOAD_TIME: Duration = Duration::from_secs(4);
 
+/// Time after which the holder may order an upstream again although the end of its last order was not
+/// recorded. It covers the drain, the calls before the order is accepted and the wait for the load.
+const MAX_DELIVERY_TIME: Duration = Duration::from_secs(8);
+
 /// Claim on the right to order upstreams, as read from the log.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct OrderClaim {
@@ -60,8 +64,10 @@
     holder: u64,
     version: u64,
     read_at: Moment,
-    /// Time from which the load no longer counts as running.
-    loading_until: Moment,
+    /// Time until which the order counts towards the limit on concurrent orders.
+    place_until: Moment,
+    /// Time from which the holder may claim the upstream again.
+    retry_at: Moment,
 }
 
 /// Latest claim on each upstream, as read from the log.
@@ -90,6 +96,8 @@
     pub target_since: Moment,
     /// Time after operators set the version from which no request may start on older weights.
     pub weights_limit: Duration,
+    /// Oldest version to which requests may still be sent.
+    pub oldest_allowed: u64,
     /// Minimum interval between orders of different holders to one upstream.
     pub min_holder_interval: Duration,
     /// All upstreams.
@@ -107,6 +115,23 @@
     Wait(Moment),
 }
 
+impl RolloutView<'_> {
+    /// Reports whether requests may no longer be sent to the weights of an upstream.
+    fn is_expired(&self, key: MemberKey) -> bool {
+        let version = self.fleet.get(key).and_then(FleetMember::version);
+        version.is_some_and(|version| version < self.oldest_allowed)
+    }
+
+    /// Reports whether requests are to end before an upstream is ordered: an idle one has none, and one
+    /// with expired weights is better off if it refuses those that wait.
+    #[must_use]
+    pub fn needs_drain(&self, key: MemberKey) -> bool {
+        let member = self.fleet.get(key);
+        let is_idle = member.is_none_or(|member| member.load(self.now).in_flight == 0);
+        !is_idle && !self.is_expired(key)
+    }
+}
+
 impl OrderClaimTable {
     /// Records a claim read from the log.
     pub fn apply(&mut self, now: Moment, claim: &OrderClaim) {
@@ -115,13 +140,15 @@
             holder: claim.holder,
             version: claim.version,
             read_at: now,
-            loading_until: now.after(MAX_LOAD_TIME),
+            place_until: now.after(MAX_LOAD_TIME),
+            retry_at: now.after(MAX_DELIVERY_TIME),
         };
         let claimed = claim.upstreams.iter().map(|id| (id.clone(), observed));
         self.claims.extend(claimed);
     }
 
-    /// Records that an order to an upstream has ended; after a failed one the upstream is paused.
+    /// Records that an order to an upstream has ended, which frees its place; after a failed one the
+    /// upstream is not ordered again at once.
     pub fn finish(&mut self, now: Moment, upstream: &str, is_loaded: bool) {
         let pause = if is_loaded {
             Duration::ZERO
@@ -129,7 +156,8 @@
             FAILED_ORDER_PAUSE
         };
         if let Some(claim) = self.claims.get_mut(upstream) {
-            claim.loading_until = now.after(pause);
+            claim.place_until = now;
+            claim.retry_at = now.after(pause);
         }
     }
 
@@ -165,11 +193,16 @@
             .iter()
             .filter(|key| self.holds_place(view, **key, place_time))
             .count();
-        let remaining = limit.saturating_sub(loading);
         let mut claimable: Vec<MemberKey> = outdated
             .into_iter()
             .filter(|key| self.may_claim(view, *key))
             .collect();
+        // An upstream that may serve no more requests loses nothing by a concurrent load.
+        let expired = claimable
+            .iter()
+            .filter(|key| view.is_expired(**key))
+            .count();
+        let remaining = limit.saturating_sub(loading).max(expired);
         if remaining == 0 || claimable.is_empty() {
             return RolloutStep::Wait(view.now.after(Duration::from_millis(100)));
         }
@@ -187,8 +220,8 @@
     fn holds_place(&self, view: RolloutView<'_>, key: MemberKey, place_time: Duration) -> bool {
         let claim = self.claim_of(view, key);
         claim.is_some_and(|claim| {
-            let place_until = claim.read_at.after(place_time);
-            !claim.loading_until.min(place_until).is_due(view.now)
+            let place_until = claim.place_until.min(claim.read_at.after(place_time));
+            !place_until.is_due(view.now)
         })
     }
 
@@ -210,7 +243,7 @@
             return true;
         };
         if claim.holder == view.own {
-            return claim.loading_until.is_due(view.now);
+            return claim.retry_at.is_due(view.now);
         }
         let exclusive_time = CLAIM_VALIDITY + view.min_holder_interval + CLAIM_MARGIN;
         claim.read_at.after(exclusive_time).is_due(view.now)
--- a/tests/rollout.rs
+++ b/tests/rollout.rs
@@ -53,6 +53,7 @@
         version: 9,
         target_since: at(0),
         weights_limit: Duration::from_secs(8),
+        oldest_allowed: 0,
         min_holder_interval: HOLDER_INTERVAL,
         fleet,
     }
@@ -209,3 +210,86 @@
     assert!(times.iter().all(|times| !times.is_empty()));
     assert!(last_first <= first_second, "{times:?}");
 }
+
+/// Failed orders once kept their places during the pause before the next attempt, in which nothing is
+/// loaded.
+#[test]
+fn a_failed_order_frees_its_place_before_its_upstream_may_be_ordered_again() {
+    let (fleet, keys) = fleet(&[8; 4]);
+    let mut claims = OrderClaimTable::default();
+    let first = claimed(claims.next(view(at(0), &fleet, 1, 0)));
+    assert_eq!(first.len(), 1);
+    let failed = fleet.get(first[0]).expect("listed").entry.id.clone();
+    claims.apply(at(0), &claim(1, &[&failed]));
+    claims.finish(at(650), &failed, false);
+    let second = claimed(claims.next(view(at(650), &fleet, 1, 0)));
+    assert_eq!(second.len(), 1);
+    assert_ne!(second, first);
+    for key in keys.iter().filter(|key| **key != first[0]) {
+        let id = &fleet.get(*key).expect("listed").entry.id;
+        claims.apply(at(650), &claim(1, &[id]));
+        claims.finish(at(700), id, true);
+    }
+    let pause = claims.next(view(at(700), &fleet, 1, 0));
+    assert_ne!(pause, RolloutStep::Claim(first), "ordered again at once");
+}
+
+/// Upstreams whose weights have expired serve nothing until they load the version; they were once
+/// ordered a quarter at a time.
+#[test]
+fn all_upstreams_with_expired_weights_are_ordered_whatever_others_load() {
+    let (fleet, keys) = fleet(&[8, 8, 8, 8, 7, 7, 7, 7]);
+    let mut claims = OrderClaimTable::default();
+    let allowed = view(at(0), &fleet, 1, 0);
+    let ids = claimed(claims.next(allowed))
+        .iter()
+        .map(|key| fleet.get(*key).expect("listed").entry.id.clone())
+        .collect();
+    let first = OrderClaim {
+        holder: 1,
+        upstreams: ids,
+        version: 9,
+    };
+    claims.apply(at(0), &first);
+    let step = claims.next(RolloutView {
+        oldest_allowed: 8,
+        ..view(at(100), &fleet, 1, 0)
+    });
+    let unordered = keys[4..].iter().copied().filter(|key| {
+        let id = &fleet.get(*key).expect("listed").entry.id;
+        !first.upstreams.contains(id)
+    });
+    let unordered: Vec<MemberKey> = unordered.collect();
+    let rest = claimed(step);
+    assert_eq!(rest.len(), unordered.len());
+    assert!(unordered.iter().all(|key| rest.contains(key)), "{rest:?}");
+}
+
+#[test]
+fn only_upstreams_with_requests_on_allowed_weights_are_drained() {
+    let (mut fleet, keys) = fleet(&[8, 8, 7]);
+    for key in &keys[1..] {
+        fleet.get_mut(*key).expect("listed").own.in_flight = 1;
+    }
+    let view = RolloutView {
+        oldest_allowed: 8,
+        ..view(at(0), &fleet, 1, 0)
+    };
+    let drained: Vec<bool> = keys.iter().map(|key| view.needs_drain(*key)).collect();
+    assert_eq!(drained, [false, true, false]);
+}
+
+/// An order that took its whole time was once repeated before it ended, and the end of the first one was
+/// taken for that of the second.
+#[test]
+fn an_order_that_takes_its_whole_time_is_not_repeated_before_it_ends() {
+    let (fleet, keys) = fleet(&[8]);
+    let mut claims = OrderClaimTable::default();
+    claims.apply(at(0), &claim(1, &["i-0"]));
+    for ms in (0..6_000).step_by(100) {
+        let step = claims.next(view(at(ms), &fleet, 1, 0));
+        assert!(matches!(step, RolloutStep::Wait(_)), "{ms} ms: {step:?}");
+    }
+    claims.finish(at(6_000), "i-0", false);
+    assert_eq!(claimed(claims.next(view(at(6_400), &fleet, 1, 0))), keys);
+}
