Take no report older than an order for its end

Callers could see 503 with x-not-executed from an upstream that was loading, and operators a second order, or a 409, for an order that was being carried out: the order had been accepted, a report from before it said "older version, no order in progress", and the order ended as dropped. That freed its place among the concurrent loads and the hold on its upstream while the load ran.

The first one was requested 600 ms after the order and believed at once; the 600 ms stand for the delay of another party.

A report with the number of accepted orders from before the order now says nothing yet. A restart sets the number to zero, so a smaller one still ends the order at once, and an unchanged zero does after a second.

Two tests in tests/weights_orders.rs. With the former rule in place of the new one both fail: `Idle` instead of `Loading`, and the upstream received report, order, report, report, order.

--- a/src/gateway/order_delivery.rs
+++ b/src/gateway/order_delivery.rs
@@ -157,7 +157,8 @@
         OrderProgress::Loaded => return OrderEnd::Loaded,
         // An earlier order without a response is being carried out.
         OrderProgress::Loading => {
-            return wait_for_load(directory, order, connection, REPORT_INTERVAL).await;
+            let progress = |state: ReportedWeights, _| state.progress(order.version);
+            return wait_for_load(directory, order, connection, REPORT_INTERVAL, progress).await;
         }
         OrderProgress::Idle => {}
     }
@@ -174,16 +175,19 @@
             ("reply", &format_args!("{reply:?}")),
         ],
     );
+    let progress = |state: ReportedWeights, since_accepted| {
+        state.progress_since(before, since_accepted, order.version)
+    };
     match reply {
         Some(OrderReply::Holds) => OrderEnd::Loaded,
         Some(OrderReply::Accepted) => {
-            wait_for_load(directory, order, connection, FIRST_REPORT_DELAY).await
+            wait_for_load(directory, order, connection, FIRST_REPORT_DELAY, progress).await
         }
         Some(refusal) => OrderEnd::Refused(refusal),
         None => {
             let state = request_state(order, connection).await;
             if state.is_some_and(|state| state.has_accepted_since(before)) {
-                wait_for_load(directory, order, connection, REPORT_INTERVAL).await
+                wait_for_load(directory, order, connection, REPORT_INTERVAL, progress).await
             } else {
                 OrderEnd::Unanswered
             }
@@ -214,19 +218,22 @@
 }
 
 /// Waits until the upstream runs the version, no longer carries an order out, does not respond, or
-/// `MAX_HOLD` is over.
+/// `MAX_HOLD` is over; `progress` judges a report by the time since the wait began.
 async fn wait_for_load(
     directory: &Directory<GatewayMail>,
     order: &ClaimedOrder,
     connection: &mut HttpConnection,
     first_delay: Duration,
+    progress: impl Fn(ReportedWeights, Duration) -> OrderProgress,
 ) -> OrderEnd {
-    let deadline = directory.now().after(MAX_HOLD);
+    let start = directory.now();
+    let deadline = start.after(MAX_HOLD);
     let mut missed_reports = 0;
     sleep(first_delay).await;
     while !deadline.is_due(directory.now()) {
+        let waited = directory.now().since(start);
         let state = request_state(order, connection).await;
-        match state.map(|state| state.progress(order.version)) {
+        match state.map(|state| progress(state, waited)) {
             Some(OrderProgress::Loaded) => return OrderEnd::Loaded,
             Some(OrderProgress::Idle) => return OrderEnd::Dropped,
             Some(OrderProgress::Loading) => missed_reports = 0,
--- a/tests/weights_orders.rs
+++ b/tests/weights_orders.rs
@@ -12,6 +12,7 @@
 
 const IDLE: &str = r#"{"models":[{"name":"m","version":1}],"busy":false,"sequence":0}"#;
 const BUSY: &str = r#"{"models":[{"name":"m","version":1}],"busy":true,"sequence":1}"#;
+const LAGGING: &str = r#"{"models":[{"name":"m","version":1}],"busy":false,"sequence":4}"#;
 const LOADED: &str = r#"{"models":[{"name":"m","version":2}],"busy":false,"sequence":1}"#;
 
 const fn report(text: &'static str) -> Behaviour {
@@ -42,13 +43,17 @@
         }
     }
 
-    /// Waits until the upstream has received this many calls of `path` and returns when that was seen.
+    /// Waits until the upstream has received this many calls of paths that begin with `path` and returns when that was seen.
     async fn receive(&mut self, path: &str, count: usize) -> Instant {
         until("a call of the upstream", async || {
             let received = self.upstream.received();
             let received = received.into_iter().map(|request| request.path);
             self.paths.extend(received);
-            self.paths.iter().filter(|seen| *seen == path).count() >= count
+            self.paths
+                .iter()
+                .filter(|seen| seen.starts_with(path))
+                .count()
+                >= count
         })
         .await;
         Instant::now()
@@ -77,6 +82,24 @@
     assert_eq!(unknown.progress(2), OrderProgress::Idle);
 }
 
+/// Reports lag behind by some hundred milliseconds; one from before the order was once taken for its end.
+#[test]
+fn a_report_that_may_be_older_than_an_accepted_order_does_not_end_it() {
+    let (early, late) = (Duration::from_millis(600), Duration::from_millis(1_100));
+    let progress = |before, accepted_orders, since_accepted| {
+        reported(1, false, accepted_orders).progress_since(before, since_accepted, 2)
+    };
+    let (first, fourth) = (reported(1, false, 0), reported(1, false, 3));
+    assert_eq!(progress(first, 0, early), OrderProgress::Loading);
+    assert_eq!(progress(fourth, 3, late), OrderProgress::Loading);
+    assert_eq!(progress(first, 0, late), OrderProgress::Idle, "a restart");
+    assert_eq!(progress(fourth, 0, early), OrderProgress::Idle, "a restart");
+    assert_eq!(progress(fourth, 4, early), OrderProgress::Idle);
+    let loaded = reported(2, false, 4);
+    let end = loaded.progress_since(fourth, early, 2);
+    assert_eq!(end, OrderProgress::Loaded);
+}
+
 #[test]
 fn a_report_shows_an_order_that_was_accepted_without_a_response() {
     let before = reported(1, false, 3);
@@ -96,6 +119,18 @@
     assert!(pause < MAX_LOAD_TIME, "ordered again after {pause:?}");
 }
 
+/// Reports lag behind the response to an order; the order was once taken for dropped and sent again.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_accepted_order_is_not_sent_again_because_reports_lag_behind_it() {
+    let accepted = Behaviour::Answer(202, "");
+    let lagging = vec![report(LAGGING), accepted, report(LAGGING), report(LAGGING)];
+    let behaviours = [lagging, vec![report(BUSY), report(LOADED)]].concat();
+    let mut fleet = Fleet::start(behaviours).await;
+    fleet.receive("", 5).await;
+    let paths = ["/report", "/order", "/report", "/report", "/report"];
+    assert_eq!(fleet.paths[..5], paths);
+}
+
 /// An order without a response may be carried out late; the next one was once sent although the upstream
 /// was loading, and refused.
 #[tokio::test(flavor = "multi_thread")]
