Look for an unanswered order only in a report that can show it

Callers could see 503 with x-not-executed from an upstream that was loading: an order whose connection broke at once was looked for in a report requested right after it. Reports lag by some hundred milliseconds, so that this one was from before the order, the order counted as not accepted, and its place and the hold on its upstream were given up while the load ran.

Cause: only an order that used its whole timeout left time for the report to catch up. An order that ends without a response is now looked for once the timeout is over; one that timed out waits no longer than before.

The test failed before: "looked for after 64.601653ms".

--- a/src/gateway/order_delivery.rs
+++ b/src/gateway/order_delivery.rs
@@ -165,6 +165,7 @@
     if order.usable_until.is_due(directory.now()) {
         return OrderEnd::ClaimExpired;
     }
+    let sent = directory.now();
     let reply = send_order(order, before, connection).await;
     log_event(
         &ORDER_SENT,
@@ -185,6 +186,8 @@
         }
         Some(refusal) => OrderEnd::Refused(refusal),
         None => {
+            // The connection may have broken at once, and reports lag.
+            sleep(sent.after(RESPONSE_TIMEOUT).remaining(directory.now())).await;
             let state = request_state(order, connection).await;
             if state.is_some_and(|state| state.has_accepted_since(before)) {
                 wait_for_load(directory, order, connection, REPORT_INTERVAL, progress).await
--- a/tests/gateway_world/mod.rs
+++ b/tests/gateway_world/mod.rs
@@ -44,6 +44,8 @@
     pub headers: HashMap<String, String>,
     /// Body of the request.
     pub body: Bytes,
+    /// When it had arrived.
+    pub at: Instant,
 }
 
 /// How an upstream responds to a request.
@@ -187,6 +189,7 @@
                             path: head.uri.to_string(),
                             headers: headers.collect(),
                             body: body.unwrap_or_default(),
+                            at: Instant::now(),
                         };
                         drop(sender.send(seen));
                         let path = head.uri.to_string();
--- a/tests/weights_orders.rs
+++ b/tests/weights_orders.rs
@@ -5,11 +5,14 @@
 use std::time::{Duration, Instant};
 
 use bulrushslip::decide::order_progress::{OrderProgress, ReportedWeights};
-use gateway_world::{Behaviour, Gateway, TestEnvironment, Upstream, until};
+use gateway_world::{Behaviour, Gateway, SeenRequest, TestEnvironment, Upstream, until};
 
 /// Time for which an upstream that carries an order out is waited for.
 const MAX_LOAD_TIME: Duration = Duration::from_secs(4);
 
+/// Age of the reports of the upstreams.
+const REPORT_LAG: Duration = Duration::from_millis(200);
+
 const IDLE: &str = r#"{"models":[{"name":"m","version":1}],"busy":false,"sequence":0}"#;
 const BUSY: &str = r#"{"models":[{"name":"m","version":1}],"busy":true,"sequence":1}"#;
 const LAGGING: &str = r#"{"models":[{"name":"m","version":1}],"busy":false,"sequence":4}"#;
@@ -24,7 +27,7 @@
     _environment: TestEnvironment,
     _gateway: Gateway,
     upstream: Upstream,
-    paths: Vec<String>,
+    requests: Vec<SeenRequest>,
 }
 
 impl Fleet {
@@ -39,25 +42,27 @@
             _environment: environment,
             _gateway: gateway,
             upstream,
-            paths: Vec::new(),
+            requests: Vec::new(),
         }
     }
 
     /// Waits until the upstream has received this many calls of paths that begin with `path` and returns when that was seen.
     async fn receive(&mut self, path: &str, count: usize) -> Instant {
         until("a call of the upstream", async || {
-            let received = self.upstream.received();
-            let received = received.into_iter().map(|request| request.path);
-            self.paths.extend(received);
-            self.paths
-                .iter()
-                .filter(|seen| seen.starts_with(path))
-                .count()
-                >= count
+            self.requests.extend(self.upstream.received());
+            let requests = self.requests.iter();
+            requests.filter(|seen| seen.path.starts_with(path)).count() >= count
         })
         .await;
         Instant::now()
     }
+
+    fn paths(&self) -> Vec<&str> {
+        self.requests
+            .iter()
+            .map(|seen| seen.path.as_str())
+            .collect()
+    }
 }
 
 fn reported(version: u64, is_busy: bool, accepted_orders: u64) -> ReportedWeights {
@@ -128,7 +133,24 @@
     let mut fleet = Fleet::start(behaviours).await;
     fleet.receive("", 5).await;
     let paths = ["/report", "/order", "/report", "/report", "/report"];
-    assert_eq!(fleet.paths[..5], paths);
+    assert_eq!(fleet.paths()[..5], paths);
+}
+
+/// A report right after a broken connection may be older than the order, which once counted as not accepted
+/// although the upstream had begun to load.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_order_whose_connection_breaks_is_not_looked_for_in_a_report_from_before_it() {
+    let behaviours = vec![
+        report(IDLE),
+        Behaviour::Truncate,
+        report(BUSY),
+        report(LOADED),
+    ];
+    let mut fleet = Fleet::start(behaviours).await;
+    fleet.receive("", 3).await;
+    assert_eq!(fleet.paths()[..3], ["/report", "/order", "/report"]);
+    let pause = fleet.requests[2].at - fleet.requests[1].at;
+    assert!(pause >= REPORT_LAG, "looked for after {pause:?}");
 }
 
 /// An order without a response may be carried out late; the next one was once sent although the upstream
@@ -138,5 +160,5 @@
     let behaviours = vec![report(BUSY), report(BUSY), report(BUSY), report(LOADED)];
     let mut fleet = Fleet::start(behaviours).await;
     fleet.receive("/report", 4).await;
-    assert!(fleet.paths.iter().all(|path| path == "/report"));
+    assert!(fleet.paths().iter().all(|path| *path == "/report"));
 }
