Let a restarted holder order again after four seconds, not eight

Other instances may claim the upstream 4.5 s after they have read the claim; where there is none or all have restarted, nobody does.

Cause: the longer time is meant for orders that this process delivers, and was also given to claims that were only read. A claim whose append this process sees confirmed is now recorded by `start`, with the longer time; one that is read keeps 4 s. Two tests whose orders are delivered by the instance itself record their claims by `start` and assert what they did.

--- a/src/decide/rollout.rs
+++ b/src/decide/rollout.rs
@@ -41,7 +41,8 @@
 /// Pause before an upstream is ordered again after a failed order.
 const FAILED_ORDER_PAUSE: Duration = Duration::from_millis(400);
 
-/// Time after which an order that was claimed no longer counts towards the limit on concurrent orders.
+/// Time after which an order that was claimed no longer counts towards the limit on concurrent orders,
+/// and its holder may repeat it if it does not deliver it, as after a restart.
 const MAX_LOAD_TIME: Duration = Duration::from_secs(4);
 
 /// Time after which the holder may order an upstream again although the end of its last order was not
@@ -133,7 +134,7 @@
 }
 
 impl OrderClaimTable {
-    /// Records a claim read from the log.
+    /// Records a claim read from the log, of whose orders this instance delivers none.
     pub fn apply(&mut self, now: Moment, claim: &OrderClaim) {
         self.latest = now;
         let observed = ObservedClaim {
@@ -141,12 +142,22 @@
             version: claim.version,
             read_at: now,
             place_until: now.after(MAX_LOAD_TIME),
-            retry_at: now.after(MAX_DELIVERY_TIME),
+            retry_at: now.after(MAX_LOAD_TIME),
         };
         let claimed = claim.upstreams.iter().map(|id| (id.clone(), observed));
         self.claims.extend(claimed);
     }
 
+    /// Records a claim whose orders this instance delivers from now on.
+    pub fn start(&mut self, now: Moment, claim: &OrderClaim) {
+        self.apply(now, claim);
+        for upstream in &claim.upstreams {
+            if let Some(observed) = self.claims.get_mut(upstream) {
+                observed.retry_at = now.after(MAX_DELIVERY_TIME);
+            }
+        }
+    }
+
     /// Records that an order to an upstream has ended, which frees its place; after a failed one the
     /// upstream is not ordered again at once.
     pub fn finish(&mut self, now: Moment, upstream: &str, is_loaded: bool) {
--- a/src/gateway/orders.rs
+++ b/src/gateway/orders.rs
@@ -225,7 +225,7 @@
             Err(error) => return self.invalidate_claims(&error),
         };
         self.claims.end = LogOffset(fence.0 + 1);
-        self.claims.apply(directory.now(), &claim);
+        self.claims.start(directory.now(), &claim);
         let hold_until = directory.now().after(MAX_HOLD);
         for target in &targets {
             dispatch::tell(directory, DispatchMail::Hold(target.member, hold_until));
--- a/tests/rollout.rs
+++ b/tests/rollout.rs
@@ -178,7 +178,7 @@
             .iter()
             .map(|key| fleet.get(*key).expect("listed").entry.id.as_str())
             .collect();
-        claims.apply(at(ms), &claim(1, &ids));
+        claims.start(at(ms), &claim(1, &ids));
         if let Some(order_ms) = order_ms {
             ends.extend(ids.iter().map(|id| (ms + order_ms, (*id).to_owned())));
         }
@@ -285,7 +285,7 @@
 fn an_order_that_takes_its_whole_time_is_not_repeated_before_it_ends() {
     let (fleet, keys) = fleet(&[8]);
     let mut claims = OrderClaimTable::default();
-    claims.apply(at(0), &claim(1, &["i-0"]));
+    claims.start(at(0), &claim(1, &["i-0"]));
     for ms in (0..6_000).step_by(100) {
         let step = claims.next(view(at(ms), &fleet, 1, 0));
         assert!(matches!(step, RolloutStep::Wait(_)), "{ms} ms: {step:?}");
@@ -293,3 +293,13 @@
     claims.finish(at(6_000), "i-0", false);
     assert_eq!(claimed(claims.next(view(at(6_400), &fleet, 1, 0))), keys);
 }
+
+/// A restarted instance finds its claims on the log and delivers none of their orders; it once waited for
+/// the end of such an order for as long as the whole limit of older weights.
+#[test]
+fn a_restarted_holder_orders_again_what_it_no_longer_delivers() {
+    let (fleet, keys) = fleet(&[8]);
+    let mut claims = OrderClaimTable::default();
+    claims.apply(at(0), &claim(1, &["i-0"]));
+    assert_eq!(claimed(claims.next(view(at(4_000), &fleet, 1, 0))), keys);
+}
