Send during a rolling restart until an engine is seen busy

It now sends further requests of the round until an engine is seen to run one, 10 s at most, then stops that engine's sidecar. Every request must still be whole, and the starts must equal the number sent.

--- a/tests/process_stops.rs
+++ b/tests/process_stops.rs
@@ -18,6 +18,12 @@
 /// Time limit for a sidecar to queue requests, to become ready, or to stop accepting requests.
 const STATE_LIMIT: Duration = Duration::from_secs(4);
 
+/// Number of requests that are sent at the same time during a rolling restart.
+const ROUND_REQUESTS: usize = 8;
+
+/// Time limit for an engine to be seen running a request.
+const RUNNING_LIMIT: Duration = Duration::from_secs(10);
+
 /// Sends concurrent non-idempotent requests, none of which may be interrupted, refused or rerun.
 fn send_all(entry: SocketAddr, label: &str) -> Vec<JoinHandle<()>> {
     let call = |i| ChatCall::once(&format!("{label}: file test {i}."), TOKENS);
@@ -46,22 +52,6 @@
     }
 }
 
-/// Waits until a sidecar has a configuration and its engine is up.
-async fn wait_until_ready(operator: SocketAddr) {
-    let deadline = Instant::now() + STATE_LIMIT;
-    loop {
-        let state = ledger_state(operator).await;
-        let is_up = state["engine"]
-            .as_str()
-            .is_some_and(|engine| engine != "Down");
-        if is_up && state["next_offset"].as_u64() > Some(0) {
-            return;
-        }
-        assert!(Instant::now() < deadline, "{state}");
-        tokio::time::sleep(Duration::from_millis(10)).await;
-    }
-}
-
 /// Returns the state of the service `ledger` in a sidecar's dump.
 async fn ledger_state(operator: SocketAddr) -> serde_json::Value {
     get(operator, "/dump", &[]).await.json()["ledger"].clone()
@@ -129,25 +119,40 @@
     call.assert_whole(&call.run(fleet.entry(1)).await);
 }
 
+/// Sends non-idempotent requests to both entries, further ones once all have completed, until an
+/// engine is seen to run one; returns the requests and the index of the engine.
+async fn send_until_running(fleet: &Fleet, round: usize) -> (Vec<JoinHandle<()>>, usize) {
+    let deadline = Instant::now() + RUNNING_LIMIT;
+    let mut requests: Vec<JoinHandle<()>> = Vec::new();
+    while Instant::now() < deadline {
+        if requests.iter().all(JoinHandle::is_finished) {
+            let numbers = requests.len()..requests.len() + ROUND_REQUESTS;
+            requests.extend(numbers.map(|number| {
+                let prompt = format!("Clone unit {number} in round {round}.");
+                let call = ChatCall::once(&prompt, 100);
+                let entry = fleet.entry(number % 2);
+                tokio::spawn(async move { call.assert_whole(&call.run(entry).await) })
+            }));
+        }
+        if let Some(engine) = fleet.running_engine().await {
+            return (requests, engine);
+        }
+    }
+    panic!("no engine runs one of {} requests", requests.len());
+}
+
 #[tokio::test]
 async fn a_rolling_restart_of_the_sidecars_loses_no_request() {
     let mut fleet = Fleet::start().await;
-    for sidecar in &fleet.sidecars {
-        wait_until_ready(sidecar.port("operator")).await;
-    }
+    let mut sent = 0;
     for round in 0..6 {
-        let open = |i: usize| {
-            let call = ChatCall::once(&format!("Clone unit {i} in round {round}."), 100);
-            let entry = fleet.entry(i % 2);
-            tokio::spawn(async move { call.assert_whole(&call.run(entry).await) })
-        };
-        let requests = (0..8).map(open).collect();
-        let stopping = fleet.busy_engine().await;
+        let (requests, stopping) = send_until_running(&fleet, round).await;
+        sent += requests.len() as u64;
         fleet.sidecars[stopping].terminate();
         assert_all_complete(requests).await;
         assert_eq!(fleet.sidecars[stopping].wait(), Some(0));
         fleet.sidecars[stopping].restart();
-        wait_until_ready(fleet.sidecars[stopping].port("operator")).await;
+        fleet.until_ready(stopping, STATE_LIMIT).await;
     }
-    assert_eq!(fleet.total_count("started").await, 48);
+    assert_eq!(fleet.total_count("started").await, sent);
 }
