Keep responses of process_silence running until the fault

Two tests of the file failed on a loaded machine: a request before the fault was refused as not run, or (seen in a trial) "no engine runs a request; 1 started, 1 finished".

The second: a response of 0.6 s had ended before the engines were looked at. The responses of two tests without a time limit now take 3 s; the others open further streams until an engine is seen to run one, and the starts must equal the number opened.

`a_plain_request_to_a_frozen_sidecar_runs_once` failed in 2 of 118 runs since the header had "pending" and the trailer the run status, as when a response does not end within 50 ms of its head. The test now reads the trailer.

--- a/tests/process_silence.rs
+++ b/tests/process_silence.rs
@@ -5,11 +5,23 @@
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
-use common::{API_KEY, Answer, ChatCall, Fleet, FleetOptions, post};
+use bulrushslip::platform::http_client::open;
+use common::{API_KEY, ChatCall, ChatStream, Fleet, FleetOptions, build};
+use http_body_util::BodyExt;
+use hyper::Method;
 
 /// Tokens of a response that is still streaming when the fault begins, at 1 ms each.
 const LONG_RESPONSE: u64 = 600;
 
+/// Tokens of a response that is still streaming after a fault whose start takes several steps.
+const LASTING_RESPONSE: u64 = 3_000;
+
+/// Number of streams of which an engine must be seen to run one.
+const MAX_STREAMS: u64 = 20;
+
+/// Time limit for the response head of the plain service.
+const CALL_LIMIT: Duration = Duration::from_secs(30);
+
 /// Time limit for a complete response after its connection has gone silent.
 const SILENCE_LIMIT: Duration = Duration::from_secs(4);
 
@@ -22,11 +34,25 @@
     }
 }
 
-/// Runs a request, injects a fault during its stream, and checks the response and its duration.
-async fn run_with_fault(fleet: &Fleet, call: &ChatCall, fault: impl AsyncFnOnce(usize)) {
-    let mut stream = call.open(fleet.entry(0)).await;
-    stream.begin().await;
-    fault(fleet.busy_engine().await).await;
+/// Opens streams one after the other until an engine is seen to run one; returns it, the index of
+/// its engine and the number of streams.
+async fn open_running(fleet: &Fleet, call: &ChatCall) -> (ChatStream, usize, u64) {
+    for streams in 1..=MAX_STREAMS {
+        let mut stream = call.open(fleet.entry(0)).await;
+        stream.begin().await;
+        if let Some(engine) = fleet.running_engine().await {
+            return (stream, engine, streams);
+        }
+        call.assert_whole(&stream.finish().await);
+    }
+    panic!("no engine runs one of {MAX_STREAMS} streams");
+}
+
+/// Runs a request, injects a fault during its stream, and checks the response and its duration;
+/// returns the number of requests that were needed for that.
+async fn run_with_fault(fleet: &Fleet, call: &ChatCall, fault: impl AsyncFnOnce(usize)) -> u64 {
+    let (stream, busy, requests) = open_running(fleet, call).await;
+    fault(busy).await;
     let started_at = Instant::now();
     call.assert_whole(&stream.finish().await);
     assert!(
@@ -34,16 +60,35 @@
         "{:?}",
         started_at.elapsed()
     );
+    requests
+}
+
+/// What a caller of the plain service has been told.
+struct PlainReport {
+    status: u16,
+    /// Run status of the trailer, or of the header if there is no trailer.
+    run_status: String,
 }
 
 /// Sends a non-idempotent request to the plain service.
-async fn call_plain_service(entry: SocketAddr) -> Answer {
+async fn call_plain_service(entry: SocketAddr) -> PlainReport {
     let bearer = format!("Bearer {API_KEY}");
     let headers = [
         ("authorization", bearer.as_str()),
+        ("te", "trailers"),
         ("x-idempotent", "false"),
     ];
-    post(entry, "/services/gates/clone", &headers, "{}").await
+    let request = build(Method::POST, entry, "/services/gates/clone", &headers, "{}");
+    let open = open(entry, request, CALL_LIMIT).await.expect("a head");
+    let (head, body) = open.response.into_parts();
+    let body = body.collect().await.expect("a complete body");
+    let name = "x-run-status";
+    let trailer = body.trailers().and_then(|trailers| trailers.get(name));
+    let run_status = trailer.unwrap_or(&head.headers[name]);
+    PlainReport {
+        status: head.status.as_u16(),
+        run_status: run_status.to_str().expect("text").to_owned(),
+    }
 }
 
 #[tokio::test]
@@ -53,11 +98,11 @@
         ChatCall::once("Clone gate 1.", LONG_RESPONSE),
     ] {
         let fleet = Fleet::start().await;
-        run_with_fault(&fleet, &call, async |busy| {
+        let requests = run_with_fault(&fleet, &call, async |busy| {
             fleet.engine_fault(busy, "silence").await;
         })
         .await;
-        assert_eq!(fleet.total_count("started").await, 1);
+        assert_eq!(fleet.total_count("started").await, requests);
     }
 }
 
@@ -98,8 +143,9 @@
         ChatCall::once("Clone gate 2.", LONG_RESPONSE),
     ] {
         let fleet = Fleet::start_with(&relayed()).await;
-        run_with_fault(&fleet, &call, async |busy| fleet.relays[busy].silence()).await;
-        assert_eq!(fleet.total_count("started").await, 1);
+        let silence = async |busy: usize| fleet.relays[busy].silence();
+        let requests = run_with_fault(&fleet, &call, silence).await;
+        assert_eq!(fleet.total_count("started").await, requests);
     }
 }
 
@@ -133,7 +179,7 @@
     for relay in &fleet.relays {
         relay.lose_answers_after(1);
     }
-    let call = ChatCall::once("Clone gate 6.", LONG_RESPONSE);
+    let call = ChatCall::once("Clone gate 6.", LASTING_RESPONSE);
     let report = tokio::spawn({
         let call = call.clone();
         async move { call.run(entry).await }
@@ -153,7 +199,7 @@
     fleet.until_plain_runs(2).await;
     fleet.sidecars[2].restart();
     let response = response.await.expect("a response");
-    assert_eq!(response.header("x-run-status"), "unknown");
+    assert_eq!(response.run_status, "unknown");
     assert_eq!(fleet.plain_runs().await.len(), 2);
 }
 
@@ -188,7 +234,7 @@
 #[tokio::test]
 async fn a_non_idempotent_stream_waits_for_a_frozen_sidecar() {
     let fleet = Fleet::start().await;
-    let call = ChatCall::once("Clone gate 8.", LONG_RESPONSE);
+    let call = ChatCall::once("Clone gate 8.", LASTING_RESPONSE);
     let mut stream = call.open(fleet.entry(0)).await;
     stream.begin().await;
     let busy = fleet.busy_engine().await;
@@ -210,7 +256,7 @@
         fleet.until_dialled(0, dialled + 3).await;
         fleet.sidecars[2].thaw();
     });
-    assert_eq!(response.header("x-run-status"), "complete");
+    assert_eq!(response.run_status, "complete");
     assert_eq!(response.status, 200);
     assert_eq!(fleet.plain_runs().await.values().sum::<u64>(), 1);
 }
