Let streams of the crash and restart tests outlast the look at the engines

`a_crash_ends_a_non_idempotent_stream_as_incomplete` failed once at load 68 with "no engine runs a request; 1 started, 1 finished": its response of 0.6 s had ended before the engines were looked at, as in process_silence. The responses of process_failures now take 2.4 s, as two tests had already; that of process_restarts which ended after 0.3 s takes 1.5 s.

--- a/tests/process_failures.rs
+++ b/tests/process_failures.rs
@@ -7,7 +7,7 @@
 use common::{ChatCall, Fleet, FleetOptions};
 
 /// Tokens of a response that is still streaming when the engine crashes, at 1 ms each.
-const LONG_RESPONSE: u64 = 600;
+const LONG_RESPONSE: u64 = 2_400;
 
 /// Time limit for 800 tokens of 1 ms, two prefills of 100 ms and 1 s until the stream continues.
 const FAILOVER_LIMIT: Duration = Duration::from_secs(2);
@@ -109,7 +109,7 @@
 #[tokio::test]
 async fn a_stream_that_ran_alone_in_two_crashes_ends_incomplete_and_is_not_retried() {
     let fleet = Fleet::start().await;
-    let call = ChatCall::repeatable("Review gate 10.", 4 * LONG_RESPONSE);
+    let call = ChatCall::repeatable("Review gate 10.", LONG_RESPONSE);
     let mut stream = call.open(fleet.entry(0)).await;
     stream.begin().await;
     let first = fleet.busy_engine().await;
@@ -132,7 +132,7 @@
 #[tokio::test]
 async fn a_stream_that_loses_an_engine_and_then_a_sidecar_returns_to_the_first_upstream() {
     let mut fleet = Fleet::start().await;
-    let call = ChatCall::repeatable("Review gate 11.", 4 * LONG_RESPONSE);
+    let call = ChatCall::repeatable("Review gate 11.", LONG_RESPONSE);
     let mut stream = call.open(fleet.entry(0)).await;
     stream.begin().await;
     let first = fleet.busy_engine().await;
--- a/tests/process_restarts.rs
+++ b/tests/process_restarts.rs
@@ -36,7 +36,7 @@
 #[tokio::test]
 async fn a_stream_that_ends_while_its_sidecar_is_down_is_delivered_completely() {
     let mut fleet = Fleet::start().await;
-    let call = ChatCall::once("Clone gate 5.", 300);
+    let call = ChatCall::once("Clone gate 5.", LONG_RESPONSE);
     let mut stream = call.open(fleet.entry(0)).await;
     stream.begin().await;
     let busy = fleet.busy_engine().await;
