Run the process tests with entries or sidecars of another build

BULRUSHSLIP_TEST_ENTRY and BULRUSHSLIP_TEST_SIDECAR name binaries that run as the entries or sidecars of the tests' fleets, so that calls between two builds are tested in both directions.

--- a/tests/common/fleet.rs
+++ b/tests/common/fleet.rs
@@ -27,6 +27,12 @@
 /// Time within which a configuration must be in force.
 const CONFIG_LIMIT: Duration = Duration::from_secs(10);
 
+/// Names a binary that runs as the entries, to test calls between builds.
+const ENTRY_VARIABLE: &str = "BULRUSHSLIP_TEST_ENTRY";
+
+/// Names a binary that runs as the sidecars, to test calls between builds.
+const SIDECAR_VARIABLE: &str = "BULRUSHSLIP_TEST_SIDECAR";
+
 /// Pause between two looks at a condition.
 const POLL_PAUSE: Duration = Duration::from_millis(20);
 
@@ -276,13 +282,18 @@
     ChildProcess::start(binary, &arguments, &[role])
 }
 
+/// Returns the binary that a variable names, or else that of this build.
+fn binary(variable: &str, own: &str) -> String {
+    std::env::var(variable).unwrap_or_else(|_unset| own.to_owned())
+}
+
 fn sidecar(platform: &str, upstream: &[&str], more: &[&str]) -> ChildProcess {
     let name = format!("sidecar-{}", upstream[1]);
     let mut arguments = common_arguments(platform, &name);
     arguments.extend(upstream);
     arguments.extend(more);
-    let binary = env!("CARGO_BIN_EXE_bulrushslip-sidecar");
-    ChildProcess::start(binary, &arguments, &["sidecar", "operator"])
+    let binary = binary(SIDECAR_VARIABLE, env!("CARGO_BIN_EXE_bulrushslip-sidecar"));
+    ChildProcess::start(&binary, &arguments, &["sidecar", "operator"])
 }
 
 fn entry(platform: &str, index: usize, more: &[&str]) -> ChildProcess {
@@ -292,8 +303,8 @@
         arguments.extend(["--leave-ms", "0"]);
     }
     arguments.extend(more);
-    let binary = env!("CARGO_BIN_EXE_bulrushslip-entry");
-    ChildProcess::start(binary, &arguments, &["entry", "operator"])
+    let binary = binary(ENTRY_VARIABLE, env!("CARGO_BIN_EXE_bulrushslip-entry"));
+    ChildProcess::start(&binary, &arguments, &["entry", "operator"])
 }
 
 fn common_arguments<'a>(platform: &'a str, name: &'a str) -> Vec<&'a str> {
