Wait briefly in a stop for entries that never acknowledge an end

Operators saw a planned stop of a sidecar take 10 s longer beside entries of an earlier build.

Cause: a stopping ledger waits until the end of each response is acknowledged, or until nobody has read the ticket for 10 s.

Fix: tickets of entries that acknowledge ends count from 2^63, those of other entries from 1. If a ticket says that no acknowledgement will come, the ledger waits until 3 s after its last read: such an entry gives a read up after 1 s, and then reads again. Sidecars of earlier builds never look at the number. The encoding stays.

a_stopping_ledger_waits_briefly_for_entries_that_acknowledge_no_end is new; with the old rule the ledger still waits at its end, without a wait it has stopped before the second read.

--- a/src/decide/ids.rs
+++ b/src/decide/ids.rs
@@ -25,11 +25,22 @@
 pub struct Ticket {
     /// Incarnation of the entry process that issued the ticket.
     pub entry: Incarnation,
-    /// Sequence number within that entry process, from 1.
+    /// Sequence number within that entry process, from 1, or from
+    /// [`ACKNOWLEDGED_SEQUENCES`](Self::ACKNOWLEDGED_SEQUENCES) + 1.
     pub sequence: u64,
 }
 
 impl Ticket {
+    /// Start of the sequence numbers of entries that acknowledge the end of each response. Entries
+    /// of builds that do not count from 0, so sidecars tell them apart without a further message.
+    pub const ACKNOWLEDGED_SEQUENCES: u64 = 1 << 63;
+
+    /// Returns whether the entry acknowledges the end of the response once it has received it.
+    #[must_use]
+    pub const fn acknowledges_end(self) -> bool {
+        self.sequence >= Self::ACKNOWLEDGED_SEQUENCES
+    }
+
     /// Parses the form written by `Display`; returns `None` for anything else.
     #[must_use]
     pub fn parse(text: &str) -> Option<Self> {
--- a/src/services/caller_side/tickets.rs
+++ b/src/services/caller_side/tickets.rs
@@ -10,7 +10,7 @@
 #[derive(Debug)]
 struct TicketIssuer {
     incarnation: Incarnation,
-    sequence: u64,
+    minted: u64,
     budget: RetryBudget,
     spills: u64,
     retries: u64,
@@ -22,7 +22,7 @@
 pub fn tickets_service(incarnation: Incarnation, policy: RetryPolicy) -> Service<Mail> {
     let mut issuer = TicketIssuer {
         incarnation,
-        sequence: 0,
+        minted: 0,
         budget: RetryBudget::new(policy),
         spills: 0,
         retries: 0,
@@ -54,17 +54,17 @@
                 }
             },
         }
-        self.sequence += 1;
+        self.minted += 1;
         MintOutcome::Minted(Ticket {
             entry: self.incarnation,
-            sequence: self.sequence,
+            sequence: Ticket::ACKNOWLEDGED_SEQUENCES + self.minted,
         })
     }
 
     fn dump(&self) -> serde_json::Value {
         serde_json::json!({
             "incarnation": format!("{:016x}", self.incarnation.0),
-            "minted": self.sequence,
+            "minted": self.minted,
             "spills": self.spills,
             "retries": self.retries,
             "retries_refused": self.refused,
--- a/src/services/upstream_side/ledger/reads.rs
+++ b/src/services/upstream_side/ledger/reads.rs
@@ -7,11 +7,16 @@
 use crate::kernel::{Moment, ReplyTo};
 use crate::wire::rpc::{ReadCall, ReadReply, ReadVerdict, WireStreamEnd};
 
+use super::job::EndDelivery;
 use super::state::LedgerState;
 
 /// Maximum long-poll wait of a read.
 const MAX_READ_WAIT: Duration = Duration::from_secs(2);
 
+/// Time from a read within which an entry reads again if it gets no reply: it gives the call up after
+/// 1 s and dials a new connection.
+const REREAD_TIMEOUT: Duration = Duration::from_secs(3);
+
 /// A read that waits for an item.
 #[derive(Debug)]
 pub(super) struct PendingRead {
@@ -50,8 +55,13 @@
             self.ledger.get(key).map(|entry| entry.state),
             Some(TicketState::Ended(_))
         );
-        // A read from a lower index shows that a reader still waits for the end.
-        job.end_acknowledged = has_ended && call.from_index > end_index;
+        job.reread_by = now.after(REREAD_TIMEOUT);
+        if has_ended && call.from_index > end_index {
+            job.end_delivery = EndDelivery::Acknowledged;
+        } else if job.end_delivery == EndDelivery::Acknowledged {
+            // A read from a lower index shows that a reader still waits for the end.
+            job.end_delivery = EndDelivery::Sent;
+        }
         if !job.keep_all {
             self.response_bytes -= job.buffer.acknowledge(call.from_index);
         }
@@ -114,6 +124,9 @@
                 job.pending_read = Some(read);
                 return;
             }
+            if end.is_some() && job.end_delivery == EndDelivery::Unsent {
+                job.end_delivery = EndDelivery::Sent;
+            }
         }
         if let Some(WireStreamEnd::EngineLost | WireStreamEnd::Uncertain) = end {
             // The engine may have restarted since; the entry reports this crash with a retry.
--- a/src/services/upstream_side/ledger/state.rs
+++ b/src/services/upstream_side/ledger/state.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use super::job::{TicketJob, new_job};
+use super::job::{EndDelivery, TicketJob, new_job};
 use crate::decide::cache_index::{CacheList, CachePage, IndexStep};
 use crate::decide::config::{Configuration, Upstream};
 use crate::decide::ids::{Incarnation, Rank, Repeatability, Ticket};
@@ -250,7 +250,7 @@
                 // A caller that withdraws a ticket does not read its end.
                 self.jobs
                     .entry(key)
-                    .and_modify(|job| job.end_acknowledged = true);
+                    .and_modify(|job| job.end_delivery = EndDelivery::Acknowledged);
                 WithdrawVerdict::Cancelled
             }
             WithdrawStep::Running(_) => WithdrawVerdict::Running,
@@ -342,7 +342,7 @@
         self.jobs.iter().all(|(key, job)| {
             let entry = self.ledger.get(*key);
             let is_orphaned = entry.is_none_or(|entry| entry.orphan_at.is_due(now));
-            !job.started && (job.end_acknowledged || is_orphaned)
+            !job.started && (job.has_delivered_end(now) || is_orphaned)
         })
     }
 
--- a/src/wire/ids.rs
+++ b/src/wire/ids.rs
@@ -14,7 +14,8 @@
 pub struct WireTicket {
     /// Incarnation of the entry that issued the ticket.
     pub entry: u64,
-    /// Sequence number of the ticket within that incarnation.
+    /// Sequence number of the ticket within that incarnation; its highest bit says that the entry
+    /// acknowledges the ends of responses.
     pub sequence: u64,
 }
 
--- a/tests/entry_calls.rs
+++ b/tests/entry_calls.rs
@@ -9,7 +9,7 @@
 
 use bulrushslip::decide::admission::Admission;
 use bulrushslip::decide::config::{Configuration, Upstream, UpstreamKind};
-use bulrushslip::decide::ids::{Incarnation, Rank, Repeatability};
+use bulrushslip::decide::ids::{Incarnation, Rank, Repeatability, Ticket};
 use bulrushslip::decide::outcome::RunStatus;
 use bulrushslip::decide::placement::STANDARD;
 use bulrushslip::decide::request_step::RequestPolicy;
@@ -59,9 +59,9 @@
 /// Call that a sidecar has received.
 #[derive(Debug, PartialEq, Eq)]
 enum RecordedCall {
-    /// Sequence number of the submitted ticket.
+    /// Number of the submitted ticket.
     Submit(u64),
-    /// Sequence number of the ticket and index that the read starts at.
+    /// Number of the ticket and index that the read starts at.
     Read(u64, u64),
     /// Fingerprints and the crashes, by sidecar and epoch, that they were seen in.
     Suspect(Vec<(u64, Option<(u64, u64)>)>),
@@ -87,6 +87,12 @@
     }
 }
 
+/// Returns the number of a ticket, which must say that its entry acknowledges ends.
+fn sequence(ticket: WireTicket) -> u64 {
+    let number = ticket.sequence.checked_sub(Ticket::ACKNOWLEDGED_SEQUENCES);
+    number.expect("the ticket of an entry that acknowledges ends")
+}
+
 impl RecordingSidecar {
     fn record(&self, call: RecordedCall) {
         self.calls.send(call).expect("the test holds the receiver");
@@ -105,7 +111,7 @@
     }
 
     async fn submit(self, _: Context, call: SubmitCall) -> SubmitReply {
-        self.record(RecordedCall::Submit(call.ticket.sequence));
+        self.record(RecordedCall::Submit(sequence(call.ticket)));
         SubmitReply {
             head: head(),
             verdict: SubmitVerdict::Accepted,
@@ -113,7 +119,7 @@
     }
 
     async fn read(self, _: Context, call: ReadCall) -> ReadReply {
-        let sequence = call.ticket.sequence;
+        let sequence = sequence(call.ticket);
         self.record(RecordedCall::Read(sequence, call.from_index));
         tokio::time::sleep(self.read_delay).await;
         let is_lost = self.lost_ticket == Some(sequence);
--- a/tests/ledger_harness/mod.rs
+++ b/tests/ledger_harness/mod.rs
@@ -175,10 +175,11 @@
     }
 }
 
+/// Returns a ticket of an entry that acknowledges ends.
 pub fn ticket(sequence: u64) -> Ticket {
     Ticket {
         entry: Incarnation(1),
-        sequence,
+        sequence: Ticket::ACKNOWLEDGED_SEQUENCES + sequence,
     }
 }
 
--- a/tests/ledger_stops.rs
+++ b/tests/ledger_stops.rs
@@ -4,15 +4,19 @@
 
 use std::time::Duration;
 
+use bulrushslip::decide::ids::{Incarnation, Ticket};
 use bulrushslip::decide::outcome::{RefusalReason, StreamEnd};
 use bulrushslip::kernel::{Moment, ReplyTo};
 use bulrushslip::services::common::mail::LedgerMail;
-use bulrushslip::wire::rpc::{ReadCall, ReadReply, ReadVerdict, SubmitVerdict};
+use bulrushslip::wire::rpc::{ReadCall, ReadReply, ReadVerdict, SubmitCall, SubmitVerdict};
 use ledger_harness::{INCARNATION, SLOTS, Sidecar, submit_call, ticket};
 
 /// Time for which an entry repeats a read whose reply is lost.
 const RETRY_TIME: Duration = Duration::from_secs(5);
 
+/// Time within which an entry reads again if a reply is lost.
+const REREAD_TIME: Duration = Duration::from_millis(1_900);
+
 fn read_call(sequence: u64, from_index: u64) -> ReadCall {
     ReadCall {
         ticket: ticket(sequence).into(),
@@ -93,6 +97,43 @@
     assert!(sidecar.is_stopped());
 }
 
+#[test]
+fn a_stopping_ledger_waits_briefly_for_entries_that_acknowledge_no_end() {
+    let mut sidecar = Sidecar::start();
+    let ticket = Ticket {
+        entry: Incarnation(1),
+        sequence: 1,
+    };
+    let submission = SubmitCall {
+        ticket: ticket.into(),
+        ..submit_call(1, false)
+    };
+    let reply = sidecar.ask(|reply_to| LedgerMail::Submit(submission, reply_to));
+    assert!(matches!(reply.verdict, SubmitVerdict::Accepted));
+    let key = sidecar.started.try_recv().expect("a free slot");
+    sidecar.stop();
+    sidecar.post(LedgerMail::ResponseEnded(key, StreamEnd::Complete));
+    assert!(!sidecar.is_stopped());
+    let read = ReadCall {
+        ticket: ticket.into(),
+        ..read_call(1, 0)
+    };
+    // The first reply is lost, and the entry reads again once its call has timed out.
+    for _ in 0..2 {
+        let reply = sidecar.ask(|reply_to| LedgerMail::Read(read, reply_to));
+        let ReadVerdict::Items { end, .. } = reply.verdict else {
+            panic!("{reply:?}");
+        };
+        assert!(end.is_some());
+        let until = sidecar.kernel.now().after(REREAD_TIME);
+        sidecar.kernel.run_until(until);
+        assert!(!sidecar.is_stopped());
+    }
+    let until = sidecar.kernel.now().after(REREAD_TIME);
+    sidecar.kernel.run_until(until);
+    assert!(sidecar.is_stopped());
+}
+
 #[test]
 fn an_end_that_nobody_reads_delays_the_stop_for_a_limited_time() {
     let mut sidecar = Sidecar::start();
