Let gateways of two builds take part in one soak

BULRUSHSLIP_SOAK_OTHER_GATEWAY names the gateway binary of another build. Every second gateway starts with it, and each gateway changes between the builds whenever it starts again. A broken promise is printed with the builds that the gateways ran. The gateways of the soak get a file of their own, and one that ends by itself is noticed before the soak kills it and at the end, too.

--- a/tests/soak.rs
+++ b/tests/soak.rs
@@ -2,7 +2,8 @@
 //!
 //! `BULRUSHSLIP_SOAK_SEEDS=FROM-UNTIL` runs other seeds, `BULRUSHSLIP_SOAK_SECONDS=N` changes how
 //! long faults come, `BULRUSHSLIP_SOAK_GATEWAYS=N` how many gateways there are,
-//! `BULRUSHSLIP_SOAK_VERSION_MS=N` the time limit of older weights.
+//! `BULRUSHSLIP_SOAK_VERSION_MS=N` the time limit of older weights, and
+//! `BULRUSHSLIP_SOAK_OTHER_GATEWAY` names the gateway binary of a second build.
 
 mod soak_world;
 
--- a/tests/soak_world/ledger.rs
+++ b/tests/soak_world/ledger.rs
@@ -174,6 +174,23 @@
     pub(super) until: Option<Instant>,
 }
 
+/// Build of a gateway.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Build {
+    /// The build under test.
+    This,
+    /// The build that a variable names.
+    Other,
+}
+
+/// Start of a gateway's process.
+#[derive(Debug, Clone, Copy)]
+struct Life {
+    gateway: usize,
+    build: Build,
+    at: Instant,
+}
+
 /// All that was seen.
 #[derive(Debug, Default)]
 pub struct Ledger {
@@ -185,6 +202,8 @@
     pub leaves: Vec<Leave>,
     /// Orders in the order in which they came.
     pub orders: Vec<Order>,
+    /// Starts of gateways, oldest first.
+    lives: Vec<Life>,
     /// When gateways were told to stop.
     pub stops: Vec<(usize, Instant)>,
     /// Versions of the weights that operators named, oldest first.
@@ -222,13 +241,41 @@
         leaves.next().expect("it left before").returned = Some(Instant::now());
     }
 
+    /// Notes that a gateway is started.
+    pub fn note_life(&mut self, gateway: usize, build: Build) {
+        let at = Instant::now();
+        self.lives.push(Life { gateway, build, at });
+    }
+
+    /// Returns the builds that gateways ran at a time, by gateway.
+    fn builds_at(&self, at: Instant) -> Vec<Build> {
+        let mut builds = Vec::new();
+        for life in self.lives.iter().filter(|life| life.at <= at) {
+            if life.gateway >= builds.len() {
+                builds.resize(life.gateway + 1, life.build);
+            }
+            builds[life.gateway] = life.build;
+        }
+        builds
+    }
+
     /// Notes a broken promise.
     pub fn breach(&mut self, rule: &str, id: &str, what: &str) {
+        let sent = self.sent.get(id);
+        let at = sent.map_or_else(Instant::now, |sent| sent.at);
+        self.breach_at(rule, id, what, at);
+    }
+
+    /// Notes a promise that was broken at about a time, with the builds of that time if there were two.
+    pub(super) fn breach_at(&mut self, rule: &str, id: &str, what: &str, at: Instant) {
         let sent = self.sent.get(id);
         let runs = self.runs.get(id);
-        self.broken.push(format!(
-            "{rule}: {id}: {what}; sent {sent:?}; runs {runs:?}"
-        ));
+        let mut line = format!("{rule}: {id}: {what}; sent {sent:?}; runs {runs:?}");
+        if self.lives.iter().any(|life| life.build == Build::Other) {
+            let builds = format!("; builds {:?}", self.builds_at(at));
+            line.push_str(&builds);
+        }
+        self.broken.push(line);
     }
 
     /// Tells whether anything in scope was disturbed from a settling time before `from`.
--- a/tests/soak_world/mod.rs
+++ b/tests/soak_world/mod.rs
@@ -4,6 +4,7 @@
 pub mod caller;
 pub mod dice;
 pub mod entry;
+pub mod gateway;
 pub mod ledger;
 #[path = "../common/process.rs"]
 #[expect(dead_code, reason = "other tests use the rest")]
@@ -15,11 +16,7 @@
 pub mod weights;
 pub mod weights_checks;
 
-use std::net::{Ipv4Addr, SocketAddr, TcpListener};
-use std::ops::Range;
-use std::path::PathBuf;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicU32, Ordering};
 use std::time::{Duration, Instant};
 
 use bulrushslip::platform::http_client::{call, request};
@@ -27,6 +24,7 @@
 use bulrushslip::platform::store_records::encode_keyed;
 use caller::Caller;
 use dice::Dice;
+use gateway::{SoakGateway, free_port, gateway_ip};
 use http_body_util::Full;
 use hyper::Method;
 use ledger::{Got, Kind, Leave, MAX_ATTEMPTS, NamedVersion, Scope, SharedLedger};
@@ -59,12 +57,6 @@
 /// Time for a process to end beyond its grace before it counts as hung.
 const END_LIMIT: Duration = Duration::from_secs(3);
 
-/// Ports on which gateways listen.
-const PORTS: Range<u16> = 20_000..32_000;
-
-/// Ports between those that two processes with neighbouring ids try first.
-const PORT_STRIDE: u32 = 97;
-
 /// Gateways of a soak.
 const GATEWAYS: usize = 3;
 
@@ -103,16 +95,6 @@
     }
 }
 
-/// A gateway, its link to the store and its settings file.
-#[derive(Debug)]
-struct SoakGateway {
-    process: ChildProcess,
-    store_link: LinkProxy,
-    settings: PathBuf,
-    callers: SocketAddr,
-    text: String,
-}
-
 /// An upstream and the link to it.
 #[derive(Debug)]
 struct LinkedUpstream {
@@ -162,34 +144,12 @@
     stop.send_replace(true);
     callers.join_all().await;
     soak.configure_and_check().await;
+    soak.require_running();
     let mut ledger = soak.ledger.lock().expect("not poisoned");
     ledger.check(plan.weights_limit);
     std::mem::take(&mut ledger.broken)
 }
 
-/// Returns a port that was free a moment ago on an address. It lies below those that the system
-/// gives to outgoing connections, which could take it before the gateway does.
-fn free_port(ip: Ipv4Addr) -> u16 {
-    static TRIED: AtomicU32 = AtomicU32::new(0);
-    let count = u32::from(PORTS.end - PORTS.start);
-    // Processes start a stride apart, so that soaks at the same time try different ports.
-    let first = std::process::id().wrapping_mul(PORT_STRIDE);
-    loop {
-        let tried = first.wrapping_add(TRIED.fetch_add(1, Ordering::Relaxed));
-        let port = PORTS.start + u16::try_from(tried % count).expect("below the count");
-        if TcpListener::bind((ip, port)).is_ok() {
-            return port;
-        }
-    }
-}
-
-/// Returns the address of a gateway; peers share a port, so each has an address of its own.
-fn gateway_ip(seed: u64, index: usize) -> Ipv4Addr {
-    let soak = u8::try_from(1 + seed % 250).expect("below 251");
-    let host = u8::try_from(1 + index).expect("few gateways");
-    Ipv4Addr::new(127, 77, soak, host)
-}
-
 impl Soak {
     async fn start(plan: SoakPlan) -> Self {
         let arguments = ["platform", "--listen", "127.0.0.1:0"];
@@ -328,10 +288,7 @@
         let lasts = Duration::from_millis(300 + self.dice.below(3_500));
         let link_fault = LINK_FAULTS[self.dice.index(LINK_FAULTS.len())];
         let mood = BAD_MOODS[self.dice.index(BAD_MOODS.len())];
-        let is_down = self.open.iter().any(|(_, repair, _)| match *repair {
-            Repair::Thaw(other) | Repair::Restart(other) | Repair::Reap(other) => other == gateway,
-            _ => false,
-        });
+        let is_down = self.is_down(gateway);
         let is_hit = self.open.iter().any(|(_, repair, _)| match *repair {
             Repair::Upstream(other) | Repair::UpstreamLink(other) | Repair::Return(other) => {
                 other == upstream
@@ -369,6 +326,7 @@
                 self.hold(Scope::Process(gateway), lasts, Repair::Thaw(gateway));
             }
             8 if !is_down => {
+                self.gateways[gateway].require_running();
                 self.gateways[gateway].process.kill();
                 self.hold(Scope::Process(gateway), lasts, Repair::Restart(gateway));
             }
@@ -382,6 +340,14 @@
         }
     }
 
+    /// Tells whether a gateway is frozen, has been killed or has been told to stop.
+    fn is_down(&self, gateway: usize) -> bool {
+        self.open.iter().any(|(_, repair, _)| match *repair {
+            Repair::Thaw(other) | Repair::Restart(other) | Repair::Reap(other) => other == gateway,
+            _ => false,
+        })
+    }
+
     /// Notes a disturbance that is repaired after a time.
     fn hold(&mut self, scope: Scope, lasts: Duration, repair: Repair) {
         let number = self.ledger.lock().expect("not poisoned").begin(scope);
@@ -498,12 +464,13 @@
                 }
             }
         }
-        for gateway in 0..self.gateways.len() {
-            if let Some(ended) = self.gateways[gateway].process.ended() {
-                let mut ledger = self.ledger.lock().expect("not poisoned");
-                let what = format!("gateway {gateway} ended by itself with {ended:?}");
-                ledger.breach("end", "-", &what);
-            }
+        self.require_running();
+    }
+
+    /// Requires all gateways to run.
+    fn require_running(&mut self) {
+        for gateway in &mut self.gateways {
+            gateway.require_running();
         }
     }
 
@@ -570,75 +537,3 @@
         ledger.sent.insert(id.to_owned(), sent);
     }
 }
-
-impl SoakGateway {
-    async fn start(soak: &Soak, index: usize, peer_port: u16) -> Self {
-        let seed = soak.plan.seed;
-        let store_link = LinkProxy::start(soak.platform.port("platform")).await;
-        let seeds = (0..soak.plan.gateways).filter(|other| *other != index);
-        let seeds: Vec<String> = seeds
-            .map(|other| format!("{}:{peer_port}", gateway_ip(seed, other)))
-            .collect();
-        let local = Ipv4Addr::LOCALHOST;
-        let callers = SocketAddr::from((local, free_port(local)));
-        let text = format!(
-            "node-name=gateway-{index}\nzone=near\nip={}\nlisten.front={callers}\n\
-             listen.ready=127.0.0.1:{}\ninternal-ports={peer_port},{peer_port}\nseeds={}\n\
-             platform.address={}\nbounds.grace-s={}\nbounds.lease-ms=3000\n\
-             bounds.version-ms={}\nbounds.stable-window-ms={}\n\
-             bounds.retry-budget-ratio=0.2\nbounds.budget-extra-retries=56\n",
-            gateway_ip(seed, index),
-            free_port(local),
-            seeds.join(","),
-            store_link.address,
-            STOP_GRACE.as_secs(),
-            soak.plan.weights_limit.as_millis(),
-            ledger::SETTLING.as_millis(),
-        );
-        let folder = PathBuf::from(env!("CARGO_TARGET_TMPDIR"));
-        let settings = folder.join(format!("soak-{}-{seed}-{index}.conf", std::process::id()));
-        std::fs::write(&settings, &text).expect("a settings file");
-        Self {
-            process: Self::launch(&settings),
-            store_link,
-            settings,
-            callers,
-            text,
-        }
-    }
-
-    fn launch(settings: &std::path::Path) -> ChildProcess {
-        ChildProcess::start_with(
-            env!("CARGO_BIN_EXE_bulrushslip-gateway"),
-            &["--metrics-port", "0"],
-            &[("BULRUSHSLIP_SETTINGS", settings.to_str().expect("text"))],
-            &["callers", "readiness", "peers", "metrics"],
-        )
-    }
-
-    fn start_again(&mut self) {
-        self.process.kill();
-        self.process = Self::launch(&self.settings);
-    }
-
-    /// Changes a figure of the settings file and tells the process.
-    fn reload(&mut self) {
-        self.text += "bounds.budget-extra-retries=57\n";
-        std::fs::write(&self.settings, &self.text).expect("a settings file");
-        self.process.hang_up();
-    }
-
-    async fn until_ready(&self) {
-        let asked = Instant::now();
-        let address = self.process.port("readiness");
-        loop {
-            let request = request(Method::GET, address, "/readyz").body(Full::default());
-            let answer = call(address, request.expect("a request"), RECOVERY_LIMIT).await;
-            if answer.is_ok_and(|answer| answer.status.is_success()) {
-                return;
-            }
-            assert!(asked.elapsed() < RECOVERY_LIMIT, "not ready");
-            tokio::time::sleep(Duration::from_millis(20)).await;
-        }
-    }
-}
--- a/tests/soak_world/renewal.rs
+++ b/tests/soak_world/renewal.rs
@@ -51,6 +51,7 @@
                     self.hold(Scope::Process(gateway), lasts, Repair::Thaw(gateway));
                 }
                 Event::Kill(gateway, lasts) => {
+                    self.gateways[gateway].require_running();
                     self.gateways[gateway].process.kill();
                     self.hold(Scope::Process(gateway), lasts, Repair::Restart(gateway));
                 }
--- a/tests/soak_world/weights_checks.rs
+++ b/tests/soak_world/weights_checks.rs
@@ -129,7 +129,8 @@
                 .iter()
                 .any(|disturbance| may_hold_up(disturbance, order.at));
             if (is_turn || order.fence < before.fence) && !is_excused {
-                self.breach("orders", "-", &format!("{order:?} after {before:?}"));
+                let what = format!("{order:?} after {before:?}");
+                self.breach_at("orders", "-", &what, order.at);
             }
         }
     }
