Add a burst of callers to the soak

Once in a seed, for 1 to 3 s, 700 connections without a whole request, 80 callers with bodies of 250 kB and 80 slow readers of answers of 250 kB come to one gateway, which has a memory limit of 64 MB. All promises hold on; besides, no gateway ends by itself, the one with the limit stays below it, and it serves again within the recovery time. The body limit of the soak's configuration rises from 1 kB to 300 kB. Draws of the burst are its own, so that seeds keep their schedules; seeds that stand for earlier failures run without it.

--- a/tests/soak.rs
+++ b/tests/soak.rs
@@ -76,6 +76,7 @@
         let plan = |seed| SoakPlan::new(seed, faults_for(CI_FAULTS));
         let regressions = REGRESSIONS.iter().map(|(seed, gateways)| SoakPlan {
             gateways: *gateways,
+            has_burst: false,
             ..plan(*seed)
         });
         CI_SEEDS.into_iter().map(plan).chain(regressions).collect()
@@ -91,6 +92,7 @@
     }
     let plan = |seed| SoakPlan {
         callers: SLOW_CALLERS,
+        has_burst: false,
         ..SoakPlan::new(seed, faults_for(BRIEF_FAULTS))
     };
     run(SLOW_SEEDS.into_iter().map(plan).collect()).await;
--- a/tests/soak_world/caller.rs
+++ b/tests/soak_world/caller.rs
@@ -12,10 +12,12 @@
 use tokio::time::timeout;
 
 use super::ROUTE_TIME;
+use super::burst::dial_narrow;
 use super::dice::Dice;
 use super::ledger::{Got, Kind, Sent, SharedLedger};
+use super::payload::{self, answer_text, request_body};
 use super::prompt::{TOKEN_USAGE, prompt_prefix};
-use super::upstream::{EVENTS, LONG_EVENTS, LONG_HEADER, answer_text, event_text};
+use super::upstream::{EVENTS, LONG_EVENTS, LONG_HEADER, event_text};
 use super::weights::MODEL;
 
 /// Longest time for a dial.
@@ -24,11 +26,38 @@
 /// Time that a caller waits beyond the route's time, to tell late answers from none.
 const PATIENCE: Duration = Duration::from_millis(1_500);
 
+/// Pause of a slow reader between two parts of an answer.
+const READ_PAUSE: Duration = Duration::from_millis(100);
+
+/// How a caller burdens its gateway.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum CallerKind {
+    /// With small bodies, and answers that it reads at once.
+    Usual,
+    /// With large bodies.
+    LargeBody,
+    /// With large answers that it reads slowly.
+    SlowReader,
+}
+
+impl CallerKind {
+    /// Returns the first letter of its requests' ids.
+    const fn letter(self) -> char {
+        match self {
+            Self::Usual => payload::USUAL,
+            Self::LargeBody => payload::LARGE_BODY,
+            Self::SlowReader => payload::LARGE_ANSWER,
+        }
+    }
+}
+
 /// One caller and its connection.
 #[derive(Debug)]
 pub struct Caller {
     /// Number, for the ids of its requests.
     pub number: u64,
+    /// How it burdens its gateway.
+    pub kind: CallerKind,
     /// Where the gateways take callers.
     pub gateways: Vec<SocketAddr>,
     /// Draws of its own.
@@ -44,27 +73,46 @@
     pub async fn run(mut self, stop: watch::Receiver<bool>) {
         let mut sequence = 0;
         while !*stop.borrow() {
-            sequence += 1;
             let gateway = self.dice.index(self.gateways.len());
-            let id = format!("c{}-{sequence}", self.number);
-            let kind = Kind::ALL[self.dice.index(Kind::ALL.len())];
-            self.send(gateway, &id, kind).await;
-            let pause = self.dice.below(120);
-            tokio::time::sleep(Duration::from_millis(pause)).await;
+            sequence += 1;
+            self.send_next(gateway, sequence).await;
         }
     }
 
+    /// Sends requests to one gateway until told to stop.
+    pub async fn run_at(mut self, gateway: usize, stop: watch::Receiver<bool>) {
+        let mut sequence = 0;
+        while !*stop.borrow() {
+            sequence += 1;
+            self.send_next(gateway, sequence).await;
+        }
+    }
+
+    async fn send_next(&mut self, gateway: usize, sequence: u64) {
+        let id = format!("{}{}-{sequence}", self.kind.letter(), self.number);
+        let kind = Kind::ALL[self.dice.index(Kind::ALL.len())];
+        self.send(gateway, &id, kind).await;
+        let pause = self.dice.below(120);
+        tokio::time::sleep(Duration::from_millis(pause)).await;
+    }
+
+    /// Opens a connection to a gateway, if it can be reached.
+    async fn dial(&self, gateway: usize) -> Option<OpenConnection> {
+        let address = self.gateways[gateway];
+        if self.kind == CallerKind::SlowReader {
+            return timeout(DIAL_LIMIT, dial_narrow(address)).await.ok()?;
+        }
+        dial(address, DIAL_LIMIT).await.ok()
+    }
+
     /// Sends one request over the open connection, or a new one to the gateway; returns what came.
     pub async fn send(&mut self, gateway: usize, id: &str, kind: Kind) -> Option<Got> {
         let kept = self.connection.take();
         let (gateway, mut connection) =
             match kept.filter(|(_, connection)| !connection.sender.is_closed()) {
                 Some(kept) => kept,
-                None => match dial(self.gateways[gateway], DIAL_LIMIT).await {
-                    Ok(connection) => (gateway, connection),
-                    // Nothing was sent; a balancer would choose another instance.
-                    Err(_unreachable) => return None,
-                },
+                // Without a connection nothing was sent; a balancer would choose another instance.
+                None => (gateway, self.dial(gateway).await?),
             };
         if connection.sender.ready().await.is_err() {
             return None;
@@ -121,6 +169,9 @@
         let mut read = BytesMut::new();
         let mut is_broken = None;
         while let Some(frame) = body.frame().await {
+            if self.kind == CallerKind::SlowReader {
+                tokio::time::sleep(READ_PAUSE).await;
+            }
             match frame {
                 Ok(frame) => read.extend(frame.into_data().unwrap_or_else(|_| Bytes::new())),
                 Err(error) => {
@@ -188,6 +239,7 @@
             .header("x-token-usage", TOKEN_USAGE)
             .header("x-prompt-prefix", prompt_prefix(kind, id));
     }
-    let body = Full::new(Bytes::from(id.to_owned()));
-    builder.body(body).expect("a request")
+    builder
+        .body(Full::new(request_body(id)))
+        .expect("a request")
 }
--- a/tests/soak_world/gateway.rs
+++ b/tests/soak_world/gateway.rs
@@ -11,6 +11,7 @@
 use http_body_util::Full;
 use hyper::Method;
 
+use super::burst::MEMORY_LIMIT_MB;
 use super::ledger::{self, Build, SharedLedger};
 use super::process::ChildProcess;
 use super::proxy::LinkProxy;
@@ -80,7 +81,7 @@
             .collect();
         let local = Ipv4Addr::LOCALHOST;
         let callers = SocketAddr::from((local, free_port(local)));
-        let text = format!(
+        let mut text = format!(
             "node-name=gateway-{index}\nzone=near\nip={}\nlisten.front={callers}\n\
              listen.ready=127.0.0.1:{}\ninternal-ports={peer_port},{peer_port}\nseeds={}\n\
              platform.address={}\nbounds.grace-s={}\nbounds.lease-ms=3000\n\
@@ -94,6 +95,10 @@
             soak.plan.weights_limit.as_millis(),
             ledger::SETTLING.as_millis(),
         );
+        if soak.small_gateway == Some(index) {
+            let limit = format!("limits.memory-mb={MEMORY_LIMIT_MB}\n");
+            text.push_str(&limit);
+        }
         let folder = PathBuf::from(env!("CARGO_TARGET_TMPDIR"));
         let settings = folder.join(format!("soak-{}-{seed}-{index}.conf", std::process::id()));
         std::fs::write(&settings, &text).expect("a settings file");
--- a/tests/soak_world/mod.rs
+++ b/tests/soak_world/mod.rs
@@ -1,11 +1,13 @@
 //! One soak: real gateways and the stand-in store as processes, loopback proxies between them, and
 //! a seeded schedule of faults, signals and changes that come in series and overlap.
 
+pub mod burst;
 pub mod caller;
 pub mod dice;
 pub mod entry;
 pub mod gateway;
 pub mod ledger;
+pub mod payload;
 #[path = "../common/process.rs"]
 #[expect(dead_code, reason = "other tests use the rest")]
 mod process;
@@ -22,12 +24,14 @@
 use bulrushslip::platform::http_client::{call, request};
 use bulrushslip::platform::store_client::{OPERATOR_TOPIC, StoreClient};
 use bulrushslip::platform::store_records::encode_keyed;
-use caller::Caller;
+use burst::BurstPlan;
+use caller::{Caller, CallerKind};
 use dice::Dice;
 use gateway::{SoakGateway, free_port, gateway_ip};
 use http_body_util::Full;
 use hyper::Method;
 use ledger::{Got, Kind, Leave, MAX_ATTEMPTS, NamedVersion, Scope, SharedLedger};
+use payload::MAX_BODY_BYTES;
 use process::ChildProcess;
 use proxy::{LINK_FAULTS, LinkFault, LinkProxy};
 use serde_json::json;
@@ -80,6 +84,8 @@
     /// Time from the store's confirmation of a version until no request begins on an older one
     /// (`version-ms`).
     pub weights_limit: Duration,
+    /// Whether a burst of callers befalls a gateway with a low memory limit.
+    pub has_burst: bool,
 }
 
 impl SoakPlan {
@@ -91,6 +97,7 @@
             gateways: GATEWAYS,
             callers: CALLERS,
             weights_limit: VERSION_LIMIT,
+            has_burst: true,
         }
     }
 }
@@ -114,6 +121,14 @@
     weights: u64,
     /// Faults that end: when, what, and their number in the ledger.
     open: Vec<(Instant, Repair, usize)>,
+    /// Index of the gateway with a low memory limit, if there is one.
+    small_gateway: Option<usize>,
+    /// Process that was seen above its memory limit.
+    over_limit: Option<u32>,
+    /// The burst, until it begins.
+    next_burst: Option<BurstPlan>,
+    /// The burst under way: the gateway, what stops its callers, and their tasks.
+    burst: Option<(usize, watch::Sender<bool>, JoinSet<()>)>,
 }
 
 /// What ends a fault.
@@ -127,6 +142,7 @@
     Return(usize),
     Restart(usize),
     Reap(usize),
+    Burst,
 }
 
 /// Runs a soak; returns the promises that were broken.
@@ -166,6 +182,7 @@
             upstream.entry.write().await;
             upstreams.push(LinkedUpstream { upstream, link });
         }
+        let next_burst = plan.has_burst.then(|| BurstPlan::draw(&plan));
         let mut soak = Self {
             plan,
             dice: Dice::new(plan.seed, 0),
@@ -176,6 +193,10 @@
             version: 0,
             weights: 1,
             open: Vec::new(),
+            small_gateway: next_burst.map(|burst| burst.gateway),
+            next_burst,
+            over_limit: None,
+            burst: None,
         };
         soak.configure().await;
         let peer_port = free_port(gateway_ip(plan.seed, 0));
@@ -192,6 +213,7 @@
     fn caller(&self, number: u64) -> Caller {
         Caller {
             number,
+            kind: CallerKind::Usual,
             gateways: self
                 .gateways
                 .iter()
@@ -242,7 +264,7 @@
             "version": self.version,
             "routes": routes.collect::<Vec<_>>(),
             "services": [{"name": "s", "max-connections": 100, "engine": engine}],
-            "limits": {"max-header-bytes": 4096, "max-body-bytes": 1000,
+            "limits": {"max-header-bytes": 4096, "max-body-bytes": MAX_BODY_BYTES,
                 "header-timeout-ms": 3000, "idle-timeout-ms": 15000},
             "tenants": [{"name": "customer", "api-keys": ["key"]}],
         });
@@ -275,6 +297,7 @@
         let end = Instant::now() + self.plan.faults_for;
         while Instant::now() < end {
             self.begin_fault().await;
+            self.begin_burst_if_due();
             let pause = Duration::from_millis(100 + self.dice.below(1_200));
             tokio::time::sleep(pause).await;
             self.repair(Instant::now()).await;
@@ -412,6 +435,7 @@
                 Repair::Thaw(gateway) => self.gateways[gateway].process.thaw(),
                 Repair::Restart(gateway) => self.gateways[gateway].start_again(),
                 Repair::Reap(gateway) => self.reap(gateway),
+                Repair::Burst => self.end_burst().await,
             }
             if number != usize::MAX {
                 self.ledger.lock().expect("not poisoned").end(number);
@@ -467,11 +491,14 @@
         self.require_running();
     }
 
-    /// Requires all gateways to run.
+    /// Requires all gateways to run, and the one with a low limit to have stayed below it.
     fn require_running(&mut self) {
         for gateway in &mut self.gateways {
             gateway.require_running();
         }
+        if let Some(gateway) = self.small_gateway {
+            self.check_memory(gateway);
+        }
     }
 
     /// Requires all upstreams to run the newest weights within their time.
--- a/tests/soak_world/upstream.rs
+++ b/tests/soak_world/upstream.rs
@@ -21,6 +21,7 @@
 
 use super::entry::{EntryWriter, UpstreamState};
 use super::ledger::{Kind, Ledger, Run, SharedLedger};
+use super::payload::{answer_text, request_body};
 use super::prompt::{TOKEN_USAGE, prompt_prefix};
 use super::weights::{self, MODEL, WeightsRun};
 
@@ -347,7 +348,7 @@
     if text(&head.headers, "x-tenant") != "customer" || head.headers.contains_key("x-api-key") {
         ledger.breach("asked", id, "ran as another customer's");
     }
-    if body != id.as_bytes() {
+    if *body != request_body(id) {
         ledger.breach("asked", id, "ran with another body");
     }
     if let Some(weights) = &weights {
@@ -377,11 +378,6 @@
     }
 }
 
-/// Returns the whole answer to a request that is not a stream.
-pub fn answer_text(id: &str) -> String {
-    format!("answer to {id}")
-}
-
 /// Returns one event of a stream.
 pub fn event_text(id: &str, number: u64) -> String {
     format!("id: {number}\ndata: {id} {number}\n\n")
