Probe all gateways of the soak at once, with callers that stay

Cause: the soak probed its gateways one after another, so that the probe of the fifteenth came when the 12 s were over, and that probe drew to leave early, as callers do. Now the gateways are probed at the same time, so that the 12 s are those of each, and probes never leave.

--- a/tests/soak_world/caller.rs
+++ b/tests/soak_world/caller.rs
@@ -11,7 +11,6 @@
 use tokio::sync::watch;
 use tokio::time::timeout;
 
-use super::ROUTE_TIME;
 use super::burst::dial_narrow;
 use super::dice::Dice;
 use super::ledger::{Got, Kind, Sent, SharedLedger};
@@ -19,6 +18,7 @@
 use super::prompt::{TOKEN_USAGE, prompt_prefix};
 use super::upstream::{EVENTS, LONG_EVENTS, LONG_HEADER, event_text};
 use super::weights::MODEL;
+use super::{RECOVERY_LIMIT, ROUTE_TIME};
 
 /// Longest time for a dial.
 const DIAL_LIMIT: Duration = Duration::from_millis(500);
@@ -29,11 +29,16 @@
 /// Pause of a slow reader between two parts of an answer.
 const READ_PAUSE: Duration = Duration::from_millis(100);
 
+/// Pause between two probes of a gateway.
+const PROBE_PAUSE: Duration = Duration::from_millis(50);
+
 /// How a caller burdens its gateway.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum CallerKind {
     /// With small bodies, and answers that it reads at once.
     Usual,
+    /// As a usual one that never leaves early.
+    Probe,
     /// With large bodies.
     LargeBody,
     /// With large answers that it reads slowly.
@@ -44,7 +49,7 @@
     /// Returns the first letter of its requests' ids.
     const fn letter(self) -> char {
         match self {
-            Self::Usual => payload::USUAL,
+            Self::Usual | Self::Probe => payload::USUAL,
             Self::LargeBody => payload::LARGE_BODY,
             Self::SlowReader => payload::LARGE_ANSWER,
         }
@@ -88,6 +93,29 @@
         }
     }
 
+    /// Requires a gateway to serve each kind within the recovery time.
+    pub async fn require_service(mut self, gateway: usize, healed: Instant) {
+        for kind in Kind::ALL {
+            let mut tries = 0;
+            loop {
+                tries += 1;
+                self.connection = None;
+                let id = format!("p{gateway}-{}-{tries}", kind.prefix().trim_matches('/'));
+                let got = self.send(gateway, &id, kind).await;
+                if got == Some(Got::Success) {
+                    break;
+                }
+                if healed.elapsed() > RECOVERY_LIMIT {
+                    let mut ledger = self.ledger.lock().expect("not poisoned");
+                    let what = format!("gateway {gateway} does not serve {kind:?}: {got:?}");
+                    ledger.breach("recovery", &id, &what);
+                    break;
+                }
+                tokio::time::sleep(PROBE_PAUSE).await;
+            }
+        }
+    }
+
     async fn send_next(&mut self, gateway: usize, sequence: u64) {
         let id = format!("{}{}-{sequence}", self.kind.letter(), self.number);
         let kind = Kind::ALL[self.dice.index(Kind::ALL.len())];
@@ -117,9 +145,10 @@
         if connection.sender.ready().await.is_err() {
             return None;
         }
-        let is_long = kind.is_stream() && self.dice.percent(15);
+        let may_leave = self.kind != CallerKind::Probe;
+        let is_long = may_leave && kind.is_stream() && self.dice.percent(15);
         let leaves_after = Duration::from_millis(50 + self.dice.below(400));
-        let is_leaving = is_long || self.dice.percent(5);
+        let is_leaving = is_long || (may_leave && self.dice.percent(5));
         let at = Instant::now();
         let sent = Sent {
             kind,
--- a/tests/soak_world/mod.rs
+++ b/tests/soak_world/mod.rs
@@ -30,7 +30,7 @@
 use gateway::{SoakGateway, free_port, gateway_ip};
 use http_body_util::Full;
 use hyper::Method;
-use ledger::{Got, Kind, Leave, MAX_ATTEMPTS, NamedVersion, Scope, SharedLedger};
+use ledger::{Kind, Leave, MAX_ATTEMPTS, NamedVersion, Scope, SharedLedger};
 use payload::MAX_BODY_BYTES;
 use process::ChildProcess;
 use proxy::{LINK_FAULTS, LinkFault, LinkProxy};
@@ -466,28 +466,15 @@
         let end_of_all = Instant::now() + STOP_GRACE + END_LIMIT;
         self.repair(end_of_all).await;
         let healed = Instant::now();
+        let mut probes = JoinSet::new();
         for index in 0..self.gateways.len() {
-            for kind in Kind::ALL {
-                let mut probe = self.caller(1_000 + index as u64);
-                let mut tries = 0;
-                loop {
-                    tries += 1;
-                    probe.connection = None;
-                    let id = format!("p{index}-{}-{tries}", kind.prefix().trim_matches('/'));
-                    let got = probe.send(index, &id, kind).await;
-                    if got == Some(Got::Success) {
-                        break;
-                    }
-                    if healed.elapsed() > RECOVERY_LIMIT {
-                        let mut ledger = self.ledger.lock().expect("not poisoned");
-                        let what = format!("gateway {index} does not serve {kind:?}: {got:?}");
-                        ledger.breach("recovery", &id, &what);
-                        break;
-                    }
-                    tokio::time::sleep(Duration::from_millis(50)).await;
-                }
-            }
+            let probe = Caller {
+                kind: CallerKind::Probe,
+                ..self.caller(1_000 + index as u64)
+            };
+            probes.spawn(probe.require_service(index, healed));
         }
+        probes.join_all().await;
         self.require_running();
     }
 
