--- a/tests/soak.rs
+++ b/tests/soak.rs
@@ -2,7 +2,8 @@
 //!
 //! `BULRUSHSLIP_SOAK_SEEDS=FROM-UNTIL` runs other seeds, `BULRUSHSLIP_SOAK_SECONDS=N` changes how
 //! long faults come, `BULRUSHSLIP_SOAK_GATEWAYS=N` how many gateways there are,
-//! `BULRUSHSLIP_SOAK_VERSION_MS=N` the time limit of older weights.
+//! `BULRUSHSLIP_SOAK_VERSION_MS=N` the time limit of older weights, and
+//! `BULRUSHSLIP_SOAK_OTHER_GATEWAY` names the gateway binary of a second build.
 
 mod soak_world;
 
@@ -75,6 +76,7 @@
         let plan = |seed| SoakPlan::new(seed, faults_for(CI_FAULTS));
         let regressions = REGRESSIONS.iter().map(|(seed, gateways)| SoakPlan {
             gateways: *gateways,
+            has_burst: false,
             ..plan(*seed)
         });
         CI_SEEDS.into_iter().map(plan).chain(regressions).collect()
@@ -90,6 +92,7 @@
     }
     let plan = |seed| SoakPlan {
         callers: SLOW_CALLERS,
+        has_burst: false,
         ..SoakPlan::new(seed, faults_for(BRIEF_FAULTS))
     };
     run(SLOW_SEEDS.into_iter().map(plan).collect()).await;
--- a/tests/soak_world/mod.rs
+++ b/tests/soak_world/mod.rs
@@ -1,10 +1,13 @@
 //! One soak: real gateways and the stand-in store as processes, loopback proxies between them, and
 //! a seeded schedule of faults, signals and changes that come in series and overlap.
 
+pub mod burst;
 pub mod caller;
 pub mod dice;
 pub mod entry;
+pub mod gateway;
 pub mod ledger;
+pub mod payload;
 #[path = "../common/process.rs"]
 #[expect(dead_code, reason = "other tests use the rest")]
 mod process;
@@ -15,21 +18,20 @@
 pub mod weights;
 pub mod weights_checks;
 
-use std::net::{Ipv4Addr, SocketAddr, TcpListener};
-use std::ops::Range;
-use std::path::PathBuf;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicU32, Ordering};
 use std::time::{Duration, Instant};
 
 use bulrushslip::platform::http_client::{call, request};
 use bulrushslip::platform::store_client::{OPERATOR_TOPIC, StoreClient};
 use bulrushslip::platform::store_records::encode_keyed;
-use caller::Caller;
+use burst::BurstPlan;
+use caller::{Caller, CallerKind};
 use dice::Dice;
+use gateway::{SoakGateway, free_port, gateway_ip};
 use http_body_util::Full;
 use hyper::Method;
-use ledger::{Got, Kind, Leave, MAX_ATTEMPTS, NamedVersion, Scope, SharedLedger};
+use ledger::{Kind, Leave, MAX_ATTEMPTS, NamedVersion, Scope, SharedLedger};
+use payload::MAX_BODY_BYTES;
 use process::ChildProcess;
 use proxy::{LINK_FAULTS, LinkFault, LinkProxy};
 use serde_json::json;
@@ -59,12 +61,6 @@
 /// Time for a process to end beyond its grace before it counts as hung.
 const END_LIMIT: Duration = Duration::from_secs(3);
 
-/// Ports on which gateways listen.
-const PORTS: Range<u16> = 20_000..32_000;
-
-/// Ports between those that two processes with neighbouring ids try first.
-const PORT_STRIDE: u32 = 97;
-
 /// Gateways of a soak.
 const GATEWAYS: usize = 3;
 
@@ -88,6 +84,8 @@
     /// Time from the store's confirmation of a version until no request begins on an older one
     /// (`version-ms`).
     pub weights_limit: Duration,
+    /// Whether a burst of callers befalls a gateway with a low memory limit.
+    pub has_burst: bool,
 }
 
 impl SoakPlan {
@@ -99,20 +97,11 @@
             gateways: GATEWAYS,
             callers: CALLERS,
             weights_limit: VERSION_LIMIT,
+            has_burst: true,
         }
     }
 }
 
-/// A gateway, its link to the store and its settings file.
-#[derive(Debug)]
-struct SoakGateway {
-    process: ChildProcess,
-    store_link: LinkProxy,
-    settings: PathBuf,
-    callers: SocketAddr,
-    text: String,
-}
-
 /// An upstream and the link to it.
 #[derive(Debug)]
 struct LinkedUpstream {
@@ -132,6 +121,14 @@
     weights: u64,
     /// Faults that end: when, what, and their number in the ledger.
     open: Vec<(Instant, Repair, usize)>,
+    /// Index of the gateway with a low memory limit, if there is one.
+    small_gateway: Option<usize>,
+    /// Process that was seen above its memory limit.
+    over_limit: Option<u32>,
+    /// The burst, until it begins.
+    next_burst: Option<BurstPlan>,
+    /// The burst under way: the gateway, what stops its callers, and their tasks.
+    burst: Option<(usize, watch::Sender<bool>, JoinSet<()>)>,
 }
 
 /// What ends a fault.
@@ -145,6 +142,7 @@
     Return(usize),
     Restart(usize),
     Reap(usize),
+    Burst,
 }
 
 /// Runs a soak; returns the promises that were broken.
@@ -162,34 +160,12 @@
     stop.send_replace(true);
     callers.join_all().await;
     soak.configure_and_check().await;
+    soak.require_running();
     let mut ledger = soak.ledger.lock().expect("not poisoned");
     ledger.check(plan.weights_limit);
     std::mem::take(&mut ledger.broken)
 }
 
-/// Returns a port that was free a moment ago on an address. It lies below those that the system
-/// gives to outgoing connections, which could take it before the gateway does.
-fn free_port(ip: Ipv4Addr) -> u16 {
-    static TRIED: AtomicU32 = AtomicU32::new(0);
-    let count = u32::from(PORTS.end - PORTS.start);
-    // Processes start a stride apart, so that soaks at the same time try different ports.
-    let first = std::process::id().wrapping_mul(PORT_STRIDE);
-    loop {
-        let tried = first.wrapping_add(TRIED.fetch_add(1, Ordering::Relaxed));
-        let port = PORTS.start + u16::try_from(tried % count).expect("below the count");
-        if TcpListener::bind((ip, port)).is_ok() {
-            return port;
-        }
-    }
-}
-
-/// Returns the address of a gateway; peers share a port, so each has an address of its own.
-fn gateway_ip(seed: u64, index: usize) -> Ipv4Addr {
-    let soak = u8::try_from(1 + seed % 250).expect("below 251");
-    let host = u8::try_from(1 + index).expect("few gateways");
-    Ipv4Addr::new(127, 77, soak, host)
-}
-
 impl Soak {
     async fn start(plan: SoakPlan) -> Self {
         let arguments = ["platform", "--listen", "127.0.0.1:0"];
@@ -206,6 +182,7 @@
             upstream.entry.write().await;
             upstreams.push(LinkedUpstream { upstream, link });
         }
+        let next_burst = plan.has_burst.then(|| BurstPlan::draw(&plan));
         let mut soak = Self {
             plan,
             dice: Dice::new(plan.seed, 0),
@@ -216,6 +193,10 @@
             version: 0,
             weights: 1,
             open: Vec::new(),
+            small_gateway: next_burst.map(|burst| burst.gateway),
+            next_burst,
+            over_limit: None,
+            burst: None,
         };
         soak.configure().await;
         let peer_port = free_port(gateway_ip(plan.seed, 0));
@@ -232,6 +213,7 @@
     fn caller(&self, number: u64) -> Caller {
         Caller {
             number,
+            kind: CallerKind::Usual,
             gateways: self
                 .gateways
                 .iter()
@@ -282,7 +264,7 @@
             "version": self.version,
             "routes": routes.collect::<Vec<_>>(),
             "services": [{"name": "s", "max-connections": 100, "engine": engine}],
-            "limits": {"max-header-bytes": 4096, "max-body-bytes": 1000,
+            "limits": {"max-header-bytes": 4096, "max-body-bytes": MAX_BODY_BYTES,
                 "header-timeout-ms": 3000, "idle-timeout-ms": 15000},
             "tenants": [{"name": "customer", "api-keys": ["key"]}],
         });
@@ -315,6 +297,7 @@
         let end = Instant::now() + self.plan.faults_for;
         while Instant::now() < end {
             self.begin_fault().await;
+            self.begin_burst_if_due();
             let pause = Duration::from_millis(100 + self.dice.below(1_200));
             tokio::time::sleep(pause).await;
             self.repair(Instant::now()).await;
@@ -328,10 +311,7 @@
         let lasts = Duration::from_millis(300 + self.dice.below(3_500));
         let link_fault = LINK_FAULTS[self.dice.index(LINK_FAULTS.len())];
         let mood = BAD_MOODS[self.dice.index(BAD_MOODS.len())];
-        let is_down = self.open.iter().any(|(_, repair, _)| match *repair {
-            Repair::Thaw(other) | Repair::Restart(other) | Repair::Reap(other) => other == gateway,
-            _ => false,
-        });
+        let is_down = self.is_down(gateway);
         let is_hit = self.open.iter().any(|(_, repair, _)| match *repair {
             Repair::Upstream(other) | Repair::UpstreamLink(other) | Repair::Return(other) => {
                 other == upstream
@@ -369,6 +349,7 @@
                 self.hold(Scope::Process(gateway), lasts, Repair::Thaw(gateway));
             }
             8 if !is_down => {
+                self.gateways[gateway].require_running();
                 self.gateways[gateway].process.kill();
                 self.hold(Scope::Process(gateway), lasts, Repair::Restart(gateway));
             }
@@ -382,6 +363,14 @@
         }
     }
 
+    /// Tells whether a gateway is frozen, has been killed or has been told to stop.
+    fn is_down(&self, gateway: usize) -> bool {
+        self.open.iter().any(|(_, repair, _)| match *repair {
+            Repair::Thaw(other) | Repair::Restart(other) | Repair::Reap(other) => other == gateway,
+            _ => false,
+        })
+    }
+
     /// Notes a disturbance that is repaired after a time.
     fn hold(&mut self, scope: Scope, lasts: Duration, repair: Repair) {
         let number = self.ledger.lock().expect("not poisoned").begin(scope);
@@ -446,6 +435,7 @@
                 Repair::Thaw(gateway) => self.gateways[gateway].process.thaw(),
                 Repair::Restart(gateway) => self.gateways[gateway].start_again(),
                 Repair::Reap(gateway) => self.reap(gateway),
+                Repair::Burst => self.end_burst().await,
             }
             if number != usize::MAX {
                 self.ledger.lock().expect("not poisoned").end(number);
@@ -476,34 +466,25 @@
         let end_of_all = Instant::now() + STOP_GRACE + END_LIMIT;
         self.repair(end_of_all).await;
         let healed = Instant::now();
+        let mut probes = JoinSet::new();
         for index in 0..self.gateways.len() {
-            for kind in Kind::ALL {
-                let mut probe = self.caller(1_000 + index as u64);
-                let mut tries = 0;
-                loop {
-                    tries += 1;
-                    probe.connection = None;
-                    let id = format!("p{index}-{}-{tries}", kind.prefix().trim_matches('/'));
-                    let got = probe.send(index, &id, kind).await;
-                    if got == Some(Got::Success) {
-                        break;
-                    }
-                    if healed.elapsed() > RECOVERY_LIMIT {
-                        let mut ledger = self.ledger.lock().expect("not poisoned");
-                        let what = format!("gateway {index} does not serve {kind:?}: {got:?}");
-                        ledger.breach("recovery", &id, &what);
-                        break;
-                    }
-                    tokio::time::sleep(Duration::from_millis(50)).await;
-                }
-            }
+            let probe = Caller {
+                kind: CallerKind::Probe,
+                ..self.caller(1_000 + index as u64)
+            };
+            probes.spawn(probe.require_service(index, healed));
         }
-        for gateway in 0..self.gateways.len() {
-            if let Some(ended) = self.gateways[gateway].process.ended() {
-                let mut ledger = self.ledger.lock().expect("not poisoned");
-                let what = format!("gateway {gateway} ended by itself with {ended:?}");
-                ledger.breach("end", "-", &what);
-            }
+        probes.join_all().await;
+        self.require_running();
+    }
+
+    /// Requires all gateways to run, and the one with a low limit to have stayed below it.
+    fn require_running(&mut self) {
+        for gateway in &mut self.gateways {
+            gateway.require_running();
+        }
+        if let Some(gateway) = self.small_gateway {
+            self.check_memory(gateway);
         }
     }
 
@@ -570,75 +551,3 @@
         ledger.sent.insert(id.to_owned(), sent);
     }
 }
-
-impl SoakGateway {
-    async fn start(soak: &Soak, index: usize, peer_port: u16) -> Self {
-        let seed = soak.plan.seed;
-        let store_link = LinkProxy::start(soak.platform.port("platform")).await;
-        let seeds = (0..soak.plan.gateways).filter(|other| *other != index);
-        let seeds: Vec<String> = seeds
-            .map(|other| format!("{}:{peer_port}", gateway_ip(seed, other)))
-            .collect();
-        let local = Ipv4Addr::LOCALHOST;
-        let callers = SocketAddr::from((local, free_port(local)));
-        let text = format!(
-            "node-name=gateway-{index}\nzone=near\nip={}\nlisten.front={callers}\n\
-             listen.ready=127.0.0.1:{}\ninternal-ports={peer_port},{peer_port}\nseeds={}\n\
-             platform.address={}\nbounds.grace-s={}\nbounds.lease-ms=3000\n\
-             bounds.version-ms={}\nbounds.stable-window-ms={}\n\
-             bounds.retry-budget-ratio=0.2\nbounds.budget-extra-retries=56\n",
-            gateway_ip(seed, index),
-            free_port(local),
-            seeds.join(","),
-            store_link.address,
-            STOP_GRACE.as_secs(),
-            soak.plan.weights_limit.as_millis(),
-            ledger::SETTLING.as_millis(),
-        );
-        let folder = PathBuf::from(env!("CARGO_TARGET_TMPDIR"));
-        let settings = folder.join(format!("soak-{}-{seed}-{index}.conf", std::process::id()));
-        std::fs::write(&settings, &text).expect("a settings file");
-        Self {
-            process: Self::launch(&settings),
-            store_link,
-            settings,
-            callers,
-            text,
-        }
-    }
-
-    fn launch(settings: &std::path::Path) -> ChildProcess {
-        ChildProcess::start_with(
-            env!("CARGO_BIN_EXE_bulrushslip-gateway"),
-            &["--metrics-port", "0"],
-            &[("BULRUSHSLIP_SETTINGS", settings.to_str().expect("text"))],
-            &["callers", "readiness", "peers", "metrics"],
-        )
-    }
-
-    fn start_again(&mut self) {
-        self.process.kill();
-        self.process = Self::launch(&self.settings);
-    }
-
-    /// Changes a figure of the settings file and tells the process.
-    fn reload(&mut self) {
-        self.text += "bounds.budget-extra-retries=57\n";
-        std::fs::write(&self.settings, &self.text).expect("a settings file");
-        self.process.hang_up();
-    }
-
-    async fn until_ready(&self) {
-        let asked = Instant::now();
-        let address = self.process.port("readiness");
-        loop {
-            let request = request(Method::GET, address, "/readyz").body(Full::default());
-            let answer = call(address, request.expect("a request"), RECOVERY_LIMIT).await;
-            if answer.is_ok_and(|answer| answer.status.is_success()) {
-                return;
-            }
-            assert!(asked.elapsed() < RECOVERY_LIMIT, "not ready");
-            tokio::time::sleep(Duration::from_millis(20)).await;
-        }
-    }
-}
