Test that an order accepted without a response is not repeated

No test failed when the report after an unanswered order was ignored. It passes on the code as it is.

--- a/tests/weights_orders.rs
+++ b/tests/weights_orders.rs
@@ -153,6 +153,17 @@
     assert!(pause >= REPORT_LAG, "looked for after {pause:?}");
 }
 
+/// The report after an order without a response shows that it was accepted, so that it is not repeated.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_order_that_was_accepted_without_a_response_is_not_sent_again() {
+    let lost = vec![report(LAGGING), Behaviour::Truncate, report(BUSY)];
+    let behaviours = [lost, vec![report(LAGGING), report(LOADED)]].concat();
+    let mut fleet = Fleet::start(behaviours).await;
+    fleet.receive("", 5).await;
+    let paths = ["/report", "/order", "/report", "/report", "/report"];
+    assert_eq!(fleet.paths()[..5], paths);
+}
+
 /// An order without a response may be carried out late; the next one was once sent although the upstream
 /// was loading, and refused.
 #[tokio::test(flavor = "multi_thread")]
