--- a/src/ctl/apply.rs
+++ b/src/ctl/apply.rs
@@ -5,7 +5,7 @@
 use super::args::ApplyArgs;
 use super::confirm::{confirm, exit_status};
 use super::exit::ExitStatus;
-use super::follower::{CatchUpOutcome, ConfigFollower};
+use super::follower::ConfigFollower;
 use super::plan::read_changes;
 use crate::decide::config_change::{PlanId, PlanRecord};
 use crate::decide::confirm::ConfirmOutcome;
@@ -23,16 +23,9 @@
     };
     let log = LogClient::new(args.platform, CONFIG_STREAM);
     let mut follower = ConfigFollower::new(log, None);
-    match follower.catch_up().await {
-        CatchUpOutcome::AtEnd => {}
-        CatchUpOutcome::Unreadable(reason) => {
-            eprintln!("the configuration log cannot be read: {reason}");
-            return ExitStatus::Unavailable;
-        }
-        CatchUpOutcome::RecordsMissing => {
-            eprintln!("the log has dropped records and has no complete snapshot of them");
-            return ExitStatus::Unavailable;
-        }
+    if let Some(failure) = follower.catch_up().await.failure() {
+        eprintln!("{failure}");
+        return ExitStatus::Unavailable;
     }
     let record = PlanRecord {
         plan_id: PlanId(rand::rng().random()),
--- a/src/ctl/confirm.rs
+++ b/src/ctl/confirm.rs
@@ -86,15 +86,8 @@
         outcome,
         reason: reason.to_owned(),
     };
-    match follower.catch_up().await {
-        CatchUpOutcome::AtEnd => {}
-        CatchUpOutcome::Unreadable(reason) => return report(ConfirmOutcome::NotAppended, &reason),
-        CatchUpOutcome::RecordsMissing => {
-            return report(
-                ConfirmOutcome::NotAppended,
-                "the log has dropped records and has no complete snapshot of them",
-            );
-        }
+    if let Some(failure) = follower.catch_up().await.failure() {
+        return report(ConfirmOutcome::NotAppended, &failure);
     }
     // An earlier confirmation may have put the plan in force without receiving the response.
     let mut confirmation = Confirmation::default();
--- a/src/ctl/follower.rs
+++ b/src/ctl/follower.rs
@@ -47,6 +47,23 @@
     RecordsMissing,
 }
 
+impl CatchUpOutcome {
+    /// Returns why the log was not replayed to its end, if it was not.
+    #[must_use]
+    pub fn failure(&self) -> Option<String> {
+        match self {
+            Self::AtEnd => None,
+            Self::Unreadable(reason) => {
+                Some(format!("the configuration log cannot be read: {reason}"))
+            }
+            Self::RecordsMissing => {
+                let text = "the log has dropped records and has no complete snapshot of them";
+                Some(text.to_owned())
+            }
+        }
+    }
+}
+
 impl ConfigFollower {
     /// Creates a follower at the start of the stream that records the offsets of a plan's copies.
     #[must_use]
--- a/src/ctl/plan.rs
+++ b/src/ctl/plan.rs
@@ -7,7 +7,7 @@
 use serde_json::json;
 
 use super::exit::ExitStatus;
-use super::follower::{CatchUpOutcome, ConfigFollower};
+use super::follower::ConfigFollower;
 use crate::decide::config_change::{ConfigChange, PlanId};
 use crate::decide::plan::{Intent, Plan, describe, make_plan};
 use crate::platform::log_client::LogClient;
@@ -48,16 +48,9 @@
     };
     let log = LogClient::new(args.platform, CONFIG_STREAM);
     let mut follower = ConfigFollower::new(log, None);
-    match follower.catch_up().await {
-        CatchUpOutcome::AtEnd => {}
-        CatchUpOutcome::Unreadable(reason) => {
-            eprintln!("the configuration log cannot be read: {reason}");
-            return ExitStatus::Unavailable;
-        }
-        CatchUpOutcome::RecordsMissing => {
-            eprintln!("the log has dropped records and has no complete snapshot of them");
-            return ExitStatus::Unavailable;
-        }
+    if let Some(failure) = follower.catch_up().await.failure() {
+        eprintln!("{failure}");
+        return ExitStatus::Unavailable;
     }
     let plan_id = PlanId(rand::rng().random());
     let plan = match make_plan(&follower.current(), intent, plan_id, args.force) {
