Test that a gateway refuses connections while its places are in use

What the former check bounded is held again, at the gateway itself: beside 2,500 connections with unfinished requests all of 50 new callers are refused within the limit, with Retry-After, memory stays below its limit, and the gateway serves again once they are gone.

--- a/tests/gateway_memory.rs
+++ b/tests/gateway_memory.rs
@@ -220,6 +220,25 @@
     assert_serves(address).await;
 }
 
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn connections_beyond_the_memory_limit_are_refused_while_others_are_in_use() {
+    let (_world, mut gateway, address) = start(64).await;
+    let unfinished = "POST /once/ HTTP/1.1\r\nhost: 127.0.0.1\r\nx-request-id: held\r\n\
+        x-api-key: key\r\nx-deadline-ms: 20000\r\ncontent-length: 4\r\n\r\n";
+    let mut in_use = Vec::new();
+    for _ in 0..2_500 {
+        let mut stream = TcpStream::connect(address).await.expect("a connection");
+        // A refused connection may be closed already.
+        drop(stream.write_all(unfinished.as_bytes()).await);
+        in_use.push(stream);
+    }
+    let responses = burst(address, "/once/", 50, 0, REFUSAL_LIMIT).await;
+    assert_eq!(count_refusals(&responses), 50);
+    assert_below_limit(&mut gateway, 64);
+    drop(in_use);
+    assert_serves(address).await;
+}
+
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn idle_connections_beyond_the_memory_limit_leave_room_for_new_callers() {
     let (_world, mut gateway, address) = start(64).await;
