Log and count how stream bodies end

Callers of a once-only stream got a truncated answer as a complete 200, and neither logs nor metrics told anything about it: one in 64 streams is logged, at its head. The position comes from one scanner of event boundaries (LF, CRLF, CR) that splitting and passing share; what is forwarded, and when a stream counts as complete, has not changed.

--- a/src/events/mod.rs
+++ b/src/events/mod.rs
@@ -1,8 +1,10 @@
 //! Numbered log events; docs/EVENTS.md is generated from [`CATALOGUE`].
 
 mod catalogue;
+mod request_events;
 
 pub use catalogue::*;
+pub use request_events::*;
 
 use std::fmt::{Display, Write};
 use std::sync::OnceLock;
--- a/src/gateway/counters.rs
+++ b/src/gateway/counters.rs
@@ -44,6 +44,12 @@
     outcome: &'static str,
 }
 
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct BodyEndLabels {
+    framing: &'static str,
+    position: &'static str,
+}
+
 /// Values of the gauges at the time of a scrape.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub struct GatewayGauges {
@@ -70,6 +76,7 @@
     requests: Family<RequestLabels, Counter>,
     latencies: Family<KindLabels, Histogram>,
     sends: Family<OutcomeLabels, Counter>,
+    body_ends: Family<BodyEndLabels, Counter>,
     starts: Histogram,
     configuration: Gauge,
     open_upstreams: Gauge,
@@ -87,6 +94,7 @@
             requests: Family::default(),
             latencies: Family::new_with_constructor(|| Histogram::new(LATENCY_BUCKETS)),
             sends: Family::default(),
+            body_ends: Family::default(),
             starts: Histogram::new(LATENCY_BUCKETS),
             configuration: Gauge::default(),
             open_upstreams: Gauge::default(),
@@ -111,6 +119,9 @@
         registry.register("request_seconds", help, latencies);
         let sends = self.sends.clone();
         registry.register("sends", "Sends to upstreams by outcome", sends);
+        let body_ends = self.body_ends.clone();
+        let help = "Stream bodies received to their end, by framing and position in their events";
+        registry.register("stream_body_ends", help, body_ends);
         let starts = self.starts.clone();
         let help = "Time from a placement to the first output of its stream, in seconds";
         registry.register("start_seconds", help, starts);
@@ -161,6 +172,12 @@
         self.sends.get_or_create(&OutcomeLabels { outcome }).inc();
     }
 
+    /// Counts a stream body that was received to its end.
+    pub fn count_body_end(&self, framing: &'static str, position: &'static str) {
+        let labels = BodyEndLabels { framing, position };
+        self.body_ends.get_or_create(&labels).inc();
+    }
+
     /// Records how long a stream waited at its upstream before its first output.
     pub fn observe_start(&self, waited: Duration) {
         self.starts.observe(waited.as_secs_f64());
--- a/src/gateway/dispatch/mod.rs
+++ b/src/gateway/dispatch/mod.rs
@@ -106,6 +106,11 @@
         }
         DispatchMail::BuildGossip(from, reply_to) => reply_to.send(state.build_gossip(now, from)),
         DispatchMail::RequestEnded(end) => state.counters.count_request(end),
+        DispatchMail::StreamBodyEnded(framing, position) => {
+            state
+                .counters
+                .count_body_end(framing.name(), position.name());
+        }
         DispatchMail::Metrics(reply_to) => reply_to.send(state.metrics_text(now)),
         DispatchMail::IsReady(reply_to) => reply_to.send(state.is_ready()),
         DispatchMail::Leaving => state.leave(now),
--- a/src/gateway/mail.rs
+++ b/src/gateway/mail.rs
@@ -15,7 +15,9 @@
 use crate::gateway::dispatch::DispatchState;
 use crate::kernel::{Moment, ReplyTo};
 use crate::platform::http_connection::OpenConnection;
+use crate::platform::request_headers::BodyFraming;
 use crate::platform::settings_file::InstanceSettings;
+use crate::wire::event_scanner::StreamPosition;
 use crate::wire::peer_rpc::{GossipMessage, WireTopic};
 
 /// Message to a service or I/O task of the gateway; the variant names the receiver.
@@ -69,6 +71,8 @@
     BuildGossip(PeerProgress, ReplyTo<GossipMessage>),
     /// A request of a client has ended.
     RequestEnded(RequestEnd),
+    /// The body of a stream was received to its end, with this framing and position.
+    StreamBodyEnded(BodyFraming, StreamPosition),
     /// Asks for all metrics in text format.
     Metrics(ReplyTo<String>),
     /// Asks whether the instance can serve clients.
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -20,6 +20,7 @@
 pub mod placement_guard;
 pub mod readiness;
 pub mod relay;
+pub mod relay_body;
 pub mod request;
 pub mod response_body;
 pub mod settings_watch;
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -1,31 +1,32 @@
 //! Task that forwards an event stream to its caller and resumes it at another upstream if the
 //! connection to the first one breaks.
 
-use std::io;
-use std::pin::Pin;
-use std::task::{Context, Poll, ready};
 use std::time::Duration;
 
 use bytes::Bytes;
 use http_body_util::BodyExt;
-use hyper::body::{Body, Frame, Incoming};
+use hyper::body::{Frame, Incoming};
 use tokio::sync::{mpsc, oneshot};
 use tokio::time::{sleep, sleep_until, timeout};
 
 use super::abandonment::log_abandoned;
 use super::attempts::{AttemptsOutcome, PlacedStream, RequestAttempts};
 use super::cancellation::CancelSignal;
-use super::mail::GatewayMail;
+use super::dispatch;
+use super::mail::{DispatchMail, GatewayMail};
 use super::placement_guard::PlacementGuard;
+use super::relay_body::RelayBody;
 use super::request::CallerRequest;
 use super::upstream_call::reusable_until;
 use crate::decide::fleet::{MemberKey, MemberOutcome};
 use crate::decide::memory_plan::STREAM_BYTES;
 use crate::decide::route_table::RouteKind;
 use crate::decide::send_step::{AttemptOutcome, RetryDecision, SendHistory};
-use crate::events::{STREAM_BROKEN, STREAM_RESUMED, log_event};
+use crate::events::{STREAM_BODY_ENDED, STREAM_BROKEN, STREAM_RESUMED, log_event};
 use crate::kernel::{Directory, Moment};
 use crate::platform::http_server::ResponseBody;
+use crate::platform::request_headers::BodyFraming;
+use crate::wire::event_scanner::StreamPosition;
 use crate::wire::event_splitter::{EventSplitter, SplitStep};
 
 /// Body frames that are buffered for a slow caller.
@@ -35,36 +36,6 @@
 /// percent of the route's target latency for the first event.
 const STALL_PERCENT: u64 = 250;
 
-/// Response body of the caller; the task that feeds it ends when it is dropped.
-///
-/// A body whose frames end without completion aborts the caller's connection, so that a truncated
-/// stream does not look complete.
-#[derive(Debug)]
-struct RelayBody {
-    frames: mpsc::Receiver<Frame<Bytes>>,
-    completion: oneshot::Receiver<()>,
-    is_complete: bool,
-}
-
-impl Body for RelayBody {
-    type Data = Bytes;
-    type Error = io::Error;
-
-    fn poll_frame(
-        mut self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-    ) -> Poll<Option<io::Result<Frame<Bytes>>>> {
-        if let Some(frame) = ready!(self.frames.poll_recv(cx)) {
-            return Poll::Ready(Some(Ok(frame)));
-        }
-        self.is_complete |= self.completion.try_recv().is_ok();
-        if self.is_complete {
-            return Poll::Ready(None);
-        }
-        Poll::Ready(Some(Err(io::ErrorKind::ConnectionAborted.into())))
-    }
-}
-
 /// How the stream from one upstream ended.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum StreamEnd {
@@ -78,6 +49,15 @@
     TimedOut,
 }
 
+/// Upstream response that a stream is read from.
+#[derive(Debug, Clone, Copy)]
+struct StreamSource<'a> {
+    /// Name of the upstream.
+    upstream: &'a str,
+    framing: BodyFraming,
+    guard: &'a PlacementGuard,
+}
+
 /// State of the task that forwards one stream.
 #[derive(Debug)]
 struct StreamRelay {
@@ -118,12 +98,7 @@
         excluded,
     };
     tokio::spawn(relay.run(stream));
-    let body = RelayBody {
-        frames: receiver,
-        completion: completed,
-        is_complete: false,
-    };
-    body.boxed()
+    RelayBody::new(receiver, completed).boxed()
 }
 
 impl StreamRelay {
@@ -140,7 +115,14 @@
                 guard,
             } = stream;
             let end = match self.reserve_memory(&mut cancellation).await {
-                Ok(()) => self.forward(body, &guard, &mut cancellation).await,
+                Ok(()) => {
+                    let source = StreamSource {
+                        upstream: &upstream,
+                        framing: BodyFraming::of(&head.headers),
+                        guard: &guard,
+                    };
+                    self.forward(body, source, &mut cancellation).await
+                }
                 Err(end) => end,
             };
             match end {
@@ -195,7 +177,7 @@
     async fn forward(
         &mut self,
         mut body: Incoming,
-        guard: &PlacementGuard,
+        source: StreamSource<'_>,
         cancellation: &mut CancelSignal,
     ) -> StreamEnd {
         let mut splitter = EventSplitter::default();
@@ -219,8 +201,14 @@
                 }
             };
             let data = match frame {
-                None if splitter.is_mid_event() => return StreamEnd::Broken(MemberOutcome::Lost),
-                None => return StreamEnd::Complete,
+                None => {
+                    self.log_body_end(source, splitter.position());
+                    return if splitter.is_mid_event() {
+                        StreamEnd::Broken(MemberOutcome::Lost)
+                    } else {
+                        StreamEnd::Complete
+                    };
+                }
                 Some(Err(_broken)) => return StreamEnd::Broken(MemberOutcome::Lost),
                 Some(Ok(frame)) => match frame.into_data() {
                     Ok(data) => data,
@@ -230,7 +218,7 @@
             };
             if !has_begun && !data.is_empty() {
                 has_begun = true;
-                guard.record_first_output();
+                source.guard.record_first_output();
             }
             if let Err(end) = self.deliver(&mut splitter, data).await {
                 return end;
@@ -323,6 +311,27 @@
         Some(*stream)
     }
 
+    /// Counts the end of a response body, and logs one that does not show by itself whether the
+    /// stream is complete.
+    fn log_body_end(&self, source: StreamSource<'_>, position: StreamPosition) {
+        let framing = source.framing;
+        let mail = DispatchMail::StreamBodyEnded(framing, position);
+        dispatch::tell(&self.directory, mail);
+        let is_framed = framing != BodyFraming::ConnectionClose;
+        if is_framed && position == StreamPosition::BetweenEvents {
+            return;
+        }
+        log_event(
+            &STREAM_BODY_ENDED,
+            &[
+                ("request", &self.request.id),
+                ("upstream", &source.upstream),
+                ("framing", &framing.name()),
+                ("position", &position.name()),
+            ],
+        );
+    }
+
     fn log_abandoned(&self, upstream: &str) {
         log_abandoned(&self.directory, &self.request, upstream, self.history);
     }
--- a/src/platform/request_headers.rs
+++ b/src/platform/request_headers.rs
@@ -157,3 +157,38 @@
     let header = header_text(&head.headers, &HOST);
     header.or_else(|| head.uri.host()).unwrap_or_default()
 }
+
+/// How the end of a response body is marked.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+pub enum BodyFraming {
+    /// The head states the length.
+    Length,
+    /// The last chunk is marked.
+    Chunks,
+    /// The body ends with its connection.
+    ConnectionClose,
+}
+
+impl BodyFraming {
+    /// Determines the framing from the headers of a response.
+    #[must_use]
+    pub fn of(headers: &HeaderMap) -> Self {
+        if headers.contains_key(TRANSFER_ENCODING) {
+            Self::Chunks
+        } else if headers.contains_key(CONTENT_LENGTH) {
+            Self::Length
+        } else {
+            Self::ConnectionClose
+        }
+    }
+
+    /// Returns the name for logs and metrics.
+    #[must_use]
+    pub const fn name(self) -> &'static str {
+        match self {
+            Self::Length => "length",
+            Self::Chunks => "chunks",
+            Self::ConnectionClose => "connection_close",
+        }
+    }
+}
--- a/src/wire/event_splitter.rs
+++ b/src/wire/event_splitter.rs
@@ -2,6 +2,7 @@
 
 use bytes::{Bytes, BytesMut};
 
+use super::event_scanner::{EventScanner, ScanStep, StreamPosition};
 use super::sse::MAX_EVENT_BYTES;
 
 /// Complete event as received, including the blank line that ends it.
@@ -17,12 +18,11 @@
 #[derive(Debug, Default)]
 pub struct EventSplitter {
     buffer: BytesMut,
-    /// Number of buffered bytes that contain no end of an event.
+    scanner: EventScanner,
+    /// Number of buffered bytes that were scanned and contain no end of an event.
     searched: usize,
     /// Number of bytes passed unsplit since the last end of an event.
     passed: usize,
-    /// Whether the last line that was passed unsplit is still empty.
-    is_line_empty: bool,
 }
 
 /// Result of [`EventSplitter::next_event`].
@@ -46,16 +46,13 @@
     ///
     /// After each [`push`](Self::push), call it until it returns [`SplitStep::Incomplete`].
     pub fn next_event(&mut self) -> SplitStep {
-        let from = self.searched.saturating_sub(3);
-        let Some(end) = blank_line_end(&self.buffer[from..]) else {
-            self.searched = self.buffer.len();
+        let Some(end) = self.scan_to_end() else {
             if self.buffer.len() > MAX_EVENT_BYTES {
                 return SplitStep::TooLong;
             }
             return SplitStep::Incomplete;
         };
-        self.searched = 0;
-        let bytes = self.buffer.split_to(from + end).freeze();
+        let bytes = self.buffer.split_to(end).freeze();
         SplitStep::Event(RawEvent {
             id: event_id(&bytes),
             bytes,
@@ -67,11 +64,10 @@
     pub fn pass(&mut self, bytes: &[u8]) -> bool {
         for byte in bytes {
             self.passed += 1;
-            match byte {
-                b'\n' if self.is_line_empty => self.passed = 0,
-                b'\n' => self.is_line_empty = true,
-                b'\r' => {}
-                _ => self.is_line_empty = false,
+            match self.scanner.advance(*byte) {
+                ScanStep::Inside => {}
+                ScanStep::EndsHere => self.passed = 0,
+                ScanStep::EndedBefore => self.passed = 1,
             }
             if self.passed > MAX_EVENT_BYTES {
                 return false;
@@ -85,29 +81,32 @@
     pub fn is_mid_event(&self) -> bool {
         !self.buffer.is_empty()
     }
-}
 
-/// Returns the length of the bytes up to and including the first blank line after another line.
-fn blank_line_end(bytes: &[u8]) -> Option<usize> {
-    let mut line_start = 0;
-    let mut has_line = false;
-    for (index, byte) in bytes.iter().enumerate() {
-        if *byte != b'\n' {
-            continue;
-        }
-        let line = &bytes[line_start..index];
-        if has_line && (line.is_empty() || line == b"\r") {
-            return Some(index + 1);
+    /// Returns where the stream ends if no further byte follows.
+    #[must_use]
+    pub const fn position(&self) -> StreamPosition {
+        self.scanner.position()
+    }
+
+    /// Scans the buffer up to the end of an event and returns the length of that event.
+    fn scan_to_end(&mut self) -> Option<usize> {
+        while let Some(byte) = self.buffer.get(self.searched) {
+            self.searched += 1;
+            let end = match self.scanner.advance(*byte) {
+                ScanStep::Inside => continue,
+                ScanStep::EndsHere => self.searched,
+                ScanStep::EndedBefore => self.searched - 1,
+            };
+            self.searched -= end;
+            return Some(end);
         }
-        has_line = true;
-        line_start = index + 1;
+        None
     }
-    None
 }
 
 /// Returns the value of the last `id` field, if it is a number.
 fn event_id(bytes: &[u8]) -> Option<u64> {
-    let lines = bytes.split(|byte| *byte == b'\n');
+    let lines = bytes.split(|byte| matches!(byte, b'\n' | b'\r'));
     let found = lines.rev().find_map(|line| line.strip_prefix(b"id:"))?;
     std::str::from_utf8(found).ok()?.trim().parse().ok()
 }
--- a/src/wire/mod.rs
+++ b/src/wire/mod.rs
@@ -8,6 +8,7 @@
 pub mod config_page;
 pub mod config_record;
 pub mod config_snapshot;
+pub mod event_scanner;
 pub mod event_splitter;
 pub mod frame_timeout;
 pub mod headers;
--- a/tests/event_cutter.rs
+++ b/tests/event_cutter.rs
@@ -3,6 +3,7 @@
 mod property;
 
 use bolero::TypeGenerator;
+use bulrushslip::wire::event_scanner::StreamPosition;
 use bulrushslip::wire::event_splitter::{EventSplitter, RawEvent, SplitStep};
 use bulrushslip::wire::sse::MAX_EVENT_BYTES;
 
@@ -87,3 +88,37 @@
         }
     }
 }
+
+/// Guards against a truncated event that counts as the end of a stream.
+#[test]
+fn each_prefix_of_a_stream_ends_inside_an_event_except_after_a_blank_line() {
+    for end in ["\n", "\r\n", "\r"] {
+        let events =
+            format!(": c{end}id: 1{end}data: a{end}{end}: d{end}data: b{end}{end}: e{end}");
+        let whole_at: Vec<usize> = [
+            format!(": c{end}"),
+            format!(": c{end}id: 1{end}data: a{end}{end}"),
+            format!(": c{end}id: 1{end}data: a{end}{end}: d{end}"),
+            format!(": c{end}id: 1{end}data: a{end}{end}: d{end}data: b{end}{end}"),
+            events.clone(),
+        ]
+        .map(|text| text.len())
+        .to_vec();
+        for length in 1..=events.len() {
+            let mut passed = EventSplitter::default();
+            assert!(passed.pass(&events.as_bytes()[..length]));
+            let mut split = EventSplitter::default();
+            split.push(&events.as_bytes()[..length]);
+            drain(&mut split, &mut Vec::new());
+            let expected = if whole_at.contains(&length) && (length > end.len() + 3 || end != "\r")
+            {
+                StreamPosition::BetweenEvents
+            } else {
+                StreamPosition::InsideEvent
+            };
+            assert_eq!(passed.position(), expected, "{:?}", &events[..length]);
+            assert_eq!(split.position(), expected, "{:?}", &events[..length]);
+        }
+    }
+    assert_eq!(EventSplitter::default().position(), StreamPosition::Empty);
+}
