Check which request a response belongs to before what it says

A caller of a request that may run once got a 503, which promises that nothing has run, although the request had been handed to an upstream: an upstream in trouble wrote an earlier refusal once more on a kept connection. Cause: classify_response looked at 421 and the not-run header before the identifier of the request. A repeated refusal could also move a running request to a second upstream.

The identifier is now checked first, for every kind of response. A response without one is accepted only as the first on its connection, where no earlier request exists; otherwise the request may have run. Event 314 tells of each such response.

The check of foreign identifiers in platform_formats moved to answers_request and covers more cases. Sidecars and entries open a connection for each call to an engine or a plain service, and peers use numbered calls, so they cannot meet this.

--- a/src/events/request_events.rs
+++ b/src/events/request_events.rs
@@ -107,3 +107,11 @@
     "stream_body_ended",
     "A stream's body ended with its connection, or inside an event; shows framing and position.",
 );
+
+/// Logged when a response does not belong to the request that was sent.
+pub const RESPONSE_MISMATCHED: EventKind = event(
+    314,
+    Level::Warn,
+    "response_mismatched",
+    "An upstream sent a response to another request; the request may have run.",
+);
--- a/src/gateway/upstream_call.rs
+++ b/src/gateway/upstream_call.rs
@@ -12,13 +12,13 @@
 use super::dispatch;
 use super::mail::{DispatchMail, GatewayMail, Placement, SendCheck};
 use super::request::CallerRequest;
-use crate::events::{SEND_WITHDRAWN, log_event};
+use crate::events::{RESPONSE_MISMATCHED, SEND_WITHDRAWN, log_event};
 use crate::kernel::{Directory, Moment, whole_ms};
 use crate::platform::http_connection::{OpenConnection, SendError, dial_bounded};
 use crate::platform::request_headers::{
     CACHE_DOMAIN, CUSTOMER, DEADLINE_MS, ENGINE_RANK, EXPECTED_UPSTREAM, EXPECTED_WEIGHTS,
-    FETCH_FROM, LAST_EVENT, NOT_RUN, REQUEST_ID, RESPONSE_WEIGHTS, SAVE_TO, forwardable_headers,
-    header_number, is_authentic_response, set_header,
+    FETCH_FROM, LAST_EVENT, NOT_RUN, REQUEST_ID, RESPONSE_WEIGHTS, SAVE_TO, answers_request,
+    forwardable_headers, header_number, is_authentic_response, set_header,
 };
 
 /// Timeout for connecting to an upstream; the round trip to one takes a few milliseconds.
@@ -89,7 +89,9 @@
         // Cannot happen for headers that were received; only the upstream's name is new text.
         Err(_invalid) => return CallOutcome::Unsent,
     };
-    let mut connection = match at.connection.take() {
+    let kept = at.connection.take();
+    let is_first_response = kept.is_none();
+    let mut connection = match kept {
         Some(connection) => connection,
         None => match dial_bounded(at.address, CONNECT_TIMEOUT, MAX_RESPONSE_BYTES).await {
             Ok(connection) => connection,
@@ -116,7 +118,20 @@
         Ok(Err(SendError::Unsent(_))) => return CallOutcome::Unsent,
         Ok(Err(SendError::Broken(_) | SendError::Interim)) => return CallOutcome::Lost,
     };
-    classify_response(request, at, response, connection)
+    let id = request.head.headers.get(REQUEST_ID);
+    if !answers_request(response.headers(), id, is_first_response) {
+        log_event(
+            &RESPONSE_MISMATCHED,
+            &[
+                ("request", &request.id),
+                ("upstream", &at.upstream),
+                ("status", &response.status().as_u16()),
+                ("first", &is_first_response),
+            ],
+        );
+        return CallOutcome::Lost;
+    }
+    classify_response(at, response, connection)
 }
 
 /// Asks `dispatch` whether the request may still be sent to the upstream at which it was placed.
@@ -145,8 +160,8 @@
     false
 }
 
+/// Classifies a response that belongs to the request.
 fn classify_response(
-    request: &CallerRequest,
     at: &Placement,
     response: Response<Incoming>,
     connection: OpenConnection,
@@ -161,7 +176,7 @@
     if headers.contains_key(NOT_RUN) {
         return CallOutcome::TurnedAway;
     }
-    if !is_authentic_response(headers, request.head.headers.get(REQUEST_ID)) {
+    if !is_authentic_response(headers) {
         return CallOutcome::Lost;
     }
     CallOutcome::Response(Box::new(UpstreamResponse {
--- a/src/platform/request_headers.rs
+++ b/src/platform/request_headers.rs
@@ -140,14 +140,24 @@
     }
 }
 
-/// Returns whether a response was produced by an upstream for this request: it is signed, has no
-/// content encoding, and does not name another request.
+/// Returns whether a response belongs to a request. An upstream may send an earlier response once
+/// more, so one that names no request is only accepted as the first one on its connection.
 #[must_use]
-pub fn is_authentic_response(headers: &HeaderMap, request_id: Option<&HeaderValue>) -> bool {
-    let is_signed = headers.contains_key(SIGNATURE);
-    let is_unencoded = !headers.contains_key(CONTENT_ENCODING);
-    let named_request = headers.get(REQUEST_ID);
-    is_signed && is_unencoded && (named_request.is_none() || named_request == request_id)
+pub fn answers_request(
+    headers: &HeaderMap,
+    request_id: Option<&HeaderValue>,
+    is_first_response: bool,
+) -> bool {
+    match (headers.get(REQUEST_ID), request_id) {
+        (None, Some(_)) => is_first_response,
+        (named, expected) => named == expected,
+    }
+}
+
+/// Returns whether a response was produced by an upstream: it is signed and has no content encoding.
+#[must_use]
+pub fn is_authentic_response(headers: &HeaderMap) -> bool {
+    headers.contains_key(SIGNATURE) && !headers.contains_key(CONTENT_ENCODING)
 }
 
 /// Returns the host of a request from the `host` header or else the target, empty if neither has
--- a/tests/broken_answers.rs
+++ b/tests/broken_answers.rs
@@ -101,3 +101,56 @@
         }
     }
 }
+
+/// Returns a refusal that names a request; an empty name leaves the identifier out.
+fn refusal(status: &str, id: &str) -> String {
+    let id = if id.is_empty() {
+        String::new()
+    } else {
+        format!("x-request-id: {id}\r\n")
+    };
+    format!("HTTP/1.1 {status}\r\n{id}x-not-executed: 1\r\ncontent-length: 0\r\n\r\n")
+}
+
+/// Sends two requests over one upstream connection and returns the status of the second one.
+async fn status_after_kept_response(second: String) -> (StatusCode, Vec<String>) {
+    let first = format!("{HEAD}content-length: 2\r\nkeep-alive: timeout=9\r\n\r\nok");
+    let responses = vec![
+        ScriptedResponse::kept(first),
+        ScriptedResponse::closing(second),
+    ];
+    let (_world, mut upstream, gateway) = start(responses).await;
+    let mut statuses = Vec::new();
+    for id in ["a", "b"] {
+        let response = gateway
+            .send_as(id, "/once/", &[("x-api-key", "key")], "body")
+            .await;
+        statuses.push(response.expect("a response").status);
+    }
+    assert_eq!(statuses[0], StatusCode::OK);
+    (statuses[1], upstream.received())
+}
+
+#[tokio::test]
+async fn a_refusal_of_an_earlier_request_does_not_say_that_this_one_has_not_run() {
+    for status in ["503 Busy", "421 Misdirected", "429 Busy"] {
+        for id in ["{first}", ""] {
+            let (response, requests) = status_after_kept_response(refusal(status, id)).await;
+            assert_eq!(response, StatusCode::BAD_GATEWAY, "{status} {id:?}");
+            assert_eq!(requests, ["a", "b"], "{status} {id:?}: sent once");
+        }
+    }
+}
+
+#[tokio::test]
+async fn a_refusal_of_this_request_says_that_it_has_not_run() {
+    let (response, _) = status_after_kept_response(refusal("503 Busy", "{id}")).await;
+    assert_eq!(response, StatusCode::SERVICE_UNAVAILABLE);
+    // The first response on a connection can only belong to its first request.
+    for id in ["{id}", ""] {
+        let responses = vec![ScriptedResponse::closing(refusal("503 Busy", id))];
+        let (_world, _upstream, gateway) = start(responses).await;
+        let response = gateway.send("/once/").await.expect("a response");
+        assert_eq!(response.status, StatusCode::SERVICE_UNAVAILABLE, "{id:?}");
+    }
+}
--- a/tests/gateway_world/mod.rs
+++ b/tests/gateway_world/mod.rs
@@ -503,10 +503,21 @@
         path: &str,
         headers: &[(&str, &str)],
         body: &'static str,
+    ) -> Result<CompleteResponse, HttpError> {
+        self.send_as("r1", path, headers, body).await
+    }
+
+    /// Sends a request with the given identifier, headers and body.
+    pub async fn send_as(
+        &self,
+        id: &str,
+        path: &str,
+        headers: &[(&str, &str)],
+        body: &'static str,
     ) -> Result<CompleteResponse, HttpError> {
         let address = self.process.port("callers");
         let mut builder = request(Method::POST, address, path)
-            .header("x-request-id", "r1")
+            .header("x-request-id", id)
             .header("x-deadline-ms", "5000");
         for (name, value) in headers {
             builder = builder.header(*name, *value);
--- a/tests/platform_formats.rs
+++ b/tests/platform_formats.rs
@@ -7,7 +7,7 @@
 use bulrushslip::platform::config_document::decode_configuration;
 use bulrushslip::platform::engine_calls::{OrderReply, WeightsOrder, order_request};
 use bulrushslip::platform::request_headers::{
-    forwardable_headers, is_authentic_response, prompt_shape,
+    answers_request, forwardable_headers, is_authentic_response, prompt_shape,
 };
 use bulrushslip::platform::settings_file::{InstanceSettings, SettingsError};
 use bulrushslip::platform::store_records::{StorePage, StoreRecord, decode_keyed};
@@ -197,12 +197,24 @@
 fn authentic_responses_are_signed_unencoded_and_for_the_same_request() {
     let id = "r1".parse().expect("a value");
     let authentic = [("x-server-seal", "s"), ("x-request-id", "r1")];
-    assert!(is_authentic_response(&headers(&authentic), Some(&id)));
-    assert!(!is_authentic_response(&headers(&authentic[1..]), Some(&id)));
+    assert!(is_authentic_response(&headers(&authentic)));
+    assert!(answers_request(&headers(&authentic), Some(&id), false));
+    assert!(!is_authentic_response(&headers(&authentic[1..])));
     let other_request = [("x-server-seal", "s"), ("x-request-id", "r2")];
-    assert!(!is_authentic_response(&headers(&other_request), Some(&id)));
+    for is_first in [true, false] {
+        assert!(!answers_request(
+            &headers(&other_request),
+            Some(&id),
+            is_first
+        ));
+        assert!(!answers_request(&headers(&other_request), None, is_first));
+        assert_eq!(
+            answers_request(&headers(&[]), Some(&id), is_first),
+            is_first
+        );
+    }
     let encoded = [("x-server-seal", "s"), ("content-encoding", "gzip")];
-    assert!(!is_authentic_response(&headers(&encoded), Some(&id)));
+    assert!(!is_authentic_response(&headers(&encoded)));
 }
 
 #[test]
