Break off event streams of plain services that end inside an event

Behind an entry and its sidecar, the caller of a plain service got a truncated event stream as complete (200, x-run-status complete) when the service closed an unframed body inside an event: the same cause as at the gateway, the end of a body taken for the end of the answer. Streams of model engines are not affected; they are complete only after their end marker.

The sidecar now scans bodies that state the type text/event-stream, and ends the ticket as lost if the last event is incomplete; other types are judged by their framing, as before. The new test in plain_answers failed before (200 instead of 502 or a broken connection); plain_answers, broken_answers, shape pass.

--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -6,6 +6,7 @@
 use bytes::Bytes;
 use http_body_util::BodyExt;
 use hyper::body::{Frame, Incoming};
+use hyper::http::response::Parts;
 use tokio::sync::{mpsc, oneshot};
 use tokio::time::{sleep, sleep_until, timeout};
 
@@ -140,7 +141,7 @@
                     let source = StreamSource {
                         upstream: &upstream,
                         framing: BodyFraming::of(&head.headers),
-                        has_events: is_event_stream(&head.headers),
+                        has_events: has_events(&head),
                         guard: &guard,
                     };
                     self.forward(body, source, &mut cancellation).await
@@ -330,7 +331,7 @@
         let AttemptsOutcome::Stream(stream) = end else {
             return None;
         };
-        if !is_event_stream(&stream.head.headers) {
+        if !has_events(&stream.head) {
             return None;
         }
         log_event(
@@ -386,3 +387,9 @@
         self.completion.closed().await;
     }
 }
+
+/// Returns whether a response on a streaming route consists of events; one that states no media
+/// type does.
+fn has_events(head: &Parts) -> bool {
+    is_event_stream(&head.headers).unwrap_or(true)
+}
--- a/src/platform/request_headers.rs
+++ b/src/platform/request_headers.rs
@@ -168,13 +168,11 @@
     header.or_else(|| head.uri.host()).unwrap_or_default()
 }
 
-/// Returns whether the body of a response to a streaming request consists of events; a response
-/// that states no other type does.
+/// Returns whether the body of a response consists of events; `None` if it states no media type.
 #[must_use]
-pub fn is_event_stream(headers: &HeaderMap) -> bool {
-    let media_type = header_text(headers, &CONTENT_TYPE).map(|text| text.split(';').next());
-    let media_type = media_type.flatten().map(str::trim);
-    media_type.is_none_or(|text| text.eq_ignore_ascii_case("text/event-stream"))
+pub fn is_event_stream(headers: &HeaderMap) -> Option<bool> {
+    let media_type = header_text(headers, &CONTENT_TYPE)?.split(';').next()?;
+    Some(media_type.trim().eq_ignore_ascii_case("text/event-stream"))
 }
 
 /// How the end of a response body is marked.
--- a/src/services/upstream_side/engine_stream.rs
+++ b/src/services/upstream_side/engine_stream.rs
@@ -15,7 +15,9 @@
 use crate::decide::outcome::{RefusalReason, StreamEnd};
 use crate::kernel::{Directory, Moment};
 use crate::platform::http_client::{self, HttpError, OpenResponse};
+use crate::platform::request_headers::is_event_stream;
 use crate::services::common::mail::{LedgerMail, Mail};
+use crate::wire::event_scanner::{EventScanner, StreamPosition};
 use crate::wire::headers::forwarded_headers;
 use crate::wire::rpc::{StreamItem, SubmitCall};
 use crate::wire::sse::{MAX_EVENT_BYTES, SseDecoder, SseStep};
@@ -323,7 +325,8 @@
         outcome
     }
 
-    /// Forwards a response body as it arrives; an interrupted body ends the ticket.
+    /// Forwards a response body as it arrives; an interrupted body, or an event stream that ends
+    /// inside an event, ends the ticket.
     async fn copy_plain(&mut self, open: OpenResponse) -> StreamStep {
         let OpenResponse {
             response,
@@ -331,6 +334,8 @@
         } = open;
         let (head, mut body) = response.into_parts();
         self.send_head(head.status, &head.headers).await;
+        let has_events = is_event_stream(&head.headers).unwrap_or(false);
+        let mut scanner = EventScanner::default();
         loop {
             match timeout(PLAIN_HEAD_TIMEOUT, body.frame()).await {
                 Err(_) | Ok(Some(Err(_))) => return StreamStep::End(StreamEnd::EngineLost),
@@ -339,12 +344,18 @@
                     let Ok(bytes) = frame.into_data() else {
                         continue;
                     };
+                    for byte in bytes.iter().filter(|_| has_events) {
+                        scanner.advance(*byte);
+                    }
                     let items = vec![StreamItem::Data(bytes.to_vec())];
                     self.report(LedgerMail::Items(self.key, items)).await;
                 }
             }
         }
         drop(connection);
+        if scanner.position() == StreamPosition::InsideEvent {
+            return StreamStep::End(StreamEnd::EngineLost);
+        }
         StreamStep::End(StreamEnd::Complete)
     }
 
--- a/tests/plain_answers.rs
+++ b/tests/plain_answers.rs
@@ -12,7 +12,11 @@
 
 const TIMEOUT: Duration = Duration::from_secs(20);
 
-/// Starts a service that sends two chunks, or closes after the first one on the path `/truncated`.
+/// Complete stream of events, and its length up to the middle of the second event.
+const EVENTS: (&str, usize) = ("data: a\n\ndata: b\n\n", 16);
+
+/// Starts a service that sends two chunks, or closes after the first one on the path `/truncated`;
+/// on the paths `/events` and `/truncated-events` it sends unframed events.
 fn truncating_service() -> SocketAddr {
     let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
     let address = listener.local_addr().expect("an address");
@@ -32,6 +36,15 @@
         // The sidecar connects without a request to check that the port is open.
         return;
     };
+    if path.ends_with("events") {
+        let events = match path {
+            "/truncated-events" => &EVENTS.0[..EVENTS.1],
+            _ => EVENTS.0,
+        };
+        let head = "HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\n\r\n";
+        drop(stream.write_all(format!("{head}{events}").as_bytes()));
+        return;
+    }
     let head = "HTTP/1.1 200 OK\r\netag: \"7\"\r\ntransfer-encoding: chunked\r\n\r\n5\r\nfirst\r\n";
     let rest = if path == "/truncated" {
         ""
@@ -57,17 +70,30 @@
     );
     assert_eq!(complete.header("x-run-status"), "complete");
     assert_eq!(complete.header("etag"), "\"7\"");
-    let request = build(
-        Method::GET,
-        fleet.entry(0),
-        "/services/gates/truncated",
-        &headers,
-        "",
-    );
-    let truncated = call(fleet.entry(0), request, TIMEOUT).await;
-    match truncated {
+    assert_truncated(&fleet, "/services/gates/truncated").await;
+}
+
+#[tokio::test]
+async fn an_unframed_event_stream_of_a_plain_service_that_ends_inside_an_event_does_not_look_complete()
+ {
+    let options = FleetOptions {
+        plain_address: Some(truncating_service()),
+        ..FleetOptions::default()
+    };
+    let fleet = Fleet::start_with(&options).await;
+    let headers = [("authorization", &*format!("Bearer {API_KEY}"))];
+    let complete = get(fleet.entry(0), "/services/gates/events", &headers).await;
+    assert_eq!((complete.status, complete.text.as_str()), (200, EVENTS.0));
+    assert_eq!(complete.header("x-run-status"), "complete");
+    assert_truncated(&fleet, "/services/gates/truncated-events").await;
+}
+
+async fn assert_truncated(fleet: &Fleet, path: &str) {
+    let headers = [("authorization", &*format!("Bearer {API_KEY}"))];
+    let request = build(Method::GET, fleet.entry(0), path, &headers, "");
+    match call(fleet.entry(0), request, TIMEOUT).await {
         Err(HttpError::Body(_)) => {}
-        Ok(answer) => assert_eq!(answer.status, 502, "{:?}", answer.body),
-        Err(other) => panic!("{other}"),
+        Ok(answer) => assert_eq!(answer.status, 502, "{path}: {:?}", answer.body),
+        Err(other) => panic!("{path}: {other}"),
     }
 }
