Do not deliver events of a resumed stream twice

A caller of a resumable stream got events twice when the upstream that was asked for the rest sent the stream from its start: the relay took whatever events came after Last-Event-Id. Identifiers ascend, so an event whose identifier is not above the last delivered one shows that the response is not the continuation; the upstream now counts as lost and the stream is resumed elsewhere or broken off.

a_resumed_stream_has_neither_repeated_events_nor_another_body failed before on the repeated events; a 500, another media type and its head in the middle of the stream were errors already and stay so.

--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -275,6 +275,10 @@
             match splitter.next_event() {
                 SplitStep::Incomplete => return Ok(()),
                 SplitStep::TooLong => return Err(StreamEnd::Broken(MemberOutcome::Lost)),
+                // Identifiers ascend, so this is not the continuation that was asked for.
+                SplitStep::Event(event) if event.id.is_some() && event.id <= self.last_event => {
+                    return Err(StreamEnd::Broken(MemberOutcome::Lost));
+                }
                 SplitStep::Event(event) => {
                     self.send(event.bytes).await?;
                     self.last_event = event.id.or(self.last_event);
--- a/tests/broken_answers.rs
+++ b/tests/broken_answers.rs
@@ -154,3 +154,43 @@
         assert_eq!(response.status, StatusCode::SERVICE_UNAVAILABLE, "{id:?}");
     }
 }
+
+/// Returns the response to a stream that breaks off inside its third event, at whichever of two
+/// upstreams has it first, and whose resumption gets `resumed`.
+async fn resumed_response(resumed: &str) -> Result<String, String> {
+    let world = TestEnvironment::start();
+    world
+        .configure(1, &[route("/resumable/", "streaming", 2)])
+        .await;
+    let broken = format!("{HEAD}\r\n{EVENT}id: 2\ndata: b\n\nid: 3\nda");
+    for id in ["i-0", "i-1"] {
+        let broken = vec![ScriptedResponse::closing(&broken)];
+        let resumed = Some(ScriptedResponse::closing(resumed));
+        let upstream = ScriptedUpstream::start_resumable(broken, resumed).await;
+        world.announce_at(id, upstream.address, "ready").await;
+    }
+    let gateway = world.gateway("g");
+    gateway.ready().await;
+    match gateway.send("/resumable/").await {
+        Ok(response) => Ok(String::from_utf8_lossy(&response.body).into_owned()),
+        Err(error) => Err(error.to_string()),
+    }
+}
+
+#[tokio::test]
+async fn a_resumed_stream_has_neither_repeated_events_nor_another_body() {
+    let rest = "id: 3\ndata: c\n\n";
+    let whole = resumed_response(&format!("{HEAD}\r\n{rest}")).await;
+    let expected = format!("{EVENT}id: 2\ndata: b\n\n{rest}");
+    assert_eq!(whole.expect("a complete response"), expected);
+    let error = "HTTP/1.1 500 Error\r\nx-request-id: {id}\r\nx-server-seal: seal\r\n\r\nno\n\n";
+    for resumed in [
+        format!("{HEAD}\r\n{EVENT}id: 2\ndata: b\n\n{rest}"),
+        format!("{HEAD}\r\nid: 2\ndata: other\n\n{rest}"),
+        format!("{HEAD}content-type: text/html\r\n\r\nid: 3\ndata: c\n\n"),
+        error.to_owned(),
+    ] {
+        let response = resumed_response(&resumed).await;
+        assert!(response.is_err(), "{resumed:?}: {response:?}");
+    }
+}
--- a/tests/scripted_upstream/mod.rs
+++ b/tests/scripted_upstream/mod.rs
@@ -48,12 +48,21 @@
     /// Starts an upstream that answers the n-th request of each connection by the n-th response, and
     /// later ones by the last.
     pub async fn start(responses: Vec<ScriptedResponse>) -> Self {
+        Self::start_resumable(responses, None).await
+    }
+
+    /// Starts an upstream that answers requests to resume a stream by `resumed`, if there is one.
+    pub async fn start_resumable(
+        responses: Vec<ScriptedResponse>,
+        resumed: Option<ScriptedResponse>,
+    ) -> Self {
         let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
         let address = listener.local_addr().expect("an address");
         let (sender, requests) = mpsc::unbounded_channel();
         tokio::spawn(async move {
             while let Ok((stream, _)) = listener.accept().await {
-                tokio::spawn(serve(stream, responses.clone(), sender.clone()));
+                let script = (responses.clone(), resumed.clone());
+                tokio::spawn(serve(stream, script, sender.clone()));
             }
         });
         Self { address, requests }
@@ -67,18 +76,22 @@
 
 async fn serve(
     mut stream: TcpStream,
-    responses: Vec<ScriptedResponse>,
+    (responses, resumed): (Vec<ScriptedResponse>, Option<ScriptedResponse>),
     requests: mpsc::UnboundedSender<String>,
 ) {
     let mut first = None;
     for number in 0.. {
-        let Some(id) = read_request(&mut stream).await else {
+        let Some((id, is_resumption)) = read_request(&mut stream).await else {
             return;
         };
         // The receiver is gone if the test has ended.
         drop(requests.send(id.clone()));
         let first = first.get_or_insert_with(|| id.clone());
         let response = &responses[number.min(responses.len() - 1)];
+        let response = resumed
+            .as_ref()
+            .filter(|_| is_resumption)
+            .unwrap_or(response);
         let text = response.text.replace("{id}", &id).replace("{first}", first);
         // If the write fails, the caller's response fails the test.
         drop(stream.write_all(text.as_bytes()).await);
@@ -88,8 +101,9 @@
     }
 }
 
-/// Reads one request and returns its identifier; `None` if the connection ends before.
-pub async fn read_request(stream: &mut TcpStream) -> Option<String> {
+/// Reads one request and returns its identifier and whether it resumes a stream; `None` if the
+/// connection ends before.
+async fn read_request(stream: &mut TcpStream) -> Option<(String, bool)> {
     let mut received = Vec::new();
     loop {
         let mut part = [0; 4096];
@@ -108,7 +122,8 @@
         };
         let length = field("content-length:").and_then(|value| value.parse::<usize>().ok());
         if body.len() >= length.unwrap_or(0) {
-            return Some(field("x-request-id:").unwrap_or_default());
+            let id = field("x-request-id:").unwrap_or_default();
+            return Some((id, field("last-event-id:").is_some()));
         }
     }
 }
