Do not forward a status that promises what the upstream did not say

A request that may run once was answered 408, 429 or 503 when an upstream had sent such a status after running it, signed and without the not-run header. These statuses tell the caller that nothing has run, so a resend ran it twice. Cause: every signed response was forwarded with its own status. Without the header these three now count as a lost response: repeated where that is allowed, else 502.

a_status_of_an_upstream_that_ran_a_request_is_no_promise_that_it_has_not_run failed before (408 forwarded). A response cut inside its head was never complete; a test now holds that.

--- a/src/gateway/upstream_call.rs
+++ b/src/gateway/upstream_call.rs
@@ -38,6 +38,14 @@
 /// Longest time for which an idle connection is kept; the peer of an older one may be unreachable.
 const MAX_IDLE_TIME: Duration = Duration::from_secs(2);
 
+/// Status codes that tell a caller that its request has not run. An upstream that has not run it
+/// sends the header [`NOT_RUN`] too; without it they are not forwarded.
+const NOT_RUN_STATUSES: [StatusCode; 3] = [
+    StatusCode::REQUEST_TIMEOUT,
+    StatusCode::TOO_MANY_REQUESTS,
+    StatusCode::SERVICE_UNAVAILABLE,
+];
+
 /// Response of an upstream whose body is still to be read, and its connection.
 #[derive(Debug)]
 pub struct UpstreamResponse {
@@ -176,7 +184,7 @@
     if headers.contains_key(NOT_RUN) {
         return CallOutcome::TurnedAway;
     }
-    if !is_authentic_response(headers) {
+    if !is_authentic_response(headers) || NOT_RUN_STATUSES.contains(&response.status()) {
         return CallOutcome::Lost;
     }
     CallOutcome::Response(Box::new(UpstreamResponse {
--- a/tests/broken_answers.rs
+++ b/tests/broken_answers.rs
@@ -194,3 +194,37 @@
         assert!(response.is_err(), "{resumed:?}: {response:?}");
     }
 }
+
+#[tokio::test]
+async fn a_response_that_ends_inside_its_head_does_not_look_complete() {
+    for cut in [
+        "HTTP/1.1 2",
+        "HTTP/1.1 200 OK\r\n",
+        "HTTP/1.1 200 OK\r\nx-server-seal: seal\r\n",
+    ] {
+        let (_world, _upstream, gateway) = start(vec![ScriptedResponse::closing(cut)]).await;
+        for path in ["/once/", "/stream/", "/resumable/"] {
+            let response = gateway.send(path).await.map(|response| response.status);
+            let is_failure = response.as_ref().map_or(true, StatusCode::is_server_error);
+            assert!(is_failure, "{path} {cut:?}: {response:?}");
+            assert_ne!(
+                response.ok(),
+                Some(StatusCode::SERVICE_UNAVAILABLE),
+                "{path} {cut:?}"
+            );
+        }
+    }
+}
+
+#[tokio::test]
+async fn a_status_of_an_upstream_that_ran_a_request_is_no_promise_that_it_has_not_run() {
+    for status in ["408 Late", "429 Many", "503 Busy"] {
+        let head = format!("HTTP/1.1 {status}\r\nx-request-id: {{id}}\r\nx-server-seal: seal\r\n");
+        let ran = ScriptedResponse::closing(format!("{head}content-length: 2\r\n\r\nno"));
+        let (_world, _upstream, gateway) = start(vec![ran]).await;
+        for path in ["/once/", "/stream/"] {
+            let response = gateway.send(path).await.expect("a response");
+            assert_eq!(response.status, StatusCode::BAD_GATEWAY, "{path} {status}");
+        }
+    }
+}
