Log crashes of upstreams and show the size of the news about suspects

Event 411 names each crash with the number of requests lost in it, and the gauges suspects and suspicions (in the dump too) show what is known and what is passed on. No decision has changed.

--- a/src/events/catalogue.rs
+++ b/src/events/catalogue.rs
@@ -246,6 +246,14 @@
     "The upstream did not reply to a poll in time but sent response data; it counts as up.",
 );
 
+/// Logged when requests were lost to a crash of an upstream.
+pub const UPSTREAM_CRASHED: EventKind = event(
+    411,
+    Level::Warn,
+    "upstream_crashed",
+    "An upstream crashed while it ran requests of this instance, which become suspects.",
+);
+
 /// Logged when a call to the operator port is refused for its token.
 pub const OPERATOR_DENIED: EventKind = event(
     501,
@@ -263,7 +271,7 @@
 );
 
 /// All kinds of log events in ascending order of their numbers.
-pub const CATALOGUE: [EventKind; 43] = [
+pub const CATALOGUE: [EventKind; 44] = [
     PROCESS_STARTED,
     LISTENING,
     STOP_BEGUN,
@@ -305,6 +313,7 @@
     ORDER_ENDED,
     CLAIM_UNCONFIRMED,
     ENGINE_SLOW,
+    UPSTREAM_CRASHED,
     OPERATOR_DENIED,
     METRICS_FAILED,
 ];
--- a/src/gateway/counters.rs
+++ b/src/gateway/counters.rs
@@ -67,6 +67,10 @@
     pub dropped_lines: u64,
     /// Bytes that requests have reserved.
     pub reserved_bytes: u64,
+    /// Number of requests that were running in a crash of an upstream.
+    pub suspects: usize,
+    /// Number of suspicions that are sent to other instances.
+    pub suspicions: usize,
 }
 
 /// All metrics of the gateway; owned by the service `dispatch`.
@@ -85,6 +89,8 @@
     peers: Gauge,
     dropped_lines: Gauge,
     reserved_bytes: Gauge,
+    suspects: Gauge,
+    suspicions: Gauge,
 }
 
 impl Default for GatewayCounters {
@@ -103,6 +109,8 @@
             peers: Gauge::default(),
             dropped_lines: Gauge::default(),
             reserved_bytes: Gauge::default(),
+            suspects: Gauge::default(),
+            suspicions: Gauge::default(),
         };
         counters.register();
         counters
@@ -149,6 +157,16 @@
                 "Bytes reserved for requests",
                 &self.reserved_bytes,
             ),
+            (
+                "suspects",
+                "Requests that were running in a crash of an upstream",
+                &self.suspects,
+            ),
+            (
+                "suspicions",
+                "Suspicions that are sent to other instances",
+                &self.suspicions,
+            ),
         ];
         for (name, help, gauge) in gauges {
             registry.register(name, help, gauge.clone());
@@ -197,6 +215,8 @@
         self.peers.set(signed(gauges.peers as u64));
         self.dropped_lines.set(signed(gauges.dropped_lines));
         self.reserved_bytes.set(signed(gauges.reserved_bytes));
+        self.suspects.set(signed(gauges.suspects as u64));
+        self.suspicions.set(signed(gauges.suspicions as u64));
         let mut text = String::new();
         encode(&mut text, &self.registry)?;
         Ok(text)
--- a/src/gateway/dispatch/release.rs
+++ b/src/gateway/dispatch/release.rs
@@ -7,6 +7,7 @@
 use crate::decide::fleet::{MemberKey, MemberOutcome};
 use crate::decide::ids::{EngineEpoch, Incarnation, Ticket};
 use crate::decide::suspects::CrashId;
+use crate::events::{UPSTREAM_CRASHED, log_event};
 use crate::gateway::mail::PlacementEnd;
 use crate::kernel::Moment;
 use crate::wire::peer_rpc::WireSuspicion;
@@ -104,7 +105,9 @@
         let lost = self.lost_requests.iter().filter(|(lost_at, key, _)| {
             *key == member && now.since(*lost_at) < CRASH_DETECTION_WINDOW
         });
+        let mut lost_count = 0;
         for (_, _, fingerprint) in lost {
+            lost_count += 1;
             self.suspects.report(now, *fingerprint, crash);
             let suspicion = WireSuspicion {
                 fingerprint: fingerprint.0,
@@ -116,6 +119,16 @@
         let excess = self.recent_suspicions.len().saturating_sub(MAX_SUSPICIONS);
         self.recent_suspicions.drain(..excess);
         self.lost_requests.retain(|(_, key, _)| *key != member);
+        if lost_count > 0 {
+            log_event(
+                &UPSTREAM_CRASHED,
+                &[
+                    ("upstream", &crashed.entry.id),
+                    ("born", &crash.epoch.0),
+                    ("lost", &lost_count),
+                ],
+            );
+        }
     }
 
     /// Closes idle connections that have expired.
--- a/src/gateway/dispatch/state.rs
+++ b/src/gateway/dispatch/state.rs
@@ -302,6 +302,8 @@
             peers: self.peers.len(),
             dropped_lines: self.dropped_lines.count(),
             reserved_bytes: self.memory.reserved(),
+            suspects: self.suspects.len(),
+            suspicions: self.recent_suspicions.len(),
         };
         self.counters.text(gauges).unwrap_or_else(|error| {
             log_event(&METRICS_FAILED, &[("reason", &error)]);
@@ -334,6 +336,7 @@
             "reserved_bytes": self.memory.reserved(),
             "parts": self.parts.len(),
             "suspects": self.suspects.len(),
+            "suspicions": self.recent_suspicions.len(),
             "peers": self.peers.len(),
         })
     }
