Pass news of a crash on once

Cause: an instance passed a suspicion on whenever its table did not list it. Crashes that a request was cleared of, and the third crash of one request, are never listed, so every round of gossip brought them back and queued them again, at all instances; the queue was bounded only for crashes that the instance saw itself.

The table now tells whether a report is news. Only news is queued, by one function that bounds the queue.

Evidence: news_of_a_crash_is_passed_on_once failed in its first round before.

--- a/src/decide/suspects.rs
+++ b/src/decide/suspects.rs
@@ -112,16 +112,18 @@
         }
     }
 
-    /// Records that a fingerprint was running in a crash; repeated reports have no effect.
-    pub fn report(&mut self, now: Moment, fingerprint: Fingerprint, crash: CrashId) {
+    /// Records that a fingerprint was running in a crash; returns whether that is news. Reports of a
+    /// known or cleared crash, and of crashes of a fingerprint that is refused already, are not.
+    pub fn report(&mut self, now: Moment, fingerprint: Fingerprint, crash: CrashId) -> bool {
         let policy = self.policy;
         let entry = self.entry(now, fingerprint);
         let is_known = entry.crashes.contains(&crash) || entry.cleared.contains(&crash);
         if is_known || entry.crashes.len() >= MAX_CRASHES {
-            return;
+            return false;
         }
         entry.crashes.push(crash);
         entry.expires = now.after(lifetime(policy, entry.crashes.len()));
+        true
     }
 
     /// Clears a fingerprint of the crashes because it has completed since.
--- a/src/gateway/dispatch/gossip.rs
+++ b/src/gateway/dispatch/gossip.rs
@@ -91,11 +91,7 @@
                 sidecar: Incarnation(suspicion.upstream),
                 epoch: EngineEpoch(suspicion.born),
             };
-            let fingerprint = Fingerprint(suspicion.fingerprint);
-            if !self.suspects.crashes(now, fingerprint).contains(&crash) {
-                self.suspects.report(now, fingerprint, crash);
-                self.recent_suspicions.push_back((now, *suspicion));
-            }
+            self.record_suspicion(now, Fingerprint(suspicion.fingerprint), crash);
         }
         self.apply_peer_records(turn, gossip, built_after);
     }
--- a/src/gateway/dispatch/release.rs
+++ b/src/gateway/dispatch/release.rs
@@ -6,7 +6,7 @@
 use super::state::{DispatchState, RunningRequest};
 use crate::decide::fleet::{MemberKey, MemberOutcome};
 use crate::decide::ids::{EngineEpoch, Incarnation, Ticket};
-use crate::decide::suspects::CrashId;
+use crate::decide::suspects::{CrashId, Fingerprint};
 use crate::events::{UPSTREAM_CRASHED, log_event};
 use crate::gateway::mail::PlacementEnd;
 use crate::kernel::Moment;
@@ -102,35 +102,48 @@
             sidecar: Incarnation(crashed.id_hash),
             epoch: EngineEpoch(crashed.entry.started_unix_ms),
         };
+        let upstream = crashed.entry.id.clone();
         let lost = self.lost_requests.iter().filter(|(lost_at, key, _)| {
             *key == member && now.since(*lost_at) < CRASH_DETECTION_WINDOW
         });
-        let mut lost_count = 0;
-        for (_, _, fingerprint) in lost {
-            lost_count += 1;
-            self.suspects.report(now, *fingerprint, crash);
-            let suspicion = WireSuspicion {
-                fingerprint: fingerprint.0,
-                upstream: crash.sidecar.0,
-                born: crash.epoch.0,
-            };
-            self.recent_suspicions.push_back((now, suspicion));
+        let lost: Vec<Fingerprint> = lost.map(|(_, _, fingerprint)| *fingerprint).collect();
+        for fingerprint in &lost {
+            self.record_suspicion(now, *fingerprint, crash);
         }
-        let excess = self.recent_suspicions.len().saturating_sub(MAX_SUSPICIONS);
-        self.recent_suspicions.drain(..excess);
         self.lost_requests.retain(|(_, key, _)| *key != member);
-        if lost_count > 0 {
+        if !lost.is_empty() {
             log_event(
                 &UPSTREAM_CRASHED,
                 &[
-                    ("upstream", &crashed.entry.id),
+                    ("upstream", &upstream),
                     ("born", &crash.epoch.0),
-                    ("lost", &lost_count),
+                    ("lost", &lost.len()),
                 ],
             );
         }
     }
 
+    /// Records that a request was running in a crash, and queues what is new for the other instances.
+    pub(super) fn record_suspicion(
+        &mut self,
+        now: Moment,
+        fingerprint: Fingerprint,
+        crash: CrashId,
+    ) {
+        if !self.suspects.report(now, fingerprint, crash) {
+            return;
+        }
+        let suspicion = WireSuspicion {
+            fingerprint: fingerprint.0,
+            upstream: crash.sidecar.0,
+            born: crash.epoch.0,
+        };
+        self.recent_suspicions.push_back((now, suspicion));
+        if self.recent_suspicions.len() > MAX_SUSPICIONS {
+            self.recent_suspicions.pop_front();
+        }
+    }
+
     /// Closes idle connections that have expired.
     pub(super) fn sweep_connections(&mut self, now: Moment) {
         self.pool.sweep(now);
--- a/tests/gateway_gossip.rs
+++ b/tests/gateway_gossip.rs
@@ -10,7 +10,7 @@
 use bulrushslip::decide::keyed_view::KeyedRecord;
 use bulrushslip::gateway::mail::{DispatchMail, PeerProgress, ReadNeed, StateQuery, TopicRecords};
 use bulrushslip::kernel::{Moment, ReplyTo};
-use bulrushslip::wire::peer_rpc::{GossipMessage, WireTopic};
+use bulrushslip::wire::peer_rpc::{GossipMessage, WireSuspicion, WireTopic};
 use dispatch_harness::{DispatchDriver, dispatch_settings};
 
 fn at(ms: u64) -> Moment {
@@ -268,3 +268,30 @@
     other.send(at(0), DispatchMail::Gossip(Box::new(gossip)));
     assert!(!has_one_peer(&mut other));
 }
+
+/// Guards against news of crashes that instances pass to each other without end.
+#[test]
+fn news_of_a_crash_is_passed_on_once() {
+    let mut instances = [Instance::new(1), Instance::new(2), Instance::new(3)];
+    // One request that was running in more crashes than it takes to refuse it.
+    let crashes = (0..4).map(|upstream| WireSuspicion {
+        fingerprint: 7,
+        upstream,
+        born: 1,
+    });
+    let mut news = instances[0].gossip(at(0));
+    news.sender = 9;
+    news.suspicions = crashes.collect();
+    instances[0].send(at(1), DispatchMail::Gossip(Box::new(news)));
+    for round in 1..20_u64 {
+        let now = at(round * 250);
+        for (from, to) in [(0, 1), (1, 2), (2, 0), (1, 0), (2, 1), (0, 2)] {
+            let message = instances[from].gossip(now);
+            assert!(message.suspicions.len() <= 4, "round {round}");
+            instances[to].send(now, DispatchMail::Gossip(Box::new(message)));
+        }
+    }
+    for instance in &mut instances {
+        assert_eq!(instance.gossip(at(5_000)).suspicions, []);
+    }
+}
