--- a/tests/endless_upstream/mod.rs
+++ b/tests/endless_upstream/mod.rs
@@ -2,12 +2,16 @@
 
 #![allow(dead_code, reason = "each test file uses a part of these helpers")]
 
+#[path = "../raw_request/mod.rs"]
+mod raw_request;
+
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
+use raw_request::read_request;
 use socket2::SockRef;
-use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::io::AsyncWriteExt;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{Notify, mpsc, watch};
 use tokio::time::{sleep, timeout};
@@ -197,35 +201,6 @@
     }
 }
 
-/// Reads one request and returns its text in lowercase and its identifier; `None` if the connection
-/// ends before.
-async fn read_request(stream: &mut TcpStream) -> Option<(String, String)> {
-    let mut received = Vec::new();
-    loop {
-        let mut part = [0; 4096];
-        let count = stream
-            .read(&mut part)
-            .await
-            .ok()
-            .filter(|count| *count > 0)?;
-        received.extend_from_slice(&part[..count]);
-        let text = String::from_utf8_lossy(&received).to_lowercase();
-        let Some((head, body)) = text.split_once("\r\n\r\n") else {
-            continue;
-        };
-        let field = |name: &str| {
-            let lines = head.lines();
-            let mut values = lines.filter_map(|line| line.strip_prefix(name));
-            values.next().map(|value| value.trim().to_owned())
-        };
-        let length = field("content-length:").and_then(|value| value.parse::<usize>().ok());
-        if body.len() >= length.unwrap_or(0) {
-            let id = field("x-request-id:").unwrap_or_default();
-            return Some((text, id));
-        }
-    }
-}
-
 /// Returns the peak of the resident memory of a process, in bytes.
 pub fn peak_memory(process: u32) -> u64 {
     let path = format!("/proc/{process}/status");
--- a/tests/scripted_upstream/mod.rs
+++ b/tests/scripted_upstream/mod.rs
@@ -2,9 +2,13 @@
 
 #![allow(dead_code, reason = "each test file uses a part of these helpers")]
 
+#[path = "../raw_request/mod.rs"]
+mod raw_request;
+
 use std::net::SocketAddr;
 
-use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use raw_request::read_request;
+use tokio::io::AsyncWriteExt;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::mpsc;
 
@@ -81,9 +85,10 @@
 ) {
     let mut first = None;
     for number in 0.. {
-        let Some((id, is_resumption)) = read_request(&mut stream).await else {
+        let Some((text, id)) = read_request(&mut stream).await else {
             return;
         };
+        let is_resumption = text.contains("\r\nlast-event-id:");
         // The receiver is gone if the test has ended.
         drop(requests.send(id.clone()));
         let first = first.get_or_insert_with(|| id.clone());
@@ -100,30 +105,3 @@
         }
     }
 }
-
-/// Reads one request and returns its identifier and whether it resumes a stream; `None` if the
-/// connection ends before.
-async fn read_request(stream: &mut TcpStream) -> Option<(String, bool)> {
-    let mut received = Vec::new();
-    loop {
-        let mut part = [0; 4096];
-        let length = stream.read(&mut part).await.ok()?;
-        if length == 0 {
-            return None;
-        }
-        received.extend_from_slice(&part[..length]);
-        let text = String::from_utf8_lossy(&received).to_lowercase();
-        let Some((head, body)) = text.split_once("\r\n\r\n") else {
-            continue;
-        };
-        let field = |name: &str| {
-            let mut values = head.lines().filter_map(|line| line.strip_prefix(name));
-            values.next().map(|value| value.trim().to_owned())
-        };
-        let length = field("content-length:").and_then(|value| value.parse::<usize>().ok());
-        if body.len() >= length.unwrap_or(0) {
-            let id = field("x-request-id:").unwrap_or_default();
-            return Some((id, field("last-event-id:").is_some()));
-        }
-    }
-}
