Refuse prompts with a segment that crashes upstreams

Cause: suspects were known by the hash of the whole request. No two of these requests are alike, so each was a stranger and crashed up to two upstreams.

Each shared segment of a lost request is a suspect now. A complete answer clears it; three crashes without one refuse it for a minute, then one request tries it. Of several such segments the one that explains most crashes is refused; the verdict is made anew with each batch of news, so a wrong one ends with the next crash or the next answer. A lost stream dials its upstream at once, so the crash is known before the request is sent again. News goes in a call of its own, so that gateways of earlier builds still understand gossip; wire_compat pins its encoding, which no test did before.

Ruled out: gossip as the delay (news arrive in 1.5 s); a lower limit on crashes of whole requests (it does not apply, they are all different).

--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -40,6 +40,8 @@
 pub mod rollout;
 pub mod route_table;
 pub mod seen_crashes;
+pub mod segment_entry;
+pub mod segment_suspects;
 pub mod send_step;
 pub mod snapshot;
 pub mod snapshot_timer;
--- a/src/events/catalogue.rs
+++ b/src/events/catalogue.rs
@@ -254,6 +254,30 @@
     "An upstream crashed while it ran requests of this instance, which become suspects.",
 );
 
+/// Logged when a prompt segment is refused.
+pub const SEGMENT_REFUSED: EventKind = event(
+    412,
+    Level::Warn,
+    "segment_refused",
+    "A prompt segment was running in several crashes of upstreams; requests with it are refused.",
+);
+
+/// Logged when a refused prompt segment is found to be sound.
+pub const SEGMENT_CLEARED: EventKind = event(
+    413,
+    Level::Info,
+    "segment_cleared",
+    "A refused prompt segment was answered, or others explain its crashes; it is no longer refused.",
+);
+
+/// Logged when another instance does not take news of prompt segments.
+pub const NEWS_REJECTED: EventKind = event(
+    414,
+    Level::Info,
+    "news_rejected",
+    "An instance did not take news of prompt segments; it gets none for some seconds.",
+);
+
 /// Logged when a call to the operator port is refused for its token.
 pub const OPERATOR_DENIED: EventKind = event(
     501,
@@ -271,7 +295,7 @@
 );
 
 /// All kinds of log events in ascending order of their numbers.
-pub const CATALOGUE: [EventKind; 44] = [
+pub const CATALOGUE: [EventKind; 47] = [
     PROCESS_STARTED,
     LISTENING,
     STOP_BEGUN,
@@ -314,6 +338,9 @@
     CLAIM_UNCONFIRMED,
     ENGINE_SLOW,
     UPSTREAM_CRASHED,
+    SEGMENT_REFUSED,
+    SEGMENT_CLEARED,
+    NEWS_REJECTED,
     OPERATOR_DENIED,
     METRICS_FAILED,
 ];
--- a/src/events/request_events.rs
+++ b/src/events/request_events.rs
@@ -81,7 +81,7 @@
     310,
     Level::Info,
     "start_cancelled",
-    "A request was cancelled because it had not started and may no longer start on outdated weights.",
+    "A request that had not started was cancelled; `reason` tells what it may not start on.",
 );
 
 /// Logged when a placed request is not sent because its upstream may have left.
--- a/src/gateway/attempts.rs
+++ b/src/gateway/attempts.rs
@@ -2,16 +2,14 @@
 
 use std::time::Duration;
 
-use bytes::Bytes;
-use hyper::body::Incoming;
-use hyper::http::response::Parts;
 use tokio::time::timeout;
 
 use super::abandonment::log_abandoned;
-use super::cancellation::CancelSignal;
+use super::attempts_outcome::{AttemptsOutcome, BufferedResponse, PlacedStream};
+use super::crash_probe::probe_after_loss;
 use super::dispatch;
-use super::mail::{DispatchMail, GatewayMail, PlacementRefusal, PlacementRequest};
-use super::placement_guard::{GuardedPlacement, PlacementGuard, place};
+use super::mail::{DispatchMail, GatewayMail, Placement, PlacementRefusal, PlacementRequest};
+use super::placement_guard::{GuardedPlacement, place};
 use super::request::CallerRequest;
 use super::response_body::read_response_body;
 use super::upstream_call::{CallOutcome, UpstreamResponse, call, reusable_until};
@@ -21,7 +19,6 @@
 use crate::decide::send_step::{AttemptOutcome, RetryDecision, SendHistory};
 use crate::events::{REQUEST_RETRIED, log_event};
 use crate::kernel::{Directory, Moment};
-use crate::platform::http_connection::OpenConnection;
 use crate::platform::request_headers::{RESPONSE_WEIGHTS, header_number};
 
 /// Longest wait of an urgent request for an upstream, in percent of the route's target latency.
@@ -43,51 +40,6 @@
 /// percent of the route's target latency.
 const STREAM_HEAD_TIMEOUT_PERCENT: u64 = 300;
 
-/// An event stream whose response head was received, with the request's placement at its upstream.
-#[derive(Debug)]
-pub struct PlacedStream {
-    /// Status and headers of the response.
-    pub head: Parts,
-    /// Body of the response, still to be read.
-    pub body: Incoming,
-    /// Connection on which the stream is received.
-    pub connection: OpenConnection,
-    /// Key of the upstream.
-    pub member: MemberKey,
-    /// Name of the upstream.
-    pub upstream: String,
-    /// Tells when the request is cancelled because its stream has not started.
-    pub cancellation: CancelSignal,
-    /// Ends the placement at the upstream when it is dropped.
-    pub guard: PlacementGuard,
-}
-
-/// A response whose body was read to its end.
-#[derive(Debug)]
-pub struct BufferedResponse {
-    /// Status and headers of the response.
-    pub head: Parts,
-    /// Complete body of the response.
-    pub body: Bytes,
-    /// Name of the upstream.
-    pub upstream: String,
-}
-
-/// Outcome of all attempts of one request.
-#[derive(Debug)]
-pub enum AttemptsOutcome {
-    /// An upstream sent a complete response.
-    Complete(Box<BufferedResponse>),
-    /// An upstream started an event stream.
-    Stream(Box<PlacedStream>),
-    /// The request has not run and will not run.
-    NotRun(PlacementRefusal),
-    /// The request failed and may have run.
-    Unknown,
-    /// The deadline of the request passed; the request may have run.
-    TimedOut,
-}
-
 /// Sends one request to upstreams, one after the other, until an attempt decides its outcome.
 #[derive(Debug)]
 pub struct RequestAttempts<'a> {
@@ -225,6 +177,7 @@
             CallOutcome::Cancelled => (AttemptOutcome::MayHaveRun, MemberOutcome::Cancelled),
         };
         guard.end(outcome);
+        self.probe_if_lost(outcome, &at).await;
         if outcome.is_about_upstream() {
             self.excluded.push(at.member);
         }
@@ -255,6 +208,7 @@
                 connection: response.connection,
                 member: at.member,
                 upstream: at.upstream,
+                address: at.address,
                 cancellation: at.cancellation,
                 guard,
             })));
@@ -279,17 +233,25 @@
                 let complete = BufferedResponse {
                     head,
                     body,
-                    upstream: at.upstream,
+                    upstream: at.upstream.clone(),
                 };
                 return self.finish_or_retry(complete, at.member, is_failure);
             }
         };
         guard.end(outcome);
+        self.probe_if_lost(outcome, &at).await;
         self.excluded.push(at.member);
         self.history.record(end);
         self.after_failure(end, &at.upstream, outcome)
     }
 
+    /// Looks for a crash of an upstream that has lost a prompt.
+    async fn probe_if_lost(&self, outcome: MemberOutcome, at: &Placement) {
+        if outcome == MemberOutcome::Lost && self.request.prompt.is_some() {
+            probe_after_loss(self.directory, at.member, at.address).await;
+        }
+    }
+
     /// Passes a complete response on, or returns `None` if it is a 5xx response to be retried.
     fn finish_or_retry(
         &mut self,
--- a/src/gateway/caller_server.rs
+++ b/src/gateway/caller_server.rs
@@ -8,7 +8,8 @@
 use tokio::net::TcpListener;
 use tokio::sync::oneshot;
 
-use super::attempts::{AttemptsOutcome, RequestAttempts};
+use super::attempts::RequestAttempts;
+use super::attempts_outcome::AttemptsOutcome;
 use super::counters::RequestEnd;
 use super::dispatch;
 use super::mail::{DispatchMail, GatewayMail, PlacementRefusal};
@@ -31,6 +32,10 @@
 /// `Retry-After` time of a rejected caller, in percent of the route's target latency.
 const RETRY_AFTER_PERCENT: u64 = 50;
 
+/// `Retry-After` time of a caller whose request is like others that crashed upstreams; a segment of a
+/// prompt is refused for at least as long.
+const POISONOUS_RETRY_AFTER: Duration = Duration::from_mins(1);
+
 /// One in this many successful requests is logged; all other requests are.
 const SUCCESS_LOG_INTERVAL: u64 = 64;
 
@@ -208,10 +213,16 @@
             ("configuration", &request.route.version),
         ],
     );
-    let wait = Duration::from_millis(request.route.target_latency_ms * RETRY_AFTER_PERCENT / 100);
+    let wait = if refusal == PlacementRefusal::Poisonous {
+        POISONOUS_RETRY_AFTER
+    } else {
+        let target_ms = request.route.target_latency_ms;
+        let wait = Duration::from_millis(target_ms * RETRY_AFTER_PERCENT / 100);
+        wait.clamp(MIN_RETRY_AFTER, MAX_RETRY_AFTER)
+    };
     let mut response = Response::new(full_body(refusal.name()));
     *response.status_mut() = StatusCode::SERVICE_UNAVAILABLE;
-    set_retry_after(&mut response, wait.clamp(MIN_RETRY_AFTER, MAX_RETRY_AFTER));
+    set_retry_after(&mut response, wait);
     response
 }
 
--- a/src/gateway/counters.rs
+++ b/src/gateway/counters.rs
@@ -71,6 +71,8 @@
     pub suspects: usize,
     /// Number of suspicions that are sent to other instances.
     pub suspicions: usize,
+    /// Number of prompt segments that are refused because they crash upstreams.
+    pub refused_segments: usize,
 }
 
 /// All metrics of the gateway; owned by the service `dispatch`.
@@ -91,6 +93,7 @@
     reserved_bytes: Gauge,
     suspects: Gauge,
     suspicions: Gauge,
+    refused_segments: Gauge,
 }
 
 impl Default for GatewayCounters {
@@ -111,6 +114,7 @@
             reserved_bytes: Gauge::default(),
             suspects: Gauge::default(),
             suspicions: Gauge::default(),
+            refused_segments: Gauge::default(),
         };
         counters.register();
         counters
@@ -167,6 +171,11 @@
                 "Suspicions that are sent to other instances",
                 &self.suspicions,
             ),
+            (
+                "refused_segments",
+                "Prompt segments that are refused because they crash upstreams",
+                &self.refused_segments,
+            ),
         ];
         for (name, help, gauge) in gauges {
             registry.register(name, help, gauge.clone());
@@ -217,6 +226,8 @@
         self.reserved_bytes.set(signed(gauges.reserved_bytes));
         self.suspects.set(signed(gauges.suspects as u64));
         self.suspicions.set(signed(gauges.suspicions as u64));
+        self.refused_segments
+            .set(signed(gauges.refused_segments as u64));
         let mut text = String::new();
         encode(&mut text, &self.registry)?;
         Ok(text)
--- a/src/gateway/dispatch/gossip.rs
+++ b/src/gateway/dispatch/gossip.rs
@@ -24,10 +24,6 @@
 /// instances, two in different data centres exchange gossip at least every three seconds.
 const PEER_LIFETIME: Duration = Duration::from_secs(4);
 
-/// Time for which a new suspicion is sent to others; it reaches all instances within a few
-/// exchanges.
-const SUSPICION_REPEAT_TIME: Duration = Duration::from_millis(1_500);
-
 /// Longest remaining hold that one gossip message announces; later messages extend it while the
 /// hold lasts.
 const MAX_ANNOUNCED_HOLD: Duration = Duration::from_millis(1_200);
@@ -240,7 +236,8 @@
     }
 
     /// Builds the gossip message for an instance that has read both topics up to `progress`.
-    pub(super) fn build_gossip(&self, now: Moment, progress: PeerProgress) -> GossipMessage {
+    pub(super) fn build_gossip(&mut self, now: Moment, progress: PeerProgress) -> GossipMessage {
+        self.expire_suspicions(now);
         let members = || self.fleet.iter().map(|(_, member)| member);
         // Only the instance that gives an order announces its hold; a forwarded hold would
         // outlast it.
@@ -293,7 +290,7 @@
             limits: self.limits(now),
             saved_tokens: saved.map(|(store, tokens)| (store.0, tokens)).collect(),
             parts: self.recent_parts.iter().map(|(_, part)| *part).collect(),
-            suspicions: self.suspicions(now),
+            suspicions: self.suspicions(),
             records,
         }
     }
@@ -314,12 +311,10 @@
         limits.collect()
     }
 
-    /// Returns recently added suspicions; each instance forwards a suspicion for a limited time
-    /// only.
-    fn suspicions(&self, now: Moment) -> Vec<WireSuspicion> {
+    /// Returns the suspicions that are still news.
+    fn suspicions(&self) -> Vec<WireSuspicion> {
         let recent = self.recent_suspicions.iter();
-        let fresh = recent.filter(|(added_at, _)| now.since(*added_at) < SUSPICION_REPEAT_TIME);
-        fresh.map(|(_, suspicion)| *suspicion).collect()
+        recent.map(|(_, suspicion)| *suspicion).collect()
     }
 }
 
--- a/src/gateway/dispatch/mod.rs
+++ b/src/gateway/dispatch/mod.rs
@@ -1,6 +1,7 @@
 //! Service `dispatch`: routes requests and places them on upstreams; owns the route table, the
 //! upstreams, their idle connections, the request queues and the retry budgets.
 
+mod crashes;
 mod gossip;
 mod place;
 mod pool;
@@ -92,6 +93,7 @@
         DispatchMail::CheckSend(ticket, reply_to) => reply_to.send(state.check_send(now, ticket)),
         DispatchMail::FirstOutput(ticket) => state.record_first_output(now, ticket),
         DispatchMail::PlacementEnded(end) => state.release(now, *end),
+        DispatchMail::ProbeFailed(member) => state.record_failed_probe(now, member),
         DispatchMail::WeightsSeen(member, version) => state.record_weights(now, member, version),
         DispatchMail::Hold(member, until) => state.hold(member, until),
         DispatchMail::Records(records) => state.apply_records(turn, &records),
@@ -105,6 +107,8 @@
             state.apply_gossip(turn, &gossip, Some(called_at));
         }
         DispatchMail::BuildGossip(from, reply_to) => reply_to.send(state.build_gossip(now, from)),
+        DispatchMail::SegmentNews(news) => state.apply_segment_news(now, &news),
+        DispatchMail::BuildSegmentNews(reply_to) => reply_to.send(state.segment_news(now)),
         DispatchMail::RequestEnded(end) => state.counters.count_request(end),
         DispatchMail::StreamBodyEnded(framing, position) => {
             state
--- a/src/gateway/dispatch/place.rs
+++ b/src/gateway/dispatch/place.rs
@@ -11,7 +11,7 @@
 };
 use crate::decide::prompt_parts::CacheDomain;
 use crate::decide::retry_budget::{RetryBudget, RetryPolicy, RetryStep};
-use crate::decide::suspects::SuspectVerdict;
+use crate::decide::segment_suspects::shared_segments;
 use crate::events::{REQUEST_PLACED, log_event};
 use crate::gateway::mail::{Placement, PlacementRefusal, PlacementReply, PlacementRequest};
 use crate::kernel::{Moment, ReplyTo};
@@ -39,7 +39,7 @@
         request: PlacementRequest,
         reply_to: ReplyTo<PlacementReply>,
     ) {
-        if self.suspects.verdict(now, request.fingerprint) == SuspectVerdict::Poisonous {
+        if self.is_poisonous(now, &request) {
             reply_to.send(PlacementReply::Refused(PlacementRefusal::Poisonous));
             return;
         }
@@ -269,7 +269,11 @@
             kv_store: choice.save_to.map(|store| store.data_centre),
             placed_at: now,
             fingerprint: request.fingerprint,
+            prompt: request.prompt.clone(),
         };
+        if let Some(prompt) = &request.prompt {
+            self.segments.record_send(now, shared_segments(prompt));
+        }
         let placement = Placement {
             ticket,
             member: choice.member,
--- a/src/gateway/dispatch/queueing.rs
+++ b/src/gateway/dispatch/queueing.rs
@@ -49,6 +49,10 @@
             return Moment::NEVER;
         }
         for WaitingRequest { request, reply_to } in std::mem::take(&mut self.parked) {
+            if self.is_poisonous(now, &request) {
+                reply_to.send(PlacementReply::Refused(PlacementRefusal::Poisonous));
+                continue;
+            }
             self.place_or_queue(now, request, reply_to);
         }
         if self.parked.is_empty() {
@@ -159,6 +163,13 @@
         let Some(WaitingRequest { request, reply_to }) = self.waiting.remove(&ticket) else {
             return;
         };
+        if self.is_poisonous(now, &request) {
+            if let Some(queue) = self.queues.get_mut(&request.service) {
+                queue.record_end(ticket, 0);
+            }
+            reply_to.send(PlacementReply::Refused(PlacementRefusal::Poisonous));
+            return;
+        }
         match self.choose_upstream(now, &request) {
             ChoiceOutcome::Send(choice) => {
                 let placement = self.start_placement(now, ticket, &request, choice);
--- a/src/gateway/dispatch/records.rs
+++ b/src/gateway/dispatch/records.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use super::crashes::CrashSign;
 use super::send_check::SEND_TIME;
 use super::state::{DeferredRemoval, DispatchState, TargetVersion};
 use crate::decide::fleet::{EntryChange, MemberKey, MemberState};
@@ -202,7 +203,7 @@
                 (key, "weights")
             }
             EntryChange::Restarted { old, new } => {
-                self.record_crash(now, old);
+                self.record_crash(now, old, CrashSign::Restarted);
                 self.parts.remove_member(old);
                 self.pool.close_all(old);
                 (new, "restarted")
--- a/src/gateway/dispatch/start_deadline.rs
+++ b/src/gateway/dispatch/start_deadline.rs
@@ -1,5 +1,5 @@
-//! Cancellation of requests that have not started at their upstream when no request may start on its
-//! weights any more.
+//! Cancellation of requests that have not started at their upstream when they may not start there any
+//! more.
 
 use super::state::{DispatchState, RunningRequest};
 use crate::decide::ids::Ticket;
@@ -8,6 +8,24 @@
 use crate::gateway::mail::PlacementRequest;
 use crate::kernel::Moment;
 
+/// Why a request that has not started is cancelled.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum CancelReason {
+    /// No request may start on the upstream's weights any more.
+    OutdatedWeights,
+    /// A segment of its prompt crashes upstreams.
+    RefusedSegment,
+}
+
+impl CancelReason {
+    const fn name(self) -> &'static str {
+        match self {
+            Self::OutdatedWeights => "outdated_weights",
+            Self::RefusedSegment => "refused_segment",
+        }
+    }
+}
+
 /// Request that was sent to an upstream and has produced no output yet.
 #[derive(Debug)]
 pub(super) struct UnstartedRequest {
@@ -60,12 +78,13 @@
             }
         }
         for ticket in expired {
-            self.cancel(now, ticket);
+            self.cancel(now, ticket, CancelReason::OutdatedWeights);
         }
         self.next_cancellation = next;
     }
 
-    fn cancel(&mut self, now: Moment, ticket: Ticket) {
+    /// Cancels a request that has not started.
+    pub(super) fn cancel(&mut self, now: Moment, ticket: Ticket, reason: CancelReason) {
         let Some(unstarted) = self.unstarted.get_mut(&ticket) else {
             return;
         };
@@ -80,6 +99,7 @@
                 &[
                     ("request", &running.request_id),
                     ("upstream", &self.upstream_name(running)),
+                    ("reason", &reason.name()),
                     ("weights", &weights),
                     ("waited_ms", &waited.as_millis()),
                 ],
--- a/src/gateway/dispatch/state.rs
+++ b/src/gateway/dispatch/state.rs
@@ -1,20 +1,24 @@
 //! State of the service `dispatch`.
 
 use std::collections::{HashMap, VecDeque};
+use std::sync::Arc;
 
 use serde_json::{Value, json};
 
 use super::DispatchSettings;
+use super::crashes::SegmentNews;
 use super::pool::ConnectionPool;
 use super::start_deadline::UnstartedRequest;
 use crate::decide::fleet::{Fleet, MemberKey};
 use crate::decide::ids::Ticket;
 use crate::decide::keyed_view::KeyedView;
 use crate::decide::memory_budget::MemoryBudget;
-use crate::decide::prompt_parts::PrefixIndex;
+use crate::decide::prompt_parts::{PrefixIndex, PromptShape};
 use crate::decide::queue::FairQueue;
 use crate::decide::retry_budget::RetryBudget;
 use crate::decide::route_table::{DataCentreId, RouteTable, ServiceId};
+use crate::decide::segment_entry::SegmentPolicy;
+use crate::decide::segment_suspects::SegmentSuspects;
 use crate::decide::suspects::{Fingerprint, SuspectPolicy, SuspectTable};
 use crate::decide::version_deadlines::VersionDeadlines;
 use crate::events::{METRICS_FAILED, log_event};
@@ -77,6 +81,21 @@
     pub placed_at: Moment,
     /// Hash that is the same for equal requests.
     pub fingerprint: Fingerprint,
+    /// Prompt of the request; `None` for plain services.
+    pub prompt: Option<Arc<PromptShape>>,
+}
+
+/// Request whose connection to its upstream broke.
+#[derive(Debug, Clone)]
+pub struct LostRequest {
+    /// Time of the loss.
+    pub at: Moment,
+    /// Upstream that ran the request.
+    pub member: MemberKey,
+    /// Hash that is the same for equal requests.
+    pub fingerprint: Fingerprint,
+    /// Prompt of the request; `None` for plain services.
+    pub prompt: Option<Arc<PromptShape>>,
 }
 
 /// Health of reads from one topic of the store.
@@ -152,8 +171,12 @@
     pub(super) suspects: SuspectTable,
     /// Suspicions that are sent to other instances, each with the time at which it was added.
     pub(super) recent_suspicions: VecDeque<(Moment, WireSuspicion)>,
-    /// Requests whose connection to the upstream broke, each with the time of the loss.
-    pub(super) lost_requests: VecDeque<(Moment, MemberKey, Fingerprint)>,
+    /// Requests that may have been lost to a crash, oldest first.
+    pub(super) lost_requests: VecDeque<LostRequest>,
+    /// Prompt segments that were seen in crashes.
+    pub(super) segments: SegmentSuspects,
+    /// News of such segments that are sent to other instances, each with the time at which it came.
+    pub(super) segment_news: VecDeque<(Moment, SegmentNews)>,
     /// Updates about prompt segments that are sent to other instances.
     pub(super) recent_parts: VecDeque<(Moment, WireSegment)>,
     /// Upstreams whose weights changed lately, each with the time of the change.
@@ -207,6 +230,8 @@
             suspects: SuspectTable::new(SuspectPolicy::default()),
             recent_suspicions: VecDeque::new(),
             lost_requests: VecDeque::new(),
+            segments: SegmentSuspects::new(SegmentPolicy::default()),
+            segment_news: VecDeque::new(),
             recent_parts: VecDeque::new(),
             recent_weights: VecDeque::new(),
             next_sweep: Moment::START,
@@ -303,7 +328,8 @@
             dropped_lines: self.dropped_lines.count(),
             reserved_bytes: self.memory.reserved(),
             suspects: self.suspects.len(),
-            suspicions: self.recent_suspicions.len(),
+            suspicions: self.recent_suspicions.len() + self.segment_news.len(),
+            refused_segments: self.segments.refused_count(),
         };
         self.counters.text(gauges).unwrap_or_else(|error| {
             log_event(&METRICS_FAILED, &[("reason", &error)]);
@@ -337,6 +363,8 @@
             "parts": self.parts.len(),
             "suspects": self.suspects.len(),
             "suspicions": self.recent_suspicions.len(),
+            "segments": self.segments.len(),
+            "refused_segments": self.segments.refused_count(),
             "peers": self.peers.len(),
         })
     }
--- a/src/gateway/mail.rs
+++ b/src/gateway/mail.rs
@@ -18,7 +18,7 @@
 use crate::platform::request_headers::BodyFraming;
 use crate::platform::settings_file::InstanceSettings;
 use crate::wire::event_scanner::StreamPosition;
-use crate::wire::peer_rpc::{GossipMessage, WireTopic};
+use crate::wire::peer_rpc::{GossipMessage, WireSegmentNews, WireTopic};
 
 /// Message to a service or I/O task of the gateway; the variant names the receiver.
 #[derive(Debug)]
@@ -50,6 +50,8 @@
     FirstOutput(Ticket),
     /// A placement has ended.
     PlacementEnded(Box<PlacementEnd>),
+    /// An upstream that has lost a request accepts no connection.
+    ProbeFailed(MemberKey),
     /// An upstream was found to run this version of its weights.
     WeightsSeen(MemberKey, u64),
     /// Excludes an upstream from placement until the given time.
@@ -69,6 +71,10 @@
     GossipResponse(Box<GossipMessage>, Moment),
     /// Asks for this instance's gossip message to an instance that has made the given progress.
     BuildGossip(PeerProgress, ReplyTo<GossipMessage>),
+    /// Applies another instance's news of prompt segments that were seen in crashes.
+    SegmentNews(Vec<WireSegmentNews>),
+    /// Asks for the news of such segments that other instances have to know.
+    BuildSegmentNews(ReplyTo<Vec<WireSegmentNews>>),
     /// A request of a client has ended.
     RequestEnded(RequestEnd),
     /// The body of a stream was received to its end, with this framing and position.
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -4,9 +4,11 @@
 
 pub mod abandonment;
 pub mod attempts;
+pub mod attempts_outcome;
 pub mod caller_server;
 pub mod cancellation;
 pub mod counters;
+pub mod crash_probe;
 pub mod dispatch;
 pub mod identity;
 pub mod internal_server;
@@ -26,4 +28,5 @@
 pub mod settings_watch;
 pub mod start;
 pub mod store_watch;
+pub mod stream_source;
 pub mod upstream_call;
--- a/src/gateway/peer_connection.rs
+++ b/src/gateway/peer_connection.rs
@@ -8,28 +8,36 @@
 use tokio::net::TcpStream;
 use tokio::time::timeout;
 
+use crate::events::{NEWS_REJECTED, log_event};
 use crate::platform::http_connection::set_tcp_options;
-use crate::wire::peer_rpc::{GossipMessage, PeerRpcClient};
+use crate::wire::peer_rpc::{GossipMessage, PeerRpcClient, WireSegmentNews};
 use crate::wire::transport;
 
 /// Timeout of a connection attempt and of an exchange; instances are a few milliseconds apart.
 const EXCHANGE_TIMEOUT: Duration = Duration::from_millis(400);
 
+/// Time for which news of segments is not sent to an instance that did not accept it. Instances of an
+/// older build close the connection on it, which costs the next exchange a new one.
+const NEWS_PAUSE: Duration = Duration::from_secs(5);
+
 /// Connection to another instance.
 #[derive(Debug)]
 pub struct PeerConnection {
     /// Address of the instance.
     pub address: SocketAddr,
     client: Option<PeerRpcClient>,
+    /// Time until which the instance gets no news of segments.
+    news_from: Instant,
 }
 
 impl PeerConnection {
     /// Creates a connection that is established by the first exchange.
     #[must_use]
-    pub const fn new(address: SocketAddr) -> Self {
+    pub fn new(address: SocketAddr) -> Self {
         Self {
             address,
             client: None,
+            news_from: Instant::now(),
         }
     }
 
@@ -50,6 +58,29 @@
         self.client = Some(client);
         Some(response)
     }
+
+    /// Sends news of segments on the connection of a successful exchange.
+    pub async fn report_segments(&mut self, news: Vec<WireSegmentNews>) {
+        let now = Instant::now();
+        if news.is_empty() || now < self.news_from {
+            return;
+        }
+        let Some(client) = self.client.take() else {
+            return;
+        };
+        let mut call = context::current();
+        call.deadline = now + EXCHANGE_TIMEOUT;
+        match client.report_segments(call, news).await {
+            Ok(()) => self.client = Some(client),
+            Err(error) => {
+                self.news_from = now + NEWS_PAUSE;
+                log_event(
+                    &NEWS_REJECTED,
+                    &[("peer", &self.address), ("reason", &error)],
+                );
+            }
+        }
+    }
 }
 
 /// Connects to another instance; `None` if the connection attempt fails.
--- a/src/gateway/peer_exchange.rs
+++ b/src/gateway/peer_exchange.rs
@@ -18,7 +18,7 @@
 use crate::decide::route_table::DataCentreId;
 use crate::kernel::{Directory, Inbox, IoTask, Moment, ReplyTo, Signal};
 use crate::platform::http_connection::set_tcp_options;
-use crate::wire::peer_rpc::{GossipMessage, PeerRpc, WireProgress};
+use crate::wire::peer_rpc::{GossipMessage, PeerRpc, WireProgress, WireSegmentNews};
 use crate::wire::transport;
 
 /// Time between two rounds of exchanges.
@@ -206,6 +206,8 @@
             return;
         };
         gossip.peers = self.known_peers.keys().copied().collect();
+        let news = dispatch::ask(directory, DispatchMail::BuildSegmentNews).await;
+        let news = news.unwrap_or_default();
         for address in known {
             if !self.in_exchange.insert(address) {
                 continue;
@@ -214,10 +216,11 @@
                 .connections
                 .remove(&address)
                 .unwrap_or_else(|| PeerConnection::new(address));
-            let gossip = gossip.clone();
+            let (gossip, news) = (gossip.clone(), news.clone());
             let called_at = directory.now();
             self.exchanges.spawn(async move {
                 let response = connection.exchange(gossip).await;
+                connection.report_segments(news).await;
                 ExchangeResult {
                     connection,
                     called_at,
@@ -352,4 +355,8 @@
             .await
             .unwrap_or_default()
     }
+
+    async fn report_segments(self, _: Context, news: Vec<WireSegmentNews>) {
+        dispatch::tell(&self.directory, DispatchMail::SegmentNews(news));
+    }
 }
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -6,18 +6,19 @@
 use bytes::Bytes;
 use http_body_util::BodyExt;
 use hyper::body::{Frame, Incoming};
-use hyper::http::response::Parts;
 use tokio::sync::{mpsc, oneshot};
 use tokio::time::{sleep, sleep_until, timeout};
 
 use super::abandonment::log_abandoned;
-use super::attempts::{AttemptsOutcome, PlacedStream, RequestAttempts};
+use super::attempts::RequestAttempts;
+use super::attempts_outcome::{AttemptsOutcome, PlacedStream};
 use super::cancellation::CancelSignal;
+use super::crash_probe::probe_after_loss;
 use super::dispatch;
 use super::mail::{DispatchMail, GatewayMail};
-use super::placement_guard::PlacementGuard;
 use super::relay_body::RelayBody;
 use super::request::CallerRequest;
+use super::stream_source::{StreamEnd, StreamSource, has_events};
 use super::upstream_call::reusable_until;
 use crate::decide::fleet::{MemberKey, MemberOutcome};
 use crate::decide::memory_plan::STREAM_BYTES;
@@ -26,7 +27,7 @@
 use crate::events::{STREAM_BODY_ENDED, STREAM_BROKEN, STREAM_RESUMED, log_event};
 use crate::kernel::{Directory, Moment};
 use crate::platform::http_server::ResponseBody;
-use crate::platform::request_headers::{BodyFraming, is_event_stream};
+use crate::platform::request_headers::BodyFraming;
 use crate::wire::event_scanner::StreamPosition;
 use crate::wire::event_splitter::{EventSplitter, SplitStep};
 
@@ -37,46 +38,6 @@
 /// percent of the route's target latency for the first event.
 const STALL_PERCENT: u64 = 250;
 
-/// How the stream from one upstream ended.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum StreamEnd {
-    /// The stream was received to its end.
-    Complete,
-    /// The connection to the upstream broke or stalled.
-    Broken(MemberOutcome),
-    /// The caller closed its connection.
-    CallerGone,
-    /// The deadline of the request passed.
-    TimedOut,
-}
-
-/// Upstream response that a stream is read from.
-#[derive(Debug, Clone, Copy)]
-struct StreamSource<'a> {
-    /// Name of the upstream.
-    upstream: &'a str,
-    framing: BodyFraming,
-    /// Whether the body consists of events.
-    has_events: bool,
-    guard: &'a PlacementGuard,
-}
-
-impl StreamSource<'_> {
-    /// Returns how the stream ended, from the position at the end of its body. The framing shows
-    /// only where the body ends, not whether the upstream had sent all of its events.
-    const fn end_at(self, position: StreamPosition) -> StreamEnd {
-        let is_framed = !matches!(self.framing, BodyFraming::ConnectionClose);
-        match position {
-            _ if !self.has_events => StreamEnd::Complete,
-            StreamPosition::BetweenEvents => StreamEnd::Complete,
-            StreamPosition::Empty if is_framed => StreamEnd::Complete,
-            StreamPosition::Empty | StreamPosition::InsideEvent => {
-                StreamEnd::Broken(MemberOutcome::Lost)
-            }
-        }
-    }
-}
-
 /// State of the task that forwards one stream.
 #[derive(Debug)]
 struct StreamRelay {
@@ -133,6 +94,7 @@
                 connection,
                 member,
                 upstream,
+                address,
                 mut cancellation,
                 guard,
             } = stream;
@@ -165,6 +127,9 @@
                 StreamEnd::Broken(outcome) => {
                     guard.end(outcome);
                     drop(connection);
+                    if outcome == MemberOutcome::Lost {
+                        probe_after_loss(&self.directory, member, address).await;
+                    }
                     if outcome.is_about_upstream() {
                         self.excluded.push(member);
                     }
@@ -391,9 +356,3 @@
         self.completion.closed().await;
     }
 }
-
-/// Returns whether a response on a streaming route consists of events; one that states no media
-/// type does.
-fn has_events(head: &Parts) -> bool {
-    is_event_stream(&head.headers).unwrap_or(true)
-}
--- a/src/gateway/upstream_call.rs
+++ b/src/gateway/upstream_call.rs
@@ -22,11 +22,11 @@
 };
 
 /// Timeout for connecting to an upstream; the round trip to one takes a few milliseconds.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
+pub const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
 
 /// Largest response of an upstream, in bytes, with its head and framing; the connection breaks
 /// after it.
-const MAX_RESPONSE_BYTES: usize = 32 * 1024 * 1024;
+pub const MAX_RESPONSE_BYTES: usize = 32 * 1024 * 1024;
 
 /// Time for which an idle connection is kept if the upstream sends no `keep-alive` timeout.
 const DEFAULT_IDLE_TIMEOUT: Duration = Duration::from_millis(400);
--- a/src/wire/peer_rpc.rs
+++ b/src/wire/peer_rpc.rs
@@ -109,6 +109,25 @@
     pub born: u64,
 }
 
+/// Crash of an upstream that ran a request with a prompt segment, or that the segment is cleared of.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct WireSegmentNews {
+    /// Hash of the segment and its model.
+    pub segment: u64,
+    /// Number of shared segments after it in the prompt.
+    pub depth: u8,
+    /// Hash of the identity of the upstream that crashed.
+    pub upstream: u64,
+    /// Start time that identifies the run of the upstream that crashed.
+    pub born: u64,
+    /// Whether an answer on the segment was complete since.
+    pub is_cleared: bool,
+    /// Time since the crash, in milliseconds.
+    pub ago_ms: u64,
+    /// Time for which the sender still refuses the segment, in milliseconds; `None` if it does not.
+    pub refused_ms: Option<u64>,
+}
+
 /// Deadline after which a model's weights older than a version may not be used.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct WireVersionDeadline {
@@ -176,4 +195,8 @@
 pub trait PeerRpc {
     /// Applies the caller's gossip message and returns the one of the called instance.
     async fn exchange(gossip: GossipMessage) -> GossipMessage;
+
+    /// Applies news of prompt segments that were seen in crashes. Instances of builds before this
+    /// call close the connection on it.
+    async fn report_segments(news: Vec<WireSegmentNews>);
 }
--- a/tests/wire_compat.rs
+++ b/tests/wire_compat.rs
@@ -1,4 +1,4 @@
-//! Encoding of the messages between entries and sidecars. Both run in several builds during a rolling
+//! Encoding of the messages between entries and sidecars, and between gateways. All run in several builds during a rolling
 //! upgrade, and bincode encodes no names, so that a field more or less makes a message unreadable.
 
 use std::fmt::Write;
@@ -9,6 +9,7 @@
 use bulrushslip::wire::config_page::{
     ConfigPage, ConfigSinceCall, WireEvidence, WireNumberedRecord,
 };
+use bulrushslip::wire::peer_rpc::{GossipMessage, PeerRpcRequest, WireSegmentNews, WireSuspicion};
 use bulrushslip::wire::rpc::{
     AttachReply, AttachVerdict, QuoteCall, QuoteReply, ReadCall, ReadReply, ReadVerdict, ReplyHead,
     SidecarRpcRequest, SidecarRpcResponse, StreamItem, SubmitCall, SubmitReply, SubmitVerdict,
@@ -307,3 +308,36 @@
     check("released", &claim(ClaimReply::Released), "0502");
     check("unavailable", &claim(ClaimReply::Unavailable), "0503");
 }
+
+#[test]
+fn gossip_between_gateways_is_encoded_as_by_earlier_builds() {
+    let gossip = GossipMessage {
+        sender: 0x11,
+        holds: vec![(0x12, 0x13)],
+        suspicions: vec![WireSuspicion {
+            fingerprint: 0x14,
+            upstream: 0x15,
+            born: 0x16,
+        }],
+        ..GossipMessage::default()
+    };
+    check(
+        "Exchange",
+        &PeerRpcRequest::Exchange { gossip },
+        "00110000000000000000000000000000011213000000000114151600",
+    );
+    let news = vec![WireSegmentNews {
+        segment: 0x11,
+        depth: 0x12,
+        upstream: 0x13,
+        born: 0x14,
+        is_cleared: false,
+        ago_ms: 0x15,
+        refused_ms: Some(0x16),
+    }];
+    check(
+        "ReportSegments",
+        &PeerRpcRequest::ReportSegments { news },
+        "01011112131400150116",
+    );
+}
