Refuse prompts with a segment that crashes engines at sidecars too

Callers behind entries would see the same as behind gateways: each new request with a deadly segment runs at an engine and crashes it.

Sidecars knew suspects by the hash of the whole request. The keys of a prompt's leading pieces are judged as segments now, by the table that gateways use. A refused segment is tried by one sidecar after the other, in the order of their names.

Evidence: a_prompt_segment_that_was_in_three_crashes_is_refused_at_all_sidecars failed before (a fourth request, unlike all others but for two pieces, was accepted) and passes; a request that shares only the sound first piece is accepted. Open: a deadly segment shorter than a piece of 16 KB has no key of its own on this path.

--- a/src/services/upstream_side/ledger/running.rs
+++ b/src/services/upstream_side/ledger/running.rs
@@ -6,7 +6,9 @@
 use crate::decide::ledger::{ExpiryStep, StartStep, TicketKey};
 use crate::decide::outcome::{RefusalReason, StreamEnd};
 use crate::decide::queue::QueueStep;
+use crate::decide::segment_entry::SegmentKey;
 use crate::decide::suspects::{Fingerprint, SoloStep};
+use crate::events::{EventKind, SEGMENT_CLEARED, SEGMENT_REFUSED, log_event};
 use crate::kernel::{Moment, NextStep, ReplyTo, Turn};
 use crate::services::common::mail::{EngineMail, EngineStatus, Mail};
 use crate::services::upstream_side::stream_buffer::PushOutcome;
@@ -25,6 +27,7 @@
         let now = turn.now;
         self.expire_tickets(turn);
         self.expire_reads(now);
+        self.review_segments(now);
         let queue_deadline = self.start_queued(turn);
         self.broadcast_suspect_updates(turn);
         if self.stopping && self.is_drained(now) {
@@ -177,6 +180,28 @@
         }
     }
 
+    /// Decides anew which prompt segments are refused, if there was news of them.
+    fn review_segments(&mut self, now: Moment) {
+        let review = self.guard.review(now);
+        for segment in review.refused {
+            self.log_segment(&SEGMENT_REFUSED, segment);
+        }
+        for segment in review.released {
+            self.log_segment(&SEGMENT_CLEARED, segment);
+        }
+    }
+
+    fn log_segment(&self, kind: &EventKind, segment: SegmentKey) {
+        let crashes = self.guard.segments.crash_count(segment);
+        log_event(
+            kind,
+            &[
+                ("segment", &format_args!("{:016x}", segment.0)),
+                ("crashes", &crashes),
+            ],
+        );
+    }
+
     /// Sends new suspect updates to the I/O task `suspect-feed`.
     fn broadcast_suspect_updates(&mut self, turn: &mut Turn<'_, Mail>) {
         let updates = std::mem::take(&mut self.guard.updates);
@@ -229,12 +254,28 @@
         }
     }
 
+    /// Returns whether a queued ticket may not start, because requests like it crash engines.
+    fn is_poisonous(&self, now: Moment, key: TicketKey) -> bool {
+        let call = self.jobs.get(&key).and_then(|job| job.call.as_ref());
+        call.is_some_and(|call| {
+            let fingerprint = Fingerprint(call.fingerprint);
+            self.guard.is_poisonous(now, fingerprint, &call.keys())
+        })
+    }
+
     /// Starts a ticket at the engine, or releases its slot if it has ended meanwhile.
     fn start(&mut self, turn: &mut Turn<'_, Mail>, ticket: Ticket) {
         let Some(key) = self.queued.remove(&ticket) else {
             self.queue.record_end(ticket, 0);
             return;
         };
+        if self.is_poisonous(turn.now, key) {
+            let end = StreamEnd::NotRun(RefusalReason::Poisonous);
+            self.ledger.end(turn.now, key, end);
+            self.queue.record_end(ticket, 0);
+            self.reply_to_pending_read(key);
+            return;
+        }
         if self.ledger.start(turn.now, key) != StartStep::Start {
             self.queue.record_end(ticket, 0);
             self.reply_to_pending_read(key);
@@ -250,7 +291,8 @@
             EngineStatus::Down => EngineEpoch::default(),
         };
         let fingerprint = Fingerprint(call.fingerprint);
-        self.guard.start(turn.now, ticket, fingerprint, epoch);
+        self.guard
+            .start(turn.now, ticket, fingerprint, &call.keys(), epoch);
         turn.send("engine", Mail::Engine(EngineMail::Start(key, call)));
     }
 
--- a/src/services/upstream_side/ledger/state.rs
+++ b/src/services/upstream_side/ledger/state.rs
@@ -12,7 +12,7 @@
 use crate::decide::outcome::{RefusalReason, StreamEnd};
 use crate::decide::queue::{CustomerShare, OfferOutcome, QueueDiscipline, QueuePolicy};
 use crate::decide::suspect_guard::{SuspectGuard, SuspectUpdate};
-use crate::decide::suspects::{Fingerprint, SuspectPolicy, SuspectVerdict};
+use crate::decide::suspects::{Fingerprint, SuspectPolicy};
 use crate::decide::upstream_queue::{UpstreamQueue, WorkRequest};
 use crate::kernel::{Moment, Turn};
 use crate::services::common::mail::{EngineStatus, Mail, OrderReport};
@@ -106,6 +106,7 @@
         self.queue.slots = self.upstream.as_ref().map_or(0, |upstream| upstream.slots);
         let floor = |rank| configuration.rank_policy(rank).floor_percent;
         self.queue.set_floors(Rank::ALL.map(floor));
+        self.guard.trial_rank = trial_rank(&configuration, name);
         self.configuration = Some(configuration);
     }
 
@@ -193,12 +194,12 @@
             return Err(reason);
         }
         let fingerprint = Fingerprint(call.fingerprint);
-        if self.guard.table.verdict(now, fingerprint) == SuspectVerdict::Poisonous {
+        let keys = call.keys();
+        if self.guard.is_poisonous(now, fingerprint, &keys) {
             let reason = RefusalReason::Poisonous;
             self.ledger.end(now, key, StreamEnd::NotRun(reason));
             return Err(reason);
         }
-        let keys = call.keys();
         let request = WorkRequest {
             customer: &call.customer,
             share: self.customer_share(&call.customer),
@@ -275,9 +276,7 @@
 
     /// Applies suspect updates from another sidecar.
     pub fn apply_suspect_updates(&mut self, now: Moment, updates: &[SuspectUpdate]) {
-        for update in updates {
-            self.guard.apply(now, update);
-        }
+        self.guard.apply(now, updates);
     }
 
     /// Begins a planned stop: like `begin_leaving`, and stops once all responses have been received.
@@ -389,6 +388,22 @@
             "answer_bytes": self.response_bytes,
             "leaving": self.leaving,
             "suspects": self.guard.table.len(),
+            "segments": self.guard.segments.len(),
+            "refused_segments": self.guard.segments.refused_count(),
         })
     }
 }
+
+/// Returns how many upstreams of the same model try a refused prompt segment before this one.
+fn trial_rank(configuration: &Configuration, own: &str) -> usize {
+    let upstreams = || configuration.upstreams.iter().map(|(_, upstream)| upstream);
+    let model_of = |upstream: &Upstream| match &upstream.kind {
+        UpstreamKind::Engine { model, .. } => Some(model.clone()),
+        UpstreamKind::Plain { .. } => None,
+    };
+    let own_model = upstreams().find(|upstream| upstream.name == own);
+    let own_model = own_model.and_then(model_of);
+    upstreams()
+        .filter(|upstream| model_of(upstream) == own_model && *upstream.name < *own)
+        .count()
+}
--- a/tests/ledger_suspects.rs
+++ b/tests/ledger_suspects.rs
@@ -3,10 +3,13 @@
 
 mod ledger_harness;
 
+use std::time::Duration;
+
 use bulrushslip::decide::ids::{EngineEpoch, Incarnation};
 use bulrushslip::decide::outcome::{RefusalReason, StreamEnd};
 use bulrushslip::decide::suspect_guard::SuspectUpdate;
 use bulrushslip::decide::suspects::{CrashId, Fingerprint};
+use bulrushslip::kernel::Moment;
 use bulrushslip::services::common::mail::{EngineStatus, LedgerMail};
 use bulrushslip::wire::rpc::{ReadCall, ReadReply, ReadVerdict, SubmitReply, SubmitVerdict};
 use bulrushslip::wire::rpc::{SubmitCall, WireStreamEnd};
@@ -111,3 +114,59 @@
     assert_eq!(reply.head.crash(), None);
     assert!(sidecar.updates.try_recv().is_err(), "reported as a crash");
 }
+
+/// Sends a request that no other is like, but for the pieces of its prompt that have these keys.
+fn send_prompt(sidecar: &mut Sidecar, sequence: u64, prefix_keys: &[u64]) -> SubmitReply {
+    let mut call = submit_call(sequence, true);
+    call.prefix_keys = prefix_keys.to_vec();
+    call.prefix_keys.push(1_000 + sequence);
+    submit(sidecar, call)
+}
+
+/// Crashes the engine with requests that share their first two pieces, the first one also with
+/// requests that are answered.
+fn crash_by_segment(sidecar: &mut Sidecar) {
+    for number in 1..=3 {
+        for (sequence, keys, end) in [
+            (number * 2, &[51, 52][..], StreamEnd::EngineLost),
+            (number * 2 + 1, &[51][..], StreamEnd::Complete),
+        ] {
+            sidecar
+                .kernel
+                .run_until(Moment::START.after(Duration::from_secs(number * 10 + sequence % 2)));
+            let reply = send_prompt(sidecar, sequence, keys);
+            assert!(matches!(reply.verdict, SubmitVerdict::Accepted));
+            let started = sidecar.started.try_recv().expect("a free slot");
+            sidecar.post(LedgerMail::ResponseEnded(started, end));
+            sidecar.post(LedgerMail::EngineStatus(EngineStatus::Up {
+                epoch: EngineEpoch(EPOCH.0 + number),
+                version: String::new(),
+            }));
+        }
+    }
+}
+
+fn is_poisonous(reply: &SubmitReply) -> bool {
+    let SubmitVerdict::NotRun { reason, .. } = reply.verdict else {
+        return false;
+    };
+    RefusalReason::try_from(reason) == Ok(RefusalReason::Poisonous)
+}
+
+/// Guards against suspects that are known only as whole requests.
+#[test]
+fn a_prompt_segment_that_was_in_three_crashes_is_refused_at_all_sidecars() {
+    let mut sidecar = Sidecar::start();
+    crash_by_segment(&mut sidecar);
+    let mut other = Sidecar::start();
+    for updates in sidecar.updates.try_iter().collect::<Vec<_>>() {
+        other.ask(|reply_to| LedgerMail::Suspects(updates, reply_to));
+        let later = other.kernel.now().after(Duration::from_secs(5));
+        other.kernel.run_until(later);
+    }
+    for sidecar in [&mut sidecar, &mut other] {
+        assert!(is_poisonous(&send_prompt(sidecar, 20, &[51, 52])));
+        let sound = send_prompt(sidecar, 21, &[51, 53]);
+        assert!(matches!(sound.verdict, SubmitVerdict::Accepted));
+    }
+}
