--- a/src/decide/config.rs
+++ b/src/decide/config.rs
@@ -100,6 +100,15 @@
 }
 
 impl Upstream {
+    /// Returns the model that the upstream serves; `None` for plain services.
+    #[must_use]
+    pub fn model(&self) -> Option<&str> {
+        match &self.kind {
+            UpstreamKind::Engine { model, .. } => Some(model),
+            UpstreamKind::Plain { .. } => None,
+        }
+    }
+
     /// Returns whether the upstream accepts requests for this weights version of a model.
     #[must_use]
     pub fn serves(&self, model: &str, version: &str) -> bool {
@@ -179,6 +188,15 @@
 }
 
 impl Configuration {
+    /// Returns how many upstreams of the same model have a name before that of `own`.
+    #[must_use]
+    pub fn position_in_model(&self, own: &Upstream) -> usize {
+        let upstreams = self.upstreams.iter();
+        upstreams
+            .filter(|(_, upstream)| upstream.model() == own.model() && upstream.name < own.name)
+            .count()
+    }
+
     /// Returns the customer that a bearer key authenticates.
     #[must_use]
     pub fn customer_by_bearer(&self, hash: &BearerHash) -> Option<(CustomerKey, &Customer)> {
--- a/src/services/upstream_side/ledger/state.rs
+++ b/src/services/upstream_side/ledger/state.rs
@@ -106,7 +106,8 @@
         self.queue.slots = self.upstream.as_ref().map_or(0, |upstream| upstream.slots);
         let floor = |rank| configuration.rank_policy(rank).floor_percent;
         self.queue.set_floors(Rank::ALL.map(floor));
-        self.guard.trial_rank = trial_rank(&configuration, name);
+        let own = self.upstream.as_ref();
+        self.guard.trial_rank = own.map_or(0, |own| configuration.position_in_model(own));
         self.configuration = Some(configuration);
     }
 
@@ -393,17 +394,3 @@
         })
     }
 }
-
-/// Returns how many upstreams of the same model try a refused prompt segment before this one.
-fn trial_rank(configuration: &Configuration, own: &str) -> usize {
-    let upstreams = || configuration.upstreams.iter().map(|(_, upstream)| upstream);
-    let model_of = |upstream: &Upstream| match &upstream.kind {
-        UpstreamKind::Engine { model, .. } => Some(model.clone()),
-        UpstreamKind::Plain { .. } => None,
-    };
-    let own_model = upstreams().find(|upstream| upstream.name == own);
-    let own_model = own_model.and_then(model_of);
-    upstreams()
-        .filter(|upstream| model_of(upstream) == own_model && *upstream.name < *own)
-        .count()
-}
--- a/src/services/upstream_side/suspect_feed.rs
+++ b/src/services/upstream_side/suspect_feed.rs
@@ -7,7 +7,7 @@
 use futures::StreamExt;
 use tokio::task::JoinSet;
 
-use crate::decide::config::{Configuration, UpstreamKind};
+use crate::decide::config::{Configuration, Upstream};
 use crate::decide::suspect_guard::SuspectUpdate;
 use crate::kernel::{Directory, Inbox, IoTask, Signal};
 use crate::services::common::mail::{ConfigMail, Mail};
@@ -80,19 +80,14 @@
 /// Returns the sidecar addresses of the other upstreams that serve the model of `own`.
 fn peers(configuration: &Configuration, own: &str) -> Vec<SocketAddr> {
     let upstreams = || configuration.upstreams.iter().map(|(_, upstream)| upstream);
-    let model_of = |kind: &UpstreamKind| match kind {
-        UpstreamKind::Engine { model, .. } => Some(model.clone()),
-        UpstreamKind::Plain { .. } => None,
-    };
     let own_model = upstreams()
         .find(|upstream| upstream.name == own)
-        .and_then(|upstream| model_of(&upstream.kind));
+        .and_then(Upstream::model);
     let Some(own_model) = own_model else {
         return Vec::new();
     };
     upstreams()
-        .filter(|upstream| upstream.name != own)
-        .filter(|upstream| model_of(&upstream.kind).as_ref() == Some(&own_model))
+        .filter(|upstream| upstream.name != own && upstream.model() == Some(own_model))
         .map(|upstream| upstream.sidecar)
         .collect()
 }
