Heed what upstreams say of themselves in their responses

Callers would have been sent to upstreams that leave, or that have asked for no requests: neither `Server-Leaving` nor `Retry-After` was read anywhere. An upstream whose rejections name a time got a new request after 60 ms.

Gateways read both from every response to a request, an order or a request for a report. What was said holds for the run of the upstream, also while its entry is lost, and ends with another run or when its entry turns from draining to ready. After a pause one request goes first and each answer lets two follow. If all upstreams of a service are paused beyond the time in which a request has to start, it is refused at once, with the end of the first pause as its `Retry-After`, spread by the request.

Not done: entries and sidecars read neither header.

--- a/src/decide/fleet.rs
+++ b/src/decide/fleet.rs
@@ -5,7 +5,10 @@
 use std::time::Duration;
 
 use super::hashing::name_hash;
+use super::member_notice::MemberNotice;
+pub use super::member_outcome::MemberOutcome;
 use super::route_table::{DataCentreId, ServiceId};
+use super::unlisted_notices::UnlistedNotices;
 use crate::kernel::{Arena, Key, Moment};
 
 /// Pause of an upstream after a failed connection attempt; doubled by each further one.
@@ -21,6 +24,9 @@
 /// report at least every three seconds.
 const PEER_LOAD_LIFETIME: Duration = Duration::from_millis(3_500);
 
+/// Divisor of the slots of a plain upstream that gives how many requests may wait in its own queue.
+const PLAIN_QUEUE_DIVISOR: u32 = 3;
+
 /// Weight of one outcome in the moving average of failures.
 const FAILURE_SMOOTHING: f64 = 0.15;
 
@@ -79,54 +85,6 @@
     pub added_tokens: u64,
 }
 
-/// How a request ended at an upstream, classified by what it shows about the upstream.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum MemberOutcome {
-    /// The request was answered.
-    Answered,
-    /// The upstream responded with a failure of its own.
-    Failed,
-    /// The upstream rejected the request without running it.
-    TurnedAway,
-    /// Another upstream responded at the address.
-    Misdirected,
-    /// No connection could be established.
-    Unreachable,
-    /// The connection closed early, or the response was malformed.
-    Lost,
-    /// No response came in time.
-    Silent,
-    /// The request was cancelled because it had not started before the deadline of its weights.
-    Cancelled,
-    /// The request was cancelled for a reason unrelated to the upstream.
-    Abandoned,
-}
-
-impl MemberOutcome {
-    /// Reports whether the outcome shows something about the upstream, so that the same request is
-    /// better sent elsewhere.
-    #[must_use]
-    pub const fn is_about_upstream(self) -> bool {
-        !matches!(self, Self::Cancelled | Self::Abandoned)
-    }
-
-    /// Returns the name of the outcome in logs and metrics.
-    #[must_use]
-    pub const fn name(self) -> &'static str {
-        match self {
-            Self::Answered => "answered",
-            Self::Failed => "failed",
-            Self::TurnedAway => "turned_away",
-            Self::Misdirected => "misdirected",
-            Self::Unreachable => "unreachable",
-            Self::Lost => "lost",
-            Self::Silent => "silent",
-            Self::Cancelled => "cancelled",
-            Self::Abandoned => "abandoned",
-        }
-    }
-}
-
 /// One upstream of the fleet.
 #[derive(Debug, Clone)]
 pub struct FleetMember {
@@ -144,6 +102,8 @@
     pub is_own_hold: bool,
     /// Time until which the upstream is not used because it rejected a request.
     pub busy_until: Moment,
+    /// What the upstream has said of itself in its responses.
+    pub notice: MemberNotice,
     /// Moving average of the share of requests that failed, from 0 to 1.
     pub failure_share: f64,
     /// Tokens that all instances have added to the KV cache, as far as reported.
@@ -178,6 +138,7 @@
     members: Arena<FleetMember>,
     by_id: HashMap<String, MemberKey>,
     by_service: HashMap<ServiceId, Vec<MemberKey>>,
+    unlisted: UnlistedNotices,
 }
 
 impl Fleet {
@@ -206,6 +167,9 @@
             };
         }
         let previous = known.clone();
+        if previous.state == MemberState::Draining && entry.state == MemberState::Ready {
+            member.notice.left_at = None;
+        }
         let known_version = known.weights.map_or(0, |weights| weights.version);
         let mut entry = entry;
         // The upstream may have reported newer weights directly than those in its entry.
@@ -228,6 +192,7 @@
     fn insert(&mut self, entry: UpstreamEntry) -> MemberKey {
         let id = entry.id.clone();
         let service = entry.service;
+        let notice = self.unlisted.take(&entry);
         let key = self.members.insert(FleetMember {
             id_hash: name_hash(&entry.id),
             entry,
@@ -236,6 +201,7 @@
             held_until: Moment::START,
             is_own_hold: false,
             busy_until: Moment::START,
+            notice,
             failure_share: 0.0,
             total_added_tokens: 0,
             reconnect_pause: RECONNECT_PAUSE,
@@ -250,6 +216,7 @@
     pub fn remove(&mut self, key: MemberKey) -> Option<FleetMember> {
         let member = self.members.remove(key)?;
         self.by_id.remove(&member.entry.id);
+        self.unlisted.keep(&member.entry, member.notice);
         if let Some(keys) = self.by_service.get_mut(&member.entry.service) {
             keys.retain(|listed| *listed != key);
         }
@@ -315,7 +282,33 @@
     #[must_use]
     pub fn is_open(&self, now: Moment) -> bool {
         let pauses = [self.down_until, self.held_until, self.busy_until];
-        self.entry.state == MemberState::Ready && pauses.iter().all(|pause| pause.is_due(now))
+        self.entry.state == MemberState::Ready
+            && self.notice.is_open(now)
+            && pauses.iter().all(|pause| pause.is_due(now))
+    }
+
+    /// Returns whether the upstream has left or will, by its entry or by its responses.
+    #[must_use]
+    pub fn is_leaving(&self) -> bool {
+        self.entry.state == MemberState::Draining || self.notice.left_at.is_some()
+    }
+
+    /// Returns whether the upstream stays and has not asked for a pause, so that requests and orders may
+    /// be sent.
+    #[must_use]
+    pub fn wants_requests(&self, now: Moment) -> bool {
+        !self.is_leaving() && self.notice.pause_end(now).is_none()
+    }
+
+    /// Returns how many requests may be in flight at the upstream.
+    #[must_use]
+    pub const fn capacity(&self, is_engine: bool) -> u32 {
+        let slots = self.entry.slots;
+        if is_engine {
+            slots
+        } else {
+            slots + slots / PLAIN_QUEUE_DIVISOR
+        }
     }
 
     /// Returns the version of the loaded weights.
@@ -361,6 +354,8 @@
 
     /// Updates failure share and pauses from the outcome of a request.
     pub fn record_outcome(&mut self, now: Moment, outcome: MemberOutcome) {
+        let is_answered = outcome == MemberOutcome::Answered;
+        self.notice.record_end(now, is_answered, self.entry.slots);
         match outcome {
             MemberOutcome::Answered => {
                 self.failure_share -= self.failure_share * FAILURE_SMOOTHING;
--- a/src/decide/member_choice.rs
+++ b/src/decide/member_choice.rs
@@ -7,6 +7,7 @@
     CacheDomain, CacheState, PrefixIndex, PromptShape, kv_store_for, prefix_hashes,
 };
 use super::route_table::{DataCentreId, EngineRule, KvStore, ServiceId};
+use super::service_pause::ServicePause;
 use crate::kernel::Moment;
 
 /// Time in which an engine prefills one prompt token, in microseconds, as stated by the operators.
@@ -68,9 +69,6 @@
 /// Length of a shared prefix from which a transfer is cheaper than a prefill, in tokens.
 const MIN_TRANSFER_TOKENS: u64 = 512;
 
-/// Divisor of the slots of a plain upstream that gives how many requests may wait in its own queue.
-const PLAIN_QUEUE_DIVISOR: u32 = 3;
-
 /// Request for which an upstream is chosen.
 #[derive(Debug, Clone, Copy)]
 pub struct ChoiceRequest<'a> {
@@ -154,6 +152,8 @@
     WaitForPrefill(Moment),
     /// Every upstream that could run the request is at capacity or paused.
     Full,
+    /// The upstreams that could run the request want no requests before this time.
+    Paused(Moment),
     /// No upstream of the service can run the request.
     NoUpstream,
 }
@@ -163,11 +163,13 @@
 pub fn choose(context: ChoiceContext<'_>, request: ChoiceRequest<'_>) -> ChoiceOutcome {
     let mut best: Option<(f64, MemberChoice)> = None;
     let mut has_upstream = false;
+    let mut pause = ServicePause::default();
     for (key, member) in context.fleet.of_service(request.service) {
         if request.excluded.contains(&key) {
             continue;
         }
         has_upstream = true;
+        pause.add(context.now, member);
         if !member.is_open(context.now)
             || !has_capacity(context, member)
             || is_outdated(context, member)
@@ -188,22 +190,13 @@
             }
             _ => ChoiceOutcome::Send(choice),
         },
-        None if has_upstream => ChoiceOutcome::Full,
+        None if has_upstream => pause
+            .end()
+            .map_or(ChoiceOutcome::Full, ChoiceOutcome::Paused),
         None => ChoiceOutcome::NoUpstream,
     }
 }
 
-/// Returns how many requests may be in flight at an upstream.
-#[must_use]
-pub const fn capacity(member: &FleetMember, is_engine: bool) -> u32 {
-    let slots = member.entry.slots;
-    if is_engine {
-        slots
-    } else {
-        slots + slots / PLAIN_QUEUE_DIVISOR
-    }
-}
-
 /// Returns whether requests may not run on an upstream's weights; unknown ones count as the oldest.
 fn is_outdated(context: ChoiceContext<'_>, member: &FleetMember) -> bool {
     let newest = context.newest;
@@ -211,7 +204,7 @@
 }
 
 fn has_capacity(context: ChoiceContext<'_>, member: &FleetMember) -> bool {
-    member.load(context.now).in_flight < capacity(member, context.engine.is_some())
+    member.load(context.now).in_flight < member.capacity(context.engine.is_some())
 }
 
 fn evaluate(
--- /dev/null
+++ b/src/decide/member_notice.rs
@@ -0,0 +1,103 @@
+//! What an upstream has said of itself in its responses: that it leaves, and for how long it wants no
+//! requests.
+
+use std::time::Duration;
+
+use crate::kernel::Moment;
+
+/// Number of requests that an upstream gets at first after the time for which it wanted none.
+const FIRST_REQUESTS: u32 = 1;
+
+/// What one response says of its upstream.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct UpstreamNotice {
+    /// Whether the upstream leaves.
+    pub is_leaving: bool,
+    /// Time for which the upstream wants no requests from this instance.
+    pub pause: Option<Duration>,
+}
+
+impl UpstreamNotice {
+    /// Returns whether the response says nothing of its upstream.
+    #[must_use]
+    pub fn is_empty(self) -> bool {
+        self == Self::default()
+    }
+}
+
+/// What the responses of one run of an upstream have said so far.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct MemberNotice {
+    /// Time of the response by which the upstream said that it leaves.
+    pub left_at: Option<Moment>,
+    /// Time until which the upstream wants no requests.
+    pub paused_until: Moment,
+    /// Number of requests that the upstream may get before one is answered; `None` without a recent
+    /// pause.
+    allowance: Option<u32>,
+}
+
+impl Default for MemberNotice {
+    fn default() -> Self {
+        Self {
+            left_at: None,
+            paused_until: Moment::START,
+            allowance: None,
+        }
+    }
+}
+
+impl MemberNotice {
+    /// Applies what a response says.
+    pub fn apply(&mut self, now: Moment, notice: UpstreamNotice) {
+        if notice.is_leaving {
+            self.left_at = self.left_at.or(Some(now));
+        }
+        if let Some(pause) = notice.pause {
+            self.paused_until = self.paused_until.max(now.after(pause));
+            self.allowance = Some(FIRST_REQUESTS);
+        }
+    }
+
+    /// Returns whether the upstream may get a request now.
+    #[must_use]
+    pub fn is_open(&self, now: Moment) -> bool {
+        self.left_at.is_none() && self.paused_until.is_due(now) && self.allowance != Some(0)
+    }
+
+    /// Returns the time until which the upstream wants no requests, or `None` if it wants some.
+    #[must_use]
+    pub fn pause_end(&self, now: Moment) -> Option<Moment> {
+        (!self.paused_until.is_due(now)).then_some(self.paused_until)
+    }
+
+    /// Returns the notice for an upstream whose requests are no longer followed, so that none of them
+    /// is waited for.
+    #[must_use]
+    pub fn without_requests(self) -> Self {
+        Self {
+            allowance: self.allowance.map(|_| FIRST_REQUESTS),
+            ..self
+        }
+    }
+
+    /// Records that a request is sent to the upstream.
+    pub const fn record_sent(&mut self) {
+        if let Some(allowance) = &mut self.allowance {
+            *allowance = allowance.saturating_sub(1);
+        }
+    }
+
+    /// Records the end of a request; each answered one allows two more, until as many as the slots of
+    /// the upstream are allowed. Requests that end during the pause were sent before it.
+    pub fn record_end(&mut self, now: Moment, is_answered: bool, slots: u32) {
+        let Some(allowance) = self.allowance else {
+            return;
+        };
+        if !self.paused_until.is_due(now) {
+            return;
+        }
+        let allowance = allowance + 1 + u32::from(is_answered);
+        self.allowance = (allowance < slots).then_some(allowance);
+    }
+}
--- a/src/decide/rollout.rs
+++ b/src/decide/rollout.rs
@@ -8,7 +8,7 @@
 use std::collections::{HashMap, HashSet};
 use std::time::Duration;
 
-use super::fleet::{Fleet, FleetMember, MemberKey, MemberState, UpstreamEntry};
+use super::fleet::{Fleet, FleetMember, MemberKey, UpstreamEntry};
 use super::ids::LogOffset;
 use super::route_table::DataCentreId;
 use crate::kernel::Moment;
@@ -183,7 +183,7 @@
                 let is_outdated = weights.is_some_and(|weights| {
                     weights.model == view.model && weights.version < view.version
                 });
-                is_outdated && member.entry.state == MemberState::Ready
+                is_outdated && member.wants_requests(view.now)
             })
             .map(|(key, _)| key)
             .collect();
--- a/src/events/catalogue.rs
+++ b/src/events/catalogue.rs
@@ -278,6 +278,30 @@
     "An instance did not take news of prompt segments; it gets none for some seconds.",
 );
 
+/// Logged when an upstream says for the first time that it leaves.
+pub const UPSTREAM_LEAVING: EventKind = event(
+    415,
+    Level::Info,
+    "upstream_leaving",
+    "A response of the upstream says that it leaves; it gets no new requests.",
+);
+
+/// Logged when an upstream wants no requests for some time.
+pub const UPSTREAM_PAUSED: EventKind = event(
+    416,
+    Level::Info,
+    "upstream_paused",
+    "The upstream rejected a request and wants none from this instance for `pause_ms`.",
+);
+
+/// Logged when a response says something of its upstream that cannot be read.
+pub const NOTICE_IGNORED: EventKind = event(
+    417,
+    Level::Warn,
+    "notice_ignored",
+    "The headers `server-leaving` or `retry-after` of a response are not valid and are ignored.",
+);
+
 /// Logged when a call to the operator port is refused for its token.
 pub const OPERATOR_DENIED: EventKind = event(
     501,
@@ -295,7 +319,7 @@
 );
 
 /// All kinds of log events in ascending order of their numbers.
-pub const CATALOGUE: [EventKind; 47] = [
+pub const CATALOGUE: [EventKind; 50] = [
     PROCESS_STARTED,
     LISTENING,
     STOP_BEGUN,
@@ -341,6 +365,9 @@
     SEGMENT_REFUSED,
     SEGMENT_CLEARED,
     NEWS_REJECTED,
+    UPSTREAM_LEAVING,
+    UPSTREAM_PAUSED,
+    NOTICE_IGNORED,
     OPERATOR_DENIED,
     METRICS_FAILED,
 ];
--- a/src/gateway/caller_server.rs
+++ b/src/gateway/caller_server.rs
@@ -19,7 +19,7 @@
 use crate::decide::route_table::RouteKind;
 use crate::decide::send_step::SendHistory;
 use crate::events::{REQUEST_ANSWERED, REQUEST_FAILED, REQUEST_REFUSED, log_event};
-use crate::kernel::{Directory, Inbox, IoTask, Signal};
+use crate::kernel::{Directory, Inbox, IoTask, Moment, Signal};
 use crate::platform::http_server::{RequestHandler, ResponseBody, ServerLimits, full_body, serve};
 use crate::platform::request_headers::{REQUEST_ID, forwardable_headers};
 
@@ -213,19 +213,28 @@
             ("configuration", &request.route.version),
         ],
     );
-    let wait = if refusal == PlacementRefusal::Poisonous {
-        POISONOUS_RETRY_AFTER
-    } else {
-        let target_ms = request.route.target_latency_ms;
-        let wait = Duration::from_millis(target_ms * RETRY_AFTER_PERCENT / 100);
-        wait.clamp(MIN_RETRY_AFTER, MAX_RETRY_AFTER)
-    };
+    let wait = retry_after(directory.now(), request, refusal);
     let mut response = Response::new(full_body(refusal.name()));
     *response.status_mut() = StatusCode::SERVICE_UNAVAILABLE;
     set_retry_after(&mut response, wait);
     response
 }
 
+/// Returns after which time the caller of a refused request may send it again.
+fn retry_after(now: Moment, request: &CallerRequest, refusal: PlacementRefusal) -> Duration {
+    let target_ms = request.route.target_latency_ms;
+    let usual = Duration::from_millis(target_ms * RETRY_AFTER_PERCENT / 100);
+    match refusal {
+        PlacementRefusal::Poisonous => POISONOUS_RETRY_AFTER,
+        // Spread over the target latency, so that the callers do not all return at once.
+        PlacementRefusal::Paused(until) => {
+            let spread = request.fingerprint.0 % target_ms.max(1);
+            until.remaining(now) + Duration::from_millis(spread)
+        }
+        _ => usual.clamp(MIN_RETRY_AFTER, MAX_RETRY_AFTER),
+    }
+}
+
 /// Builds the 502 or 504 response to a request that failed and may have run.
 fn respond_failed(
     directory: &Directory<GatewayMail>,
--- a/src/gateway/counters.rs
+++ b/src/gateway/counters.rs
@@ -50,6 +50,11 @@
     position: &'static str,
 }
 
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct NoticeLabels {
+    kind: &'static str,
+}
+
 /// Values of the gauges at the time of a scrape.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub struct GatewayGauges {
@@ -83,6 +88,7 @@
     latencies: Family<KindLabels, Histogram>,
     sends: Family<OutcomeLabels, Counter>,
     body_ends: Family<BodyEndLabels, Counter>,
+    notices: Family<NoticeLabels, Counter>,
     starts: Histogram,
     configuration: Gauge,
     open_upstreams: Gauge,
@@ -104,6 +110,7 @@
             latencies: Family::new_with_constructor(|| Histogram::new(LATENCY_BUCKETS)),
             sends: Family::default(),
             body_ends: Family::default(),
+            notices: Family::default(),
             starts: Histogram::new(LATENCY_BUCKETS),
             configuration: Gauge::default(),
             open_upstreams: Gauge::default(),
@@ -134,6 +141,9 @@
         let body_ends = self.body_ends.clone();
         let help = "Stream bodies received to their end, by framing and position in their events";
         registry.register("stream_body_ends", help, body_ends);
+        let notices = self.notices.clone();
+        let help = "Responses by which upstreams leave or want no requests, or that cannot be read";
+        registry.register("upstream_notices", help, notices);
         let starts = self.starts.clone();
         let help = "Time from a placement to the first output of its stream, in seconds";
         registry.register("start_seconds", help, starts);
@@ -199,6 +209,11 @@
         self.sends.get_or_create(&OutcomeLabels { outcome }).inc();
     }
 
+    /// Counts a response that says something of its upstream.
+    pub fn count_notice(&self, kind: &'static str) {
+        self.notices.get_or_create(&NoticeLabels { kind }).inc();
+    }
+
     /// Counts a stream body that was received to its end.
     pub fn count_body_end(&self, framing: &'static str, position: &'static str) {
         let labels = BodyEndLabels { framing, position };
--- a/src/gateway/dispatch/crashes.rs
+++ b/src/gateway/dispatch/crashes.rs
@@ -13,7 +13,7 @@
 use crate::decide::segment_suspects::{SegmentCrash, SegmentVerdict, shared_segments};
 use crate::decide::suspects::{CrashId, Fingerprint, SuspectVerdict};
 use crate::events::{EventKind, SEGMENT_CLEARED, SEGMENT_REFUSED, UPSTREAM_CRASHED, log_event};
-use crate::gateway::mail::{PlacementRefusal, PlacementReply, PlacementRequest};
+use crate::gateway::mail::{PlacementRefusal, PlacementRequest};
 use crate::kernel::{Moment, whole_ms};
 use crate::wire::peer_rpc::{WireSegmentNews, WireSuspicion};
 
@@ -278,14 +278,7 @@
         });
         let tickets: Vec<Ticket> = waiting.map(|(ticket, _)| *ticket).collect();
         for ticket in tickets {
-            let Some(waiting) = self.waiting.remove(&ticket) else {
-                continue;
-            };
-            if let Some(queue) = self.queues.get_mut(&waiting.request.service) {
-                queue.remove(ticket);
-            }
-            let refusal = PlacementReply::Refused(PlacementRefusal::Poisonous);
-            waiting.reply_to.send(refusal);
+            self.refuse_waiting(ticket, PlacementRefusal::Poisonous);
         }
         let unstarted = self.unstarted.keys().filter(|ticket| {
             let running = self.running.get(ticket);
--- a/src/gateway/dispatch/mod.rs
+++ b/src/gateway/dispatch/mod.rs
@@ -3,6 +3,7 @@
 
 mod crashes;
 mod gossip;
+mod notices;
 mod place;
 mod pool;
 mod queueing;
@@ -45,6 +46,8 @@
     pub dropped_lines: DroppedLines,
     /// Bytes that requests may hold together.
     pub request_memory: u64,
+    /// Longest time for which an upstream may ask to get no requests.
+    pub max_upstream_pause: Duration,
 }
 
 /// Creates the service `dispatch`.
@@ -93,6 +96,8 @@
         DispatchMail::CheckSend(ticket, reply_to) => reply_to.send(state.check_send(now, ticket)),
         DispatchMail::FirstOutput(ticket) => state.record_first_output(now, ticket),
         DispatchMail::PlacementEnded(end) => state.release(now, *end),
+        DispatchMail::UpstreamNotice(member, notice) => state.record_notice(now, member, notice),
+        DispatchMail::NoticeIgnored => state.counters.count_notice("ignored"),
         DispatchMail::ProbeFailed(member) => state.record_failed_probe(now, member),
         DispatchMail::WeightsSeen(member, version) => state.record_weights(now, member, version),
         DispatchMail::Hold(member, until) => state.hold(member, until),
--- a/src/gateway/dispatch/place.rs
+++ b/src/gateway/dispatch/place.rs
@@ -99,7 +99,12 @@
             ChoiceOutcome::WaitForPrefill(_) => {
                 self.parked.push(WaitingRequest { request, reply_to });
             }
-            ChoiceOutcome::Full => self.enqueue(now, request, reply_to),
+            ChoiceOutcome::Paused(until) if until > request.start_by => {
+                reply_to.send(PlacementReply::Refused(PlacementRefusal::Paused(until)));
+            }
+            ChoiceOutcome::Full | ChoiceOutcome::Paused(_) => {
+                self.enqueue(now, request, reply_to);
+            }
         }
     }
 
@@ -256,6 +261,7 @@
             .get_mut(choice.member)
             .expect("a chosen upstream is listed");
         member.own.in_flight += 1;
+        member.notice.record_sent();
         member.own.unread_tokens += choice.unread_tokens;
         member.own.memory_tokens += choice.memory_tokens;
         let running = RunningRequest {
--- a/src/gateway/dispatch/queueing.rs
+++ b/src/gateway/dispatch/queueing.rs
@@ -6,7 +6,7 @@
 use super::state::{DispatchState, WaitingRequest};
 use crate::decide::hashing::name_hash;
 use crate::decide::ids::{Rank, Ticket};
-use crate::decide::member_choice::{ChoiceOutcome, capacity};
+use crate::decide::member_choice::ChoiceOutcome;
 use crate::decide::queue::{
     CustomerId, CustomerShare, FairQueue, OfferOutcome, QueueDiscipline, QueueItem, QueuePolicy,
     QueueStep, RunningSlots,
@@ -154,7 +154,7 @@
         };
         !matches!(
             self.choose_upstream(now, &waiting.request),
-            ChoiceOutcome::Full
+            ChoiceOutcome::Full | ChoiceOutcome::Paused(_)
         )
     }
 
@@ -181,7 +181,7 @@
                 }
                 self.parked.push(WaitingRequest { request, reply_to });
             }
-            ChoiceOutcome::Full | ChoiceOutcome::NoUpstream => {
+            ChoiceOutcome::Full | ChoiceOutcome::Paused(_) | ChoiceOutcome::NoUpstream => {
                 if let Some(queue) = self.queues.get_mut(&request.service) {
                     queue.record_end(ticket, 0);
                 }
@@ -198,10 +198,11 @@
         let mut slots = 0;
         let mut max_starts = 0;
         for (_, member) in self.fleet.of_service(service) {
-            slots += capacity(member, is_engine);
+            slots += member.capacity(is_engine);
             if member.is_open(now) {
-                max_starts +=
-                    capacity(member, is_engine).saturating_sub(member.load(now).in_flight);
+                max_starts += member
+                    .capacity(is_engine)
+                    .saturating_sub(member.load(now).in_flight);
             }
         }
         let mut running = [0, 0];
--- a/src/gateway/dispatch/send_check.rs
+++ b/src/gateway/dispatch/send_check.rs
@@ -4,7 +4,6 @@
 use std::time::Duration;
 
 use super::state::DispatchState;
-use crate::decide::fleet::MemberState;
 use crate::decide::ids::Ticket;
 use crate::events::{UPSTREAMS_OUTDATED, log_event};
 use crate::gateway::mail::SendCheck;
@@ -45,7 +44,7 @@
     pub(super) fn check_send(&self, now: Moment, ticket: Ticket) -> SendCheck {
         let running = self.running.get(&ticket);
         let member = running.and_then(|running| self.fleet.get(running.member));
-        if member.is_none_or(|member| member.entry.state == MemberState::Draining) {
+        if member.is_none_or(|member| !member.wants_requests(now)) {
             SendCheck::UpstreamLeft
         } else if self.is_sendable(now) {
             SendCheck::Send
--- a/src/gateway/dispatch/state.rs
+++ b/src/gateway/dispatch/state.rs
@@ -2,6 +2,7 @@
 
 use std::collections::{HashMap, VecDeque};
 use std::sync::Arc;
+use std::time::Duration;
 
 use serde_json::{Value, json};
 
@@ -173,6 +174,8 @@
     pub(super) recent_suspicions: VecDeque<(Moment, WireSuspicion)>,
     /// Requests that may have been lost to a crash, oldest first.
     pub(super) lost_requests: VecDeque<LostRequest>,
+    /// Longest time for which an upstream may ask to get no requests.
+    pub(super) max_upstream_pause: Duration,
     /// Prompt segments that were seen in crashes.
     pub(super) segments: SegmentSuspects,
     /// News of such segments that are sent to other instances, each with the time at which it came.
@@ -232,6 +235,7 @@
             lost_requests: VecDeque::new(),
             segments: SegmentSuspects::new(SegmentPolicy::default()),
             segment_news: VecDeque::new(),
+            max_upstream_pause: settings.max_upstream_pause,
             recent_parts: VecDeque::new(),
             recent_weights: VecDeque::new(),
             next_sweep: Moment::START,
@@ -346,6 +350,9 @@
                 "address": member.entry.address,
                 "version": member.version(),
                 "open": member.is_open(now),
+                "leaving": member.is_leaving(),
+                "left_ms_ago": member.notice.left_at.map(|left_at| now.since(left_at).as_millis()),
+                "paused_ms": member.notice.paused_until.remaining(now).as_millis(),
                 "own_in_flight": member.own.in_flight,
                 "in_flight": member.load(now).in_flight,
                 "failure_share": member.failure_share,
--- a/src/gateway/mail.rs
+++ b/src/gateway/mail.rs
@@ -6,6 +6,7 @@
 use crate::decide::fleet::{MemberKey, MemberOutcome};
 use crate::decide::ids::{LogOffset, Rank, Ticket};
 use crate::decide::keyed_view::KeyedRecord;
+use crate::decide::member_notice::UpstreamNotice;
 use crate::decide::memory_budget::{MemoryUse, ReservationKey};
 use crate::decide::prompt_parts::PromptShape;
 use crate::decide::route_table::{DataCentreId, RouteDecision, ServiceId};
@@ -50,6 +51,10 @@
     FirstOutput(Ticket),
     /// A placement has ended.
     PlacementEnded(Box<PlacementEnd>),
+    /// A response of an upstream says something of the upstream.
+    UpstreamNotice(MemberKey, UpstreamNotice),
+    /// A response says something of its upstream that cannot be read.
+    NoticeIgnored,
     /// An upstream that has lost a request accepts no connection.
     ProbeFailed(MemberKey),
     /// An upstream was found to run this version of its weights.
@@ -190,6 +195,8 @@
     NoUpstream,
     /// The retry budget of the service is used up.
     BudgetExhausted,
+    /// No upstream of the service wants requests before this time.
+    Paused(Moment),
     /// Equal requests have crashed several upstreams.
     Poisonous,
     /// The process is shutting down and may end before the request does.
@@ -204,6 +211,7 @@
             Self::Busy => "busy",
             Self::NoUpstream => "no_upstream",
             Self::BudgetExhausted => "retry_budget",
+            Self::Paused(_) => "upstreams_paused",
             Self::Poisonous => "poisonous",
             Self::Leaving => "leaving",
         }
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -30,3 +30,4 @@
 pub mod store_watch;
 pub mod stream_source;
 pub mod upstream_call;
+pub mod upstream_notices;
--- a/src/gateway/order_delivery.rs
+++ b/src/gateway/order_delivery.rs
@@ -4,11 +4,14 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use bytes::Bytes;
+use hyper::Response;
 use tokio::time::sleep;
 
 use super::dispatch;
 use super::mail::{DispatchMail, GatewayMail};
 use super::orders::MAX_HOLD;
+use super::upstream_notices::report_notice;
 use crate::decide::fleet::MemberKey;
 use crate::decide::ids::LogOffset;
 use crate::decide::order_progress::{OrderProgress, ReportedWeights};
@@ -150,7 +153,7 @@
     order: &ClaimedOrder,
     connection: &mut HttpConnection,
 ) -> OrderEnd {
-    let Some(before) = request_state(order, connection).await else {
+    let Some(before) = request_state(directory, order, connection).await else {
         return OrderEnd::Unreachable;
     };
     match before.progress(order.version) {
@@ -166,7 +169,7 @@
         return OrderEnd::ClaimExpired;
     }
     let sent = directory.now();
-    let reply = send_order(order, before, connection).await;
+    let reply = send_order(directory, order, before, connection).await;
     log_event(
         &ORDER_SENT,
         &[
@@ -188,7 +191,7 @@
         None => {
             // The connection may have broken at once, and reports lag.
             sleep(sent.after(RESPONSE_TIMEOUT).remaining(directory.now())).await;
-            let state = request_state(order, connection).await;
+            let state = request_state(directory, order, connection).await;
             if state.is_some_and(|state| state.has_accepted_since(before)) {
                 wait_for_load(directory, order, connection, REPORT_INTERVAL, progress).await
             } else {
@@ -203,6 +206,7 @@
 /// The order names the number of orders that the upstream has accepted so far, so that an order
 /// which arrives late has no effect after a newer one.
 async fn send_order(
+    directory: &Directory<GatewayMail>,
     order: &ClaimedOrder,
     before: ReportedWeights,
     connection: &mut HttpConnection,
@@ -216,8 +220,9 @@
         expected_orders: before.accepted_orders,
     };
     let request = order_request(&wire).ok()?;
-    let response = connection.call(request, RESPONSE_TIMEOUT).await.ok()?;
-    Some(OrderReply::from(response.0))
+    let response = connection.exchange(request, RESPONSE_TIMEOUT).await.ok()?;
+    respect_notice(directory, order, &response).await;
+    Some(OrderReply::from(response.status()))
 }
 
 /// Waits until the upstream runs the version, no longer carries an order out, does not respond, or
@@ -235,7 +240,7 @@
     sleep(first_delay).await;
     while !deadline.is_due(directory.now()) {
         let waited = directory.now().since(start);
-        let state = request_state(order, connection).await;
+        let state = request_state(directory, order, connection).await;
         match state.map(|state| progress(state, waited)) {
             Some(OrderProgress::Loaded) => return OrderEnd::Loaded,
             Some(OrderProgress::Idle) => return OrderEnd::Dropped,
@@ -253,14 +258,29 @@
 /// Requests what the upstream reports of the model's weights; `None` if it does not respond with
 /// success.
 async fn request_state(
+    directory: &Directory<GatewayMail>,
     order: &ClaimedOrder,
     connection: &mut HttpConnection,
 ) -> Option<ReportedWeights> {
     let request = report_request(&order.target.id).ok()?;
-    let (status, body) = connection.call(request, RESPONSE_TIMEOUT).await.ok()?;
-    if !status.is_success() {
+    let response = connection.exchange(request, RESPONSE_TIMEOUT).await.ok()?;
+    respect_notice(directory, order, &response).await;
+    if !response.status().is_success() {
         return None;
     }
-    let state: EngineState = serde_json::from_slice(&body).ok()?;
+    let state: EngineState = serde_json::from_slice(response.body()).ok()?;
     Some(state.weights_of(&order.model))
 }
+
+/// Waits as long as the upstream wants no requests, at most for the longest hold of an order.
+async fn respect_notice(
+    directory: &Directory<GatewayMail>,
+    order: &ClaimedOrder,
+    response: &Response<Bytes>,
+) {
+    let (member, id) = (order.target.member, &order.target.id);
+    let notice = report_notice(directory, member, id, response.status(), response.headers());
+    if let Some(pause) = notice.pause {
+        sleep(pause.min(MAX_HOLD)).await;
+    }
+}
--- a/src/gateway/start.rs
+++ b/src/gateway/start.rs
@@ -3,6 +3,7 @@
 
 use std::io;
 use std::net::SocketAddr;
+use std::time::Duration;
 
 use log::LevelFilter;
 
@@ -53,6 +54,8 @@
     pub metrics_port: u16,
     /// Lowest level of log events that are written.
     pub log_level: LevelFilter,
+    /// Longest time for which an upstream may ask to get no requests.
+    pub max_upstream_pause: Duration,
     /// Memory limit of the process, in bytes.
     pub memory_limit: u64,
 }
@@ -101,6 +104,7 @@
         extra_retries: instance.extra_retries,
         dropped_lines,
         request_memory: plan.request_bytes,
+        max_upstream_pause: settings.max_upstream_pause,
     }));
     kernel.add_task(metrics_task(metrics));
     kernel.add_task(operator_watch(instance.store_address));
--- a/src/gateway/upstream_call.rs
+++ b/src/gateway/upstream_call.rs
@@ -12,6 +12,7 @@
 use super::dispatch;
 use super::mail::{DispatchMail, GatewayMail, Placement, SendCheck};
 use super::request::CallerRequest;
+use super::upstream_notices::{is_sender, report_notice};
 use crate::events::{RESPONSE_MISMATCHED, SEND_WITHDRAWN, log_event};
 use crate::kernel::{Directory, Moment, whole_ms};
 use crate::platform::http_connection::{OpenConnection, SendError, dial_bounded};
@@ -139,6 +140,14 @@
         );
         return CallOutcome::Lost;
     }
+    let status = response.status();
+    report_notice(
+        directory,
+        at.member,
+        &at.upstream,
+        status,
+        response.headers(),
+    );
     classify_response(at, response, connection)
 }
 
@@ -176,8 +185,7 @@
 ) -> CallOutcome {
     let headers = response.headers();
     if response.status() == StatusCode::MISDIRECTED_REQUEST {
-        let sender = headers.get("x-instance-id").and_then(|id| id.to_str().ok());
-        let is_expected = sender.is_some_and(|id| id == at.upstream);
+        let is_expected = is_sender(headers, &at.upstream);
         let weights = header_number(headers, &RESPONSE_WEIGHTS).filter(|_| is_expected);
         return CallOutcome::Misdirected { weights };
     }
--- a/src/gateway_cli.rs
+++ b/src/gateway_cli.rs
@@ -1,5 +1,7 @@
 //! Command line of `bulrushslip-gateway`.
 
+use std::time::Duration;
+
 use argh::FromArgs;
 
 use crate::gateway::start::GatewaySettings;
@@ -19,6 +21,9 @@
     /// memory limit in megabytes if the settings file states none
     #[argh(option)]
     memory_mb: Option<String>,
+    /// longest pause that an upstream may ask for by Retry-After, in milliseconds
+    #[argh(option)]
+    max_pause_ms: Option<String>,
     /// port for metrics and dumps; 0 takes a free one
     #[argh(option)]
     metrics_port: Option<String>,
@@ -33,6 +38,7 @@
             ("log-level", self.log_level.as_ref()),
             ("memory-mb", self.memory_mb.as_ref()),
             ("metrics-port", self.metrics_port.as_ref()),
+            ("max-pause-ms", self.max_pause_ms.as_ref()),
         ]
     }
 }
@@ -66,6 +72,7 @@
         instance,
         metrics_port: u16::try_from(reader.integer("metrics-port")).unwrap_or_default(),
         log_level: reader.log_level("log-level"),
+        max_upstream_pause: Duration::from_millis(reader.integer("max-pause-ms")),
     };
     match reader.finish(settings) {
         StartOutcome::Run(settings) if flags.check => StartOutcome::Exit {
--- a/src/platform/http_connection.rs
+++ b/src/platform/http_connection.rs
@@ -235,9 +235,23 @@
     /// Returns [`ConnectionError`] when no complete response arrives within `limit`.
     pub async fn call(
         &mut self,
-        mut request: Request<Full<Bytes>>,
+        request: Request<Full<Bytes>>,
         limit: Duration,
     ) -> Result<(StatusCode, Bytes), ConnectionError> {
+        let response = self.exchange(request, limit).await?;
+        Ok((response.status(), response.into_body()))
+    }
+
+    /// Sends a request as [`Self::call`] does, and returns the response with its headers.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`ConnectionError`] when no complete response arrives within `limit`.
+    pub async fn exchange(
+        &mut self,
+        mut request: Request<Full<Bytes>>,
+        limit: Duration,
+    ) -> Result<Response<Bytes>, ConnectionError> {
         if let Ok(host) = HeaderValue::from_str(&self.address.to_string()) {
             request.headers_mut().insert(HOST, host);
         }
@@ -257,7 +271,7 @@
             let (head, body) = response.map_err(ConnectionError::from)?.into_parts();
             let collected = body.collect().await;
             let body = collected.map_err(|error| ConnectionError::Body(error.to_string()))?;
-            Ok::<_, ConnectionError>((head.status, body.to_bytes()))
+            Ok::<_, ConnectionError>(Response::from_parts(head, body.to_bytes()))
         };
         let response = timeout(limit, exchange)
             .await
--- a/src/platform/mod.rs
+++ b/src/platform/mod.rs
@@ -19,3 +19,4 @@
 pub mod store_client;
 pub mod store_records;
 pub mod upstream_entry;
+pub mod upstream_notice;
--- a/src/settings/table.rs
+++ b/src/settings/table.rs
@@ -340,7 +340,7 @@
 ];
 
 /// Settings of `bulrushslip-gateway` in addition to those in the platform's settings file.
-pub const GATEWAY_TABLE: [SettingRow; 3] = [
+pub const GATEWAY_TABLE: [SettingRow; 4] = [
     LOG_LEVEL,
     row(
         "memory-mb",
@@ -362,6 +362,17 @@
         },
         "port for metrics and state dumps, as in the deployment file; 0 selects a free port",
     ),
+    row(
+        "max-pause-ms",
+        "BULRUSHSLIP_MAX_PAUSE_MS",
+        Fallback::Value("300000"),
+        ValueKind::Integer {
+            min: 0,
+            max: 86_400_000,
+        },
+        "longest time for which an upstream that asks for it by Retry-After gets no requests, in \
+         milliseconds; a longer one would take the upstream out of service by one wrong number",
+    ),
 ];
 
 /// Renders a table of settings as Markdown.
--- a/tests/dispatch_harness/mod.rs
+++ b/tests/dispatch_harness/mod.rs
@@ -33,6 +33,7 @@
         extra_retries: 56.0,
         dropped_lines: DroppedLines::default(),
         request_memory: 1_000_000,
+        max_upstream_pause: Duration::from_mins(5),
     }
 }
 
