Read the log soon after an outage at all designated readers

Cause: a designated reader doubled its pause up to 2 s with each failed read, so after an outage of more than two reads all of a small fleet could sleep through the second for which operators wait.

Their pause is at most 500 ms now, half of that second.

Ruled out: the follow-up calls between processes (answered at once when there are newer records), and the expiry of the killed process (it is the one that is expected).

Evidence: a_designated_reader_reads_the_log_soon_after_an_outage_of_any_length failed before (507 ms after the first failure, up to 2 s later) and passes; config_ctl passes. The original failure was seen once and not again.

--- a/src/decide/propagation.rs
+++ b/src/decide/propagation.rs
@@ -39,8 +39,9 @@
     pub min_other_readers: usize,
     /// Minimum time for which a process that reached the log continues to read, in milliseconds.
     pub min_reader_ms: u64,
-    /// Base of the exponential backoff after failed reads of the log, and delay before the next
-    /// attempt when all peers have failed, in milliseconds.
+    /// Base of the exponential backoff after failed reads of the log, longest delay between two reads
+    /// of a designated reader, and delay before the next attempt when all peers have failed, in
+    /// milliseconds. Operators wait a second for all processes after an outage.
     pub retry_ms: u64,
     /// Time for which a sidecar that did not respond is avoided, in milliseconds.
     pub avoid_ms: u64,
@@ -259,7 +260,7 @@
     pub fn on_log_failed(&mut self, now: Moment, random: u64) {
         self.failures = self.failures.saturating_add(1);
         let max_pause_ms = if self.is_designated() {
-            4 * self.policy.retry_ms
+            self.policy.retry_ms
         } else {
             self.policy.max_probe_ms
         };
--- a/tests/config_spread.rs
+++ b/tests/config_spread.rs
@@ -25,6 +25,9 @@
 const RESPONSE_MARGIN: Duration = Duration::from_millis(500);
 /// Maximum time until a change is in force at every live process.
 const TARGET: Duration = Duration::from_secs(4);
+/// Time after the end of an outage within which a designated reader reads the log: half of the second
+/// for which operators wait; the other half is for the way to the other processes.
+const AFTER_OUTAGE_LIMIT: Duration = Duration::from_millis(500);
 
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 enum Event {
@@ -433,3 +436,27 @@
 fn a_change_reaches_all_processes_when_many_sidecars_do_not_respond() {
     check_propagation(100, 10);
 }
+
+/// Guards against a backoff that uses up the time in which a change has to be in force everywhere:
+/// operators wait a second for the processes after an outage of the log has ended.
+#[test]
+fn a_designated_reader_reads_the_log_soon_after_an_outage_of_any_length() {
+    for (failures, random) in (1..40).flat_map(|failures| [0, 7, u64::MAX].map(|r| (failures, r))) {
+        let own = SocketAddr::from(([127, 0, 0, 1], 1));
+        let mut reader = PropagationState::new(DEFAULT_POLICY, "sidecar-0", Vec::new());
+        reader.set_sidecars(&[own], Some(own));
+        let mut now = Moment::START;
+        for _ in 0..failures {
+            now = now.after(Duration::from_secs(3));
+            reader.on_log_failed(now, random);
+        }
+        let LogStep::WaitUntil(probe_at) = reader.log_step(now, LogOffset(1), random) else {
+            panic!("it reads without a pause");
+        };
+        assert!(
+            probe_at.since(now) <= AFTER_OUTAGE_LIMIT,
+            "{:?} after {failures} failures",
+            probe_at.since(now)
+        );
+    }
+}
