Let upstreams of the soak ask for pauses

Upstreams that turn requests away ask, every second of them, for two seconds without requests; the soak checks that at most two reach such an upstream from a gateway between half a second after it and their end.

--- a/tests/soak_world/ledger.rs
+++ b/tests/soak_world/ledger.rs
@@ -5,6 +5,8 @@
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
+use super::pauses::Arrival;
+
 /// Time after a disturbance from which an instance is held to the limits again
 /// (`bounds.stable-window-ms` of the soak's settings).
 pub const SETTLING: Duration = Duration::from_secs(3);
@@ -198,6 +200,8 @@
     pub sent: HashMap<String, Sent>,
     /// Runs by id.
     pub runs: HashMap<String, Vec<Run>>,
+    /// Arrivals of requests at upstreams.
+    pub arrivals: Vec<Arrival>,
     /// Leaves of upstreams.
     pub leaves: Vec<Leave>,
     /// Orders in the order in which they came.
@@ -315,6 +319,7 @@
         self.check_versions(weights_limit);
         self.check_overlaps();
         self.check_orders();
+        self.check_pauses();
     }
 
     /// At most one run, or as many as the route allows.
--- a/tests/soak_world/mod.rs
+++ b/tests/soak_world/mod.rs
@@ -7,6 +7,7 @@
 pub mod entry;
 pub mod gateway;
 pub mod ledger;
+pub mod pauses;
 pub mod payload;
 #[path = "../common/process.rs"]
 #[expect(dead_code, reason = "other tests use the rest")]
--- a/tests/soak_world/upstream.rs
+++ b/tests/soak_world/upstream.rs
@@ -10,7 +10,7 @@
 use http_body_util::combinators::UnsyncBoxBody;
 use http_body_util::{BodyExt, Full, StreamBody};
 use hyper::body::{Frame, Incoming};
-use hyper::header::HeaderMap;
+use hyper::header::{HeaderMap, RETRY_AFTER};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper::{Request, Response, StatusCode};
@@ -21,6 +21,7 @@
 
 use super::entry::{EntryWriter, UpstreamState};
 use super::ledger::{Kind, Ledger, Run, SharedLedger};
+use super::pauses::{Arrival, PAUSE_S};
 use super::payload::{answer_text, request_body};
 use super::prompt::{TOKEN_USAGE, prompt_prefix};
 use super::weights::{self, MODEL, WeightsRun};
@@ -47,7 +48,8 @@
     Sound,
     /// Answers every third request with a failure.
     Failing,
-    /// Turns every second request away without running it.
+    /// Turns every second request away without running it; every second such upstream wants no
+    /// requests for some time then.
     Full,
     /// Breaks off every third answer.
     Breaking,
@@ -107,6 +109,13 @@
 /// Body of an answer.
 pub type AnswerBody = UnsyncBoxBody<Bytes, std::io::Error>;
 
+impl Place {
+    fn note_arrival(&self, arrival: Arrival) {
+        let mut ledger = self.ledger.lock().expect("not poisoned");
+        ledger.arrivals.push(arrival);
+    }
+}
+
 impl SoakUpstream {
     /// Starts the upstream with an index and a name.
     pub async fn start(index: usize, name: &str, store: SocketAddr, ledger: SharedLedger) -> Self {
@@ -267,8 +276,21 @@
         "/order" => return Ok(weights::take_order(&place, &body).await),
         _ => {}
     }
-    if mood == Mood::Full && draw.is_multiple_of(2) {
-        return Ok(not_run(StatusCode::SERVICE_UNAVAILABLE, &id));
+    let is_rejected = mood == Mood::Full && draw.is_multiple_of(2);
+    let wants_pause = is_rejected && place.index.is_multiple_of(2);
+    let arrival = Arrival {
+        upstream: place.index,
+        id: id.clone(),
+        at: arrived,
+        is_rejected: wants_pause,
+    };
+    place.note_arrival(arrival);
+    if is_rejected {
+        let mut response = not_run(StatusCode::SERVICE_UNAVAILABLE, &id);
+        if wants_pause {
+            response.headers_mut().insert(RETRY_AFTER, PAUSE_S.into());
+        }
+        return Ok(response);
     }
     let is_stream =
         head.uri.path().starts_with("/resumable/") || head.uri.path().starts_with("/stream/");
