Heed at sidecars what upstreams say of themselves

Until the next run of a model engine, or until a plain service accepted no connection, one that leaves gets no new requests; queued ones end as not run and go elsewhere. Plain services state no run, so a refused connection stands for its end.

Not done here: polls and orders are not read, and after a pause the requests that wait go together.

--- a/src/services/common/mail.rs
+++ b/src/services/common/mail.rs
@@ -9,6 +9,7 @@
 use crate::decide::config::Configuration;
 use crate::decide::ids::{EngineEpoch, Incarnation, LogOffset, Repeatability, Ticket};
 use crate::decide::ledger::TicketKey;
+use crate::decide::member_notice::UpstreamNotice;
 use crate::decide::outcome::{RefusalReason, StreamEnd};
 use crate::decide::propagation::{CallKind, LogStep, PeerOffset, PeerStep};
 use crate::decide::request_step::SubmitCause;
@@ -151,6 +152,8 @@
     CacheEvents(CachePage, ReplyTo<IndexStep>),
     /// The complete list of the engine's cache keys; the reply says what to fetch next.
     CacheKeys(CacheList, ReplyTo<IndexStep>),
+    /// A response of the upstream says something of the upstream.
+    EngineNotice(UpstreamNotice),
     /// Updates about suspects from another sidecar of the model.
     Suspects(Vec<SuspectUpdate>, ReplyTo<()>),
     /// A newer configuration is in force.
--- a/src/services/upstream_side/engine_stream.rs
+++ b/src/services/upstream_side/engine_stream.rs
@@ -9,6 +9,7 @@
 use hyper::{HeaderMap, Method, Request, Response, StatusCode};
 use tokio::time::timeout;
 
+use super::engine_notice::open_reported;
 use super::engine_task::{EngineKind, EngineTarget, ResponseLimits};
 use crate::decide::ids::{Repeatability, Ticket};
 use crate::decide::ledger::TicketKey;
@@ -155,7 +156,7 @@
         } else {
             PLAIN_HEAD_TIMEOUT
         };
-        match http_client::open(self.target.address, request, limit).await {
+        match open_reported(&self.directory, self.target, request, limit).await {
             Ok(open) if is_model => self.handle_model_response(open).await,
             Ok(open) => self.copy_plain(open).await,
             Err(error) if error.is_unsent() => {
--- a/src/services/upstream_side/ledger/mod.rs
+++ b/src/services/upstream_side/ledger/mod.rs
@@ -1,5 +1,6 @@
 //! Service `ledger` of a sidecar: tickets, queue and buffered responses of one upstream.
 
+mod engine_notice;
 mod job;
 mod reads;
 mod running;
@@ -50,6 +51,7 @@
         }
         LedgerMail::Readiness(reply_to) => reply_to.send(state.unready_reason(now)),
         LedgerMail::EngineStatus(engine) => state.on_engine_state(engine),
+        LedgerMail::EngineNotice(notice) => state.on_engine_notice(now, notice),
         LedgerMail::EngineSilent(polled_at, reply_to) => {
             reply_to.send(state.on_engine_silent(polled_at));
         }
--- a/src/services/upstream_side/ledger/state.rs
+++ b/src/services/upstream_side/ledger/state.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use super::engine_notice::EngineNotice;
 use super::job::{EndDelivery, TicketJob, new_job};
 use crate::decide::cache_index::{CacheList, CachePage, IndexStep};
 use crate::decide::config::{Configuration, Upstream, UpstreamKind};
@@ -60,6 +61,8 @@
     /// Moment until which new requests are refused, because a load of weights is due.
     pub(super) closed_until: Moment,
     pub(super) guard: SuspectGuard,
+    /// What the upstream has said of itself in its responses.
+    pub(super) notice: EngineNotice,
     /// A ticket that has a slot, but whose start is delayed so that a suspect runs alone.
     pub(super) delayed_start: Option<Ticket>,
     /// A response was lost; nothing starts before the next state of the engine.
@@ -85,6 +88,7 @@
             stopping: false,
             closed_until: Moment::START,
             guard: SuspectGuard::new(settings.incarnation, SuspectPolicy::default()),
+            notice: EngineNotice::default(),
             delayed_start: None,
             awaits_engine_state: false,
             settings,
@@ -149,6 +153,7 @@
             self.queue.estimate.index.observe_epoch(*epoch);
             self.awaits_engine_state = false;
         }
+        self.forget_notice(&engine);
         self.engine = engine;
     }
 
@@ -289,13 +294,7 @@
     /// Refuses new requests and ends the queued ones as not run, for resubmission elsewhere.
     pub fn begin_leaving(&mut self, now: Moment) {
         self.leaving = true;
-        for ticket in self.queue.drain() {
-            if let Some(key) = self.queued.remove(&ticket) {
-                self.ledger
-                    .end(now, key, StreamEnd::NotRun(RefusalReason::Leaving));
-                self.reply_to_pending_read(key);
-            }
-        }
+        self.end_queued(now, RefusalReason::Leaving);
     }
 
     /// Returns why requests for the declared version are refused at present, if they are.
@@ -317,6 +316,9 @@
         if self.leaving || upstream.retired {
             return Some(RefusalReason::Leaving);
         }
+        if let Some(reason) = self.notice_refusal(now) {
+            return Some(reason);
+        }
         if !self.closed_until.is_due(now) {
             // The ledger is closed because another version is about to be loaded.
             return Some(RefusalReason::WrongVersion);
--- a/src/services/upstream_side/mod.rs
+++ b/src/services/upstream_side/mod.rs
@@ -4,6 +4,7 @@
 pub mod claim_log;
 pub mod claims;
 pub mod config_feed;
+pub mod engine_notice;
 pub mod engine_stream;
 pub mod engine_task;
 pub mod engine_watch;
--- a/tests/plain_answers.rs
+++ b/tests/plain_answers.rs
@@ -36,6 +36,11 @@
         // The sidecar connects without a request to check that the port is open.
         return;
     };
+    if path == "/leaving" {
+        let head = "HTTP/1.1 200 OK\r\nserver-leaving: 1\r\ncontent-length: 2\r\n\r\nok";
+        drop(stream.write_all(head.as_bytes()));
+        return;
+    }
     if path.ends_with("events") {
         let events = match path {
             "/truncated-events" => &EVENTS.0[..EVENTS.1],
@@ -97,3 +102,18 @@
         Err(other) => panic!("{path}: {other}"),
     }
 }
+
+/// Guards against a sidecar that does not read what its upstream says of itself.
+#[tokio::test]
+async fn a_plain_service_whose_response_says_that_it_leaves_gets_no_more_requests() {
+    let options = FleetOptions {
+        plain_address: Some(truncating_service()),
+        ..FleetOptions::default()
+    };
+    let fleet = Fleet::start_with(&options).await;
+    let headers = [("authorization", &*format!("Bearer {API_KEY}"))];
+    let last = get(fleet.entry(0), "/services/gates/leaving", &headers).await;
+    assert_eq!((last.status, last.text.as_str()), (200, "ok"));
+    let refused = get(fleet.entry(0), "/services/gates/complete", &headers).await;
+    assert_eq!(refused.header("x-run-status"), "not-run");
+}
--- a/tests/soak_world/ledger.rs
+++ b/tests/soak_world/ledger.rs
@@ -425,15 +425,18 @@
                 has_used && *got != Got::Left && calm(sent, *at)
             })
         };
-        let due: Vec<&Sent> = self.sent.values().filter(is_due).collect();
-        let is_late = |sent: &&&Sent| {
+        let due = self.sent.iter().filter(|(_, sent)| is_due(sent));
+        let due: Vec<(&String, &Sent)> = due.collect();
+        let is_late = |sent: &Sent| {
             let (got, at) = sent.got.as_ref().expect("selected");
             *got == Got::Overdue || *at > sent.at + super::ROUTE_TIME + ANSWER_SLACK
         };
-        let late = due.iter().filter(is_late).count();
-        if late >= 4 && late * 2 > due.len() {
-            let what = format!("{late} of {} had no answer in time", due.len());
-            self.breach("overdue", "-", &what);
+        let late = due.iter().filter(|(_, sent)| is_late(sent));
+        let late: Vec<String> = late.map(|(id, _)| (*id).clone()).collect();
+        if late.len() >= 4 && late.len() * 2 > due.len() {
+            let (count, all) = (late.len(), due.len());
+            let what = format!("{count} of {all} had no answer in time: {late:?}");
+            self.breach("overdue", &late[0], &what);
         }
     }
 }
