--- a/tests/ledger_notices.rs
+++ b/tests/ledger_notices.rs
@@ -27,7 +27,7 @@
     let reply = sidecar.ask(|reply_to| LedgerMail::Submit(call, reply_to));
     match reply.verdict {
         SubmitVerdict::NotRun { reason, .. } => RefusalReason::try_from(reason).ok(),
-        _ => None,
+        SubmitVerdict::Accepted => None,
     }
 }
 
