Do not count a failed probe as the end of a request after a pause

After a pause that an upstream has asked for, one request goes first and its end allows the next. The connection attempt that follows a lost request used the same function as the end of a request, so a failed probe allowed one request more than were answered; two could reach an upstream at once that had just come out of its pause.

Cause: `FleetMember::record_outcome` did two things, the statistics of an outcome and the count of requests after a pause, and the probe has only the first. They are two functions now.

--- a/src/decide/fleet.rs
+++ b/src/decide/fleet.rs
@@ -352,10 +352,15 @@
         self.total_added_tokens += increase.unwrap_or(load.added_tokens);
     }
 
-    /// Updates failure share and pauses from the outcome of a request.
-    pub fn record_outcome(&mut self, now: Moment, outcome: MemberOutcome) {
+    /// Records the end of a request that was sent to the upstream.
+    pub fn record_end(&mut self, now: Moment, outcome: MemberOutcome) {
         let is_answered = outcome == MemberOutcome::Answered;
         self.notice.record_end(now, is_answered, self.entry.slots);
+        self.record_outcome(now, outcome);
+    }
+
+    /// Updates failure share and pauses from an outcome.
+    pub fn record_outcome(&mut self, now: Moment, outcome: MemberOutcome) {
         match outcome {
             MemberOutcome::Answered => {
                 self.failure_share -= self.failure_share * FAILURE_SMOOTHING;
--- a/src/gateway/dispatch/release.rs
+++ b/src/gateway/dispatch/release.rs
@@ -42,7 +42,7 @@
         load.in_flight = load.in_flight.saturating_sub(1);
         load.unread_tokens = load.unread_tokens.saturating_sub(running.unread_tokens);
         load.memory_tokens = load.memory_tokens.saturating_sub(running.memory_tokens);
-        member.record_outcome(now, end.outcome);
+        member.record_end(now, end.outcome);
         self.counters.count_attempt(end.outcome.name());
         if let Some((connection, usable_until)) = end.connection {
             self.pool.put(running.member, connection, usable_until);
--- a/tests/member_notice.rs
+++ b/tests/member_notice.rs
@@ -207,7 +207,7 @@
             let outcome = outcomes[self.random.random_range(0..outcomes.len())];
             if let Some(member) = self.fleet.get_mut(key) {
                 member.own.in_flight -= 1;
-                member.record_outcome(at(ms), outcome);
+                member.record_end(at(ms), outcome);
             }
         }
     }
@@ -276,3 +276,17 @@
     fleet.apply(entry(0, 1, 1));
     assert!(fleet.get(key).expect("a listed upstream").is_open(at(20)));
 }
+
+#[test]
+fn a_failed_probe_does_not_count_as_the_end_of_the_first_request_after_a_pause() {
+    let mut fleet = Fleet::default();
+    fleet.apply(entry(0, 1, 1));
+    let key = fleet.find("i-0").expect("a listed upstream");
+    let member = fleet.get_mut(key).expect("a listed upstream");
+    member.notice.apply(at(0), pause(1_000));
+    member.notice.record_sent();
+    member.record_outcome(at(1_100), MemberOutcome::Unreachable);
+    assert!(!member.notice.is_open(at(1_100)));
+    member.record_end(at(1_200), MemberOutcome::Unreachable);
+    assert!(member.notice.is_open(at(1_200)));
+}
