Keep what a busy engine says of itself when it answers no polls

Behind a sidecar, an engine that was too busy to answer a poll and said in a response that it leaves got further requests with its next answered poll.

Cause: the run that a notice belongs to was taken from the status in force, which names no run while polls are silent; the next status then looked like one of another run, and the notice was dropped. The latest run that was seen is kept with the notice now, and only another run ends it.

Gateways were safe: they keep notices by the start time in the upstream's entry.

--- a/src/services/upstream_side/ledger/engine_notice.rs
+++ b/src/services/upstream_side/ledger/engine_notice.rs
@@ -19,7 +19,7 @@
 #[derive(Debug, Default)]
 pub(super) struct EngineNotice {
     said: MemberNotice,
-    /// Run that has said so; `None` if the upstream states none.
+    /// Latest run that was seen; it stays known while the upstream answers no polls.
     epoch: Option<EngineEpoch>,
 }
 
@@ -27,7 +27,6 @@
     /// Applies what a response says of the upstream. Queued requests go to other upstreams.
     pub fn on_engine_notice(&mut self, now: Moment, notice: UpstreamNotice) {
         let had_left = self.notice.said.left_at.is_some();
-        self.notice.epoch = self.engine.epoch();
         let pause = notice.pause.map(|pause| pause.min(MAX_PAUSE));
         self.notice
             .said
@@ -57,14 +56,16 @@
     /// Forgets what an earlier run of the upstream has said. A plain service states no run, and counts
     /// as ended once it accepts no connection.
     pub(super) fn forget_notice(&mut self, engine: &EngineStatus) {
-        let is_plain = !self.serves_model();
-        let is_other_run = match engine.epoch() {
-            Some(epoch) => Some(epoch) != self.notice.epoch,
-            None => is_plain,
+        let Some(epoch) = engine.epoch() else {
+            if !self.serves_model() {
+                self.notice = EngineNotice::default();
+            }
+            return;
         };
-        if is_other_run {
-            self.notice = EngineNotice::default();
+        if self.notice.epoch.is_some_and(|known| known != epoch) {
+            self.notice.said = MemberNotice::default();
         }
+        self.notice.epoch = Some(epoch);
     }
 
     fn serves_model(&self) -> bool {
--- a/tests/ledger_notices.rs
+++ b/tests/ledger_notices.rs
@@ -62,6 +62,22 @@
     assert_eq!(submit(&mut sidecar, 1), None);
 }
 
+/// Guards against a notice that is taken for one of an earlier run, because it came while the upstream
+/// answered no polls.
+#[test]
+fn a_notice_that_comes_while_polls_are_silent_holds_for_the_run() {
+    let mut sidecar = Sidecar::start();
+    let polled_at = sidecar.kernel.now().after(Duration::from_secs(1));
+    sidecar.kernel.run_until(polled_at);
+    let in_force = sidecar.ask(|reply_to| LedgerMail::EngineSilent(polled_at, reply_to));
+    assert_eq!(in_force, EngineStatus::Down);
+    sidecar.post(LedgerMail::EngineNotice(LEAVING));
+    report(&mut sidecar, up(EPOCH));
+    assert_eq!(submit(&mut sidecar, 1), Some(RefusalReason::Leaving));
+    report(&mut sidecar, up(EngineEpoch(EPOCH.0 + 1)));
+    assert_eq!(submit(&mut sidecar, 2), None);
+}
+
 #[test]
 fn a_paused_upstream_gets_no_requests_until_the_pause_ends() {
     let mut sidecar = Sidecar::start();
