Let few requests go first after an engine's pause, and tell callers its end

Behind a sidecar, all requests that had come in the meantime went to an engine together at the end of the pause that it had asked for. Callers of requests that no engine wanted in time were told to come back after a second, whatever the engines had asked for, with 429, as if they had sent too much.

The rest of a pause counts as wait now: quotes include it, so an entry weighs it against other upstreams, and a request that has to start before its end is refused at once (`upstreams_paused`, 503). After the pause one request goes first and each answer that begins lets two follow, by the same table as at gateways. Replies state the rest of the pause in a field that was always 0; if all upstreams that refused a request are paused, the entry's `Retry-After` is the end of the first pause and up to a second more, by the request.

Evidence: of_the_requests_that_wait_for_the_end_of_a_pause_one_goes_first, a_quote_counts_the_rest_of_a_pause_as_wait and a_request_that_cannot_wait_for_the_end_of_a_pause_is_refused_at_once_with_that_time ask for states that did not exist before; the last replaces a_paused_upstream_gets_no_requests_until_the_pause_ends, which asked for the refusal alone. outcome_model, wire_compat, entry_calls pass.

--- a/src/decide/member_choice.rs
+++ b/src/decide/member_choice.rs
@@ -169,7 +169,9 @@
             continue;
         }
         has_upstream = true;
-        pause.add(context.now, member);
+        if !member.is_leaving() {
+            pause.record(member.notice.pause_end(context.now));
+        }
         if !member.is_open(context.now)
             || !has_capacity(context, member)
             || is_outdated(context, member)
--- a/src/decide/outcome.rs
+++ b/src/decide/outcome.rs
@@ -63,11 +63,13 @@
     KeyConflict,
     /// The idempotency key is too old to tell whether its request ran.
     KeyExpired,
+    /// The upstream wants no requests before the request has to start.
+    Paused,
 }
 
 impl RefusalReason {
     /// All reasons with their codes in error bodies, which must not change.
-    pub const TABLE: [(Self, &'static str); 17] = [
+    pub const TABLE: [(Self, &'static str); 18] = [
         (Self::Busy, "busy"),
         (Self::QueueFull, "queue_full"),
         (Self::StartDeadline, "start_deadline"),
@@ -85,12 +87,16 @@
         (Self::NoConfiguration, "no_configuration"),
         (Self::KeyConflict, "idempotency_conflict"),
         (Self::KeyExpired, "idempotency_expired"),
+        (Self::Paused, "upstreams_paused"),
     ];
 
     /// Returns whether the refusal is due to load or a leaving upstream, not to a failure.
     #[must_use]
     pub const fn is_spill(self) -> bool {
-        matches!(self, Self::Busy | Self::QueueFull | Self::Leaving)
+        matches!(
+            self,
+            Self::Busy | Self::QueueFull | Self::Leaving | Self::Paused
+        )
     }
 
     /// Returns the code of the reason in error bodies.
--- a/src/decide/service_pause.rs
+++ b/src/decide/service_pause.rs
@@ -1,20 +1,18 @@
 //! Time until which no upstream of a service wants requests.
 
-use super::fleet::FleetMember;
 use crate::kernel::Moment;
 
 /// Pauses of the upstreams that could run a request.
 #[derive(Debug, Default)]
-pub(super) struct ServicePause {
+pub struct ServicePause {
     earliest_end: Option<Moment>,
     has_other: bool,
 }
 
 impl ServicePause {
-    /// Adds an upstream; one that leaves does not count.
-    pub(super) fn add(&mut self, now: Moment, member: &FleetMember) {
-        match member.notice.pause_end(now) {
-            _ if member.is_leaving() => {}
+    /// Records the end of the pause of one upstream, or that it wants requests.
+    pub fn record(&mut self, end: Option<Moment>) {
+        match end {
             Some(end) => {
                 self.earliest_end = Some(self.earliest_end.map_or(end, |known| known.min(end)));
             }
@@ -22,8 +20,9 @@
         }
     }
 
-    /// Returns the end of the first pause if all upstreams that do not leave are paused.
-    pub(super) fn end(&self) -> Option<Moment> {
+    /// Returns the end of the first pause if all upstreams are paused.
+    #[must_use]
+    pub fn end(&self) -> Option<Moment> {
         self.earliest_end.filter(|_| !self.has_other)
     }
 }
--- a/src/decide/tried_upstreams.rs
+++ b/src/decide/tried_upstreams.rs
@@ -13,7 +13,7 @@
 pub struct TriedUpstreams {
     /// Upstreams that must not be chosen.
     pub excluded: Vec<UpstreamKey>,
-    /// Excluded upstreams whose queue was full or too long.
+    /// Excluded upstreams whose queue was full or too long, or that want no requests for some time.
     overloaded: Vec<UpstreamKey>,
     /// Excluded upstreams that lost the answer.
     lost: Vec<UpstreamKey>,
@@ -34,7 +34,10 @@
 
     /// Excludes an upstream for its refusal; `None` stands for a lost answer.
     pub fn exclude(&mut self, upstream: UpstreamKey, reason: Option<RefusalReason>) {
-        let is_overload = matches!(reason, Some(RefusalReason::Busy | RefusalReason::QueueFull));
+        let is_overload = matches!(
+            reason,
+            Some(RefusalReason::Busy | RefusalReason::QueueFull | RefusalReason::Paused)
+        );
         if is_overload {
             self.overloaded.push(upstream);
         } else {
--- a/src/gateway/dispatch/queueing.rs
+++ b/src/gateway/dispatch/queueing.rs
@@ -13,7 +13,7 @@
 };
 use crate::decide::route_table::ServiceId;
 use crate::gateway::mail::{PlacementRefusal, PlacementReply, PlacementRequest};
-use crate::kernel::{Moment, ReplyTo};
+use crate::kernel::{Moment, ReplyTo, whole_us};
 
 /// Maximum number of waiting requests per rank of a service.
 const QUEUE_CAPACITY: usize = 512;
@@ -81,8 +81,7 @@
             cost_us: cost_us(&request),
             start_by: request.start_by,
         };
-        let wait_us =
-            u64::try_from(request.start_by.remaining(now).as_micros()).unwrap_or(u64::MAX);
+        let wait_us = whole_us(request.start_by.remaining(now));
         let queue = self.queues.entry(request.service).or_insert_with(|| {
             FairQueue::new(QueuePolicy {
                 discipline: QueueDiscipline::RankedFair,
--- a/src/gateway/dispatch/release.rs
+++ b/src/gateway/dispatch/release.rs
@@ -5,7 +5,7 @@
 use crate::decide::fleet::MemberKey;
 use crate::decide::ids::Ticket;
 use crate::gateway::mail::PlacementEnd;
-use crate::kernel::Moment;
+use crate::kernel::{Moment, whole_us};
 
 impl DispatchState {
     /// Records that a request has produced its first output, which ends its prefill.
@@ -34,8 +34,7 @@
         };
         self.unstarted.remove(&end.ticket);
         if let Some(queue) = self.queues.get_mut(&running.service) {
-            let ran = now.since(running.placed_at).as_micros();
-            queue.record_end(end.ticket, u64::try_from(ran).unwrap_or(u64::MAX));
+            queue.record_end(end.ticket, whole_us(now.since(running.placed_at)));
         }
         let Some(member) = self.fleet.get_mut(running.member) else {
             return;
--- a/src/kernel/mod.rs
+++ b/src/kernel/mod.rs
@@ -13,7 +13,7 @@
 mod tokio_kernel;
 
 pub use arena::{Arena, Key};
-pub use moment::{Clock, Moment, whole_ms};
+pub use moment::{Clock, Moment, whole_ms, whole_us};
 pub use names::{Mailbox, MailboxKey, NameTable};
 pub use reply::{Reply, ReplyTo};
 pub use service::{NextStep, Service, Signal, Turn};
--- a/src/kernel/moment.rs
+++ b/src/kernel/moment.rs
@@ -36,10 +36,7 @@
     /// ```
     #[must_use]
     pub fn after(self, delay: Duration) -> Self {
-        Self(
-            self.0
-                .saturating_add(u64::try_from(delay.as_micros()).unwrap_or(u64::MAX)),
-        )
+        Self(self.0.saturating_add(whole_us(delay)))
     }
 
     /// Returns the moment `time` before this one, at least [`Moment::START`].
@@ -51,10 +48,7 @@
     /// ```
     #[must_use]
     pub fn before(self, time: Duration) -> Self {
-        Self(
-            self.0
-                .saturating_sub(u64::try_from(time.as_micros()).unwrap_or(u64::MAX)),
-        )
+        Self(self.0.saturating_sub(whole_us(time)))
     }
 
     /// Returns the time from `now` until this moment, or zero if it has passed.
@@ -82,6 +76,12 @@
     u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
 }
 
+/// Returns a duration in microseconds, rounded down and at most `u64::MAX`.
+#[must_use]
+pub fn whole_us(time: Duration) -> u64 {
+    u64::try_from(time.as_micros()).unwrap_or(u64::MAX)
+}
+
 /// Clock of the process; it also counts the time in which the machine is suspended, so that a
 /// lease expires while the machine of its holder is suspended.
 #[derive(Debug, Clone, Copy)]
--- a/src/services/caller_side/model_response.rs
+++ b/src/services/caller_side/model_response.rs
@@ -80,7 +80,9 @@
                 set_run_status(response.headers_mut(), RunStatus::Complete);
                 return response;
             }
-            ResponseStep::Finished(status, reason) => return refusal_response(status, reason),
+            ResponseStep::Finished(status, reason) => {
+                return runner_refusal(&exchange.runner, status, reason);
+            }
         }
     }
 }
@@ -92,7 +94,9 @@
             return forwarded_response(status, &headers, full_body(body), RunStatus::Complete);
         }
         ResponseStep::Finished(RunStatus::Complete, _) => None,
-        ResponseStep::Finished(status, reason) => return refusal_response(status, reason),
+        ResponseStep::Finished(status, reason) => {
+            return runner_refusal(&exchange.runner, status, reason);
+        }
     };
     let (sender, body) = streamed_body();
     tokio::spawn(stream_model(exchange, payload, sender));
@@ -240,6 +244,24 @@
     )
 }
 
+/// Builds the response to a request whose upstreams have refused it or have not completed the response.
+pub(super) fn runner_refusal(
+    runner: &RequestRunner,
+    status: RunStatus,
+    reason: Option<RefusalReason>,
+) -> Response<ResponseBody> {
+    let mut response = refusal_response(status, reason);
+    let headers = response.headers_mut();
+    if let Some(wait) = runner.retry_after()
+        && headers.contains_key(RETRY_AFTER)
+    {
+        // The header has whole seconds; an earlier return would be refused again.
+        let seconds = wait.as_secs() + u64::from(wait.subsec_nanos() > 0);
+        headers.insert(RETRY_AFTER, HeaderValue::from(seconds));
+    }
+    response
+}
+
 fn error_body(status: RunStatus, reason: Option<RefusalReason>) -> ErrorBody {
     let message = match status {
         RunStatus::NotRun => "the request was not run",
--- a/src/services/caller_side/plain_response.rs
+++ b/src/services/caller_side/plain_response.rs
@@ -9,7 +9,7 @@
 use tokio::time::{Instant, timeout_at};
 
 use super::model_response::{
-    FrameSender, PENDING, RUN_STATUS, forwarded_response, refusal_response, set_run_status,
+    FrameSender, PENDING, RUN_STATUS, forwarded_response, runner_refusal, set_run_status,
     streamed_body,
 };
 use super::request_runner::{RequestRunner, RunnerOutput};
@@ -39,14 +39,16 @@
             RunnerOutput::Item(StreamItem::Head { status, headers }) => break (status, headers),
             RunnerOutput::Item(StreamItem::Data(_)) => {}
             RunnerOutput::NeedsContinuation => runner.fail_continuation(),
-            RunnerOutput::Finished(status, reason) => return refusal_response(status, reason),
+            RunnerOutput::Finished(status, reason) => {
+                return runner_refusal(&runner, status, reason);
+            }
         }
     };
     match buffer_body(&mut runner).await {
         BufferedBody::Ended(bytes, None) => {
             forwarded_response(status, &headers, full_body(bytes), RunStatus::Complete)
         }
-        BufferedBody::Ended(_, Some((status, reason))) => refusal_response(status, reason),
+        BufferedBody::Ended(_, Some((status, reason))) => runner_refusal(&runner, status, reason),
         BufferedBody::Partial(bytes) => {
             let (sender, body) = streamed_body();
             tokio::spawn(stream_plain(runner, bytes, sender));
--- a/src/services/caller_side/request_metrics.rs
+++ b/src/services/caller_side/request_metrics.rs
@@ -3,7 +3,7 @@
 use super::journal::{RequestReport, request_id};
 use crate::decide::outcome::RunStatus;
 use crate::events::{ANSWER_LOST, log_event};
-use crate::kernel::Directory;
+use crate::kernel::{Directory, whole_us};
 use crate::services::common::mail::Mail;
 use crate::services::common::metrics::{MetricSample, MetricTag, MetricValue, record};
 
@@ -13,7 +13,7 @@
 /// Records the time from the admission of a request to the first data of its response.
 pub fn record_first_token(directory: &Directory<Mail>, report: &RequestReport) {
     let elapsed = directory.now().since(report.admitted_at);
-    let time = u64::try_from(elapsed.as_micros()).unwrap_or(u64::MAX);
+    let time = whole_us(elapsed);
     let value = MetricValue::TimeUs(time);
     sample(directory, "first_token", ("rank", report.rank), value);
 }
--- a/src/services/caller_side/request_runner.rs
+++ b/src/services/caller_side/request_runner.rs
@@ -15,14 +15,14 @@
 use crate::decide::claims::{ClaimTarget, ClaimVerdict};
 use crate::decide::config::Configuration;
 use crate::decide::ids::{Incarnation, Repeatability, Ticket};
-use crate::decide::outcome::{RefusalReason, RunStatus};
+use crate::decide::outcome::{RefusalReason, RunStatus, StreamEnd};
 use crate::decide::request_state::RequestState;
 use crate::decide::request_step::{RequestEvent, RequestPolicy, RequestStep, SidecarCall};
 use crate::decide::seen_crashes::SeenCrashes;
-use crate::decide::suspects::CrashId;
-use crate::kernel::{Directory, Moment};
+use crate::decide::service_pause::ServicePause;
+use crate::kernel::{Directory, Moment, whole_us};
 use crate::services::common::mail::{DialerMail, JournalMail, Mail, MintOutcome, TicketsMail};
-use crate::services::common::sidecar_calls::{CALL_TIMEOUT, SidecarCalls};
+use crate::services::common::sidecar_calls::{CALL_TIMEOUT, SidecarCalls, SubmitOutcome};
 use crate::wire::rpc::{StreamItem, SubmitCall};
 
 /// Time for which a request that may have run waits for an upstream to become available again.
@@ -31,6 +31,10 @@
 /// Interval at which a waiting request checks whether an upstream is available again.
 const UPSTREAM_RETURN_INTERVAL: Duration = Duration::from_millis(100);
 
+/// Longest time by which the callers of refused requests return later than the first, in
+/// milliseconds.
+const MAX_RETRY_SPREAD_MS: u64 = 1_000;
+
 /// Output of a [`RequestRunner`].
 #[derive(Debug)]
 pub enum RunnerOutput {
@@ -63,6 +67,8 @@
     key_claim: Option<KeyClaim>,
     patience: CallPatience,
     crashes: SeenCrashes,
+    /// Pauses of the upstreams that have refused the request.
+    pause: ServicePause,
 }
 
 impl RequestRunner {
@@ -104,6 +110,7 @@
             has_data: false,
             patience: CallPatience::default(),
             crashes: SeenCrashes::default(),
+            pause: ServicePause::default(),
         }
     }
 
@@ -160,6 +167,31 @@
         self.report.id
     }
 
+    /// Returns the time after which the first upstream that has refused the request wants requests
+    /// again, if all of them want none; spread by the request, so that callers do not return together.
+    #[must_use]
+    pub fn retry_after(&self) -> Option<Duration> {
+        let end = self.pause.end()?;
+        let spread = Duration::from_millis(self.report.id % MAX_RETRY_SPREAD_MS);
+        Some(end.remaining(self.directory.now()) + spread)
+    }
+
+    /// Records whether an upstream refuses the request because it wants none for some time.
+    fn record_pause(&mut self, event: &RequestEvent, pause: Option<Duration>) {
+        let is_refusal = matches!(
+            event,
+            RequestEvent::Refused(..)
+                | RequestEvent::Items {
+                    end: Some(StreamEnd::NotRun(_)),
+                    ..
+                }
+        );
+        if is_refusal {
+            let now = self.directory.now();
+            self.pause.record(pause.map(|pause| now.after(pause)));
+        }
+    }
+
     /// Sets a request body that continues the interrupted response.
     pub fn continue_with(&mut self, body: Vec<u8>) {
         self.request.body = body;
@@ -310,14 +342,17 @@
         let limit = self.patience.limit(self.directory.now(), CALL_TIMEOUT);
         match call {
             SidecarCall::Submit(ticket) => {
-                let (event, crash) = self.submit(&calls, ticket, incarnation, limit).await;
-                self.crashes.record_submission(ticket, &event, crash);
-                event
+                let outcome = self.submit(&calls, ticket, incarnation, limit).await;
+                self.crashes
+                    .record_submission(ticket, &outcome.event, outcome.crash);
+                self.record_pause(&outcome.event, outcome.pause);
+                outcome.event
             }
             SidecarCall::Read(ticket, from_index) => {
                 let outcome = calls.read(ticket, incarnation, from_index, limit).await;
                 self.crashes
                     .record_read(ticket, &outcome.event, outcome.crash);
+                self.record_pause(&outcome.event, outcome.pause);
                 if from_index == self.state.next_index() && starts_at(&outcome.event, from_index) {
                     if let Some(end_index) = outcome.end_index() {
                         let mail = DialerMail::Acknowledge(address, ticket, incarnation, end_index);
@@ -339,12 +374,12 @@
         ticket: Ticket,
         incarnation: Incarnation,
         limit: Duration,
-    ) -> (RequestEvent, Option<CrashId>) {
+    ) -> SubmitOutcome {
         let updates = self.crashes.updates(self.request.fingerprint);
         if !updates.is_empty()
             && let Err(event) = calls.suspect(&updates, limit).await
         {
-            return (event, None);
+            return SubmitOutcome::without_reply(event);
         }
         let submission = self.submission(ticket, incarnation);
         calls.submit(submission, limit).await
@@ -363,7 +398,7 @@
             version: self.admission.version.clone(),
             fingerprint: request.fingerprint.0,
             prefix_keys: self.chooser.keys.iter().map(|key| key.0).collect(),
-            start_budget_us: u64::try_from(budget.as_micros()).unwrap_or(u64::MAX),
+            start_budget_us: whole_us(budget),
             wait_limit_us: self.wait_limit_us,
             output_tokens: request.output_tokens,
             method: request.method.clone(),
--- a/src/services/common/sidecar_calls.rs
+++ b/src/services/common/sidecar_calls.rs
@@ -16,7 +16,7 @@
 use crate::decide::request_step::RequestEvent;
 use crate::decide::suspect_guard::SuspectUpdate;
 use crate::decide::suspects::CrashId;
-use crate::kernel::Directory;
+use crate::kernel::{Directory, whole_us};
 use crate::services::common::mail::{ConfigMail, DialOutcome, DialerMail, Mail};
 use crate::wire::claim_rpc::ClaimCall;
 use crate::wire::config_page::{ConfigPage, ConfigSinceCall};
@@ -53,6 +53,31 @@
     pub items: Vec<StreamItem>,
     /// Crash that the loss of the stated engine would be, or was if the event tells of a loss.
     pub crash: Option<CrashId>,
+    /// Time for which the upstream wants no requests.
+    pub pause: Option<Duration>,
+}
+
+/// Result of a submission.
+#[derive(Debug)]
+pub struct SubmitOutcome {
+    /// Event for the state machine of the request.
+    pub event: RequestEvent,
+    /// Crash that the loss of the stated engine would be.
+    pub crash: Option<CrashId>,
+    /// Time for which the upstream wants no requests.
+    pub pause: Option<Duration>,
+}
+
+impl SubmitOutcome {
+    /// Creates the outcome of a call without a reply.
+    #[must_use]
+    pub const fn without_reply(event: RequestEvent) -> Self {
+        Self {
+            event,
+            crash: None,
+            pause: None,
+        }
+    }
 }
 
 impl TicketRead {
@@ -101,22 +126,21 @@
         })
     }
 
-    /// Submits a request and returns the event for its state machine, and the crash that the loss of
-    /// the stated engine would be.
-    pub async fn submit(
-        &self,
-        call: SubmitCall,
-        limit: Duration,
-    ) -> (RequestEvent, Option<CrashId>) {
+    /// Submits a request.
+    pub async fn submit(&self, call: SubmitCall, limit: Duration) -> SubmitOutcome {
         let Some(connection) = self.connect().await else {
-            return (RequestEvent::Unsent, None);
+            return SubmitOutcome::without_reply(RequestEvent::Unsent);
         };
         let reply = connection.client.submit(deadline(limit), call);
         let reply = await_reply(limit, reply).await;
         let Some(reply) = self.handle_reply(&connection, reply, |reply| reply.head) else {
-            return (RequestEvent::Lost, None);
+            return SubmitOutcome::without_reply(RequestEvent::Lost);
         };
-        (submit_event(&reply), reply.head.crash())
+        SubmitOutcome {
+            event: submit_event(&reply),
+            crash: reply.head.crash(),
+            pause: reply.head.pause(),
+        }
     }
 
     /// Reads items of a ticket's response from an index on.
@@ -131,11 +155,12 @@
             event,
             items: Vec::new(),
             crash: None,
+            pause: None,
         };
         let Some(connection) = self.connect().await else {
             return event(RequestEvent::Unsent);
         };
-        let wait_us = u64::try_from(READ_WAIT.as_micros()).unwrap_or(0);
+        let wait_us = whole_us(READ_WAIT);
         let call = ReadCall {
             ticket: ticket.into(),
             incarnation: incarnation.0,
@@ -213,7 +238,7 @@
     pub async fn claim(&self, record: &ClaimRecord, limit: Duration) -> Option<ClaimVerdict> {
         let call = ClaimCall {
             claim: record.into(),
-            budget_us: u64::try_from(limit.as_micros()).unwrap_or(u64::MAX),
+            budget_us: whole_us(limit),
         };
         let verdict = async {
             let connection = self.connect().await?;
@@ -304,11 +329,13 @@
 #[must_use]
 pub fn ticket_read(reply: ReadReply) -> TicketRead {
     let crash = reply.head.crash();
+    let pause = reply.head.pause();
     match reply.verdict {
         ReadVerdict::UnknownTicket => TicketRead {
             event: RequestEvent::UnknownTicket(reply.head.incarnation()),
             items: Vec::new(),
             crash,
+            pause,
         },
         ReadVerdict::Items { items, end } => {
             let end = end.map(|end| StreamEnd::try_from(end).unwrap_or(StreamEnd::Uncertain));
@@ -321,6 +348,7 @@
                 event,
                 items,
                 crash,
+                pause,
             }
         }
     }
--- a/src/services/configuration/peer_reader.rs
+++ b/src/services/configuration/peer_reader.rs
@@ -4,7 +4,7 @@
 
 use super::config::CONFIG;
 use crate::decide::propagation::{CallKind, PeerStep};
-use crate::kernel::{Directory, IoTask};
+use crate::kernel::{Directory, IoTask, whole_us};
 use crate::services::common::mail::{ConfigMail, Mail, NextPeerCall};
 use crate::services::common::sidecar_calls::SidecarCalls;
 use crate::services::common::wait::{run_until_stop, sleep_until};
@@ -51,7 +51,7 @@
         };
         let call = ConfigSinceCall {
             from_offset: from.0,
-            wait_us: u64::try_from(PEER_WAIT.as_micros()).unwrap_or(0),
+            wait_us: whole_us(PEER_WAIT),
         };
         let mail = if let Some(page) = calls.config_since(call, PEER_TIMEOUT).await {
             ConfigMail::PeerRead(page)
--- a/src/services/upstream_side/ledger/engine_notice.rs
+++ b/src/services/upstream_side/ledger/engine_notice.rs
@@ -8,8 +8,9 @@
 use crate::decide::member_notice::{MemberNotice, UpstreamNotice};
 use crate::decide::outcome::{RefusalReason, StreamEnd};
 use crate::events::{UPSTREAM_LEAVING, UPSTREAM_PAUSED, log_event};
-use crate::kernel::Moment;
+use crate::kernel::{Moment, whole_us};
 use crate::services::common::mail::EngineStatus;
+use crate::wire::rpc::SubmitCall;
 
 /// Longest time for which an upstream that asks for it gets no requests; a longer one would take it
 /// out of service by one wrong number.
@@ -18,7 +19,7 @@
 /// What one run of the upstream has said of itself.
 #[derive(Debug, Default)]
 pub(super) struct EngineNotice {
-    said: MemberNotice,
+    pub(super) said: MemberNotice,
     /// Latest run that was seen; it stays known while the upstream answers no polls.
     epoch: Option<EngineEpoch>,
 }
@@ -40,17 +41,39 @@
                 &UPSTREAM_PAUSED,
                 &[("upstream", upstream), ("pause_ms", &pause.as_millis())],
             );
-            self.end_queued(now, RefusalReason::Busy);
+            self.end_queued(now, RefusalReason::Paused);
         }
     }
 
-    /// Returns why the upstream gets no requests by what it has said, if it gets none.
-    pub(super) fn notice_refusal(&self, now: Moment) -> Option<RefusalReason> {
-        if self.notice.said.left_at.is_some() {
-            return Some(RefusalReason::Leaving);
+    /// Returns the time for which the upstream wants no requests.
+    pub(super) fn pause_left(&self, now: Moment) -> Duration {
+        let end = self.notice.said.pause_end(now);
+        end.map_or(Duration::ZERO, |end| end.remaining(now))
+    }
+
+    /// Returns how long a request may wait in the queue, in microseconds; `None` if it cannot wait
+    /// for the end of the upstream's pause.
+    pub(super) fn wait_limit_us(&self, now: Moment, call: &SubmitCall) -> Option<u64> {
+        let pause = self.pause_left(now);
+        if pause.is_zero() {
+            return Some(call.wait_limit_us);
+        }
+        let limit_us = call.wait_limit_us.min(call.start_budget_us);
+        limit_us.checked_sub(whole_us(pause))
+    }
+
+    /// Returns whether the upstream has said that it leaves.
+    pub(super) const fn has_said_leaving(&self) -> bool {
+        self.notice.said.left_at.is_some()
+    }
+
+    /// Returns when a queued request may start by what the upstream has said; `None` if it may now.
+    pub(super) fn start_after(&self, now: Moment) -> Option<Moment> {
+        if self.notice.said.is_open(now) {
+            return None;
         }
-        let pause_end = self.notice.said.pause_end(now);
-        pause_end.map(|_| RefusalReason::Busy)
+        // Without a pause, the next message about a request that has started decides.
+        Some(self.notice.said.pause_end(now).unwrap_or(Moment::NEVER))
     }
 
     /// Forgets what an earlier run of the upstream has said. A plain service states no run, and counts
@@ -78,7 +101,7 @@
         for ticket in self.queue.drain() {
             if let Some(key) = self.queued.remove(&ticket) {
                 self.ledger.end(now, key, StreamEnd::NotRun(reason));
-                self.reply_to_pending_read(key);
+                self.reply_to_pending_read(now, key);
             }
         }
     }
--- a/src/services/upstream_side/ledger/job.rs
+++ b/src/services/upstream_side/ledger/job.rs
@@ -28,6 +28,8 @@
     pub(super) buffer: StreamBuffer,
     pub(super) pending_read: Option<PendingRead>,
     pub(super) started: bool,
+    /// Whether the upstream has begun to answer.
+    pub(super) has_begun: bool,
     pub(super) cached_pieces: Option<u32>,
     /// Number of data items that the engine has produced.
     pub(super) output_items: u32,
@@ -61,6 +63,7 @@
         buffer: StreamBuffer::default(),
         pending_read: None,
         started: false,
+        has_begun: false,
         cached_pieces: None,
         output_items: 0,
         end_delivery: EndDelivery::Unsent,
--- a/src/services/upstream_side/ledger/mod.rs
+++ b/src/services/upstream_side/ledger/mod.rs
@@ -22,7 +22,7 @@
         match signal {
             Signal::Mail(Mail::Ledger(mail)) => handle(&mut state, turn, mail),
             Signal::Start | Signal::Due | Signal::Mail(_) => {}
-            Signal::Dump(reply_to) => reply_to.send(state.dump()),
+            Signal::Dump(reply_to) => reply_to.send(state.dump(turn.now)),
             Signal::Stop => state.begin_stop(turn.now),
         }
         state.advance(turn)
@@ -43,7 +43,9 @@
         LedgerMail::Attach(ticket, repeatability, reply_to) => {
             state.attach(turn, ticket, repeatability, reply_to);
         }
-        LedgerMail::LookupResult(key, verdict, reply_to) => state.on_lookup(key, verdict, reply_to),
+        LedgerMail::LookupResult(key, verdict, reply_to) => {
+            state.on_lookup(now, key, verdict, reply_to);
+        }
         LedgerMail::Items(key, items) => state.on_items(turn, key, items),
         LedgerMail::ResponseEnded(key, end) => state.on_end(now, key, end),
         LedgerMail::HoldForOrder(closed_until, reply_to) => {
--- a/src/services/upstream_side/ledger/reads.rs
+++ b/src/services/upstream_side/ledger/reads.rs
@@ -34,7 +34,7 @@
         let Some(key) = self.ledger.renew(now, ticket) else {
             let verdict = ReadVerdict::UnknownTicket;
             reply_to.send(ReadReply {
-                head: self.reply_head(),
+                head: self.reply_head(now),
                 from_index: call.from_index,
                 verdict,
             });
@@ -47,7 +47,7 @@
             reply_to,
         };
         let Some(job) = self.jobs.get_mut(&key) else {
-            self.reply_to_read(key, read, true);
+            self.reply_to_read(now, key, read, true);
             return;
         };
         let end_index = job.buffer.next_index();
@@ -67,9 +67,9 @@
         }
         let previous = self.take_pending_read(key);
         if let Some(previous) = previous {
-            self.reply_to_read(key, previous, true);
+            self.reply_to_read(now, key, previous, true);
         }
-        self.reply_to_read(key, read, false);
+        self.reply_to_read(now, key, read, false);
     }
 
     /// Replies to the pending reads whose deadline has passed.
@@ -79,7 +79,7 @@
                 return;
             }
             match self.take_pending_read(key) {
-                Some(read) => self.reply_to_read(key, read, true),
+                Some(read) => self.reply_to_read(now, key, read, true),
                 None => {
                     self.read_deadlines.remove(&(deadline, key));
                 }
@@ -95,18 +95,18 @@
     }
 
     /// Replies to the pending read of a ticket, if there is an item or the end.
-    pub(super) fn reply_to_pending_read(&mut self, key: TicketKey) {
+    pub(super) fn reply_to_pending_read(&mut self, now: Moment, key: TicketKey) {
         if let Some(read) = self.take_pending_read(key) {
-            self.reply_to_read(key, read, false);
+            self.reply_to_read(now, key, read, false);
         }
     }
 
     /// Replies to a read with the items and the end that are available.
     ///
     /// Without any, the read becomes pending, unless `must_reply` is set.
-    fn reply_to_read(&mut self, key: TicketKey, read: PendingRead, must_reply: bool) {
+    fn reply_to_read(&mut self, now: Moment, key: TicketKey, read: PendingRead, must_reply: bool) {
         let state = self.ledger.get(key).map(|entry| entry.state);
-        let mut head = self.reply_head();
+        let mut head = self.reply_head(now);
         let mut items = Vec::new();
         let mut crash = None;
         let mut end = match state {
--- a/src/services/upstream_side/ledger/running.rs
+++ b/src/services/upstream_side/ledger/running.rs
@@ -62,7 +62,7 @@
         if self.ledger.renew(turn.now, ticket).is_some() {
             let verdict = AttachVerdict::Attached;
             reply_to.send(AttachReply {
-                head: self.reply_head(),
+                head: self.reply_head(turn.now),
                 verdict,
             });
             return;
@@ -82,16 +82,17 @@
     /// Handles the result of a lookup at the engine.
     pub fn on_lookup(
         &mut self,
+        now: Moment,
         key: TicketKey,
         verdict: AttachVerdict,
         reply_to: ReplyTo<AttachReply>,
     ) {
         if verdict != AttachVerdict::Attached {
             self.ledger.discard(key);
-            self.remove_job(key);
+            self.remove_job(now, key);
         }
         reply_to.send(AttachReply {
-            head: self.reply_head(),
+            head: self.reply_head(now),
             verdict,
         });
     }
@@ -108,7 +109,12 @@
         let before = job.buffer.bytes();
         for item in items {
             match &item {
-                StreamItem::Head { headers, .. } => job.cached_pieces = cached_pieces(headers),
+                StreamItem::Head { headers, .. } => {
+                    job.cached_pieces = cached_pieces(headers);
+                    if !std::mem::replace(&mut job.has_begun, true) {
+                        self.notice.said.record_answer(turn.now, self.queue.slots);
+                    }
+                }
                 StreamItem::Data(_) => {
                     job.output_items += 1;
                     if job.output_items == 1 {
@@ -123,19 +129,19 @@
         }
         let overflowed = job.buffer.overflowed;
         self.response_bytes += job.buffer.bytes() - before;
-        if overflowed || !self.evict_to_fit() {
+        if overflowed || !self.evict_to_fit(turn.now) {
             self.end_oversized(turn, key);
         }
-        self.reply_to_pending_read(key);
+        self.reply_to_pending_read(turn.now, key);
     }
 
     /// Evicts ended tickets until all buffered responses fit; returns `false` if they still do not.
-    fn evict_to_fit(&mut self) -> bool {
+    fn evict_to_fit(&mut self, now: Moment) -> bool {
         while self.response_bytes > self.settings.max_response_bytes {
             let Some(key) = self.ledger.evict_oldest_ended() else {
                 return false;
             };
-            self.remove_job(key);
+            self.remove_job(now, key);
         }
         true
     }
@@ -151,19 +157,26 @@
                 turn.send("engine", Mail::Engine(mail));
             }
         }
-        self.release_slot(key);
+        self.release_slot(turn.now, key);
         self.ledger.end(turn.now, key, StreamEnd::EngineLost);
     }
 
     /// Handles the end of a ticket at the engine.
     pub fn on_end(&mut self, now: Moment, key: TicketKey, end: StreamEnd) {
+        let is_paused = !self.pause_left(now).is_zero();
+        let end = match end {
+            StreamEnd::NotRun(RefusalReason::Busy) if is_paused => {
+                StreamEnd::NotRun(RefusalReason::Paused)
+            }
+            end => end,
+        };
         if let Some(job) = self.jobs.get_mut(&key) {
             job.crash = self.guard.end(now, job.ticket, end);
         }
         self.awaits_engine_state |= matches!(end, StreamEnd::EngineLost | StreamEnd::Uncertain);
         self.ledger.end(now, key, end);
-        self.release_slot(key);
-        self.reply_to_pending_read(key);
+        self.release_slot(now, key);
+        self.reply_to_pending_read(now, key);
     }
 
     /// Handles ticket deadlines that have passed.
@@ -172,10 +185,10 @@
             match step {
                 ExpiryStep::NotStarted(key) => {
                     self.remove_from_queue(key);
-                    self.reply_to_pending_read(key);
+                    self.reply_to_pending_read(turn.now, key);
                 }
                 ExpiryStep::Cancel(key) => self.cancel(turn, key),
-                ExpiryStep::Evicted(key) => self.remove_job(key),
+                ExpiryStep::Evicted(key) => self.remove_job(turn.now, key),
             }
         }
     }
@@ -230,6 +243,9 @@
             return Moment::NEVER;
         }
         loop {
+            if let Some(moment) = self.start_after(turn.now) {
+                return moment;
+            }
             if let Some(ticket) = self.delayed_start {
                 match self.solo_step(turn.now, ticket) {
                     SoloStep::Start => self.delayed_start = None,
@@ -245,7 +261,7 @@
                     if let Some(key) = self.queued.remove(&item.ticket) {
                         let end = StreamEnd::NotRun(RefusalReason::StartDeadline);
                         self.ledger.end(turn.now, key, end);
-                        self.reply_to_pending_read(key);
+                        self.reply_to_pending_read(turn.now, key);
                     }
                 }
                 // The next iteration starts it, unless the start is delayed.
@@ -273,12 +289,12 @@
             let end = StreamEnd::NotRun(RefusalReason::Poisonous);
             self.ledger.end(turn.now, key, end);
             self.queue.record_end(ticket, 0);
-            self.reply_to_pending_read(key);
+            self.reply_to_pending_read(turn.now, key);
             return;
         }
         if self.ledger.start(turn.now, key) != StartStep::Start {
             self.queue.record_end(ticket, 0);
-            self.reply_to_pending_read(key);
+            self.reply_to_pending_read(turn.now, key);
             return;
         }
         let Some(job) = self.jobs.get_mut(&key) else {
@@ -293,17 +309,18 @@
         let fingerprint = Fingerprint(call.fingerprint);
         self.guard
             .start(turn.now, ticket, fingerprint, &call.keys(), epoch);
+        self.notice.said.record_sent();
         turn.send("engine", Mail::Engine(EngineMail::Start(key, call)));
     }
 
     /// Cancels a running ticket at the engine.
     pub(super) fn cancel(&mut self, turn: &mut Turn<'_, Mail>, key: TicketKey) {
-        self.release_slot(key);
+        self.release_slot(turn.now, key);
         if let Some(job) = self.jobs.get(&key) {
             let mail = EngineMail::Cancel(key, job.ticket);
             turn.send("engine", Mail::Engine(mail));
         }
-        self.reply_to_pending_read(key);
+        self.reply_to_pending_read(turn.now, key);
     }
 
     /// Removes a ticket that has not started from the queue.
@@ -316,20 +333,23 @@
     }
 
     /// Releases the slot of a ticket, if it holds one.
-    fn release_slot(&mut self, key: TicketKey) {
+    fn release_slot(&mut self, now: Moment, key: TicketKey) {
         let Some(job) = self.jobs.get_mut(&key) else {
             return;
         };
         if std::mem::take(&mut job.started) {
             self.guard.abandon(job.ticket);
             self.queue.record_end(job.ticket, job.output_items);
+            if !job.has_begun {
+                self.notice.said.record_failure(now, self.queue.slots);
+            }
         }
     }
 
     /// Removes a ticket with its slot, its pending read and its buffered response.
-    fn remove_job(&mut self, key: TicketKey) {
+    fn remove_job(&mut self, now: Moment, key: TicketKey) {
         drop(self.take_pending_read(key));
-        self.release_slot(key);
+        self.release_slot(now, key);
         if let Some(job) = self.jobs.remove(&key) {
             self.response_bytes -= job.buffer.bytes();
         }
--- a/src/services/upstream_side/ledger/state.rs
+++ b/src/services/upstream_side/ledger/state.rs
@@ -15,7 +15,7 @@
 use crate::decide::suspect_guard::{SuspectGuard, SuspectUpdate};
 use crate::decide::suspects::{Fingerprint, SuspectPolicy};
 use crate::decide::upstream_queue::{UpstreamQueue, WorkRequest};
-use crate::kernel::{Moment, Turn};
+use crate::kernel::{Moment, Turn, whole_ms, whole_us};
 use crate::services::common::mail::{EngineStatus, Mail, OrderReport};
 use crate::wire::rpc::{
     QuoteCall, QuoteReply, ReplyHead, SubmitCall, SubmitReply, SubmitVerdict, WithdrawReply,
@@ -126,10 +126,11 @@
             output_tokens: 0,
         };
         let quote = self.queue.quote(now, &request);
+        let pause_us = whole_us(self.pause_left(now));
         QuoteReply {
-            head: self.reply_head(),
+            head: self.reply_head(now),
             open: self.refusal_reason(now, &call.version).is_none(),
-            wait_us: u32::try_from(quote.wait_us).unwrap_or(u32::MAX),
+            wait_us: u32::try_from(quote.wait_us.saturating_add(pause_us)).unwrap_or(u32::MAX),
             missing_pieces: quote.missing_pieces,
             piece_us: u32::try_from(quote.piece_us).unwrap_or(u32::MAX),
         }
@@ -177,7 +178,7 @@
             },
         };
         SubmitReply {
-            head: self.reply_head(),
+            head: self.reply_head(now),
             verdict,
         }
     }
@@ -199,6 +200,11 @@
             self.ledger.end(now, key, StreamEnd::NotRun(reason));
             return Err(reason);
         }
+        let Some(limit_us) = self.wait_limit_us(now, &call) else {
+            let reason = RefusalReason::Paused;
+            self.ledger.end(now, key, StreamEnd::NotRun(reason));
+            return Err(reason);
+        };
         let fingerprint = Fingerprint(call.fingerprint);
         let keys = call.keys();
         if self.guard.is_poisonous(now, fingerprint, &keys) {
@@ -213,7 +219,6 @@
             keys: &keys,
             output_tokens: call.output_tokens,
         };
-        let limit_us = call.wait_limit_us;
         let outcome = self.queue.offer(now, ticket, &request, start_by, limit_us);
         if let OfferOutcome::Refused(reason) = outcome {
             self.ledger.end(now, key, StreamEnd::NotRun(reason));
@@ -241,7 +246,7 @@
             // An earlier run may have started the ticket, so a tombstone here would prove nothing.
             let verdict = WithdrawVerdict::WrongIncarnation;
             return WithdrawReply {
-                head: self.reply_head(),
+                head: self.reply_head(turn.now),
                 verdict,
             };
         }
@@ -265,7 +270,7 @@
             WithdrawStep::Forgotten => WithdrawVerdict::Forgotten,
         };
         WithdrawReply {
-            head: self.reply_head(),
+            head: self.reply_head(turn.now),
             verdict,
         }
     }
@@ -305,7 +310,9 @@
             Some(UpstreamKind::Engine { version, .. }) => version,
             Some(UpstreamKind::Plain { .. }) | None => "",
         };
-        self.refusal_reason(now, version)
+        let is_paused = !self.pause_left(now).is_zero();
+        let reason = self.refusal_reason(now, version);
+        reason.or(is_paused.then_some(RefusalReason::Paused))
     }
 
     /// Returns why a request for a version is refused at present, if it is.
@@ -313,12 +320,9 @@
         let Some(upstream) = &self.upstream else {
             return Some(RefusalReason::NoConfiguration);
         };
-        if self.leaving || upstream.retired {
+        if self.leaving || upstream.retired || self.has_said_leaving() {
             return Some(RefusalReason::Leaving);
         }
-        if let Some(reason) = self.notice_refusal(now) {
-            return Some(reason);
-        }
         if !self.closed_until.is_due(now) {
             // The ledger is closed because another version is about to be loaded.
             return Some(RefusalReason::WrongVersion);
@@ -359,7 +363,7 @@
         })
     }
 
-    pub(super) fn reply_head(&self) -> ReplyHead {
+    pub(super) fn reply_head(&self, now: Moment) -> ReplyHead {
         let epoch = match &self.engine {
             EngineStatus::Up { epoch, .. } => epoch.0,
             EngineStatus::Down => 0,
@@ -369,20 +373,20 @@
             incarnation: self.settings.incarnation.0,
             epoch,
             next_offset: offset,
-            wait_us: 0,
+            pause_us: u32::try_from(whole_us(self.pause_left(now))).unwrap_or(u32::MAX),
         }
     }
 
     /// Returns the state as JSON.
     #[must_use]
-    pub fn dump(&self) -> serde_json::Value {
+    pub fn dump(&self, now: Moment) -> serde_json::Value {
         let running = self.queue.running();
         let served_us = self.queue.served_us();
         serde_json::json!({
             "incarnation": format!("{:016x}", self.settings.incarnation.0),
             "upstream": self.settings.upstream,
             "engine": format!("{:?}", self.engine),
-            "next_offset": self.reply_head().next_offset,
+            "next_offset": self.reply_head(now).next_offset,
             "tickets": self.ledger.len(),
             "queued": self.queue.waiting(),
             "served_us": {"urgent": served_us[0], "routine": served_us[1]},
@@ -390,6 +394,8 @@
             "running": {"urgent": running[0], "routine": running[1]},
             "answer_bytes": self.response_bytes,
             "leaving": self.leaving,
+            "said_leaving": self.has_said_leaving(),
+            "paused_ms": whole_ms(self.pause_left(now)),
             "suspects": self.guard.table.len(),
             "segments": self.guard.segments.len(),
             "refused_segments": self.guard.segments.refused_count(),
--- a/src/wire/openai/error.rs
+++ b/src/wire/openai/error.rs
@@ -160,6 +160,7 @@
         | RefusalReason::RetryBudget
         | RefusalReason::ClaimUnavailable
         | RefusalReason::KeyExpired
+        | RefusalReason::Paused
         | RefusalReason::NoConfiguration => 503,
     };
     match status {
--- a/src/wire/rpc.rs
+++ b/src/wire/rpc.rs
@@ -1,6 +1,8 @@
 //! RPC interface of a sidecar, called by entries and other sidecars. All messages are encoded in
 //! bincode, so the order of methods, fields and variants is part of the format.
 
+use std::time::Duration;
+
 use serde::{Deserialize, Serialize};
 
 use super::claim_rpc::{ClaimCall, ClaimReply};
@@ -23,11 +25,18 @@
     pub epoch: u64,
     /// Offset below which the sidecar has applied all configuration records.
     pub next_offset: u64,
-    /// Expected wait of a new routine request before its start, in microseconds.
-    pub wait_us: u32,
+    /// Rest of the time for which the upstream wants no requests, in microseconds.
+    pub pause_us: u32,
 }
 
 impl ReplyHead {
+    /// Returns the rest of the time for which the upstream wants no requests, if it wants none.
+    #[must_use]
+    pub fn pause(&self) -> Option<Duration> {
+        let pause = Duration::from_micros(u64::from(self.pause_us));
+        (!pause.is_zero()).then_some(pause)
+    }
+
     /// Returns the incarnation of the sidecar.
     #[must_use]
     pub const fn incarnation(&self) -> Incarnation {
--- a/tests/ledger_notices.rs
+++ b/tests/ledger_notices.rs
@@ -6,9 +6,11 @@
 
 use bulrushslip::decide::ids::EngineEpoch;
 use bulrushslip::decide::member_notice::UpstreamNotice;
-use bulrushslip::decide::outcome::RefusalReason;
+use bulrushslip::decide::outcome::{RefusalReason, StreamEnd};
 use bulrushslip::services::common::mail::{EngineStatus, LedgerMail};
-use bulrushslip::wire::rpc::{ReadVerdict, SubmitVerdict, WireStreamEnd};
+use bulrushslip::wire::rpc::{
+    QuoteCall, ReadVerdict, StreamItem, SubmitCall, SubmitVerdict, WireRank, WireStreamEnd,
+};
 use ledger_harness::{EPOCH, SLOTS, Sidecar, submit_call};
 
 const LEAVING: UpstreamNotice = UpstreamNotice {
@@ -31,6 +33,13 @@
     }
 }
 
+fn head() -> StreamItem {
+    StreamItem::Head {
+        status: 200,
+        headers: Vec::new(),
+    }
+}
+
 fn report(sidecar: &mut Sidecar, status: EngineStatus) {
     sidecar.post(LedgerMail::EngineStatus(status));
 }
@@ -79,13 +88,77 @@
 }
 
 #[test]
-fn a_paused_upstream_gets_no_requests_until_the_pause_ends() {
+fn a_request_that_cannot_wait_for_the_end_of_a_pause_is_refused_at_once_with_that_time() {
     let mut sidecar = Sidecar::start();
     sidecar.post(LedgerMail::EngineNotice(PAUSE));
-    assert_eq!(submit(&mut sidecar, 1), Some(RefusalReason::Busy));
+    let half = sidecar.kernel.now().after(Duration::from_millis(500));
+    sidecar.kernel.run_until(half);
+    let call = submit_call(1, true);
+    let reply = sidecar.ask(|reply_to| LedgerMail::Submit(call, reply_to));
+    let SubmitVerdict::NotRun { reason, .. } = reply.verdict else {
+        panic!("{reply:?}");
+    };
+    let reason = RefusalReason::try_from(reason).ok();
+    assert_eq!(reason, Some(RefusalReason::Paused));
+    assert_eq!(reply.head.pause(), Some(Duration::from_millis(1_500)));
+    let limited = SubmitCall {
+        start_budget_us: 5_000_000,
+        wait_limit_us: 1_400_000,
+        ..submit_call(2, true)
+    };
+    let reply = sidecar.ask(|reply_to| LedgerMail::Submit(limited, reply_to));
+    assert!(matches!(reply.verdict, SubmitVerdict::NotRun { .. }));
+    let end = sidecar.kernel.now().after(Duration::from_millis(1_500));
+    sidecar.kernel.run_until(end);
+    assert_eq!(submit(&mut sidecar, 3), None);
+}
+
+/// Guards against requests that all go to an upstream at the end of its pause.
+#[test]
+fn of_the_requests_that_wait_for_the_end_of_a_pause_one_goes_first() {
+    let mut sidecar = Sidecar::start();
+    sidecar.post(LedgerMail::EngineNotice(PAUSE));
+    for sequence in 0..=SLOTS {
+        let call = SubmitCall {
+            start_budget_us: 5_000_000,
+            ..submit_call(sequence, true)
+        };
+        let reply = sidecar.ask(|reply_to| LedgerMail::Submit(call, reply_to));
+        assert!(
+            matches!(reply.verdict, SubmitVerdict::Accepted),
+            "{reply:?}"
+        );
+    }
     let end = sidecar.kernel.now().after(Duration::from_secs(2));
+    sidecar
+        .kernel
+        .run_until(end.before(Duration::from_millis(1)));
+    assert_eq!(sidecar.started.try_iter().count(), 0);
     sidecar.kernel.run_until(end);
-    assert_eq!(submit(&mut sidecar, 2), None);
+    let started: Vec<_> = sidecar.started.try_iter().collect();
+    assert_eq!(started.len(), 1);
+    // One that ends without an answer gives its place to the next.
+    let lost = StreamEnd::NotRun(RefusalReason::EngineDown);
+    sidecar.post(LedgerMail::ResponseEnded(started[0], lost));
+    let started: Vec<_> = sidecar.started.try_iter().collect();
+    assert_eq!(started.len(), 1);
+    sidecar.post(LedgerMail::Items(started[0], vec![head()]));
+    assert_eq!(sidecar.started.try_iter().count(), 1);
+}
+
+#[test]
+fn a_quote_counts_the_rest_of_a_pause_as_wait() {
+    let mut sidecar = Sidecar::start();
+    sidecar.post(LedgerMail::EngineNotice(PAUSE));
+    let call = QuoteCall {
+        prefix_keys: Vec::new(),
+        rank: WireRank(0),
+        customer: "customer-1".to_owned(),
+        version: String::new(),
+    };
+    let reply = sidecar.ask(|reply_to| LedgerMail::Quote(call, reply_to));
+    assert!(reply.open);
+    assert!((2_000_000..2_100_000).contains(&reply.wait_us), "{reply:?}");
 }
 
 #[test]
--- a/tests/wire_compat.rs
+++ b/tests/wire_compat.rs
@@ -29,7 +29,7 @@
     incarnation: 0x21,
     epoch: 0x22,
     next_offset: 0x23,
-    wait_us: 0x24,
+    pause_us: 0x24,
 };
 
 /// Encodes a value as the transport does, in hexadecimal.
