Heed at sidecars what upstreams say in answers to polls and orders too

Behind a sidecar, an engine that leaves was found out only with the next request that it answered, and one that had asked for a pause went on to get polls every half second, reads of its cache events and orders. A poll that it rejected made it count as down, so its sidecar asked ten times a second.

Cause: only the responses to new requests were read. All calls to an upstream go through one module now that reads what each response says: requests, resumed streams, lookups, cancellations, reports, cache events, orders.

Left: a plain service that leaves and restarts between two polls of its sidecar gets no requests until the sidecar restarts, because it states no run.

--- a/src/decide/orders.rs
+++ b/src/decide/orders.rs
@@ -17,6 +17,8 @@
     },
     /// The engine does not respond.
     Down,
+    /// The engine leaves, or wants no requests for some time.
+    Closed,
 }
 
 /// State that the next step depends on.
@@ -72,6 +74,8 @@
     };
     let running = match view.report {
         EngineReport::Down => return OrderStep::Rest,
+        // Other engines may use the lease meanwhile.
+        EngineReport::Closed => return release(view.own),
         EngineReport::Serves { version, .. } if *version == target.version => {
             return release(view.own);
         }
--- a/src/services/common/mail.rs
+++ b/src/services/common/mail.rs
@@ -154,6 +154,8 @@
     CacheKeys(CacheList, ReplyTo<IndexStep>),
     /// A response of the upstream says something of the upstream.
     EngineNotice(UpstreamNotice),
+    /// Requests the end of the time for which the upstream wants no requests, if it wants none.
+    PauseEnd(ReplyTo<Option<Moment>>),
     /// Updates about suspects from another sidecar of the model.
     Suspects(Vec<SuspectUpdate>, ReplyTo<()>),
     /// A newer configuration is in force.
@@ -167,6 +169,8 @@
     pub engine: EngineStatus,
     /// Number of requests that wait or run.
     pub unfinished: usize,
+    /// Whether the upstream stays and wants requests.
+    pub wants_orders: bool,
 }
 
 /// Status of an engine at the last poll.
--- a/src/services/upstream_side/cache_watch.rs
+++ b/src/services/upstream_side/cache_watch.rs
@@ -7,6 +7,7 @@
 use hyper::Method;
 use serde::de::DeserializeOwned;
 
+use super::engine_notice::{report, wait_for_pause_end};
 use crate::decide::cache_index::{CacheList, CachePage, IndexStep};
 use crate::kernel::{Directory, Inbox, IoTask, Signal};
 use crate::platform::http_client;
@@ -52,6 +53,7 @@
 async fn follow(engine: SocketAddr, directory: Directory<Mail>) {
     let mut step = IndexStep::Resync;
     loop {
+        wait_for_pause_end(&directory).await;
         let next = match step {
             IndexStep::Follow(sequence) => fetch_events(engine, &directory, sequence).await,
             IndexStep::Resync => fetch_keys(engine, &directory).await,
@@ -72,7 +74,7 @@
     sequence: u64,
 ) -> Option<IndexStep> {
     let path = format!("/cache/events?from={sequence}&wait_ms={EVENTS_WAIT_MS}");
-    let page: WireCachePage = fetch(engine, &path).await?;
+    let page: WireCachePage = fetch(engine, directory, &path).await?;
     let page = CachePage::try_from(page).ok()?;
     let request = |reply_to| Mail::Ledger(LedgerMail::CacheEvents(page, reply_to));
     directory.ask("ledger", request).await
@@ -80,15 +82,21 @@
 
 /// Sends the full list of keys to the ledger; returns its next step, or `None` on failure.
 async fn fetch_keys(engine: SocketAddr, directory: &Directory<Mail>) -> Option<IndexStep> {
-    let list: WireCacheKeys = fetch(engine, "/cache/keys").await?;
+    let list: WireCacheKeys = fetch(engine, directory, "/cache/keys").await?;
     let list = CacheList::try_from(list).ok()?;
     let request = |reply_to| Mail::Ledger(LedgerMail::CacheKeys(list, reply_to));
     directory.ask("ledger", request).await
 }
 
-async fn fetch<T: DeserializeOwned>(engine: SocketAddr, path: &str) -> Option<T> {
+async fn fetch<T: DeserializeOwned>(
+    engine: SocketAddr,
+    directory: &Directory<Mail>,
+    path: &str,
+) -> Option<T> {
     let request = http_client::request(Method::GET, engine, path);
     let request = request.body(Full::default()).ok()?;
     let response = http_client::call(engine, request, FETCH_TIMEOUT).await;
-    serde_json::from_slice(&response.ok()?.body).ok()
+    let response = response.ok()?;
+    report(directory, engine, response.status, &response.headers).await;
+    serde_json::from_slice(&response.body).ok()
 }
--- a/src/services/upstream_side/engine_stream.rs
+++ b/src/services/upstream_side/engine_stream.rs
@@ -156,7 +156,7 @@
         } else {
             PLAIN_HEAD_TIMEOUT
         };
-        match open_reported(&self.directory, self.target, request, limit).await {
+        match open_reported(&self.directory, self.target.address, request, limit).await {
             Ok(open) if is_model => self.handle_model_response(open).await,
             Ok(open) => self.copy_plain(open).await,
             Err(error) if error.is_unsent() => {
@@ -218,7 +218,14 @@
         let Ok(request) = request.body(Full::default()) else {
             return StreamStep::End(self.lost_end());
         };
-        match http_client::open(self.target.address, request, SILENCE_TIMEOUT).await {
+        match open_reported(
+            &self.directory,
+            self.target.address,
+            request,
+            SILENCE_TIMEOUT,
+        )
+        .await
+        {
             Ok(open) if self.is_same_epoch(&open.response) => self.copy_events(open).await,
             Ok(_) => StreamStep::End(self.lost_end()),
             Err(_) if self.recover_by.is_due(now) => StreamStep::End(self.lost_end()),
--- a/src/services/upstream_side/engine_task.rs
+++ b/src/services/upstream_side/engine_task.rs
@@ -8,11 +8,11 @@
 use hyper::Method;
 use tokio::task::{AbortHandle, Id, JoinSet};
 
+use super::engine_notice::{call_reported, open_reported};
 use super::engine_stream::{EngineStream, StreamOrigin, resume_path};
 use crate::decide::ids::{Repeatability, Ticket};
 use crate::decide::ledger::TicketKey;
 use crate::kernel::{Directory, Inbox, IoTask, Signal};
-use crate::platform::engine_calls::MAX_REPORT_BYTES;
 use crate::platform::http_client;
 use crate::services::common::mail::{EngineMail, LedgerMail, Mail};
 use crate::wire::rpc::AttachVerdict;
@@ -114,7 +114,9 @@
                     task.abort();
                 }
                 if self.target.kind == EngineKind::Model {
-                    tokio::spawn(cancel(self.target.address, ticket));
+                    let directory = self.directory.clone();
+                    let address = self.target.address;
+                    tokio::spawn(async move { cancel(&directory, address, ticket).await });
                 }
             }
             EngineMail::Attach(key, ticket, repeatability, reply_to) => {
@@ -122,7 +124,7 @@
                 let target = self.target;
                 let directory = self.directory.clone();
                 let task = self.tasks.spawn(async move {
-                    let verdict = look_up(target, ticket).await;
+                    let verdict = look_up(&directory, target, ticket).await;
                     let mail = LedgerMail::LookupResult(key, verdict, reply_to);
                     directory.send_waiting("ledger", Mail::Ledger(mail)).await;
                     if verdict == AttachVerdict::Attached {
@@ -178,16 +180,20 @@
 }
 
 /// Cancels a ticket at a model engine.
-async fn cancel(address: SocketAddr, ticket: Ticket) {
+async fn cancel(directory: &Directory<Mail>, address: SocketAddr, ticket: Ticket) {
     let path = format!("/requests/{ticket}");
     let request = http_client::request(Method::DELETE, address, &path).body(Full::default());
     let Ok(request) = request else { return };
     // If the cancellation is lost, the engine only finishes a response that nobody reads.
-    drop(http_client::call_bounded(address, request, CALL_TIMEOUT, MAX_REPORT_BYTES).await);
+    drop(call_reported(directory, address, request, CALL_TIMEOUT).await);
 }
 
 /// Looks up a ticket at the engine after a restart of the sidecar; plain services know none.
-async fn look_up(target: EngineTarget, ticket: Ticket) -> AttachVerdict {
+async fn look_up(
+    directory: &Directory<Mail>,
+    target: EngineTarget,
+    ticket: Ticket,
+) -> AttachVerdict {
     if target.kind == EngineKind::Plain {
         return AttachVerdict::NotFound;
     }
@@ -196,7 +202,7 @@
     let Ok(request) = request.body(Full::default()) else {
         return AttachVerdict::NotFound;
     };
-    match http_client::open(target.address, request, CALL_TIMEOUT).await {
+    match open_reported(directory, target.address, request, CALL_TIMEOUT).await {
         Ok(open) if open.response.status().is_success() => AttachVerdict::Attached,
         Ok(_) => AttachVerdict::NotFound,
         Err(_) => AttachVerdict::EngineDown,
--- a/src/services/upstream_side/ledger/engine_notice.rs
+++ b/src/services/upstream_side/ledger/engine_notice.rs
@@ -45,9 +45,14 @@
         }
     }
 
+    /// Returns the end of the time for which the upstream wants no requests, if it wants none.
+    pub(super) fn pause_end(&self, now: Moment) -> Option<Moment> {
+        self.notice.said.pause_end(now)
+    }
+
     /// Returns the time for which the upstream wants no requests.
     pub(super) fn pause_left(&self, now: Moment) -> Duration {
-        let end = self.notice.said.pause_end(now);
+        let end = self.pause_end(now);
         end.map_or(Duration::ZERO, |end| end.remaining(now))
     }
 
@@ -73,7 +78,7 @@
             return None;
         }
         // Without a pause, the next message about a request that has started decides.
-        Some(self.notice.said.pause_end(now).unwrap_or(Moment::NEVER))
+        Some(self.pause_end(now).unwrap_or(Moment::NEVER))
     }
 
     /// Forgets what an earlier run of the upstream has said. A plain service states no run, and counts
--- a/src/services/upstream_side/ledger/mod.rs
+++ b/src/services/upstream_side/ledger/mod.rs
@@ -49,10 +49,11 @@
         LedgerMail::Items(key, items) => state.on_items(turn, key, items),
         LedgerMail::ResponseEnded(key, end) => state.on_end(now, key, end),
         LedgerMail::HoldForOrder(closed_until, reply_to) => {
-            reply_to.send(state.order_report(closed_until));
+            reply_to.send(state.order_report(now, closed_until));
         }
         LedgerMail::Readiness(reply_to) => reply_to.send(state.unready_reason(now)),
         LedgerMail::EngineStatus(engine) => state.on_engine_state(engine),
+        LedgerMail::PauseEnd(reply_to) => reply_to.send(state.pause_end(now)),
         LedgerMail::EngineNotice(notice) => state.on_engine_notice(now, notice),
         LedgerMail::EngineSilent(polled_at, reply_to) => {
             reply_to.send(state.on_engine_silent(polled_at));
--- a/src/services/upstream_side/ledger/state.rs
+++ b/src/services/upstream_side/ledger/state.rs
@@ -276,12 +276,13 @@
     }
 
     /// Refuses new requests until `closed_until` and returns the number of unfinished ones.
-    pub fn order_report(&mut self, closed_until: Moment) -> OrderReport {
+    pub fn order_report(&mut self, now: Moment, closed_until: Moment) -> OrderReport {
         self.closed_until = closed_until;
         let running = self.jobs.values().filter(|job| job.started).count();
         OrderReport {
             engine: self.engine.clone(),
             unfinished: self.queue.waiting() + running,
+            wants_orders: !self.has_said_leaving() && self.pause_end(now).is_none(),
         }
     }
 
--- a/src/services/upstream_side/orders.rs
+++ b/src/services/upstream_side/orders.rs
@@ -8,6 +8,7 @@
 use hyper::{Method, StatusCode};
 use serde::Serialize;
 
+use super::engine_notice::call_reported;
 use super::lease_log::LeaseLog;
 use crate::decide::config::Configuration;
 use crate::decide::ids::{EngineEpoch, Incarnation, LogOffset};
@@ -15,7 +16,6 @@
 use crate::decide::orders::{EngineReport, OrderStep, OrderView, next_order};
 use crate::events::{LOAD_FAILED, WEIGHTS_LOADED, log_event};
 use crate::kernel::{Directory, IoTask, Moment};
-use crate::platform::engine_calls::MAX_REPORT_BYTES;
 use crate::platform::http_client;
 use crate::platform::log_client::LogClient;
 use crate::services::common::mail::{ConfigMail, EngineStatus, LedgerMail, Mail, OrderReport};
@@ -121,6 +121,7 @@
         let report: OrderReport = self.directory.ask("ledger", request).await?;
         let running = u32::try_from(report.unfinished).unwrap_or(u32::MAX);
         let report = match report.engine {
+            _ if !report.wants_orders => EngineReport::Closed,
             EngineStatus::Up { version, epoch } => {
                 self.epoch = epoch;
                 EngineReport::Serves { version, running }
@@ -200,7 +201,7 @@
             version,
             fence: fence.0,
         };
-        match send(self.settings.engine, &order, limit).await {
+        match send(&self.directory, self.settings.engine, &order, limit).await {
             Ok(()) => {
                 log_event(
                     &WEIGHTS_LOADED,
@@ -237,6 +238,7 @@
 
 /// Sends a load order and waits until the engine has carried it out.
 async fn send(
+    directory: &Directory<Mail>,
     engine: SocketAddr,
     order: &WireLoadOrder<'_>,
     limit: Duration,
@@ -247,7 +249,7 @@
         .header("content-type", "application/json")
         .body(Full::new(body.into()))
         .map_err(|error| error.to_string())?;
-    match http_client::call_bounded(engine, request, limit, MAX_REPORT_BYTES).await {
+    match call_reported(directory, engine, request, limit).await {
         Ok(response) if response.status == StatusCode::OK => Ok(()),
         Ok(response) => Err(format!(
             "the engine responded with status {}",
--- a/src/standin/engine_http.rs
+++ b/src/standin/engine_http.rs
@@ -22,6 +22,7 @@
     BufferedRequest, CallError, StandinDirectory, done_response, dump_response, error_response,
 };
 use super::mail::StandinMail;
+use super::notice;
 use super::prefix_cache::CacheChange;
 use crate::platform::http_client;
 use crate::platform::http_server::{
@@ -70,7 +71,27 @@
     if request.method == Method::GET && request.path == "/admin/dump" {
         return dump_response(directory).await;
     }
-    let call = match parse_call(directory, &request) {
+    if let Some(response) = notice::handle_admin(directory, &request).await {
+        return response;
+    }
+    if request.path.starts_with("/admin/") {
+        return answer(directory, settings, &request).await;
+    }
+    let Some(notice) = notice::arrive(directory).await else {
+        return close_connection_response();
+    };
+    match notice.rejection() {
+        Some(rejection) => rejection,
+        None => notice.mark(answer(directory, settings, &request).await),
+    }
+}
+
+async fn answer(
+    directory: &StandinDirectory,
+    settings: &EngineHttpSettings,
+    request: &BufferedRequest,
+) -> Response<ResponseBody> {
+    let call = match parse_call(directory, request) {
         Ok(call) => call,
         Err(error) => return error.into(),
     };
--- a/src/standin/mail.rs
+++ b/src/standin/mail.rs
@@ -4,6 +4,7 @@
 use super::group_calls::GroupMail;
 use super::kv_store::KvStoreMail;
 use super::log_service::LogMail;
+use super::notice::NoticeMail;
 use super::plain::PlainMail;
 use super::weight_service::WeightMail;
 
@@ -14,6 +15,8 @@
     Engine(EngineMail),
     /// To the service `plain`.
     Plain(PlainMail),
+    /// To the service `notice`.
+    Notice(NoticeMail),
     /// To the service `log`.
     Log(LogMail),
     /// To the service `groups`.
--- a/src/standin/mod.rs
+++ b/src/standin/mod.rs
@@ -18,6 +18,7 @@
 pub mod load_history;
 pub mod log_service;
 pub mod mail;
+pub mod notice;
 pub mod options;
 pub mod plain;
 pub mod plain_http;
--- a/src/standin/plain_http.rs
+++ b/src/standin/plain_http.rs
@@ -8,6 +8,7 @@
     BufferedRequest, StandinDirectory, done_response, dump_response, error_response,
 };
 use super::mail::StandinMail;
+use super::notice;
 use super::plain::{PlainMail, PlainOutcome};
 use crate::platform::http_server::{
     RequestHandler, ResponseBody, close_connection_response, json_response,
@@ -35,6 +36,9 @@
         Ok(request) => request,
         Err(error) => return Some(error.into()),
     };
+    if let Some(response) = notice::handle_admin(directory, &request).await {
+        return Some(response);
+    }
     let (method, path) = request.route();
     match (method, path.as_slice()) {
         ("GET", ["admin", "dump"]) => Some(dump_response(directory).await),
@@ -54,7 +58,14 @@
             let runs = directory.ask("plain", mail).await?;
             Some(json_response(StatusCode::OK, &json!({ "runs": runs })))
         }
-        _ => run(directory, name, &request).await,
+        _ => {
+            let notice = notice::arrive(directory).await?;
+            if let Some(rejection) = notice.rejection() {
+                return Some(rejection);
+            }
+            let response = run(directory, name, &request).await?;
+            Some(notice.mark(response))
+        }
     }
 }
 
--- a/src/standin/roles.rs
+++ b/src/standin/roles.rs
@@ -19,6 +19,7 @@
 use super::kv_store::kv_store_service;
 use super::log_service::log_service;
 use super::mail::StandinMail;
+use super::notice::notice_service;
 use super::options::{EngineOptions, PlainOptions, PlatformOptions, StandinOptions, StandinRole};
 use super::plain::plain_service;
 use super::plain_http::plain_handler;
@@ -70,6 +71,7 @@
     let listen = options.listen;
     let mut kernel = TokioKernel::new();
     kernel.add(engine_service(engine_settings(options)));
+    kernel.add(notice_service());
     let handler = |directory| engine_handler(directory, settings);
     run_role("engine", listen, kernel, handler).await
 }
@@ -103,6 +105,7 @@
 async fn run_plain(options: PlainOptions) -> io::Result<()> {
     let mut kernel = TokioKernel::new();
     kernel.add(plain_service(options.latency_ms));
+    kernel.add(notice_service());
     let handler = |directory| plain_handler(directory, options.name);
     run_role("plain", options.listen, kernel, handler).await
 }
--- a/tests/ledger_notices.rs
+++ b/tests/ledger_notices.rs
@@ -7,6 +7,7 @@
 use bulrushslip::decide::ids::EngineEpoch;
 use bulrushslip::decide::member_notice::UpstreamNotice;
 use bulrushslip::decide::outcome::{RefusalReason, StreamEnd};
+use bulrushslip::kernel::Moment;
 use bulrushslip::services::common::mail::{EngineStatus, LedgerMail};
 use bulrushslip::wire::rpc::{
     QuoteCall, ReadVerdict, StreamItem, SubmitCall, SubmitVerdict, WireRank, WireStreamEnd,
@@ -175,3 +176,21 @@
         assert!(matches!(end, Some(WireStreamEnd::NotRun(_))), "{end:?}");
     }
 }
+
+#[test]
+fn orders_wait_while_an_upstream_leaves_or_wants_no_requests() {
+    for (notice, is_final) in [(LEAVING, true), (PAUSE, false)] {
+        let mut sidecar = Sidecar::start();
+        let wants_orders = |sidecar: &mut Sidecar| {
+            let start = Moment::START;
+            let report = sidecar.ask(|reply_to| LedgerMail::HoldForOrder(start, reply_to));
+            report.wants_orders
+        };
+        assert!(wants_orders(&mut sidecar));
+        sidecar.post(LedgerMail::EngineNotice(notice));
+        assert!(!wants_orders(&mut sidecar));
+        let end = sidecar.kernel.now().after(Duration::from_secs(2));
+        sidecar.kernel.run_until(end);
+        assert_eq!(wants_orders(&mut sidecar), !is_final);
+    }
+}
