--- a/src/services/caller_side/mod.rs
+++ b/src/services/caller_side/mod.rs
@@ -8,6 +8,7 @@
 pub mod rejection;
 pub mod request_metrics;
 pub mod request_runner;
+pub mod retry_hint;
 pub mod tickets;
 pub mod upstream_choice;
 pub mod upstream_request;
--- a/src/services/caller_side/request_runner.rs
+++ b/src/services/caller_side/request_runner.rs
@@ -8,22 +8,22 @@
 use super::journal::{self, ReportStep, RequestReport};
 use super::key_claim::KeyClaim;
 use super::request_metrics;
+use super::retry_hint::RetryHint;
 use super::upstream_choice::{UpstreamChoice, UpstreamChooser};
-use super::upstream_request::UpstreamRequest;
+use super::upstream_request::{SubmitAttempt, UpstreamRequest};
 use crate::decide::admission::Admission;
 use crate::decide::call_patience::CallPatience;
 use crate::decide::claims::{ClaimTarget, ClaimVerdict};
 use crate::decide::config::Configuration;
 use crate::decide::ids::{Incarnation, Repeatability, Ticket};
-use crate::decide::outcome::{RefusalReason, RunStatus, StreamEnd};
+use crate::decide::outcome::{RefusalReason, RunStatus};
 use crate::decide::request_state::RequestState;
 use crate::decide::request_step::{RequestEvent, RequestPolicy, RequestStep, SidecarCall};
 use crate::decide::seen_crashes::SeenCrashes;
-use crate::decide::service_pause::ServicePause;
-use crate::kernel::{Directory, Moment, whole_us};
+use crate::kernel::{Directory, Moment};
 use crate::services::common::mail::{DialerMail, JournalMail, Mail, MintOutcome, TicketsMail};
 use crate::services::common::sidecar_calls::{CALL_TIMEOUT, SidecarCalls, SubmitOutcome};
-use crate::wire::rpc::{StreamItem, SubmitCall};
+use crate::wire::rpc::StreamItem;
 
 /// Time for which a request that may have run waits for an upstream to become available again.
 const UPSTREAM_RETURN_TIMEOUT: Duration = Duration::from_secs(3);
@@ -31,10 +31,6 @@
 /// Interval at which a waiting request checks whether an upstream is available again.
 const UPSTREAM_RETURN_INTERVAL: Duration = Duration::from_millis(100);
 
-/// Longest time by which the callers of refused requests return later than the first, in
-/// milliseconds.
-const MAX_RETRY_SPREAD_MS: u64 = 1_000;
-
 /// Output of a [`RequestRunner`].
 #[derive(Debug)]
 pub enum RunnerOutput {
@@ -67,8 +63,7 @@
     key_claim: Option<KeyClaim>,
     patience: CallPatience,
     crashes: SeenCrashes,
-    /// Pauses of the upstreams that have refused the request.
-    pause: ServicePause,
+    retry_hint: RetryHint,
 }
 
 impl RequestRunner {
@@ -110,7 +105,7 @@
             has_data: false,
             patience: CallPatience::default(),
             crashes: SeenCrashes::default(),
-            pause: ServicePause::default(),
+            retry_hint: RetryHint::default(),
         }
     }
 
@@ -167,29 +162,11 @@
         self.report.id
     }
 
-    /// Returns the time after which the first upstream that has refused the request wants requests
-    /// again, if all of them want none; spread by the request, so that callers do not return together.
+    /// Returns when the caller of a refused request is to return, if the upstreams have said so.
     #[must_use]
     pub fn retry_after(&self) -> Option<Duration> {
-        let end = self.pause.end()?;
-        let spread = Duration::from_millis(self.report.id % MAX_RETRY_SPREAD_MS);
-        Some(end.remaining(self.directory.now()) + spread)
-    }
-
-    /// Records whether an upstream refuses the request because it wants none for some time.
-    fn record_pause(&mut self, event: &RequestEvent, pause: Option<Duration>) {
-        let is_refusal = matches!(
-            event,
-            RequestEvent::Refused(..)
-                | RequestEvent::Items {
-                    end: Some(StreamEnd::NotRun(_)),
-                    ..
-                }
-        );
-        if is_refusal {
-            let now = self.directory.now();
-            self.pause.record(pause.map(|pause| now.after(pause)));
-        }
+        self.retry_hint
+            .retry_after(self.directory.now(), self.report.id)
     }
 
     /// Sets a request body that continues the interrupted response.
@@ -345,14 +322,16 @@
                 let outcome = self.submit(&calls, ticket, incarnation, limit).await;
                 self.crashes
                     .record_submission(ticket, &outcome.event, outcome.crash);
-                self.record_pause(&outcome.event, outcome.pause);
+                let now = self.directory.now();
+                self.retry_hint.record(now, &outcome.event, outcome.pause);
                 outcome.event
             }
             SidecarCall::Read(ticket, from_index) => {
                 let outcome = calls.read(ticket, incarnation, from_index, limit).await;
                 self.crashes
                     .record_read(ticket, &outcome.event, outcome.crash);
-                self.record_pause(&outcome.event, outcome.pause);
+                let now = self.directory.now();
+                self.retry_hint.record(now, &outcome.event, outcome.pause);
                 if from_index == self.state.next_index() && starts_at(&outcome.event, from_index) {
                     if let Some(end_index) = outcome.end_index() {
                         let mail = DialerMail::Acknowledge(address, ticket, incarnation, end_index);
@@ -381,31 +360,15 @@
         {
             return SubmitOutcome::without_reply(event);
         }
-        let submission = self.submission(ticket, incarnation);
-        calls.submit(submission, limit).await
-    }
-
-    fn submission(&self, ticket: Ticket, incarnation: Incarnation) -> SubmitCall {
-        let now = self.directory.now();
-        let budget = self.state.policy.start_by.remaining(now);
-        let request = &self.request;
-        SubmitCall {
-            ticket: ticket.into(),
-            incarnation: incarnation.0,
-            customer: self.admission.customer.clone(),
-            rank: self.admission.rank.into(),
-            idempotent: self.admission.repeatability == Repeatability::Idempotent,
-            version: self.admission.version.clone(),
-            fingerprint: request.fingerprint.0,
-            prefix_keys: self.chooser.keys.iter().map(|key| key.0).collect(),
-            start_budget_us: whole_us(budget),
+        let attempt = SubmitAttempt {
+            ticket,
+            incarnation,
+            start_budget: self.state.policy.start_by.remaining(self.directory.now()),
             wait_limit_us: self.wait_limit_us,
-            output_tokens: request.output_tokens,
-            method: request.method.clone(),
-            path: request.path.clone(),
-            headers: request.headers.clone(),
-            body: request.body.clone(),
-        }
+        };
+        let request = &self.request;
+        let call = request.submit_call(&self.admission, &self.chooser.keys, attempt);
+        calls.submit(call, limit).await
     }
 }
 
--- a/src/services/upstream_side/engine_stream.rs
+++ b/src/services/upstream_side/engine_stream.rs
@@ -3,19 +3,19 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use bytes::Bytes;
-use http_body_util::{BodyExt, Full};
+use http_body_util::BodyExt;
 use hyper::body::Incoming;
-use hyper::{HeaderMap, Method, Request, Response, StatusCode};
+use hyper::{HeaderMap, Response, StatusCode};
 use tokio::time::timeout;
 
 use super::engine_notice::open_reported;
+use super::engine_requests::{resume_request, submit_request};
 use super::engine_task::{EngineKind, EngineTarget, ResponseLimits};
 use crate::decide::ids::{Repeatability, Ticket};
 use crate::decide::ledger::TicketKey;
 use crate::decide::outcome::{RefusalReason, StreamEnd};
 use crate::kernel::{Directory, Moment};
-use crate::platform::http_client::{self, HttpError, OpenResponse};
+use crate::platform::http_client::OpenResponse;
 use crate::platform::request_headers::is_event_stream;
 use crate::services::common::mail::{LedgerMail, Mail};
 use crate::wire::event_scanner::{EventScanner, StreamPosition};
@@ -65,12 +65,6 @@
     End(StreamEnd),
 }
 
-/// Returns the engine's path for the stream of a ticket from event `from_event` on.
-#[must_use]
-pub fn resume_path(ticket: Ticket, from_event: u64) -> String {
-    format!("/requests/{ticket}/stream?from={from_event}")
-}
-
 /// Response stream of one ticket; reports items and the end to the service `ledger`.
 #[derive(Debug)]
 pub struct EngineStream {
@@ -147,7 +141,7 @@
 
     /// Sends the request and streams the response.
     async fn submit(&mut self, call: &SubmitCall) -> StreamStep {
-        let Ok(request) = self.submit_request(call) else {
+        let Ok(request) = submit_request(self.target, self.ticket, call) else {
             return StreamStep::End(StreamEnd::NotRun(RefusalReason::EngineDown));
         };
         let is_model = self.target.kind == EngineKind::Model;
@@ -168,29 +162,6 @@
         }
     }
 
-    fn submit_request(&self, call: &SubmitCall) -> Result<Request<Full<Bytes>>, HttpError> {
-        let method = Method::from_bytes(call.method.as_bytes()).unwrap_or(Method::POST);
-        let mut builder = http_client::request(method, self.target.address, &call.path);
-        for (name, value) in &call.headers {
-            builder = builder.header(name, value);
-        }
-        builder = builder.header("x-request-id", self.ticket.to_string());
-        if self.target.kind == EngineKind::Model {
-            let keys: Vec<String> = call
-                .prefix_keys
-                .iter()
-                .map(|key| format!("{key:016x}"))
-                .collect();
-            builder = builder
-                .header("x-priority", call.rank.0.to_string())
-                .header("x-weights-version", &call.version)
-                .header("x-prefix-keys", keys.join(","));
-        }
-        builder
-            .body(Full::new(Bytes::from(call.body.clone())))
-            .map_err(HttpError::Build)
-    }
-
     /// Maps the response status of a model engine to a refusal or streams the response.
     async fn handle_model_response(&mut self, open: OpenResponse) -> StreamStep {
         match open.response.status() {
@@ -213,9 +184,7 @@
             };
             self.recover_by = now.after(recovery);
         }
-        let path = resume_path(self.ticket, self.next_event);
-        let request = http_client::request(Method::GET, self.target.address, &path);
-        let Ok(request) = request.body(Full::default()) else {
+        let Ok(request) = resume_request(self.target, self.ticket, self.next_event) else {
             return StreamStep::End(self.lost_end());
         };
         match open_reported(
--- a/src/services/upstream_side/engine_task.rs
+++ b/src/services/upstream_side/engine_task.rs
@@ -4,16 +4,14 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use http_body_util::Full;
-use hyper::Method;
 use tokio::task::{AbortHandle, Id, JoinSet};
 
 use super::engine_notice::{call_reported, open_reported};
-use super::engine_stream::{EngineStream, StreamOrigin, resume_path};
+use super::engine_requests::{cancel_request, resume_request};
+use super::engine_stream::{EngineStream, StreamOrigin};
 use crate::decide::ids::{Repeatability, Ticket};
 use crate::decide::ledger::TicketKey;
 use crate::kernel::{Directory, Inbox, IoTask, Signal};
-use crate::platform::http_client;
 use crate::services::common::mail::{EngineMail, LedgerMail, Mail};
 use crate::wire::rpc::AttachVerdict;
 
@@ -115,8 +113,8 @@
                 }
                 if self.target.kind == EngineKind::Model {
                     let directory = self.directory.clone();
-                    let address = self.target.address;
-                    tokio::spawn(async move { cancel(&directory, address, ticket).await });
+                    let target = self.target;
+                    tokio::spawn(async move { cancel(&directory, target, ticket).await });
                 }
             }
             EngineMail::Attach(key, ticket, repeatability, reply_to) => {
@@ -180,12 +178,12 @@
 }
 
 /// Cancels a ticket at a model engine.
-async fn cancel(directory: &Directory<Mail>, address: SocketAddr, ticket: Ticket) {
-    let path = format!("/requests/{ticket}");
-    let request = http_client::request(Method::DELETE, address, &path).body(Full::default());
-    let Ok(request) = request else { return };
+async fn cancel(directory: &Directory<Mail>, target: EngineTarget, ticket: Ticket) {
+    let Ok(request) = cancel_request(target, ticket) else {
+        return;
+    };
     // If the cancellation is lost, the engine only finishes a response that nobody reads.
-    drop(call_reported(directory, address, request, CALL_TIMEOUT).await);
+    drop(call_reported(directory, target.address, request, CALL_TIMEOUT).await);
 }
 
 /// Looks up a ticket at the engine after a restart of the sidecar; plain services know none.
@@ -197,9 +195,7 @@
     if target.kind == EngineKind::Plain {
         return AttachVerdict::NotFound;
     }
-    let path = resume_path(ticket, 0);
-    let request = http_client::request(Method::GET, target.address, &path);
-    let Ok(request) = request.body(Full::default()) else {
+    let Ok(request) = resume_request(target, ticket, 0) else {
         return AttachVerdict::NotFound;
     };
     match open_reported(directory, target.address, request, CALL_TIMEOUT).await {
--- a/src/services/upstream_side/ledger/mod.rs
+++ b/src/services/upstream_side/ledger/mod.rs
@@ -5,6 +5,7 @@
 mod reads;
 mod running;
 mod state;
+mod submission;
 
 pub use state::{LedgerSettings, LedgerState};
 
--- a/src/services/upstream_side/ledger/state.rs
+++ b/src/services/upstream_side/ledger/state.rs
@@ -2,25 +2,21 @@
 
 use std::collections::{BTreeSet, HashMap};
 use std::sync::Arc;
-use std::time::Duration;
 
 use super::engine_notice::EngineNotice;
-use super::job::{EndDelivery, TicketJob, new_job};
+use super::job::{EndDelivery, TicketJob};
 use crate::decide::cache_index::{CacheList, CachePage, IndexStep};
 use crate::decide::config::{Configuration, Upstream, UpstreamKind};
-use crate::decide::ids::{Incarnation, Rank, Repeatability, Ticket};
-use crate::decide::ledger::{LedgerBounds, SubmitStep, TicketKey, TicketLedger, WithdrawStep};
-use crate::decide::outcome::{RefusalReason, StreamEnd};
-use crate::decide::queue::{CustomerShare, OfferOutcome, QueueDiscipline, QueuePolicy};
+use crate::decide::ids::{Incarnation, Rank, Ticket};
+use crate::decide::ledger::{LedgerBounds, TicketKey, TicketLedger, WithdrawStep};
+use crate::decide::outcome::RefusalReason;
+use crate::decide::queue::{CustomerShare, QueuePolicy};
 use crate::decide::suspect_guard::{SuspectGuard, SuspectUpdate};
-use crate::decide::suspects::{Fingerprint, SuspectPolicy};
+use crate::decide::suspects::SuspectPolicy;
 use crate::decide::upstream_queue::{UpstreamQueue, WorkRequest};
 use crate::kernel::{Moment, Turn, whole_ms, whole_us};
 use crate::services::common::mail::{EngineStatus, Mail, OrderReport};
-use crate::wire::rpc::{
-    QuoteCall, QuoteReply, ReplyHead, SubmitCall, SubmitReply, SubmitVerdict, WithdrawReply,
-    WithdrawVerdict,
-};
+use crate::wire::rpc::{QuoteCall, QuoteReply, ReplyHead, WithdrawReply, WithdrawVerdict};
 
 /// Settings of the service `ledger`.
 #[derive(Debug, Clone)]
@@ -168,73 +164,6 @@
         self.engine.clone()
     }
 
-    /// Queues a submission or refuses it.
-    pub fn submit(&mut self, now: Moment, call: SubmitCall) -> SubmitReply {
-        let verdict = match self.admit(now, call) {
-            Ok(()) => SubmitVerdict::Accepted,
-            Err(reason) => SubmitVerdict::NotRun {
-                reason: reason.into(),
-                retry_after_ms: 0,
-            },
-        };
-        SubmitReply {
-            head: self.reply_head(now),
-            verdict,
-        }
-    }
-
-    fn admit(&mut self, now: Moment, mut call: SubmitCall) -> Result<(), RefusalReason> {
-        if call.incarnation != self.settings.incarnation.0 {
-            return Err(RefusalReason::WrongIncarnation);
-        }
-        let ticket = Ticket::from(call.ticket);
-        let rank = Rank::try_from(call.rank).unwrap_or(Rank::Routine);
-        let start_by = now.after(Duration::from_micros(call.start_budget_us));
-        let repeatability = call.repeatability();
-        let key = match self.ledger.submit(now, ticket, repeatability, start_by) {
-            SubmitStep::Known(_) => return Ok(()),
-            SubmitStep::Refused(reason) => return Err(reason),
-            SubmitStep::Queued(key) => key,
-        };
-        if let Some(reason) = self.refusal_reason(now, &call.version) {
-            self.ledger.end(now, key, StreamEnd::NotRun(reason));
-            return Err(reason);
-        }
-        let Some(limit_us) = self.wait_limit_us(now, &call) else {
-            let reason = RefusalReason::Paused;
-            self.ledger.end(now, key, StreamEnd::NotRun(reason));
-            return Err(reason);
-        };
-        let fingerprint = Fingerprint(call.fingerprint);
-        let keys = call.keys();
-        if self.guard.is_poisonous(now, fingerprint, &keys) {
-            let reason = RefusalReason::Poisonous;
-            self.ledger.end(now, key, StreamEnd::NotRun(reason));
-            return Err(reason);
-        }
-        let request = WorkRequest {
-            customer: &call.customer,
-            share: self.customer_share(&call.customer),
-            rank,
-            keys: &keys,
-            output_tokens: call.output_tokens,
-        };
-        let outcome = self.queue.offer(now, ticket, &request, start_by, limit_us);
-        if let OfferOutcome::Refused(reason) = outcome {
-            self.ledger.end(now, key, StreamEnd::NotRun(reason));
-            return Err(reason);
-        }
-        if self.settings.queue.discipline == QueueDiscipline::Fifo {
-            // The FIFO baseline ignores ranks, so the engine gets the same one for all requests.
-            call.rank = Rank::Routine.into();
-        }
-        self.queued.insert(ticket, key);
-        let keep_all = repeatability == Repeatability::NonIdempotent;
-        self.jobs
-            .insert(key, new_job(ticket, Some(Arc::new(call)), keep_all));
-        Ok(())
-    }
-
     /// Withdraws a ticket: takes it from the queue, or cancels it if it runs and is idempotent.
     pub fn withdraw(
         &mut self,
@@ -317,7 +246,7 @@
     }
 
     /// Returns why a request for a version is refused at present, if it is.
-    fn refusal_reason(&self, now: Moment, version: &str) -> Option<RefusalReason> {
+    pub(super) fn refusal_reason(&self, now: Moment, version: &str) -> Option<RefusalReason> {
         let Some(upstream) = &self.upstream else {
             return Some(RefusalReason::NoConfiguration);
         };
@@ -336,7 +265,7 @@
         }
     }
 
-    fn customer_share(&self, customer: &str) -> CustomerShare {
+    pub(super) fn customer_share(&self, customer: &str) -> CustomerShare {
         let declared = self
             .configuration
             .as_ref()
--- a/src/services/upstream_side/mod.rs
+++ b/src/services/upstream_side/mod.rs
@@ -5,6 +5,7 @@
 pub mod claims;
 pub mod config_feed;
 pub mod engine_notice;
+pub mod engine_requests;
 pub mod engine_stream;
 pub mod engine_task;
 pub mod engine_watch;
