Let upstreams of the soak say that they leave, and test it without the store

Upstreams of the soak that leave say so in all their answers, and return as a new life, as a server that starts again does. The soak checks that no request that was sent to a gateway more than `drain-ms` after it had passed on such an answer reaches the upstream from it, unless its process was disturbed since; neither the store nor its links excuse it.

The test at a gateway sends for four seconds while the store is silent, longer than the time after which the instance is out of touch.

--- a/tests/soak_world/entry.rs
+++ b/tests/soak_world/entry.rs
@@ -26,7 +26,7 @@
     pub fence: u64,
     /// Requests that run on its weights.
     pub running: u64,
-    /// Number of its life, counted from 1; it grows with each crash.
+    /// Number of its life, counted from 1; it grows with each crash and each return.
     pub life: u64,
 }
 
@@ -45,8 +45,8 @@
         }
     }
 
-    /// Forgets what a crash destroys; the weights stay those of the life before.
-    pub const fn crash(&mut self) {
+    /// Begins the next life, with the weights of the one before.
+    pub const fn restart(&mut self) {
         self.is_busy = false;
         self.orders = 0;
         self.fence = 0;
@@ -96,10 +96,18 @@
         }
     }
 
-    /// Says from now on whether the upstream leaves.
-    pub async fn announce(&self, is_leaving: bool) {
-        self.state
-            .send_modify(|state| state.is_leaving = is_leaving);
+    /// Says from now on that the upstream leaves.
+    pub async fn leave(&self) {
+        self.state.send_modify(|state| state.is_leaving = true);
+        self.write().await;
+    }
+
+    /// Announces the next life of an upstream that has left.
+    pub async fn come_back(&self) {
+        self.state.send_modify(|state| {
+            state.is_leaving = false;
+            state.restart();
+        });
         self.write().await;
     }
 
--- a/tests/soak_world/ledger.rs
+++ b/tests/soak_world/ledger.rs
@@ -5,14 +5,14 @@
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
-use super::pauses::Arrival;
+use super::notices::Arrival;
 
 /// Time after a disturbance from which an instance is held to the limits again
 /// (`bounds.stable-window-ms` of the soak's settings).
 pub const SETTLING: Duration = Duration::from_secs(3);
 
 /// Time for which a leaving upstream may still get requests (`drain-ms`).
-const DRAIN_LIMIT: Duration = Duration::from_secs(2);
+pub(super) const DRAIN_LIMIT: Duration = Duration::from_secs(2);
 
 /// Time within which work for a caller that left ends, as the operators state it.
 const LEAVE_LIMIT: Duration = Duration::from_millis(500);
@@ -320,6 +320,7 @@
         self.check_overlaps();
         self.check_orders();
         self.check_pauses();
+        self.check_said_leaving();
     }
 
     /// At most one run, or as many as the route allows.
--- a/tests/soak_world/mod.rs
+++ b/tests/soak_world/mod.rs
@@ -7,7 +7,7 @@
 pub mod entry;
 pub mod gateway;
 pub mod ledger;
-pub mod pauses;
+pub mod notices;
 pub mod payload;
 #[path = "../common/process.rs"]
 #[expect(dead_code, reason = "other tests use the rest")]
@@ -391,7 +391,7 @@
 
     /// Announces that an upstream leaves; it returns under its name later.
     async fn leave(&mut self, upstream: usize, lasts: Duration) {
-        self.upstreams[upstream].upstream.entry.announce(true).await;
+        self.upstreams[upstream].upstream.entry.leave().await;
         let mut ledger = self.ledger.lock().expect("not poisoned");
         ledger.leaves.push(Leave {
             upstream,
@@ -431,7 +431,7 @@
                 Repair::Upstream(index) => self.upstreams[index].upstream.set(Mood::Sound),
                 Repair::Return(index) => {
                     self.ledger.lock().expect("not poisoned").note_return(index);
-                    self.upstreams[index].upstream.entry.announce(false).await;
+                    self.upstreams[index].upstream.entry.come_back().await;
                 }
                 Repair::Thaw(gateway) => self.gateways[gateway].process.thaw(),
                 Repair::Restart(gateway) => self.gateways[gateway].start_again(),
--- a/tests/soak_world/notices.rs
+++ b/tests/soak_world/notices.rs
@@ -1,8 +1,8 @@
-//! Upstreams that ask for no requests for some time, and what reaches them then.
+//! What upstreams say of themselves in their answers, and what reaches them then.
 
 use std::time::{Duration, Instant};
 
-use super::ledger::{Ledger, Scope};
+use super::ledger::{DRAIN_LIMIT, Got, Ledger, Scope};
 
 /// Time for which an upstream asks for no requests, in seconds.
 pub const PAUSE_S: u64 = 2;
@@ -24,6 +24,8 @@
     pub at: Instant,
     /// Whether it was rejected with the wish for a pause.
     pub is_rejected: bool,
+    /// Whether the answer says that the upstream leaves.
+    pub says_leaving: bool,
 }
 
 impl Ledger {
@@ -55,4 +57,48 @@
             self.breach_at("pause", &id, &format!("{count} requests in the pause"), at);
         }
     }
+
+    /// Checks that nothing reaches an upstream from a gateway that has passed on an answer by which it
+    /// leaves, until it returns; requests may be sent to the gateway for `DRAIN_LIMIT` more.
+    pub(super) fn check_said_leaving(&mut self) {
+        let mut broken = Vec::new();
+        for arrival in self.arrivals.iter().filter(|arrival| arrival.says_leaving) {
+            let Some((gateway, passed_on)) = self.passed_on(arrival) else {
+                continue;
+            };
+            let leaves = self.leaves.iter();
+            let mut returns = leaves
+                .filter(|leave| leave.upstream == arrival.upstream)
+                .filter_map(|leave| leave.returned);
+            let returned = returns.find(|returned| *returned > arrival.at);
+            let late = self.arrivals.iter().find(|later| {
+                later.upstream == arrival.upstream
+                    && returned.is_none_or(|returned| later.at < returned)
+                    && self.sent.get(&later.id).is_some_and(|sent| {
+                        sent.gateway == gateway && sent.at > passed_on + DRAIN_LIMIT
+                    })
+            });
+            let Some(late) = late else { continue };
+            let process = |scope| scope == Scope::Process(gateway);
+            if !self.is_disturbed(passed_on, late.at, process) {
+                broken.push((late.id.clone(), late.at, late.at - passed_on));
+            }
+        }
+        for (id, at, late) in broken {
+            self.breach_at("drain", &id, &format!("{late:?} after the answer"), at);
+        }
+    }
+
+    /// Returns the gateway that passed on the answer to an arrival, and when.
+    fn passed_on(&self, arrival: &Arrival) -> Option<(usize, Instant)> {
+        let sent = self.sent.get(&arrival.id)?;
+        let runs = self.runs.get(&arrival.id)?;
+        let is_only = runs.iter().all(|run| run.upstream == arrival.upstream);
+        match sent.got {
+            Some((Got::Success | Got::UpstreamFailure(_), at)) if is_only => {
+                Some((sent.gateway, at))
+            }
+            _ => None,
+        }
+    }
 }
--- a/tests/soak_world/upstream.rs
+++ b/tests/soak_world/upstream.rs
@@ -10,7 +10,7 @@
 use http_body_util::combinators::UnsyncBoxBody;
 use http_body_util::{BodyExt, Full, StreamBody};
 use hyper::body::{Frame, Incoming};
-use hyper::header::{HeaderMap, RETRY_AFTER};
+use hyper::header::{HeaderMap, HeaderValue, RETRY_AFTER};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper::{Request, Response, StatusCode};
@@ -21,7 +21,7 @@
 
 use super::entry::{EntryWriter, UpstreamState};
 use super::ledger::{Kind, Ledger, Run, SharedLedger};
-use super::pauses::{Arrival, PAUSE_S};
+use super::notices::{Arrival, PAUSE_S};
 use super::payload::{answer_text, request_body};
 use super::prompt::{TOKEN_USAGE, prompt_prefix};
 use super::weights::{self, MODEL, WeightsRun};
@@ -171,7 +171,7 @@
                     let mut here = here.clone();
                     let (closing, closed) = watch::channel(false);
                     here.closed = closed;
-                    async move { run_until_closed(run(here, request), closing).await }
+                    async move { run_until_closed(answer(here, request), closing).await }
                 });
                 let connection =
                     http1::Builder::new().serve_connection(TokioIo::new(stream), answer);
@@ -183,7 +183,7 @@
                 }
                 let is_crashed = *place.mood.borrow_and_update() == Mood::Crashed;
                 if is_crashed {
-                    place.entry.state.send_modify(UpstreamState::crash);
+                    place.entry.state.send_modify(UpstreamState::restart);
                     connections.abort_all();
                 } else if was_crashed {
                     let entry = Arc::clone(&place.entry);
@@ -255,9 +255,24 @@
     value.unwrap_or_default()
 }
 
+/// Answers a request; an upstream that leaves says so.
+async fn answer(
+    place: Place,
+    request: Request<Incoming>,
+) -> Result<Response<AnswerBody>, std::io::Error> {
+    let says_leaving = place.entry.state.borrow().is_leaving;
+    let mut response = run(place, request, says_leaving).await?;
+    if says_leaving {
+        let headers = response.headers_mut();
+        headers.insert("server-leaving", HeaderValue::from_static("1"));
+    }
+    Ok(response)
+}
+
 async fn run(
     place: Place,
     request: Request<Incoming>,
+    says_leaving: bool,
 ) -> Result<Response<AnswerBody>, std::io::Error> {
     let (head, body) = request.into_parts();
     // A request that did not arrive whole is not run.
@@ -283,6 +298,7 @@
         id: id.clone(),
         at: arrived,
         is_rejected: wants_pause,
+        says_leaving,
     };
     place.note_arrival(arrival);
     if is_rejected {
--- a/tests/upstream_notices.rs
+++ b/tests/upstream_notices.rs
@@ -153,6 +153,28 @@
     }
 }
 
+/// Guards against a leave that only counts once the store tells of it too.
+#[tokio::test]
+async fn an_upstream_whose_response_says_that_it_leaves_is_left_while_the_store_is_silent() {
+    let response = leaving("200 OK\r\nx-server-seal: seal", "ok");
+    let sound = ScriptedResponse::kept(SOUND);
+    let (world, mut upstreams, gateway) = start(vec![response, sound]).await;
+    let outage = request(Method::POST, world.store(), "/admin/outage?ms=60000");
+    let outage = outage.body(Full::new(Bytes::new())).expect("a request");
+    let begun = call(world.store(), outage, LIMIT).await;
+    assert_eq!(begun.expect("a response").status, StatusCode::OK);
+    reach_first(&gateway, &mut upstreams, "/once/").await;
+    let said = Instant::now();
+    let mut number = 0;
+    // Longer than the time after which the instance is out of touch.
+    while said.elapsed() < Duration::from_secs(4) {
+        number += 1;
+        let response = send(&gateway, number, "/once/").await;
+        assert_eq!(response.status, StatusCode::OK);
+    }
+    assert_eq!(upstreams[0].received(), [""; 0]);
+}
+
 #[tokio::test]
 async fn a_response_of_another_upstream_at_the_address_does_not_say_that_the_expected_one_leaves() {
     let other = leaving("421 Other\r\nx-not-executed: 1\r\nx-instance-id: i-9", "");
