Fold repeated events in the report on a request

The report on a request keeps 32 events. A request that lost its sidecar filled them with one failed call, repeated every 20 ms, so what came after it and decided the outcome was not recorded (26 and 30 further steps in two traces of a_stream_that_loses_an_engine_and_then_a_sidecar_returns_to_the_first_upstream). Equal events in a row are one step with a count now, in the log line, the dump and `ctl explain`.

Evidence: the_steps_of_a_request_are_listed_with_their_times, which adds 100 equal events; it holds the former form too.

--- a/src/ctl/explain.rs
+++ b/src/ctl/explain.rs
@@ -107,6 +107,9 @@
             text(&step["upstream"]),
             text(&step["event"])
         );
+        if let Some(repeats) = step["repeats"].as_u64().filter(|repeats| *repeats > 0) {
+            println!("             and {repeats} times more");
+        }
     }
     if let Some(dropped) = report["dropped_steps"]
         .as_u64()
--- a/src/services/caller_side/journal.rs
+++ b/src/services/caller_side/journal.rs
@@ -32,6 +32,15 @@
     pub ticket: Option<Ticket>,
     /// The event as debug text.
     pub event: String,
+    /// Number of equal events that followed it.
+    pub repeats: u32,
+}
+
+impl ReportStep {
+    fn repeats(&self, earlier: &Self) -> bool {
+        let same_target = self.upstream == earlier.upstream && self.ticket == earlier.ticket;
+        same_target && self.event == earlier.event
+    }
 }
 
 /// Report on the processing of one request.
@@ -57,8 +66,15 @@
 }
 
 impl RequestReport {
-    /// Adds an event, or only counts it if the report is full.
+    /// Adds an event, or only counts it if it repeats the one before or the report is full.
     pub fn add(&mut self, step: ReportStep) {
+        if let Some(last) = self.steps.last_mut()
+            && self.dropped_steps == 0
+            && step.repeats(last)
+        {
+            last.repeats += 1;
+            return;
+        }
         if self.steps.len() == MAX_STEPS {
             self.dropped_steps += 1;
             return;
@@ -104,7 +120,11 @@
         let after_ms = step.at.since(self.admitted_at).as_millis();
         let ticket = step.ticket.map(|ticket| ticket.to_string());
         let ticket = ticket.as_deref().unwrap_or("-");
-        format!("{after_ms} ms {} {ticket} {}", step.upstream, step.event)
+        let text = format!("{after_ms} ms {} {ticket} {}", step.upstream, step.event);
+        match step.repeats {
+            0 => text,
+            repeats => format!("{text} and {repeats} times more"),
+        }
     }
 
     fn step_json(&self, step: &ReportStep) -> Value {
@@ -113,6 +133,7 @@
             "upstream": step.upstream,
             "ticket": step.ticket.map(|ticket| ticket.to_string()),
             "event": step.event,
+            "repeats": step.repeats,
         })
     }
 }
--- a/src/services/caller_side/request_runner.rs
+++ b/src/services/caller_side/request_runner.rs
@@ -205,6 +205,7 @@
             upstream: upstream.map_or_else(String::new, |upstream| upstream.name.clone()),
             ticket: self.state.target().map(|(ticket, _)| ticket),
             event: format!("{event:?}"),
+            repeats: 0,
         });
     }
 
--- a/tests/events.rs
+++ b/tests/events.rs
@@ -43,25 +43,40 @@
         upstream: "engine-0".to_owned(),
         ticket,
         event: event.to_owned(),
+        repeats: 0,
     };
     let ticket = Ticket {
         entry: Incarnation(0xab),
         sequence: 7,
     };
-    let report = RequestReport {
+    let mut report = RequestReport {
         id: 1,
         customer: "agency".to_owned(),
         rank: "urgent",
         target: "service gates".to_owned(),
         admitted_at: Moment::from_micros(5_000),
-        steps: vec![step(6, None, "Chosen"), step(1_005, Some(ticket), "Lost")],
-        dropped_steps: 3,
+        steps: Vec::new(),
+        dropped_steps: 0,
         reported: None,
     };
-    assert_eq!(
-        report.steps_text(),
-        "1 ms engine-0 - Chosen; 1000 ms engine-0 00000000000000ab-7 Lost; 3 more"
+    report.add(step(6, None, "Chosen"));
+    // A call that is repeated every few milliseconds does not crowd out what follows it.
+    for at_ms in 1_005..1_105 {
+        report.add(step(at_ms, Some(ticket), "Lost"));
+    }
+    for _ in 0..33 {
+        report.add(step(1_105, None, "Chosen"));
+        report.add(step(1_105, Some(ticket), "Accepted"));
+    }
+    let text = report.steps_text();
+    assert!(
+        text.starts_with(
+            "1 ms engine-0 - Chosen; 1000 ms engine-0 00000000000000ab-7 Lost and 99 times more; \
+             1100 ms engine-0 - Chosen; 1100 ms engine-0 00000000000000ab-7 Accepted; "
+        ),
+        "{text}"
     );
+    assert!(text.ends_with("; 36 more"), "{text}");
 }
 
 #[test]
