Do not use up tries on a sidecar that accepts no connection

Cause, from the trace: once both upstreams had been tried, each round of quotes took the sidecar that refuses connections for as good as one whose quote is late, and chose it by its place in the hash order. Each such choice took a retry from the budget, or a submission, though nothing was sent; after two to six the request was given up, long before the three seconds for which it may wait. The class: a try is counted when it is chosen, not when something is sent, and "no answer" and "nobody there" are one outcome.

Candidates that accept no connection come last now, after those that are only late, and a request that may have run waits instead of submitting to one.

Ruled out: the tickets (a new one for each try), the patience with slow calls (no call was made).

--- a/src/services/caller_side/request_runner.rs
+++ b/src/services/caller_side/request_runner.rs
@@ -21,8 +21,9 @@
 use crate::decide::request_step::{RequestEvent, RequestPolicy, RequestStep, SidecarCall};
 use crate::decide::seen_crashes::SeenCrashes;
 use crate::kernel::{Directory, Moment};
+use crate::services::common::call_outcome::SubmitOutcome;
 use crate::services::common::mail::{DialerMail, JournalMail, Mail, MintOutcome, TicketsMail};
-use crate::services::common::sidecar_calls::{CALL_TIMEOUT, SidecarCalls, SubmitOutcome};
+use crate::services::common::sidecar_calls::{CALL_TIMEOUT, SidecarCalls};
 use crate::wire::rpc::StreamItem;
 
 /// Time for which a request that may have run waits for an upstream to become available again.
@@ -230,7 +231,9 @@
                 .next(&self.configuration, &self.admission, &excluded);
             let choice = next.await;
             let now = self.directory.now();
-            if choice.is_some() || !self.state.may_have_run() || deadline.is_due(now) {
+            // A submission to a sidecar that is down would use up tries while it restarts.
+            let is_worth_a_try = choice.is_some_and(|choice| !choice.is_unreachable);
+            if is_worth_a_try || !self.state.may_have_run() || deadline.is_due(now) {
                 return choice;
             }
             self.wait_until(now.after(UPSTREAM_RETURN_INTERVAL)).await;
--- a/src/services/caller_side/upstream_choice.rs
+++ b/src/services/caller_side/upstream_choice.rs
@@ -16,6 +16,7 @@
     CandidateQuote, PlacementPolicy, PlacementTarget, ScoringInput, SubmissionTarget,
 };
 use crate::kernel::Directory;
+use crate::services::common::call_outcome::QuoteOutcome;
 use crate::services::common::mail::Mail;
 use crate::services::common::sidecar_calls::SidecarCalls;
 use crate::wire::rpc::{QuoteCall, QuoteReply};
@@ -58,6 +59,16 @@
     pub incarnation: Incarnation,
     /// Expected wait in microseconds beyond which the sidecar refuses the submission.
     pub wait_limit_us: u64,
+    /// Whether the sidecar accepted no connection for a quote.
+    pub is_unreachable: bool,
+}
+
+/// Replies to the requests for quotes of one round.
+#[derive(Debug, Default)]
+struct QuoteRound {
+    quotes: Vec<(CandidateQuote, Incarnation)>,
+    /// Upstreams whose sidecars accept no connection.
+    unreachable: Vec<UpstreamKey>,
 }
 
 /// Chooses the upstreams for the submissions of one request.
@@ -108,17 +119,20 @@
             placement_pieces: u32::try_from(admission.placement_pieces).unwrap_or(u32::MAX),
             draw: self.random,
         };
-        let candidates = self.policy.candidates(&request, &targets);
-        let replies = self
+        let mut candidates = self.policy.candidates(&request, &targets);
+        let round = self
             .collect_quotes(configuration, admission, &candidates)
             .await;
-        let quotes: Vec<CandidateQuote> = replies.iter().map(|(quote, _)| *quote).collect();
+        let quotes: Vec<CandidateQuote> = round.quotes.iter().map(|(quote, _)| *quote).collect();
+        // A sidecar that is only slow to reply may still run the request.
+        candidates.sort_by_key(|upstream| round.unreachable.contains(upstream));
         let submission_targets =
             self.policy
                 .submission_targets(admission.rank, &candidates, &quotes);
         let choice = |target: &SubmissionTarget| {
             let upstream = configuration.upstreams.get(target.upstream)?;
-            let reply = replies
+            let reply = round
+                .quotes
                 .iter()
                 .find(|(quote, _)| quote.upstream == target.upstream);
             Some(UpstreamChoice {
@@ -126,6 +140,7 @@
                 address: upstream.sidecar,
                 incarnation: reply.map_or(Incarnation(0), |(_, incarnation)| *incarnation),
                 wait_limit_us: target.wait_limit_us,
+                is_unreachable: round.unreachable.contains(&target.upstream),
             })
         };
         self.choices = submission_targets.iter().filter_map(choice).collect();
@@ -166,13 +181,13 @@
         }
     }
 
-    /// Requests quotes from all candidates in parallel and returns those that arrive in time.
+    /// Requests quotes from all candidates in parallel and returns what arrives in time.
     async fn collect_quotes(
         &self,
         configuration: &Configuration,
         admission: &Admission,
         candidates: &[UpstreamKey],
-    ) -> Vec<(CandidateQuote, Incarnation)> {
+    ) -> QuoteRound {
         let call = QuoteCall {
             prefix_keys: self.keys.iter().map(|key| key.0).collect(),
             rank: admission.rank.into(),
@@ -187,18 +202,23 @@
                     address: configuration.upstreams.get(*key)?.sidecar,
                 };
                 let reply = calls.start_quote(call.clone());
-                Some(async move { Some((*key, reply.await.ok()??)) })
+                Some(async move { (*key, reply.await.unwrap_or(QuoteOutcome::Silent)) })
             })
             .collect();
-        let mut replies = Vec::new();
+        let mut round = QuoteRound::default();
         let mut deadline = Instant::now() + FIRST_QUOTE_TIMEOUT;
-        while let Ok(Some(quote)) = timeout_at(deadline, pending.next()).await {
-            if let Some((key, reply)) = quote {
-                replies.push((candidate_quote(key, &reply), reply.head.incarnation()));
-                deadline = deadline.min(Instant::now() + QUOTE_GRACE);
+        while let Ok(Some((key, outcome))) = timeout_at(deadline, pending.next()).await {
+            match outcome {
+                QuoteOutcome::Quote(reply) => {
+                    let quote = candidate_quote(key, &reply);
+                    round.quotes.push((quote, reply.head.incarnation()));
+                    deadline = deadline.min(Instant::now() + QUOTE_GRACE);
+                }
+                QuoteOutcome::Unreachable => round.unreachable.push(key),
+                QuoteOutcome::Silent => {}
             }
         }
-        replies
+        round
     }
 }
 
--- a/src/services/common/mod.rs
+++ b/src/services/common/mod.rs
@@ -1,6 +1,7 @@
 //! Components of both entries and sidecars: messages, operator port, metrics, registration and
 //! connections to sidecars.
 
+pub mod call_outcome;
 pub mod dialer;
 pub mod mail;
 pub mod metrics;
--- a/src/services/common/sidecar_calls.rs
+++ b/src/services/common/sidecar_calls.rs
@@ -15,15 +15,14 @@
 use crate::decide::propagation::PeerOffset;
 use crate::decide::request_step::RequestEvent;
 use crate::decide::suspect_guard::SuspectUpdate;
-use crate::decide::suspects::CrashId;
 use crate::kernel::{Directory, whole_us};
+use crate::services::common::call_outcome::{QuoteOutcome, SubmitOutcome, TicketRead};
 use crate::services::common::mail::{ConfigMail, DialOutcome, DialerMail, Mail};
 use crate::wire::claim_rpc::ClaimCall;
 use crate::wire::config_page::{ConfigPage, ConfigSinceCall};
 use crate::wire::rpc::{
-    AttachReply, AttachVerdict, QuoteCall, QuoteReply, ReadCall, ReadReply, ReadVerdict, ReplyHead,
-    SidecarRpcClient, StreamItem, SubmitCall, SubmitReply, SubmitVerdict, WithdrawReply,
-    WithdrawVerdict,
+    AttachReply, AttachVerdict, QuoteCall, ReadCall, ReadReply, ReadVerdict, ReplyHead,
+    SidecarRpcClient, SubmitCall, SubmitReply, SubmitVerdict, WithdrawReply, WithdrawVerdict,
 };
 use crate::wire::suspect_rpc::WireSuspectUpdate;
 
@@ -44,57 +43,6 @@
 /// Timeout of an attachment, the lookup at the engine included.
 const ATTACH_TIMEOUT: Duration = Duration::from_millis(2_500);
 
-/// Result of reading items of a ticket's response.
-#[derive(Debug)]
-pub struct TicketRead {
-    /// Event for the state machine of the request.
-    pub event: RequestEvent,
-    /// Items that the event counts.
-    pub items: Vec<StreamItem>,
-    /// Crash that the loss of the stated engine would be, or was if the event tells of a loss.
-    pub crash: Option<CrashId>,
-    /// Time for which the upstream wants no requests.
-    pub pause: Option<Duration>,
-}
-
-/// Result of a submission.
-#[derive(Debug)]
-pub struct SubmitOutcome {
-    /// Event for the state machine of the request.
-    pub event: RequestEvent,
-    /// Crash that the loss of the stated engine would be.
-    pub crash: Option<CrashId>,
-    /// Time for which the upstream wants no requests.
-    pub pause: Option<Duration>,
-}
-
-impl SubmitOutcome {
-    /// Creates the outcome of a call without a reply.
-    #[must_use]
-    pub const fn without_reply(event: RequestEvent) -> Self {
-        Self {
-            event,
-            crash: None,
-            pause: None,
-        }
-    }
-}
-
-impl TicketRead {
-    /// Returns the index of the end of the response, if the read has returned it.
-    #[must_use]
-    pub const fn end_index(&self) -> Option<u64> {
-        match self.event {
-            RequestEvent::Items {
-                from_index,
-                count,
-                end: Some(_),
-            } => Some(from_index + count),
-            _ => None,
-        }
-    }
-}
-
 /// Client for calls to one sidecar.
 #[derive(Debug, Clone)]
 pub struct SidecarCalls {
@@ -111,18 +59,21 @@
 }
 
 impl SidecarCalls {
-    /// Requests a quote on a separate task; the result is `None` when the sidecar does not reply.
+    /// Requests a quote on a separate task.
     ///
     /// The task continues when the caller no longer waits for it, because a late reply shows that
     /// the connection works, and a timeout shows that it is broken.
     #[must_use]
-    pub fn start_quote(&self, call: QuoteCall) -> JoinHandle<Option<QuoteReply>> {
+    pub fn start_quote(&self, call: QuoteCall) -> JoinHandle<QuoteOutcome> {
         let calls = self.clone();
         tokio::spawn(async move {
-            let connection = calls.connect().await?;
+            let Some(connection) = calls.connect().await else {
+                return QuoteOutcome::Unreachable;
+            };
             let reply = connection.client.quote(deadline(QUOTE_TIMEOUT), call);
             let reply = await_reply(QUOTE_TIMEOUT, reply).await;
-            calls.handle_reply(&connection, reply, |reply| reply.head)
+            let reply = calls.handle_reply(&connection, reply, |reply| reply.head);
+            reply.map_or(QuoteOutcome::Silent, QuoteOutcome::Quote)
         })
     }
 
--- a/tests/process_restarts.rs
+++ b/tests/process_restarts.rs
@@ -3,12 +3,20 @@
 mod common;
 
 use std::collections::BTreeMap;
+use std::time::Duration;
 
 use common::{ChatCall, Fleet, FleetOptions};
 
 /// Tokens of a response that is still streaming after a restart, at 1 ms each.
 const LONG_RESPONSE: u64 = 1_500;
 
+/// Time for which a sidecar does not respond; an entry gives up the lost one after a second, and waits
+/// up to three more for another.
+const SLOW_TIME: Duration = Duration::from_millis(2_200);
+
+/// Time after which an entry has given up a sidecar that does not respond, too.
+const SILENT_TIME: Duration = Duration::from_millis(4_200);
+
 /// Runs a request whose sidecar is killed during the stream and restarted on the same address.
 async fn run_across_restart(call: &ChatCall) {
     let mut fleet = Fleet::start().await;
@@ -59,6 +67,44 @@
     assert_eq!(fleet.engine_count(1 - busy, "finished").await, 1);
 }
 
+/// Guards against the same once the slow sidecar has been given up too.
+#[tokio::test]
+async fn a_stream_waits_for_a_sidecar_that_responds_again_while_the_other_one_is_down() {
+    let mut fleet = Fleet::start().await;
+    let call = ChatCall::repeatable("Review gate 8.", LONG_RESPONSE);
+    let mut stream = call.open(fleet.entry(0)).await;
+    stream.begin().await;
+    let busy = fleet.busy_engine().await;
+    fleet.sidecars[1 - busy].freeze();
+    fleet.sidecars[busy].kill();
+    tokio::time::sleep(SILENT_TIME).await;
+    fleet.sidecars[1 - busy].thaw();
+    call.assert_whole(&stream.finish().await);
+}
+
+/// Guards against submissions that are used up on a sidecar that refuses connections.
+#[tokio::test]
+async fn a_stream_goes_on_at_a_sidecar_that_is_slow_while_the_other_one_is_down() {
+    let mut fleet = Fleet::start().await;
+    let call = ChatCall::repeatable("Review gate 7.", LONG_RESPONSE);
+    let home = call.open(fleet.entry(0)).await;
+    let first = fleet.busy_engine().await;
+    home.finish().await;
+    let second = 1 - first;
+    fleet.sidecars[first].freeze();
+    let mut stream = call.open(fleet.entry(0)).await;
+    stream.begin().await;
+    fleet.sidecars[first].thaw();
+    fleet.engine_fault(second, "crash").await;
+    assert_eq!(fleet.busy_engine().await, first);
+    fleet.until_engines_up().await;
+    fleet.sidecars[second].freeze();
+    fleet.sidecars[first].kill();
+    tokio::time::sleep(SLOW_TIME).await;
+    fleet.sidecars[second].thaw();
+    call.assert_whole(&stream.finish().await);
+}
+
 #[tokio::test]
 async fn many_streams_resume_after_two_restarts_of_both_sidecars() {
     let options = FleetOptions {
