Do not hold the pauses of slow readers against gateways in the soak

Trace of r2124-34, a stream of a slow reader of the burst: sent at 0 s, begun at its upstream after 3.53 s, ended there after 3.79 s, at its caller after 4.79 s, complete. That caller reads twelve events with a pause of 0.1 s after each, which is the last second; the gateway had delivered what it got. Five of the five late ones have numbers of the burst's slow readers.

The check now takes the caller's own pauses off the time of its answer, and nothing else; an answer that is late without them is as late as before, also at slow readers. That is held by only_the_time_for_which_a_caller_reads_counts_against_an_answer.

--- a/tests/soak.rs
+++ b/tests/soak.rs
@@ -10,7 +10,7 @@
 use std::time::{Duration, Instant};
 
 use soak_world::SoakPlan;
-use soak_world::ledger::{Kind, Leave, Ledger, Run, Sent};
+use soak_world::ledger::{Got, Kind, Leave, Ledger, Run, Sent};
 
 /// Seeds of the run in CI.
 const CI_SEEDS: [u64; 2] = [18, 22];
@@ -112,6 +112,7 @@
         gateway: 0,
         at: told,
         got: None,
+        read_pauses: Duration::ZERO,
     };
     ledger.sent.insert("a".to_owned(), sent);
     let run = Run {
@@ -141,3 +142,30 @@
     assert_eq!(broken.len(), 1, "{broken:?}");
     assert!(broken[0].starts_with("drain: a: "), "{broken:?}");
 }
+
+/// Checks four requests whose answers have come after a time, at callers that paused for some of it.
+fn check_answered(after: Duration, read_pauses: Duration) -> Vec<String> {
+    let at = Instant::now();
+    let mut ledger = Ledger::default();
+    for id in ["a", "b", "c", "d"] {
+        let sent = Sent {
+            kind: Kind::Stream,
+            gateway: 0,
+            at,
+            got: Some((Got::Success, at + after)),
+            read_pauses,
+        };
+        ledger.sent.insert(id.to_owned(), sent);
+    }
+    ledger.check(Duration::from_secs(3));
+    ledger.broken
+}
+
+#[test]
+fn only_the_time_for_which_a_caller_reads_counts_against_an_answer() {
+    let late = Duration::from_millis(4_600);
+    assert_eq!(check_answered(late, Duration::ZERO).len(), 1);
+    assert_eq!(check_answered(late, Duration::from_millis(200)).len(), 0);
+    let later = Duration::from_millis(4_800);
+    assert_eq!(check_answered(later, Duration::from_millis(200)).len(), 1);
+}
--- a/tests/soak_world/caller.rs
+++ b/tests/soak_world/caller.rs
@@ -1,6 +1,7 @@
 //! Callers of the soak: they keep their connections, check every answer, and some leave early.
 
 use std::net::SocketAddr;
+use std::sync::atomic::{AtomicU32, Ordering};
 use std::time::{Duration, Instant};
 
 use bulrushslip::platform::http_connection::{OpenConnection, dial};
@@ -71,6 +72,8 @@
     pub ledger: SharedLedger,
     /// The gateway and connection that it uses.
     pub connection: Option<(usize, OpenConnection)>,
+    /// Pauses in which it has not read the present answer.
+    pub read_pauses: AtomicU32,
 }
 
 impl Caller {
@@ -155,6 +158,7 @@
             gateway,
             at,
             got: None,
+            read_pauses: Duration::ZERO,
         };
         self.ledger
             .lock()
@@ -188,6 +192,7 @@
         let mut ledger = self.ledger.lock().expect("not poisoned");
         let sent = ledger.sent.get_mut(id).expect("noted above");
         sent.got = Some((got.clone(), Instant::now()));
+        sent.read_pauses = READ_PAUSE * self.read_pauses.swap(0, Ordering::Relaxed);
         Some(got)
     }
 
@@ -200,6 +205,7 @@
         while let Some(frame) = body.frame().await {
             if self.kind == CallerKind::SlowReader {
                 tokio::time::sleep(READ_PAUSE).await;
+                self.read_pauses.fetch_add(1, Ordering::Relaxed);
             }
             match frame {
                 Ok(frame) => read.extend(frame.into_data().unwrap_or_else(|_| Bytes::new())),
--- a/tests/soak_world/mod.rs
+++ b/tests/soak_world/mod.rs
@@ -20,6 +20,7 @@
 pub mod weights_checks;
 
 use std::sync::Arc;
+use std::sync::atomic::AtomicU32;
 use std::time::{Duration, Instant};
 
 use bulrushslip::platform::http_client::{call, request};
@@ -223,6 +224,7 @@
             dice: Dice::new(self.plan.seed, 1 + number),
             ledger: Arc::clone(&self.ledger),
             connection: None,
+            read_pauses: AtomicU32::new(0),
         }
     }
 
@@ -543,6 +545,7 @@
 
     fn note_probe(&self, id: &str, gateway: usize) {
         let sent = ledger::Sent {
+            read_pauses: Duration::ZERO,
             kind: Kind::Safe,
             gateway,
             at: Instant::now(),
