Do not require a set-up of the slow-sidecar test that load can change

The test waits until that sidecar is ready and then freezes and kills whichever has the stream, so what it asks of the stream is the same.

--- a/tests/process_restarts.rs
+++ b/tests/process_restarts.rs
@@ -10,6 +10,9 @@
 /// Tokens of a response that is still streaming after a restart, at 1 ms each.
 const LONG_RESPONSE: u64 = 1_500;
 
+/// Time within which a sidecar that goes on must be ready.
+const READY_LIMIT: Duration = Duration::from_secs(10);
+
 /// Time for which a sidecar does not respond; an entry gives up the lost one after a second, and waits
 /// up to three more for another.
 const SLOW_TIME: Duration = Duration::from_millis(2_200);
@@ -95,13 +98,14 @@
     let mut stream = call.open(fleet.entry(0)).await;
     stream.begin().await;
     fleet.sidecars[first].thaw();
+    fleet.until_ready(first, READY_LIMIT).await;
     fleet.engine_fault(second, "crash").await;
-    assert_eq!(fleet.busy_engine().await, first);
+    let busy = fleet.busy_engine().await;
     fleet.until_engines_up().await;
-    fleet.sidecars[second].freeze();
-    fleet.sidecars[first].kill();
+    fleet.sidecars[1 - busy].freeze();
+    fleet.sidecars[busy].kill();
     tokio::time::sleep(SLOW_TIME).await;
-    fleet.sidecars[second].thaw();
+    fleet.sidecars[1 - busy].thaw();
     call.assert_whole(&stream.finish().await);
 }
 
