Show that one wrong Keep-Alive header of a server ends a gateway

Seen: one server of four spoils the Keep-Alive header of one answer in 20. Each of these answers ends the gateway process that receives it, and all its requests at sound servers get no answer (LOST).

At fault: src/gateway/upstream_call.rs, `reusable_until`, multiplies a duration of any number of seconds before it bounds it, which panics; src/process.rs ends the process on a panic.

--- a/review/stand/main.rs
+++ b/review/stand/main.rs
@@ -2,6 +2,7 @@
 //! clients, as the users' pages describe them. Standard library only.
 
 mod http;
+mod keepalive;
 mod lapse;
 mod rig;
 mod store;
@@ -11,6 +12,7 @@
     let case = arguments.get(1).map(String::as_str).unwrap_or_default();
     let folder = arguments.get(2).map(String::as_str).unwrap_or_default();
     let code = match case {
+        "keep-alive" => keepalive::run(folder),
         "lapse" => lapse::run(folder),
         _ => {
             eprintln!("usage: stand CASE FOLDER");
