Show that one wrong weights header keeps a server from new weights

Seen: three of ten model servers each spoil the X-Weight-Versions header of one answer, before a new version is named. They never get an order for it and still have the older one after 1.5 x version-ms and stable-window-ms (VERSION).

At fault: src/gateway/dispatch/records.rs, `record_weights`, believes any higher number and hands it on by gossip; src/decide/fleet.rs, `Fleet::apply`, keeps it against all later entries.

--- a/review/stand/main.rs
+++ b/review/stand/main.rs
@@ -6,6 +6,7 @@
 mod lapse;
 mod rig;
 mod store;
+mod weights;
 
 fn main() {
     let arguments: Vec<String> = std::env::args().collect();
@@ -14,6 +15,7 @@
     let code = match case {
         "keep-alive" => keepalive::run(folder),
         "lapse" => lapse::run(folder),
+        "weights" => weights::run(folder),
         _ => {
             eprintln!("usage: stand CASE FOLDER");
             2
