--- a/review/stand/http.rs
+++ b/review/stand/http.rs
@@ -16,7 +16,9 @@
 impl Message {
     pub fn header(&self, name: &str) -> Option<&str> {
         let mut headers = self.headers.iter();
-        headers.find(|(known, _)| known == name).map(|(_, value)| value.as_str())
+        headers
+            .find(|(known, _)| known == name)
+            .map(|(_, value)| value.as_str())
     }
 
     pub fn status(&self) -> u16 {
@@ -29,7 +31,9 @@
         let target = self.line.split(' ').nth(1)?;
         let (_, query) = target.split_once('?')?;
         let mut fields = query.split('&').filter_map(|field| field.split_once('='));
-        fields.find(|(known, _)| *known == name).map(|(_, value)| value)
+        fields
+            .find(|(known, _)| *known == name)
+            .map(|(_, value)| value)
     }
 
     pub fn path(&self) -> &str {
@@ -55,14 +59,17 @@
             break;
         }
         if let Some((name, value)) = line.split_once(':') {
-            message.headers.push((name.to_ascii_lowercase(), value.trim().to_owned()));
+            message
+                .headers
+                .push((name.to_ascii_lowercase(), value.trim().to_owned()));
         }
     }
     if message.header("transfer-encoding").is_some() {
         loop {
             let mut size = String::new();
             reader.read_line(&mut size)?;
-            let size = usize::from_str_radix(size.trim(), 16).map_err(|_| io::ErrorKind::InvalidData)?;
+            let size =
+                usize::from_str_radix(size.trim(), 16).map_err(|_| io::ErrorKind::InvalidData)?;
             let mut chunk = vec![0; size + 2];
             reader.read_exact(&mut chunk)?;
             if size == 0 {
--- a/review/stand/keepalive.rs
+++ b/review/stand/keepalive.rs
@@ -9,7 +9,9 @@
 use std::time::{Duration, Instant};
 
 use crate::http;
-use crate::rig::{Balancer, Dice, Gateway, Ports, Record, ZONES, await_ready, machine_ip, plain_configuration};
+use crate::rig::{
+    await_ready, machine_ip, plain_configuration, Balancer, Dice, Gateway, Ports, Record, ZONES,
+};
 use crate::store::Store;
 
 /// Front machines and servers of the sheet of arpc-clonio.
@@ -137,11 +139,16 @@
     let count = AtomicUsize::new(0);
     http::serve(listener, move |request, stream| {
         let request_id = request.header("x-request-id").unwrap_or_default();
-        if request.header("x-expect-instance").is_some_and(|expected| expected != id) {
+        if request
+            .header("x-expect-instance")
+            .is_some_and(|expected| expected != id)
+        {
             let headers = [("x-instance-id", id.as_str()), ("x-request-id", request_id)];
             return http::respond(stream, "421 Misdirected Request", &headers, b"").is_ok();
         }
-        runs.lock().expect("the lock").insert(request_id.to_owned(), index);
+        runs.lock()
+            .expect("the lock")
+            .insert(request_id.to_owned(), index);
         record.line(&format!("run {request_id} at {id}"));
         std::thread::sleep(Duration::from_millis(30));
         let number = count.fetch_add(1, Ordering::Relaxed);
@@ -150,7 +157,9 @@
             && number % SPOILED_ONE_IN == SPOILED_ONE_IN - 1;
         if is_spoiled {
             spoiled.fetch_add(1, Ordering::Relaxed);
-            record.line(&format!("the answer to {request_id} says Keep-Alive: {SPOILED}"));
+            record.line(&format!(
+                "the answer to {request_id} says Keep-Alive: {SPOILED}"
+            ));
         }
         let headers = [
             ("x-instance-id", id.as_str()),
@@ -223,13 +232,20 @@
                 match http::read(&mut reader) {
                     Ok(Some(answer)) => {
                         self.answered.fetch_add(1, Ordering::Relaxed);
-                        self.record.line(&format!("sent {id} to gateway {gateway}: {}", answer.status()));
-                        if answer.header("connection").is_some_and(|value| value == "close") {
+                        self.record.line(&format!(
+                            "sent {id} to gateway {gateway}: {}",
+                            answer.status()
+                        ));
+                        if answer
+                            .header("connection")
+                            .is_some_and(|value| value == "close")
+                        {
                             break;
                         }
                     }
                     _ => {
-                        self.record.line(&format!("sent {id} to gateway {gateway}: no answer"));
+                        self.record
+                            .line(&format!("sent {id} to gateway {gateway}: no answer"));
                         let at = self.runs.lock().expect("the lock").get(&id).copied();
                         if is_kept && at.is_some_and(|server| server != 0) {
                             self.lost.lock().expect("the lock")[gateway] += 1;
--- a/review/stand/lapse.rs
+++ b/review/stand/lapse.rs
@@ -8,8 +8,8 @@
 
 use crate::http;
 use crate::rig::{
-    Balancer, Dice, Gateway, Ports, Record, ZONES, await_ready, machine_ip, plain_configuration,
-    plain_server,
+    await_ready, machine_ip, plain_configuration, plain_server, Balancer, Dice, Gateway, Ports,
+    Record, ZONES,
 };
 use crate::store::Store;
 
@@ -114,7 +114,9 @@
     let has_crashed = gateways.iter_mut().any(|gateway| gateway.ended().is_some());
     drop(gateways);
     let sent = sent.lock().expect("the lock");
-    let before = share(record, "before the final fault", &sent, |at| at >= began && at < fault);
+    let before = share(record, "before the final fault", &sent, |at| {
+        at >= began && at < fault
+    });
     let after = share(record, "judged", &sent, |at| at >= judged_from);
     if has_crashed || before < 0.25 {
         record.say("the case could not run");
@@ -131,7 +133,10 @@
 /// Returns the share of requests that were served at any of their attempts.
 fn share(record: &Record, name: &str, sent: &[Sent], counts: impl Fn(Instant) -> bool) -> f64 {
     let chosen: Vec<&Sent> = sent.iter().filter(|request| counts(request.at)).collect();
-    let served = chosen.iter().filter(|request| request.statuses.contains(&200)).count();
+    let served = chosen
+        .iter()
+        .filter(|request| request.statuses.contains(&200))
+        .count();
     let attempts: usize = chosen.iter().map(|request| request.statuses.len()).sum();
     let refused = chosen.iter().flat_map(|request| &request.statuses);
     let refused = refused.filter(|status| **status == 503).count();
@@ -174,7 +179,10 @@
                 continue;
             }
             if std::mem::take(&mut was_down) {
-                let returned = last_return.lock().expect("the lock").unwrap_or_else(Instant::now);
+                let returned = last_return
+                    .lock()
+                    .expect("the lock")
+                    .unwrap_or_else(Instant::now);
                 due = returned + RETURN_LAG + RETURN_STEP * place;
             }
             if Instant::now() < due {
@@ -215,15 +223,25 @@
             while !is_over.load(Ordering::Relaxed) {
                 number += 1;
                 let is_idempotent = dice.roll(3) == 0;
-                let mut request = Sent { at: Instant::now(), statuses: Vec::new() };
+                let mut request = Sent {
+                    at: Instant::now(),
+                    statuses: Vec::new(),
+                };
                 let mut used = usize::MAX;
                 for attempt in 0..2 {
                     let targets = balancer.targets();
-                    let others: Vec<usize> =
-                        targets.iter().copied().filter(|index| *index != used).collect();
+                    let others: Vec<usize> = targets
+                        .iter()
+                        .copied()
+                        .filter(|index| *index != used)
+                        .collect();
                     used = others[dice.roll(others.len())];
                     let id = format!("{client:04x}{number:08x}{attempt:04x}");
-                    let line = if is_idempotent { "GET /status/unit" } else { "POST /commit/unit" };
+                    let line = if is_idempotent {
+                        "GET /status/unit"
+                    } else {
+                        "POST /commit/unit"
+                    };
                     let head = format!(
                         "{line} HTTP/1.1\r\nHost: unit.example\r\nX-Request-Id: {id}\r\n\
                          X-Deadline-Ms: 1000\r\n"
@@ -235,7 +253,11 @@
                     let is_sealed = answer.as_ref().is_ok_and(|answer| {
                         answer.header("x-server-seal").is_some() && answer.body == b"done"
                     });
-                    let status = if status == 200 && !is_sealed { 599 } else { status };
+                    let status = if status == 200 && !is_sealed {
+                        599
+                    } else {
+                        status
+                    };
                     record.line(&format!("sent {id} to gateway {used}: {status}"));
                     request.statuses.push(status);
                     let may_retry = status == 503 || (is_idempotent && status != 200);
@@ -243,7 +265,9 @@
                         break;
                     }
                     let wait = answer.ok().and_then(|answer| {
-                        answer.header("retry-after").and_then(|text| text.parse::<f64>().ok())
+                        answer
+                            .header("retry-after")
+                            .and_then(|text| text.parse::<f64>().ok())
                     });
                     std::thread::sleep(Duration::from_secs_f64(wait.unwrap_or(0.0).min(0.3)));
                 }
--- a/review/stand/rig.rs
+++ b/review/stand/rig.rs
@@ -50,7 +50,9 @@
 impl Record {
     pub fn create(folder: &str) -> std::io::Result<Self> {
         Ok(Self {
-            file: Arc::new(Mutex::new(File::create(Path::new(folder).join("record.txt"))?)),
+            file: Arc::new(Mutex::new(File::create(
+                Path::new(folder).join("record.txt"),
+            )?)),
             started: Instant::now(),
         })
     }
@@ -81,8 +83,14 @@
         let ip = machine_ip(index);
         let zone = ZONES[index % ZONES.len()];
         let name = format!("front-{zone}-{}", index / ZONES.len() + 1);
-        let seeds: Vec<String> = seeds.iter().map(|ip| format!("{ip}:{}", ports.control)).collect();
-        let zones: Vec<String> = ZONES.iter().map(|zone| format!("zones.{zone}=cymru\n")).collect();
+        let seeds: Vec<String> = seeds
+            .iter()
+            .map(|ip| format!("{ip}:{}", ports.control))
+            .collect();
+        let zones: Vec<String> = ZONES
+            .iter()
+            .map(|zone| format!("zones.{zone}=cymru\n"))
+            .collect();
         let text = format!(
             "node-name={name}\nrole=gateway\nmachine-class=front\nserves=front,control\nip={ip}\n\
              zone={zone}\nregion=cymru\n{}listen.front={ip}:{}\nlisten.ready={ip}:{}\n\
@@ -101,7 +109,10 @@
         );
         let settings = folder.join(format!("{name}.conf"));
         std::fs::write(&settings, text).expect("the settings file");
-        Self { settings, child: None }
+        Self {
+            settings,
+            child: None,
+        }
     }
 
     /// Starts the process with the command of the deploy file.
@@ -148,14 +159,20 @@
     let run = std::process::id();
     let byte = |number: u32| u8::try_from(number).expect("a small number");
     let host = u8::try_from(10 + index).expect("few machines");
-    IpAddr::V4(Ipv4Addr::new(127, byte(64 + run % 64), byte(1 + run / 64 % 250), host))
+    IpAddr::V4(Ipv4Addr::new(
+        127,
+        byte(64 + run % 64),
+        byte(1 + run / 64 % 250),
+        host,
+    ))
 }
 
 /// Asks a gateway whether it is ready.
 pub fn is_ready(ip: IpAddr, ports: Ports) -> bool {
     let address = SocketAddr::new(ip, ports.ready);
     let head = "GET /readyz HTTP/1.1\r\nHost: ready\r\n";
-    http::call(address, head, &[], Duration::from_secs(1)).is_ok_and(|answer| answer.status() == 200)
+    http::call(address, head, &[], Duration::from_secs(1))
+        .is_ok_and(|answer| answer.status() == 200)
 }
 
 /// Balancer: asks each gateway once a second; two misses take it out until the next 200.
@@ -165,8 +182,10 @@
 
 impl Balancer {
     pub fn start(ips: &[IpAddr], ports: Ports) -> Self {
-        let in_rotation: Vec<Arc<AtomicBool>> =
-            ips.iter().map(|_| Arc::new(AtomicBool::new(false))).collect();
+        let in_rotation: Vec<Arc<AtomicBool>> = ips
+            .iter()
+            .map(|_| Arc::new(AtomicBool::new(false)))
+            .collect();
         for (ip, flag) in ips.iter().copied().zip(in_rotation.iter().cloned()) {
             std::thread::spawn(move || {
                 let mut misses = 2;
@@ -214,7 +233,10 @@
     let (id, record) = (id.to_owned(), record.clone());
     http::serve(listener, move |request, stream| {
         let request_id = request.header("x-request-id").unwrap_or_default();
-        if request.header("x-expect-instance").is_some_and(|expected| expected != id) {
+        if request
+            .header("x-expect-instance")
+            .is_some_and(|expected| expected != id)
+        {
             let headers = [("x-instance-id", id.as_str()), ("x-request-id", request_id)];
             return http::respond(stream, "421 Misdirected Request", &headers, b"").is_ok();
         }
--- a/review/stand/store.rs
+++ b/review/stand/store.rs
@@ -27,7 +27,9 @@
             state: Arc::default(),
         };
         let served = store.clone();
-        http::serve(listener, move |request, stream| served.handle(request, stream));
+        http::serve(listener, move |request, stream| {
+            served.handle(request, stream)
+        });
         store
     }
 
@@ -38,7 +40,11 @@
         record.extend_from_slice(value.unwrap_or_default().as_bytes());
         let (state, changed) = &*self.state;
         let mut state = state.lock().expect("the lock");
-        state.topics.entry(topic.to_owned()).or_default().push(record);
+        state
+            .topics
+            .entry(topic.to_owned())
+            .or_default()
+            .push(record);
         changed.notify_all();
     }
 
@@ -60,7 +66,11 @@
             return swallow(stream);
         }
         let topic = request.query("topic").unwrap_or_default().to_owned();
-        let number = |name: &str| request.query(name).and_then(|text| text.parse::<u64>().ok());
+        let number = |name: &str| {
+            request
+                .query(name)
+                .and_then(|text| text.parse::<u64>().ok())
+        };
         match request.path() {
             "/log-append" => {
                 let records = state.topics.entry(topic).or_default();
@@ -100,7 +110,9 @@
                 let mut body = (records.len() as u64).to_be_bytes().to_vec();
                 body.extend_from_slice(&0_u64.to_be_bytes());
                 for record in records.iter().skip(from) {
-                    body.extend_from_slice(&u32::try_from(record.len()).expect("short").to_be_bytes());
+                    body.extend_from_slice(
+                        &u32::try_from(record.len()).expect("short").to_be_bytes(),
+                    );
                     body.extend_from_slice(record);
                 }
                 drop(state);
@@ -155,11 +167,17 @@
     const DIGITS: &[u8; 64] = b"ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789+/";
     let mut text = String::new();
     for group in bytes.chunks(3) {
-        let word = group.iter().fold(0_u32, |word, byte| word << 8 | u32::from(*byte));
+        let word = group
+            .iter()
+            .fold(0_u32, |word, byte| word << 8 | u32::from(*byte));
         let word = word << (8 * (3 - group.len()));
         for place in 0..4 {
             let digit = DIGITS[(word >> (18 - 6 * place) & 63) as usize];
-            text.push(if place <= group.len() { char::from(digit) } else { '=' });
+            text.push(if place <= group.len() {
+                char::from(digit)
+            } else {
+                '='
+            });
         }
     }
     text
--- a/review/stand/weights.rs
+++ b/review/stand/weights.rs
@@ -7,7 +7,7 @@
 use std::time::{Duration, Instant};
 
 use crate::http;
-use crate::rig::{Balancer, Dice, Gateway, Ports, Record, ZONES, await_ready, machine_ip};
+use crate::rig::{await_ready, machine_ip, Balancer, Dice, Gateway, Ports, Record, ZONES};
 use crate::store::Store;
 
 /// Front machines of the sheet of arpc-clonio.
@@ -49,7 +49,10 @@
 
     fn models(&mut self) -> String {
         self.update();
-        format!("[{{\"name\":\"m0\",\"version\":{},\"adapters\":[]}}]", self.version)
+        format!(
+            "[{{\"name\":\"m0\",\"version\":{},\"adapters\":[]}}]",
+            self.version
+        )
     }
 }
 
@@ -76,7 +79,11 @@
     };
     let store = Store::start(listener);
     store.put("keyed.op", "config", Some(&configuration()));
-    store.put("keyed.op", "version/m0", Some("{\"model\":\"m0\",\"version\":1}"));
+    store.put(
+        "keyed.op",
+        "version/m0",
+        Some("{\"model\":\"m0\",\"version\":1}"),
+    );
     let is_spoiling = Arc::new(AtomicBool::new(false));
     let spoiled = Arc::new(AtomicUsize::new(0));
     let engines: Vec<SharedEngine> = (0..SERVERS)
@@ -110,7 +117,11 @@
     is_spoiling.store(false, Ordering::Relaxed);
     record.say("servers spoil no more answers");
     std::thread::sleep(Duration::from_secs(4));
-    store.put("keyed.op", "version/m0", Some("{\"model\":\"m0\",\"version\":2}"));
+    store.put(
+        "keyed.op",
+        "version/m0",
+        Some("{\"model\":\"m0\",\"version\":2}"),
+    );
     record.say("version 2 is named and acknowledged");
     std::thread::sleep(VERSION_TIME);
     is_over.store(true, Ordering::Relaxed);
@@ -187,7 +198,9 @@
         engine.update();
         let version = engine.version.to_string();
         let expected = request.header("x-expect-version");
-        let is_other = request.header("x-expect-instance").is_some_and(|known| known != own_id);
+        let is_other = request
+            .header("x-expect-instance")
+            .is_some_and(|known| known != own_id);
         if is_other || expected.is_some_and(|expected| expected != version) {
             drop(engine);
             let headers = [
@@ -195,7 +208,11 @@
                 ("x-request-id", request_id),
                 ("x-weight-versions", version.as_str()),
             ];
-            let headers = if is_other { &headers[..2] } else { &headers[..] };
+            let headers = if is_other {
+                &headers[..2]
+            } else {
+                &headers[..]
+            };
             return http::respond(stream, "421 Misdirected Request", headers, b"").is_ok();
         }
         match request.path() {
@@ -224,14 +241,18 @@
                     && is_spoiling.load(Ordering::Relaxed)
                     && engine.answers % SPOILED_ONE_IN == 0;
                 drop(engine);
-                record.line(&format!("run {request_id} at {own_id} with version {version}"));
+                record.line(&format!(
+                    "run {request_id} at {own_id} with version {version}"
+                ));
                 std::thread::sleep(Duration::from_millis(20));
                 let mut stated = version.clone();
                 if is_spoiled {
                     spoiled.fetch_add(1, Ordering::Relaxed);
                     // One wrong byte.
                     stated = "9".to_owned();
-                    record.line(&format!("the answer to {request_id} says X-Weight-Versions: {stated}"));
+                    record.line(&format!(
+                        "the answer to {request_id} says X-Weight-Versions: {stated}"
+                    ));
                 }
                 let headers = [
                     ("content-type", "text/event-stream"),
@@ -306,7 +327,12 @@
         );
         let address = SocketAddr::new(machine_ip(gateway), ports.front);
         let body = format!("question {id}");
-        let answer = http::call(address, &head, body.as_bytes(), Duration::from_millis(5_500));
+        let answer = http::call(
+            address,
+            &head,
+            body.as_bytes(),
+            Duration::from_millis(5_500),
+        );
         let status = answer.as_ref().map_or(0, |answer| answer.status());
         record.line(&format!("sent {id} to gateway {gateway}: {status}"));
         answers.lock().expect("the lock")[usize::from(status != 200)] += 1;
