Encode the key after which the store continues a listing

What callers saw: while an entry of another writer stood in a list of upstreams of more than one page, under a name with a character such as &, +, #, % or a blank, gateways that had started since then did not become ready; nearly all requests failed.

Cause: the name that ends a page went into the query of the next call as it was. The store then continued after another name, or the URL was invalid, so that the same page came again or none, and the whole listing failed. Each retry failed the same way. The same listing finds entries and sidecars (keyed.instances, keyed.leaving).

Evidence: a store in the tests lists one key a page and reads its queries as form data. The stand-in store always lists all keys on one page, so no test had asked for a second one by a name like these.

Why this fix works: all characters but the unreserved ones of RFC 3986 are percent-encoded, which form data and plain queries decode alike. An empty key continues a listing too and is no longer taken for its start.

--- a/src/platform/store_client.rs
+++ b/src/platform/store_client.rs
@@ -8,6 +8,7 @@
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::{Method, Request, StatusCode};
+use percent_encoding::{AsciiSet, NON_ALPHANUMERIC, utf8_percent_encode};
 use quick_error::quick_error;
 use serde::Deserialize;
 use tokio::time::timeout;
@@ -42,6 +43,13 @@
 /// Timeout for reading all pages of the newest records of a topic.
 const NEWEST_TIMEOUT: Duration = Duration::from_secs(30);
 
+/// Characters that are encoded in a query: all but the unreserved ones (RFC 3986, section 2.3).
+const QUERY_ENCODED: &AsciiSet = &NON_ALPHANUMERIC
+    .remove(b'-')
+    .remove(b'.')
+    .remove(b'_')
+    .remove(b'~');
+
 quick_error! {
     /// Error of a call to the store.
     #[derive(Debug)]
@@ -208,14 +216,15 @@
     async fn newest_pages(&mut self, topic: &str) -> Result<NewestRecords, StoreError> {
         let mut records = Vec::new();
         let mut end = None;
-        let mut after = String::new();
+        let mut after: Option<String> = None;
         let mut bytes = 0;
         loop {
-            let path = if after.is_empty() {
-                format!("/log-newest?topic={topic}&part=0")
-            } else {
-                format!("/log-newest?topic={topic}&part=0&after={after}")
-            };
+            let mut path = format!("/log-newest?topic={topic}&part=0");
+            if let Some(key) = &after {
+                // Writers may choose any text as a key.
+                path.push_str("&after=");
+                path.extend(utf8_percent_encode(key, QUERY_ENCODED));
+            }
             let call = self.call(Method::GET, &path, Bytes::new(), Duration::ZERO);
             let (status, body) = call.await?;
             if status != StatusCode::OK {
@@ -232,8 +241,10 @@
                 Some(_) if !is_last && bytes > MAX_NEWEST_BYTES => {
                     return Err(StoreError::TooManyPages);
                 }
-                Some(key) if !is_last && key == after => return Err(StoreError::TooManyPages),
-                Some(key) if !is_last => after = key,
+                Some(key) if !is_last && after.as_ref() == Some(&key) => {
+                    return Err(StoreError::TooManyPages);
+                }
+                Some(key) if !is_last => after = Some(key),
                 _ => break,
             }
         }
--- a/tests/gateway_world/mod.rs
+++ b/tests/gateway_world/mod.rs
@@ -272,26 +272,37 @@
     }
 }
 
-/// Stand-in store, with methods to write records and to start gateways.
+/// Store, with methods to write records and to start gateways.
 #[derive(Debug)]
 pub struct TestEnvironment {
-    /// Process of the store.
-    pub platform: ChildProcess,
+    store: SocketAddr,
+    /// Process of the stand-in store, if it is one.
+    _platform: Option<ChildProcess>,
 }
 
 impl TestEnvironment {
-    /// Starts the store.
+    /// Starts the stand-in store.
     pub fn start() -> Self {
         let arguments = ["platform", "--listen", "127.0.0.1:0"];
         let binary = env!("CARGO_BIN_EXE_bulrushslip-standin");
+        let platform = ChildProcess::start(binary, &arguments, &["platform"]);
         Self {
-            platform: ChildProcess::start(binary, &arguments, &["platform"]),
+            store: platform.port("platform"),
+            _platform: Some(platform),
+        }
+    }
+
+    /// Uses a store that the test has started.
+    pub const fn over(store: SocketAddr) -> Self {
+        Self {
+            store,
+            _platform: None,
         }
     }
 
     /// Returns the address of the store.
-    pub fn store(&self) -> SocketAddr {
-        self.platform.port("platform")
+    pub const fn store(&self) -> SocketAddr {
+        self.store
     }
 
     /// Writes a record to a topic of the store.
