Skip the items of a listing that cannot be decoded

What callers saw, or would see: while a listing of the store held one item of another shape, gateways that started did not become ready.

Cause: a page was decoded as a whole, so one item without a text as its key, a base64 text as its value or a whole number as its offset, or with text that is no valid Unicode, failed the listing, again at each retry.

Why this fix works: each item is decoded by itself; one that cannot be is skipped, counted and logged (listing_incomplete), and the listing goes on after its key if it names one. A page that promises more but has no items is no longer taken for the last one, after which missing keys counted as removed. A key after which the listing was continued before ends it as the repeated key did.

--- a/src/events/state_events.rs
+++ b/src/events/state_events.rs
@@ -117,6 +117,14 @@
     "The store's list of upstreams differs from what this instance knew; the store's holds now.",
 );
 
+/// Logged when a listing of the store has items that cannot be decoded.
+pub const LISTING_INCOMPLETE: EventKind = event(
+    219,
+    Level::Warn,
+    "listing_incomplete",
+    "A listing of the store has items that cannot be decoded (`skipped`); the others hold.",
+);
+
 /// Logged when exchanges with another instance begin to fail.
 pub const PEER_LOST: EventKind = event(
     212,
--- a/src/gateway/store_watch.rs
+++ b/src/gateway/store_watch.rs
@@ -9,6 +9,7 @@
 use super::dispatch;
 use super::mail::{DispatchMail, GatewayMail, ReadNeed, TopicRecords};
 use crate::decide::ids::LogOffset;
+use crate::events::{LISTING_INCOMPLETE, log_event};
 use crate::kernel::{Directory, Inbox, IoTask, Moment, Signal};
 use crate::platform::store_client::{
     OPERATOR_TOPIC, RESPONSE_TIMEOUT, StoreClient, StoreError, StoreRead, UPSTREAM_TOPIC,
@@ -180,6 +181,16 @@
             self.client.set_patience(RESPONSE_TIMEOUT);
             let newest = self.client.newest(self.parameters.store_topic).await?;
             self.next = Some(newest.end);
+            if newest.skipped > 0 {
+                log_event(
+                    &LISTING_INCOMPLETE,
+                    &[
+                        ("topic", &self.parameters.store_topic),
+                        ("listed", &newest.records.len()),
+                        ("skipped", &newest.skipped),
+                    ],
+                );
+            }
             return Ok(Some(DispatchMail::Snapshot(TopicRecords {
                 topic,
                 records: newest.records,
--- a/src/platform/mod.rs
+++ b/src/platform/mod.rs
@@ -19,5 +19,6 @@
 pub mod settings_file;
 pub mod store_client;
 pub mod store_records;
+pub mod topic_listing;
 pub mod upstream_entry;
 pub mod upstream_notice;
--- a/src/platform/store_client.rs
+++ b/src/platform/store_client.rs
@@ -3,8 +3,6 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use base64::Engine;
-use base64::engine::general_purpose::STANDARD;
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::{Method, Request, StatusCode};
@@ -15,6 +13,7 @@
 
 use super::http_connection::{ConnectionError, HttpConnection};
 use super::store_records::{StorePage, frame};
+use super::topic_listing::{ListingStep, TopicListing};
 use crate::decide::ids::LogOffset;
 use crate::decide::keyed_view::KeyedRecord;
 
@@ -37,9 +36,6 @@
 /// a page of newest records 1 MB, which base64 lengthens by a third.
 const MAX_RESPONSE_BYTES: usize = 8 * 1024 * 1024;
 
-/// Largest size of all pages of the newest records of a topic, in bytes.
-const MAX_NEWEST_BYTES: usize = 16 * 1024 * 1024;
-
 /// Timeout for reading all pages of the newest records of a topic.
 const NEWEST_TIMEOUT: Duration = Duration::from_secs(30);
 
@@ -67,7 +63,7 @@
         Unreadable {
             display("the store's response cannot be decoded")
         }
-        /// The pages of a topic do not end, or are too long.
+        /// The pages of a topic do not end, are too long, or cannot be continued.
         TooManyPages {
             display("the store's pages do not end")
         }
@@ -103,20 +99,8 @@
     /// Offset from which to read later changes; it is that of the first page, so that changes
     /// during the paging are not missed.
     pub end: LogOffset,
-}
-
-#[derive(Deserialize)]
-struct WireItem {
-    key: String,
-    value: String,
-    offset: u64,
-}
-
-#[derive(Deserialize)]
-struct WireNewest {
-    items: Vec<WireItem>,
-    more: bool,
-    end: u64,
+    /// Number of items that cannot be decoded.
+    pub skipped: usize,
 }
 
 #[derive(Deserialize)]
@@ -214,43 +198,29 @@
     }
 
     async fn newest_pages(&mut self, topic: &str) -> Result<NewestRecords, StoreError> {
-        let mut records = Vec::new();
-        let mut end = None;
-        let mut after: Option<String> = None;
-        let mut bytes = 0;
+        let mut listing = TopicListing::default();
+        let mut path = format!("/log-newest?topic={topic}&part=0");
         loop {
-            let mut path = format!("/log-newest?topic={topic}&part=0");
-            if let Some(key) = &after {
-                // Writers may choose any text as a key.
-                path.push_str("&after=");
-                path.extend(utf8_percent_encode(key, QUERY_ENCODED));
-            }
             let call = self.call(Method::GET, &path, Bytes::new(), Duration::ZERO);
             let (status, body) = call.await?;
             if status != StatusCode::OK {
                 return Err(StoreError::Refused(status));
             }
-            bytes += body.len();
-            let page: WireNewest =
-                serde_json::from_slice(&body).map_err(|_unreadable| StoreError::Unreadable)?;
-            end.get_or_insert(LogOffset(page.end));
-            let is_last = !page.more;
-            let last_key = page.items.last().map(|item| item.key.clone());
-            records.extend(page.items.into_iter().map(KeyedRecord::from));
-            match last_key {
-                Some(_) if !is_last && bytes > MAX_NEWEST_BYTES => {
-                    return Err(StoreError::TooManyPages);
-                }
-                Some(key) if !is_last && after.as_ref() == Some(&key) => {
-                    return Err(StoreError::TooManyPages);
+            let step = listing.add_page(&body);
+            match step.map_err(|_unreadable| StoreError::Unreadable)? {
+                ListingStep::Continue(key) => {
+                    // Writers may choose any text as a key.
+                    let after = utf8_percent_encode(&key, QUERY_ENCODED);
+                    path = format!("/log-newest?topic={topic}&part=0&after={after}");
                 }
-                Some(key) if !is_last => after = Some(key),
-                _ => break,
+                ListingStep::Complete => break,
+                ListingStep::Cut => return Err(StoreError::TooManyPages),
             }
         }
         Ok(NewestRecords {
-            records,
-            end: end.unwrap_or_default(),
+            records: listing.records,
+            end: listing.end,
+            skipped: listing.skipped,
         })
     }
 
@@ -296,14 +266,3 @@
         }
     }
 }
-
-impl From<WireItem> for KeyedRecord {
-    fn from(item: WireItem) -> Self {
-        Self {
-            key: item.key,
-            // A value that is not valid base64 is treated as deleted.
-            value: STANDARD.decode(item.value).ok().map(Bytes::from),
-            offset: LogOffset(item.offset),
-        }
-    }
-}
--- a/tests/paged_store/mod.rs
+++ b/tests/paged_store/mod.rs
@@ -159,7 +159,8 @@
 }
 
 impl StoredTopics {
-    /// Returns a page of the newest record of each key, in the order of the keys as they are listed.
+    /// Returns a page of the newest record of each key, in the order of the keys; a key that is not
+    /// UTF-8 is listed as text.
     fn newest(&self, topic: &str, after: Option<&String>, page_keys: usize) -> Bytes {
         let records = self.records.get(topic).map_or(&[][..], Vec::as_slice);
         let mut newest = BTreeMap::new();
@@ -171,24 +172,18 @@
                 newest.insert(key, (offset, value));
             }
         }
-        let mut listed: Vec<(String, Bytes)> = newest
+        let listed: Vec<Bytes> = newest
             .into_iter()
+            .filter(|(key, _)| after.is_none_or(|after| *key > after.as_bytes()))
             .map(|(key, (offset, value))| {
-                let name = String::from_utf8_lossy(key).into_owned();
+                let name = String::from_utf8_lossy(key);
                 let item = json!({"key": name, "value": STANDARD.encode(value), "offset": offset});
                 let shown = self.shown.get(&(topic.to_owned(), key.to_owned()));
-                let item = shown.cloned().unwrap_or_else(|| item.to_string().into());
-                (name, item)
+                shown.cloned().unwrap_or_else(|| item.to_string().into())
             })
-            .filter(|(name, _)| after.is_none_or(|after| name > after))
             .collect();
-        listed.sort();
         let more = listed.len() > page_keys;
-        let items: Vec<&[u8]> = listed
-            .iter()
-            .take(page_keys)
-            .map(|(_, item)| item.as_ref())
-            .collect();
+        let items: Vec<&[u8]> = listed.iter().take(page_keys).map(AsRef::as_ref).collect();
         let end = records.len();
         [
             b"{\"items\":[".to_vec(),
