Read a topic from its oldest record on when its listing cannot be continued

What callers would see: while one entry stood at the end of a page under a name that the listing cannot give back, gateways that started did not become ready. A name that is not UTF-8 is enough: a listing in JSON holds another text in its place, and the store continues before the entry again.

Cause: pages are continued after the last key. An item without a key, or one whose key brings the same page again, ended the whole listing with an error, for as long as the entry stood.

Evidence: three tests of odd_items (12 kinds of items in both topics with one key a page; five names that are not UTF-8; a topic whose records the store has deleted) fail at, not ready or not served within 20 s. Now they pass.

Why this fix works: a gateway uses what could be listed and reads the topic from its oldest record on. Upstreams write at each heartbeat, so all that live appear there. A listing that may miss keys deletes none and confirms nothing. Lists of entries and sidecars, which only this system writes, are still read whole or not at all.

Not covered: an upstream that was removed while its gateway missed the records of the topic is kept until a whole listing is read; a configuration that can neither be listed nor read from the topic is not found.

--- a/src/events/state_events.rs
+++ b/src/events/state_events.rs
@@ -117,12 +117,12 @@
     "The store's list of upstreams differs from what this instance knew; the store's holds now.",
 );
 
-/// Logged when a listing of the store has items that cannot be decoded.
+/// Logged when a listing of the store cannot be decoded or read as a whole.
 pub const LISTING_INCOMPLETE: EventKind = event(
     219,
     Level::Warn,
     "listing_incomplete",
-    "A listing of the store has items that cannot be decoded (`skipped`); the others hold.",
+    "A listing of the store has items that cannot be decoded (`skipped`), or cannot be read to its end; then the topic is read from its oldest record on.",
 );
 
 /// Logged when exchanges with another instance begin to fail.
--- a/src/gateway/dispatch/mod.rs
+++ b/src/gateway/dispatch/mod.rs
@@ -118,6 +118,7 @@
         DispatchMail::Hold(member, until) => state.hold(member, until),
         DispatchMail::Records(records) => state.apply_records(turn, &records),
         DispatchMail::Snapshot(records) => state.apply_snapshot(turn, &records),
+        DispatchMail::PartialSnapshot(records) => state.apply_partial_snapshot(turn, &records),
         DispatchMail::StoreFailed(topic, reason) => {
             state.record_store_failure(now, topic, &reason);
         }
--- a/src/gateway/dispatch/records.rs
+++ b/src/gateway/dispatch/records.rs
@@ -58,6 +58,17 @@
         self.record_confirmation(read.topic, read.confirmed_at);
     }
 
+    /// Applies a snapshot that may miss keys, of which nothing follows.
+    pub(super) fn apply_partial_snapshot(
+        &mut self,
+        turn: &mut Turn<'_, GatewayMail>,
+        read: &TopicRecords,
+    ) {
+        self.record_store_success(turn.now, read.topic);
+        self.record_partial_listing(read.topic);
+        self.apply_forwarded(turn, read.topic, &read.records, read.next);
+    }
+
     /// Applies records that another instance forwarded.
     pub(super) fn apply_forwarded(
         &mut self,
--- a/src/gateway/dispatch/view_check.rs
+++ b/src/gateway/dispatch/view_check.rs
@@ -82,6 +82,13 @@
         }
     }
 
+    /// Records a listing that may miss upstreams, so that their topic is read on.
+    pub(super) fn record_partial_listing(&mut self, topic: WireTopic) {
+        if topic == WireTopic::Upstream {
+            self.view_check.is_wanted = false;
+        }
+    }
+
     /// Returns whether this instance may serve nothing although others can.
     pub(super) fn may_lack_all_upstreams(&self) -> bool {
         self.fleet.is_empty() && !self.view_check.is_empty_confirmed
--- a/src/gateway/mail.rs
+++ b/src/gateway/mail.rs
@@ -72,6 +72,9 @@
     Records(TopicRecords),
     /// All current records of a topic were read from the store.
     Snapshot(TopicRecords),
+    /// Some of the current records of a topic were read from the store; the others are read from the
+    /// topic itself.
+    PartialSnapshot(TopicRecords),
     /// A read from a topic of the store failed, for the given reason.
     StoreFailed(WireTopic, String),
     /// Asks whether this instance is to read a topic from the store now.
--- a/src/gateway/store_watch.rs
+++ b/src/gateway/store_watch.rs
@@ -179,24 +179,7 @@
         let started = directory.now();
         let Some(from) = self.next else {
             self.client.set_patience(RESPONSE_TIMEOUT);
-            let newest = self.client.newest(self.parameters.store_topic).await?;
-            self.next = Some(newest.end);
-            if newest.skipped > 0 {
-                log_event(
-                    &LISTING_INCOMPLETE,
-                    &[
-                        ("topic", &self.parameters.store_topic),
-                        ("listed", &newest.records.len()),
-                        ("skipped", &newest.skipped),
-                    ],
-                );
-            }
-            return Ok(Some(DispatchMail::Snapshot(TopicRecords {
-                topic,
-                records: newest.records,
-                next: newest.end,
-                confirmed_at: started,
-            })));
+            return self.read_listing(started).await.map(Some);
         };
         // What is known may be too old to wait for the next record.
         let long_poll = if self.is_current {
@@ -236,6 +219,41 @@
             }
         }
     }
+
+    /// Reads all current records; if they cannot all be listed, those that can, to be followed by the
+    /// records of the topic from the oldest one on.
+    async fn read_listing(&mut self, started: Moment) -> Result<DispatchMail, StoreError> {
+        let store_topic = self.parameters.store_topic;
+        let listed = self.client.list(store_topic).await?;
+        if !listed.is_complete || listed.skipped > 0 {
+            log_event(
+                &LISTING_INCOMPLETE,
+                &[
+                    ("topic", &store_topic),
+                    ("listed", &listed.records.len()),
+                    ("skipped", &listed.skipped),
+                    ("complete", &listed.is_complete),
+                ],
+            );
+        }
+        let next = if listed.is_complete {
+            listed.end
+        } else {
+            self.client.oldest(store_topic).await?
+        };
+        self.next = Some(next);
+        let records = |confirmed_at| TopicRecords {
+            topic: self.parameters.topic,
+            records: listed.records,
+            next,
+            confirmed_at,
+        };
+        Ok(if listed.is_complete {
+            DispatchMail::Snapshot(records(started))
+        } else {
+            DispatchMail::PartialSnapshot(records(Moment::START))
+        })
+    }
 }
 
 /// Times of a read from a topic.
--- a/src/platform/store_client.rs
+++ b/src/platform/store_client.rs
@@ -99,6 +99,8 @@
     /// Offset from which to read later changes; it is that of the first page, so that changes
     /// during the paging are not missed.
     pub end: LogOffset,
+    /// Whether all keys are listed.
+    pub is_complete: bool,
     /// Number of items that cannot be decoded.
     pub skipped: usize,
 }
@@ -192,15 +194,29 @@
     ///
     /// Returns [`StoreError`] when any page cannot be read or the pages do not end.
     pub async fn newest(&mut self, topic: &str) -> Result<NewestRecords, StoreError> {
-        timeout(NEWEST_TIMEOUT, self.newest_pages(topic))
+        let listed = self.list(topic).await?;
+        if listed.is_complete {
+            Ok(listed)
+        } else {
+            Err(StoreError::TooManyPages)
+        }
+    }
+
+    /// Reads the newest record of every key of a keyed topic as far as the listing can be continued.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`StoreError`] when any page cannot be read or the pages take too long.
+    pub async fn list(&mut self, topic: &str) -> Result<NewestRecords, StoreError> {
+        timeout(NEWEST_TIMEOUT, self.list_pages(topic))
             .await
             .unwrap_or(Err(StoreError::TooManyPages))
     }
 
-    async fn newest_pages(&mut self, topic: &str) -> Result<NewestRecords, StoreError> {
+    async fn list_pages(&mut self, topic: &str) -> Result<NewestRecords, StoreError> {
         let mut listing = TopicListing::default();
         let mut path = format!("/log-newest?topic={topic}&part=0");
-        loop {
+        let step = loop {
             let call = self.call(Method::GET, &path, Bytes::new(), Duration::ZERO);
             let (status, body) = call.await?;
             if status != StatusCode::OK {
@@ -213,17 +229,32 @@
                     let after = utf8_percent_encode(&key, QUERY_ENCODED);
                     path = format!("/log-newest?topic={topic}&part=0&after={after}");
                 }
-                ListingStep::Complete => break,
-                ListingStep::Cut => return Err(StoreError::TooManyPages),
+                step => break step,
             }
-        }
+        };
         Ok(NewestRecords {
             records: listing.records,
             end: listing.end,
+            is_complete: step == ListingStep::Complete,
             skipped: listing.skipped,
         })
     }
 
+    /// Returns the offset of the oldest record of a topic that the store has not deleted.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`StoreError`] when no valid response arrives.
+    pub async fn oldest(&mut self, topic: &str) -> Result<LogOffset, StoreError> {
+        match self
+            .read(topic, LogOffset::default(), Duration::ZERO)
+            .await?
+        {
+            StoreRead::Page(page) => Ok(page.first),
+            StoreRead::Deleted { first } => Ok(first),
+        }
+    }
+
     /// Appends a record to partition 0.
     ///
     /// # Errors
--- a/tests/odd_items.rs
+++ b/tests/odd_items.rs
@@ -4,7 +4,7 @@
 mod paged_store;
 
 use bulrushslip::platform::store_client::{OPERATOR_TOPIC, StoreClient, UPSTREAM_TOPIC};
-use gateway_world::{Behaviour, TestEnvironment, Upstream, route};
+use gateway_world::{Behaviour, TestEnvironment, Upstream, route, until};
 use hyper::StatusCode;
 use paged_store::PagedStore;
 
@@ -122,3 +122,61 @@
     let response = gateway.send("/once/").await.expect("a response");
     assert_eq!(response.status, StatusCode::OK);
 }
+
+/// Guards against a listing that stops at its first page for good.
+#[tokio::test]
+async fn a_gateway_serves_although_a_listing_cannot_be_continued() {
+    for item in WITHOUT_KEY {
+        let (store, environment) = odd_environment(1, &[item.to_vec()]).await;
+        let upstream = Upstream::start(vec![Behaviour::Answer(200, "made")]).await;
+        environment.announce("i-0", &upstream, "ready").await;
+        let gateway = environment.gateway("g");
+        gateway.ready().await;
+        let text = String::from_utf8_lossy(item);
+        let response = gateway.send("/once/").await.expect("a response");
+        assert_eq!(response.status, StatusCode::OK, "{text}");
+        // Later changes are followed.
+        let other = Upstream::start(vec![Behaviour::Answer(200, "made")]).await;
+        environment.announce("i-1", &other, "ready").await;
+        store.put(UPSTREAM_TOPIC, b"i-0", b"");
+        until("a request at the upstream that came later", async || {
+            drop(gateway.send("/once/").await);
+            !other.received().is_empty()
+        })
+        .await;
+    }
+}
+
+/// The store has deleted the records of the topic, so that only heartbeats tell of the upstreams which
+/// cannot be listed.
+#[tokio::test]
+async fn an_upstream_that_cannot_be_listed_is_used_from_its_next_heartbeat_on() {
+    let (store, environment) = odd_environment(1, &[]).await;
+    let upstream = Upstream::start(vec![Behaviour::Answer(200, "made")]).await;
+    show(&store, UPSTREAM_TOPIC, "a", b"null");
+    environment.announce("i-0", &upstream, "ready").await;
+    store.forget_records(UPSTREAM_TOPIC);
+    let gateway = environment.gateway("g");
+    until("a response", async || {
+        environment.announce("i-0", &upstream, "ready").await;
+        let response = gateway.send("/once/").await;
+        response.is_ok_and(|response| response.status == StatusCode::OK)
+    })
+    .await;
+}
+
+/// The names cannot be told from each other in a listing, and the store continues after another one
+/// than the page has ended with.
+#[tokio::test]
+async fn a_gateway_serves_beside_names_that_are_not_utf_8() {
+    let (store, environment) = odd_environment(1, &[]).await;
+    for name in [&b"a\xff"[..], b"a\xfe", b"i-\x80", b"\xc3", b"z\xff"] {
+        store.put(UPSTREAM_TOPIC, name, b"{}");
+    }
+    let upstream = Upstream::start(vec![Behaviour::Answer(200, "made")]).await;
+    environment.announce("i-0", &upstream, "ready").await;
+    let gateway = environment.gateway("g");
+    gateway.ready().await;
+    let response = gateway.send("/once/").await.expect("a response");
+    assert_eq!(response.status, StatusCode::OK);
+}
