Count a list without a readable entry as empty

What callers would see: while an entry of another writer was the only one on the list of upstreams, or all others had expired, gateways that started did not become ready, and each read the whole list every 2 to 3 s.

Cause: an instance without upstreams counts as ready once the store has listed none, and any record in the listing counted as an upstream, also one that names none.

Evidence: the new test of view_check fails before ("nobody has upstreams") and passes now.

Why this fix works: only records that decode as the entry of an upstream count, as when they are applied. A listing that may miss keys still confirms nothing.

--- a/src/gateway/dispatch/view_check.rs
+++ b/src/gateway/dispatch/view_check.rs
@@ -9,6 +9,7 @@
 use crate::events::{VIEW_REPAIRED, log_event};
 use crate::gateway::mail::TopicRecords;
 use crate::kernel::Moment;
+use crate::platform::upstream_entry::decode_entry;
 use crate::wire::peer_rpc::WireTopic;
 
 /// Least time between two checks of one instance.
@@ -24,7 +25,7 @@
     is_wanted: bool,
     /// Time from which the next check may be wanted.
     next_from: Moment,
-    /// Whether the store has said that there is no upstream, since the list became empty.
+    /// Whether the store has listed no upstream, since the list became empty.
     is_empty_confirmed: bool,
 }
 
@@ -71,7 +72,7 @@
             return;
         }
         self.view_check.is_wanted = false;
-        self.view_check.is_empty_confirmed = listing.records.is_empty();
+        self.view_check.is_empty_confirmed = !listing.records.iter().any(names_upstream);
         let view = &self.upstreams;
         let lacking = listing.records.iter().filter(|record| view.lacks(record));
         let kept = deletions.iter().filter(|record| view.lacks(record));
@@ -94,3 +95,9 @@
         self.fleet.is_empty() && !self.view_check.is_empty_confirmed
     }
 }
+
+/// Returns whether a record is the entry of an upstream.
+fn names_upstream(record: &KeyedRecord) -> bool {
+    let value = record.value.as_ref();
+    value.is_some_and(|value| decode_entry(&record.key, value).is_ok())
+}
--- a/tests/view_check.rs
+++ b/tests/view_check.rs
@@ -195,3 +195,28 @@
     instance.driver.send(now, some);
     assert!(instance.is_ready(now));
 }
+
+/// Guards against an instance that is never ready, because entries that name no upstream are listed.
+#[test]
+fn entries_that_name_no_upstream_do_not_keep_an_instance_from_being_ready() {
+    let mut instance = Instance::new(Vec::new());
+    let odd = |key: &str, value: &'static [u8]| KeyedRecord {
+        key: key.to_owned(),
+        value: Some(value.into()),
+        offset: LogOffset(3),
+    };
+    let records = vec![odd("&", b"{}"), odd("i-a", b"[1]"), odd("i-b", b"\xff")];
+    let listed = listing(WireTopic::Upstream, records, NEXT, at(100));
+    instance.driver.send(at(100), listed);
+    assert!(instance.is_ready(at(100)), "nobody has upstreams");
+    // A listing that may miss upstreams says nothing of the kind.
+    let mut instance = Instance::new(Vec::new());
+    let some = DispatchMail::PartialSnapshot(TopicRecords {
+        topic: WireTopic::Upstream,
+        records: vec![odd("&", b"{}")],
+        next: LogOffset(NEXT),
+        confirmed_at: Moment::START,
+    });
+    instance.driver.send(at(100), some);
+    assert!(!instance.is_ready(at(100)));
+}
