Use no upstream whose name cannot be sent in a header

What callers would see: an entry of another writer with all its fields right, under a name with a control byte, was used, and requests went there without x-expect-instance, so that whichever upstream had the address since would have run them.

Cause: a header that cannot hold its value was left out of the request, and the entry's decoder did not look at its name. Orders under such a name were never sent, without a line in the log.

Evidence: before, of 8 requests some reached the upstream under names with a control byte (odd_names), and decode_entry took them (platform_formats); both tests fail on the parent commit and pass now.

Why this fix works: the decoder is the one place through which entries come, and skips such names with its line in the log.

--- a/src/platform/upstream_entry.rs
+++ b/src/platform/upstream_entry.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddr;
 
+use hyper::header::HeaderValue;
 use serde::Deserialize;
 
 use crate::decide::fleet::{MemberState, MemberWeights, UpstreamEntry};
@@ -39,9 +40,12 @@
 ///
 /// # Errors
 ///
-/// Returns the reason when the entry is malformed, its state is unknown, or the upstream has no
-/// slots or more than [`MAX_SLOTS`].
+/// Returns the reason when the entry is malformed, its state is unknown, the upstream has no slots or
+/// more than [`MAX_SLOTS`], or its name cannot be sent in a header.
 pub fn decode_entry(id: &str, bytes: &[u8]) -> Result<UpstreamEntry, String> {
+    if HeaderValue::from_str(id).is_err() {
+        return Err("the name cannot be sent in a header".to_owned());
+    }
     let wire: WireEntry = serde_json::from_slice(bytes).map_err(|error| error.to_string())?;
     let state = match wire.state.as_str() {
         "ready" => MemberState::Ready,
--- a/tests/odd_names.rs
+++ b/tests/odd_names.rs
@@ -88,6 +88,31 @@
     }
 }
 
+/// Guards against requests that do not name their upstream, which another one at its address would run.
+#[tokio::test]
+async fn no_request_is_sent_under_a_name_that_no_header_can_hold() {
+    let store = PagedStore::start(PAGE_KEYS).await;
+    let environment = TestEnvironment::over(store.address);
+    environment
+        .configure(1, &[route("/once/", "non_idempotent", 1)])
+        .await;
+    let odd = Upstream::start(vec![Behaviour::Answer(200, "made")]).await;
+    for name in ["i-0\u{1}", "i-0\r\nx: y", "i-0\u{7f}"] {
+        environment.announce(name, &odd, "ready").await;
+    }
+    let sound = Upstream::start(vec![Behaviour::Answer(200, "made")]).await;
+    environment.announce("i-0", &sound, "ready").await;
+    let gateway = environment.gateway("g");
+    gateway.ready().await;
+    let ids: Vec<String> = (0..8).map(|number| format!("r{number}")).collect();
+    let statuses = join_all(ids.iter().map(|id| status_of(&gateway, id))).await;
+    assert_eq!(statuses, [StatusCode::OK; 8]);
+    assert!(odd.received().is_empty());
+    for request in sound.received() {
+        assert_eq!(request.headers["x-expect-instance"], "i-0");
+    }
+}
+
 #[tokio::test]
 async fn every_page_after_an_odd_name_is_read() {
     let store = PagedStore::start(PAGE_KEYS).await;
--- a/tests/platform_formats.rs
+++ b/tests/platform_formats.rs
@@ -127,6 +127,9 @@
     for text in bad {
         assert!(decode_entry("i-1", text.as_bytes()).is_err(), "{text}");
     }
+    for id in ["i-1\n", "i-1\u{0}", "i-1\u{7f}"] {
+        assert!(decode_entry(id, good.as_bytes()).is_err(), "{id:?}");
+    }
 }
 
 #[test]
