Withhold the end of a response while its request is being written

What callers saw, on other systems of this kind: an upstream responded to a long upload at once with 200 and no length, sent a part of the body and broke off while the upload was still being written, and the client got that part as a complete response.

Cause: a response without a length ends with its connection. A reset is an error and was one here before. But a process that ends closes its side first, and resets the connection only when more of the request arrives; the end was read before the reset, and the response counted as complete, on every kind of route.

Why this fix works: the connection knows whether a write waits for the peer. As long as one does, the end is withheld: it counts once the request is written, and if the peer has closed altogether, the write fails, and with it the response.

Not covered: a request that the kernel holds whole while its last part is in transit counts as written.

--- a/src/platform/bounded_stream.rs
+++ b/src/platform/bounded_stream.rs
@@ -1,9 +1,10 @@
-//! TCP connection of a client that fails when the response to a request is too long.
+//! TCP connection of a client that fails when the response to a request is too long, and that ends only
+//! once the request is written.
 
 use std::io;
 use std::io::IoSlice;
 use std::pin::Pin;
-use std::task::{Context, Poll, ready};
+use std::task::{Context, Poll, Waker, ready};
 
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
@@ -16,12 +17,19 @@
 ///
 /// The limit covers bytes that hyper discards and so does not count itself, such as interim
 /// responses and leading zeros of a chunk size.
+///
+/// The end of the received bytes is withheld while a write is under way. If the peer has closed the
+/// connection altogether, the write fails, and a response without a length does not count as complete.
 #[derive(Debug)]
 pub struct BoundedStream {
     stream: TcpStream,
     limit: usize,
     /// Bytes received since the last write.
     received: usize,
+    /// Whether the last write has to wait until the peer takes more.
+    is_writing: bool,
+    /// Reader that waits for the end of a write.
+    reader: Option<Waker>,
 }
 
 impl BoundedStream {
@@ -32,8 +40,21 @@
             stream,
             limit,
             received: 0,
+            is_writing: false,
+            reader: None,
         }
     }
+
+    /// Records the outcome of a write.
+    fn record_write(&mut self, written: Poll<io::Result<usize>>) -> Poll<io::Result<usize>> {
+        self.is_writing = written.is_pending();
+        if !self.is_writing
+            && let Some(reader) = self.reader.take()
+        {
+            reader.wake();
+        }
+        written
+    }
 }
 
 impl AsyncRead for BoundedStream {
@@ -49,6 +70,10 @@
         let mut part = ReadBuf::new(buf.initialize_unfilled_to(length));
         ready!(Pin::new(&mut self.stream).poll_read(cx, &mut part))?;
         let count = part.filled().len();
+        if count == 0 && self.is_writing {
+            self.reader = Some(cx.waker().clone());
+            return Poll::Pending;
+        }
         buf.advance(count);
         self.received += count;
         Poll::Ready(Ok(()))
@@ -62,7 +87,8 @@
         buf: &[u8],
     ) -> Poll<io::Result<usize>> {
         self.received = 0;
-        Pin::new(&mut self.stream).poll_write(cx, buf)
+        let written = Pin::new(&mut self.stream).poll_write(cx, buf);
+        self.record_write(written)
     }
 
     fn poll_write_vectored(
@@ -71,7 +97,8 @@
         bufs: &[IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
         self.received = 0;
-        Pin::new(&mut self.stream).poll_write_vectored(cx, bufs)
+        let written = Pin::new(&mut self.stream).poll_write_vectored(cx, bufs);
+        self.record_write(written)
     }
 
     fn is_write_vectored(&self) -> bool {
