Read all pages of the claims on orders before appending one

What callers would see: two instances that order one upstream at the same time, which refuses one of the orders, while records of another writer or many claims stand in the log of claims.

Cause: a read returns at most 1 MiB of records, and the reader took the end of the topic, not that of the page, for what it had read. Claims after the first page were passed over, and the next claim was appended at the end as if none stood there.

Evidence: before 20 records of 256 KiB the new test of weights_orders sees one read, from offset 0, and then the order; now five reads, the last from offset 16, before it.

Why this fix works: each read goes on where the last page ended, until the topic's end as the store states it; an append at an end that moved since is refused by the store as before.

--- a/src/gateway/orders.rs
+++ b/src/gateway/orders.rs
@@ -162,28 +162,32 @@
 
     /// Reads claims up to the end of the log.
     async fn read_claims(&mut self, directory: &Directory<GatewayMail>) -> Result<(), StoreError> {
-        let from = self.claims.end;
-        let read = self.client.read(ORDER_TOPIC, from, Duration::ZERO).await?;
-        let page = match read {
-            StoreRead::Page(page) => page,
-            // Deleted claims have expired; the next read starts at the first remaining record.
-            StoreRead::Deleted { first } => {
-                self.claims.end = first;
-                return Err(StoreError::Unreadable);
+        loop {
+            let from = self.claims.end;
+            let read = self.client.read(ORDER_TOPIC, from, Duration::ZERO).await?;
+            let page = match read {
+                StoreRead::Page(page) => page,
+                // Deleted claims have expired; the next read starts at the first remaining record.
+                StoreRead::Deleted { first } => {
+                    self.claims.end = first;
+                    return Err(StoreError::Unreadable);
+                }
+            };
+            let now = directory.now();
+            for record in &page.records {
+                match OrderClaim::try_from(record.body.as_ref()) {
+                    Ok(claim) => self.claims.apply(now, &claim),
+                    Err(error) => log_event(
+                        &RECORD_SKIPPED,
+                        &[("offset", &record.offset.0), ("reason", &error)],
+                    ),
+                }
             }
-        };
-        let now = directory.now();
-        for record in &page.records {
-            match OrderClaim::try_from(record.body.as_ref()) {
-                Ok(claim) => self.claims.apply(now, &claim),
-                Err(error) => log_event(
-                    &RECORD_SKIPPED,
-                    &[("offset", &record.offset.0), ("reason", &error)],
-                ),
+            self.claims.end = page.next(from);
+            if page.records.is_empty() || self.claims.end >= page.end {
+                return Ok(());
             }
         }
-        self.claims.end = page.end;
-        Ok(())
     }
 
     /// Has the claims read again before the next one is appended.
--- a/tests/paged_store/mod.rs
+++ b/tests/paged_store/mod.rs
@@ -24,6 +24,9 @@
 /// Length of the frame header before each record, in bytes.
 const FRAME_HEADER_BYTES: usize = 4;
 
+/// Size of the records in the response to a read, in bytes, beyond which it has no further record.
+const MAX_READ_BYTES: usize = 1024 * 1024;
+
 /// Topics of the store.
 #[derive(Debug, Default)]
 struct StoredTopics {
@@ -31,6 +34,8 @@
     records: HashMap<String, Vec<Bytes>>,
     /// Offset of the oldest record of each topic that has not been deleted, if it is not 0.
     first: HashMap<String, usize>,
+    /// Offsets from which each topic was read.
+    reads: HashMap<String, Vec<usize>>,
     /// Items of listings that are shown instead of those of their topics and keys.
     shown: HashMap<(String, Vec<u8>), Bytes>,
 }
@@ -90,7 +95,14 @@
         });
     }
 
-    fn append(&self, topic: &str, record: Bytes) -> usize {
+    /// Returns the offsets from which a topic was read.
+    pub fn reads(&self, topic: &str) -> Vec<usize> {
+        let topics = self.topics.borrow();
+        topics.reads.get(topic).cloned().unwrap_or_default()
+    }
+
+    /// Appends a record to a topic and returns its offset.
+    pub fn append(&self, topic: &str, record: Bytes) -> usize {
         let mut offset = 0;
         self.topics.send_modify(|topics| {
             let records = topics.records.entry(topic.to_owned()).or_default();
@@ -136,6 +148,10 @@
             let records = topics.records.get(topic);
             records.is_some_and(|records| records.len() > from)
         };
+        self.topics.send_modify(|topics| {
+            let reads = topics.reads.entry(topic.to_owned()).or_default();
+            reads.push(from);
+        });
         let mut changes = self.topics.subscribe();
         // The response is empty if there is still no record.
         drop(timeout(wait, changes.wait_for(has_record)).await);
@@ -150,6 +166,9 @@
         page.extend_from_slice(&(records.len() as u64).to_be_bytes());
         page.extend_from_slice(&(first as u64).to_be_bytes());
         for record in records.iter().skip(from) {
+            if page.len() > MAX_READ_BYTES {
+                break;
+            }
             let length = u32::try_from(record.len()).expect("a short record");
             page.extend_from_slice(&length.to_be_bytes());
             page.extend_from_slice(record);
--- a/tests/weights_orders.rs
+++ b/tests/weights_orders.rs
@@ -1,11 +1,15 @@
 //! Orders for new weights, and what the reports of their upstream make of them.
 
 mod gateway_world;
+mod paged_store;
 
 use std::time::{Duration, Instant};
 
 use bulrushslip::decide::order_progress::{OrderProgress, ReportedWeights};
+use bulrushslip::platform::store_client::ORDER_TOPIC;
+use bytes::Bytes;
 use gateway_world::{Behaviour, Gateway, SeenRequest, TestEnvironment, Upstream, until};
+use paged_store::PagedStore;
 
 /// Time for which an upstream that carries an order out is waited for.
 const MAX_LOAD_TIME: Duration = Duration::from_secs(4);
@@ -173,3 +177,29 @@
     fleet.receive("/report", 4).await;
     assert!(fleet.paths().iter().all(|path| *path == "/report"));
 }
+
+/// The claims after the first page of the log were once taken for read, so that two instances could hold one
+/// upstream.
+#[tokio::test(flavor = "multi_thread")]
+async fn all_claims_are_read_before_one_is_appended() {
+    let store = PagedStore::start(1).await;
+    let environment = TestEnvironment::over(store.address);
+    // As large as a record of the store can be.
+    let odd = Bytes::from(vec![b'{'; 256 * 1024]);
+    let count = 20;
+    for _ in 0..count {
+        store.append(ORDER_TOPIC, odd.clone());
+    }
+    let upstream = Upstream::start(vec![report(IDLE), Behaviour::Answer(202, "")]).await;
+    environment.configure_engines(1, &[]).await;
+    environment.announce_engine("old", &upstream, 1).await;
+    environment.name_version(2).await;
+    let _gateway = environment.gateway("g");
+    until("an order", async || {
+        upstream.received().iter().any(|seen| seen.path == "/order")
+    })
+    .await;
+    let reads = store.reads(ORDER_TOPIC);
+    let pages: Vec<usize> = (0..count).step_by(4).collect();
+    assert_eq!(reads, pages);
+}
