--- a/src/gateway/dispatch/records.rs
+++ b/src/gateway/dispatch/records.rs
@@ -58,7 +58,7 @@
         self.record_confirmation(read.topic, read.confirmed_at);
     }
 
-    /// Applies a snapshot that may miss keys, of which nothing follows.
+    /// Applies a snapshot that may miss keys; none of them counts as removed.
     pub(super) fn apply_partial_snapshot(
         &mut self,
         turn: &mut Turn<'_, GatewayMail>,
