Test listings that change between their pages

Checked beside the odd entries; the system handles it, so only tests are new.

Evidence: a gateway starts beside 80 odd names, one key a page; after 1, 20, 41, 42 or 80 pages one upstream leaves and another one comes, and the gateway then sends requests to the latter only. A listing ends where its first page did (store_pages), so what changed during it is read from the topic.

--- a/tests/odd_names.rs
+++ b/tests/odd_names.rs
@@ -8,7 +8,7 @@
 };
 use bulrushslip::platform::store_client::{StoreClient, UPSTREAM_TOPIC};
 use futures::future::join_all;
-use gateway_world::{Behaviour, Gateway, TestEnvironment, Upstream, route};
+use gateway_world::{Behaviour, Gateway, TestEnvironment, Upstream, route, until};
 use hyper::StatusCode;
 use paged_store::PagedStore;
 
@@ -134,6 +134,46 @@
     assert_eq!(listed, expected);
 }
 
+/// Pages are not a snapshot: one upstream leaves and another one comes at each of some moments of a listing,
+/// before and after its page.
+#[tokio::test]
+async fn changes_between_the_pages_of_a_listing_are_not_missed() {
+    const ODD_SIDE: usize = 40;
+    for changed_after in [1, ODD_SIDE / 2, ODD_SIDE + 1, ODD_SIDE + 2, 2 * ODD_SIDE] {
+        let store = PagedStore::start(PAGE_KEYS).await;
+        let environment = TestEnvironment::over(store.address);
+        environment
+            .configure(1, &[route("/once/", "non_idempotent", 1)])
+            .await;
+        for number in 0..ODD_SIDE {
+            for side in ["a&", "z+"] {
+                let name = format!("{side}{number}");
+                store.put(UPSTREAM_TOPIC, name.as_bytes(), b"{}");
+            }
+        }
+        let leaving = Upstream::start(vec![Behaviour::Answer(200, "made")]).await;
+        let coming = Upstream::start(vec![Behaviour::Answer(200, "made")]).await;
+        environment.announce("i-0", &leaving, "ready").await;
+        let gateway = environment.gateway("g");
+        until("the pages before the change", async || {
+            store.pages(UPSTREAM_TOPIC) >= changed_after
+        })
+        .await;
+        store.put(UPSTREAM_TOPIC, b"i-0", b"");
+        environment.announce("i-1", &coming, "ready").await;
+        gateway.ready().await;
+        // A removal that is not listed follows with the next read of the topic.
+        until("requests only at the upstream that came", async || {
+            drop(leaving.received());
+            let ids: Vec<String> = (0..8).map(|number| format!("r{number}")).collect();
+            let statuses = join_all(ids.iter().map(|id| status_of(&gateway, id))).await;
+            let is_served = statuses.iter().all(|status| *status == StatusCode::OK);
+            is_served && leaving.received().is_empty() && !coming.received().is_empty()
+        })
+        .await;
+    }
+}
+
 /// Entries and sidecars find each other in a topic of their own.
 #[tokio::test]
 async fn instances_are_listed_beside_odd_names() {
--- a/tests/paged_store/mod.rs
+++ b/tests/paged_store/mod.rs
@@ -36,6 +36,8 @@
     first: HashMap<String, usize>,
     /// Offsets from which each topic was read.
     reads: HashMap<String, Vec<usize>>,
+    /// Number of pages of each topic that were listed.
+    pages: HashMap<String, usize>,
     /// Items of listings that are shown instead of those of their topics and keys.
     shown: HashMap<(String, Vec<u8>), Bytes>,
 }
@@ -101,6 +103,12 @@
         topics.reads.get(topic).cloned().unwrap_or_default()
     }
 
+    /// Returns the number of pages of a topic that were listed.
+    pub fn pages(&self, topic: &str) -> usize {
+        let topics = self.topics.borrow();
+        topics.pages.get(topic).copied().unwrap_or(0)
+    }
+
     /// Appends a record to a topic and returns its offset.
     pub fn append(&self, topic: &str, record: Bytes) -> usize {
         let mut offset = 0;
@@ -133,6 +141,9 @@
                 self.read(&topic, from, wait).await
             }
             "/log-newest" => {
+                self.topics.send_modify(|topics| {
+                    *topics.pages.entry(topic.clone()).or_default() += 1;
+                });
                 let page = self
                     .topics
                     .borrow()
--- a/tests/store_pages.rs
+++ b/tests/store_pages.rs
@@ -74,6 +74,18 @@
     assert_eq!(newest.records.len(), 3);
 }
 
+/// Changes during the paging are read from the log.
+#[tokio::test]
+async fn a_listing_ends_where_its_first_page_did() {
+    let growing: fn(usize) -> String = |number| {
+        let item = json!({"key": format!("k{number}"), "value": "", "offset": number});
+        json!({"items": [item], "more": number < 2, "end": 10 + number}).to_string()
+    };
+    let mut client = StoreClient::new(serve_pages(growing).await);
+    let newest = client.newest("keyed.servers").await.expect("records");
+    assert_eq!(newest.end.0, 10);
+}
+
 /// Starts a store whose responses arrive in parts of the given size, one in each `pause`.
 async fn serve_slowly(part_bytes: usize, pause: Duration) -> SocketAddr {
     let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
