Log the era of the store at each read of a topic

Neither a line nor a dump told that the store had come back from an older copy before a topic was read on, so a record that is ignored for its lower offset (hypothesis A) and a reader that is behind (B) looked alike. Each watch now logs `store_restored` with its topic and the offset that it had reached, and its dump has the era.

--- a/src/gateway/store_watch.rs
+++ b/src/gateway/store_watch.rs
@@ -9,7 +9,7 @@
 use super::dispatch;
 use super::mail::{DispatchMail, GatewayMail, ReadNeed, TopicRecords};
 use crate::decide::ids::{LogOffset, StoreEra};
-use crate::events::{LISTING_INCOMPLETE, log_event};
+use crate::events::{LISTING_INCOMPLETE, STORE_RESTORED, log_event};
 use crate::kernel::{Directory, Inbox, IoTask, Moment, Signal};
 use crate::platform::store_client::{
     OPERATOR_TOPIC, RESPONSE_TIMEOUT, StoreClient, StoreError, StoreRead, UPSTREAM_TOPIC,
@@ -128,7 +128,10 @@
                     }
                 }
                 Some(Signal::Dump(reply_to)) => {
-                    reply_to.send(serde_json::json!({"next": self.next.map(|next| next.0)}));
+                    reply_to.send(serde_json::json!({
+                        "era": self.era.0,
+                        "next": self.next.map(|next| next.0),
+                    }));
                 }
                 Some(Signal::Stop) | None => return,
                 Some(_) => {}
@@ -174,13 +177,20 @@
         }
     }
 
-    /// Tells `orders` that the store has come back from an older copy.
+    /// Logs that the store has come back from an older copy, and tells `orders`.
     fn report_era(&mut self, directory: &Directory<GatewayMail>) {
         let era = self.client.era();
-        if era > self.era {
-            self.era = era;
-            directory.send("orders", GatewayMail::StoreEra(era));
+        if era <= self.era {
+            return;
         }
+        self.era = era;
+        let topic = self.parameters.store_topic;
+        let next = self.next.map_or(0, |next| next.0);
+        log_event(
+            &STORE_RESTORED,
+            &[("era", &era.0), ("topic", &topic), ("next", &next)],
+        );
+        directory.send("orders", GatewayMail::StoreEra(era));
     }
 
     /// Reads a snapshot or the next records; `None` if the records at `next` have been deleted, so
