--- a/tests/order_watch/mod.rs
+++ b/tests/order_watch/mod.rs
@@ -35,6 +35,7 @@
 
 #[derive(Deserialize)]
 struct WireOrder {
+    version: u64,
     holder: String,
     fence: u64,
 }
@@ -44,40 +45,53 @@
 pub struct OrderWatch {
     /// Addresses of the engines.
     pub addresses: Vec<SocketAddr>,
+    log: OrderLog,
+}
+
+/// What engines have been ordered.
+#[derive(Debug, Clone, Default)]
+struct OrderLog {
     orders: watch::Sender<Vec<SeenOrder>>,
+    /// Highest version of weights that was ordered.
+    newest_version: watch::Sender<u64>,
 }
 
 impl OrderWatch {
     /// Starts this many engines.
     pub async fn start(engines: usize) -> Self {
-        let (orders, _) = watch::channel(Vec::new());
+        let log = OrderLog::default();
         let mut addresses = Vec::new();
         for engine in 0..engines {
             let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
             addresses.push(listener.local_addr().expect("an address"));
-            tokio::spawn(serve(listener, engine, orders.clone()));
+            tokio::spawn(serve(listener, engine, log.clone()));
         }
-        Self { addresses, orders }
+        Self { addresses, log }
     }
 
     /// Returns the orders so far, in the order of their arrival.
     pub fn orders(&self) -> Vec<SeenOrder> {
-        self.orders.borrow().clone()
+        self.log.orders.borrow().clone()
+    }
+
+    /// Returns the highest version of weights that was ordered so far; 0 if none was.
+    pub fn newest_version(&self) -> u64 {
+        *self.log.newest_version.borrow()
     }
 
     /// Returns the number of orders so far from a holder.
     pub fn count(&self, holder: &str) -> usize {
-        let orders = self.orders.borrow();
+        let orders = self.log.orders.borrow();
         orders.iter().filter(|order| order.holder == holder).count()
     }
 }
 
-async fn serve(listener: TcpListener, engine: usize, orders: watch::Sender<Vec<SeenOrder>>) {
+async fn serve(listener: TcpListener, engine: usize, log: OrderLog) {
     while let Ok((stream, _)) = listener.accept().await {
-        let orders = orders.clone();
+        let log = log.clone();
         let respond = service_fn(move |request: Request<Incoming>| {
-            let orders = orders.clone();
-            async move { Ok::<_, Infallible>(respond(request, engine, &orders).await) }
+            let log = log.clone();
+            async move { Ok::<_, Infallible>(respond(request, engine, &log).await) }
         });
         let connection = http1::Builder::new().serve_connection(TokioIo::new(stream), respond);
         tokio::spawn(async move { drop(connection.await) });
@@ -87,7 +101,7 @@
 async fn respond(
     request: Request<Incoming>,
     engine: usize,
-    orders: &watch::Sender<Vec<SeenOrder>>,
+    log: &OrderLog,
 ) -> Response<Full<Bytes>> {
     if request.uri().path() != "/order" {
         return Response::new(Full::from(REPORT));
@@ -101,7 +115,9 @@
             fence: order.fence,
             at: Instant::now(),
         };
-        orders.send_modify(|orders| orders.push(seen));
+        log.orders.send_modify(|orders| orders.push(seen));
+        log.newest_version
+            .send_modify(|newest| *newest = order.version.max(*newest));
     }
     let mut refusal = Response::new(Full::default());
     *refusal.status_mut() = hyper::StatusCode::CONFLICT;
