--- a/src/decide/ids.rs
+++ b/src/decide/ids.rs
@@ -29,6 +29,31 @@
 }
 
 impl LogPosition {
+    /// Returns the position after this one in the same era.
+    #[must_use]
+    pub const fn following(self) -> Self {
+        Self {
+            era: self.era,
+            offset: LogOffset(self.offset.0.saturating_add(1)),
+        }
+    }
+
+    /// Returns the last position before this one, which is in an earlier era if this era has none.
+    #[must_use]
+    pub const fn preceding(self) -> Self {
+        match self.offset.0.checked_sub(1) {
+            Some(offset) => Self {
+                era: self.era,
+                offset: LogOffset(offset),
+            },
+            None if self.era.0 == 0 => self,
+            None => Self {
+                era: StoreEra(self.era.0 - 1),
+                offset: LogOffset(u64::MAX),
+            },
+        }
+    }
+
     /// Returns the fencing token of a claim or a lease at this position, which is higher for each later
     /// position; `None` if there is none, after 2^32 eras or records.
     ///
@@ -46,6 +71,16 @@
     }
 }
 
+/// An offset of a store that has never come back from an older copy.
+impl From<LogOffset> for LogPosition {
+    fn from(offset: LogOffset) -> Self {
+        Self {
+            era: StoreEra(0),
+            offset,
+        }
+    }
+}
+
 /// Identifies one attempt to run a request: incarnation of the entry and a sequence number.
 ///
 /// ```
--- a/src/decide/keyed_view.rs
+++ b/src/decide/keyed_view.rs
@@ -1,11 +1,11 @@
-//! Newest record of each key of one compacted topic, merged by offset from any source.
+//! Newest record of each key of one compacted topic, merged by position from any source.
 
 use std::collections::HashMap;
 
 use bytes::Bytes;
 
 use super::hashing::{first_word, hash_parts};
-use super::ids::LogOffset;
+use super::ids::{LogPosition, StoreEra};
 
 /// Maximum number of deleted keys that are kept; beyond it all of them are dropped.
 const MAX_DELETED: usize = 4_096;
@@ -17,19 +17,88 @@
     pub key: String,
     /// Value of the key; `None` if the record deletes the key.
     pub value: Option<Bytes>,
-    /// Offset of the record in its topic.
-    pub offset: LogOffset,
+    /// Position of the record in its topic.
+    pub position: LogPosition,
+}
+
+impl KeyedRecord {
+    /// Creates the deletion of a key that a topic lacks below a position.
+    fn deletion(key: &str, next: LogPosition) -> Self {
+        Self {
+            key: key.to_owned(),
+            value: None,
+            position: next.preceding(),
+        }
+    }
+}
+
+/// Count that the writer of a key states in its records and that only rises.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub struct WriterStamp {
+    /// Start of the writer, in Unix milliseconds.
+    pub started_unix_ms: u64,
+    /// Number of the record since that start.
+    pub sequence: u64,
+}
+
+/// Newest that the writer of a key has said.
+#[derive(Debug, Clone, Copy)]
+struct WriterState {
+    stamp: WriterStamp,
+    /// Era in which it was said.
+    era: StoreEra,
+    /// Whether the key was deleted afterwards.
+    is_deleted: bool,
 }
 
 /// Newest record of one key, and when its meaning last changed.
 #[derive(Debug)]
 struct KeyState {
     value: Option<Bytes>,
-    offset: LogOffset,
+    position: LogPosition,
     /// Hash of what the value says; `None` if the key is deleted.
     meaning: Option<u64>,
-    /// Offset of the last record that changed the meaning.
-    changed: LogOffset,
+    /// Position of the last record that changed the meaning.
+    changed: LogPosition,
+    /// Newest that the writer has said, over all eras; `None` if it states no count.
+    writer: Option<WriterState>,
+    /// Whether the record may come from a copy of an earlier era. Another instance may know that such a
+    /// record is outdated, so the next one counts as a change even if it says the same.
+    may_be_copy: bool,
+}
+
+impl KeyState {
+    /// Returns whether a record of an era with this count was written before what is known.
+    fn outdates(&self, era: StoreEra, stamp: Option<WriterStamp>) -> bool {
+        let (Some(writer), Some(stamp)) = (self.writer, stamp) else {
+            return false;
+        };
+        let is_older = stamp < writer.stamp || (stamp == writer.stamp && writer.is_deleted);
+        writer.era < era && is_older
+    }
+
+    /// Returns what is known in place of an outdated record at a position.
+    fn moved_to(&self, position: LogPosition) -> Self {
+        Self {
+            value: self.value.clone(),
+            position,
+            meaning: self.meaning,
+            changed: position,
+            writer: self.writer,
+            may_be_copy: true,
+        }
+    }
+}
+
+/// Where a record comes from.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum RecordSource {
+    /// The topic, right after the record before it.
+    Topic,
+    /// A listing or another instance, which leave out the records before it.
+    Newest,
+    /// The key is missing from the topic of a later era.
+    Missing,
 }
 
 /// What a view holds, so that the views of two instances can be compared.
@@ -44,74 +113,110 @@
 /// Returns a hash of what a value says: equal for values that differ in nothing that matters.
 pub type MeaningHash = fn(&[u8]) -> u64;
 
+/// Returns the count that a value states; `None` if it states none.
+pub type StampReading = fn(&[u8]) -> Option<WriterStamp>;
+
+/// Returns a hash that is equal for equal values only.
+#[must_use]
+pub fn value_hash(value: &[u8]) -> u64 {
+    first_word(&hash_parts(&[value]))
+}
+
 /// Newest record of each key of one topic.
 #[derive(Debug)]
 pub struct KeyedView {
     newest: HashMap<String, KeyState>,
     meaning: MeaningHash,
+    stamp: StampReading,
     deleted: usize,
-    /// Offset below which all records have been applied.
-    pub next: LogOffset,
-    /// Offset from which all deletions are known.
-    complete_from: LogOffset,
+    /// Position below which all records have been applied.
+    pub next: LogPosition,
+    /// Position from which all deletions are known.
+    complete_from: LogPosition,
 }
 
 impl Default for KeyedView {
     fn default() -> Self {
-        Self::new(|value| first_word(&hash_parts(&[value])))
+        Self::new(value_hash, |_value| None)
     }
 }
 
 impl KeyedView {
-    /// Creates the view of a topic whose values repeat if `meaning` says so.
+    /// Creates the view of a topic whose values repeat if `meaning` says so, and are counted by their
+    /// writers as `stamp` says.
     #[must_use]
-    pub fn new(meaning: MeaningHash) -> Self {
+    pub fn new(meaning: MeaningHash, stamp: StampReading) -> Self {
         Self {
             newest: HashMap::new(),
             meaning,
+            stamp,
             deleted: 0,
-            next: LogOffset::default(),
-            complete_from: LogOffset::default(),
+            next: LogPosition::default(),
+            complete_from: LogPosition::default(),
         }
     }
 
-    /// Applies the next record of the topic; returns `false` if this or a newer record of its key is
-    /// known already.
+    /// Applies the next record of the topic; returns `false` if it has no effect, because this or a newer
+    /// record of its key is known already.
     pub fn apply(&mut self, record: &KeyedRecord) -> bool {
-        self.insert(record, true)
+        self.insert(record, RecordSource::Topic)
     }
 
     /// Applies the newest record of a key from a source that leaves out the ones before it; returns
-    /// `false` if this or a newer record of the key is known already.
+    /// `false` if it has no effect, because this or a newer record of the key is known already.
     ///
     /// A value that equals the known one may have been deleted in between, so it counts as changed for
     /// those that have seen the deletion.
     pub fn apply_newest(&mut self, record: &KeyedRecord) -> bool {
-        self.insert(record, false)
+        self.insert(record, RecordSource::Newest)
     }
 
-    fn insert(&mut self, record: &KeyedRecord, follows_known: bool) -> bool {
+    /// Applies the deletion of a key that the topic of a later era lacks; returns `false` if a newer record
+    /// of the key is known.
+    pub fn apply_missing(&mut self, deletion: &KeyedRecord) -> bool {
+        self.insert(deletion, RecordSource::Missing)
+    }
+
+    fn insert(&mut self, record: &KeyedRecord, source: RecordSource) -> bool {
+        // What an earlier era had tells nothing of this one.
+        if record.position.era < self.next.era {
+            return false;
+        }
         let known = self.newest.get(&record.key);
-        if known.is_some_and(|known| known.offset >= record.offset) {
+        if known.is_some_and(|known| known.position >= record.position) {
             return false;
         }
-        let meaning = record.value.as_deref().map(self.meaning);
-        // A repetition, such as a heartbeat, changes nothing for those that know the record before it.
-        let repeated = known.filter(|known| follows_known && known.meaning == meaning);
-        let state = KeyState {
-            value: record.value.clone(),
-            offset: record.offset,
-            meaning,
-            changed: repeated.map_or(record.offset, |known| known.changed),
+        let era = record.position.era;
+        let stamp = record.value.as_deref().and_then(self.stamp);
+        let outdating = known.filter(|known| known.outdates(era, stamp));
+        let state = if let Some(known) = outdating {
+            known.moved_to(record.position)
+        } else {
+            let meaning = record.value.as_deref().map(self.meaning);
+            // A repetition, such as a heartbeat, changes nothing for those that know the record before it.
+            let repeated = known.filter(|known| {
+                let follows = source == RecordSource::Topic && known.position.era == era;
+                follows && !known.may_be_copy && known.meaning == meaning
+            });
+            KeyState {
+                value: record.value.clone(),
+                position: record.position,
+                meaning,
+                changed: repeated.map_or(record.position, |known| known.changed),
+                writer: writer_state(known.and_then(|known| known.writer), record, stamp, source),
+                may_be_copy: era > StoreEra(0) && source != RecordSource::Topic,
+            }
         };
+        let is_outdated = outdating.is_some();
+        let is_deleted = state.value.is_none();
         let old = self.newest.insert(record.key.clone(), state);
         let was_deleted = old.is_some_and(|old| old.value.is_none());
         self.deleted -= usize::from(was_deleted);
-        self.deleted += usize::from(record.value.is_none());
+        self.deleted += usize::from(is_deleted);
         if self.deleted > MAX_DELETED {
             self.drop_deletions();
         }
-        true
+        !is_outdated
     }
 
     /// Drops what is known of deleted keys; the view then tells of later deletions only.
@@ -119,72 +224,96 @@
         let deleted = self
             .newest
             .extract_if(|_, state| state.value.is_none())
-            .map(|(_, state)| state.offset);
+            .map(|(_, state)| state.position);
         if let Some(last) = deleted.max() {
-            let complete_from = LogOffset(last.0.saturating_add(1));
-            self.complete_from = self.complete_from.max(complete_from);
+            self.complete_from = self.complete_from.max(last.following());
         }
         self.deleted = 0;
     }
 
     /// Begins the view of a topic with a listing of its current records, which tells nothing of keys that
     /// were deleted before `next`.
-    pub fn begin_at(&mut self, next: LogOffset) {
-        if self.next == LogOffset::default() {
+    pub fn begin_at(&mut self, next: LogPosition) {
+        if self.next == LogPosition::default() {
             self.complete_from = next;
         }
     }
 
-    /// Returns whether the records since an offset tell of all deletions too; those since the start
-    /// tell all, as there was nothing to delete before.
+    /// Returns whether the records since a position tell of all deletions too; those since the start
+    /// tell all, as there was nothing to delete before, and those since an earlier era are all that the
+    /// topic has.
     #[must_use]
-    pub fn covers(&self, from: LogOffset) -> bool {
-        from == LogOffset::default() || from >= self.complete_from
+    pub fn covers(&self, from: LogPosition) -> bool {
+        if from != LogPosition::default() && from.era < self.next.era {
+            return !self.has_earlier_eras();
+        }
+        from == LogPosition::default() || from >= self.complete_from
+    }
+
+    /// Returns whether the newest record of a key is of an earlier era, so that the topic may lack the key.
+    fn has_earlier_eras(&self) -> bool {
+        let mut known = self.newest.values();
+        known.any(|state| state.value.is_some() && state.position.era < self.next.era)
     }
 
     /// Returns records that delete the keys missing from a complete listing of the topic at
-    /// offset `end`; keys with a record at or after `end` are left out.
+    /// position `end`; keys with a record at or after `end` are left out.
     #[must_use]
     pub fn deletions_for_missing_keys(
         &self,
         records: &[KeyedRecord],
-        end: LogOffset,
+        end: LogPosition,
     ) -> Vec<KeyedRecord> {
         let listed: std::collections::HashSet<&str> =
             records.iter().map(|record| record.key.as_str()).collect();
         let missing = self.newest.iter().filter(|(key, state)| {
-            state.value.is_some() && state.offset < end && !listed.contains(key.as_str())
-        });
-        let deletions = missing.map(|(key, _)| KeyedRecord {
-            key: key.clone(),
-            value: None,
-            // The last offset that the listing covers.
-            offset: LogOffset(end.0.saturating_sub(1)),
+            state.value.is_some() && state.position < end && !listed.contains(key.as_str())
         });
-        deletions.collect()
+        missing
+            .map(|(key, _)| KeyedRecord::deletion(key, end))
+            .collect()
+    }
+
+    /// Returns records that delete the keys of which only earlier eras had a record, once all records of
+    /// the topic below a position of a later era are applied; none if it is not of a later era.
+    #[must_use]
+    pub fn deletions_for_lost_keys(&self, next: LogPosition) -> Vec<KeyedRecord> {
+        if next.era <= self.next.era {
+            return Vec::new();
+        }
+        let lost = self
+            .newest
+            .iter()
+            .filter(|(_, state)| state.value.is_some() && state.position.era < next.era);
+        lost.map(|(key, _)| KeyedRecord::deletion(key, next))
+            .collect()
     }
 
     /// Returns whether a current record of the topic shows that this view lacks something below its
-    /// offset.
+    /// position.
     #[must_use]
     pub fn lacks(&self, record: &KeyedRecord) -> bool {
-        if record.offset >= self.next {
+        if record.position >= self.next {
             return false;
         }
         let known = self.newest.get(&record.key);
-        let is_older = known.is_none_or(|known| known.offset < record.offset);
+        let is_older = known.is_none_or(|known| known.position < record.position);
         let meaning = record.value.as_deref().map(self.meaning);
         is_older && known.and_then(|known| known.meaning) != meaning
     }
 
-    /// Records that all records below an offset have been applied.
-    pub fn advance(&mut self, next: LogOffset) {
+    /// Records that all records below a position have been applied.
+    pub fn advance(&mut self, next: LogPosition) {
+        if next.era > self.next.era && self.next != LogPosition::default() {
+            // Deletions in the new era of keys that were not known here are not known.
+            self.complete_from = next;
+        }
         self.next = self.next.max(next);
     }
 
-    /// Returns the newest records of the keys whose meaning changed at or after an offset.
+    /// Returns the newest records of the keys whose meaning changed at or after a position.
     #[must_use]
-    pub fn since(&self, from: LogOffset) -> Vec<KeyedRecord> {
+    pub fn since(&self, from: LogPosition) -> Vec<KeyedRecord> {
         let newer = self
             .newest
             .iter()
@@ -192,7 +321,7 @@
         let records = newer.map(|(key, state)| KeyedRecord {
             key: key.clone(),
             value: state.value.clone(),
-            offset: state.offset,
+            position: state.position,
         });
         records.collect()
     }
@@ -221,9 +350,34 @@
         self.newest.get(key)?.value.as_ref()
     }
 
-    /// Returns the offset of the newest record of a key, which may be a deletion.
+    /// Returns the position of the newest record of a key, which may be a deletion.
     #[must_use]
-    pub fn offset(&self, key: &str) -> Option<LogOffset> {
-        self.newest.get(key).map(|state| state.offset)
+    pub fn position(&self, key: &str) -> Option<LogPosition> {
+        self.newest.get(key).map(|state| state.position)
+    }
+}
+
+/// Returns the newest that the writer of a key has said, with a record that is not outdated.
+fn writer_state(
+    known: Option<WriterState>,
+    record: &KeyedRecord,
+    stamp: Option<WriterStamp>,
+    source: RecordSource,
+) -> Option<WriterState> {
+    let era = record.position.era;
+    if record.value.is_some() {
+        return stamp.map(|stamp| WriterState {
+            stamp,
+            era,
+            is_deleted: false,
+        });
+    }
+    if source == RecordSource::Missing {
+        return known;
     }
+    known.map(|known| WriterState {
+        era,
+        is_deleted: true,
+        ..known
+    })
 }
--- a/src/decide/record_transfer.rs
+++ b/src/decide/record_transfer.rs
@@ -5,7 +5,7 @@
 
 use bytes::Bytes;
 
-use super::ids::LogOffset;
+use super::ids::LogPosition;
 use super::keyed_view::{KeyedRecord, KeyedView};
 use crate::kernel::Moment;
 
@@ -25,15 +25,15 @@
 /// How far a transfer has come.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct TransferCursor {
-    /// Offset from which the reader needs all newest records.
-    pub from: LogOffset,
-    /// Offset from which records are still to come.
-    pub at: LogOffset,
-    /// Bytes of the value at offset `at` that the reader has.
+    /// Position from which the reader needs all newest records.
+    pub from: LogPosition,
+    /// Position from which records are still to come.
+    pub at: LogPosition,
+    /// Bytes of the value at position `at` that the reader has.
     pub held: u64,
-    /// Offset below which the sources so far had all records. A source that is behind it may lack
+    /// Position below which the sources so far had all records. A source that is behind it may lack
     /// a record that replaced one before `at`.
-    pub as_of: LogOffset,
+    pub as_of: LogPosition,
 }
 
 /// Record, or part of its value.
@@ -41,8 +41,8 @@
 pub struct RecordPiece {
     /// Key of the record.
     pub key: String,
-    /// Offset of the record in its topic.
-    pub offset: LogOffset,
+    /// Position of the record in its topic.
+    pub position: LogPosition,
     /// Size of the whole value, in bytes; `None` if the record deletes the key.
     pub value_bytes: Option<u64>,
     /// Position of `part` in the value, in bytes.
@@ -54,24 +54,24 @@
 /// Records that a source sends in response to one call.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct RecordPage {
-    /// Records in the order of their offsets; the last one may be incomplete.
+    /// Records in the order of their positions; the last one may be incomplete.
     pub pieces: Vec<RecordPiece>,
-    /// Offset below which the source has all records.
-    pub next: LogOffset,
+    /// Position below which the source has all records.
+    pub next: LogPosition,
     /// Whether no record follows the last piece.
     pub is_last: bool,
 }
 
 /// Returns the page of a topic at a cursor; `None` if the source is behind the reader's earlier ones,
-/// or does not know all deletions since the reader's offset.
+/// or does not know all deletions since the reader's position.
 #[must_use]
 pub fn page_at(view: &KeyedView, cursor: TransferCursor) -> Option<RecordPage> {
     if view.next < cursor.as_of || !view.covers(cursor.from) {
         return None;
     }
     let mut records = view.since(cursor.from);
-    records.retain(|record| record.offset >= cursor.at);
-    records.sort_unstable_by_key(|record| record.offset);
+    records.retain(|record| record.position >= cursor.at);
+    records.sort_unstable_by_key(|record| record.position);
     let mut pieces = Vec::new();
     let mut room = PAGE_BYTES;
     let mut is_last = true;
@@ -82,7 +82,7 @@
         }
         let value = record.value.as_ref();
         let size = value.map_or(0, Bytes::len);
-        let is_resumed = record.offset == cursor.at;
+        let is_resumed = record.position == cursor.at;
         let held = usize::try_from(cursor.held).unwrap_or(usize::MAX);
         let start = if is_resumed { held.min(size) } else { 0 };
         let end = size.min(start.saturating_add(room));
@@ -90,7 +90,7 @@
         is_last = end == size;
         pieces.push(RecordPiece {
             key: record.key,
-            offset: record.offset,
+            position: record.position,
             value_bytes: value.map(|value| value.len() as u64),
             start: start as u64,
             part: value.map_or_else(Bytes::new, |value| value.slice(start..end)),
@@ -108,8 +108,8 @@
 pub enum TransferStep {
     /// These records are complete, and more follow.
     Continue(Vec<KeyedRecord>),
-    /// With these records the reader has all records below the offset.
-    Complete(Vec<KeyedRecord>, LogOffset),
+    /// With these records the reader has all records below the position.
+    Complete(Vec<KeyedRecord>, LogPosition),
     /// The page does not continue the transfer; its source is of no use.
     Mismatch,
 }
@@ -117,17 +117,17 @@
 /// Reader's side of a transfer.
 #[derive(Debug)]
 pub struct RecordTransfer {
-    from: LogOffset,
-    at: LogOffset,
-    as_of: LogOffset,
-    /// Part of the value at offset `at` that has arrived.
+    from: LogPosition,
+    at: LogPosition,
+    as_of: LogPosition,
+    /// Part of the value at position `at` that has arrived.
     partial: Vec<u8>,
 }
 
 impl RecordTransfer {
-    /// Begins a transfer to a reader that has all records below an offset.
+    /// Begins a transfer to a reader that has all records below a position.
     #[must_use]
-    pub const fn new(from: LogOffset) -> Self {
+    pub const fn new(from: LogPosition) -> Self {
         Self {
             from,
             at: from,
@@ -166,28 +166,28 @@
 
     fn apply_piece(&mut self, piece: RecordPiece) -> PieceStep {
         // The record that was partly here may have been replaced by a newer one.
-        if piece.offset != self.at {
+        if piece.position != self.at {
             self.partial.clear();
         }
         let size = piece.value_bytes.unwrap_or(0);
         let held = self.partial.len() as u64;
-        let is_next = piece.offset >= self.at && piece.start == held;
+        let is_next = piece.position >= self.at && piece.start == held;
         let end = held.saturating_add(piece.part.len() as u64);
         if !is_next || end > size || size > MAX_VALUE_BYTES {
             self.partial.clear();
             return PieceStep::Mismatch;
         }
-        self.at = piece.offset;
+        self.at = piece.position;
         self.partial.extend_from_slice(&piece.part);
         if end < size {
             return PieceStep::Partial;
         }
         let value = std::mem::take(&mut self.partial);
-        self.at = LogOffset(piece.offset.0.saturating_add(1));
+        self.at = piece.position.following();
         PieceStep::Complete(KeyedRecord {
             key: piece.key,
             value: piece.value_bytes.map(|_size| Bytes::from(value)),
-            offset: piece.offset,
+            position: piece.position,
         })
     }
 }
--- a/src/events/state_events.rs
+++ b/src/events/state_events.rs
@@ -133,6 +133,14 @@
     "The platform's store has come back from an older copy and is in another `era`: what was written before may be gone, and offsets are given out again.",
 );
 
+/// Logged when the view of a topic enters a later era of the store.
+pub const VIEW_RESTORED: EventKind = event(
+    221,
+    Level::Warn,
+    "view_restored",
+    "The records of a `topic` were taken over from an older copy of the store, of another `era`: the ones below `known` of the era before are replaced by the ones below `next`, and upstreams that the copy lacks are removed unless they write again.",
+);
+
 /// Logged when exchanges with another instance begin to fail.
 pub const PEER_LOST: EventKind = event(
     212,
--- a/src/gateway/dispatch/gossip.rs
+++ b/src/gateway/dispatch/gossip.rs
@@ -9,7 +9,7 @@
 use super::state::{DispatchState, PeerState};
 use super::transfers::gossip_records;
 use crate::decide::fleet::MemberLoad;
-use crate::decide::ids::{EngineEpoch, Incarnation, LogOffset};
+use crate::decide::ids::{EngineEpoch, Incarnation, LogPosition};
 use crate::decide::keyed_view::KeyedRecord;
 use crate::decide::prompt_parts::kv_store_for;
 use crate::decide::route_table::DataCentreId;
@@ -162,13 +162,15 @@
                 WireTopic::Operator => gossip.operator,
                 WireTopic::Upstream => gossip.upstream,
             };
-            // Records are complete if they start at an offset that this instance has reached.
-            let own = self.view(topic).next.0;
-            let is_complete = progress.from.is_some_and(|from| from <= own);
-            if progress.next < own {
+            // Records are complete if they start at a position that this instance has reached.
+            let own = self.view(topic).next;
+            let next = LogPosition::from(progress.next);
+            let from = progress.from.map(LogPosition::from);
+            let is_complete = from.is_some_and(|from| is_continued(own, from, next));
+            if next < own {
                 continue;
             }
-            if progress.next > own && !is_complete {
+            if next > own && !is_complete {
                 self.announce_source(turn, topic, gossip, built_after.is_some());
                 continue;
             }
@@ -181,7 +183,7 @@
                 .filter(|record| record.topic == topic)
                 .map(KeyedRecord::from)
                 .collect();
-            self.apply_forwarded(turn, topic, &records, LogOffset(progress.next));
+            self.apply_forwarded(turn, topic, &records, next);
             if let Some(built_after) = built_after {
                 let confirmed_at = built_after.before(Duration::from_millis(progress.age_ms));
                 self.record_confirmation(topic, confirmed_at);
@@ -230,7 +232,7 @@
         if topic == WireTopic::Upstream && self.view_check.is_wanted() {
             return ReadNeed::Listing;
         }
-        if readers < STORE_READERS || next == LogOffset::default() {
+        if readers < STORE_READERS || next == LogPosition::default() {
             return ReadNeed::Now(next);
         }
         let later = current_until.max(self.transfer_end(topic));
@@ -242,13 +244,13 @@
 
     /// Returns how far this instance has read a topic, for a gossip message whose records start
     /// at `from`.
-    fn progress(&self, now: Moment, topic: WireTopic, from: Option<LogOffset>) -> WireProgress {
+    fn progress(&self, now: Moment, topic: WireTopic, from: Option<LogPosition>) -> WireProgress {
         let health = self.health(topic);
         let age = now.since(health.confirmed_at);
         let returned = health.recovered_at.map(|at| now.since(at));
         WireProgress {
-            next: self.view(topic).next.0,
-            from: from.map(|from| from.0),
+            next: self.view(topic).next.into(),
+            from: from.map(Into::into),
             // Rounded up, because each instance on the way adds its own rounding.
             age_ms: whole_ms(age).saturating_add(1),
             returned_ms: returned
@@ -278,7 +280,7 @@
             Some((member.id_hash, member.version()?))
         });
         let mut records = Vec::new();
-        let mut include = |topic, from: Option<LogOffset>| {
+        let mut include = |topic, from: Option<LogPosition>| {
             let included = gossip_records(self.view(topic), from?)?;
             records.extend(wire_records(topic, included));
             from
@@ -336,6 +338,12 @@
     }
 }
 
+/// Returns whether a view that is known below `own` is complete below `next` with the newest records from
+/// `from` on. Those from an earlier era on tell of no deletions in the era that the view is in.
+pub(super) fn is_continued(own: LogPosition, from: LogPosition, next: LogPosition) -> bool {
+    from <= own && (from.era == own.era || own.era < next.era)
+}
+
 /// Returns the size of the values of records, in bytes.
 fn record_bytes(records: &[WireTopicRecord]) -> usize {
     let values = records.iter().filter_map(|record| record.value.as_ref());
@@ -348,7 +356,7 @@
         topic,
         key: record.key,
         value: record.value.map(|value| value.to_vec()),
-        offset: record.offset.0,
+        position: record.position.into(),
     });
     wire.collect()
 }
@@ -358,7 +366,7 @@
         Self {
             key: wire.key.clone(),
             value: wire.value.clone().map(Bytes::from),
-            offset: LogOffset(wire.offset),
+            position: wire.position.into(),
         }
     }
 }
--- a/src/gateway/dispatch/mod.rs
+++ b/src/gateway/dispatch/mod.rs
@@ -18,6 +18,7 @@
 mod reading;
 mod records;
 mod release;
+mod removals;
 mod report;
 mod routing;
 mod send_check;
@@ -148,9 +149,9 @@
             state.apply_gossip(turn, &gossip, Some(called_at));
         }
         DispatchMail::ReadRecords(call, reply_to) => reply_to.send(state.read_records(now, &call)),
-        DispatchMail::TransferredRecords(topic, records, end, reply_to) => {
-            state.apply_transferred(turn, topic, &records, end);
-            reply_to.send(state.view(topic).next);
+        DispatchMail::TransferredRecords(transferred, reply_to) => {
+            state.apply_transferred(turn, &transferred);
+            reply_to.send(state.view(transferred.topic).next);
         }
         DispatchMail::ExchangeEnded(outcome) => state.counters.count_exchange(outcome),
         DispatchMail::BuildGossip(from, reply_to) => reply_to.send(state.build_gossip(now, from)),
--- a/src/gateway/dispatch/records.rs
+++ b/src/gateway/dispatch/records.rs
@@ -4,15 +4,15 @@
 
 use super::crashes::CrashSign;
 use super::paces::PaceCause;
-use super::send_check::SEND_TIME;
-use super::state::{DeferredRemoval, DispatchState};
+use super::removals::REMOVAL_DELAY;
+use super::state::DispatchState;
 use crate::decide::fleet::{EntryChange, MemberState};
-use crate::decide::ids::LogOffset;
+use crate::decide::ids::LogPosition;
 use crate::decide::keyed_view::KeyedRecord;
 use crate::decide::route_table::RouteTable;
 use crate::events::{
     CONFIGURATION_IN_FORCE, EventField, RECORD_SKIPPED, STORE_LOST, STORE_REGAINED,
-    UPSTREAM_CHANGED, log_event,
+    UPSTREAM_CHANGED, VIEW_RESTORED, log_event,
 };
 use crate::gateway::mail::{GatewayMail, TopicRecords};
 use crate::kernel::{Moment, Turn};
@@ -22,16 +22,15 @@
 use crate::platform::upstream_entry::decode_entry;
 use crate::wire::peer_rpc::WireTopic;
 
-/// Time after a store outage for which removals of upstreams are deferred, because entries that
-/// expired during the outage may be written again.
-const REMOVAL_DELAY: Duration = Duration::from_millis(2_100);
-
 /// Minimum length of a store outage after which removed entries may merely have expired.
 pub(super) const MIN_OUTAGE: Duration = Duration::from_secs(1);
 
 impl DispatchState {
     /// Applies new records that were read from the store.
     pub(super) fn apply_records(&mut self, turn: &mut Turn<'_, GatewayMail>, read: &TopicRecords) {
+        if read.next.era != self.view(read.topic).next.era {
+            return;
+        }
         self.record_store_success(turn.now, read.topic);
         let absent_at = self.absent_at(read.topic);
         for record in &read.records {
@@ -45,7 +44,17 @@
 
     /// Applies a complete snapshot of a topic; keys that are missing from it have been removed.
     pub(super) fn apply_snapshot(&mut self, turn: &mut Turn<'_, GatewayMail>, read: &TopicRecords) {
+        let known = self.view(read.topic).next;
+        if read.next.era < known.era {
+            return;
+        }
         self.record_store_success(turn.now, read.topic);
+        if read.next.era > known.era && known != LogPosition::default() {
+            self.record_listing(read, &[]);
+            self.apply_forwarded(turn, read.topic, &read.records, read.next);
+            self.record_confirmation(read.topic, read.confirmed_at);
+            return;
+        }
         let missing = self
             .view(read.topic)
             .deletions_for_missing_keys(&read.records, read.next);
@@ -65,9 +74,13 @@
         turn: &mut Turn<'_, GatewayMail>,
         read: &TopicRecords,
     ) {
+        if read.next.era < self.view(read.topic).next.era {
+            return;
+        }
         self.record_store_success(turn.now, read.topic);
         self.record_partial_listing(read.topic);
-        self.apply_forwarded(turn, read.topic, &read.records, read.next);
+        self.apply_all(turn, read.topic, &read.records, read.next);
+        self.view_mut(read.topic).advance(read.next);
     }
 
     /// Applies records that another instance forwarded.
@@ -76,14 +89,50 @@
         turn: &mut Turn<'_, GatewayMail>,
         topic: WireTopic,
         records: &[KeyedRecord],
-        next: LogOffset,
+        next: LogPosition,
+    ) {
+        self.apply_all(turn, topic, records, next);
+        for deletion in self.view(topic).deletions_for_lost_keys(next) {
+            if self.view_mut(topic).apply_missing(&deletion) && topic == WireTopic::Upstream {
+                self.defer_removal(&deletion.key, turn.now.after(REMOVAL_DELAY));
+            }
+        }
+        self.view_mut(topic).advance(next);
+    }
+
+    /// Applies the newest records of some keys of a topic, which is known below `next` with them.
+    fn apply_all(
+        &mut self,
+        turn: &mut Turn<'_, GatewayMail>,
+        topic: WireTopic,
+        records: &[KeyedRecord],
+        next: LogPosition,
     ) {
         let absent_at = self.absent_at(topic);
+        self.enter_era(turn.now, topic, next);
         self.view_mut(topic).begin_at(next);
         for record in records {
             self.apply_newest(turn, topic, record, absent_at);
         }
-        self.view_mut(topic).advance(next);
+    }
+
+    /// Defers removals if the topic comes back from an older copy, because entries that the copy lacks may be
+    /// written again.
+    fn enter_era(&mut self, now: Moment, topic: WireTopic, next: LogPosition) {
+        let known = self.view(topic).next;
+        if next.era <= known.era || known == LogPosition::default() {
+            return;
+        }
+        self.health_mut(topic).recovered_at = Some(now);
+        log_event(
+            &VIEW_RESTORED,
+            &[
+                ("topic", &topic_name(topic)),
+                ("era", &next.era.0),
+                ("known", &known.offset.0),
+                ("next", &next.offset.0),
+            ],
+        );
     }
 
     fn view_mut(&mut self, topic: WireTopic) -> &mut crate::decide::keyed_view::KeyedView {
@@ -166,7 +215,8 @@
             &[
                 ("version", &routes.version),
                 ("before", &current),
-                ("offset", &record.offset.0),
+                ("era", &record.position.era.0),
+                ("offset", &record.position.offset.0),
                 ("bytes", &bytes),
             ],
         );
@@ -238,64 +288,6 @@
         );
     }
 
-    /// Removes an upstream whose entry was removed: at once, or deferred if the entry may merely
-    /// have expired during an outage.
-    fn remove_entry(&mut self, now: Moment, id: &str) {
-        let health = self.upstream_health;
-        let returned = health
-            .recovered_at
-            .filter(|at| now.since(*at) < REMOVAL_DELAY);
-        match returned {
-            Some(at) => self.removals.push(DeferredRemoval {
-                id: id.to_owned(),
-                due: self.removal_due(now, at),
-            }),
-            None => self.remove_member(id, "removed"),
-        }
-    }
-
-    /// Returns when a removal takes effect that is read after an outage which ended at
-    /// `recovered_at`.
-    fn removal_due(&self, now: Moment, recovered_at: Moment) -> Moment {
-        let due = recovered_at.after(REMOVAL_DELAY);
-        // The removal was written after the last confirmation. If that is older than the limit,
-        // the outage lies between, and the entry may have expired in it.
-        let limit = self.identity.drain_limit.saturating_sub(SEND_TIME);
-        let written_limit = self.upstream_health.confirmed_at.after(limit);
-        if written_limit.is_due(now) {
-            due
-        } else {
-            due.min(written_limit)
-        }
-    }
-
-    fn remove_member(&mut self, id: &str, change: &str) {
-        let Some(key) = self.fleet.find(id) else {
-            return;
-        };
-        self.fleet.remove(key);
-        self.parts.remove_member(key);
-        self.pool.close_all(key);
-        log_event(&UPSTREAM_CHANGED, &[("upstream", &id), ("change", &change)]);
-    }
-
-    /// Removes upstreams whose entries were not written again in time.
-    pub(super) fn apply_due_removals(&mut self, now: Moment) {
-        let due: Vec<DeferredRemoval> = self
-            .removals
-            .extract_if(.., |removal| removal.due.is_due(now))
-            .collect();
-        for removal in due {
-            self.remove_member(&removal.id, "lapsed");
-        }
-    }
-
-    /// Returns the time of the next deferred removal.
-    pub(super) fn next_removal(&self) -> Moment {
-        let due = self.removals.iter().map(|removal| removal.due);
-        due.min().unwrap_or(Moment::NEVER)
-    }
-
     /// Records a successful read from the store, which ends an outage.
     fn record_store_success(&mut self, now: Moment, topic: WireTopic) {
         let health = self.health_mut(topic);
@@ -336,7 +328,8 @@
     log_event(
         &RECORD_SKIPPED,
         &[
-            ("offset", &record.offset.0),
+            ("era", &record.position.era.0),
+            ("offset", &record.position.offset.0),
             ("key", &record.key),
             ("reason", &reason),
         ],
--- /dev/null
+++ b/src/gateway/dispatch/removals.rs
@@ -0,0 +1,78 @@
+//! Removals of upstreams from the list, at once or deferred.
+
+use std::time::Duration;
+
+use super::send_check::SEND_TIME;
+use super::state::{DeferredRemoval, DispatchState};
+use crate::events::{UPSTREAM_CHANGED, log_event};
+use crate::kernel::Moment;
+
+/// Time after a store outage for which removals of upstreams are deferred, because entries that
+/// expired during the outage may be written again.
+pub(super) const REMOVAL_DELAY: Duration = Duration::from_millis(2_100);
+
+impl DispatchState {
+    /// Removes an upstream whose entry was removed: at once, or deferred if the entry may merely
+    /// have expired during an outage.
+    pub(super) fn remove_entry(&mut self, now: Moment, id: &str) {
+        let health = self.upstream_health;
+        let returned = health
+            .recovered_at
+            .filter(|at| now.since(*at) < REMOVAL_DELAY);
+        match returned {
+            Some(at) => self.defer_removal(id, self.removal_due(now, at)),
+            None => self.remove_member(id, "removed"),
+        }
+    }
+
+    /// Removes an upstream at a time unless its entry is written again before.
+    pub(super) fn defer_removal(&mut self, id: &str, due: Moment) {
+        self.removals.retain(|removal| removal.id != id);
+        self.removals.push(DeferredRemoval {
+            id: id.to_owned(),
+            due,
+        });
+    }
+
+    /// Returns when a removal takes effect that is read after an outage which ended at
+    /// `recovered_at`.
+    fn removal_due(&self, now: Moment, recovered_at: Moment) -> Moment {
+        let due = recovered_at.after(REMOVAL_DELAY);
+        // The removal was written after the last confirmation. If that is older than the limit,
+        // the outage lies between, and the entry may have expired in it.
+        let limit = self.identity.drain_limit.saturating_sub(SEND_TIME);
+        let written_limit = self.upstream_health.confirmed_at.after(limit);
+        if written_limit.is_due(now) {
+            due
+        } else {
+            due.min(written_limit)
+        }
+    }
+
+    fn remove_member(&mut self, id: &str, change: &str) {
+        let Some(key) = self.fleet.find(id) else {
+            return;
+        };
+        self.fleet.remove(key);
+        self.parts.remove_member(key);
+        self.pool.close_all(key);
+        log_event(&UPSTREAM_CHANGED, &[("upstream", &id), ("change", &change)]);
+    }
+
+    /// Removes upstreams whose entries were not written again in time.
+    pub(super) fn apply_due_removals(&mut self, now: Moment) {
+        let due: Vec<DeferredRemoval> = self
+            .removals
+            .extract_if(.., |removal| removal.due.is_due(now))
+            .collect();
+        for removal in due {
+            self.remove_member(&removal.id, "lapsed");
+        }
+    }
+
+    /// Returns the time of the next deferred removal.
+    pub(super) fn next_removal(&self) -> Moment {
+        let due = self.removals.iter().map(|removal| removal.due);
+        due.min().unwrap_or(Moment::NEVER)
+    }
+}
--- a/src/gateway/dispatch/report.rs
+++ b/src/gateway/dispatch/report.rs
@@ -88,7 +88,8 @@
         let digest = view.digest();
         let age = now.since(self.health(topic).confirmed_at);
         json!({
-            "offset": view.next.0,
+            "era": view.next.era.0,
+            "offset": view.next.offset.0,
             "keys": digest.keys,
             "digest": format!("{:016x}", digest.hash),
             "confirmed_ms_ago": age.as_millis(),
--- a/src/gateway/dispatch/state.rs
+++ b/src/gateway/dispatch/state.rs
@@ -15,8 +15,8 @@
 use super::view_check::ViewCheck;
 use crate::decide::customer_use::{CustomerHash, UseTable};
 use crate::decide::fleet::{Fleet, MemberKey};
-use crate::decide::ids::Ticket;
-use crate::decide::keyed_view::KeyedView;
+use crate::decide::ids::{LogPosition, Ticket};
+use crate::decide::keyed_view::{KeyedView, value_hash};
 use crate::decide::load_features::LoadFeatures;
 use crate::decide::memory_budget::{MemoryBudget, ReservationKey};
 use crate::decide::prompt_parts::PrefixIndex;
@@ -33,7 +33,8 @@
 use crate::gateway::mail::{PlacementReply, PlacementRequest};
 use crate::kernel::{Moment, ReplyTo};
 use crate::log_queue::DroppedLines;
-use crate::platform::upstream_entry::entry_meaning;
+use crate::platform::config_document::document_stamp;
+use crate::platform::upstream_entry::{entry_meaning, entry_stamp};
 use crate::wire::peer_rpc::{WireSegment, WireSuspicion, WireTopic};
 
 /// Version of a model's weights that operators want upstreams to run.
@@ -172,8 +173,8 @@
             extra_retries: settings.extra_retries,
             counters: GatewayCounters::default(),
             dropped_lines: settings.dropped_lines,
-            operator: KeyedView::default(),
-            upstreams: KeyedView::new(entry_meaning),
+            operator: KeyedView::new(value_hash, document_stamp),
+            upstreams: KeyedView::new(entry_meaning, entry_stamp),
             reader_seats: ReaderSeats::default(),
             operator_health: TopicHealth::default(),
             upstream_health: TopicHealth::default(),
@@ -234,7 +235,7 @@
     /// known and the process is not shutting down.
     #[must_use]
     pub fn is_ready(&self) -> bool {
-        let is_informed = self.routes.is_some() && self.upstreams.next.0 > 0;
+        let is_informed = self.routes.is_some() && self.upstreams.next > LogPosition::default();
         !self.is_leaving && is_informed && !self.may_lack_all_upstreams()
     }
 
--- a/src/gateway/dispatch/transfers.rs
+++ b/src/gateway/dispatch/transfers.rs
@@ -3,12 +3,13 @@
 
 use std::time::Duration;
 
+use super::gossip::is_continued;
 use super::state::DispatchState;
-use crate::decide::ids::LogOffset;
+use crate::decide::ids::LogPosition;
 use crate::decide::keyed_view::{KeyedRecord, KeyedView};
 use crate::decide::record_transfer::{TransferCursor, page_at};
 use crate::events::{TRANSFER_BROKEN, log_event};
-use crate::gateway::mail::{GatewayMail, RecordSource};
+use crate::gateway::mail::{GatewayMail, RecordSource, TransferredRecords};
 use crate::kernel::{Moment, Turn};
 use crate::wire::peer_rpc::{GossipMessage, WireTopic};
 use crate::wire::records_call::{WireRecordPage, WireRecordsCall, WireRecordsReply};
@@ -24,9 +25,9 @@
 /// Time after a response without records for which callers that have them count as their sources too.
 const WANTED_TIME: Duration = Duration::from_secs(1);
 
-/// Returns the records of a topic from an offset on, if they are complete and fit into a gossip
+/// Returns the records of a topic from a position on, if they are complete and fit into a gossip
 /// message.
-pub(super) fn gossip_records(view: &KeyedView, from: LogOffset) -> Option<Vec<KeyedRecord>> {
+pub(super) fn gossip_records(view: &KeyedView, from: LogPosition) -> Option<Vec<KeyedRecord>> {
     if !view.covers(from) {
         return None;
     }
@@ -93,14 +94,20 @@
     pub(super) fn apply_transferred(
         &mut self,
         turn: &mut Turn<'_, GatewayMail>,
-        topic: WireTopic,
-        records: &[KeyedRecord],
-        end: Option<LogOffset>,
+        transferred: &TransferredRecords,
     ) {
+        let TransferredRecords {
+            topic,
+            from,
+            ref records,
+            end,
+        } = *transferred;
         self.health_mut(topic).transferred_at = turn.now;
         let values = records.iter().filter_map(|record| record.value.as_ref());
         let bytes = values.map(bytes::Bytes::len).sum();
         self.counters.count_record_bytes("received", bytes);
+        let own = self.view(topic).next;
+        let end = end.filter(|end| is_continued(own, from, *end));
         self.apply_forwarded(turn, topic, records, end.unwrap_or_default());
     }
 
--- a/src/gateway/dispatch/view_check.rs
+++ b/src/gateway/dispatch/view_check.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use super::state::DispatchState;
-use crate::decide::ids::LogOffset;
+use crate::decide::ids::LogPosition;
 use crate::decide::keyed_view::KeyedRecord;
 use crate::decide::route_table::ServiceId;
 use crate::events::{VIEW_REPAIRED, log_event};
@@ -46,7 +46,7 @@
 
     /// Wants a check while the list is empty and the store has not said that it is.
     pub(super) fn check_empty_list(&mut self, now: Moment) {
-        if self.upstreams.next == LogOffset::default() {
+        if self.upstreams.next == LogPosition::default() {
             // The first read is under way.
             return;
         }
--- a/src/gateway/dispatch/weights.rs
+++ b/src/gateway/dispatch/weights.rs
@@ -7,7 +7,7 @@
 use super::state::{DispatchState, TargetVersion};
 use crate::decide::fleet::{FleetMember, MemberKey};
 use crate::decide::hashing::name_hash;
-use crate::decide::ids::LogOffset;
+use crate::decide::ids::LogPosition;
 use crate::decide::stated_weights::{StatementEffect, WeightsStatement};
 use crate::decide::version_deadlines::VersionDeadlines;
 use crate::events::{WEIGHTS_NAMED, WEIGHTS_REFUTED, WEIGHTS_STATED, log_event};
@@ -39,7 +39,7 @@
         }
         let limit = self.identity.weights_limit;
         // Records of the first read may be of any age.
-        let is_of_unknown_age = self.operator.next == LogOffset::default();
+        let is_of_unknown_age = self.operator.next == LogPosition::default();
         let deadline = if is_of_unknown_age {
             turn.now.after(self.identity.settling_time.min(limit))
         } else {
--- a/src/gateway/mail.rs
+++ b/src/gateway/mail.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 
 use crate::decide::fleet::MemberKey;
-use crate::decide::ids::{LogOffset, StoreEra, Ticket};
+use crate::decide::ids::{LogPosition, StoreEra, Ticket};
 use crate::decide::keyed_view::KeyedRecord;
 use crate::decide::member_notice::UpstreamNotice;
 use crate::decide::memory_budget::{MemoryUse, ReservationKey};
@@ -93,14 +93,9 @@
     GossipResponse(Box<GossipMessage>, Moment),
     /// Asks for records at the request of another instance.
     ReadRecords(WireRecordsCall, ReplyTo<WireRecordsReply>),
-    /// Records that were read from another instance, and the offset below which none is missing, if
-    /// the transfer is complete; the reply is the offset below which this instance has all records.
-    TransferredRecords(
-        WireTopic,
-        Vec<KeyedRecord>,
-        Option<LogOffset>,
-        ReplyTo<LogOffset>,
-    ),
+    /// Records that were read from another instance; the reply is the position below which this instance
+    /// has all records.
+    TransferredRecords(TransferredRecords, ReplyTo<LogPosition>),
     /// A call to another instance for its gossip message has ended, with this outcome.
     ExchangeEnded(&'static str),
     /// Asks for this instance's gossip message to an instance that has made the given progress.
@@ -148,19 +143,19 @@
 /// How far another instance has read the two topics of the store.
 #[derive(Debug, Clone, Copy, Default)]
 pub struct PeerProgress {
-    /// Offset up to which it has the operators' records; `None` if no records are to be
+    /// Position up to which it has the operators' records; `None` if no records are to be
     /// forwarded.
-    pub operator: Option<LogOffset>,
-    /// Offset up to which it has the upstreams' records; `None` if no records are to be
+    pub operator: Option<LogPosition>,
+    /// Position up to which it has the upstreams' records; `None` if no records are to be
     /// forwarded.
-    pub upstream: Option<LogOffset>,
+    pub upstream: Option<LogPosition>,
 }
 
 /// Whether an instance reads a topic of the store itself.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum ReadNeed {
-    /// Read now, starting at this offset.
-    Now(LogOffset),
+    /// Read now, starting at this position.
+    Now(LogPosition),
     /// Read all current records, because what is known here may lack some.
     Listing,
     /// Other instances read for all; ask again at this time.
@@ -174,12 +169,25 @@
     pub topic: WireTopic,
     /// The records, oldest first.
     pub records: Vec<KeyedRecord>,
-    /// Offset up to which all records of the topic are known.
-    pub next: LogOffset,
+    /// Position up to which all records of the topic are known.
+    pub next: LogPosition,
     /// Time at which the topic had no record after these; [`Moment::START`] if it had more.
     pub confirmed_at: Moment,
 }
 
+/// Records of one topic that were read from other instances.
+#[derive(Debug)]
+pub struct TransferredRecords {
+    /// Topic of the records.
+    pub topic: WireTopic,
+    /// Position from which the transfer brings all newest records.
+    pub from: LogPosition,
+    /// Records of one page.
+    pub records: Vec<KeyedRecord>,
+    /// Position below which no record is missing, if the transfer is complete.
+    pub end: Option<LogPosition>,
+}
+
 /// Properties of a request by which its route is looked up.
 #[derive(Debug)]
 pub struct RouteLookup {
@@ -224,8 +232,8 @@
 pub struct RecordSource {
     /// Topic of the records.
     pub topic: WireTopic,
-    /// Offset below which this instance has all records.
-    pub from: LogOffset,
+    /// Position below which this instance has all records.
+    pub from: LogPosition,
     /// Address of the other instance.
     pub address: SocketAddr,
     /// Whether the other instance is in the same data centre.
--- a/src/gateway/peer_exchange.rs
+++ b/src/gateway/peer_exchange.rs
@@ -16,7 +16,6 @@
 use super::peer_news::{PeerNews, digests_for, own_gossip, tell_uses, uses_for};
 use super::peer_server::serve_peer;
 use super::peer_table::{PeerTable, RoundScope};
-use crate::decide::ids::LogOffset;
 use crate::decide::route_table::DataCentreId;
 use crate::kernel::{Directory, Inbox, IoTask, Moment, ReplyTo, Signal};
 use crate::wire::peer_rpc::{GossipMessage, WireLoadCall, WireProgress};
@@ -348,7 +347,7 @@
 
     /// Returns the progress of the sender of a gossip message.
     pub(super) fn of_sender(gossip: &GossipMessage) -> Self {
-        let needed_from = |progress: WireProgress| Some(LogOffset(progress.next));
+        let needed_from = |progress: WireProgress| Some(progress.next.into());
         Self {
             operator: needed_from(gossip.operator),
             upstream: needed_from(gossip.upstream),
--- a/src/gateway/record_reader.rs
+++ b/src/gateway/record_reader.rs
@@ -8,7 +8,7 @@
 use tokio::task::JoinSet;
 
 use super::dispatch;
-use super::mail::{DispatchMail, GatewayMail, RecordSource};
+use super::mail::{DispatchMail, GatewayMail, RecordSource, TransferredRecords};
 use super::peer_connection::{ExchangeError, PeerConnection};
 use crate::decide::record_transfer::{RecordPage, RecordTransfer, TransferStep};
 use crate::events::{TRANSFER_BROKEN, TRANSFER_ENDED, log_event};
@@ -206,7 +206,13 @@
             }
         };
         let known = dispatch::ask(&self.directory, |reply_to| {
-            DispatchMail::TransferredRecords(topic, records, end, reply_to)
+            let transferred = TransferredRecords {
+                topic,
+                from,
+                records,
+                end,
+            };
+            DispatchMail::TransferredRecords(transferred, reply_to)
         });
         // `dispatch` does not reply while the process shuts down.
         let known = known.await?;
@@ -219,7 +225,7 @@
             &TRANSFER_ENDED,
             &[
                 ("peer", &connection.address),
-                ("next", &known.0),
+                ("next", &known.offset.0),
                 ("complete", &end.is_some()),
                 ("took_ms", &whole_ms(took)),
             ],
--- a/src/gateway/store_watch.rs
+++ b/src/gateway/store_watch.rs
@@ -8,7 +8,7 @@
 
 use super::dispatch;
 use super::mail::{DispatchMail, GatewayMail, ReadNeed, TopicRecords};
-use crate::decide::ids::{LogOffset, StoreEra};
+use crate::decide::ids::{LogOffset, LogPosition, StoreEra};
 use crate::events::{LISTING_INCOMPLETE, STORE_RESTORED, log_event};
 use crate::kernel::{Directory, Inbox, IoTask, Moment, Signal};
 use crate::platform::store_client::{
@@ -100,8 +100,8 @@
     store: SocketAddr,
     /// Highest era that the store has stated.
     era: StoreEra,
-    /// Offset of the next read; `None` if a snapshot of all current records is to be read first.
-    next: Option<LogOffset>,
+    /// Position of the next read; `None` if a snapshot of all current records is to be read first.
+    next: Option<LogPosition>,
     /// Delay after the next failure.
     retry_delay: Duration,
     /// Time of the next read.
@@ -130,7 +130,7 @@
                 Some(Signal::Dump(reply_to)) => {
                     reply_to.send(serde_json::json!({
                         "era": self.era.0,
-                        "next": self.next.map(|next| next.0),
+                        "next": self.next.map(|next| next.offset.0),
                     }));
                 }
                 Some(Signal::Stop) | None => return,
@@ -152,7 +152,10 @@
                 return;
             }
             // Records that other instances have forwarded are skipped.
-            Some(ReadNeed::Now(known)) => self.next = self.next.map(|next| next.max(known)),
+            Some(ReadNeed::Now(known)) => {
+                let next = self.next.filter(|next| next.era <= known.era);
+                self.next = next.map(|next| next.max(known));
+            }
             Some(ReadNeed::Listing) => self.next = None,
             None => {}
         }
@@ -185,7 +188,7 @@
         }
         self.era = era;
         let topic = self.parameters.store_topic;
-        let next = self.next.map_or(0, |next| next.0);
+        let next = self.next.map_or(0, |next| next.offset.0);
         log_event(
             &STORE_RESTORED,
             &[("era", &era.0), ("topic", &topic), ("next", &next)],
@@ -193,8 +196,8 @@
         directory.send("orders", GatewayMail::StoreEra(era));
     }
 
-    /// Reads a snapshot or the next records; `None` if the records at `next` have been deleted, so
-    /// that a snapshot has to be read.
+    /// Reads a snapshot or the next records; `None` if the records at `next` have been deleted or the
+    /// store has come back from an older copy, so that a snapshot has to be read.
     async fn read(
         &mut self,
         directory: &Directory<GatewayMail>,
@@ -219,28 +222,35 @@
         });
         let read = self
             .client
-            .read(self.parameters.store_topic, from, long_poll);
-        match read.await? {
-            StoreRead::Deleted { .. } => {
-                self.next = None;
-                Ok(None)
-            }
-            StoreRead::Page(page) => {
-                let next = page.next(from);
+            .read(self.parameters.store_topic, from.offset, long_poll);
+        let read = read.await?;
+        let era = self.client.era();
+        if era < from.era {
+            return Err(StoreError::UnknownEra);
+        }
+        match read {
+            StoreRead::Page(page) if era == from.era => {
+                let offset = page.next(from.offset);
+                let next = LogPosition { era, offset };
                 self.next = Some(next);
                 let read = ReadTimes {
                     started,
                     long_poll,
                     ended: directory.now(),
                 };
-                let confirmed_at = read.confirmed_at(&page, from);
+                let confirmed_at = read.confirmed_at(&page, from.offset);
+                let keyed = |record| decode_keyed(era, record);
                 Ok(Some(DispatchMail::Records(TopicRecords {
                     topic,
-                    records: page.records.iter().filter_map(decode_keyed).collect(),
+                    records: page.records.iter().filter_map(keyed).collect(),
                     next,
                     confirmed_at,
                 })))
             }
+            StoreRead::Page(_) | StoreRead::Deleted { .. } => {
+                self.next = None;
+                Ok(None)
+            }
         }
     }
 
@@ -263,7 +273,10 @@
         let next = if listed.is_complete {
             listed.end
         } else {
-            self.client.oldest(store_topic).await?
+            LogPosition {
+                era: listed.end.era,
+                offset: self.client.oldest(store_topic).await?,
+            }
         };
         self.next = Some(next);
         let records = |confirmed_at| TopicRecords {
--- a/src/platform/config_document.rs
+++ b/src/platform/config_document.rs
@@ -7,6 +7,7 @@
 use serde::Deserialize;
 
 use crate::decide::customer_quota::{QuotaRule, QuotaUnit};
+use crate::decide::keyed_view::WriterStamp;
 use crate::decide::route_table::{
     CallerLimits, CustomerRule, DataCentreId, EngineRule, KvStore, RouteConfiguration, RouteKind,
     RouteRule, RouteTarget, ServiceId, ServiceRule,
@@ -115,6 +116,12 @@
     pub version: u64,
 }
 
+/// Version of any document of the operators.
+#[derive(Debug, Deserialize)]
+struct WireVersion {
+    version: u64,
+}
+
 /// Connection limit of an upstream whose service does not specify one.
 const DEFAULT_MAX_CONNECTIONS: usize = 64;
 
@@ -127,6 +134,17 @@
     serde_json::from_slice::<WireConfiguration>(bytes).map(RouteConfiguration::from)
 }
 
+/// Returns the version of a configuration or of a target as the count of its writer; `None` if the document
+/// states none.
+#[must_use]
+pub fn document_stamp(bytes: &[u8]) -> Option<WriterStamp> {
+    let document: WireVersion = serde_json::from_slice(bytes).ok()?;
+    Some(WriterStamp {
+        started_unix_ms: 0,
+        sequence: document.version,
+    })
+}
+
 /// Decodes a document with the target version of a model.
 ///
 /// # Errors
--- a/src/platform/instance_topics.rs
+++ b/src/platform/instance_topics.rs
@@ -144,7 +144,7 @@
     ) -> Result<bool, StoreError> {
         let Some(next) = *from else {
             let newest = self.store.newest(LEAVING_TOPIC).await?;
-            *from = Some(newest.end);
+            *from = Some(newest.end.offset);
             return Ok(newest.records.iter().any(|record| record.key == name));
         };
         match self.store.read(LEAVING_TOPIC, next, wait).await? {
@@ -154,7 +154,9 @@
             }
             StoreRead::Page(page) => {
                 *from = Some(page.next(next));
-                let records = page.records.iter().filter_map(decode_keyed);
+                let era = self.store.era();
+                let keyed = |record| decode_keyed(era, record);
+                let records = page.records.iter().filter_map(keyed);
                 let last = records.filter(|record| record.key == name).last();
                 Ok(last.is_some_and(|record| record.value.is_some()))
             }
--- a/src/platform/store_client.rs
+++ b/src/platform/store_client.rs
@@ -17,7 +17,7 @@
 use super::http_connection::{ConnectionError, HttpConnection};
 use super::store_records::{StorePage, frame};
 use super::topic_listing::{ListingStep, TopicListing};
-use crate::decide::ids::{LogOffset, StoreEra};
+use crate::decide::ids::{LogOffset, LogPosition, StoreEra};
 use crate::decide::keyed_view::KeyedRecord;
 
 /// Keyed topic to which operators write configurations and target versions of weights.
@@ -107,9 +107,9 @@
 pub struct NewestRecords {
     /// Newest record of each key.
     pub records: Vec<KeyedRecord>,
-    /// Offset from which to read later changes; it is that of the first page, so that changes
+    /// Position from which to read later changes; it is that of the first page, so that changes
     /// during the paging are not missed.
-    pub end: LogOffset,
+    pub end: LogPosition,
     /// Whether all keys are listed.
     pub is_complete: bool,
     /// Number of items that cannot be decoded.
@@ -252,14 +252,23 @@
     }
 
     async fn list_pages(&mut self, topic: &str) -> Result<NewestRecords, StoreError> {
-        let mut listing = TopicListing::default();
-        let mut path = format!("/log-newest?topic={topic}&part=0");
+        let first_page = format!("/log-newest?topic={topic}&part=0");
+        let mut listing = TopicListing::new(self.era);
+        let mut path = first_page.clone();
         let step = loop {
             let call = self.call(Method::GET, &path, Bytes::new(), Duration::ZERO);
             let (status, body) = call.await?;
             if status != StatusCode::OK {
                 return Err(StoreError::Refused(status));
             }
+            if self.era != listing.era {
+                // The pages before this one list what the store had before it came back from a copy.
+                listing = TopicListing::new(self.era);
+                if path != first_page {
+                    path.clone_from(&first_page);
+                    continue;
+                }
+            }
             let step = listing.add_page(&body);
             match step.map_err(|_unreadable| StoreError::Unreadable)? {
                 ListingStep::Continue(key) => {
@@ -272,7 +281,10 @@
         };
         Ok(NewestRecords {
             records: listing.records,
-            end: listing.end,
+            end: LogPosition {
+                era: listing.era,
+                offset: listing.end,
+            },
             is_complete: step == ListingStep::Complete,
             skipped: listing.skipped,
         })
--- a/src/platform/store_records.rs
+++ b/src/platform/store_records.rs
@@ -2,7 +2,7 @@
 
 use bytes::{Buf, BufMut, Bytes, BytesMut};
 
-use crate::decide::ids::LogOffset;
+use crate::decide::ids::{LogOffset, LogPosition, StoreEra};
 use crate::decide::keyed_view::KeyedRecord;
 
 /// Length of the frame header before each record, in bytes.
@@ -71,9 +71,10 @@
     }
 }
 
-/// Decodes a record of a keyed topic; returns `None` if the key is truncated or not UTF-8.
+/// Decodes a record of a keyed topic in an era of the store; returns `None` if the key is truncated or
+/// not UTF-8.
 #[must_use]
-pub fn decode_keyed(record: &StoreRecord) -> Option<KeyedRecord> {
+pub fn decode_keyed(era: StoreEra, record: &StoreRecord) -> Option<KeyedRecord> {
     let mut body = record.body.clone();
     if body.is_empty() {
         return None;
@@ -86,7 +87,10 @@
     Some(KeyedRecord {
         key,
         value: (!body.is_empty()).then_some(body),
-        offset: record.offset,
+        position: LogPosition {
+            era,
+            offset: record.offset,
+        },
     })
 }
 
--- a/src/platform/topic_listing.rs
+++ b/src/platform/topic_listing.rs
@@ -8,7 +8,7 @@
 use serde::Deserialize;
 use serde_json::value::RawValue;
 
-use crate::decide::ids::LogOffset;
+use crate::decide::ids::{LogOffset, LogPosition, StoreEra};
 use crate::decide::keyed_view::KeyedRecord;
 
 /// Largest size of all pages of a listing, in bytes.
@@ -27,8 +27,10 @@
 }
 
 /// Pages of a listing so far.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct TopicListing {
+    /// Era of the store in which all pages were read.
+    pub era: StoreEra,
     /// Newest record of each listed key.
     pub records: Vec<KeyedRecord>,
     /// Number of items that cannot be decoded.
@@ -62,6 +64,19 @@
 }
 
 impl TopicListing {
+    /// Creates a listing without pages in an era of the store.
+    #[must_use]
+    pub fn new(era: StoreEra) -> Self {
+        Self {
+            era,
+            records: Vec::new(),
+            skipped: 0,
+            end: LogOffset::default(),
+            bytes: 0,
+            continued_after: HashSet::new(),
+        }
+    }
+
     /// Adds a page and returns what follows it.
     ///
     /// # Errors
@@ -76,7 +91,7 @@
         self.bytes += body.len();
         for item in &page.items {
             match serde_json::from_str::<WireItem>(item.get()) {
-                Ok(item) => self.records.push(item.into()),
+                Ok(item) => self.records.push(item.into_record(self.era)),
                 Err(_invalid) => self.skipped += 1,
             }
         }
@@ -96,13 +111,16 @@
     Some(item.key)
 }
 
-impl From<WireItem> for KeyedRecord {
-    fn from(item: WireItem) -> Self {
-        Self {
-            key: item.key,
+impl WireItem {
+    fn into_record(self, era: StoreEra) -> KeyedRecord {
+        KeyedRecord {
+            key: self.key,
             // A value that is not valid base64 is treated as deleted.
-            value: STANDARD.decode(item.value).ok().map(Bytes::from),
-            offset: LogOffset(item.offset),
+            value: STANDARD.decode(self.value).ok().map(Bytes::from),
+            position: LogPosition {
+                era,
+                offset: LogOffset(self.offset),
+            },
         }
     }
 }
--- a/src/platform/upstream_entry.rs
+++ b/src/platform/upstream_entry.rs
@@ -7,6 +7,7 @@
 
 use crate::decide::fleet::{MemberState, MemberWeights, UpstreamEntry};
 use crate::decide::hashing::{first_word, hash_parts, name_hash};
+use crate::decide::keyed_view::WriterStamp;
 use crate::decide::route_table::{DataCentreId, ServiceId};
 
 /// Largest number of slots that an upstream can have; sums over a fleet of such upstreams do not
@@ -29,6 +30,13 @@
     born: Option<u64>,
 }
 
+/// Count of heartbeats of an entry.
+#[derive(Debug, Deserialize)]
+struct WireCount {
+    born: u64,
+    sequence: u64,
+}
+
 /// Model with the version of its weights, which only increases.
 #[derive(Debug, Deserialize)]
 struct WireModel {
@@ -73,6 +81,17 @@
     })
 }
 
+/// Returns the start and the count of heartbeats that the entry of an upstream states; `None` if it lacks
+/// one of them.
+#[must_use]
+pub fn entry_stamp(bytes: &[u8]) -> Option<WriterStamp> {
+    let count: WireCount = serde_json::from_slice(bytes).ok()?;
+    Some(WriterStamp {
+        started_unix_ms: count.born,
+        sequence: count.sequence,
+    })
+}
+
 /// Returns a hash of what the entry of an upstream says, without its count of heartbeats.
 #[must_use]
 pub fn entry_meaning(bytes: &[u8]) -> u64 {
--- a/src/wire/mod.rs
+++ b/src/wire/mod.rs
@@ -21,6 +21,7 @@
 pub mod order_claim;
 pub mod pace_news;
 pub mod peer_rpc;
+pub mod position;
 pub mod records_call;
 pub mod rpc;
 pub mod site_digest;
--- a/src/wire/peer_rpc.rs
+++ b/src/wire/peer_rpc.rs
@@ -6,6 +6,7 @@
 use serde::{Deserialize, Serialize};
 
 use super::pace_news::WirePace;
+use super::position::WirePosition;
 use super::records_call::{WireRecordsCall, WireRecordsReply};
 use super::site_digest::WireDigestCall;
 use super::use_news::WireUseCall;
@@ -30,18 +31,18 @@
     pub key: String,
     /// Value of the record; `None` if the key was deleted.
     pub value: Option<Vec<u8>>,
-    /// Offset of the record in the topic.
-    pub offset: u64,
+    /// Position of the record in the topic.
+    pub position: WirePosition,
 }
 
 /// Progress of an instance in a store topic.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct WireProgress {
-    /// Offset below which the sender has all records.
-    pub next: u64,
-    /// Offset from which the message contains all newest records of the topic; `None` if it
+    /// Position below which the sender has all records.
+    pub next: WirePosition,
+    /// Position from which the message contains all newest records of the topic; `None` if it
     /// contains no records of the topic.
-    pub from: Option<u64>,
+    pub from: Option<WirePosition>,
     /// Time since the store last confirmed to any instance that there was no newer record, in
     /// milliseconds.
     pub age_ms: u64,
--- a/src/wire/records_call.rs
+++ b/src/wire/records_call.rs
@@ -11,24 +11,24 @@
 use serde::{Deserialize, Serialize};
 
 use super::peer_rpc::WireTopic;
-use crate::decide::ids::LogOffset;
+use super::position::WirePosition;
 use crate::decide::record_transfer::{PAGE_BYTES, RecordPage, RecordPiece, TransferCursor};
 
-/// Request for the next records of a topic, in the order of their offsets.
+/// Request for the next records of a topic, in the order of their positions.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct WireRecordsCall {
     /// Hash of the caller's name.
     pub caller: u64,
     /// Topic of the records.
     pub topic: WireTopic,
-    /// Offset from which the caller needs all newest records.
-    pub from: u64,
-    /// Offset from which records are still to come.
-    pub at: u64,
-    /// Bytes of the value at offset `at` that the caller has.
+    /// Position from which the caller needs all newest records.
+    pub from: WirePosition,
+    /// Position from which records are still to come.
+    pub at: WirePosition,
+    /// Bytes of the value at position `at` that the caller has.
     pub held: u64,
-    /// Offset below which the sources of the caller's records so far had all records.
-    pub as_of: u64,
+    /// Position below which the sources of the caller's records so far had all records.
+    pub as_of: WirePosition,
 }
 
 /// Record, or part of its value.
@@ -36,8 +36,8 @@
 pub struct WireRecordPiece {
     /// Key of the record.
     pub key: String,
-    /// Offset of the record in its topic.
-    pub offset: u64,
+    /// Position of the record in its topic.
+    pub position: WirePosition,
     /// Size of the whole value, in bytes; `None` if the record deletes the key.
     pub value_bytes: Option<u64>,
     /// Position of the part in the value, in bytes.
@@ -49,12 +49,12 @@
 /// Page of records.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct WireRecordPage {
-    /// Records in the order of their offsets; the last one may be incomplete.
+    /// Records in the order of their positions; the last one may be incomplete.
     pub pieces: Vec<WireRecordPiece>,
     /// Parts of the values one after another, compressed with DEFLATE.
     pub parts: Vec<u8>,
-    /// Offset below which the called instance has all records.
-    pub next: u64,
+    /// Position below which the called instance has all records.
+    pub next: WirePosition,
     /// Whether no record follows the last piece.
     pub is_last: bool,
 }
@@ -90,14 +90,14 @@
 impl WireRecordsCall {
     /// Creates the call of an instance for the records at a cursor.
     #[must_use]
-    pub const fn new(caller: u64, topic: WireTopic, cursor: TransferCursor) -> Self {
+    pub fn new(caller: u64, topic: WireTopic, cursor: TransferCursor) -> Self {
         Self {
             caller,
             topic,
-            from: cursor.from.0,
-            at: cursor.at.0,
+            from: cursor.from.into(),
+            at: cursor.at.into(),
             held: cursor.held,
-            as_of: cursor.as_of.0,
+            as_of: cursor.as_of.into(),
         }
     }
 }
@@ -105,10 +105,10 @@
 impl From<&WireRecordsCall> for TransferCursor {
     fn from(call: &WireRecordsCall) -> Self {
         Self {
-            from: LogOffset(call.from),
-            at: LogOffset(call.at),
+            from: call.from.into(),
+            at: call.at.into(),
             held: call.held,
-            as_of: LogOffset(call.as_of),
+            as_of: call.as_of.into(),
         }
     }
 }
@@ -123,7 +123,7 @@
             encoder.write_all(&piece.part)?;
             pieces.push(WireRecordPiece {
                 key: piece.key,
-                offset: piece.offset.0,
+                position: piece.position.into(),
                 value_bytes: piece.value_bytes,
                 start: piece.start,
                 part_bytes: u32::try_from(piece.part.len()).map_err(|_large| PageError::Length)?,
@@ -132,7 +132,7 @@
         Ok(Self {
             pieces,
             parts: encoder.finish()?,
-            next: page.next.0,
+            next: page.next.into(),
             is_last: page.is_last,
         })
     }
@@ -156,7 +156,7 @@
             }
             pieces.push(RecordPiece {
                 key: piece.key,
-                offset: LogOffset(piece.offset),
+                position: piece.position.into(),
                 value_bytes: piece.value_bytes,
                 start: piece.start,
                 part: parts.split_to(size),
@@ -167,7 +167,7 @@
         }
         Ok(Self {
             pieces,
-            next: LogOffset(wire.next),
+            next: wire.next.into(),
             is_last: wire.is_last,
         })
     }
--- a/tests/gateway_drain.rs
+++ b/tests/gateway_drain.rs
@@ -155,7 +155,7 @@
     KeyedRecord {
         key: "i-1".to_owned(),
         value: value.map(|value| value.to_owned().into()),
-        offset: LogOffset(offset),
+        position: LogOffset(offset).into(),
     }
 }
 
@@ -163,7 +163,7 @@
     TopicRecords {
         topic: WireTopic::Upstream,
         records,
-        next: LogOffset(next),
+        next: LogOffset(next).into(),
         confirmed_at,
     }
 }
--- a/tests/gateway_gossip.rs
+++ b/tests/gateway_gossip.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use bulrushslip::decide::hashing::name_hash;
-use bulrushslip::decide::ids::LogOffset;
+use bulrushslip::decide::ids::{LogOffset, LogPosition, StoreEra};
 use bulrushslip::decide::keyed_view::KeyedRecord;
 use bulrushslip::gateway::mail::{DispatchMail, PeerProgress, ReadNeed, StateQuery, TopicRecords};
 use bulrushslip::kernel::{Moment, ReplyTo};
@@ -31,7 +31,7 @@
         let record = |key: &str, value: &str| KeyedRecord {
             key: key.to_owned(),
             value: Some(value.to_owned().into()),
-            offset: LogOffset(0),
+            position: LogOffset(0).into(),
         };
         for (topic, record) in [
             (WireTopic::Upstream, record("i-1", entry)),
@@ -43,7 +43,7 @@
             let records = TopicRecords {
                 topic,
                 records: vec![record],
-                next: LogOffset(1),
+                next: LogOffset(1).into(),
                 confirmed_at: at(0),
             };
             instance.send(at(0), DispatchMail::Snapshot(records));
@@ -68,7 +68,7 @@
         let records = TopicRecords {
             topic: WireTopic::Operator,
             records: Vec::new(),
-            next: LogOffset(next),
+            next: LogOffset(next).into(),
             confirmed_at: now,
         };
         self.send(now, DispatchMail::Records(records));
@@ -174,9 +174,9 @@
         records: vec![KeyedRecord {
             key: "i-1".to_owned(),
             value: Some(entry.to_owned().into()),
-            offset: LogOffset(1),
+            position: LogOffset(1).into(),
         }],
-        next: LogOffset(2),
+        next: LogOffset(2).into(),
         confirmed_at: at(1_000),
     };
     remote.send(at(1_000), DispatchMail::Records(records));
@@ -192,12 +192,12 @@
     let version = KeyedRecord {
         key: "version/m".to_owned(),
         value: Some(r#"{"model":"m","version":2}"#.to_owned().into()),
-        offset: LogOffset(1),
+        position: LogOffset(1).into(),
     };
     let with_version = |record: &KeyedRecord, confirmed_at| TopicRecords {
         topic: WireTopic::Operator,
         records: vec![record.clone()],
-        next: LogOffset(2),
+        next: LogOffset(2).into(),
         confirmed_at,
     };
     early.send(at(0), DispatchMail::Records(with_version(&version, at(0))));
@@ -221,9 +221,9 @@
         records: vec![KeyedRecord {
             key: "version/m".to_owned(),
             value: Some(r#"{"model":"m","version":2}"#.to_owned().into()),
-            offset: LogOffset(1),
+            position: LogOffset(1).into(),
         }],
-        next: LogOffset(2),
+        next: LogOffset(2).into(),
         confirmed_at: at(2_000),
     };
     let mut late = Instance::new(1);
@@ -260,9 +260,9 @@
         records: vec![KeyedRecord {
             key: "version/m".to_owned(),
             value: Some(format!(r#"{{"model":"m","version":{version}}}"#).into()),
-            offset: LogOffset(version - 1),
+            position: LogOffset(version - 1).into(),
         }],
-        next: LogOffset(version),
+        next: LogOffset(version).into(),
         confirmed_at: Moment::START,
     };
     let mut early = Instance::new(1);
@@ -290,9 +290,9 @@
         records: vec![KeyedRecord {
             key: "version/m".to_owned(),
             value: Some(r#"{"model":"m","version":2}"#.to_owned().into()),
-            offset: LogOffset(1),
+            position: LogOffset(1).into(),
         }],
-        next: LogOffset(2),
+        next: LogOffset(2).into(),
         confirmed_at: at(0),
     };
     running.send(at(0), DispatchMail::Records(version));
@@ -314,7 +314,7 @@
                 let records = TopicRecords {
                     topic,
                     records: Vec::new(),
-                    next: LogOffset(1),
+                    next: LogOffset(1).into(),
                     confirmed_at: at(ms),
                 };
                 instances[sender].send(at(ms), DispatchMail::Records(records));
@@ -338,7 +338,10 @@
         // accepting requests.
         assert!(matches!(
             read_need(instance, 3_200),
-            ReadNeed::Now(LogOffset(1))
+            ReadNeed::Now(LogPosition {
+                era: StoreEra(0),
+                offset: LogOffset(1)
+            })
         ));
     }
 }
--- a/tests/gateway_large_records.rs
+++ b/tests/gateway_large_records.rs
@@ -72,9 +72,9 @@
             records: vec![KeyedRecord {
                 key: key.to_owned(),
                 value: Some(value.to_owned().into()),
-                offset: LogOffset(offset),
+                position: LogOffset(offset).into(),
             }],
-            next: LogOffset(offset + 1),
+            next: LogOffset(offset + 1).into(),
             confirmed_at: directory.now(),
         };
         dispatch::tell(directory, DispatchMail::Records(records));
@@ -180,7 +180,7 @@
             let known = dispatch::ask(&kernel.directory, |reply_to| {
                 let inspect = Box::new(
                     move |_now, state: &bulrushslip::gateway::dispatch::DispatchState| {
-                        reply_to.send(state.view(WireTopic::Upstream).next.0);
+                        reply_to.send(state.view(WireTopic::Upstream).next.offset.0);
                     },
                 );
                 DispatchMail::Inspect(StateQuery { inspect })
--- a/tests/gateway_late_send.rs
+++ b/tests/gateway_late_send.rs
@@ -45,9 +45,9 @@
         records: vec![KeyedRecord {
             key: "i-0".to_owned(),
             value: Some(entry.into()),
-            offset: LogOffset(offset),
+            position: LogOffset(offset).into(),
         }],
-        next: LogOffset(offset + 1),
+        next: LogOffset(offset + 1).into(),
         confirmed_at: directory.now(),
     };
     dispatch::tell(directory, DispatchMail::Records(records));
--- a/tests/gossip_world/mod.rs
+++ b/tests/gossip_world/mod.rs
@@ -67,9 +67,9 @@
         records: vec![KeyedRecord {
             key: "config".to_owned(),
             value: Some(document.into()),
-            offset: LogOffset(0),
+            position: LogOffset(0).into(),
         }],
-        next: LogOffset(1),
+        next: LogOffset(1).into(),
         confirmed_at: at(0),
     }
 }
@@ -96,12 +96,12 @@
                     )
                     .into(),
                 ),
-                offset: LogOffset(upstream as u64),
+                position: LogOffset(upstream as u64).into(),
             });
             let records = TopicRecords {
                 topic: WireTopic::Upstream,
                 records: records.collect(),
-                next: LogOffset(upstreams as u64),
+                next: LogOffset(upstreams as u64).into(),
                 confirmed_at: at(0),
             };
             driver.send(at(0), DispatchMail::Snapshot(records));
@@ -185,7 +185,7 @@
         let records = TopicRecords {
             topic: WireTopic::Upstream,
             records: Vec::new(),
-            next: LogOffset(upstreams as u64),
+            next: LogOffset(upstreams as u64).into(),
             confirmed_at: self.now(),
         };
         self.tell(index, DispatchMail::Records(records));
--- a/tests/keyed_view.rs
+++ b/tests/keyed_view.rs
@@ -5,8 +5,8 @@
 use std::collections::BTreeMap;
 
 use bolero::TypeGenerator;
-use bulrushslip::decide::ids::LogOffset;
-use bulrushslip::decide::keyed_view::{KeyedRecord, KeyedView};
+use bulrushslip::decide::ids::{LogOffset, LogPosition, StoreEra};
+use bulrushslip::decide::keyed_view::{KeyedRecord, KeyedView, WriterStamp};
 
 /// Number of generated deliveries.
 const CASES: u64 = 2_000;
@@ -20,11 +20,16 @@
 /// More deletions than a view keeps.
 const MANY_DELETIONS: u64 = 5_000;
 
+/// Returns a position in a store that has never come back from a copy.
+fn position(offset: u64) -> LogPosition {
+    LogOffset(offset).into()
+}
+
 fn record(offset: usize, key: u8, value: Option<u8>) -> KeyedRecord {
     KeyedRecord {
         key: format!("k{}", key % 5),
         value: value.map(|value| vec![value].into()),
-        offset: LogOffset(offset as u64),
+        position: position(offset as u64),
     }
 }
 
@@ -51,7 +56,7 @@
             .collect();
         for (key, newest) in naive {
             assert_eq!(view.value(key), newest.value.as_ref());
-            assert_eq!(view.offset(key), Some(newest.offset));
+            assert_eq!(view.position(key), Some(newest.position));
         }
     });
 }
@@ -61,10 +66,10 @@
     let mut view = KeyedView::default();
     view.apply(&record(0, 0, Some(1)));
     view.apply(&record(4, 0, Some(1)));
-    assert!(view.since(LogOffset(1)).is_empty());
-    assert_eq!(view.since(LogOffset(0))[0].offset, LogOffset(4));
+    assert!(view.since(position(1)).is_empty());
+    assert_eq!(view.since(position(0))[0].position, position(4));
     view.apply(&record(5, 0, Some(2)));
-    assert_eq!(view.since(LogOffset(5)).len(), 1);
+    assert_eq!(view.since(position(5)).len(), 1);
 }
 
 #[test]
@@ -74,7 +79,7 @@
         view.apply(&record(offset, key, Some(1)));
     }
     let listed = [record(0, 0, Some(1))];
-    let missing = view.deletions_for_missing_keys(&listed, LogOffset(5));
+    let missing = view.deletions_for_missing_keys(&listed, position(5));
     let keys: Vec<&str> = missing.iter().map(|record| record.key.as_str()).collect();
     assert_eq!(keys, ["k1"]);
 }
@@ -88,8 +93,8 @@
         view.apply(&record(offset, 0, value));
     }
     // Those that have read past the deletion need the record; later repetitions are none.
-    assert_eq!(view.since(LogOffset(4)).len(), 1);
-    assert!(view.since(LogOffset(6)).is_empty());
+    assert_eq!(view.since(position(4)).len(), 1);
+    assert!(view.since(position(6)).is_empty());
 }
 
 /// Guards against the same loss when the instance in between has not seen the deletion.
@@ -98,7 +103,7 @@
     let mut view = KeyedView::default();
     view.apply(&record(0, 0, Some(1)));
     view.apply_newest(&record(5, 0, Some(1)));
-    assert_eq!(view.since(LogOffset(4)).len(), 1);
+    assert_eq!(view.since(position(4)).len(), 1);
 }
 
 /// Guards against an instance that keeps a deleted key, because its source has read a listing in which
@@ -106,16 +111,16 @@
 #[test]
 fn a_view_that_began_with_a_listing_tells_of_later_deletions_only() {
     let mut view = KeyedView::default();
-    view.begin_at(LogOffset(9));
+    view.begin_at(position(9));
     view.apply_newest(&record(7, 1, Some(1)));
-    view.advance(LogOffset(9));
-    assert!(view.covers(LogOffset(0)) && view.covers(LogOffset(9)));
-    assert!(!view.covers(LogOffset(8)));
+    view.advance(position(9));
+    assert!(view.covers(position(0)) && view.covers(position(9)));
+    assert!(!view.covers(position(8)));
     // A view that has followed the topic before has the deletions.
     let mut follower = KeyedView::default();
-    follower.advance(LogOffset(4));
-    follower.begin_at(LogOffset(9));
-    assert!(follower.covers(LogOffset(5)));
+    follower.advance(position(4));
+    follower.begin_at(position(9));
+    assert!(follower.covers(position(5)));
 }
 
 /// Views that hold the same are told apart from others by their digest, however they came to it.
@@ -153,11 +158,113 @@
         view.apply_newest(&KeyedRecord {
             key: offset.to_string(),
             value: None,
-            offset: LogOffset(offset),
+            position: position(offset),
         });
     }
-    view.advance(LogOffset(MANY_DELETIONS));
-    let from = LogOffset(MANY_DELETIONS - 1);
+    view.advance(position(MANY_DELETIONS));
+    let from = position(MANY_DELETIONS - 1);
     assert!(!view.covers(from) || view.since(from).len() == 1);
-    assert!(view.covers(LogOffset(MANY_DELETIONS)));
+    assert!(view.covers(position(MANY_DELETIONS)));
+}
+
+/// Returns a position in an era of the store.
+fn in_era(era: u64, offset: u64) -> LogPosition {
+    LogPosition {
+        era: StoreEra(era),
+        offset: LogOffset(offset),
+    }
+}
+
+/// View of values that are the counts of their writers.
+fn counted_view() -> KeyedView {
+    KeyedView::new(
+        |_value| 0,
+        |value| {
+            Some(WriterStamp {
+                started_unix_ms: 1,
+                sequence: u64::from(*value.first()?),
+            })
+        },
+    )
+}
+
+fn entry(position: LogPosition, value: Option<u8>) -> KeyedRecord {
+    KeyedRecord {
+        key: "k".to_owned(),
+        value: value.map(|value| vec![value].into()),
+        position,
+    }
+}
+
+#[test]
+fn a_record_after_a_drill_of_the_store_replaces_one_with_a_higher_offset() {
+    let mut view = KeyedView::default();
+    view.apply(&entry(in_era(0, 9), Some(1)));
+    view.advance(in_era(0, 10));
+    assert!(view.apply_newest(&entry(in_era(1, 4), Some(2))));
+    view.advance(in_era(1, 5));
+    assert_eq!(view.value("k"), Some(&vec![2].into()));
+    assert!(!view.apply_newest(&entry(in_era(0, 11), Some(3))));
+}
+
+#[test]
+fn a_copy_undoes_nothing_that_its_writer_has_said_later() {
+    let mut view = counted_view();
+    view.apply(&entry(in_era(0, 4), Some(5)));
+    view.apply(&entry(in_era(0, 9), Some(7)));
+    view.advance(in_era(0, 10));
+    assert!(!view.apply_newest(&entry(in_era(1, 4), Some(5))));
+    view.advance(in_era(1, 5));
+    assert_eq!(view.value("k"), Some(&vec![7].into()));
+    assert!(view.apply(&entry(in_era(1, 5), Some(8))));
+    assert_eq!(view.value("k"), Some(&vec![8].into()));
+}
+
+#[test]
+fn a_deleted_key_comes_back_from_a_copy_only_when_its_writer_goes_on() {
+    let mut view = counted_view();
+    view.apply(&entry(in_era(0, 4), Some(5)));
+    view.apply(&entry(in_era(0, 9), None));
+    view.advance(in_era(0, 10));
+    assert!(!view.apply_newest(&entry(in_era(1, 4), Some(5))));
+    view.advance(in_era(1, 5));
+    assert_eq!(view.value("k"), None);
+    assert!(view.apply(&entry(in_era(1, 5), Some(6))));
+}
+
+/// Another instance may know that the record of the copy is outdated.
+#[test]
+fn the_first_record_after_one_that_may_come_from_a_copy_counts_as_a_change() {
+    let mut view = counted_view();
+    view.apply_newest(&entry(in_era(1, 4), Some(5)));
+    view.advance(in_era(1, 5));
+    view.apply(&entry(in_era(1, 5), Some(6)));
+    assert_eq!(view.since(in_era(1, 5)).len(), 1);
+    view.apply(&entry(in_era(1, 6), Some(7)));
+    assert_eq!(view.since(in_era(1, 6)).len(), 0);
+}
+
+#[test]
+fn a_key_that_a_copy_lacks_is_deleted_until_its_writer_repeats_it() {
+    let mut view = counted_view();
+    view.apply(&entry(in_era(0, 9), Some(7)));
+    view.advance(in_era(0, 10));
+    let lost = view.deletions_for_lost_keys(in_era(1, 0));
+    assert_eq!(lost, vec![entry(in_era(0, u64::MAX), None)]);
+    assert!(view.apply_missing(&lost[0]));
+    view.advance(in_era(1, 0));
+    assert_eq!(view.value("k"), None);
+    assert!(view.apply(&entry(in_era(1, 0), Some(7))));
+}
+
+#[test]
+fn a_view_that_enters_an_era_tells_views_of_the_same_era_of_later_deletions_only() {
+    let mut view = KeyedView::default();
+    view.apply(&entry(in_era(0, 9), Some(1)));
+    view.advance(in_era(0, 10));
+    view.apply_newest(&entry(in_era(1, 4), Some(2)));
+    view.advance(in_era(1, 5));
+    assert!(view.covers(in_era(0, 10)));
+    assert!(!view.covers(in_era(1, 3)));
+    assert!(view.covers(in_era(1, 5)));
 }
--- a/tests/platform_formats.rs
+++ b/tests/platform_formats.rs
@@ -2,7 +2,7 @@
 
 use bulrushslip::decide::fleet::MemberState;
 use bulrushslip::decide::hashing::name_hash;
-use bulrushslip::decide::ids::LogOffset;
+use bulrushslip::decide::ids::{LogOffset, LogPosition, StoreEra};
 use bulrushslip::decide::request_limit::{LimitNotice, LimitRate};
 use bulrushslip::decide::route_table::{DataCentreId, RouteKind, ServiceId};
 use bulrushslip::platform::config_document::decode_configuration;
@@ -143,10 +143,18 @@
     }
     let page = StorePage::decode(LogOffset(5), bytes.clone().into()).expect("a page");
     assert_eq!(page.end, LogOffset(9));
-    let keyed: Vec<_> = page.records.iter().filter_map(decode_keyed).collect();
+    let in_era = |offset| LogPosition {
+        era: StoreEra(3),
+        offset: LogOffset(offset),
+    };
+    let keyed: Vec<_> = page
+        .records
+        .iter()
+        .filter_map(|record| decode_keyed(StoreEra(3), record))
+        .collect();
     assert_eq!(
-        (keyed[0].offset, keyed[1].offset),
-        (LogOffset(7), LogOffset(8))
+        (keyed[0].position, keyed[1].position),
+        (in_era(7), in_era(8))
     );
     assert_eq!(keyed[0].value.as_deref(), Some(&b"1"[..]));
     assert_eq!(keyed[1].value, None);
@@ -162,7 +170,7 @@
         offset: LogOffset(0),
         body: b"\x05ab"[..].into(),
     };
-    assert_eq!(decode_keyed(&truncated), None);
+    assert_eq!(decode_keyed(StoreEra(0), &truncated), None);
 }
 
 fn headers(pairs: &[(&'static str, &'static str)]) -> HeaderMap {
--- a/tests/quota_parked.rs
+++ b/tests/quota_parked.rs
@@ -35,12 +35,12 @@
     let records = values.iter().map(|(key, value)| KeyedRecord {
         key: (*key).to_owned(),
         value: Some(value.to_string().into()),
-        offset: LogOffset(offset),
+        position: LogOffset(offset).into(),
     });
     let records = TopicRecords {
         topic,
         records: records.collect(),
-        next: LogOffset(offset + 1),
+        next: LogOffset(offset + 1).into(),
         confirmed_at: now,
     };
     driver.send(now, DispatchMail::Snapshot(records));
--- a/tests/record_transfer.rs
+++ b/tests/record_transfer.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use bulrushslip::decide::ids::LogOffset;
+use bulrushslip::decide::ids::{LogOffset, LogPosition};
 use bulrushslip::decide::keyed_view::{KeyedRecord, KeyedView};
 use bulrushslip::decide::record_transfer::{
     PAGE_BYTES, ReaderSeats, RecordPage, RecordTransfer, TransferStep, page_at,
@@ -18,11 +18,16 @@
 /// Pages after which a transfer has to be complete once the log grows no more.
 const MAX_PAGES: usize = 400;
 
+/// Returns a position in a store that has never come back from a copy.
+fn position(offset: u64) -> LogPosition {
+    LogOffset(offset).into()
+}
+
 fn record(key: &str, offset: u64, value: Option<Vec<u8>>) -> KeyedRecord {
     KeyedRecord {
         key: key.to_owned(),
         value: value.map(Bytes::from),
-        offset: LogOffset(offset),
+        position: position(offset),
     }
 }
 
@@ -60,7 +65,7 @@
         for record in &self.records[..next] {
             view.apply(record);
         }
-        view.advance(LogOffset(next as u64));
+        view.advance(position(next as u64));
     }
 }
 
@@ -88,7 +93,7 @@
                 log.append(&mut random);
             }
             let index = random.random_range(0..sources.len());
-            let own = usize::try_from(sources[index].next.0).expect("a short log");
+            let own = usize::try_from(sources[index].next.offset.0).expect("a short log");
             let newest = random.random_range(own..=log.records.len());
             let newest = if pages < 20 {
                 newest
@@ -123,11 +128,11 @@
                 TransferStep::Mismatch => panic!("seed {seed}: mismatch"),
             }
         };
-        let count = usize::try_from(next.0).expect("a short log");
+        let count = usize::try_from(next.offset.0).expect("a short log");
         for key in 0..8 {
             let key = format!("k{key}");
             let expected = log.newest(&key, count);
-            let is_newer = reader.offset(&key).is_some_and(|offset| offset.0 >= next.0);
+            let is_newer = reader.position(&key).is_some_and(|known| known >= next);
             assert!(
                 is_newer || reader.value(&key) == expected.as_ref(),
                 "seed {seed}: {key} at {next:?}"
@@ -142,9 +147,9 @@
     let mut sources = [KeyedView::default(), KeyedView::default()];
     for source in &mut sources {
         source.apply(&record("config", 4, Some(value.clone())));
-        source.advance(LogOffset(5));
+        source.advance(position(5));
     }
-    let mut transfer = RecordTransfer::new(LogOffset(4));
+    let mut transfer = RecordTransfer::new(position(4));
     let first = page_at(&sources[0], transfer.cursor()).expect("a page");
     assert_eq!(transfer.apply(first), TransferStep::Continue(Vec::new()));
     let second = page_at(&sources[1], transfer.cursor()).expect("a page");
@@ -154,7 +159,7 @@
     let expected = vec![record("config", 4, Some(value))];
     assert_eq!(
         transfer.apply(third),
-        TransferStep::Complete(expected, LogOffset(5))
+        TransferStep::Complete(expected, position(5))
     );
 }
 
@@ -162,13 +167,13 @@
 fn a_source_behind_an_earlier_one_is_not_used() {
     let mut ahead = KeyedView::default();
     ahead.apply(&record("a", 9, Some(vec![1; 2 * PAGE_BYTES])));
-    ahead.advance(LogOffset(10));
-    let mut transfer = RecordTransfer::new(LogOffset(2));
+    ahead.advance(position(10));
+    let mut transfer = RecordTransfer::new(position(2));
     let page = page_at(&ahead, transfer.cursor()).expect("a page");
     transfer.apply(page);
     let mut behind = KeyedView::default();
     behind.apply(&record("a", 3, Some(vec![2])));
-    behind.advance(LogOffset(9));
+    behind.advance(position(9));
     assert_eq!(page_at(&behind, transfer.cursor()), None);
 }
 
@@ -176,12 +181,12 @@
 fn pages_that_do_not_continue_a_transfer_are_refused() {
     let mut source = KeyedView::default();
     source.apply(&record("a", 3, Some(vec![1; 2 * PAGE_BYTES])));
-    source.advance(LogOffset(4));
-    let page = page_at(&source, RecordTransfer::new(LogOffset(0)).cursor()).expect("a page");
+    source.advance(position(4));
+    let page = page_at(&source, RecordTransfer::new(position(0)).cursor()).expect("a page");
     let changed = |change: fn(&mut RecordPage)| {
         let mut page = page.clone();
         change(&mut page);
-        let mut transfer = RecordTransfer::new(LogOffset(2));
+        let mut transfer = RecordTransfer::new(position(2));
         transfer.apply(page)
     };
     let mismatch = TransferStep::Mismatch;
@@ -196,7 +201,7 @@
         mismatch
     );
     assert_eq!(
-        changed(|page| page.pieces[0].offset = LogOffset(1)),
+        changed(|page| page.pieces[0].position = position(1)),
         mismatch
     );
 }
@@ -224,8 +229,8 @@
         let value = vec![u8::try_from(offset).expect("small"); 10_000];
         source.apply(&record(&format!("k{offset}"), offset, Some(value)));
     }
-    source.advance(LogOffset(5));
-    let page = page_at(&source, RecordTransfer::new(LogOffset(0)).cursor()).expect("a page");
+    source.advance(position(5));
+    let page = page_at(&source, RecordTransfer::new(position(0)).cursor()).expect("a page");
     let wire = WireRecordPage::try_from(page.clone()).expect("a page");
     assert!(wire.parts.len() < 1_000, "{} bytes", wire.parts.len());
     assert_eq!(RecordPage::try_from(wire.clone()).expect("a page"), page);
--- a/tests/standin.rs
+++ b/tests/standin.rs
@@ -314,9 +314,12 @@
     let record = KeyedRecord {
         key: "a".to_owned(),
         value: Some("3".into()),
-        offset: LogOffset(2),
+        position: LogOffset(2).into(),
     };
-    assert_eq!((newest.records, newest.end), (vec![record], LogOffset(4)));
+    assert_eq!(
+        (newest.records, newest.end),
+        (vec![record], LogOffset(4).into())
+    );
     let deleted = store.read("keyed.t", LogOffset(0), Duration::ZERO).await;
     assert!(matches!(deleted, Ok(StoreRead::Deleted { first }) if first.0 == 2));
 }
--- a/tests/store_pages.rs
+++ b/tests/store_pages.rs
@@ -83,7 +83,7 @@
     };
     let mut client = StoreClient::new(serve_pages(growing).await);
     let newest = client.newest("keyed.servers").await.expect("records");
-    assert_eq!(newest.end.0, 10);
+    assert_eq!(newest.end.offset.0, 10);
 }
 
 /// Starts a store whose responses arrive in parts of the given size, one in each `pause`.
--- a/tests/upstream_pace_news.rs
+++ b/tests/upstream_pace_news.rs
@@ -30,12 +30,12 @@
     let record = KeyedRecord {
         key: id.to_owned(),
         value: Some(value.into()),
-        offset: LogOffset(offset),
+        position: LogOffset(offset).into(),
     };
     let records = TopicRecords {
         topic: WireTopic::Upstream,
         records: vec![record],
-        next: LogOffset(offset + 1),
+        next: LogOffset(offset + 1).into(),
         confirmed_at: now,
     };
     driver.send(now, DispatchMail::Records(records));
--- a/tests/view_check.rs
+++ b/tests/view_check.rs
@@ -4,7 +4,7 @@
 
 use std::time::Duration;
 
-use bulrushslip::decide::ids::{LogOffset, Rank};
+use bulrushslip::decide::ids::{LogOffset, LogPosition, Rank};
 use bulrushslip::decide::keyed_view::KeyedRecord;
 use bulrushslip::decide::route_table::ServiceId;
 use bulrushslip::decide::suspects::Fingerprint;
@@ -13,6 +13,7 @@
 };
 use bulrushslip::kernel::Moment;
 use bulrushslip::wire::peer_rpc::{GossipMessage, WireProgress, WireTopic};
+use bulrushslip::wire::position::WirePosition;
 use dispatch_harness::{DispatchDriver, dispatch_settings};
 
 /// Offset up to which the instance has read the list of upstreams.
@@ -25,11 +26,16 @@
     Moment::START.after(Duration::from_millis(ms))
 }
 
+/// Returns a position in a store that has never come back from a copy.
+fn position(offset: u64) -> LogPosition {
+    LogOffset(offset).into()
+}
+
 fn listing(topic: WireTopic, records: Vec<KeyedRecord>, next: u64, now: Moment) -> DispatchMail {
     DispatchMail::Snapshot(TopicRecords {
         topic,
         records,
-        next: LogOffset(next),
+        next: position(next),
         confirmed_at: now,
     })
 }
@@ -42,7 +48,7 @@
     KeyedRecord {
         key: format!("i-{service}"),
         value: Some(value.into()),
-        offset: LogOffset(offset),
+        position: position(offset),
     }
 }
 
@@ -53,15 +59,15 @@
     KeyedRecord {
         key: "config".to_owned(),
         value: Some(document.into()),
-        offset: LogOffset(0),
+        position: position(0),
     }
 }
 
 /// Message of another instance that reads the store and has read as far.
 fn gossip(sender: u64) -> GossipMessage {
     let progress = |next| WireProgress {
-        next,
-        from: Some(0),
+        next: WirePosition(next),
+        from: Some(WirePosition(0)),
         age_ms: 1,
         returned_ms: None,
     };
@@ -204,7 +210,7 @@
     let odd = |key: &str, value: &'static [u8]| KeyedRecord {
         key: key.to_owned(),
         value: Some(value.into()),
-        offset: LogOffset(3),
+        position: position(3),
     };
     let records = vec![odd("&", b"{}"), odd("i-a", b"[1]"), odd("i-b", b"\xff")];
     let listed = listing(WireTopic::Upstream, records, NEXT, at(100));
@@ -215,7 +221,7 @@
     let some = DispatchMail::PartialSnapshot(TopicRecords {
         topic: WireTopic::Upstream,
         records: vec![odd("&", b"{}")],
-        next: LogOffset(NEXT),
+        next: position(NEXT),
         confirmed_at: Moment::START,
     });
     instance.driver.send(at(100), some);
--- a/tests/view_world/mod.rs
+++ b/tests/view_world/mod.rs
@@ -9,7 +9,7 @@
 
 use bulrushslip::decide::fleet::MemberState;
 use bulrushslip::decide::hashing::name_hash;
-use bulrushslip::decide::ids::LogOffset;
+use bulrushslip::decide::ids::{LogOffset, LogPosition};
 use bulrushslip::decide::route_table::DataCentreId;
 use bulrushslip::gateway::dispatch::DispatchState;
 use bulrushslip::gateway::mail::{DispatchMail, PeerProgress, ReadNeed, StateQuery, TopicRecords};
@@ -56,7 +56,7 @@
 /// Reader of one topic, as the I/O task of an instance.
 #[derive(Debug, Clone, Copy, Default)]
 struct Watch {
-    next: Option<LogOffset>,
+    next: Option<LogPosition>,
     due_ms: u64,
     retry_ms: u64,
     is_current: bool,
@@ -310,23 +310,23 @@
         let started = at(read.started);
         let Some(from) = watch.next else {
             let (records, end) = (log.newest(), log.end());
-            watch.next = Some(end);
+            watch.next = Some(end.into());
             self.end_read(watch, topic, read);
             let records = TopicRecords {
                 topic,
                 records,
-                next: end,
+                next: end.into(),
                 confirmed_at: started,
             };
             self.tell(index, DispatchMail::Snapshot(records));
             return;
         };
-        let records = log.from(from);
+        let records = log.from(from.offset);
         if records.is_empty() && waited < read.poll {
             return;
         }
         let bodies = records.iter().map(|record| StoreRecord {
-            offset: record.offset,
+            offset: record.position.offset,
             body: record.value.clone().unwrap_or_default(),
         });
         let page = StorePage {
@@ -343,10 +343,10 @@
             },
             ended: at(self.now_ms),
         };
-        let next = page.next(from);
+        let next = page.next(from.offset).into();
         watch.next = Some(next);
         self.end_read(watch, topic, read);
-        let confirmed_at = times.confirmed_at(&page, from);
+        let confirmed_at = times.confirmed_at(&page, from.offset);
         let records = TopicRecords {
             topic,
             records,
@@ -396,8 +396,8 @@
         let mut call = self.gossip(caller, nothing);
         call.peers = self.nodes[caller].peers.addresses_for(now, address(other));
         let progress = PeerProgress {
-            operator: Some(LogOffset(call.operator.next)),
-            upstream: Some(LogOffset(call.upstream.next)),
+            operator: Some(call.operator.next.into()),
+            upstream: Some(call.upstream.next.into()),
         };
         let place = self.nodes[caller].place;
         self.nodes[other]
--- a/tests/view_world/store.rs
+++ b/tests/view_world/store.rs
@@ -24,7 +24,7 @@
         self.records.push(KeyedRecord {
             key: key.to_owned(),
             value: value.map(Into::into),
-            offset: LogOffset(self.records.len() as u64),
+            position: LogOffset(self.records.len() as u64).into(),
         });
     }
 
--- a/tests/wire_compat.rs
+++ b/tests/wire_compat.rs
@@ -15,6 +15,7 @@
     GossipMessage, PeerRpcRequest, PeerRpcResponse, WireSegmentNews, WireSuspicion, WireTopic,
     WireUpstreamLimit,
 };
+use bulrushslip::wire::position::WirePosition;
 use bulrushslip::wire::records_call::{
     WireRecordPage, WireRecordPiece, WireRecordsCall, WireRecordsReply,
 };
@@ -379,10 +380,10 @@
     let call = WireRecordsCall {
         caller: 0x11,
         topic: WireTopic::Upstream,
-        from: 0x12,
-        at: 0x13,
+        from: WirePosition(0x12),
+        at: WirePosition(0x13),
         held: 0x14,
-        as_of: 0x15,
+        as_of: WirePosition(0x15),
     };
     check(
         "ReadRecords",
@@ -392,13 +393,13 @@
     let page = WireRecordPage {
         pieces: vec![WireRecordPiece {
             key: "k".to_owned(),
-            offset: 0x21,
+            position: WirePosition(0x21),
             value_bytes: Some(0x22),
             start: 0x23,
             part_bytes: 0x24,
         }],
         parts: vec![0x25],
-        next: 0x26,
+        next: WirePosition(0x26),
         is_last: true,
     };
     let page = PeerRpcResponse::ReadRecords(WireRecordsReply::Page(page));
