Read leaving marks from the start again after the store came back from an older copy

A process that watches the topic of leaving marks read on from its offset, which a drill gives out again: a mark that was written at a lower one was never seen, so the process was not told that it leaves. It now keeps the position, and lists the topic when the era has changed.

a_leaving_mark_that_is_written_after_a_drill_of_the_store_is_seen failed before and passes.

--- a/src/platform/instance_topics.rs
+++ b/src/platform/instance_topics.rs
@@ -8,7 +8,7 @@
 
 use super::store_client::{StoreClient, StoreError, StoreRead};
 use super::store_records::{decode_keyed, encode_keyed};
-use crate::decide::ids::LogOffset;
+use crate::decide::ids::LogPosition;
 use crate::kernel::whole_ms;
 
 /// Topic in which the processes of this system register, keyed by name.
@@ -130,7 +130,7 @@
 
     /// Waits until a process is marked as leaving, at most for `wait`.
     ///
-    /// `from` is the offset to continue from; the first call has `None` and returns at once.
+    /// `from` is the position to continue from; the first call has `None` and returns at once.
     /// Returns whether the records that were read mark the process.
     ///
     /// # Errors
@@ -139,27 +139,31 @@
     pub async fn await_leaving(
         &mut self,
         name: &str,
-        from: &mut Option<LogOffset>,
+        from: &mut Option<LogPosition>,
         wait: Duration,
     ) -> Result<bool, StoreError> {
         let Some(next) = *from else {
             let newest = self.store.newest(LEAVING_TOPIC).await?;
-            *from = Some(newest.end.offset);
+            *from = Some(newest.end);
             return Ok(newest.records.iter().any(|record| record.key == name));
         };
-        match self.store.read(LEAVING_TOPIC, next, wait).await? {
-            StoreRead::Deleted { .. } => {
-                *from = None;
-                Ok(false)
-            }
-            StoreRead::Page(page) => {
-                *from = Some(page.next(next));
-                let era = self.store.era();
+        let read = self.store.read(LEAVING_TOPIC, next.offset, wait).await?;
+        let era = self.store.era();
+        match read {
+            StoreRead::Page(page) if era == next.era => {
+                *from = Some(LogPosition {
+                    era,
+                    offset: page.next(next.offset),
+                });
                 let keyed = |record| decode_keyed(era, record);
                 let records = page.records.iter().filter_map(keyed);
                 let last = records.filter(|record| record.key == name).last();
                 Ok(last.is_some_and(|record| record.value.is_some()))
             }
+            StoreRead::Page(_) | StoreRead::Deleted { .. } => {
+                *from = None;
+                Ok(false)
+            }
         }
     }
 
--- a/tests/instance_topics.rs
+++ b/tests/instance_topics.rs
@@ -120,7 +120,7 @@
             "",
         )
         .await;
-    let mut trimmed_offset = Some(bulrushslip::decide::ids::LogOffset(0));
+    let mut trimmed_offset = Some(bulrushslip::decide::ids::LogPosition::default());
     for _ in 0..2 {
         let is_marked = topics
             .await_leaving("s1", &mut trimmed_offset, Duration::ZERO)
@@ -198,3 +198,28 @@
     let owners = platform.json(Method::GET, "/log-owners?group=g", "").await;
     assert_eq!(owners, json!({ "owners": [["t", 0, "m", 5]] }));
 }
+
+#[tokio::test]
+async fn a_leaving_mark_that_is_written_after_a_drill_of_the_store_is_seen() {
+    let platform = Store::start();
+    let mut writer = InstanceTopics::new(platform.address());
+    writer.mark_leaving("s0").await.expect("a confirmation");
+    platform.json(Method::POST, "/admin/copy", "").await;
+    for name in ["s2", "s3", "s4"] {
+        writer.mark_leaving(name).await.expect("a confirmation");
+    }
+    let mut topics = InstanceTopics::new(platform.address());
+    let mut from = None;
+    let is_marked = topics.await_leaving("s1", &mut from, Duration::ZERO).await;
+    assert!(!is_marked.expect("a response"));
+    platform.json(Method::POST, "/admin/restore?ms=0", "").await;
+    for name in ["s1", "s2", "s3", "s4"] {
+        writer.mark_leaving(name).await.expect("a confirmation");
+    }
+    let mut is_marked = false;
+    for _ in 0..2 {
+        let read = topics.await_leaving("s1", &mut from, Duration::ZERO).await;
+        is_marked |= read.expect("a response");
+    }
+    assert!(is_marked);
+}
