Keep removed upstreams removed when the copy of a drill has heartbeats that were not seen

The model of views plays drills now: one to three in a history, from copies of 0 to 8 s, in half of the cases after up to 2 s away, sometimes twice within a second, with changes in the lost seconds and the four seconds after; operators and upstreams write again 0.1 to 0.9 s later. What an instance has known must not be undone while it runs, and views equal the store within 2 s.

Instances that do not read the store see no heartbeats between two changes, so the copy's entry had a higher count than the one that they knew; and a second drill from an older copy listed the entry once more, when the place of the deletion was forgotten.

A key that was deleted now keeps the highest offset of its deletion. An entry of a later era at a lower offset is taken for one of the copy, whatever it counts; if it is new, the next one shows it. The state of one key got a module of its own.

--- a/src/decide/keyed_view.rs
+++ b/src/decide/keyed_view.rs
@@ -5,7 +5,9 @@
 use bytes::Bytes;
 
 use super::hashing::{first_word, hash_parts};
-use super::ids::{LogPosition, StoreEra};
+use super::ids::LogPosition;
+pub use super::key_state::WriterStamp;
+use super::key_state::{KeyState, RecordSource};
 
 /// Maximum number of deleted keys that are kept; beyond it all of them are dropped.
 const MAX_DELETED: usize = 4_096;
@@ -32,75 +34,6 @@
     }
 }
 
-/// Count that the writer of a key states in its records and that only rises.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
-pub struct WriterStamp {
-    /// Start of the writer, in Unix milliseconds.
-    pub started_unix_ms: u64,
-    /// Number of the record since that start.
-    pub sequence: u64,
-}
-
-/// Newest that the writer of a key has said.
-#[derive(Debug, Clone, Copy)]
-struct WriterState {
-    stamp: WriterStamp,
-    /// Era in which it was said.
-    era: StoreEra,
-    /// Whether the key was deleted afterwards.
-    is_deleted: bool,
-}
-
-/// Newest record of one key, and when its meaning last changed.
-#[derive(Debug)]
-struct KeyState {
-    value: Option<Bytes>,
-    position: LogPosition,
-    /// Hash of what the value says; `None` if the key is deleted.
-    meaning: Option<u64>,
-    /// Position of the last record that changed the meaning.
-    changed: LogPosition,
-    /// Newest that the writer has said, over all eras; `None` if it states no count.
-    writer: Option<WriterState>,
-    /// Whether the record may come from a copy of an earlier era. Another instance may know that such a
-    /// record is outdated, so the next one counts as a change even if it says the same.
-    may_be_copy: bool,
-}
-
-impl KeyState {
-    /// Returns whether a record of an era with this count was written before what is known.
-    fn outdates(&self, era: StoreEra, stamp: Option<WriterStamp>) -> bool {
-        let (Some(writer), Some(stamp)) = (self.writer, stamp) else {
-            return false;
-        };
-        let is_older = stamp < writer.stamp || (stamp == writer.stamp && writer.is_deleted);
-        writer.era < era && is_older
-    }
-
-    /// Returns what is known in place of an outdated record at a position.
-    fn moved_to(&self, position: LogPosition) -> Self {
-        Self {
-            value: self.value.clone(),
-            position,
-            meaning: self.meaning,
-            changed: position,
-            writer: self.writer,
-            may_be_copy: true,
-        }
-    }
-}
-
-/// Where a record comes from.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum RecordSource {
-    /// The topic, right after the record before it.
-    Topic,
-    /// A listing or another instance, which leave out the records before it.
-    Newest,
-    /// The key is missing from the topic of a later era.
-    Missing,
-}
-
 /// What a view holds, so that the views of two instances can be compared.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct ViewDigest {
@@ -186,26 +119,13 @@
         if known.is_some_and(|known| known.position >= record.position) {
             return false;
         }
-        let era = record.position.era;
         let stamp = record.value.as_deref().and_then(self.stamp);
-        let outdating = known.filter(|known| known.outdates(era, stamp));
+        let outdating = known.filter(|known| known.outdates(record, stamp, source));
         let state = if let Some(known) = outdating {
             known.moved_to(record.position)
         } else {
             let meaning = record.value.as_deref().map(self.meaning);
-            // A repetition, such as a heartbeat, changes nothing for those that know the record before it.
-            let repeated = known.filter(|known| {
-                let follows = source == RecordSource::Topic && known.position.era == era;
-                follows && !known.may_be_copy && known.meaning == meaning
-            });
-            KeyState {
-                value: record.value.clone(),
-                position: record.position,
-                meaning,
-                changed: repeated.map_or(record.position, |known| known.changed),
-                writer: writer_state(known.and_then(|known| known.writer), record, stamp, source),
-                may_be_copy: era > StoreEra(0) && source != RecordSource::Topic,
-            }
+            KeyState::following(known, record, (meaning, stamp), source)
         };
         let is_outdated = outdating.is_some();
         let is_deleted = state.value.is_none();
@@ -356,28 +276,3 @@
         self.newest.get(key).map(|state| state.position)
     }
 }
-
-/// Returns the newest that the writer of a key has said, with a record that is not outdated.
-fn writer_state(
-    known: Option<WriterState>,
-    record: &KeyedRecord,
-    stamp: Option<WriterStamp>,
-    source: RecordSource,
-) -> Option<WriterState> {
-    let era = record.position.era;
-    if record.value.is_some() {
-        return stamp.map(|stamp| WriterState {
-            stamp,
-            era,
-            is_deleted: false,
-        });
-    }
-    if source == RecordSource::Missing {
-        return known;
-    }
-    known.map(|known| WriterState {
-        era,
-        is_deleted: true,
-        ..known
-    })
-}
--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -26,6 +26,7 @@
 pub mod idle_connections;
 pub mod ids;
 pub mod instance_roster;
+mod key_state;
 pub mod keyed_view;
 pub mod lease;
 pub mod ledger;
--- a/tests/view_model.rs
+++ b/tests/view_model.rs
@@ -5,7 +5,11 @@
 mod dispatch_harness;
 mod view_world;
 
+use std::collections::HashMap;
+
 use dice::Dice;
+use view_world::known::KnownState;
+use view_world::store::StoreCopy;
 use view_world::{InstanceView, STEP_MS, ViewWorld};
 
 /// Seeds of the run in CI.
@@ -46,14 +50,23 @@
     Drain(usize),
     Crash(usize),
     Restart(usize),
+    /// The store is copied.
+    Copy(usize),
+    /// The store comes back from a copy.
+    Drill {
+        copy: usize,
+        ends_outage: bool,
+    },
 }
 
 /// What has to be known at a time.
-#[derive(Debug, Clone, Copy)]
+#[derive(Debug, Clone)]
 struct Promise {
     due_ms: u64,
     acknowledged_ms: u64,
     kind: PromiseKind,
+    /// Instances that have known it before a drill lost it, if one has; it binds no others.
+    known_by: Option<Vec<usize>>,
 }
 
 #[derive(Debug, Clone, Copy)]
@@ -63,6 +76,31 @@
     NotOpen { upstream: usize, born: u64 },
 }
 
+impl PromiseKind {
+    /// Returns whether an instance keeps the promise.
+    fn holds(self, view: &InstanceView) -> bool {
+        match self {
+            Self::Configuration(version) => view.configuration >= version,
+            Self::OldestAllowed(version) => view.oldest_allowed >= version,
+            Self::NotOpen { upstream, born } => {
+                let id = format!("i-{upstream}");
+                let is_open = |(known, run, is_ready): &(String, u64, bool)| {
+                    *known == id && *run == born && *is_ready
+                };
+                !view.upstreams.iter().any(is_open)
+            }
+        }
+    }
+
+    /// Returns whether an instance knows what was promised.
+    fn is_known(self, view: &InstanceView) -> bool {
+        match self {
+            Self::OldestAllowed(version) => view.target >= version,
+            kind => kind.holds(view),
+        }
+    }
+}
+
 /// One seeded history.
 struct History {
     world: ViewWorld,
@@ -74,6 +112,17 @@
     configuration: u64,
     version: u64,
     seed: u64,
+    /// Drills of the store, if the history has some.
+    drills: Option<DrillState>,
+}
+
+/// State of the drills of one history.
+struct DrillState {
+    dice: Dice,
+    copies: HashMap<usize, StoreCopy>,
+    /// Time at which the operators write again, in milliseconds.
+    rewrite_ms: Option<u64>,
+    known: Vec<KnownState>,
 }
 
 fn draw_schedule(dice: &mut Dice, instances: usize, upstreams: usize) -> Vec<(u64, Event)> {
@@ -141,7 +190,65 @@
     schedule
 }
 
+/// Draws drills, and changes around them.
+fn draw_drills(dice: &mut Dice, upstreams: usize) -> Vec<(u64, Event)> {
+    let mut schedule = Vec::new();
+    let count = 1 + dice.index(3);
+    for copy in 0..count {
+        let time = 8_000 + dice.below(160) * STEP_MS;
+        let age = dice.below(8_000 / STEP_MS + 1) * STEP_MS;
+        schedule.push((time - age, Event::Copy(copy)));
+        let away = dice.below(2_000 / STEP_MS + 1) * STEP_MS;
+        let ends_outage = dice.percent(50);
+        if ends_outage {
+            let event = Event::StoreDown {
+                has_lapses: dice.percent(50),
+                fails_at_once: dice.percent(50),
+            };
+            schedule.push((time - away, event));
+        }
+        schedule.push((time, Event::Drill { copy, ends_outage }));
+        if dice.percent(30) {
+            let event = Event::Drill {
+                copy,
+                ends_outage: false,
+            };
+            schedule.push((time + (1 + dice.below(20)) * STEP_MS, event));
+        }
+        for _ in 0..dice.below(8) {
+            let upstream = dice.index(upstreams);
+            let event = match dice.below(5) {
+                0 => Event::Configure,
+                1 => Event::NameVersion,
+                2 => Event::Drain(upstream),
+                3 => Event::Crash(upstream),
+                _ => Event::Restart(upstream),
+            };
+            let offset = dice.below((age + 4_000) / STEP_MS) * STEP_MS;
+            schedule.push((time - age + offset, event));
+        }
+    }
+    schedule
+}
+
 impl History {
+    /// Draws a history with drills of the store.
+    fn with_drills(seed: u64) -> Self {
+        let mut history = Self::new(seed);
+        let mut dice = Dice::new(seed, 2);
+        let drills = draw_drills(&mut dice, history.world.platform.upstreams.len());
+        history.schedule.extend(drills);
+        history.schedule.sort_by_key(|(time, _)| *time);
+        let instances = 0..history.world.len();
+        history.drills = Some(DrillState {
+            dice,
+            copies: HashMap::new(),
+            rewrite_ms: None,
+            known: instances.map(|_| KnownState::default()).collect(),
+        });
+        history
+    }
+
     fn new(seed: u64) -> Self {
         let mut dice = Dice::new(seed, 1);
         let instances = match dice.below(20) {
@@ -160,6 +267,7 @@
             configuration: 1,
             version: 1,
             seed,
+            drills: None,
         }
     }
 
@@ -202,13 +310,15 @@
         if self.is_disturbed {
             self.disturbed_ms = self.world.now_ms;
         }
+        self.rewrite_if_due();
         self.world.step();
+        self.check_known()?;
         let now_ms = self.world.now_ms;
         let due = self
             .promises
             .extract_if(.., |promise| promise.due_ms <= now_ms);
         for promise in due.collect::<Vec<_>>() {
-            self.check(promise)?;
+            self.check(&promise)?;
         }
         Ok(())
     }
@@ -247,14 +357,11 @@
                 if self.world.platform.is_down => {}
             Event::Configure => {
                 self.configuration += 1;
-                self.world.platform.configure(self.configuration);
-                self.promise(APPLY_MS, PromiseKind::Configuration(self.configuration));
+                self.configure();
             }
             Event::NameVersion => {
                 self.version += 1;
-                self.world.platform.name_version(self.version);
-                let kind = PromiseKind::OldestAllowed(self.version);
-                self.promise(WEIGHTS_MS - START_ALLOWANCE_MS, kind);
+                self.name_version();
             }
             Event::Drain(index) => {
                 let upstream = &mut self.world.platform.upstreams[index];
@@ -269,6 +376,14 @@
             }
             Event::Crash(index) => self.world.platform.upstreams[index].is_alive = false,
             Event::Restart(index) => self.world.platform.upstreams[index].restart(now_ms),
+            Event::Copy(copy) => {
+                let drills = self.drills.as_mut().expect("a history with drills");
+                drills.copies.insert(copy, self.world.platform.copy());
+            }
+            Event::Drill { copy, ends_outage } => {
+                self.restore(copy);
+                self.world.platform.is_down &= !ends_outage;
+            }
         }
         self.is_disturbed =
             self.world.platform.is_down || self.world.loss > 0 || self.world.delay_ms > 0;
@@ -277,19 +392,99 @@
         }
     }
 
+    /// Writes the newest configuration.
+    fn configure(&mut self) {
+        self.world.platform.configure(self.configuration);
+        self.promise(APPLY_MS, PromiseKind::Configuration(self.configuration));
+    }
+
+    /// Writes the newest target version.
+    fn name_version(&mut self) {
+        self.world.platform.name_version(self.version);
+        let kind = PromiseKind::OldestAllowed(self.version);
+        self.promise(WEIGHTS_MS - START_ALLOWANCE_MS, kind);
+    }
+
+    /// Lets the store come back from a copy.
+    fn restore(&mut self, copy: usize) {
+        let now_ms = self.world.now_ms;
+        for promise in &mut self.promises {
+            let kind = promise.kind;
+            let instances = 0..self.world.len();
+            let instances = promise.known_by.take().unwrap_or(instances.collect());
+            let known = instances.into_iter().filter(|index| {
+                self.world.is_alive(*index) && kind.is_known(&self.world.view(*index))
+            });
+            promise.known_by = Some(known.collect());
+        }
+        let drills = self.drills.as_mut().expect("a history with drills");
+        let copy = drills.copies[&copy].clone();
+        let dice = &mut drills.dice;
+        let mut lag_ms = || (2 + dice.below(17)) * STEP_MS;
+        drills.rewrite_ms = Some(now_ms + lag_ms());
+        self.world.platform.restore(copy, now_ms, lag_ms);
+        for index in 0..self.world.platform.upstreams.len() {
+            let upstream = &self.world.platform.upstreams[index];
+            if upstream.is_alive && upstream.is_draining {
+                let kind = PromiseKind::NotOpen {
+                    upstream: index,
+                    born: upstream.born,
+                };
+                let due_ms = upstream.due_ms.max(now_ms);
+                self.promise_from(due_ms, DRAIN_MS + STEP_MS, kind);
+            }
+        }
+    }
+
+    /// Lets operators write again what a drill may have lost.
+    fn rewrite_if_due(&mut self) {
+        let now_ms = self.world.now_ms;
+        let Some(drills) = &mut self.drills else {
+            return;
+        };
+        let is_due = drills.rewrite_ms.is_some_and(|due_ms| due_ms <= now_ms);
+        if is_due && !self.world.platform.is_down {
+            drills.rewrite_ms = None;
+            self.configure();
+            self.name_version();
+        }
+    }
+
+    /// Checks that no instance forgets what it has known.
+    fn check_known(&mut self) -> Result<(), String> {
+        let Some(drills) = &mut self.drills else {
+            return Ok(());
+        };
+        for (index, known) in drills.known.iter_mut().enumerate() {
+            if !self.world.is_alive(index) {
+                *known = KnownState::default();
+                continue;
+            }
+            let view = self.world.view(index);
+            if let Err(undone) = known.update(&view, &self.world.platform.upstreams) {
+                return Err(self.broken(index, &undone, &view));
+            }
+        }
+        Ok(())
+    }
+
     fn promise(&mut self, limit_ms: u64, kind: PromiseKind) {
-        let acknowledged_ms = self.world.now_ms;
+        self.promise_from(self.world.now_ms, limit_ms, kind);
+    }
+
+    fn promise_from(&mut self, acknowledged_ms: u64, limit_ms: u64, kind: PromiseKind) {
         // One step for the message to the instance that looks.
         let due_ms = acknowledged_ms + limit_ms + STEP_MS;
         self.promises.push(Promise {
             due_ms,
             acknowledged_ms,
             kind,
+            known_by: None,
         });
     }
 
     /// Checks a promise at the instances that were in touch since before the acknowledgement.
-    fn check(&mut self, promise: Promise) -> Result<(), String> {
+    fn check(&mut self, promise: &Promise) -> Result<(), String> {
         let calm_from = promise.acknowledged_ms.saturating_sub(STABLE_MS);
         if self.disturbed_ms > calm_from {
             return Ok(());
@@ -298,19 +493,12 @@
             if !self.world.is_alive(index) || self.world.started_ms(index) > calm_from {
                 continue;
             }
+            let known_by = promise.known_by.as_ref();
+            if known_by.is_some_and(|known_by| !known_by.contains(&index)) {
+                continue;
+            }
             let view = self.world.view(index);
-            let holds = match promise.kind {
-                PromiseKind::Configuration(version) => view.configuration >= version,
-                PromiseKind::OldestAllowed(version) => view.oldest_allowed >= version,
-                PromiseKind::NotOpen { upstream, born } => {
-                    let id = format!("i-{upstream}");
-                    let is_open = |(known, run, is_ready): &(String, u64, bool)| {
-                        *known == id && *run == born && *is_ready
-                    };
-                    !view.upstreams.iter().any(is_open)
-                }
-            };
-            if !holds {
+            if !promise.kind.holds(&view) {
                 return Err(self.broken(index, &format!("{promise:?}"), &view));
             }
         }
@@ -364,8 +552,19 @@
 /// because they know the store only by what others pass on.
 #[test]
 fn every_instance_holds_what_the_store_holds() {
+    assert_kept(History::new);
+}
+
+/// Guards against instances that take records of a restored store for old ones, or older ones for new.
+#[test]
+fn every_instance_holds_what_a_restored_store_holds() {
+    assert_kept(History::with_drills);
+}
+
+/// Plays the histories of all seeds.
+fn assert_kept(history: impl Fn(u64) -> History) {
     let broken: Vec<String> = seeds()
-        .filter_map(|seed| History::new(seed).play().err())
+        .filter_map(|seed| history(seed).play().err())
         .collect();
     for line in broken.iter().take(10) {
         println!("{line}");
--- a/tests/view_world/mod.rs
+++ b/tests/view_world/mod.rs
@@ -1,6 +1,7 @@
 //! Instances that learn what the store holds, from it and from each other, in virtual time: the real
 //! service `dispatch` and the real choice of peers; the reads of the store are modelled.
 
+pub mod known;
 pub mod store;
 
 use std::collections::HashMap;
@@ -88,6 +89,8 @@
     /// Listed upstreams: name, start time and whether they accept requests.
     pub upstreams: Vec<(String, u64, bool)>,
     pub configuration: u64,
+    /// Target version of the weights.
+    pub target: u64,
     pub oldest_allowed: u64,
 }
 
@@ -259,7 +262,8 @@
                     });
                 }
                 ReadNeed::Now(known) => {
-                    watch.next = watch.next.map(|next| next.max(known));
+                    let next = watch.next.filter(|next| next.era <= known.era);
+                    watch.next = next.map(|next| next.max(known));
                     let poll = if watch.is_current && watch.next.is_some() {
                         600
                     } else {
@@ -310,27 +314,34 @@
         let started = at(read.started);
         let Some(from) = watch.next else {
             let (records, end) = (log.newest(), log.end());
-            watch.next = Some(end.into());
+            watch.next = Some(end);
             self.end_read(watch, topic, read);
             let records = TopicRecords {
                 topic,
                 records,
-                next: end.into(),
+                next: end,
                 confirmed_at: started,
             };
             self.tell(index, DispatchMail::Snapshot(records));
             return;
         };
         let records = log.from(from.offset);
-        if records.is_empty() && waited < read.poll {
+        if records.as_ref().is_some_and(Vec::is_empty) && waited < read.poll {
             return;
         }
+        let Some(records) = records.filter(|_| log.era == from.era) else {
+            // Offsets of an earlier era say nothing, so that the topic is listed anew.
+            watch.next = None;
+            watch.running = None;
+            watch.due_ms = self.now_ms;
+            return;
+        };
         let bodies = records.iter().map(|record| StoreRecord {
             offset: record.position.offset,
             body: record.value.clone().unwrap_or_default(),
         });
         let page = StorePage {
-            end: log.end(),
+            end: log.end().offset,
             first: LogOffset(0),
             records: bodies.collect(),
         };
@@ -343,7 +354,10 @@
             },
             ended: at(self.now_ms),
         };
-        let next = page.next(from.offset).into();
+        let next = LogPosition {
+            era: from.era,
+            offset: page.next(from.offset),
+        };
         watch.next = Some(next);
         self.end_read(watch, topic, read);
         let confirmed_at = times.confirmed_at(&page, from.offset);
@@ -455,9 +469,11 @@
     });
     let mut upstreams: Vec<_> = members.collect();
     upstreams.sort();
+    let target = state.target_versions.get(&name_hash("m"));
     InstanceView {
         upstreams,
         configuration: state.routes.as_ref().map_or(0, |routes| routes.version),
+        target: target.map_or(0, |target| target.version),
         oldest_allowed: state.oldest_allowed(now, name_hash("m")),
     }
 }
--- a/tests/view_world/store.rs
+++ b/tests/view_world/store.rs
@@ -2,9 +2,10 @@
 
 use std::collections::HashMap;
 
-use bulrushslip::decide::ids::LogOffset;
+use bulrushslip::decide::ids::{LogOffset, LogPosition, StoreEra};
 use bulrushslip::decide::keyed_view::KeyedRecord;
 use bulrushslip::wire::peer_rpc::WireTopic;
+use bytes::Bytes;
 
 /// Interval of the upstreams' heartbeats, in milliseconds.
 pub const HEARTBEAT_MS: u64 = 1_200;
@@ -13,43 +14,78 @@
 const EXPIRY_MS: u64 = 3 * HEARTBEAT_MS;
 
 /// Append-only topic whose newest record of each key is the current one.
-#[derive(Debug, Default)]
+#[derive(Debug, Clone, Default)]
 pub struct Topic {
-    records: Vec<KeyedRecord>,
+    /// Number of times that the store has come back from a copy.
+    pub era: StoreEra,
+    /// Key and value of each record; the offset is the position in the list.
+    records: Vec<(String, Option<Bytes>)>,
 }
 
 impl Topic {
     /// Appends a record.
     pub fn append(&mut self, key: &str, value: Option<String>) {
-        self.records.push(KeyedRecord {
-            key: key.to_owned(),
-            value: value.map(Into::into),
-            position: LogOffset(self.records.len() as u64).into(),
-        });
+        self.records.push((key.to_owned(), value.map(Bytes::from)));
     }
 
-    /// Returns the offset of the next record.
-    pub fn end(&self) -> LogOffset {
-        LogOffset(self.records.len() as u64)
+    /// Returns the position of the next record.
+    pub fn end(&self) -> LogPosition {
+        self.position(self.records.len())
     }
 
-    /// Returns the records from an offset on.
-    pub fn from(&self, offset: LogOffset) -> Vec<KeyedRecord> {
+    fn position(&self, index: usize) -> LogPosition {
+        LogPosition {
+            era: self.era,
+            offset: LogOffset(index as u64),
+        }
+    }
+
+    /// Returns the records from an offset on; `None` if the topic ends before it.
+    pub fn from(&self, offset: LogOffset) -> Option<Vec<KeyedRecord>> {
         let start = usize::try_from(offset.0).unwrap_or(usize::MAX);
-        self.records.iter().skip(start).cloned().collect()
+        let offsets = start..self.records.len();
+        (start <= offsets.end).then(|| offsets.map(|index| self.record(index)).collect())
     }
 
     /// Returns the newest record of each key that is not deleted.
     pub fn newest(&self) -> Vec<KeyedRecord> {
-        let mut newest: HashMap<&str, &KeyedRecord> = HashMap::new();
-        for record in &self.records {
-            newest.insert(&record.key, record);
+        let mut newest: HashMap<&str, usize> = HashMap::new();
+        for (index, (key, _)) in self.records.iter().enumerate() {
+            newest.insert(key, index);
+        }
+        let current = newest.into_values().map(|index| self.record(index));
+        current.filter(|record| record.value.is_some()).collect()
+    }
+
+    /// Returns the newest value of a key that is not deleted.
+    fn value(&self, key: &str) -> Option<&Bytes> {
+        let newest = self.records.iter().rfind(|(known, _)| known == key);
+        newest.and_then(|(_, value)| value.as_ref())
+    }
+
+    fn record(&self, index: usize) -> KeyedRecord {
+        let (key, value) = &self.records[index];
+        KeyedRecord {
+            key: key.clone(),
+            value: value.clone(),
+            position: self.position(index),
         }
-        let current = newest.into_values().filter(|record| record.value.is_some());
-        current.cloned().collect()
+    }
+
+    /// Goes on from a copy, in the next era.
+    fn restore(&mut self, copy: Self) {
+        self.records = copy.records;
+        self.era = StoreEra(self.era.0 + 1);
     }
 }
 
+/// Copy of the store from which it can come back.
+#[derive(Debug, Clone, Default)]
+pub struct StoreCopy {
+    operator: Topic,
+    upstream: Topic,
+}
+
 /// Upstream that writes its entry.
 #[derive(Debug, Clone)]
 pub struct Upstream {
@@ -62,8 +98,12 @@
     pub is_listed: bool,
     /// Time of the last change of the list on its behalf, in milliseconds.
     pub changed_ms: u64,
+    /// Time since which the store has been told that the run drains or is gone, in milliseconds, whether
+    /// or not it still knows.
+    pub ended_ms: Option<u64>,
     accepted_ms: u64,
-    due_ms: u64,
+    /// Time of the next write, in milliseconds.
+    pub due_ms: u64,
     beats: u64,
 }
 
@@ -77,6 +117,7 @@
             is_draining: false,
             is_listed: false,
             changed_ms: 0,
+            ended_ms: None,
             accepted_ms: 0,
             due_ms: index as u64 * 150 % HEARTBEAT_MS,
             beats: 0,
@@ -86,6 +127,8 @@
     /// Starts a new run, at once, which writes its entry soon.
     pub fn restart(&mut self, now_ms: u64) {
         self.born += 1;
+        self.beats = 0;
+        self.ended_ms = None;
         self.is_alive = true;
         self.is_draining = false;
         self.due_ms = now_ms + 100;
@@ -155,6 +198,28 @@
         self.operator.append("version/m", Some(target));
     }
 
+    /// Copies all topics.
+    pub fn copy(&self) -> StoreCopy {
+        StoreCopy {
+            operator: self.operator.clone(),
+            upstream: self.upstream.clone(),
+        }
+    }
+
+    /// Lets the store come back from a copy; upstreams write again within `lag_ms`.
+    pub fn restore(&mut self, copy: StoreCopy, now_ms: u64, lag_ms: impl FnMut() -> u64) {
+        self.operator.restore(copy.operator);
+        self.upstream.restore(copy.upstream);
+        let lags = std::iter::repeat_with(lag_ms);
+        for (upstream, lag_ms) in self.upstreams.iter_mut().zip(lags) {
+            upstream.is_listed = self.upstream.value(&upstream.id).is_some();
+            // An entry whose upstream is silent expires later.
+            upstream.accepted_ms = now_ms;
+            upstream.changed_ms = now_ms;
+            upstream.due_ms = upstream.due_ms.min(now_ms + lag_ms);
+        }
+    }
+
     /// Returns a topic.
     pub fn topic(&self, topic: WireTopic) -> &Topic {
         match topic {
@@ -171,6 +236,7 @@
                 self.upstream.append(&upstream.id, None);
                 upstream.is_listed = false;
                 upstream.changed_ms = now_ms;
+                upstream.ended_ms.get_or_insert(now_ms);
             }
             if !upstream.is_alive || upstream.due_ms > now_ms {
                 continue;
@@ -189,6 +255,11 @@
                 upstream.changed_ms = now_ms;
             }
             upstream.is_listed = true;
+            if upstream.is_draining {
+                upstream.ended_ms.get_or_insert(now_ms);
+            } else {
+                upstream.ended_ms = None;
+            }
         }
     }
 }
