Replay the configuration stream anew when the store comes back from an older copy

What callers saw: after a drill of the store, a confirmed plan came into force at no entry or sidecar as long as its offset was below those of plans that the drill had lost. `bulrushslip-ctl confirm` still reported it in force everywhere, as it compared its offset with those of the era before. A confirmation whose append was lost read the log for ever.

Cause: configurations, the calls among processes and confirmations were ordered by the bare `next_offset`. Offsets are given out again in a higher era, so that a new record counted as known, and one above a lost one was replayed onto another history.

Change: configurations are ordered by era and offset. In a higher era the replica replays the log from its start beside the configuration in force, which holds until the whole log is replayed and has a plan that this process has not seen, or again all plans that it has. Plans are told apart by their random identity. A page that was requested by an offset of the earlier era only starts the replay. The position is sent in the existing 64-bit fields with the era in the high bits, so that era 0 is encoded as before; the page of a sidecar states its whole position even if it holds only part of the records, since the receiver has to know where the log ends. The dump and `status` state the era.

Ruled out: applying the new records to the configuration in force; processes that have lost different plans would differ, and replay from the log at a start would give a third result.

Open: a plan made before the drill and confirmed after it may have a `planned_at` above all offsets of the new era, so that a conflict with a newer plan is not found. An old build asks a sidecar of this one without pause while the era is above 0.

--- a/src/ctl/apply.rs
+++ b/src/ctl/apply.rs
@@ -35,7 +35,7 @@
     };
     let report = confirm(args.platform, &record).await;
     match report.outcome {
-        ConfirmOutcome::InForce(offset) => println!("in force from offset {}", offset.0),
+        ConfirmOutcome::InForce(at) => println!("in force from offset {}", at.offset.0),
         ConfirmOutcome::Refused(_) => eprintln!("refused: {}", report.reason),
         ConfirmOutcome::NotAppended => eprintln!("not appended: {}", report.reason),
         ConfirmOutcome::Unknown => eprintln!("may have been appended: {}", report.reason),
--- a/src/ctl/confirm.rs
+++ b/src/ctl/confirm.rs
@@ -13,7 +13,7 @@
 use crate::decide::config_change::PlanRecord;
 use crate::decide::config_replica::StreamRecord;
 use crate::decide::confirm::{AppendResult, ConfirmOutcome, ConfirmStep, Confirmation};
-use crate::decide::ids::LogOffset;
+use crate::decide::ids::LogPosition;
 use crate::platform::log_client::{AppendOutcome, LogClient};
 use crate::wire::config_record::CONFIG_STREAM;
 use crate::wire::config_snapshot::{decode_stream_record, encode_record};
@@ -61,7 +61,7 @@
         }
     };
     let report = confirm(args.platform, &record).await;
-    let ConfirmOutcome::InForce(offset) = report.outcome else {
+    let ConfirmOutcome::InForce(position) = report.outcome else {
         print_not_in_force(&report, args.json);
         return exit_status(report.outcome);
     };
@@ -69,8 +69,8 @@
         platform: args.platform,
         operator_token: args.operator_token.clone(),
     };
-    let missing = wait_for_fleet(&fleet, offset, Duration::from_millis(args.wait_ms)).await;
-    print_in_force(offset, &missing, args.json);
+    let missing = wait_for_fleet(&fleet, position, Duration::from_millis(args.wait_ms)).await;
+    print_in_force(position, &missing, args.json);
     if missing.is_empty() {
         ExitStatus::Done
     } else {
@@ -92,16 +92,16 @@
     // An earlier confirmation may have put the plan in force without receiving the response.
     let mut confirmation = Confirmation::default();
     let current = follower.current();
-    confirmation.on_read(current.next_offset, follower.copies());
+    confirmation.on_read(current.next(), follower.copies());
     let is_new = follower.copies().is_empty();
     if is_new && let Err(refusal) = current.preview(current.next_offset, record) {
-        let outcome = ConfirmOutcome::Refused(current.next_offset);
+        let outcome = ConfirmOutcome::Refused(current.next());
         return report(outcome, &refusal.to_string());
     }
     let outcome = run_confirmation(&mut confirmation, &mut follower, &encode_record(record)).await;
     match outcome {
         ConfirmOutcome::InForce(_) => report(outcome, ""),
-        ConfirmOutcome::Refused(offset) => report(outcome, follower.skip_reason(offset)),
+        ConfirmOutcome::Refused(at) => report(outcome, follower.skip_reason(at.offset)),
         ConfirmOutcome::NotAppended => report(outcome, "the log accepts no records"),
         ConfirmOutcome::Unknown => report(
             outcome,
@@ -121,7 +121,7 @@
             ConfirmStep::Done(outcome) => return outcome,
             ConfirmStep::Append => {
                 let result = match follower.log.append(body.to_owned()).await {
-                    AppendOutcome::Appended(position) => AppendResult::Appended(position.offset),
+                    AppendOutcome::Appended(position) => AppendResult::Appended(position),
                     AppendOutcome::Refused(_) => AppendResult::NotAppended,
                     AppendOutcome::Unknown(_) => AppendResult::Unanswered,
                 };
@@ -132,8 +132,8 @@
             }
             ConfirmStep::Read => match follower.catch_up().await {
                 CatchUpOutcome::AtEnd => {
-                    let next_offset = follower.current().next_offset;
-                    confirmation.on_read(next_offset, follower.copies());
+                    let next = follower.current().next();
+                    confirmation.on_read(next, follower.copies());
                 }
                 CatchUpOutcome::Unreadable(_) | CatchUpOutcome::RecordsMissing => {
                     sleep(RETRY_PAUSE).await;
@@ -144,11 +144,11 @@
     }
 }
 
-/// Waits until all live processes have the offset in force; returns those that have not at the end
+/// Waits until all live processes have the position in force; returns those that have not at the end
 /// of the wait.
 async fn wait_for_fleet(
     fleet: &FleetAccess,
-    offset: LogOffset,
+    position: LogPosition,
     wait: Duration,
 ) -> Vec<ProcessState> {
     let deadline = Instant::now() + wait;
@@ -160,7 +160,7 @@
             eprintln!("the list of instances cannot be read");
             return Vec::new();
         };
-        states.retain(|state| state.next_offset.is_none_or(|next| next <= offset.0));
+        states.retain(|state| state.next.is_none_or(|next| next <= position));
         if states.is_empty() || Instant::now() >= deadline {
             return states;
         }
@@ -204,14 +204,15 @@
     eprintln!("{}: {}", outcome.replace('_', " "), report.reason);
 }
 
-fn print_in_force(offset: LogOffset, missing: &[ProcessState], as_json: bool) {
+fn print_in_force(position: LogPosition, missing: &[ProcessState], as_json: bool) {
+    let offset = position.offset.0;
     let names: Vec<&str> = missing.iter().map(|state| state.name.as_str()).collect();
     if as_json {
-        let report = json!({"outcome": "in_force", "offset": offset.0, "missing": names});
+        let report = json!({"outcome": "in_force", "offset": offset, "missing": names});
         println!("{report}");
         return;
     }
-    println!("in force from offset {}", offset.0);
+    println!("in force from offset {offset}");
     for name in names {
         eprintln!("not yet in force at {name}");
     }
--- a/src/ctl/fleet.rs
+++ b/src/ctl/fleet.rs
@@ -10,6 +10,7 @@
 use hyper::Method;
 use serde_json::Value;
 
+use crate::decide::ids::{LogOffset, LogPosition, StoreEra};
 use crate::platform::http_client::{call, request};
 use crate::platform::instance_topics::{InstanceTopics, WireInstance, WireInstanceState};
 
@@ -37,8 +38,8 @@
     pub role: String,
     /// Whether the process is in a planned stop.
     pub is_leaving: bool,
-    /// Offset after the newest configuration record in force; `None` if the dump lacks it.
-    pub next_offset: Option<u64>,
+    /// Position after the newest configuration record in force; `None` if the dump lacks it.
+    pub next: Option<LogPosition>,
     /// Dump of the process; null if the process did not respond.
     pub dump: Value,
 }
@@ -71,11 +72,19 @@
         name: instance.name,
         role: instance.role,
         is_leaving: instance.state == WireInstanceState::Leaving,
-        next_offset: dump["config"]["next_offset"].as_u64(),
+        next: next_position(&dump["config"]),
         dump,
     }
 }
 
+/// Returns the position that the dump of a configuration states; builds without eras state none.
+fn next_position(config: &Value) -> Option<LogPosition> {
+    Some(LogPosition {
+        era: StoreEra(config["era"].as_u64().unwrap_or_default()),
+        offset: LogOffset(config["next_offset"].as_u64()?),
+    })
+}
+
 /// Gets a path from the operator ports of all entries and returns the first successful response;
 /// null if there is none.
 ///
--- a/src/ctl/follower.rs
+++ b/src/ctl/follower.rs
@@ -9,7 +9,7 @@
 use crate::decide::config_change::PlanId;
 use crate::decide::config_replica::{ConfigReplica, SkippedRecord, StreamPage, StreamRecord};
 use crate::decide::confirm::PlanCopy;
-use crate::decide::ids::LogOffset;
+use crate::decide::ids::{LogOffset, LogPosition};
 use crate::platform::log_client::{LogClient, ReadOutcome, ReadWindow};
 use crate::services::configuration::config_history::DecodedPage;
 
@@ -87,7 +87,10 @@
     /// Returns the replayed copies of the plan that was given to `new`.
     #[must_use]
     pub fn copies(&self) -> Vec<PlanCopy> {
-        let replayed = self.replica.current.next_offset;
+        let LogPosition {
+            era,
+            offset: replayed,
+        } = self.replica.current.next();
         let copies = self
             .plan_offsets
             .iter()
@@ -95,7 +98,10 @@
         let is_skipped = |offset| self.skipped.iter().any(|skipped| skipped.offset == offset);
         copies
             .map(|offset| PlanCopy {
-                offset: *offset,
+                position: LogPosition {
+                    era,
+                    offset: *offset,
+                },
                 in_force: !is_skipped(*offset),
             })
             .collect()
@@ -134,7 +140,10 @@
                 ReadOutcome::Unavailable(reason) => return CatchUpOutcome::Unreadable(reason),
             };
             let next = page.next;
-            let decoded = DecodedPage::from_log(page.first, next, page.records);
+            if page.era > self.replica.next().era {
+                self.forget_records();
+            }
+            let decoded = DecodedPage::from_log(page);
             self.record_copies(&decoded.page);
             let outcome = self.replica.apply_page(decoded.page);
             self.skipped.extend(outcome.skipped);
@@ -148,6 +157,13 @@
         }
     }
 
+    /// Forgets what was read in an earlier era of the log, which may lack it now.
+    fn forget_records(&mut self) {
+        self.skipped.clear();
+        self.plan_offsets.clear();
+        self.replica = ConfigReplica::default();
+    }
+
     fn record_copies(&mut self, page: &StreamPage) {
         for numbered in &page.records {
             if let StreamRecord::Plan(record) = &numbered.record
--- a/src/ctl/status.rs
+++ b/src/ctl/status.rs
@@ -8,6 +8,7 @@
 use super::exit::ExitStatus;
 use super::fleet::{FleetAccess, ProcessState, fetch_processes};
 use super::follower::{CatchUpOutcome, ConfigFollower};
+use crate::decide::ids::{LogPosition, StoreEra};
 use crate::platform::log_client::LogClient;
 use crate::wire::config_record::CONFIG_STREAM;
 
@@ -31,7 +32,7 @@
     let log = LogClient::new(args.platform, CONFIG_STREAM);
     let mut follower = ConfigFollower::new(log, None);
     let outcome = follower.catch_up().await;
-    let next_offset = (outcome == CatchUpOutcome::AtEnd).then(|| follower.current().next_offset.0);
+    let next = (outcome == CatchUpOutcome::AtEnd).then(|| follower.current().next());
     let fleet = FleetAccess {
         platform: args.platform,
         operator_token: args.operator_token.clone(),
@@ -41,20 +42,20 @@
         return ExitStatus::Unavailable;
     };
     if args.json {
-        print_json(next_offset, &follower, &states);
+        print_json(next, &follower, &states);
     } else {
-        print_text(next_offset, &follower, &states);
+        print_text(next, &follower, &states);
     }
-    // While the log cannot be read, the newest offset of any process is the reference.
-    let newest = next_offset.or_else(|| states.iter().filter_map(|state| state.next_offset).max());
-    if states.iter().all(|state| state.next_offset >= newest) {
+    // While the log cannot be read, the newest position of any process is the reference.
+    let newest = next.or_else(|| states.iter().filter_map(|state| state.next).max());
+    if states.iter().all(|state| state.next >= newest) {
         ExitStatus::Done
     } else {
         ExitStatus::NotEverywhere
     }
 }
 
-fn print_json(next_offset: Option<u64>, follower: &ConfigFollower, states: &[ProcessState]) {
+fn print_json(next: Option<LogPosition>, follower: &ConfigFollower, states: &[ProcessState]) {
     let skipped_records = follower
         .skipped
         .iter()
@@ -64,21 +65,23 @@
             "name": state.name,
             "role": state.role,
             "leaving": state.is_leaving,
-            "next_offset": state.next_offset,
+            "era": state.next.map(|next| next.era.0),
+            "next_offset": state.next.map(|next| next.offset.0),
             "orders": state.dump["orders"],
         })
     });
     let report = json!({
-        "log_next_offset": next_offset,
+        "log_era": next.map(|next| next.era.0),
+        "log_next_offset": next.map(|next| next.offset.0),
         "skipped": skipped_records.collect::<Vec<_>>(),
         "processes": processes.collect::<Vec<_>>(),
     });
     println!("{report:#}");
 }
 
-fn print_text(next_offset: Option<u64>, follower: &ConfigFollower, states: &[ProcessState]) {
-    match next_offset {
-        Some(next_offset) => println!("log: next offset {next_offset}"),
+fn print_text(next: Option<LogPosition>, follower: &ConfigFollower, states: &[ProcessState]) {
+    match next {
+        Some(next) => println!("log: {}", describe(next)),
         None => println!("log: cannot be read"),
     }
     for skipped in &follower.skipped {
@@ -88,14 +91,18 @@
         );
     }
     for state in states {
-        let offset = match state.next_offset {
-            Some(offset) => offset.to_string(),
-            None => "no answer".to_owned(),
-        };
+        let next = state
+            .next
+            .map_or("next offset no answer".to_owned(), describe);
         let leaving = if state.is_leaving { ", leaving" } else { "" };
-        println!(
-            "{} {}{leaving}: next offset {offset}",
-            state.role, state.name
-        );
+        println!("{} {}{leaving}: {next}", state.role, state.name);
+    }
+}
+
+fn describe(next: LogPosition) -> String {
+    let LogPosition { era, offset } = next;
+    if era == StoreEra(0) {
+        return format!("next offset {}", offset.0);
     }
+    format!("next offset {} in era {}", offset.0, era.0)
 }
--- a/src/decide/config.rs
+++ b/src/decide/config.rs
@@ -3,7 +3,7 @@
 use std::collections::{BTreeMap, HashMap};
 
 use super::config_change::ObjectName;
-use super::ids::{LogOffset, Rank};
+use super::ids::{LogOffset, LogPosition, Rank, StoreEra};
 use crate::kernel::{Arena, Key};
 
 /// Arena key of a declared customer.
@@ -169,7 +169,9 @@
 /// Configuration in force: the state after replaying the configuration stream up to an offset.
 #[derive(Debug, Clone, Default)]
 pub struct Configuration {
-    /// Offset below which all records have been replayed; never decreases.
+    /// Era of the log from which all records were replayed.
+    pub era: StoreEra,
+    /// Offset below which all records of the era have been replayed; never decreases.
     pub next_offset: LogOffset,
     /// Declared customers.
     pub customers: Arena<Customer>,
@@ -188,6 +190,15 @@
 }
 
 impl Configuration {
+    /// Returns the position of the next record to replay, by which configurations are ordered.
+    #[must_use]
+    pub const fn next(&self) -> LogPosition {
+        LogPosition {
+            era: self.era,
+            offset: self.next_offset,
+        }
+    }
+
     /// Returns how many upstreams of the same model have a name before that of `own`.
     #[must_use]
     pub fn position_in_model(&self, own: &Upstream) -> usize {
--- a/src/decide/confirm.rs
+++ b/src/decide/confirm.rs
@@ -1,6 +1,6 @@
 //! Confirmation of a plan: appends it to the log and determines whether it is in force.
 
-use super::ids::LogOffset;
+use super::ids::LogPosition;
 
 /// Maximum number of appends of one plan.
 pub const MAX_APPENDS: u32 = 4;
@@ -8,8 +8,8 @@
 /// Result of one append of the plan.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum AppendResult {
-    /// The plan was appended at this offset.
-    Appended(LogOffset),
+    /// The plan was appended at this position.
+    Appended(LogPosition),
     /// The plan was not appended.
     NotAppended,
     /// The response was lost; the plan may have been appended.
@@ -19,8 +19,8 @@
 /// Record of the plan that was found on the log.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct PlanCopy {
-    /// Offset of the record.
-    pub offset: LogOffset,
+    /// Position of the record.
+    pub position: LogPosition,
     /// Whether replay of the record put the plan in force.
     pub in_force: bool,
 }
@@ -40,10 +40,10 @@
 /// Final result of a confirmation.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum ConfirmOutcome {
-    /// The plan is in force from this offset on.
-    InForce(LogOffset),
-    /// All copies on the log were refused; the offset is that of the last one.
-    Refused(LogOffset),
+    /// The plan is in force from this position on.
+    InForce(LogPosition),
+    /// All copies on the log were refused; the position is that of the last one.
+    Refused(LogPosition),
     /// No copy of the plan was appended.
     NotAppended,
     /// It is unknown whether the plan is or will be in force; a copy may still appear on the log.
@@ -57,7 +57,7 @@
     unanswered: u32,
     refused: u32,
     needs_read: bool,
-    last_appended: LogOffset,
+    last_appended: LogPosition,
     copies: Vec<PlanCopy>,
 }
 
@@ -66,7 +66,7 @@
     #[must_use]
     pub fn step(&self) -> ConfirmStep {
         if let Some(copy) = self.copies.iter().find(|copy| copy.in_force) {
-            return ConfirmStep::Done(ConfirmOutcome::InForce(copy.offset));
+            return ConfirmStep::Done(ConfirmOutcome::InForce(copy.position));
         }
         if self.needs_read {
             return ConfirmStep::Read;
@@ -75,7 +75,7 @@
         if let Some(last) = self.copies.last()
             && self.copies.len() >= (answered + self.unanswered) as usize
         {
-            return ConfirmStep::Done(ConfirmOutcome::Refused(last.offset));
+            return ConfirmStep::Done(ConfirmOutcome::Refused(last.position));
         }
         if self.appends < MAX_APPENDS && self.copies.is_empty() {
             return ConfirmStep::Append;
@@ -90,8 +90,8 @@
     pub fn on_append(&mut self, result: AppendResult) {
         self.appends += 1;
         match result {
-            AppendResult::Appended(offset) => {
-                self.last_appended = self.last_appended.max(offset);
+            AppendResult::Appended(position) => {
+                self.last_appended = self.last_appended.max(position);
                 self.needs_read = true;
             }
             AppendResult::NotAppended => self.refused += 1,
@@ -102,11 +102,11 @@
         }
     }
 
-    /// Records that the log was read up to `next_offset`, and all copies of the plan found so far.
-    pub fn on_read(&mut self, next_offset: LogOffset, copies: Vec<PlanCopy>) {
+    /// Records that the log was read up to `next`, and all copies of the plan found so far.
+    pub fn on_read(&mut self, next: LogPosition, copies: Vec<PlanCopy>) {
         self.copies = copies;
         self.needs_read =
-            self.appends > self.unanswered + self.refused && next_offset <= self.last_appended;
+            self.appends > self.unanswered + self.refused && next <= self.last_appended;
     }
 
     /// Records that the log could not be read; no further appends are made.
--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -42,6 +42,7 @@
 pub mod outcome;
 pub mod placement;
 pub mod plan;
+pub mod plan_trail;
 pub mod policy;
 pub mod prefix;
 pub mod prefix_homes;
--- a/src/decide/propagation.rs
+++ b/src/decide/propagation.rs
@@ -11,7 +11,7 @@
 use std::time::Duration;
 
 use super::hashing::name_hash;
-use super::ids::LogOffset;
+use super::ids::{LogOffset, LogPosition};
 use super::snapshot_timer::random_moment;
 use crate::kernel::Moment;
 
@@ -109,8 +109,8 @@
     pub probe_at: Moment,
     /// Number of failed reads of the log since the last successful one.
     pub failures: u32,
-    /// Sidecar that is known to have newer records, and its offset.
-    pub newer_peer: Option<PeerOffset>,
+    /// Sidecar that is known to have newer records, and its position.
+    pub newer_peer: Option<PeerPosition>,
     avoided: Vec<AvoidedPeer>,
 }
 
@@ -136,13 +136,13 @@
     Random,
 }
 
-/// Offset up to which a sidecar has replayed the log.
+/// Position up to which a sidecar has replayed the log.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct PeerOffset {
+pub struct PeerPosition {
     /// Address of the sidecar.
     pub peer: SocketAddr,
-    /// Offset below which the sidecar has replayed all records.
-    pub next_offset: LogOffset,
+    /// Position of the next record that the sidecar replays.
+    pub next: LogPosition,
 }
 
 #[derive(Debug, Clone, Copy)]
@@ -273,13 +273,13 @@
     pub fn peer_step(
         &mut self,
         now: Moment,
-        own_offset: LogOffset,
+        own_next: LogPosition,
         kind: CallKind,
         random: u64,
     ) -> PeerStep {
         self.avoided.retain(|avoided| !avoided.until.is_due(now));
         if let Some(newer) = self.newer_peer.take()
-            && newer.next_offset > own_offset
+            && newer.next > own_next
         {
             return PeerStep::FetchFromPeer(newer.peer);
         }
@@ -315,12 +315,10 @@
         self.avoided.push(AvoidedPeer { peer, until });
     }
 
-    /// Records the offset that a sidecar has reported.
-    pub fn on_peer_offset(&mut self, reported: PeerOffset) {
-        let best = self
-            .newer_peer
-            .map_or(LogOffset(0), |peer| peer.next_offset);
-        if reported.next_offset > best {
+    /// Records the position that a sidecar has reported.
+    pub fn on_peer_position(&mut self, reported: PeerPosition) {
+        let best = self.newer_peer.map(|peer| peer.next);
+        if reported.next > best.unwrap_or_default() {
             self.newer_peer = Some(reported);
         }
     }
--- a/src/services/common/mail.rs
+++ b/src/services/common/mail.rs
@@ -7,11 +7,11 @@
 use crate::decide::claim_coordinator::ClaimPage;
 use crate::decide::claims::{ClaimRecord, ClaimVerdict, PartitionId};
 use crate::decide::config::Configuration;
-use crate::decide::ids::{EngineEpoch, Incarnation, LogOffset, Repeatability, Ticket};
+use crate::decide::ids::{EngineEpoch, Incarnation, LogOffset, LogPosition, Repeatability, Ticket};
 use crate::decide::ledger::TicketKey;
 use crate::decide::member_notice::UpstreamNotice;
 use crate::decide::outcome::{RefusalReason, StreamEnd};
-use crate::decide::propagation::{CallKind, LogStep, PeerOffset, PeerStep};
+use crate::decide::propagation::{CallKind, LogStep, PeerPosition, PeerStep};
 use crate::decide::request_step::SubmitCause;
 use crate::decide::suspect_guard::SuspectUpdate;
 use crate::kernel::{Moment, ReplyTo};
@@ -57,19 +57,19 @@
 pub enum ConfigMail {
     /// Requests the configuration that is in force.
     Current(ReplyTo<Arc<Configuration>>),
-    /// Requests a configuration newer than an offset; the reply is sent once there is one.
+    /// Requests a configuration newer than a position; the reply is sent once there is one.
     Newer {
-        /// Next offset of the configuration that the sender has.
-        than: LogOffset,
+        /// Next position of the configuration that the sender has.
+        than: LogPosition,
         /// Receives the configuration.
         reply_to: ReplyTo<Arc<Configuration>>,
     },
-    /// A reply of a sidecar carried the next offset of its configuration.
-    SidecarOffset(PeerOffset),
-    /// Another process requests the configuration records from an offset on.
+    /// A reply of a sidecar carried the next position of its configuration.
+    SidecarPosition(PeerPosition),
+    /// Another process requests the configuration records from a position on.
     Since {
-        /// Next offset that the other process needs.
-        from: LogOffset,
+        /// Next position that the other process needs.
+        from: LogPosition,
         /// Deadline at which the reply is sent even if there is nothing newer.
         until: Moment,
         /// Receives the page of records or a snapshot.
@@ -105,8 +105,8 @@
 pub struct NextPeerCall {
     /// Whether to call a sidecar, and which one.
     pub step: PeerStep,
-    /// Log offset from which to request records.
-    pub from: LogOffset,
+    /// Position on the log from which to request records.
+    pub from: LogPosition,
 }
 
 /// Reply to [`ConfigMail::NextSnapshotWrite`].
--- a/src/services/common/sidecar_calls.rs
+++ b/src/services/common/sidecar_calls.rs
@@ -12,7 +12,7 @@
 use crate::decide::claims::{ClaimRecord, ClaimVerdict};
 use crate::decide::ids::{Incarnation, Repeatability, Ticket};
 use crate::decide::outcome::{RefusalReason, StreamEnd};
-use crate::decide::propagation::PeerOffset;
+use crate::decide::propagation::PeerPosition;
 use crate::decide::request_step::RequestEvent;
 use crate::decide::suspect_guard::SuspectUpdate;
 use crate::kernel::{Directory, whole_us};
@@ -240,7 +240,7 @@
         self.directory.send("dialer", Mail::Dialer(mail));
     }
 
-    /// Reports the sidecar's configuration offset from a reply to the service `config`; reports the
+    /// Reports the position of the sidecar's configuration from a reply to the service `config`; reports the
     /// connection of a failed call to the dialer as broken.
     fn handle_reply<T, E>(
         &self,
@@ -252,12 +252,14 @@
             self.report_broken(connection);
             return None;
         };
-        let offset = PeerOffset {
+        let position = PeerPosition {
             peer: self.address,
-            next_offset: head(&reply).next_offset(),
+            next: head(&reply).next(),
         };
-        self.directory
-            .send("config", Mail::Config(ConfigMail::SidecarOffset(offset)));
+        self.directory.send(
+            "config",
+            Mail::Config(ConfigMail::SidecarPosition(position)),
+        );
         Some(reply)
     }
 }
--- a/src/services/configuration/config.rs
+++ b/src/services/configuration/config.rs
@@ -9,18 +9,19 @@
 use super::config_history::{ConfigHistory, DecodedPage};
 use crate::decide::config::Configuration;
 use crate::decide::config_replica::{ConfigReplica, SkippedRecord, StreamRecord};
-use crate::decide::ids::LogOffset;
+use crate::decide::ids::{LogOffset, LogPosition, StoreEra};
 use crate::decide::propagation::{self, PropagationState, ReaderId};
 use crate::decide::snapshot::{PartCollector, Snapshot};
 use crate::decide::snapshot_timer::{SnapshotStep, SnapshotTimer};
-use crate::events::{RECORD_SKIPPED, log_event};
+use crate::events::{RECORD_SKIPPED, STORE_RESTORED, log_event};
 use crate::kernel::{Moment, NextStep, ReplyTo, Service, Signal};
 use crate::platform::log_client::LogPage;
 use crate::services::common::mail::{
     ConfigMail, Mail, NextLogRead, NextPeerCall, NextSnapshotWrite,
 };
-use crate::wire::config_page::{ConfigPage, WireEvidence};
+use crate::wire::config_page::{ConfigPage, WireEvidence, WireNumberedRecord};
 use crate::wire::config_snapshot::{decode_stream_record, encode_part};
+use crate::wire::ids::WirePosition;
 
 /// Name of the service that owns the replica of the configuration.
 pub const CONFIG: &str = "config";
@@ -46,17 +47,17 @@
     pub seed: u64,
 }
 
-/// Service or task of this process that waits for a configuration newer than an offset.
+/// Service or task of this process that waits for a configuration newer than a position.
 #[derive(Debug)]
 struct ConfigWaiter {
-    than: LogOffset,
+    than: LogPosition,
     reply_to: ReplyTo<Arc<Configuration>>,
 }
 
-/// Other process that waits for records from an offset on, until a deadline.
+/// Other process that waits for records from a position on, until a deadline.
 #[derive(Debug)]
 struct PeerWaiter {
-    from: LogOffset,
+    from: LogPosition,
     until: Moment,
     reply_to: ReplyTo<ConfigPage>,
 }
@@ -68,7 +69,11 @@
     pub(super) skipped: Vec<SkippedRecord>,
     pub(super) propagation: PropagationState,
     pub(super) timer: SnapshotTimer,
+    /// Records of the configuration in force, and their era.
     history: ConfigHistory,
+    history_era: StoreEra,
+    /// Records of a higher era that is not in force yet.
+    rebuilt_history: ConfigHistory,
     upstream: Option<String>,
     random: StdRng,
     read_from: LogOffset,
@@ -105,6 +110,8 @@
             ),
             timer,
             history: ConfigHistory::default(),
+            history_era: StoreEra::default(),
+            rebuilt_history: ConfigHistory::default(),
             upstream: settings.upstream,
             random,
             read_from: LogOffset::default(),
@@ -117,7 +124,7 @@
         let random = self.random.random();
         match mail {
             ConfigMail::Current(reply_to) => reply_to.send(Arc::clone(&self.replica.current)),
-            ConfigMail::SidecarOffset(offset) => self.propagation.on_peer_offset(offset),
+            ConfigMail::SidecarPosition(peer) => self.propagation.on_peer_position(peer),
             ConfigMail::Newer { than, reply_to } => {
                 self.waiters.push(ConfigWaiter { than, reply_to });
             }
@@ -127,7 +134,9 @@
                 reply_to,
             } => self.add_peer_waiter(from, until, reply_to),
             ConfigMail::NextLogRead(reply_to) => reply_to.send(NextLogRead {
-                step: self.propagation.log_step(now, self.next_offset(), random),
+                step: self
+                    .propagation
+                    .log_step(now, self.replica.next().offset, random),
                 from: self.read_from,
             }),
             ConfigMail::LogRead(page) => self.apply_log_page(now, page),
@@ -135,8 +144,8 @@
             ConfigMail::NextPeerCall(kind, reply_to) => reply_to.send(NextPeerCall {
                 step: self
                     .propagation
-                    .peer_step(now, self.next_offset(), kind, random),
-                from: self.next_offset(),
+                    .peer_step(now, self.replica.next(), kind, random),
+                from: self.replica.next(),
             }),
             ConfigMail::PeerRead(page) => self.apply_peer_page(now, page),
             ConfigMail::PeerFailed(peer) => self.propagation.on_peer_failed(now, peer),
@@ -144,20 +153,19 @@
         }
     }
 
-    fn next_offset(&self) -> LogOffset {
-        self.replica.current.next_offset
-    }
-
     fn apply_log_page(&mut self, now: Moment, page: LogPage) {
-        let next = page.next;
+        let end = LogPosition {
+            era: page.era,
+            offset: page.next,
+        };
         let random = self.random.random();
-        let decoded = DecodedPage::from_log(page.first, next, page.records);
-        let (read_from, saw_snapshot) = self.apply_page(decoded);
+        let (read_from, saw_snapshot) = self.apply_page(DecodedPage::from_log(page));
         self.read_from = read_from;
         if saw_snapshot {
             self.timer.on_snapshot_seen(now, random);
         }
-        if next <= self.next_offset() {
+        let next = self.replica.next();
+        if end.era == next.era && end <= next {
             self.propagation.on_log_read(now, random);
         }
     }
@@ -168,29 +176,28 @@
             let age_ms = u64::from(evidence.age_ms);
             self.propagation.on_peer_evidence(now, reader, age_ms);
         }
-        let before = self.next_offset();
+        let (before, next) = (self.replica.next(), page.next());
         let mut parts = PartCollector::default();
         for body in &page.snapshot {
             if let StreamRecord::Part(part) = decode_stream_record(body)
                 && let Some(snapshot) = parts.add(part)
             {
-                self.replica.apply_snapshot(&snapshot);
-                self.set_sidecars();
+                self.replica.apply_snapshot(next.era, &snapshot);
+                self.end_page(before, Vec::new());
             }
         }
         if !page.records.is_empty() {
-            let next = LogOffset(page.next_offset);
             self.apply_page(DecodedPage::from_peer(next, page.records));
         }
-        if self.next_offset() > before {
-            self.read_from = self.next_offset();
+        if self.replica.next() > before {
+            self.read_from = self.replica.next().offset;
         }
     }
 
     /// Applies a page to the replica; returns the offset to read next, and whether the page
     /// completed a snapshot.
     fn apply_page(&mut self, decoded: DecodedPage) -> (LogOffset, bool) {
-        let before = self.next_offset();
+        let before = self.replica.next();
         let outcome = self.replica.apply_page(decoded.page);
         for skipped in outcome.skipped {
             let offset = skipped.offset.0;
@@ -203,16 +210,37 @@
             }
             self.skipped.push(skipped);
         }
-        let replayed = before.0..self.next_offset().0;
-        for record in decoded.history {
+        self.end_page(before, decoded.history);
+        (outcome.read_from, outcome.saw_snapshot)
+    }
+
+    /// Keeps the replayed records of a page, by which the replica went on from this position.
+    fn end_page(&mut self, before: LogPosition, records: Vec<WireNumberedRecord>) {
+        let next = self.replica.next();
+        let mut replayed = before.offset.0..next.offset.0;
+        if next.era > before.era {
+            replayed.start = 0;
+            self.rebuilt_history = ConfigHistory::default();
+            let (era, offset) = (next.era.0, before.offset.0);
+            log_event(&STORE_RESTORED, &[("era", &era), ("next_offset", &offset)]);
+        }
+        let history = if next.era > self.history_era {
+            &mut self.rebuilt_history
+        } else {
+            &mut self.history
+        };
+        for record in records {
             if replayed.contains(&record.offset) {
-                self.history.keep(record);
+                history.keep(record);
             }
         }
-        if !replayed.is_empty() {
+        if self.replica.current.era > self.history_era {
+            self.history = std::mem::take(&mut self.rebuilt_history);
+            self.history_era = self.replica.current.era;
+        }
+        if next != before {
             self.set_sidecars();
         }
-        (outcome.read_from, outcome.saw_snapshot)
     }
 
     /// Updates the list of sidecars that can be asked for the configuration.
@@ -229,7 +257,7 @@
         self.propagation.set_sidecars(&declared, own_address);
     }
 
-    fn add_peer_waiter(&mut self, from: LogOffset, until: Moment, reply_to: ReplyTo<ConfigPage>) {
+    fn add_peer_waiter(&mut self, from: LogPosition, until: Moment, reply_to: ReplyTo<ConfigPage>) {
         // Beyond the limit the reply handle is dropped, and the caller asks another sidecar.
         if self.peer_waiters.len() < MAX_PEER_WAITERS {
             let waiter = PeerWaiter {
@@ -245,7 +273,9 @@
         let random = self.random.random();
         match self.timer.step(now, random) {
             SnapshotStep::WaitUntil(deadline) => NextSnapshotWrite::WaitUntil(deadline),
-            SnapshotStep::Write if !self.propagation.reads_log(now) => {
+            SnapshotStep::Write
+                if !self.propagation.reads_log(now) || self.replica.is_rebuilding() =>
+            {
                 NextSnapshotWrite::WaitUntil(self.timer.due_at)
             }
             SnapshotStep::Write => {
@@ -258,15 +288,12 @@
     /// Replies to the waiters whose configuration is available or whose deadline has passed, and
     /// returns the next deadline.
     fn reply_to_waiters(&mut self, now: Moment) -> NextStep {
-        let next_offset = self.next_offset();
-        let ready = self
-            .waiters
-            .extract_if(.., |waiter| waiter.than < next_offset);
+        let next = self.replica.current.next();
+        let ready = self.waiters.extract_if(.., |waiter| waiter.than < next);
         for waiter in ready {
             waiter.reply_to.send(Arc::clone(&self.replica.current));
         }
-        let is_over =
-            |waiter: &mut PeerWaiter| waiter.from < next_offset || waiter.until.is_due(now);
+        let is_over = |waiter: &mut PeerWaiter| waiter.from < next || waiter.until.is_due(now);
         let over: Vec<_> = self.peer_waiters.extract_if(.., is_over).collect();
         for waiter in over {
             waiter.reply_to.send(self.page_since(now, waiter.from));
@@ -277,9 +304,9 @@
         }
     }
 
-    /// Builds a page with the records from an offset on, or with a snapshot if some of them are no
+    /// Builds a page with the records from a position on, or with a snapshot if some of them are no
     /// longer kept.
-    fn page_since(&self, now: Moment, from: LogOffset) -> ConfigPage {
+    fn page_since(&self, now: Moment, from: LogPosition) -> ConfigPage {
         let evidence = self
             .propagation
             .newest_evidence()
@@ -287,18 +314,22 @@
                 reader: evidence.reader.0,
                 age_ms: u32::try_from(now.since(evidence.at).as_millis()).unwrap_or(u32::MAX),
             });
+        let next = self.replica.current.next();
         let mut page = ConfigPage {
-            next_offset: self.next_offset().0,
+            next_offset: WirePosition::from(next).0,
             evidence,
             ..ConfigPage::default()
         };
-        if from >= self.next_offset() {
+        if from >= next {
             return page;
         }
+        let is_same_era = from.era == next.era;
+        let from = if is_same_era {
+            from.offset
+        } else {
+            LogOffset(0)
+        };
         if let Some(records) = self.history.since(from) {
-            if let Some(last) = records.last() {
-                page.next_offset = last.offset + 1;
-            }
             page.records = records;
         } else {
             let parts = Snapshot::of(&self.replica.current).parts();
--- a/src/services/configuration/config_dump.rs
+++ b/src/services/configuration/config_dump.rs
@@ -19,11 +19,13 @@
         let evidence = self.propagation.newest_evidence();
         let age = evidence.map(|evidence| now.since(evidence.at).as_millis());
         json!({
+            "era": current.era.0,
             "next_offset": current.next_offset.0,
             "customers": current.customers.len(),
             "models": current.models.len(),
             "upstreams": upstreams.collect::<Vec<_>>(),
             "services": current.services.len(),
+            "rebuilding": self.replica.is_rebuilding(),
             "skipped": skipped.collect::<Vec<_>>(),
             "spread": {
                 "rank": self.propagation.position,
--- a/src/services/configuration/config_history.rs
+++ b/src/services/configuration/config_history.rs
@@ -3,8 +3,8 @@
 use std::collections::VecDeque;
 
 use crate::decide::config_replica::{NumberedRecord, StreamPage, StreamRecord};
-use crate::decide::ids::LogOffset;
-use crate::platform::log_client::LogRecord;
+use crate::decide::ids::{LogOffset, LogPosition, StoreEra};
+use crate::platform::log_client::LogPage;
 use crate::wire::config_page::WireNumberedRecord;
 use crate::wire::config_snapshot::decode_stream_record;
 
@@ -80,24 +80,29 @@
 impl DecodedPage {
     /// Decodes records that were read from the log.
     #[must_use]
-    pub fn from_log(first: LogOffset, next: LogOffset, records: Vec<LogRecord>) -> Self {
-        let history = records.into_iter().map(|record| WireNumberedRecord {
+    pub fn from_log(page: LogPage) -> Self {
+        let history = page.records.into_iter().map(|record| WireNumberedRecord {
             offset: record.offset.0,
             body: Some(record.body),
         });
-        Self::new(first, next, history.collect())
+        Self::new(page.era, page.first, page.next, history.collect())
     }
 
-    /// Decodes records that another process sent.
+    /// Decodes records that another process sent, which has replayed the log up to `next`.
     #[must_use]
-    pub fn from_peer(next: LogOffset, history: Vec<WireNumberedRecord>) -> Self {
+    pub fn from_peer(next: LogPosition, history: Vec<WireNumberedRecord>) -> Self {
         let first = history
             .first()
-            .map_or(next, |first| LogOffset(first.offset));
-        Self::new(first, next, history)
+            .map_or(next.offset, |first| LogOffset(first.offset));
+        Self::new(next.era, first, next.offset, history)
     }
 
-    fn new(first: LogOffset, next: LogOffset, mut history: Vec<WireNumberedRecord>) -> Self {
+    fn new(
+        era: StoreEra,
+        first: LogOffset,
+        next: LogOffset,
+        mut history: Vec<WireNumberedRecord>,
+    ) -> Self {
         let mut records = Vec::new();
         for wire in &mut history {
             let record = match &wire.body {
@@ -112,6 +117,7 @@
         }
         Self {
             page: StreamPage {
+                era,
                 first,
                 next,
                 records,
--- a/src/services/configuration/peer_reader.rs
+++ b/src/services/configuration/peer_reader.rs
@@ -9,6 +9,7 @@
 use crate::services::common::sidecar_calls::SidecarCalls;
 use crate::services::common::wait::{run_until_stop, sleep_until};
 use crate::wire::config_page::ConfigSinceCall;
+use crate::wire::ids::WirePosition;
 
 /// Name of the I/O task that fetches configuration records from sidecars.
 pub const PEER_READER: &str = "peer-reader";
@@ -50,7 +51,7 @@
             address,
         };
         let call = ConfigSinceCall {
-            from_offset: from.0,
+            from_offset: WirePosition::from(from).0,
             wait_us: whole_us(PEER_WAIT),
         };
         let mail = if let Some(page) = calls.config_since(call, PEER_TIMEOUT).await {
--- a/src/services/upstream_side/config_feed.rs
+++ b/src/services/upstream_side/config_feed.rs
@@ -1,6 +1,6 @@
 //! I/O task `config-feed` of a sidecar: forwards each new configuration to the service `ledger`.
 
-use crate::decide::ids::LogOffset;
+use crate::decide::ids::LogPosition;
 use crate::kernel::{Directory, Inbox, IoTask, Signal};
 use crate::services::common::mail::{ConfigMail, LedgerMail, Mail};
 use crate::services::configuration::config::CONFIG;
@@ -27,13 +27,13 @@
 
 /// Waits for a configuration newer than the last one and forwards it, until the process stops.
 async fn feed(directory: Directory<Mail>) {
-    let mut than = LogOffset::default();
+    let mut than = LogPosition::default();
     loop {
         let request = |reply_to| Mail::Config(ConfigMail::Newer { than, reply_to });
         let Some(configuration) = directory.ask(CONFIG, request).await else {
             return;
         };
-        than = configuration.next_offset;
+        than = configuration.next();
         directory
             .send_waiting(
                 "ledger",
--- a/src/services/upstream_side/ledger/state.rs
+++ b/src/services/upstream_side/ledger/state.rs
@@ -16,7 +16,9 @@
 use crate::decide::upstream_queue::{UpstreamQueue, WorkRequest};
 use crate::kernel::{Moment, Turn, whole_ms, whole_us};
 use crate::services::common::mail::{EngineStatus, Mail, OrderReport};
-use crate::wire::rpc::{QuoteCall, QuoteReply, ReplyHead, WithdrawReply, WithdrawVerdict};
+use crate::wire::rpc::{
+    QuoteCall, QuoteReply, ReplyHead, WirePosition, WithdrawReply, WithdrawVerdict,
+};
 
 /// Settings of the service `ledger`.
 #[derive(Debug, Clone)]
@@ -93,8 +95,8 @@
 
     /// Applies a configuration; one that is older than the current one is ignored.
     pub fn apply_configuration(&mut self, configuration: Arc<Configuration>) {
-        let latest = self.configuration.as_ref().map(|latest| latest.next_offset);
-        if latest.is_some_and(|offset| configuration.next_offset < offset) {
+        let latest = self.configuration.as_ref().map(|latest| latest.next());
+        if latest.is_some_and(|next| configuration.next() < next) {
             return;
         }
         let name = &self.settings.upstream;
@@ -298,11 +300,11 @@
             EngineStatus::Up { epoch, .. } => epoch.0,
             EngineStatus::Down => 0,
         };
-        let offset = self.configuration.as_ref().map_or(0, |c| c.next_offset.0);
+        let next = self.configuration.as_ref().map(|latest| latest.next());
         ReplyHead {
             incarnation: self.settings.incarnation.0,
             epoch,
-            next_offset: offset,
+            next_offset: WirePosition::from(next.unwrap_or_default()).0,
             pause_us: u32::try_from(whole_us(self.pause_left(now))).unwrap_or(u32::MAX),
         }
     }
@@ -316,7 +318,7 @@
             "incarnation": format!("{:016x}", self.settings.incarnation.0),
             "upstream": self.settings.upstream,
             "engine": format!("{:?}", self.engine),
-            "next_offset": self.reply_head(now).next_offset,
+            "next_offset": self.configuration.as_ref().map_or(0, |latest| latest.next_offset.0),
             "tickets": self.ledger.len(),
             "queued": self.queue.waiting(),
             "served_us": {"urgent": served_us[0], "routine": served_us[1]},
--- a/src/services/upstream_side/sidecar_rpc.rs
+++ b/src/services/upstream_side/sidecar_rpc.rs
@@ -9,7 +9,7 @@
 
 use super::claims::CLAIMS;
 use crate::decide::claims::{ClaimRecord, ClaimVerdict};
-use crate::decide::ids::{Incarnation, LogOffset, Repeatability, Ticket};
+use crate::decide::ids::{Incarnation, Repeatability, Ticket};
 use crate::decide::outcome::RefusalReason;
 use crate::decide::suspect_guard::SuspectUpdate;
 use crate::kernel::{Directory, Inbox, IoTask, Moment, ReplyTo, Signal};
@@ -183,7 +183,7 @@
 
     async fn config_since(self, _: Context, call: ConfigSinceCall) -> ConfigPage {
         let wait = Duration::from_micros(call.wait_us).min(MAX_CONFIG_WAIT);
-        let from = LogOffset(call.from_offset);
+        let from = call.from();
         let until = self.directory.now().after(wait);
         let request = |reply_to| {
             Mail::Config(ConfigMail::Since {
--- a/src/wire/config_page.rs
+++ b/src/wire/config_page.rs
@@ -2,15 +2,26 @@
 
 use serde::{Deserialize, Serialize};
 
+use super::ids::WirePosition;
+use crate::decide::ids::LogPosition;
+
 /// Requests the records that a sidecar has from an offset on; the reply waits until there is one.
 #[derive(Debug, Clone, Copy, Serialize, Deserialize)]
 pub struct ConfigSinceCall {
-    /// Offset of the first record that the caller needs.
+    /// Position of the first record that the caller needs, as a [`WirePosition`].
     pub from_offset: u64,
     /// Longest wait for a record before the reply is an empty page, in microseconds.
     pub wait_us: u64,
 }
 
+impl ConfigSinceCall {
+    /// Returns the position of the first record that the caller needs.
+    #[must_use]
+    pub fn from(&self) -> LogPosition {
+        WirePosition(self.from_offset).into()
+    }
+}
+
 /// Record of the configuration stream with its offset, as forwarded to another process.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct WireNumberedRecord {
@@ -33,12 +44,21 @@
 /// Reply to a [`ConfigSinceCall`].
 #[derive(Debug, Clone, Default, Serialize, Deserialize)]
 pub struct ConfigPage {
-    /// Offset below which the sender has applied all records.
+    /// Position below which the sender has applied all records, as a [`WirePosition`]; the records are of
+    /// its era.
     pub next_offset: u64,
     /// Newest evidence that the sender has.
     pub evidence: Option<WireEvidence>,
-    /// Consecutive records from the requested offset on.
+    /// Consecutive records from the requested position on, or from the start of a higher era.
     pub records: Vec<WireNumberedRecord>,
     /// Bodies of all parts of a snapshot, if the sender no longer has the requested records.
     pub snapshot: Vec<String>,
 }
+
+impl ConfigPage {
+    /// Returns the position below which the sender has applied all records.
+    #[must_use]
+    pub fn next(&self) -> LogPosition {
+        WirePosition(self.next_offset).into()
+    }
+}
--- a/src/wire/rpc.rs
+++ b/src/wire/rpc.rs
@@ -7,9 +7,9 @@
 
 use super::claim_rpc::{ClaimCall, ClaimReply};
 use super::config_page::{ConfigPage, ConfigSinceCall};
-pub use super::ids::{UnknownValue, WireRank, WireRefusalReason, WireTicket};
+pub use super::ids::{UnknownValue, WirePosition, WireRank, WireRefusalReason, WireTicket};
 use super::suspect_rpc::WireSuspectUpdate;
-use crate::decide::ids::{EngineEpoch, Incarnation, LogOffset, PrefixKey, Repeatability};
+use crate::decide::ids::{EngineEpoch, Incarnation, LogPosition, PrefixKey, Repeatability};
 use crate::decide::outcome::StreamEnd;
 use crate::decide::suspects::CrashId;
 
@@ -23,7 +23,7 @@
     pub incarnation: u64,
     /// Epoch of the sidecar's engine; 0 until the engine has been reached.
     pub epoch: u64,
-    /// Offset below which the sidecar has applied all configuration records.
+    /// Position below which the sidecar has applied all configuration records, as a [`WirePosition`].
     pub next_offset: u64,
     /// Rest of the time for which the upstream wants no requests, in microseconds.
     pub pause_us: u32,
@@ -59,10 +59,10 @@
         (crash.epoch != EngineEpoch::default()).then_some(crash)
     }
 
-    /// Returns the offset below which the sidecar has applied all configuration records.
+    /// Returns the position below which the sidecar has applied all configuration records.
     #[must_use]
-    pub const fn next_offset(&self) -> LogOffset {
-        LogOffset(self.next_offset)
+    pub fn next(&self) -> LogPosition {
+        WirePosition(self.next_offset).into()
     }
 }
 
--- a/tests/config_arrival.rs
+++ b/tests/config_arrival.rs
@@ -11,7 +11,7 @@
 use bulrushslip::decide::config_replica::{
     ConfigReplica, NumberedRecord, StreamPage, StreamRecord,
 };
-use bulrushslip::decide::ids::LogOffset;
+use bulrushslip::decide::ids::{LogOffset, StoreEra};
 use bulrushslip::decide::snapshot::{Snapshot, SnapshotPart};
 use bulrushslip::wire::config_record::WireChange;
 use bulrushslip::wire::config_snapshot::{decode_stream_record, encode_part, encode_record};
@@ -247,6 +247,7 @@
     let from = from.max(first);
     let bodies = log.iter().enumerate().skip(from).take(count);
     StreamPage {
+        era: StoreEra(0),
         first: LogOffset(first as u64),
         next: LogOffset(log.len() as u64),
         records: bodies
@@ -359,7 +360,8 @@
             }
             Step::PeerSnapshot { at } => {
                 let at = usize::from(*at) % (log.len() + 1);
-                replica.apply_snapshot(&Snapshot::of(&replayed(&log[..at])));
+                let snapshot = Snapshot::of(&replayed(&log[..at]));
+                replica.apply_snapshot(StoreEra(0), &snapshot);
             }
         }
         assert!(
--- a/tests/config_ctl.rs
+++ b/tests/config_ctl.rs
@@ -203,3 +203,30 @@
     let report: Value = serde_json::from_slice(&output.stdout).expect("confirm prints JSON");
     assert_eq!(report["missing"], serde_json::json!(["entry-1"]));
 }
+
+/// Guards against a confirmation that takes the offsets of an earlier era for newer ones.
+#[tokio::test]
+async fn a_plan_is_confirmed_after_a_drill_of_the_store_has_lost_another() {
+    let fleet = Fleet::start().await;
+    let operator = Operator::new(&fleet, "drill");
+    let platform = fleet.platform.port("platform");
+    post(platform, "/admin/copy", &[], String::new()).await;
+    for version in ["v2", "v3"] {
+        let lost = operator.plan("lost", &["load", "engine-0", version]);
+        assert_eq!(operator.run("confirm", &[&lost]).status.code(), DONE);
+    }
+    post(platform, "/admin/restore?ms=0", &[], String::new()).await;
+    let retire = operator.plan("retire", &["retire", "engine-1"]);
+    let output = operator.run("confirm", &["--json", &retire]);
+    assert_eq!(output.status.code(), DONE, "{}", text(&output.stderr));
+    let status = operator.status();
+    assert_eq!(status["log_era"], 1);
+    let processes = status["processes"].as_array().expect("a list of processes");
+    assert_eq!(processes.len(), 5);
+    for process in processes {
+        assert_eq!(
+            (&process["era"], &process["next_offset"]),
+            (&1.into(), &2.into())
+        );
+    }
+}
--- a/tests/config_plan.rs
+++ b/tests/config_plan.rs
@@ -8,7 +8,7 @@
 use bulrushslip::decide::confirm::{
     AppendResult, ConfirmOutcome, ConfirmStep, Confirmation, MAX_APPENDS, PlanCopy,
 };
-use bulrushslip::decide::ids::LogOffset;
+use bulrushslip::decide::ids::{LogOffset, LogPosition, StoreEra};
 use bulrushslip::decide::plan::{Intent, PlanEffect, make_plan};
 use bulrushslip::wire::config_record::WireChange;
 
@@ -119,7 +119,9 @@
 
     fn append(&mut self, result: CallResult) -> AppendResult {
         match result {
-            CallResult::Answered | CallResult::Unreadable => AppendResult::Appended(self.add()),
+            CallResult::Answered | CallResult::Unreadable => {
+                AppendResult::Appended(in_era(0, self.add()))
+            }
             CallResult::Refused => AppendResult::NotAppended,
             CallResult::LostBeforeAppend => AppendResult::Unanswered,
             CallResult::LostAfterAppend => {
@@ -137,13 +139,38 @@
     fn replay(&self) -> Vec<PlanCopy> {
         let copies = self.copies.iter().enumerate();
         let copy = |(at, offset): (usize, &LogOffset)| PlanCopy {
-            offset: *offset,
+            position: in_era(0, *offset),
             in_force: at == self.unserved_copies && !self.has_conflict,
         };
         copies.map(copy).collect()
     }
 }
 
+fn in_era(era: u64, offset: LogOffset) -> LogPosition {
+    let era = StoreEra(era);
+    LogPosition { era, offset }
+}
+
+/// Guards against a confirmation that reads for ever, as the log ends below what it lost.
+#[test]
+fn a_plan_that_the_log_has_lost_is_appended_again() {
+    let mut confirmation = Confirmation::default();
+    confirmation.on_append(AppendResult::Appended(in_era(0, LogOffset(7))));
+    assert_eq!(confirmation.step(), ConfirmStep::Read);
+    confirmation.on_read(in_era(1, LogOffset(5)), Vec::new());
+    assert_eq!(confirmation.step(), ConfirmStep::Append);
+    let position = in_era(1, LogOffset(5));
+    confirmation.on_append(AppendResult::Appended(position));
+    assert_eq!(confirmation.step(), ConfirmStep::Read);
+    let copy = PlanCopy {
+        position,
+        in_force: true,
+    };
+    confirmation.on_read(in_era(1, LogOffset(6)), vec![copy]);
+    let in_force = ConfirmOutcome::InForce(position);
+    assert_eq!(confirmation.step(), ConfirmStep::Done(in_force));
+}
+
 #[test]
 fn the_outcome_of_a_confirmation_stays_true() {
     property::check::<(bool, u8, Vec<CallResult>)>(CASES, |(conflict, unserved, results)| {
@@ -166,9 +193,9 @@
                     Some(CallResult::Late) if log.late > 0 => {
                         log.late -= 1;
                         log.add();
-                        confirmation.on_read(LogOffset(100), log.replay());
+                        confirmation.on_read(in_era(0, LogOffset(100)), log.replay());
                     }
-                    _ => confirmation.on_read(LogOffset(100), log.replay()),
+                    _ => confirmation.on_read(in_era(0, LogOffset(100)), log.replay()),
                 },
             }
         };
@@ -181,7 +208,7 @@
             .replay()
             .iter()
             .find(|copy| copy.in_force)
-            .map(|copy| copy.offset);
+            .map(|copy| copy.position);
         match outcome {
             ConfirmOutcome::InForce(offset) => assert_eq!(in_force, Some(offset)),
             ConfirmOutcome::Refused(_) => assert_eq!(in_force, None),
--- a/tests/config_spread.rs
+++ b/tests/config_spread.rs
@@ -5,7 +5,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use bulrushslip::decide::ids::LogOffset;
+use bulrushslip::decide::ids::{LogOffset, LogPosition, StoreEra};
 use bulrushslip::decide::propagation::{
     CallKind, DEFAULT_POLICY, LogStep, PeerStep, PropagationPolicy, PropagationState, ReaderId,
 };
@@ -312,11 +312,11 @@
         process.calls[slot] += 1;
         let number = process.calls[slot];
         let kind = [CallKind::Parent, CallKind::Random][slot];
-        let offset = LogOffset(process.offset);
-        match process
-            .propagation
-            .peer_step(self.now, offset, kind, random)
-        {
+        let next = LogPosition {
+            era: StoreEra(0),
+            offset: LogOffset(process.offset),
+        };
+        match process.propagation.peer_step(self.now, next, kind, random) {
             PeerStep::WaitUntil(at) => {
                 self.after(at.remaining(self.now), Event::PeerTurn(p, slot));
             }
