--- a/src/services/configuration/config.rs
+++ b/src/services/configuration/config.rs
@@ -21,7 +21,7 @@
 };
 use crate::wire::config_page::{ConfigPage, WireEvidence, WireNumberedRecord};
 use crate::wire::config_snapshot::{decode_stream_record, encode_part};
-use crate::wire::ids::WirePosition;
+use crate::wire::position::WirePosition;
 
 /// Name of the service that owns the replica of the configuration.
 pub const CONFIG: &str = "config";
--- a/src/services/configuration/peer_reader.rs
+++ b/src/services/configuration/peer_reader.rs
@@ -9,7 +9,7 @@
 use crate::services::common::sidecar_calls::SidecarCalls;
 use crate::services::common::wait::{run_until_stop, sleep_until};
 use crate::wire::config_page::ConfigSinceCall;
-use crate::wire::ids::WirePosition;
+use crate::wire::position::WirePosition;
 
 /// Name of the I/O task that fetches configuration records from sidecars.
 pub const PEER_READER: &str = "peer-reader";
--- a/src/wire/config_page.rs
+++ b/src/wire/config_page.rs
@@ -2,7 +2,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use super::ids::WirePosition;
+use super::position::WirePosition;
 use crate::decide::ids::LogPosition;
 
 /// Requests the records that a sidecar has from an offset on; the reply waits until there is one.
--- a/src/wire/ids.rs
+++ b/src/wire/ids.rs
@@ -2,7 +2,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::decide::ids::{Incarnation, LogOffset, LogPosition, Rank, StoreEra, Ticket};
+use crate::decide::ids::{Incarnation, Rank, Ticket};
 use crate::decide::outcome::RefusalReason;
 
 /// Error for an encoded value that this version cannot decode, such as an unknown rank or code.
@@ -37,32 +37,6 @@
     }
 }
 
-/// Number of low bits of a [`WirePosition`] that hold the offset.
-const OFFSET_BITS: u32 = 40;
-
-/// Encoded form of a [`LogPosition`]: the era in the high bits and the offset in the low ones, so that
-/// positions of era 0 equal their offsets, as builds without eras send them.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct WirePosition(pub u64);
-
-impl From<LogPosition> for WirePosition {
-    fn from(position: LogPosition) -> Self {
-        let LogPosition { era, offset } = position;
-        let era = era.0.min(u64::MAX >> OFFSET_BITS);
-        let offset = offset.0.min((1 << OFFSET_BITS) - 1);
-        Self(era << OFFSET_BITS | offset)
-    }
-}
-
-impl From<WirePosition> for LogPosition {
-    fn from(position: WirePosition) -> Self {
-        Self {
-            era: StoreEra(position.0 >> OFFSET_BITS),
-            offset: LogOffset(position.0 & ((1 << OFFSET_BITS) - 1)),
-        }
-    }
-}
-
 /// Encoded form of a [`Rank`]: 0 for urgent, 1 for routine.
 #[derive(Debug, Clone, Copy, Serialize, Deserialize)]
 pub struct WireRank(pub u8);
--- a/src/wire/position.rs
+++ b/src/wire/position.rs
@@ -1,4 +1,4 @@
-//! Position of a record of the platform's store, as it is sent to other instances.
+//! Position of a record of the platform's store, as it is sent to other processes.
 
 use serde::{Deserialize, Serialize};
 
--- a/src/wire/rpc.rs
+++ b/src/wire/rpc.rs
@@ -7,7 +7,8 @@
 
 use super::claim_rpc::{ClaimCall, ClaimReply};
 use super::config_page::{ConfigPage, ConfigSinceCall};
-pub use super::ids::{UnknownValue, WirePosition, WireRank, WireRefusalReason, WireTicket};
+pub use super::ids::{UnknownValue, WireRank, WireRefusalReason, WireTicket};
+pub use super::position::WirePosition;
 use super::suspect_rpc::WireSuspectUpdate;
 use crate::decide::ids::{EngineEpoch, Incarnation, LogPosition, PrefixKey, Repeatability};
 use crate::decide::outcome::StreamEnd;
--- a/tests/config_rebuild.rs
+++ b/tests/config_rebuild.rs
@@ -11,7 +11,7 @@
 use bulrushslip::decide::ids::{LogOffset, LogPosition, StoreEra};
 use bulrushslip::decide::snapshot::Snapshot;
 use bulrushslip::wire::config_record::WireChange;
-use bulrushslip::wire::ids::WirePosition;
+use bulrushslip::wire::position::WirePosition;
 
 /// Number of generated histories.
 const CASES: u64 = 400;
