Check what an instance has known from its own start in the model of views

A trace shows that the instance was killed and started again between two looks, at 11,650 ms, and had read nothing yet. The check held it to what the process before it had known; the promise is on one process. It now begins anew with each start, also when no look falls between the two; otherwise it is as strict.

--- a/tests/view_model.rs
+++ b/tests/view_model.rs
@@ -456,8 +456,8 @@
             return Ok(());
         };
         for (index, known) in drills.known.iter_mut().enumerate() {
+            known.follow_start(self.world.started_ms(index));
             if !self.world.is_alive(index) {
-                *known = KnownState::default();
                 continue;
             }
             let view = self.world.view(index);
--- a/tests/view_world/known.rs
+++ b/tests/view_world/known.rs
@@ -18,6 +18,8 @@
 /// What one instance has known since its start.
 #[derive(Debug, Default)]
 pub struct KnownState {
+    /// Time since which the instance has run, in milliseconds.
+    started_ms: u64,
     configuration: u64,
     target: u64,
     oldest_allowed: u64,
@@ -25,6 +27,16 @@
 }
 
 impl KnownState {
+    /// Forgets what the instance has known if it has started since.
+    pub fn follow_start(&mut self, started_ms: u64) {
+        if self.started_ms != started_ms {
+            *self = Self {
+                started_ms,
+                ..Self::default()
+            };
+        }
+    }
+
     /// Compares what an instance knows with what it has known before; returns what was undone.
     pub fn update(&mut self, view: &InstanceView, upstreams: &[Upstream]) -> Result<(), String> {
         let versions = [
