Keep claims on idempotency keys when the store comes back from an older copy

What callers saw: after a drill of the store, requests with new keys were refused as `claim_unavailable` until the partition had grown beyond the offsets that were lost, and a key whose claim was lost ran a second time once another coordinator had the partition.

Cause: a coordinator read on from its bare offset. After a drill that offset is beyond the end of the log, so that it never read its own new claims, and later skipped those of other coordinators at offsets that it took for read. What the log had lost was known in its memory only.

Change: positions of the table, the reads and the appends have the era. In a higher era the coordinator keeps its claims and releases, since their requests may have run, reads the partition again from its oldest record, and appends once more what the log lacks, releases before claims. Replaying a record that is already known changes nothing but its era, by which the lacking ones are found. A partition with lacking records is not closed for another. Messages between processes and records on the log are as before.

Open: a coordinator learns of the era with its next call to the log, so until a claim arrives in the partition, and in the 100 ms until the next append, a coordinator that has read only the log may grant a lost key again; so may any if the only one that knew the key has ended or closed the partition before.

--- a/src/decide/claim_coordinator.rs
+++ b/src/decide/claim_coordinator.rs
@@ -8,7 +8,7 @@
 use std::time::Duration;
 
 use super::claims::{ClaimRecord, ClaimTable, ClaimVerdict, KeyHash};
-use super::ids::LogOffset;
+use super::ids::{LogOffset, LogPosition, StoreEra};
 use crate::kernel::{Arena, Key, Moment};
 
 /// Minimum time between two appends to one partition; limits the load on the log.
@@ -80,6 +80,8 @@
 /// Page of records read from the partition.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct ClaimPage {
+    /// Era of the log in which the page was read.
+    pub era: StoreEra,
     /// Oldest offset that the log still keeps.
     pub first: LogOffset,
     /// Offset that the next append will get.
@@ -113,8 +115,12 @@
     arrivals: u64,
     by_key: BTreeMap<(KeyHash, u64), PendingKey>,
     call: LogCall,
-    /// When set, the partition has to be read to its end and at least up to this offset.
-    read_to: Option<LogOffset>,
+    /// When set, the partition has to be read to its end and at least up to this position.
+    read_to: Option<LogPosition>,
+    /// Records of earlier eras that the log lacks, to be appended again.
+    lost: Vec<ClaimRecord>,
+    /// Whether the log may lack records of earlier eras.
+    may_have_lost: bool,
     next_append_at: Moment,
     next_call_at: Moment,
     failures: u32,
@@ -134,7 +140,9 @@
             arrivals: 0,
             by_key: BTreeMap::new(),
             call: LogCall::Idle,
-            read_to: Some(LogOffset(0)),
+            read_to: Some(LogPosition::default()),
+            lost: Vec::new(),
+            may_have_lost: false,
             next_append_at: Moment::START,
             next_call_at: Moment::START,
             failures: 0,
@@ -177,9 +185,9 @@
         }
         if self.read_to.is_some() {
             self.call = LogCall::Reading;
-            return CoordinatorStep::Read(self.table.next_offset());
+            return CoordinatorStep::Read(self.table.next().offset);
         }
-        if self.queue.is_empty() {
+        if self.queue.is_empty() && self.lost.is_empty() {
             return CoordinatorStep::WaitUntil(Moment::NEVER);
         }
         if !self.next_append_at.is_due(now) {
@@ -188,16 +196,19 @@
         self.begin_append(now)
     }
 
-    /// Ends an append with its offset, or with `None` if it failed or its response was lost.
-    pub fn finish_append(&mut self, now: Moment, offset: Option<LogOffset>) -> VerdictList {
+    /// Ends an append with its position, or with `None` if it failed or its response was lost.
+    pub fn finish_append(&mut self, now: Moment, position: Option<LogPosition>) -> VerdictList {
         self.call = LogCall::Idle;
         // A failed append may still be on the log; only a read can tell.
-        let Some(offset) = offset else {
-            self.read_to = Some(self.table.next_offset());
+        let Some(position) = position else {
+            self.read_to = Some(self.table.next());
             return self.record_failure(now);
         };
         self.failures = 0;
-        self.read_to = Some(LogOffset(offset.0 + 1));
+        self.read_to = Some(LogPosition {
+            offset: LogOffset(position.offset.0 + 1),
+            ..position
+        });
         Vec::new()
     }
 
@@ -207,10 +218,15 @@
         let Some(page) = page else {
             return self.record_failure(now);
         };
+        if page.era < self.table.next().era {
+            self.next_call_at = now.after(RETRY_DELAY);
+            return Vec::new();
+        }
+        self.may_have_lost |= self.table.enter_era(page.era, page.first);
         self.table.trim(page.first);
         let mut verdicts = Vec::new();
         for (offset, records) in &page.batches {
-            if *offset != self.table.next_offset() {
+            if *offset != self.table.next().offset {
                 continue;
             }
             self.table.apply(*offset, records);
@@ -218,9 +234,10 @@
                 self.resolve_key(record.key, &mut verdicts);
             }
         }
-        let end = self.table.next_offset();
-        if end >= page.next && self.read_to.is_none_or(|wanted| end >= wanted) {
+        let end = self.table.next();
+        if end.offset >= page.next && self.read_to.is_none_or(|wanted| end >= wanted) {
             self.read_to = None;
+            self.find_lost();
             self.mark_unsent();
         } else if page.batches.is_empty() {
             self.next_call_at = now.after(RETRY_DELAY);
@@ -240,8 +257,8 @@
     }
 
     fn begin_append(&mut self, now: Moment) -> CoordinatorStep {
-        let mut records = Vec::new();
-        for key in self.queue.values().take(MAX_BATCH) {
+        let mut records = std::mem::take(&mut self.lost);
+        for key in self.queue.values().take(MAX_BATCH - records.len()) {
             if let Some(claim) = self.pending.get_mut(*key) {
                 claim.is_sent = true;
                 records.push(claim.record.clone());
@@ -282,6 +299,15 @@
         }
     }
 
+    /// Finds the records that are to be appended again, until the log lacks none.
+    fn find_lost(&mut self) {
+        if !self.may_have_lost {
+            return;
+        }
+        self.lost = self.table.lost_records(MAX_BATCH);
+        self.may_have_lost = !self.lost.is_empty();
+    }
+
     /// Marks claims that were sent but are not on the log as unsent, so that they are sent again.
     fn mark_unsent(&mut self) {
         let mut any_sent = false;
--- a/src/decide/claims.rs
+++ b/src/decide/claims.rs
@@ -3,11 +3,15 @@
 //! Every process that replays a partition of the log finds the same winners, whichever process
 //! appended the records, so safety needs no leader. A key is released only by a record that names
 //! a ticket which is proven never to have run and never to run.
+//!
+//! When the log comes back from an older copy, it may lack claims whose requests have run. A table
+//! keeps them and states those that the log lacks, so that they can be appended again.
 
 use std::collections::{HashMap, VecDeque};
 
+use super::claim_entry::{ClaimEntry, ClaimHolder, CustomerName, HolderName};
 use super::hashing::hash_parts;
-use super::ids::{Incarnation, LogOffset, Ticket};
+use super::ids::{Incarnation, LogOffset, LogPosition, StoreEra, Ticket};
 use super::suspects::Fingerprint;
 use crate::kernel::{Arena, Key};
 
@@ -160,50 +164,85 @@
     Unavailable,
 }
 
-/// Name of an upstream whose tickets hold keys.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct HolderName(pub String);
-
-#[derive(Debug, Clone, Copy)]
-struct ClaimHolder {
-    ticket: Ticket,
-    upstream: Key<HolderName>,
-    sidecar: Incarnation,
-    fingerprint: Fingerprint,
-}
-
-#[derive(Debug, Clone)]
-struct ClaimEntry {
-    key: KeyHash,
-    holder: Option<ClaimHolder>,
-    released: Vec<Ticket>,
-    last_offset: LogOffset,
-}
-
 /// State of one claim partition, replayed up to an offset.
 #[derive(Debug, Clone, Default)]
 pub struct ClaimTable {
-    next_offset: LogOffset,
+    next: LogPosition,
     entries: Arena<ClaimEntry>,
     by_key: HashMap<KeyHash, Key<ClaimEntry>>,
     by_offset: VecDeque<(LogOffset, Key<ClaimEntry>)>,
     names: Arena<HolderName>,
     by_name: HashMap<String, Key<HolderName>>,
+    customers: Arena<CustomerName>,
+    by_customer: HashMap<String, Key<CustomerName>>,
 }
 
 impl ClaimTable {
-    /// Returns the offset below which every record has been applied.
+    /// Returns the position below which every record of the era has been applied.
+    #[must_use]
+    pub const fn next(&self) -> LogPosition {
+        self.next
+    }
+
+    /// Enters a higher era, in which the log is read again from its oldest offset; returns `false` if the
+    /// era is not higher. All claims are kept, as their requests may have run.
+    pub fn enter_era(&mut self, era: StoreEra, first: LogOffset) -> bool {
+        if era <= self.next.era {
+            return false;
+        }
+        self.next = LogPosition { era, offset: first };
+        true
+    }
+
+    /// Returns at most `limit` records for the releases and claims that were not read in this era.
+    #[must_use]
+    pub fn lost_records(&self, limit: usize) -> Vec<ClaimRecord> {
+        let entries = self.entries.iter().map(|(_, entry)| entry);
+        let lost = entries.flat_map(|entry| {
+            let releases = entry
+                .released
+                .iter()
+                .filter(|known| self.is_lost(known.era));
+            let releases = releases.map(|known| self.record(entry, Some(known.ticket), None));
+            let claim = entry.holder.filter(|holder| self.is_lost(holder.era));
+            let target = claim.and_then(|holder| self.target(holder));
+            releases.chain(target.map(|target| self.record(entry, None, Some(target))))
+        });
+        lost.take(limit).collect()
+    }
+
+    /// Returns whether there are releases or claims that were not read in this era.
     #[must_use]
-    pub const fn next_offset(&self) -> LogOffset {
-        self.next_offset
+    pub fn has_lost_records(&self) -> bool {
+        !self.lost_records(1).is_empty()
+    }
+
+    fn is_lost(&self, era: StoreEra) -> bool {
+        era < self.next.era
+    }
+
+    fn record(
+        &self,
+        entry: &ClaimEntry,
+        released: Option<Ticket>,
+        target: Option<ClaimTarget>,
+    ) -> ClaimRecord {
+        let customer = self.customers.get(entry.customer);
+        ClaimRecord {
+            customer: customer.map_or_else(String::new, |CustomerName(name)| name.clone()),
+            key: entry.key,
+            released,
+            target,
+            expires_s: entry.expires_s,
+        }
     }
 
     /// Applies the records of one append; an offset that was applied before is ignored.
     pub fn apply(&mut self, offset: LogOffset, records: &[ClaimRecord]) {
-        if offset < self.next_offset {
+        if offset < self.next.offset {
             return;
         }
-        self.next_offset = LogOffset(offset.0 + 1);
+        self.next.offset = LogOffset(offset.0 + 1);
         for record in records {
             self.apply_record(offset, record);
         }
@@ -213,9 +252,12 @@
     ///
     /// A table that has missed records below `first` is cleared and continues at `first`.
     pub fn trim(&mut self, first: LogOffset) {
-        if first > self.next_offset {
+        if first > self.next.offset {
             *self = Self {
-                next_offset: first,
+                next: LogPosition {
+                    offset: first,
+                    ..self.next
+                },
                 ..Self::default()
             };
             return;
@@ -233,7 +275,10 @@
     #[must_use]
     pub fn holder(&self, key: KeyHash) -> Option<ClaimTarget> {
         let entry = self.entry(key)?;
-        let holder = entry.holder?;
+        self.target(entry.holder?)
+    }
+
+    fn target(&self, holder: ClaimHolder) -> Option<ClaimTarget> {
         let HolderName(name) = self.names.get(holder.upstream)?;
         Some(ClaimTarget {
             ticket: holder.ticket,
@@ -250,9 +295,9 @@
         let entry = self.entry(record.key)?;
         let Some(target) = &record.target else {
             let ticket = record.released?;
-            return release_verdict(entry, ticket);
+            return entry.release_verdict(ticket);
         };
-        if entry.released.contains(&target.ticket) {
+        if entry.has_released(target.ticket) {
             return Some(ClaimVerdict::Released);
         }
         let holder = entry.holder?;
@@ -284,28 +329,33 @@
     fn apply_record(&mut self, offset: LogOffset, record: &ClaimRecord) {
         let target = record.target.as_ref();
         let upstream = target.map(|target| self.intern(&target.upstream));
-        let entry_key = self.entry_key(offset, record.key);
+        let entry_key = self.entry_key(offset, record);
+        let era = self.next.era;
         let Some(entry) = self.entries.get_mut(entry_key) else {
             return;
         };
         if let Some(ticket) = record.released {
-            release(entry, ticket);
+            entry.release(era, ticket);
         }
         if let (Some(target), Some(upstream)) = (target, upstream) {
-            claim(entry, target, upstream);
+            entry.claim(era, target, upstream);
         }
-        if entry.last_offset != offset {
+        if entry.last_offset < offset {
             entry.last_offset = offset;
             self.by_offset.push_back((offset, entry_key));
         }
     }
 
-    fn entry_key(&mut self, offset: LogOffset, key: KeyHash) -> Key<ClaimEntry> {
+    fn entry_key(&mut self, offset: LogOffset, record: &ClaimRecord) -> Key<ClaimEntry> {
+        let key = record.key;
         if let Some(entry_key) = self.by_key.get(&key) {
             return *entry_key;
         }
+        let customer = self.intern_customer(&record.customer);
         let entry_key = self.entries.insert(ClaimEntry {
             key,
+            customer,
+            expires_s: record.expires_s,
             holder: None,
             released: Vec::new(),
             last_offset: offset,
@@ -324,6 +374,15 @@
         key
     }
 
+    fn intern_customer(&mut self, name: &str) -> Key<CustomerName> {
+        if let Some(key) = self.by_customer.get(name) {
+            return *key;
+        }
+        let key = self.customers.insert(CustomerName(name.to_owned()));
+        self.by_customer.insert(name.to_owned(), key);
+        key
+    }
+
     fn remove_if_last_record(&mut self, key: Key<ClaimEntry>, offset: LogOffset) {
         let is_last = self
             .entries
@@ -337,32 +396,3 @@
         }
     }
 }
-
-fn release_verdict(entry: &ClaimEntry, ticket: Ticket) -> Option<ClaimVerdict> {
-    if entry.released.contains(&ticket) {
-        return Some(ClaimVerdict::Released);
-    }
-    (entry.released.len() >= MAX_RELEASES).then_some(ClaimVerdict::Unavailable)
-}
-
-fn release(entry: &mut ClaimEntry, ticket: Ticket) {
-    if entry.released.contains(&ticket) || entry.released.len() >= MAX_RELEASES {
-        return;
-    }
-    entry.released.push(ticket);
-    if entry.holder.is_some_and(|holder| holder.ticket == ticket) {
-        entry.holder = None;
-    }
-}
-
-fn claim(entry: &mut ClaimEntry, target: &ClaimTarget, upstream: Key<HolderName>) {
-    if entry.holder.is_some() || entry.released.contains(&target.ticket) {
-        return;
-    }
-    entry.holder = Some(ClaimHolder {
-        ticket: target.ticket,
-        upstream,
-        sidecar: target.sidecar,
-        fingerprint: target.fingerprint,
-    });
-}
--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -7,6 +7,7 @@
 pub mod call_patience;
 pub mod change_check;
 pub mod claim_coordinator;
+pub mod claim_entry;
 pub mod claims;
 pub mod config;
 pub mod config_change;
--- a/src/services/common/mail.rs
+++ b/src/services/common/mail.rs
@@ -260,9 +260,9 @@
         /// Receives the verdict.
         reply_to: ReplyTo<ClaimVerdict>,
     },
-    /// Outcome of an append to a partition: the offset, or `None` if the append failed or its
+    /// Outcome of an append to a partition: the position, or `None` if the append failed or its
     /// outcome is unknown.
-    Appended(PartitionId, Option<LogOffset>),
+    Appended(PartitionId, Option<LogPosition>),
     /// Outcome of a read of a partition: a page, or `None` if the read failed.
     Page(PartitionId, Option<ClaimPage>),
 }
--- a/src/services/upstream_side/claim_log.rs
+++ b/src/services/upstream_side/claim_log.rs
@@ -9,7 +9,7 @@
 use super::claims::CLAIMS;
 use crate::decide::claim_coordinator::ClaimPage;
 use crate::decide::claims::{ClaimRecord, PartitionId};
-use crate::decide::ids::LogOffset;
+use crate::decide::ids::{LogOffset, LogPosition};
 use crate::kernel::{Directory, Inbox, IoTask, Signal};
 use crate::platform::log_client::{AppendOutcome, LogClient, LogPage, ReadOutcome, ReadWindow};
 use crate::services::common::mail::{ClaimLogMail, ClaimsMail, Mail};
@@ -68,10 +68,10 @@
     platform: SocketAddr,
     id: PartitionId,
     records: &[ClaimRecord],
-) -> Option<LogOffset> {
+) -> Option<LogPosition> {
     let client = LogClient::new(platform, &id.stream());
     match timeout(CALL_TIMEOUT, client.append(encode_batch(records))).await {
-        Ok(AppendOutcome::Appended(position)) => Some(position.offset),
+        Ok(AppendOutcome::Appended(position)) => Some(position),
         Ok(AppendOutcome::Refused(_) | AppendOutcome::Unknown(_)) | Err(_) => None,
     }
 }
@@ -100,6 +100,7 @@
             )
         });
         Self {
+            era: page.era,
             first: page.first,
             next: page.next,
             batches: batches.collect(),
--- a/src/services/upstream_side/claims.rs
+++ b/src/services/upstream_side/claims.rs
@@ -10,6 +10,8 @@
     ClaimCoordinator, ClaimStep, CoordinatorLimits, CoordinatorStep, PendingKey, VerdictList,
 };
 use crate::decide::claims::{ClaimRecord, ClaimVerdict, PartitionId};
+use crate::decide::ids::LogPosition;
+use crate::events::{STORE_RESTORED, log_event};
 use crate::kernel::{Moment, NextStep, ReplyTo, Service, Signal, Turn};
 use crate::services::common::mail::{ClaimLogMail, ClaimsMail, Mail};
 
@@ -67,8 +69,8 @@
                 deadline,
                 reply_to,
             } => self.claim(now, record, deadline, reply_to),
-            ClaimsMail::Appended(id, offset) => {
-                self.finish(id, |coordinator| coordinator.finish_append(now, offset));
+            ClaimsMail::Appended(id, position) => {
+                self.finish(id, |coordinator| coordinator.finish_append(now, position));
             }
             ClaimsMail::Page(id, page) => {
                 self.finish(id, |coordinator| {
@@ -127,8 +129,11 @@
 
     /// Closes the least recently used idle partition; returns `false` if none is idle.
     fn close_idle(&mut self) -> bool {
-        let is_idle =
-            |state: &PartitionState| !state.call_in_flight && state.coordinator.pending_len() == 0;
+        let is_idle = |state: &PartitionState| {
+            let coordinator = &state.coordinator;
+            let has_work = coordinator.pending_len() > 0 || coordinator.table.has_lost_records();
+            !state.call_in_flight && !has_work
+        };
         let idle = self.partitions.iter().filter(|(_, state)| is_idle(state));
         let least_recent = idle.min_by_key(|(_, state)| state.last_used);
         match least_recent.map(|(id, _)| *id) {
@@ -145,7 +150,15 @@
     ) {
         if let Some(partition) = self.partitions.get_mut(&id) {
             partition.call_in_flight = false;
+            let before = partition.coordinator.table.next();
             let verdicts = finish(&mut partition.coordinator);
+            let table = &partition.coordinator.table;
+            if table.next().era > before.era && before != LogPosition::default() {
+                let (era, keys) = (table.next().era.0, table.len());
+                let fields: [(&str, &dyn std::fmt::Display); 3] =
+                    [("era", &era), ("partition", &id.0), ("keys", &keys)];
+                log_event(&STORE_RESTORED, &fields);
+            }
             partition.reply(verdicts);
         }
     }
@@ -166,8 +179,10 @@
         let partitions = self.partitions.iter().map(|(id, partition)| {
             json!({
                 "partition": id.0,
-                "next_offset": partition.coordinator.table.next_offset().0,
+                "era": partition.coordinator.table.next().era.0,
+                "next_offset": partition.coordinator.table.next().offset.0,
                 "keys": partition.coordinator.table.len(),
+                "has_lost_records": partition.coordinator.table.has_lost_records(),
                 "pending": partition.coordinator.pending_len(),
                 "appends": partition.coordinator.appends,
             })
--- a/tests/claims.rs
+++ b/tests/claims.rs
@@ -9,7 +9,7 @@
     ClaimRecord, ClaimTarget, ClaimVerdict, IdempotencyWindow, KeyAge, KeyHash, PARTITION_COUNT,
     PartitionId, key_age,
 };
-use bulrushslip::decide::ids::{Incarnation, LogOffset, Ticket};
+use bulrushslip::decide::ids::{Incarnation, LogOffset, LogPosition, StoreEra, Ticket};
 use bulrushslip::decide::suspects::Fingerprint;
 use bulrushslip::kernel::Moment;
 use bulrushslip::wire::claim_record::{decode_batch, encode_batch};
@@ -41,10 +41,18 @@
     Moment::from_micros(millis * 1000)
 }
 
+fn at(era: u64, offset: u64) -> LogPosition {
+    LogPosition {
+        era: StoreEra(era),
+        offset: LogOffset(offset),
+    }
+}
+
 fn page(first: u64, batches: &[(u64, Vec<ClaimRecord>)]) -> ClaimPage {
     let next = batches.last().map_or(first, |(offset, _)| offset + 1);
     let batches = batches.iter().cloned();
     ClaimPage {
+        era: StoreEra(0),
         first: LogOffset(first),
         next: LogOffset(next),
         batches: batches
@@ -105,7 +113,7 @@
         coordinator.next_step(ms(0)),
         CoordinatorStep::Append(_)
     ));
-    coordinator.finish_append(ms(1), Some(LogOffset(8)));
+    coordinator.finish_append(ms(1), Some(at(0, 8)));
     coordinator.next_step(ms(1));
     // Records 2 to 6 have been appended and trimmed; record 7 claims the key before record 8.
     let later = page(
@@ -212,7 +220,7 @@
                     CoordinatorStep::Append(records) => {
                         logs[partition].push(records);
                         let offset = logs[partition].len() as u64 - 1;
-                        coordinator.finish_append(now, Some(LogOffset(offset)))
+                        coordinator.finish_append(now, Some(at(0, offset)))
                     }
                     CoordinatorStep::Read(from) => {
                         let all = (0..).zip(logs[partition].iter().cloned());
--- a/tests/claims_model.rs
+++ b/tests/claims_model.rs
@@ -12,7 +12,7 @@
 use bulrushslip::decide::claims::{
     ClaimRecord, ClaimTable, ClaimTarget, ClaimVerdict, KeyHash, MAX_RELEASES,
 };
-use bulrushslip::decide::ids::{Incarnation, LogOffset, Ticket};
+use bulrushslip::decide::ids::{Incarnation, LogOffset, LogPosition, StoreEra, Ticket};
 use bulrushslip::decide::suspects::Fingerprint;
 use bulrushslip::kernel::Moment;
 use rand::rngs::StdRng;
@@ -45,7 +45,7 @@
 
 /// Result of a call to the log that has taken effect but has not been returned yet.
 enum LogResponse {
-    Append(Option<LogOffset>),
+    Append(Option<LogPosition>),
     Read(Option<ClaimPage>),
 }
 
@@ -193,7 +193,7 @@
         self.coordinators[coordinator].response = Some(response);
     }
 
-    fn append(&mut self, records: Vec<ClaimRecord>, fault: u8) -> Option<LogOffset> {
+    fn append(&mut self, records: Vec<ClaimRecord>, fault: u8) -> Option<LogPosition> {
         match fault % 8 {
             0 => return None,
             1 => {
@@ -204,8 +204,11 @@
             _ => {}
         }
         self.log.push(records);
-        let offset = LogOffset(self.log.len() as u64 - 1);
-        (fault % 8 != 3).then_some(offset)
+        let position = LogPosition {
+            era: StoreEra(0),
+            offset: LogOffset(self.log.len() as u64 - 1),
+        };
+        (fault % 8 != 3).then_some(position)
     }
 
     fn read(&self, from: LogOffset, fault: u8) -> Option<ClaimPage> {
@@ -216,6 +219,7 @@
         let batches = (0..).map(LogOffset).zip(self.log.iter().cloned());
         let wanted = batches.skip_while(|(offset, _)| *offset < from);
         Some(ClaimPage {
+            era: StoreEra(0),
             first: LogOffset(0),
             next: LogOffset(self.log.len() as u64),
             batches: wanted.take(limit).collect(),
@@ -227,7 +231,7 @@
         let target = &mut self.coordinators[coordinator];
         let verdicts = match target.response.take() {
             None => return,
-            Some(LogResponse::Append(offset)) => target.state.finish_append(now, offset),
+            Some(LogResponse::Append(position)) => target.state.finish_append(now, position),
             Some(LogResponse::Read(page)) => target.state.finish_read(now, page.as_ref()),
         };
         self.queue_verdicts(coordinator, verdicts);
--- a/tests/claims_service.rs
+++ b/tests/claims_service.rs
@@ -7,7 +7,7 @@
 
 use bulrushslip::decide::claim_coordinator::{ClaimPage, CoordinatorLimits};
 use bulrushslip::decide::claims::{ClaimRecord, ClaimTarget, ClaimVerdict, KeyHash, PartitionId};
-use bulrushslip::decide::ids::{Incarnation, LogOffset, Ticket};
+use bulrushslip::decide::ids::{Incarnation, LogOffset, LogPosition, StoreEra, Ticket};
 use bulrushslip::decide::suspects::Fingerprint;
 use bulrushslip::kernel::{MailboxKey, Moment, NextStep, ReplyTo, Service, Signal, SteppedKernel};
 use bulrushslip::services::common::mail::{ClaimLogMail, ClaimsMail, Mail};
@@ -40,16 +40,20 @@
             let reply = match mail {
                 ClaimLogMail::Append(id, records) => {
                     let stream = log.entry(id).or_default();
-                    let offset = LogOffset(stream.len() as u64);
+                    let position = LogPosition {
+                        era: StoreEra(0),
+                        offset: LogOffset(stream.len() as u64),
+                    };
                     if takes_effect {
                         stream.push(records);
                     }
-                    ClaimsMail::Appended(id, (!is_lost).then_some(offset))
+                    ClaimsMail::Appended(id, (!is_lost).then_some(position))
                 }
                 ClaimLogMail::Read(id, from) => {
                     let stream = log.entry(id).or_default();
                     let all = (0..).map(LogOffset).zip(stream.iter().cloned());
                     let page = ClaimPage {
+                        era: StoreEra(0),
                         first: LogOffset(0),
                         next: LogOffset(stream.len() as u64),
                         batches: all.skip_while(|(offset, _)| *offset < from).collect(),
--- a/tests/outcome_world/claims.rs
+++ b/tests/outcome_world/claims.rs
@@ -63,7 +63,7 @@
     }
 
     fn append(&mut self, record: &ClaimRecord) {
-        let offset = self.table.next_offset();
+        let offset = self.table.next().offset;
         self.table
             .apply(LogOffset(offset.0), std::slice::from_ref(record));
     }
--- a/tests/process_claims.rs
+++ b/tests/process_claims.rs
@@ -4,6 +4,7 @@
 
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
+use bulrushslip::decide::claims::{KeyHash, PartitionId};
 use common::{API_KEY, Answer, Fleet, post};
 use serde_json::{Value, json};
 
@@ -143,3 +144,86 @@
     }
     assert_eq!(runs(&fleet).await, (8, 8));
 }
+
+/// Time within which lost records must be on the log again.
+const REPAIR_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// Number of partitions that a sidecar keeps open.
+const OPEN_PARTITIONS: usize = 4;
+
+/// Number of appends to one partition that a drill of the store loses; a claim waits for fewer.
+const LOST_APPENDS: usize = 24;
+
+/// Returns keys whose claims are in one partition.
+fn keys_of(partition: PartitionId, count: usize) -> Vec<String> {
+    let keys = (0..).map(|number| format!("gate-{number}"));
+    let keys = keys.filter(|key| KeyHash::of("agency", key).partition() == partition);
+    keys.take(count).collect()
+}
+
+/// Waits until the coordinators have appended again what the log has lost.
+async fn until_no_record_is_lost(fleet: &Fleet) {
+    let deadline = Instant::now() + REPAIR_TIMEOUT;
+    loop {
+        let mut lost = 0;
+        for sidecar in &fleet.sidecars {
+            let dump = common::get(sidecar.port("operator"), "/dump", &[]).await;
+            let dump = dump.json();
+            let partitions = dump["claims"].as_array().expect("a list of partitions");
+            let has_lost = |partition: &&Value| partition["has_lost_records"] == true;
+            lost += partitions.iter().filter(has_lost).count();
+        }
+        if lost == 0 {
+            return;
+        }
+        assert!(Instant::now() < deadline, "{lost} partitions lack records");
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+}
+
+/// Guards against claims whose offsets the store gives out again, so that they are never read.
+#[tokio::test]
+async fn keys_are_claimed_below_the_offsets_that_a_drill_of_the_store_has_lost() {
+    let fleet = Fleet::start().await;
+    inject_fault(&fleet, "copy").await;
+    let keys = keys_of(PartitionId(0), LOST_APPENDS + 2);
+    let (lost, new) = keys.split_at(LOST_APPENDS);
+    for key in lost {
+        assert!(is_complete(&clone_gate(&fleet, 0, key, "open").await));
+    }
+    inject_fault(&fleet, "restore?ms=0").await;
+    for key in new {
+        let answer = clone_gate(&fleet, 0, key, "open").await;
+        assert!(is_complete(&answer), "{} {}", answer.status, answer.text);
+    }
+    for key in &keys {
+        assert!(is_complete(&clone_gate(&fleet, 1, key, "open").await));
+    }
+    assert_eq!(runs(&fleet).await, (keys.len(), keys.len() as u64));
+}
+
+/// Guards against a second run of a key whose claim was lost, by the next coordinator.
+#[tokio::test]
+async fn keys_survive_a_drill_of_the_store_and_the_loss_of_their_coordinators() {
+    let mut fleet = Fleet::start().await;
+    inject_fault(&fleet, "copy").await;
+    let keys: Vec<_> = PartitionId::all()
+        .take(OPEN_PARTITIONS)
+        .map(|id| keys_of(id, 2))
+        .collect();
+    for pair in &keys {
+        assert!(is_complete(&clone_gate(&fleet, 0, &pair[0], "open").await));
+    }
+    inject_fault(&fleet, "restore?ms=0").await;
+    for pair in &keys {
+        assert!(is_complete(&clone_gate(&fleet, 0, &pair[1], "open").await));
+    }
+    until_no_record_is_lost(&fleet).await;
+    fleet.sidecars[0].kill();
+    fleet.sidecars[1].kill();
+    for key in keys.iter().flatten() {
+        let answer = clone_gate(&fleet, 1, key, "open").await;
+        assert!(is_complete(&answer), "{} {}", answer.status, answer.text);
+    }
+    assert_eq!(runs(&fleet).await, (2 * keys.len(), 2 * keys.len() as u64));
+}
