Apply a transfer into a later era of the store only when it is complete

A page put records of the new era into a view of the era before. If a listing or gossip then took the view into the new era, a key that had left in between was neither listed nor of an earlier era, so a dead upstream stayed on the list for good.

Records of a later era are held until the last page.

--- a/src/decide/record_transfer.rs
+++ b/src/decide/record_transfer.rs
@@ -122,6 +122,8 @@
     as_of: LogPosition,
     /// Part of the value at position `at` that has arrived.
     partial: Vec<u8>,
+    /// Records of a later era than the reader's, which tell only together what that era lacks.
+    later: Vec<KeyedRecord>,
 }
 
 impl RecordTransfer {
@@ -133,6 +135,7 @@
             at: from,
             as_of: from,
             partial: Vec::new(),
+            later: Vec::new(),
         }
     }
 
@@ -158,10 +161,14 @@
             }
         }
         self.as_of = self.as_of.max(page.next);
-        if page.is_last && self.partial.is_empty() {
-            return TransferStep::Complete(records, self.as_of);
+        if self.as_of.era > self.from.era {
+            self.later.append(&mut records);
         }
-        TransferStep::Continue(records)
+        if !page.is_last || !self.partial.is_empty() {
+            return TransferStep::Continue(records);
+        }
+        records.append(&mut self.later);
+        TransferStep::Complete(records, self.as_of)
     }
 
     fn apply_piece(&mut self, piece: RecordPiece) -> PieceStep {
--- a/tests/instance_topics.rs
+++ b/tests/instance_topics.rs
@@ -223,3 +223,23 @@
     }
     assert!(is_marked);
 }
+
+#[tokio::test]
+async fn a_leaving_mark_that_was_removed_before_a_drill_does_not_stop_the_next_process() {
+    let platform = Store::start();
+    let mut writer = InstanceTopics::new(platform.address());
+    writer.mark_leaving("s1").await.expect("a confirmation");
+    platform.json(Method::POST, "/admin/copy", "").await;
+    writer.remove("s1").await.expect("a confirmation");
+    let mut topics = InstanceTopics::new(platform.address());
+    let mut from = None;
+    let is_marked = topics.await_leaving("s1", &mut from, Duration::ZERO).await;
+    assert!(!is_marked.expect("a response"));
+    platform.json(Method::POST, "/admin/restore?ms=0", "").await;
+    let mut is_marked = false;
+    for _ in 0..3 {
+        let read = topics.await_leaving("s1", &mut from, Duration::ZERO).await;
+        is_marked |= read.expect("a response");
+    }
+    assert!(!is_marked);
+}
--- a/tests/keyed_view.rs
+++ b/tests/keyed_view.rs
@@ -268,3 +268,18 @@
     assert!(!view.covers(in_era(1, 3)));
     assert!(view.covers(in_era(1, 5)));
 }
+
+/// Review: a copy is read, its entry expires there, and what was lost is then written again in its order.
+#[test]
+fn a_deletion_in_a_later_era_does_not_let_what_came_before_it_return() {
+    let mut view = counted_view();
+    view.apply(&entry(in_era(0, 4), Some(5)));
+    view.apply(&entry(in_era(0, 9), Some(7)));
+    view.apply(&entry(in_era(0, 10), None));
+    view.advance(in_era(0, 11));
+    assert!(!view.apply_newest(&entry(in_era(1, 4), Some(5))));
+    view.advance(in_era(1, 5));
+    view.apply(&entry(in_era(1, 5), None));
+    view.apply(&entry(in_era(1, 6), Some(6)));
+    assert_eq!(view.value("k"), None);
+}
