Give upstreams that the store has lost the whole time to write again

The removal of an upstream that the copy of a drill lacks fell due although the store was away again, so that an upstream that could not write was removed; and after a listing that could not be completed it never came. It is marked now as nobody's removal: it waits while the store fails, begins anew when it is back or comes back from another copy, and follows once the topic has been read to its end. Removals that the topic states are as before.

--- a/src/gateway/dispatch/placed.rs
+++ b/src/gateway/dispatch/placed.rs
@@ -63,4 +63,6 @@
     pub id: String,
     /// Time at which the removal takes effect unless a newer entry arrives.
     pub due: Moment,
+    /// Whether nobody removed the entry, but the store has lost it.
+    pub is_lost: bool,
 }
--- a/src/gateway/dispatch/records.rs
+++ b/src/gateway/dispatch/records.rs
@@ -4,7 +4,6 @@
 
 use super::crashes::CrashSign;
 use super::paces::PaceCause;
-use super::removals::REMOVAL_DELAY;
 use super::state::DispatchState;
 use crate::decide::fleet::{EntryChange, MemberState};
 use crate::decide::ids::LogPosition;
@@ -39,6 +38,10 @@
             }
         }
         self.view_mut(read.topic).advance(read.next);
+        if read.confirmed_at > Moment::START {
+            // A listing that could not be completed leaves keys of earlier eras.
+            self.apply_lost_keys(turn.now, read.topic, read.next);
+        }
         self.record_confirmation(read.topic, read.confirmed_at);
     }
 
@@ -92,12 +95,19 @@
         next: LogPosition,
     ) {
         self.apply_all(turn, topic, records, next);
+        if next.era > self.view(topic).next.era {
+            self.apply_lost_keys(turn.now, topic, next);
+        }
+        self.view_mut(topic).advance(next);
+    }
+
+    /// Deletes the keys that a topic of a later era lacks below `next`, and defers what follows for upstreams.
+    fn apply_lost_keys(&mut self, now: Moment, topic: WireTopic, next: LogPosition) {
         for deletion in self.view(topic).deletions_for_lost_keys(next) {
             if self.view_mut(topic).apply_missing(&deletion) && topic == WireTopic::Upstream {
-                self.defer_removal(&deletion.key, turn.now.after(REMOVAL_DELAY));
+                self.defer_lost_removal(now, &deletion.key);
             }
         }
-        self.view_mut(topic).advance(next);
     }
 
     /// Applies the newest records of some keys of a topic, which is known below `next` with them.
@@ -124,6 +134,7 @@
             return;
         }
         self.health_mut(topic).recovered_at = Some(now);
+        self.renew_lost_removals(now);
         log_event(
             &VIEW_RESTORED,
             &[
@@ -298,6 +309,7 @@
         if failed >= MIN_OUTAGE {
             health.recovered_at = Some(now);
         }
+        self.renew_lost_removals(now);
         let failed_ms = failed.as_millis();
         log_event(
             &STORE_REGAINED,
--- a/src/gateway/dispatch/removals.rs
+++ b/src/gateway/dispatch/removals.rs
@@ -9,7 +9,7 @@
 
 /// Time after a store outage for which removals of upstreams are deferred, because entries that
 /// expired during the outage may be written again.
-pub(super) const REMOVAL_DELAY: Duration = Duration::from_millis(2_100);
+const REMOVAL_DELAY: Duration = Duration::from_millis(2_100);
 
 impl DispatchState {
     /// Removes an upstream whose entry was removed: at once, or deferred if the entry may merely
@@ -20,20 +20,38 @@
             .recovered_at
             .filter(|at| now.since(*at) < REMOVAL_DELAY);
         match returned {
-            Some(at) => self.defer_removal(id, self.removal_due(now, at)),
+            Some(at) => self.defer_removal(DeferredRemoval {
+                id: id.to_owned(),
+                due: self.removal_due(now, at),
+                is_lost: false,
+            }),
             None => self.remove_member(id, "removed"),
         }
     }
 
     /// Removes an upstream at a time unless its entry is written again before.
-    pub(super) fn defer_removal(&mut self, id: &str, due: Moment) {
-        self.removals.retain(|removal| removal.id != id);
-        self.removals.push(DeferredRemoval {
+    fn defer_removal(&mut self, removal: DeferredRemoval) {
+        self.removals.retain(|known| known.id != removal.id);
+        self.removals.push(removal);
+    }
+
+    /// Removes an upstream that the store has lost unless its entry is written again in time.
+    pub(super) fn defer_lost_removal(&mut self, now: Moment, id: &str) {
+        self.defer_removal(DeferredRemoval {
             id: id.to_owned(),
-            due,
+            due: now.after(REMOVAL_DELAY),
+            is_lost: true,
         });
     }
 
+    /// Gives upstreams that the store has lost the whole time once more, as they could not write before.
+    pub(super) fn renew_lost_removals(&mut self, now: Moment) {
+        let lost = self.removals.iter_mut().filter(|removal| removal.is_lost);
+        for removal in lost {
+            removal.due = now.after(REMOVAL_DELAY);
+        }
+    }
+
     /// Returns when a removal takes effect that is read after an outage which ended at
     /// `recovered_at`.
     fn removal_due(&self, now: Moment, recovered_at: Moment) -> Moment {
@@ -61,9 +79,14 @@
 
     /// Removes upstreams whose entries were not written again in time.
     pub(super) fn apply_due_removals(&mut self, now: Moment) {
+        // Upstreams that the store has lost cannot write again while it is away.
+        let is_failing = self.upstream_health.failing_since.is_some();
         let due: Vec<DeferredRemoval> = self
             .removals
-            .extract_if(.., |removal| removal.due.is_due(now))
+            .extract_if(.., |removal| {
+                let is_held_up = removal.is_lost && is_failing;
+                removal.due.is_due(now) && !is_held_up
+            })
             .collect();
         for removal in due {
             self.remove_member(&removal.id, "lapsed");
@@ -72,7 +95,12 @@
 
     /// Returns the time of the next deferred removal.
     pub(super) fn next_removal(&self) -> Moment {
-        let due = self.removals.iter().map(|removal| removal.due);
+        let is_failing = self.upstream_health.failing_since.is_some();
+        let open = self
+            .removals
+            .iter()
+            .filter(|removal| !(removal.is_lost && is_failing));
+        let due = open.map(|removal| removal.due);
         due.min().unwrap_or(Moment::NEVER)
     }
 }
