Hand on what is held in place of an outdated record, and heartbeats once only

What is held is handed on until the writer writes again, and replaces the copy's record. - after an entry had expired in the new era, replays of older ones brought it back.

--- a/src/decide/key_state.rs
+++ b/src/decide/key_state.rs
@@ -40,6 +40,8 @@
     /// Whether the record may come from a copy of an earlier era. Another instance may know that such a
     /// record is outdated, so the next one counts as a change even if it says the same.
     may_be_copy: bool,
+    /// Whether the topic has an outdated record in place of this value.
+    pub(super) is_held: bool,
 }
 
 impl KeyState {
@@ -60,10 +62,16 @@
             value: record.value.clone(),
             position: record.position,
             meaning,
-            changed: repeated.map_or(record.position, |known| known.changed),
+            changed: match (source, repeated) {
+                // Others find out themselves which keys the topic lacks.
+                (RecordSource::Missing, _) => LogPosition::default(),
+                (_, Some(known)) => known.changed,
+                (_, None) => record.position,
+            },
             writer: writer_state(known.and_then(|known| known.writer), record, stamp, source),
             deleted_at: deleted_at(known, record, source),
-            may_be_copy: era > StoreEra(0) && source != RecordSource::Topic,
+            may_be_copy: source == RecordSource::EnteredEra,
+            is_held: false,
         }
     }
 
@@ -80,7 +88,7 @@
         let precedes_deletion = self
             .deleted_at
             .is_some_and(|deleted_at| record.position.offset <= deleted_at);
-        let may_be_copy = source == RecordSource::Newest && era > self.position.era;
+        let may_be_copy = source == RecordSource::EnteredEra && era > self.position.era;
         let is_entry = record.value.is_some();
         is_entry && may_be_copy && precedes_deletion || self.outdates_stamp(era, stamp)
     }
@@ -103,8 +111,23 @@
             writer: self.writer,
             deleted_at: self.deleted_at,
             may_be_copy: true,
+            is_held: true,
         }
     }
+
+    /// Returns whether a record at the same position is what another instance holds in place of the one that
+    /// is known here.
+    pub(super) fn is_held_elsewhere(
+        &self,
+        record: &KeyedRecord,
+        stamp: Option<WriterStamp>,
+        source: RecordSource,
+    ) -> bool {
+        let known = self.writer.map(|writer| writer.stamp);
+        let is_newer = record.value.is_none() || stamp > known;
+        let is_forwarded = source == RecordSource::Newest && record.position == self.position;
+        is_forwarded && self.value.is_some() && is_newer
+    }
 }
 
 /// Where a record comes from.
@@ -114,6 +137,8 @@
     Topic,
     /// A listing or another instance, which leave out the records before it.
     Newest,
+    /// The same, in a later era than that of the view.
+    EnteredEra,
     /// The key is missing from the topic of a later era.
     Missing,
 }
@@ -138,8 +163,8 @@
     stamp: Option<WriterStamp>,
     source: RecordSource,
 ) -> Option<WriterState> {
-    let era = record.position.era;
     if record.value.is_some() {
+        let era = record.position.era;
         return stamp.map(|stamp| WriterState {
             stamp,
             era,
@@ -150,7 +175,6 @@
         return known;
     }
     known.map(|known| WriterState {
-        era,
         is_deleted: true,
         ..known
     })
--- a/src/decide/keyed_view.rs
+++ b/src/decide/keyed_view.rs
@@ -5,7 +5,7 @@
 use bytes::Bytes;
 
 use super::hashing::{first_word, hash_parts};
-use super::ids::LogPosition;
+use super::ids::{LogPosition, StoreEra};
 pub use super::key_state::WriterStamp;
 use super::key_state::{KeyState, RecordSource};
 
@@ -101,7 +101,12 @@
     /// A value that equals the known one may have been deleted in between, so it counts as changed for
     /// those that have seen the deletion.
     pub fn apply_newest(&mut self, record: &KeyedRecord) -> bool {
-        self.insert(record, RecordSource::Newest)
+        let source = if record.position.era > self.next.era {
+            RecordSource::EnteredEra
+        } else {
+            RecordSource::Newest
+        };
+        self.insert(record, source)
     }
 
     /// Applies the deletion of a key that the topic of a later era lacks; returns `false` if a newer record
@@ -116,10 +121,14 @@
             return false;
         }
         let known = self.newest.get(&record.key);
-        if known.is_some_and(|known| known.position >= record.position) {
+        let stamp = record.value.as_deref().and_then(self.stamp);
+        let is_known = known.is_some_and(|known| {
+            let is_held = known.is_held_elsewhere(record, stamp, source);
+            known.position >= record.position && !is_held
+        });
+        if is_known {
             return false;
         }
-        let stamp = record.value.as_deref().and_then(self.stamp);
         let outdating = known.filter(|known| known.outdates(record, stamp, source));
         let state = if let Some(known) = outdating {
             known.moved_to(record.position)
@@ -195,10 +204,10 @@
     }
 
     /// Returns records that delete the keys of which only earlier eras had a record, once all records of
-    /// the topic below a position of a later era are applied; none if it is not of a later era.
+    /// the topic below a position are applied.
     #[must_use]
     pub fn deletions_for_lost_keys(&self, next: LogPosition) -> Vec<KeyedRecord> {
-        if next.era <= self.next.era {
+        if next.era == StoreEra(0) {
             return Vec::new();
         }
         let lost = self
@@ -237,7 +246,7 @@
         let newer = self
             .newest
             .iter()
-            .filter(|(_, state)| state.changed >= from);
+            .filter(|(_, state)| state.changed >= from || state.is_held);
         let records = newer.map(|(key, state)| KeyedRecord {
             key: key.clone(),
             value: state.value.clone(),
