Choose upstreams by the version of their software

Entries of upstreams state the version of their software, as text or number. It is decoded into the entry and is part of its meaning, so that an upstream that starts again under its name with other software counts as restarted. A choice can be limited to one version; nothing asks for that yet.

--- a/src/decide/fleet.rs
+++ b/src/decide/fleet.rs
@@ -10,6 +10,7 @@
 use super::member_notice::MemberNotice;
 pub use super::member_outcome::MemberOutcome;
 use super::route_table::{DataCentreId, ServiceId};
+use super::software::SoftwareVersion;
 use super::stated_weights::StatedWeights;
 use super::unlisted_notices::UnlistedNotices;
 use super::upstream_pace::UpstreamPace;
@@ -72,6 +73,8 @@
     pub state: MemberState,
     /// Start time in Unix milliseconds; differs between runs under the same `id`.
     pub started_unix_ms: u64,
+    /// Version of the software that the upstream runs.
+    pub software: SoftwareVersion,
     /// Loaded weights; `None` for upstreams that are not model engines.
     pub weights: Option<MemberWeights>,
 }
@@ -154,7 +157,8 @@
         let known = &member.entry;
         let is_same_run = known.started_unix_ms == entry.started_unix_ms
             && known.address == entry.address
-            && known.service == entry.service;
+            && known.service == entry.service
+            && known.software == entry.software;
         if !is_same_run {
             self.remove(old);
             return EntryChange::Restarted {
--- a/src/decide/member_choice.rs
+++ b/src/decide/member_choice.rs
@@ -12,6 +12,7 @@
 use super::route_table::{DataCentreId, EngineRule, KvStore, ServiceId};
 use super::service_pause::ServicePause;
 use super::site_loads::SiteLoads;
+use super::software::SoftwareFilter;
 use crate::kernel::Moment;
 
 /// Time in which an engine prefills one prompt token, in microseconds, as stated by the operators.
@@ -80,6 +81,8 @@
     pub body_bytes: usize,
     /// Upstreams that must not be chosen, because the request has been sent to them before.
     pub excluded: &'a [MemberKey],
+    /// Software versions of which an upstream may be chosen.
+    pub software: SoftwareFilter<'a>,
     /// Latest time to wait for a running prefill of the same shared prefix.
     pub prefill_deadline: Moment,
     /// Hash that distributes requests without a prompt over equal upstreams.
@@ -166,7 +169,8 @@
     let homes = short.map(|prompt| PrefixHomes::of(context.fleet, request.service, prompt));
     let sites = SiteLoads::of(context.fleet, request.service, context.now);
     for (key, member) in context.fleet.of_service(request.service) {
-        if request.excluded.contains(&key) {
+        let is_admitted = request.software.admits(member.entry.software);
+        if request.excluded.contains(&key) || !is_admitted {
             continue;
         }
         has_upstream = true;
--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -65,6 +65,7 @@
 pub mod site_loads;
 pub mod snapshot;
 pub mod snapshot_timer;
+pub mod software;
 pub mod stated_weights;
 pub mod suspect_guard;
 pub mod suspects;
--- a/src/gateway/dispatch/place.rs
+++ b/src/gateway/dispatch/place.rs
@@ -13,6 +13,7 @@
 use crate::decide::prompt_parts::CacheDomain;
 use crate::decide::retry_budget::{RetryBudget, RetryPolicy, RetryStep};
 use crate::decide::segment_suspects::shared_segments;
+use crate::decide::software::SoftwareFilter;
 use crate::events::{REQUEST_PLACED, log_event};
 use crate::gateway::mail::{Placement, PlacementRefusal, PlacementReply, PlacementRequest};
 use crate::kernel::{Moment, ReplyTo};
@@ -194,6 +195,7 @@
             isolation_key: isolation_key(request),
             body_bytes: request.body_bytes,
             excluded: &request.excluded,
+            software: SoftwareFilter::Except(&[]),
             prefill_deadline: request.prefill_deadline,
             request_hash: request.fingerprint.0,
         };
--- a/src/platform/upstream_entry.rs
+++ b/src/platform/upstream_entry.rs
@@ -4,10 +4,12 @@
 
 use hyper::header::HeaderValue;
 use serde::Deserialize;
+use serde_json::Number;
 
 use crate::decide::fleet::{MemberState, MemberWeights, UpstreamEntry};
 use crate::decide::hashing::{first_word, hash_parts, name_hash};
 use crate::decide::route_table::{DataCentreId, ServiceId};
+use crate::decide::software::SoftwareVersion;
 
 /// Largest number of slots that an upstream can have; sums over a fleet of such upstreams do not
 /// overflow.
@@ -22,6 +24,8 @@
     zone: String,
     slots: u32,
     state: String,
+    /// Version of the software that the upstream runs.
+    version: Option<WireVersion>,
     /// Models that the upstream serves, with the versions of their weights.
     #[serde(default)]
     models: Vec<WireModel>,
@@ -29,6 +33,23 @@
     born: Option<u64>,
 }
 
+/// Version of software, which may be any text or number.
+#[derive(Debug, Deserialize)]
+#[serde(untagged)]
+enum WireVersion {
+    Text(String),
+    Number(Number),
+}
+
+impl From<WireVersion> for SoftwareVersion {
+    fn from(wire: WireVersion) -> Self {
+        Self(match wire {
+            WireVersion::Text(text) => name_hash(&text),
+            WireVersion::Number(number) => name_hash(&number.to_string()),
+        })
+    }
+}
+
 /// Model with the version of its weights, which only increases.
 #[derive(Debug, Deserialize)]
 struct WireModel {
@@ -66,6 +87,9 @@
         slots: wire.slots,
         state,
         started_unix_ms: wire.born.unwrap_or_default(),
+        software: wire
+            .version
+            .map_or(SoftwareVersion::UNNAMED, SoftwareVersion::from),
         weights: wire.models.first().map(|model| MemberWeights {
             model: name_hash(&model.name),
             version: model.version,
@@ -89,6 +113,7 @@
         entry.slots.into(),
         (entry.state == MemberState::Ready).into(),
         entry.started_unix_ms,
+        entry.software.0,
         weights[0],
         weights[1],
     ];
--- a/tests/member_choice.rs
+++ b/tests/member_choice.rs
@@ -15,6 +15,7 @@
     CacheDomain, PrefixIndex, PromptSegment, PromptShape, kv_store_for, prefix_hashes,
 };
 use bulrushslip::decide::route_table::{DataCentreId, EngineRule, KvStore, ServiceId};
+use bulrushslip::decide::software::{SoftwareFilter, SoftwareVersion};
 use bulrushslip::decide::stated_weights::{StatementSource, WeightsStatement};
 use bulrushslip::kernel::Moment;
 
@@ -42,6 +43,7 @@
         slots: 32,
         state: MemberState::Ready,
         started_unix_ms: 1,
+        software: SoftwareVersion::UNNAMED,
         weights: Some(MemberWeights {
             model: MODEL,
             version,
@@ -106,6 +108,7 @@
         isolation_key: "",
         body_bytes: 34_000,
         excluded: &[],
+        software: SoftwareFilter::Except(&[]),
         prefill_deadline: at(60_000),
         request_hash: 0,
     }
@@ -534,3 +537,27 @@
     );
     assert_eq!(sent(step).member, remote[0]);
 }
+
+#[test]
+fn a_stream_is_resumed_only_at_upstreams_of_its_software_version() {
+    let prompt = review();
+    let mut fleet = Fleet::default();
+    let old = added(&mut fleet, entry("i-1", "local", 1));
+    let newer = UpstreamEntry {
+        software: SoftwareVersion(2),
+        ..entry("i-22", "local", 1)
+    };
+    added(&mut fleet, newer);
+    let parts = PrefixIndex::default();
+    let resumed = |software| ChoiceRequest {
+        software: SoftwareFilter::Only(software),
+        ..request(&prompt)
+    };
+    let choice = choose(
+        context(at(0), &fleet, &parts),
+        resumed(SoftwareVersion::UNNAMED),
+    );
+    assert_eq!(sent(choice).member, old);
+    let choice = choose(context(at(0), &fleet, &parts), resumed(SoftwareVersion(3)));
+    assert_eq!(choice, ChoiceOutcome::NoUpstream);
+}
--- a/tests/member_notice.rs
+++ b/tests/member_notice.rs
@@ -11,6 +11,7 @@
 use bulrushslip::decide::prompt_parts::PrefixIndex;
 use bulrushslip::decide::request_limit::LimitNotice;
 use bulrushslip::decide::route_table::{DataCentreId, ServiceId};
+use bulrushslip::decide::software::{SoftwareFilter, SoftwareVersion};
 use bulrushslip::kernel::Moment;
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
@@ -53,6 +54,7 @@
         slots: 8,
         state: MemberState::Ready,
         started_unix_ms: born,
+        software: SoftwareVersion::UNNAMED,
         weights: None,
     }
 }
@@ -140,6 +142,7 @@
             isolation_key: "",
             body_bytes: 100,
             excluded: &[],
+            software: SoftwareFilter::Except(&[]),
             prefill_deadline: at(ms),
             request_hash: self.random.random(),
         };
--- a/tests/platform_formats.rs
+++ b/tests/platform_formats.rs
@@ -5,6 +5,7 @@
 use bulrushslip::decide::ids::LogOffset;
 use bulrushslip::decide::request_limit::{LimitNotice, LimitRate};
 use bulrushslip::decide::route_table::{DataCentreId, RouteKind, ServiceId};
+use bulrushslip::decide::software::SoftwareVersion;
 use bulrushslip::platform::config_document::decode_configuration;
 use bulrushslip::platform::engine_calls::{OrderReply, WeightsOrder, order_request};
 use bulrushslip::platform::request_headers::{
@@ -12,7 +13,7 @@
 };
 use bulrushslip::platform::settings_file::{InstanceSettings, SettingsError};
 use bulrushslip::platform::store_records::{StorePage, StoreRecord, decode_keyed};
-use bulrushslip::platform::upstream_entry::decode_entry;
+use bulrushslip::platform::upstream_entry::{decode_entry, entry_meaning};
 use bulrushslip::platform::upstream_notice::{SERVER_LIMIT, read_notice};
 use http_body_util::BodyExt;
 use hyper::header::HeaderValue;
@@ -105,6 +106,28 @@
     decode_configuration(b"{}").expect_err("missing fields");
 }
 
+#[test]
+fn entries_state_the_version_of_the_software_as_text_or_number() {
+    let decode = |version: &str| {
+        let text = format!(
+            r#"{{"service":"s","address":"127.0.0.1:1","zone":"z","slots":3,"state":"ready"{version}}}"#
+        );
+        let entry = decode_entry("i-1", text.as_bytes());
+        (
+            entry.map(|entry| entry.software),
+            entry_meaning(text.as_bytes()),
+        )
+    };
+    let (unnamed, _) = decode("");
+    assert_eq!(unnamed, Ok(SoftwareVersion::UNNAMED));
+    let (first, first_meaning) = decode(r#","version":"v1""#);
+    let (second, second_meaning) = decode(r#","version":"v1.1""#);
+    assert_ne!(first, second);
+    assert_ne!(first_meaning, second_meaning);
+    assert_eq!(decode(r#","version":"7""#).0, decode(r#","version":7"#).0);
+    assert!(decode(r#","version":[1]"#).0.is_err());
+}
+
 #[test]
 fn malformed_upstream_entries_are_rejected() {
     let good = r#"{"service":"s","address":"127.0.0.1:1","zone":"z","slots":3,"state":"draining",
--- a/tests/rollout.rs
+++ b/tests/rollout.rs
@@ -11,6 +11,7 @@
     CLAIM_VALIDITY, OrderClaim, OrderClaimTable, RolloutStep, RolloutView,
 };
 use bulrushslip::decide::route_table::{DataCentreId, ServiceId};
+use bulrushslip::decide::software::SoftwareVersion;
 use bulrushslip::kernel::Moment;
 
 const HOLDER_INTERVAL: Duration = Duration::from_secs(3);
@@ -30,6 +31,7 @@
             slots: 8,
             state: MemberState::Ready,
             started_unix_ms: 1,
+            software: SoftwareVersion::UNNAMED,
             weights: Some(MemberWeights {
                 model: 1,
                 version: *version,
--- a/tests/upstream_pace.rs
+++ b/tests/upstream_pace.rs
@@ -7,6 +7,7 @@
 
 use bulrushslip::decide::fleet::{Fleet, FleetMember, MemberKey, MemberState, UpstreamEntry};
 use bulrushslip::decide::route_table::{DataCentreId, ServiceId};
+use bulrushslip::decide::software::SoftwareVersion;
 use bulrushslip::decide::upstream_pace::{PaceLoad, PaceNews, PaceSeat};
 use bulrushslip::kernel::Moment;
 
@@ -102,6 +103,7 @@
         slots: SLOTS,
         state: MemberState::Ready,
         started_unix_ms: 1,
+        software: SoftwareVersion::UNNAMED,
         weights: None,
     };
     for number in 0..servers {
