Keep at which software version each stream began

What an instance knows, without I/O: the versions of streams it has passed on or read of, the versions that were listed lately, and what others have to know. A stream of which nothing is recorded is of the only version that was listed, if the list was complete all the time. New versions settle before streams begin at them, so that the list of every instance that is in step has them.

--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -67,6 +67,7 @@
 pub mod snapshot_timer;
 pub mod software;
 pub mod stated_weights;
+pub mod stream_origins;
 pub mod suspect_guard;
 pub mod suspects;
 pub mod tried_upstreams;
