Resume streams only at the software version that began them

Callers got answers that were joined from two versions of an upstream's software, in one response or over their tries: nothing read the version of an upstream's entry or the header Resumes, so a stream went on wherever there was room.

A stream is bound to the version of the upstream that sends its first event, and the gateway resumes it there or lets the response end broken. A stream that a caller takes up goes on at the version that began it: as recorded here, as published by others in the topic stream-origins, or as the only one that can have begun it. Else it is refused with 503 and Retry-After (origin_unknown, version_gone). Instances publish versions before streams begin at them, and the streams of services that have several.

--- a/src/gateway/attempts.rs
+++ b/src/gateway/attempts.rs
@@ -183,6 +183,7 @@
                 member: at.member,
                 upstream: at.upstream,
                 address: at.address,
+                software: at.software,
                 cancellation: at.cancellation,
                 guard,
             })));
@@ -376,6 +377,7 @@
         is_isolated: request.route.is_isolated,
         body_bytes: request.body.len(),
         excluded,
+        software: request.software,
         is_retry,
         received: request.received,
         rank: request.rank(),
--- a/src/gateway/attempts_outcome.rs
+++ b/src/gateway/attempts_outcome.rs
@@ -10,6 +10,7 @@
 use super::mail::PlacementRefusal;
 use super::placement_guard::PlacementGuard;
 use crate::decide::fleet::MemberKey;
+use crate::decide::software::SoftwareVersion;
 use crate::platform::http_connection::OpenConnection;
 
 /// An event stream whose response head was received, with the request's placement at its upstream.
@@ -27,6 +28,8 @@
     pub upstream: String,
     /// Address of the upstream.
     pub address: SocketAddr,
+    /// Version of the software that the upstream runs.
+    pub software: SoftwareVersion,
     /// Tells when the request is cancelled because its stream has not started.
     pub cancellation: CancelSignal,
     /// Ends the placement at the upstream when it is dropped.
--- a/src/gateway/caller_server.rs
+++ b/src/gateway/caller_server.rs
@@ -15,6 +15,7 @@
 use super::mail::{DispatchMail, GatewayMail, PlacementRefusal};
 use super::relay;
 use super::request::{CallerRequest, Rejection};
+use super::stream_origin::find_origin;
 use crate::decide::fleet::MemberOutcome;
 use crate::decide::route_table::RouteKind;
 use crate::decide::send_step::SendHistory;
@@ -126,8 +127,11 @@
 
 async fn run_attempts(
     directory: &Directory<GatewayMail>,
-    request: CallerRequest,
+    mut request: CallerRequest,
 ) -> Response<ResponseBody> {
+    if let Err(refusal) = find_origin(directory, &mut request).await {
+        return respond_not_run(directory, &request, refusal);
+    }
     let mut attempts = RequestAttempts::new(directory, &request);
     let end = attempts.run().await;
     let history = attempts.history;
--- a/src/gateway/dispatch/mod.rs
+++ b/src/gateway/dispatch/mod.rs
@@ -8,6 +8,7 @@
 mod limits;
 mod memory;
 mod notices;
+mod origins;
 mod paces;
 mod peer_loads;
 mod place;
@@ -98,6 +99,7 @@
         state.divide_paces(turn.now);
         state.check_statements(turn.now);
         state.check_empty_list(turn.now);
+        state.check_software(turn.now);
     }
     state.cancel_unstarted(turn.now);
     let parked_due = state.retry_parked(turn.now);
@@ -170,6 +172,21 @@
         DispatchMail::BuildPaceNews(reply_to) => reply_to.send(state.pace_news(now)),
         DispatchMail::SegmentNews(news) => state.apply_segment_news(now, &news),
         DispatchMail::BuildSegmentNews(reply_to) => reply_to.send(state.segment_news(now)),
+        DispatchMail::StreamBegan(stream, software) => state.record_stream(now, stream, software),
+        DispatchMail::FindOrigin(query, reply_to) => {
+            reply_to.send(state.find_origin(now, query));
+        }
+        DispatchMail::BuildOriginNews(repeat_interval, reply_to) => {
+            reply_to.send(state.origin_news(now, repeat_interval));
+        }
+        DispatchMail::OriginsPublished(record) => {
+            let origins = &mut state.stream_origins.origins;
+            origins.record_published(now, &record);
+        }
+        DispatchMail::OriginsRead(records, complete_since) => {
+            state.apply_origins(now, &records, complete_since);
+        }
+        DispatchMail::OriginsLost => state.stream_origins.origins.publish_again(),
         DispatchMail::RequestEnded(end) => state.counters.count_request(end),
         DispatchMail::StreamBodyEnded(framing, position) => {
             state
--- a/src/gateway/dispatch/place.rs
+++ b/src/gateway/dispatch/place.rs
@@ -13,7 +13,7 @@
 use crate::decide::prompt_parts::CacheDomain;
 use crate::decide::retry_budget::{RetryBudget, RetryPolicy, RetryStep};
 use crate::decide::segment_suspects::shared_segments;
-use crate::decide::software::SoftwareFilter;
+use crate::decide::software::{SoftwareChoice, SoftwareFilter};
 use crate::events::{REQUEST_PLACED, log_event};
 use crate::gateway::mail::{Placement, PlacementRefusal, PlacementReply, PlacementRequest};
 use crate::kernel::{Moment, ReplyTo};
@@ -83,13 +83,16 @@
         reply_to: ReplyTo<PlacementReply>,
     ) {
         let rank = request.rank;
-        let is_first = self
-            .queues
-            .get(&request.service)
-            .is_none_or(|queue| match rank {
-                Rank::Urgent => queue.waiting(Rank::Urgent) == 0,
-                Rank::Routine => queue.is_empty(),
-            });
+        // Few streams are taken up, and others cannot use what they wait for.
+        let is_resumed = matches!(request.software, SoftwareChoice::Only(_));
+        let is_first = is_resumed
+            || self
+                .queues
+                .get(&request.service)
+                .is_none_or(|queue| match rank {
+                    Rank::Urgent => queue.waiting(Rank::Urgent) == 0,
+                    Rank::Routine => queue.is_empty(),
+                });
         let step = if is_first {
             self.choose_upstream(now, &request)
         } else {
@@ -106,6 +109,9 @@
                 let placement = self.start_placement(now, ticket, &request, choice);
                 reply_to.send(PlacementReply::Placed(Box::new(placement)));
             }
+            ChoiceOutcome::NoUpstream if is_resumed => {
+                reply_to.send(PlacementReply::Refused(PlacementRefusal::VersionGone));
+            }
             ChoiceOutcome::NoUpstream => {
                 self.check_missing_service(now, request.service);
                 reply_to.send(PlacementReply::Refused(PlacementRefusal::NoUpstream));
@@ -116,6 +122,13 @@
             ChoiceOutcome::Paused(until) if until > request.start_by => {
                 reply_to.send(PlacementReply::Refused(PlacementRefusal::Paused(until)));
             }
+            ChoiceOutcome::Full | ChoiceOutcome::Paused(_) if is_resumed => {
+                if request.start_by.is_due(now) {
+                    reply_to.send(PlacementReply::Refused(PlacementRefusal::Busy));
+                } else {
+                    self.parked.push(WaitingRequest { request, reply_to });
+                }
+            }
             ChoiceOutcome::Full | ChoiceOutcome::Paused(_) => {
                 match self.limited_turn(now, request.service, rank) {
                     Some(turn) if turn > request.start_by => {
@@ -189,18 +202,23 @@
             kv_stores: routes.map_or(&[], |routes| &routes.kv_stores),
             newest: prompt.and_then(|prompt| self.newest_weights(now, prompt.model)),
         };
+        let unsettled = self.unsettled_software(now, request);
         let question = ChoiceRequest {
             service: request.service,
             prompt,
             isolation_key: isolation_key(request),
             body_bytes: request.body_bytes,
             excluded: &request.excluded,
-            software: SoftwareFilter::Except(&[]),
+            software: match request.software {
+                SoftwareChoice::Only(software) => SoftwareFilter::Only(software),
+                SoftwareChoice::Any | SoftwareChoice::Settled => SoftwareFilter::Except(&unsettled),
+            },
             prefill_deadline: request.prefill_deadline,
             request_hash: request.fingerprint.0,
         };
         match choose(view, question) {
             ChoiceOutcome::Send(_) if !self.is_sendable(now) => ChoiceOutcome::Full,
+            ChoiceOutcome::NoUpstream if !unsettled.is_empty() => ChoiceOutcome::Full,
             choice => choice,
         }
     }
@@ -321,6 +339,7 @@
             member: choice.member,
             upstream: member.entry.id.clone(),
             address: member.entry.address,
+            software: member.entry.software,
             weights,
             cancellation,
             cache_domain: choice.domain.map(CacheDomain::text),
--- a/src/gateway/dispatch/records.rs
+++ b/src/gateway/dispatch/records.rs
@@ -197,6 +197,7 @@
         let (key, what) = match change {
             EntryChange::Same(_) => return,
             EntryChange::Added(key) => {
+                self.record_software(now, key);
                 self.pace_new_entry(now, key);
                 (key, "added")
             }
@@ -213,6 +214,7 @@
                 (key, "weights")
             }
             EntryChange::Restarted { old, new } => {
+                self.record_software(now, new);
                 self.record_crash(now, old, CrashSign::Restarted);
                 self.parts.remove_member(old);
                 self.pool.close_all(old);
--- a/src/gateway/dispatch/state.rs
+++ b/src/gateway/dispatch/state.rs
@@ -9,6 +9,7 @@
 pub use super::health::{PeerState, TopicHealth};
 use super::limits::FleetSize;
 use super::memory::UnreadResponse;
+use super::origins::OriginState;
 pub use super::placed::{DeferredRemoval, LostRequest, RunningRequest};
 use super::pool::ConnectionPool;
 use super::start_deadline::UnstartedRequest;
@@ -137,6 +138,7 @@
     /// Time from which new entries are those of upstreams that have started; `NEVER` before the first one.
     pub(super) paces_from: Moment,
     pub(super) view_check: ViewCheck,
+    pub(super) stream_origins: OriginState,
     pub(super) next_sweep: Moment,
     /// Whether requests wait for a newer list of upstreams, and the log tells so.
     pub(super) is_outdated_logged: bool,
@@ -201,6 +203,7 @@
             recent_weights: VecDeque::new(),
             paces_from: Moment::NEVER,
             view_check: ViewCheck::default(),
+            stream_origins: OriginState::default(),
             next_sweep: Moment::START,
             is_outdated_logged: false,
             is_leaving: false,
--- a/src/gateway/mail.rs
+++ b/src/gateway/mail.rs
@@ -2,14 +2,17 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::time::Duration;
 
 use crate::decide::fleet::MemberKey;
 use crate::decide::ids::{LogOffset, StoreEra, Ticket};
 use crate::decide::keyed_view::KeyedRecord;
 use crate::decide::member_notice::UpstreamNotice;
 use crate::decide::memory_budget::{MemoryUse, ReservationKey};
-use crate::decide::route_table::{DataCentreId, RouteDecision};
+use crate::decide::route_table::{DataCentreId, RouteDecision, ServiceId};
+use crate::decide::software::SoftwareVersion;
 use crate::decide::stated_weights::WeightsStatement;
+use crate::decide::stream_origins::{OriginRecord, StreamKey, StreamOrigin};
 use crate::gateway::counters::RequestEnd;
 use crate::gateway::dispatch::{DispatchState, UnreadResponse};
 pub use crate::gateway::placement::{
@@ -40,6 +43,9 @@
     Settings(Arc<InstanceSettings>),
     /// For the I/O task `orders`: a rollout may need orders.
     OrdersDue,
+    /// For the I/O task `origin-log`: reads what others have published of the origins of streams;
+    /// the reply tells whether that succeeded.
+    ReadOrigins(ReplyTo<bool>),
     /// For the I/O task `orders`: the store states a higher era than before.
     StoreEra(StoreEra),
 }
@@ -129,6 +135,20 @@
     SegmentNews(Vec<WireSegmentNews>),
     /// Asks for the news of such segments that other instances have to know.
     BuildSegmentNews(ReplyTo<Vec<WireSegmentNews>>),
+    /// A stream has begun at an upstream of this software version.
+    StreamBegan(StreamKey, SoftwareVersion),
+    /// Asks for the software version at which a stream of a service began.
+    FindOrigin(OriginQuery, ReplyTo<StreamOrigin>),
+    /// Asks for what other instances have to know of the origins of streams; versions are published again
+    /// after the given time.
+    BuildOriginNews(Duration, ReplyTo<OriginNews>),
+    /// A record of this instance is published.
+    OriginsPublished(OriginRecord),
+    /// Applies what other instances have published, and the number of gaps before the read if it is
+    /// complete.
+    OriginsRead(Vec<OriginRecord>, Option<u64>),
+    /// The store may have lost what was published.
+    OriginsLost,
     /// A request of a client has ended.
     RequestEnded(RequestEnd),
     /// The body of a stream was received to its end, with this framing and position.
@@ -145,6 +165,32 @@
     Settings(Arc<InstanceSettings>),
 }
 
+/// Stream whose origin is asked for.
+#[derive(Debug, Clone, Copy)]
+pub struct OriginQuery {
+    /// Service that the stream comes from.
+    pub service: ServiceId,
+    /// Identity of the stream; `None` if the caller does not tell.
+    pub stream: Option<StreamKey>,
+    /// Whether what others have published was read since the request came.
+    pub has_read: bool,
+}
+
+/// What an instance has to publish of the origins of streams, and to read.
+#[derive(Debug)]
+pub struct OriginNews {
+    /// Record to be published.
+    pub record: OriginRecord,
+    /// Whether all that others have published is to be read first.
+    pub needs_read: bool,
+    /// Number of times that the list of upstreams was out of date.
+    pub gaps: u64,
+    /// Number of instances.
+    pub fleet_size: usize,
+    /// Whether upstreams are listed, and their versions are published.
+    pub is_published: bool,
+}
+
 /// How far another instance has read the two topics of the store.
 #[derive(Debug, Clone, Copy, Default)]
 pub struct PeerProgress {
--- a/src/gateway/placement.rs
+++ b/src/gateway/placement.rs
@@ -7,6 +7,7 @@
 use crate::decide::ids::{Rank, Ticket};
 use crate::decide::prompt_parts::PromptShape;
 use crate::decide::route_table::ServiceId;
+use crate::decide::software::{SoftwareChoice, SoftwareVersion};
 use crate::decide::suspects::Fingerprint;
 use crate::gateway::cancellation::CancelSignal;
 use crate::kernel::Moment;
@@ -31,6 +32,8 @@
     pub body_bytes: usize,
     /// Upstreams on which the request must not be placed.
     pub excluded: Vec<MemberKey>,
+    /// Software versions on which the request may be placed.
+    pub software: SoftwareChoice,
     /// Whether the request was already sent to an upstream.
     pub is_retry: bool,
     /// Time at which the request was received.
@@ -62,6 +65,10 @@
     OverQuota(Moment),
     /// Equal requests have crashed several upstreams.
     Poisonous,
+    /// The stream is taken up again, and the software version that began it is not known.
+    OriginUnknown,
+    /// The stream is taken up again, and no upstream runs the software version that began it.
+    VersionGone,
     /// The process is shutting down and may end before the request does.
     Leaving,
 }
@@ -77,6 +84,8 @@
             Self::Paused(_) => "upstreams_paused",
             Self::OverQuota(_) => "over_quota",
             Self::Poisonous => "poisonous",
+            Self::OriginUnknown => "origin_unknown",
+            Self::VersionGone => "version_gone",
             Self::Leaving => "leaving",
         }
     }
@@ -93,6 +102,8 @@
     pub upstream: String,
     /// Address of the upstream.
     pub address: SocketAddr,
+    /// Version of the software that the upstream runs.
+    pub software: SoftwareVersion,
     /// Version of the weights that the request is meant for.
     pub weights: Option<u64>,
     /// Tells when the request is cancelled because it has not started.
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -18,6 +18,7 @@
 use super::patience::{ALTERNATIVE_INTERVAL, has_alternative};
 use super::request::CallerRequest;
 use super::stream_backlog::StreamBacklog;
+use super::stream_origin::record_begin;
 use super::stream_source::{StreamEnd, StreamSource, has_events};
 use super::upstream_call::reusable_until;
 use crate::decide::fleet::{MemberKey, MemberOutcome};
@@ -92,6 +93,7 @@
                 member,
                 upstream,
                 address,
+                software,
                 mut cancellation,
                 guard,
             } = stream;
@@ -100,6 +102,7 @@
                     let source = StreamSource {
                         upstream: &upstream,
                         member,
+                        software,
                         framing: BodyFraming::of(&head.headers),
                         has_events: has_events(&head),
                         guard: &guard,
@@ -267,6 +270,7 @@
                     return Err(StreamEnd::Broken(MemberOutcome::Lost));
                 }
                 SplitStep::Event(event) => {
+                    record_begin(&self.directory, &mut self.request, source.software);
                     self.backlog.push(event.bytes);
                     self.last_event = event.id.or(self.last_event);
                     self.progress_at = self.directory.now();
--- a/src/gateway/request.rs
+++ b/src/gateway/request.rs
@@ -13,16 +13,19 @@
 use super::dispatch::UnreadResponse;
 use super::mail::{GatewayMail, RouteLookup};
 use super::memory_guard::{MemoryGuard, find_route};
+use crate::decide::hashing::name_hash;
 use crate::decide::ids::Rank;
 use crate::decide::memory_budget::MemoryUse;
 use crate::decide::prompt_parts::PromptShape;
-use crate::decide::route_table::{AdmittedRoute, RouteDecision};
+use crate::decide::route_table::{AdmittedRoute, RouteDecision, RouteKind};
+use crate::decide::software::SoftwareChoice;
+use crate::decide::stream_origins::StreamKey;
 use crate::decide::suspects::Fingerprint;
 use crate::kernel::{Directory, Moment};
 use crate::platform::connection_aborter::ConnectionAborter;
 use crate::platform::request_headers::{
-    CUSTOMER_KEY, DEADLINE_MS, LAST_EVENT, REQUEST_ID, header_number, header_text, prompt_shape,
-    request_host, stated_tokens,
+    CUSTOMER_KEY, DEADLINE_MS, LAST_EVENT, REQUEST_ID, RESUMES, header_number, header_text,
+    prompt_shape, request_host, stated_tokens,
 };
 
 /// Bytes by which the reserved memory of a body without a stated length grows.
@@ -51,6 +54,15 @@
     pub stated_tokens: Option<u64>,
     /// Identifier of the last stream event that the caller has received.
     pub last_event: Option<u64>,
+    /// Identity of its stream, by the request that brought or brings the first event; `None` if the route
+    /// is not resumable or the identifier is missing.
+    pub stream: Option<StreamKey>,
+    /// Whether the caller takes up a stream that an earlier request has begun.
+    pub is_take_up: bool,
+    /// Whether an event was passed on to the caller.
+    pub has_begun: bool,
+    /// Software versions on which the request may run.
+    pub software: SoftwareChoice,
     /// When the head of the request was received.
     pub received: Moment,
     /// When the caller's deadline or the route's timeout expires, whichever is first.
@@ -147,6 +159,17 @@
         };
         let customer = route.customer.as_deref().unwrap_or_default();
         let path = head.uri.path();
+        let is_resumable = route.kind == RouteKind::ResumableStream;
+        let begun_by = head.headers.get(&RESUMES);
+        let names_event = begun_by.is_some() || head.headers.contains_key(&LAST_EVENT);
+        let is_take_up = is_resumable && names_event;
+        let first = if names_event { &RESUMES } else { &REQUEST_ID };
+        let first = header_text(&head.headers, first).filter(|id| is_resumable && !id.is_empty());
+        let service = route.service;
+        let stream = first.map(|id| StreamKey {
+            service,
+            request: name_hash(id),
+        });
         Ok(Self {
             id: header_text(&head.headers, &REQUEST_ID)
                 .unwrap_or_default()
@@ -158,6 +181,14 @@
             },
             stated_tokens: stated_tokens(&head.headers),
             last_event: header_number(&head.headers, &LAST_EVENT),
+            stream,
+            is_take_up,
+            has_begun: false,
+            software: if is_resumable {
+                SoftwareChoice::Settled
+            } else {
+                SoftwareChoice::Any
+            },
             fingerprint: Fingerprint::of(customer, head.method.as_str(), path, &body),
             head,
             body,
--- a/src/gateway/start.rs
+++ b/src/gateway/start.rs
@@ -12,6 +12,7 @@
 use super::identity::InstanceIdentity;
 use super::metrics_server::metrics_task;
 use super::orders::orders_task;
+use super::origin_log::origin_log_task;
 use super::peer_exchange::peers_task;
 use super::readiness::readiness_task;
 use super::record_reader::record_reader_task;
@@ -116,6 +117,10 @@
     kernel.add_task(peers_task(peers, &identity, seeds));
     kernel.add_task(record_reader_task(identity.id));
     kernel.add_task(settings_task(settings.path, instance.clone())?);
+    kernel.add_task(origin_log_task(
+        instance.store_address,
+        instance.store_limits,
+    ));
     kernel.add_task(orders_task(identity, instance.store_address));
     kernel.add_task(callers_task(callers, limits));
     // Added last because the kernel stops tasks in reverse order: an instance that stops must first
--- a/src/gateway/stream_source.rs
+++ b/src/gateway/stream_source.rs
@@ -4,6 +4,7 @@
 
 use super::placement_guard::PlacementGuard;
 use crate::decide::fleet::{MemberKey, MemberOutcome};
+use crate::decide::software::SoftwareVersion;
 use crate::platform::request_headers::{BodyFraming, is_event_stream};
 use crate::wire::event_scanner::StreamPosition;
 
@@ -27,6 +28,8 @@
     pub upstream: &'a str,
     /// Key of the upstream.
     pub member: MemberKey,
+    /// Version of the software that the upstream runs.
+    pub software: SoftwareVersion,
     /// How the end of the body is marked.
     pub framing: BodyFraming,
     /// Whether the body consists of events.
--- a/src/platform/request_headers.rs
+++ b/src/platform/request_headers.rs
@@ -29,6 +29,8 @@
 pub const NOT_RUN: HeaderName = HeaderName::from_static("x-not-executed");
 /// Identifier of the last stream event that the receiver has, for resumption after it.
 pub const LAST_EVENT: HeaderName = HeaderName::from_static("last-event-id");
+/// Identifier of the request that brought the first event of a stream, for resumption by its caller.
+pub const RESUMES: HeaderName = HeaderName::from_static("resumes");
 /// Name of the model that a prompt is for.
 pub const MODEL: HeaderName = HeaderName::from_static("x-model");
 /// Number of prompt tokens and largest number of output tokens, separated by a comma.
--- a/src/platform/settings_file.rs
+++ b/src/platform/settings_file.rs
@@ -13,6 +13,12 @@
 /// Environment variable that holds the path of the settings file.
 pub const SETTINGS_VARIABLE: &str = "BULRUSHSLIP_SETTINGS";
 
+/// Write calls a second that all instances may make to the store if the settings do not tell.
+const DEFAULT_STORE_WRITES_PER_S: u64 = 400;
+
+/// Time for which the store keeps records if the settings do not tell.
+const DEFAULT_STORE_HISTORY: Duration = Duration::from_secs(20);
+
 /// Drain limit of deployments whose settings state none.
 const DEFAULT_DRAIN_LIMIT: Duration = Duration::from_secs(2);
 
@@ -52,6 +58,15 @@
     }
 }
 
+/// Limits of the platform's store.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct StoreLimits {
+    /// Write calls a second that all instances together may make (`platform.writes-per-s`).
+    pub writes_per_s: u64,
+    /// Time for which records are kept (`platform.keep_s`).
+    pub history: Duration,
+}
+
 /// Settings of one instance, from its settings file.
 #[derive(Debug, Clone, PartialEq)]
 pub struct InstanceSettings {
@@ -67,6 +82,8 @@
     pub peer_address: SocketAddr,
     /// Address of the platform's store (`platform.address`).
     pub store_address: SocketAddr,
+    /// Limits of the platform's store.
+    pub store_limits: StoreLimits,
     /// Peer addresses of instances that may be running, from `seeds`; the list may be outdated.
     pub seed_peers: Vec<SocketAddr>,
     /// Time from the stop signal until the platform kills the process (`bounds.grace-s`).
@@ -172,7 +189,17 @@
         name: &'static str,
         default: Duration,
     ) -> Result<Duration, SettingsError> {
-        match self.duration(name, 0.001) {
+        self.duration_or(name, 0.001, default)
+    }
+
+    /// Returns an optional time in units of `unit_s` seconds, or `default` if it is missing.
+    fn duration_or(
+        &self,
+        name: &'static str,
+        unit_s: f64,
+        default: Duration,
+    ) -> Result<Duration, SettingsError> {
+        match self.duration(name, unit_s) {
             Err(SettingsError::Missing(_)) => Ok(default),
             time => time,
         }
@@ -220,6 +247,11 @@
             ready_address: table.parsed("listen.ready")?,
             peer_address: SocketAddr::new(ip, peer_port),
             store_address: table.parsed("platform.address")?,
+            store_limits: StoreLimits {
+                writes_per_s: table
+                    .parsed_or("platform.writes-per-s", DEFAULT_STORE_WRITES_PER_S)?,
+                history: table.duration_or("platform.keep_s", 1.0, DEFAULT_STORE_HISTORY)?,
+            },
             seed_peers,
             stop_grace: table.duration("bounds.grace-s", 1.0)?,
             holder_turn: table.duration("bounds.lease-ms", 0.001)?,
--- a/src/platform/store_client.rs
+++ b/src/platform/store_client.rs
@@ -29,6 +29,9 @@
 /// Topic of this system, with the claims of instances on orders to upstreams.
 pub const ORDER_TOPIC: &str = "upstream-orders";
 
+/// Topic of this system, with the software versions at which streams began.
+pub const ORIGIN_TOPIC: &str = "stream-origins";
+
 /// Header in all responses of the store with the number of its era, which rises by one each time that
 /// the store comes back from an older copy.
 pub const STORE_ERA: HeaderName = HeaderName::from_static("store-era");
--- a/tests/gateway_drain.rs
+++ b/tests/gateway_drain.rs
@@ -9,6 +9,7 @@
 use bulrushslip::decide::ids::{LogOffset, Rank};
 use bulrushslip::decide::keyed_view::KeyedRecord;
 use bulrushslip::decide::route_table::ServiceId;
+use bulrushslip::decide::software::SoftwareChoice;
 use bulrushslip::decide::suspects::Fingerprint;
 use bulrushslip::gateway::mail::{
     DispatchMail, PeerProgress, Placement, PlacementRefusal, PlacementReply, PlacementRequest,
@@ -133,6 +134,7 @@
             is_isolated: false,
             body_bytes: 100,
             excluded: Vec::new(),
+            software: SoftwareChoice::Any,
             is_retry: false,
             received: at(ms),
             rank: Rank::Urgent,
--- a/tests/gateway_late_send.rs
+++ b/tests/gateway_late_send.rs
@@ -10,6 +10,7 @@
 use bulrushslip::decide::keyed_view::KeyedRecord;
 use bulrushslip::decide::memory_budget::{MemoryBudget, MemoryClaim};
 use bulrushslip::decide::route_table::{AdmittedRoute, CallerLimits, RouteKind, ServiceId};
+use bulrushslip::decide::software::SoftwareChoice;
 use bulrushslip::decide::suspects::Fingerprint;
 use bulrushslip::gateway::dispatch::{self, dispatch_service};
 use bulrushslip::gateway::mail::{DispatchMail, GatewayMail, PlacementRequest, TopicRecords};
@@ -88,6 +89,10 @@
         prompt: None,
         stated_tokens: None,
         last_event: None,
+        stream: None,
+        is_take_up: false,
+        has_begun: false,
+        software: SoftwareChoice::Any,
         received: now,
         deadline: now.after(LIMIT),
         fingerprint: Fingerprint(1),
@@ -105,6 +110,7 @@
         is_isolated: false,
         body_bytes: 0,
         excluded: Vec::new(),
+        software: SoftwareChoice::Any,
         is_retry: false,
         received: request.received,
         rank: Rank::Urgent,
--- a/tests/gossip_scale.rs
+++ b/tests/gossip_scale.rs
@@ -10,6 +10,7 @@
 use bulrushslip::decide::ids::{Rank, Ticket};
 use bulrushslip::decide::prompt_parts::{PromptSegment, PromptShape};
 use bulrushslip::decide::route_table::ServiceId;
+use bulrushslip::decide::software::SoftwareChoice;
 use bulrushslip::decide::suspects::Fingerprint;
 use bulrushslip::gateway::mail::{DispatchMail, PlacementEnd, PlacementReply, PlacementRequest};
 use bulrushslip::kernel::Moment;
@@ -46,6 +47,7 @@
         is_isolated: false,
         body_bytes: 17_000,
         excluded: Vec::new(),
+        software: SoftwareChoice::Any,
         is_retry: false,
         received: at(world.now_ms),
         rank: Rank::Routine,
--- a/tests/quota_parked.rs
+++ b/tests/quota_parked.rs
@@ -10,6 +10,7 @@
 use bulrushslip::decide::keyed_view::KeyedRecord;
 use bulrushslip::decide::prompt_parts::{PromptSegment, PromptShape};
 use bulrushslip::decide::route_table::ServiceId;
+use bulrushslip::decide::software::SoftwareChoice;
 use bulrushslip::decide::suspects::Fingerprint;
 use bulrushslip::gateway::mail::{
     DispatchMail, PlacementRefusal, PlacementReply, PlacementRequest, TopicRecords,
@@ -65,6 +66,7 @@
         is_isolated: false,
         body_bytes: 100,
         excluded: Vec::new(),
+        software: SoftwareChoice::Any,
         is_retry: false,
         received: at(2_000),
         rank: Rank::Urgent,
--- a/tests/view_check.rs
+++ b/tests/view_check.rs
@@ -7,6 +7,7 @@
 use bulrushslip::decide::ids::{LogOffset, Rank};
 use bulrushslip::decide::keyed_view::KeyedRecord;
 use bulrushslip::decide::route_table::ServiceId;
+use bulrushslip::decide::software::SoftwareChoice;
 use bulrushslip::decide::suspects::Fingerprint;
 use bulrushslip::gateway::mail::{
     DispatchMail, PlacementRefusal, PlacementReply, PlacementRequest, ReadNeed, TopicRecords,
@@ -122,6 +123,7 @@
             is_isolated: false,
             body_bytes: 1,
             excluded: Vec::new(),
+            software: SoftwareChoice::Any,
             is_retry: false,
             received: now,
             rank: Rank::Urgent,
