Tell instances in touch of new streams before they are published

A stream that breaks within the interval of publishing, or while the store is down, was refused at other instances (origin_unknown). News of the last second go with each round and each exchange of loads, while a service has several versions.

--- a/src/decide/stream_origins.rs
+++ b/src/decide/stream_origins.rs
@@ -21,6 +21,12 @@
 /// Time since its last listing for which a version counts as present.
 const PRESENT_TIME: Duration = Duration::from_secs(1);
 
+/// Time for which instances that are in touch are told of a stream.
+const NEWS_TIME: Duration = Duration::from_secs(1);
+
+/// Maximum number of streams in one message to another instance.
+const MAX_NEWS: usize = 512;
+
 /// Maximum number of streams that are kept.
 const MAX_STREAMS: usize = 131_072;
 
@@ -79,6 +85,8 @@
 struct StreamBegin {
     software: SoftwareVersion,
     recorded_at: Moment,
+    /// Whether this instance has passed on its first event.
+    is_own: bool,
 }
 
 #[derive(Debug, Clone, Copy)]
@@ -130,13 +138,19 @@
 
     /// Records that a stream of this instance has begun.
     pub fn record_stream(&mut self, now: Moment, stream: StreamKey, software: SoftwareVersion) {
-        if self.insert(now, stream, software) {
+        if self.insert(now, stream, software, true) {
             self.unpublished.push_back(stream);
         }
     }
 
     /// Adds a stream; returns `false` if it is known.
-    fn insert(&mut self, now: Moment, stream: StreamKey, software: SoftwareVersion) -> bool {
+    fn insert(
+        &mut self,
+        now: Moment,
+        stream: StreamKey,
+        software: SoftwareVersion,
+        is_own: bool,
+    ) -> bool {
         self.forget(now);
         if self.streams.contains_key(&stream) {
             return false;
@@ -144,6 +158,7 @@
         let begin = StreamBegin {
             software,
             recorded_at: now,
+            is_own,
         };
         self.streams.insert(stream, begin);
         self.order.push_back((now, stream));
@@ -163,7 +178,7 @@
             version.published_at = Some(now);
         }
         for (stream, software) in &record.streams {
-            self.insert(now, *stream, *software);
+            self.insert(now, *stream, *software, false);
         }
     }
 
@@ -183,7 +198,10 @@
         for version in self.listed.values_mut().flatten() {
             version.published_at = None;
         }
-        self.unpublished = self.order.iter().map(|(_, stream)| *stream).collect();
+        let streams = self.order.iter().map(|(_, stream)| *stream);
+        let is_own =
+            |stream: &StreamKey| self.streams.get(stream).is_some_and(|begin| begin.is_own);
+        self.unpublished = streams.filter(is_own).collect();
         self.is_informed = false;
     }
 
@@ -235,6 +253,16 @@
         unsettled.map(|version| version.software).collect()
     }
 
+    /// Returns whether a service has several versions and all of them have joined lately, as far as known.
+    #[must_use]
+    pub fn has_only_joined(&self, now: Moment) -> bool {
+        self.listed.keys().any(|service| {
+            let mut versions = self.versions(now, *service);
+            let is_new = |version: &ListedVersion| now.since(version.first_listed) < SETTLE_TIME;
+            self.versions(now, *service).count() > 1 && versions.all(is_new)
+        })
+    }
+
     /// Returns what other instances have to know. Versions are published again after `repeat_interval`.
     #[must_use]
     pub fn due_record(&mut self, now: Moment, repeat_interval: Duration) -> OriginRecord {
@@ -264,6 +292,20 @@
         }
     }
 
+    /// Returns the streams of which instances that are in touch are told, before or while they cannot be
+    /// published.
+    #[must_use]
+    pub fn news(&self, now: Moment) -> Vec<(StreamKey, SoftwareVersion)> {
+        let newest = self.order.iter().rev();
+        let newest = newest.take_while(|(recorded_at, _)| now.since(*recorded_at) < NEWS_TIME);
+        let news = newest.filter_map(|(_, stream)| {
+            let begin = self.streams.get(stream).filter(|begin| begin.is_own)?;
+            let has_several = self.versions(now, stream.service).count() > 1;
+            has_several.then_some((*stream, begin.software))
+        });
+        news.take(MAX_NEWS).collect()
+    }
+
     /// Records that a record of this instance is published.
     pub fn record_published(&mut self, now: Moment, record: &OriginRecord) {
         for version in &record.listed {
--- a/src/gateway/dispatch/mod.rs
+++ b/src/gateway/dispatch/mod.rs
@@ -179,6 +179,8 @@
         DispatchMail::BuildOriginNews(repeat_interval, reply_to) => {
             reply_to.send(state.origin_news(now, repeat_interval));
         }
+        DispatchMail::OriginNews(news) => state.apply_origin_news(now, news),
+        DispatchMail::BuildStreamNews(reply_to) => reply_to.send(state.stream_news(now)),
         DispatchMail::OriginsPublished(record) => {
             let origins = &mut state.stream_origins.origins;
             origins.record_published(now, &record);
@@ -194,7 +196,10 @@
                 .count_body_end(framing.name(), position.name());
         }
         DispatchMail::Metrics(reply_to) => reply_to.send(state.metrics_text(now)),
-        DispatchMail::IsReady(reply_to) => reply_to.send(state.is_ready()),
+        DispatchMail::IsReady(reply_to) => {
+            let awaits_versions = state.stream_origins.origins.has_only_joined(now);
+            reply_to.send(state.is_ready() && !awaits_versions);
+        }
         DispatchMail::Leaving => state.leave(now),
         DispatchMail::Inspect(query) => (query.inspect)(now, state),
         DispatchMail::Settings(settings) => {
--- a/src/gateway/dispatch/origins.rs
+++ b/src/gateway/dispatch/origins.rs
@@ -10,6 +10,7 @@
 };
 use crate::gateway::mail::{OriginNews, OriginQuery, PlacementRequest};
 use crate::kernel::Moment;
+use crate::wire::origin_news::WireStreamOrigin;
 
 /// Number of instances that publish versions again.
 const REPEATING_INSTANCES: usize = 2;
@@ -149,4 +150,19 @@
             origins.record_informed();
         }
     }
+
+    /// Returns the origins of streams that instances in touch have to know.
+    pub(super) fn stream_news(&self, now: Moment) -> Vec<WireStreamOrigin> {
+        let news = self.stream_origins.origins.news(now).into_iter();
+        news.map(WireStreamOrigin::from).collect()
+    }
+
+    /// Applies another instance's news of the origins of streams.
+    pub(super) fn apply_origin_news(&mut self, now: Moment, news: Vec<WireStreamOrigin>) {
+        let record = OriginRecord {
+            listed: Vec::new(),
+            streams: news.into_iter().map(Into::into).collect(),
+        };
+        self.stream_origins.origins.apply(now, &record);
+    }
 }
--- a/src/gateway/mail.rs
+++ b/src/gateway/mail.rs
@@ -22,6 +22,7 @@
 use crate::platform::request_headers::BodyFraming;
 use crate::platform::settings_file::InstanceSettings;
 use crate::wire::event_scanner::StreamPosition;
+use crate::wire::origin_news::WireStreamOrigin;
 use crate::wire::pace_news::WirePace;
 use crate::wire::peer_rpc::{
     GossipMessage, WireLoadCall, WireSegmentNews, WireTopic, WireUpstreamLimit,
@@ -142,6 +143,10 @@
     /// Asks for what other instances have to know of the origins of streams; versions are published again
     /// after the given time.
     BuildOriginNews(Duration, ReplyTo<OriginNews>),
+    /// Applies another instance's news of the origins of streams.
+    OriginNews(Vec<WireStreamOrigin>),
+    /// Asks for the origins of streams that instances in touch have to know.
+    BuildStreamNews(ReplyTo<Vec<WireStreamOrigin>>),
     /// A record of this instance is published.
     OriginsPublished(OriginRecord),
     /// Applies what other instances have published, and the number of gaps before the read if it is
--- a/src/gateway/peer_connection.rs
+++ b/src/gateway/peer_connection.rs
@@ -12,6 +12,7 @@
 
 use crate::events::{NEWS_REJECTED, log_event};
 use crate::platform::http_connection::set_tcp_options;
+use crate::wire::origin_news::WireStreamOrigin;
 use crate::wire::pace_news::WirePace;
 use crate::wire::peer_rpc::{
     GossipMessage, PeerRpcClient, WireLoadCall, WireSegmentNews, WireUpstreamLimit,
@@ -155,6 +156,16 @@
         let _is_accepted = self.report(report).await;
     }
 
+    /// Sends news of the origins of streams on the connection of a successful exchange.
+    pub async fn report_origins(&mut self, origins: Vec<WireStreamOrigin>) {
+        if origins.is_empty() {
+            return;
+        }
+        let report =
+            async |client: &PeerRpcClient, call| client.report_origins(call, origins).await;
+        let _is_accepted = self.report(report).await;
+    }
+
     /// Exchanges digests of data centres on the connection of a successful exchange; `None` if the
     /// other instance did not accept them.
     pub async fn exchange_digests(&mut self, digests: WireDigestCall) -> Option<WireDigestCall> {
--- a/src/gateway/peer_exchange.rs
+++ b/src/gateway/peer_exchange.rs
@@ -237,12 +237,15 @@
         let uses = uses_for(directory, self.data_centre).await;
         let paces = dispatch::ask(directory, DispatchMail::BuildPaceNews).await;
         let paces = paces.unwrap_or_default();
+        let origins = dispatch::ask(directory, DispatchMail::BuildStreamNews).await;
+        let origins = origins.unwrap_or_default();
         for address in local {
             let Some(mut connection) = self.connections.remove(&address) else {
                 continue;
             };
             self.in_exchange.insert(address);
             let (loads, uses, paces) = (loads.clone(), uses.clone(), paces.clone());
+            let origins = origins.clone();
             self.load_exchanges.spawn(async move {
                 let loads = connection.exchange_loads(loads).await;
                 let uses = match uses {
@@ -250,6 +253,7 @@
                     None => None,
                 };
                 connection.report_paces(paces).await;
+                connection.report_origins(origins).await;
                 LoadResult {
                     connection,
                     loads,
--- a/src/gateway/peer_news.rs
+++ b/src/gateway/peer_news.rs
@@ -7,6 +7,7 @@
 use super::peer_connection::PeerConnection;
 use crate::decide::route_table::DataCentreId;
 use crate::kernel::Directory;
+use crate::wire::origin_news::WireStreamOrigin;
 use crate::wire::pace_news::WirePace;
 use crate::wire::peer_rpc::{GossipMessage, WireSegmentNews, WireUpstreamLimit};
 use crate::wire::site_digest::WireDigestCall;
@@ -18,6 +19,7 @@
     segments: Vec<WireSegmentNews>,
     limits: Vec<WireUpstreamLimit>,
     paces: Vec<WirePace>,
+    origins: Vec<WireStreamOrigin>,
 }
 
 impl PeerNews {
@@ -26,10 +28,12 @@
         let segments = dispatch::ask(directory, DispatchMail::BuildSegmentNews).await;
         let limits = dispatch::ask(directory, DispatchMail::BuildLimitNews).await;
         let paces = dispatch::ask(directory, DispatchMail::BuildPaceNews).await;
+        let origins = dispatch::ask(directory, DispatchMail::BuildStreamNews).await;
         Self {
             segments: segments.unwrap_or_default(),
             limits: limits.unwrap_or_default(),
             paces: paces.unwrap_or_default(),
+            origins: origins.unwrap_or_default(),
         }
     }
 
@@ -38,6 +42,7 @@
         connection.report_segments(self.segments).await;
         connection.report_limits(self.limits).await;
         connection.report_paces(self.paces).await;
+        connection.report_origins(self.origins).await;
     }
 }
 
--- a/src/gateway/peer_server.rs
+++ b/src/gateway/peer_server.rs
@@ -10,6 +10,7 @@
 use crate::decide::route_table::DataCentreId;
 use crate::kernel::Directory;
 use crate::platform::http_connection::set_tcp_options;
+use crate::wire::origin_news::WireStreamOrigin;
 use crate::wire::pace_news::WirePace;
 use crate::wire::peer_rpc::{
     GossipMessage, PeerRpc, WireLoadCall, WireSegmentNews, WireUpstreamLimit,
@@ -116,6 +117,10 @@
         dispatch::tell(&self.directory, DispatchMail::PaceNews(paces));
     }
 
+    async fn report_origins(self, _: Context, origins: Vec<WireStreamOrigin>) {
+        dispatch::tell(&self.directory, DispatchMail::OriginNews(origins));
+    }
+
     async fn report_segments(self, _: Context, news: Vec<WireSegmentNews>) {
         dispatch::tell(&self.directory, DispatchMail::SegmentNews(news));
     }
--- a/src/wire/mod.rs
+++ b/src/wire/mod.rs
@@ -19,6 +19,7 @@
 pub mod models;
 pub mod openai;
 pub mod order_claim;
+pub mod origin_news;
 pub mod origin_record;
 pub mod pace_news;
 pub mod peer_rpc;
--- a/src/wire/peer_rpc.rs
+++ b/src/wire/peer_rpc.rs
@@ -5,6 +5,7 @@
 
 use serde::{Deserialize, Serialize};
 
+use super::origin_news::WireStreamOrigin;
 use super::pace_news::WirePace;
 use super::records_call::{WireRecordsCall, WireRecordsReply};
 use super::site_digest::WireDigestCall;
@@ -276,4 +277,8 @@
     /// Applies the caller's reports of what customers use and returns those of the called instance;
     /// `None` if it reports none. Instances of builds before this call close the connection on it.
     async fn exchange_uses(call: WireUseCall) -> Option<WireUseCall>;
+
+    /// Applies news of the origins of streams. Instances of builds before this call close the connection
+    /// on it.
+    async fn report_origins(origins: Vec<WireStreamOrigin>);
 }
--- a/tests/stream_origins.rs
+++ b/tests/stream_origins.rs
@@ -264,6 +264,29 @@
     origins.record_published(at(120), &record);
     assert_eq!(origins.unsettled(at(599), SERVICE, limit), [version(2)]);
     assert!(origins.unsettled(at(600), SERVICE, limit).is_empty());
+    assert!(!origins.has_only_joined(at(599)));
+    let mut started = StreamOrigins::default();
+    started.record_listed(at(0), SERVICE, version(1));
+    assert!(!started.has_only_joined(at(0)));
+    started.record_listed(at(0), SERVICE, version(2));
+    assert!(started.has_only_joined(at(499)));
+    assert!(!started.has_only_joined(at(500)));
+}
+
+#[test]
+fn instances_in_touch_are_told_of_new_streams_of_services_with_two_versions() {
+    let mut origins = StreamOrigins::default();
+    origins.record_listed(at(0), SERVICE, version(1));
+    origins.record_stream(at(0), stream(1), version(1));
+    assert!(origins.news(at(10)).is_empty());
+    origins.record_listed(at(20), SERVICE, version(2));
+    let told = OriginRecord {
+        listed: Vec::new(),
+        streams: vec![(stream(2), version(2))],
+    };
+    origins.apply(at(30), &told);
+    assert_eq!(origins.news(at(40)), [(stream(1), version(1))]);
+    assert!(origins.news(at(1_000)).is_empty());
 }
 
 #[test]
