--- a/tests/stream_versions.rs
+++ b/tests/stream_versions.rs
@@ -19,7 +19,7 @@
 use hyper::Method;
 use serde_json::json;
 use tokio::time::{sleep, timeout};
-use versioned_upstream::{EVENTS, FIRST_EVENTS, VersionedUpstream};
+use versioned_upstream::{EVENTS, FIRST_EVENTS, StreamPolicy, VersionedUpstream};
 
 /// Number of streams that are taken up in a test.
 const STREAMS: usize = 12;
@@ -75,15 +75,15 @@
             upstreams: Vec::new(),
         };
         for version in versions {
-            world.join(version, LONG, true).await;
+            world.join(version, LONG, StreamPolicy::Serve).await;
         }
         world
     }
 
     /// Starts and announces an upstream that has run for the given time.
-    async fn join(&mut self, version: &'static str, age: Duration, continues: bool) {
+    async fn join(&mut self, version: &'static str, age: Duration, policy: StreamPolicy) {
         let id = format!("i-{}", self.upstreams.len());
-        let upstream = VersionedUpstream::start(version, continues).await;
+        let upstream = VersionedUpstream::start(version, policy).await;
         self.announce(&id, upstream.address, version, age).await;
         self.upstreams.push((id, upstream));
     }
@@ -241,8 +241,12 @@
 
 /// Takes a stream up after its first events.
 async fn take_up(callers: SocketAddr, stream: &BegunStream) -> TakeUp {
+    take_up_at(callers, "/resumable/pause", stream).await
+}
+
+async fn take_up_at(callers: SocketAddr, path: &str, stream: &BegunStream) -> TakeUp {
     let headers = [("last-event-id", "2"), ("resumes", stream.id.as_str())];
-    let response = open(callers, "/resumable/pause", &new_id(), &headers).await;
+    let response = open(callers, path, &new_id(), &headers).await;
     let mut response = match response {
         Ok(response) => response,
         Err(error) => return TakeUp::Failed(error.to_string()),
@@ -273,14 +277,15 @@
     take_up(callers, stream).await
 }
 
-/// Takes all streams up once at a gateway, asserts that none holds events of two versions and none failed,
+/// Takes all streams up once at a gateway, at the same time, asserts that none holds events of two versions and none failed,
 /// and returns the number of those that went on.
 async fn count_taken_up(gateway: &Gateway, streams: &[BegunStream]) -> usize {
-    let mut outcomes = Vec::new();
-    for stream in streams {
-        let outcome = take_up(gateway.process.port("callers"), stream).await;
-        outcomes.push((stream.version.clone(), outcome));
-    }
+    let callers = gateway.process.port("callers");
+    let take_ups = streams.iter().map(|stream| async move {
+        let outcome = take_up(callers, stream).await;
+        (stream.version.clone(), outcome)
+    });
+    let outcomes = futures::future::join_all(take_ups).await;
     count_complete(&outcomes)
 }
 
@@ -337,10 +342,10 @@
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn a_broken_stream_ends_incomplete_if_no_other_upstream_has_its_version() {
     let mut world = VersionWorld::start(&[]).await;
-    world.join("v1", LONG, false).await;
+    world.join("v1", LONG, StreamPolicy::ContinueNone).await;
     let gateway = world.gateway("g", &[]).await;
-    world.join("v2", Duration::ZERO, true).await;
-    world.join("v2", Duration::ZERO, true).await;
+    world.join("v2", Duration::ZERO, StreamPolicy::Serve).await;
+    world.join("v2", Duration::ZERO, StreamPolicy::Serve).await;
     begin_at_versions(&gateway, &["v1", "v2"], 1).await;
     let responses = respond_broken(&gateway).await;
     let begun =
@@ -389,7 +394,7 @@
     let first = world.gateway("g", &[]).await;
     let second = world.gateway("gg", &[&first]).await;
     for _ in 0..4 {
-        world.join("v2", Duration::ZERO, true).await;
+        world.join("v2", Duration::ZERO, StreamPolicy::Serve).await;
     }
     for _ in 0..STREAMS {
         let stream = begin_at_versions(&first, &["v2"], 1).await;
@@ -462,7 +467,7 @@
     let mut second = world.gateway("gg", &[&first]).await;
     let streams = begin_at_versions(&first, &["v1"], STREAMS).await;
     for _ in 0..2 {
-        world.join("v2", Duration::ZERO, true).await;
+        world.join("v2", Duration::ZERO, StreamPolicy::Serve).await;
     }
     begin_at_versions(&second, &["v2"], 1).await;
     world.remove(2).await;
@@ -488,7 +493,7 @@
     let world = VersionWorld::start(&["v1", "v1"]).await;
     let gateway = world.gateway("g", &[]).await;
     let streams = begin_at_versions(&gateway, &["v1"], STREAMS).await;
-    let next = VersionedUpstream::start("v2", true).await;
+    let next = VersionedUpstream::start("v2", StreamPolicy::Serve).await;
     world
         .announce("i-0", next.address, "v2", Duration::ZERO)
         .await;
@@ -504,7 +509,7 @@
     begin_at_versions(&second, &["v1"], 2).await;
     second.process.freeze();
     for _ in 0..4 {
-        world.join("v2", Duration::ZERO, true).await;
+        world.join("v2", Duration::ZERO, StreamPolicy::Serve).await;
     }
     let streams = begin_at_versions(&first, &["v2"], STREAMS).await;
     let callers = second.process.port("callers");
@@ -544,7 +549,7 @@
         link.cut();
     }
     for _ in 0..4 {
-        world.join("v2", Duration::ZERO, true).await;
+        world.join("v2", Duration::ZERO, StreamPolicy::Serve).await;
     }
     let streams = begin_at_versions(&other, &["v2"], STREAMS).await;
     count_taken_up(&cut_off, &streams).await;
@@ -564,6 +569,55 @@
     assert_not_joined_when_cut_off(false).await;
 }
 
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_stream_that_breaks_again_after_it_was_taken_up_keeps_its_version() {
+    let world = VersionWorld::start(&["v1", "v1", "v2", "v2"]).await;
+    let first = world.gateway("g", &[]).await;
+    let second = world.gateway("gg", &[&first]).await;
+    let streams = begin_at_versions(&first, &["v1", "v2"], STREAMS / 2).await;
+    sleep(Duration::from_secs(1)).await;
+    let callers = second.process.port("callers");
+    let take_ups = streams.iter().map(|stream| async move {
+        let outcome = take_up_at(callers, "/resumable/again", stream).await;
+        (stream.version.clone(), outcome)
+    });
+    let outcomes = futures::future::join_all(take_ups).await;
+    let complete = count_complete(&outcomes);
+    assert!(complete * 2 >= STREAMS, "{complete} of {STREAMS}");
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_stream_is_of_the_version_of_its_events_and_not_of_an_upstream_that_sent_none() {
+    for policy in [StreamPolicy::BeginNone, StreamPolicy::AnswerNone] {
+        let mut world = VersionWorld::start(&["v2", "v2"]).await;
+        world.join("v1", LONG, policy).await;
+        let first = world.gateway("g", &[]).await;
+        let second = world.gateway("gg", &[&first]).await;
+        let begun = (0..STREAMS).map(|_| begin_paused(&first));
+        let begun = futures::future::join_all(begun).await;
+        let streams: Vec<_> = begun.into_iter().map(|(stream, _)| stream).collect();
+        sleep(Duration::from_secs(1)).await;
+        for gateway in [&first, &second] {
+            let complete = count_taken_up(gateway, &streams).await;
+            assert!(complete * 2 >= STREAMS, "{complete} of {STREAMS}");
+        }
+    }
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_stream_that_no_instance_knows_is_refused_while_two_versions_serve() {
+    let world = VersionWorld::start(&["v1", "v1", "v2", "v2"]).await;
+    let first = world.gateway("g", &[]).await;
+    let second = world.gateway("gg", &[&first]).await;
+    let streams: Vec<_> = (0..STREAMS)
+        .map(|_| BegunStream {
+            id: new_id(),
+            version: "unknown".to_owned(),
+        })
+        .collect();
+    assert_all_refused(&second, &streams).await;
+}
+
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn streams_of_the_only_version_go_on_at_all_instances_in_touch() {
     let world = VersionWorld::start(&["v1", "v1", "v1"]).await;
