Test streams taken up at instances that are cut off together

Two instances that lose the store and the others, but hear each other, may take the store to be down for all: neither reaches it. Then an old list of upstreams counts as current, and a version that joined elsewhere is missing from it. Streams are also taken up for 15 s at an instance that is cut off, so that it forgets its peers.

--- a/tests/stream_versions.rs
+++ b/tests/stream_versions.rs
@@ -551,6 +551,9 @@
     count_taken_up(&second, &streams).await;
 }
 
+/// Number of take-ups of a test at an instance that is cut off, a second apart.
+const CUT_TAKE_UPS: usize = 15;
+
 /// Asserts that streams of a new version are not joined at an instance that has lost its only peer, and the
 /// store too if `has_store` is not set, before that version joined.
 async fn assert_not_joined_when_cut_off(has_store: bool) {
@@ -564,15 +567,45 @@
     if !has_store {
         link.cut();
     }
+    join_and_take_up(&mut world, &other, &cut_off, &link).await;
+}
+
+/// Lets a new version join, and takes its streams up at an instance during a cut of its link and after it.
+async fn join_and_take_up(
+    world: &mut VersionWorld,
+    other: &Gateway,
+    cut_off: &Gateway,
+    link: &CutLink,
+) {
     for _ in 0..4 {
         world.join("v2", Duration::ZERO, StreamPolicy::Serve).await;
     }
-    let streams = begin_at_versions(&other, &["v2"], STREAMS).await;
-    count_taken_up(&cut_off, &streams).await;
+    let streams = begin_at_versions(other, &["v2"], STREAMS).await;
+    for _ in 0..CUT_TAKE_UPS {
+        count_taken_up(cut_off, &streams).await;
+        sleep(Duration::from_secs(1)).await;
+    }
     link.restore();
-    count_taken_up(&cut_off, &streams).await;
+    count_taken_up(cut_off, &streams).await;
     sleep(Duration::from_secs(2)).await;
-    count_taken_up(&cut_off, &streams).await;
+    count_taken_up(cut_off, &streams).await;
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_stream_taken_up_at_instances_that_are_cut_off_together_is_not_joined() {
+    let mut world = VersionWorld::start(&["v1", "v1"]).await;
+    let link = CutLink::start(world.store.store()).await;
+    let mut peer = world.gateway("g", &[]).await;
+    let cut_off = world.gateway_over(link.address, "gg", &[&peer]).await;
+    let second = world
+        .gateway_over(link.address, "ggg", &[&peer, &cut_off])
+        .await;
+    begin_at_versions(&cut_off, &["v1"], 2).await;
+    let other = world.gateway("gggg", &[]).await;
+    peer.process.kill();
+    link.cut();
+    join_and_take_up(&mut world, &other, &cut_off, &link).await;
+    drop(second);
 }
 
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
