--- a/tests/view_model.rs
+++ b/tests/view_model.rs
@@ -50,6 +50,7 @@
     Drain(usize),
     Crash(usize),
     Restart(usize),
+    Join,
     /// The store is copied.
     Copy(usize),
     /// The store comes back from a copy.
@@ -123,6 +124,8 @@
     /// Time at which the operators write again, in milliseconds.
     rewrite_ms: Option<u64>,
     known: Vec<KnownState>,
+    /// Whether the store has been up since the last drill.
+    was_up: bool,
 }
 
 fn draw_schedule(dice: &mut Dice, instances: usize, upstreams: usize) -> Vec<(u64, Event)> {
@@ -217,11 +220,12 @@
         }
         for _ in 0..dice.below(8) {
             let upstream = dice.index(upstreams);
-            let event = match dice.below(5) {
+            let event = match dice.below(6) {
                 0 => Event::Configure,
                 1 => Event::NameVersion,
                 2 => Event::Drain(upstream),
                 3 => Event::Crash(upstream),
+                4 => Event::Join,
                 _ => Event::Restart(upstream),
             };
             let offset = dice.below((age + 4_000) / STEP_MS) * STEP_MS;
@@ -245,6 +249,7 @@
             copies: HashMap::new(),
             rewrite_ms: None,
             known: instances.map(|_| KnownState::default()).collect(),
+            was_up: true,
         });
         history
     }
@@ -376,9 +381,10 @@
             }
             Event::Crash(index) => self.world.platform.upstreams[index].is_alive = false,
             Event::Restart(index) => self.world.platform.upstreams[index].restart(now_ms),
+            Event::Join => self.world.platform.join(now_ms),
             Event::Copy(copy) => {
                 let drills = self.drills.as_mut().expect("a history with drills");
-                drills.copies.insert(copy, self.world.platform.copy());
+                drills.copies.insert(copy, self.world.platform.copy(now_ms));
             }
             Event::Drill { copy, ends_outage } => {
                 self.restore(copy);
@@ -408,7 +414,11 @@
     /// Lets the store come back from a copy.
     fn restore(&mut self, copy: usize) {
         let now_ms = self.world.now_ms;
-        for promise in &mut self.promises {
+        let drills = self.drills.as_mut().expect("a history with drills");
+        let copy = drills.copies[&copy].clone();
+        // An upstream writes one step after its promise.
+        let is_lost = |promise: &&mut Promise| promise.acknowledged_ms + STEP_MS > copy.made_ms;
+        for promise in self.promises.iter_mut().filter(is_lost) {
             let kind = promise.kind;
             let instances = 0..self.world.len();
             let instances = promise.known_by.take().unwrap_or(instances.collect());
@@ -417,8 +427,7 @@
             });
             promise.known_by = Some(known.collect());
         }
-        let drills = self.drills.as_mut().expect("a history with drills");
-        let copy = drills.copies[&copy].clone();
+        drills.was_up = true;
         let dice = &mut drills.dice;
         let mut lag_ms = || (2 + dice.below(17)) * STEP_MS;
         drills.rewrite_ms = Some(now_ms + lag_ms());
@@ -455,13 +464,15 @@
         let Some(drills) = &mut self.drills else {
             return Ok(());
         };
+        drills.was_up &= !self.world.platform.is_down;
         for (index, known) in drills.known.iter_mut().enumerate() {
             known.follow_start(self.world.started_ms(index));
             if !self.world.is_alive(index) {
                 continue;
             }
             let view = self.world.view(index);
-            if let Err(undone) = known.update(&view, &self.world.platform.upstreams) {
+            if let Err(undone) = known.update(&view, &self.world.platform.upstreams, drills.was_up)
+            {
                 return Err(self.broken(index, &undone, &view));
             }
         }
--- a/tests/view_world/known.rs
+++ b/tests/view_world/known.rs
@@ -38,7 +38,14 @@
     }
 
     /// Compares what an instance knows with what it has known before; returns what was undone.
-    pub fn update(&mut self, view: &InstanceView, upstreams: &[Upstream]) -> Result<(), String> {
+    ///
+    /// `can_write` says that upstreams were able to write since the last drill.
+    pub fn update(
+        &mut self,
+        view: &InstanceView,
+        upstreams: &[Upstream],
+        can_write: bool,
+    ) -> Result<(), String> {
         let versions = [
             ("configuration", &mut self.configuration, view.configuration),
             ("target version", &mut self.target, view.target),
@@ -56,17 +63,25 @@
         }
         for upstream in upstreams {
             let run = self.runs.entry(upstream.id.clone()).or_default();
-            run.update(view, upstream)?;
+            run.update(view, upstream, can_write)?;
         }
         Ok(())
     }
 }
 
 impl KnownRun {
-    fn update(&mut self, view: &InstanceView, upstream: &Upstream) -> Result<(), String> {
+    fn update(
+        &mut self,
+        view: &InstanceView,
+        upstream: &Upstream,
+        can_write: bool,
+    ) -> Result<(), String> {
         let listed = view.upstreams.iter().find(|(id, ..)| *id == upstream.id);
         let Some((id, born, is_open)) = listed else {
             if self.is_open && self.born == upstream.born {
+                if can_write && upstream.is_alive && upstream.first_end_ms.is_none() {
+                    return Err(format!("{} is dropped, which goes on", upstream.id));
+                }
                 self.ended_ms = upstream.ended_ms;
             }
             self.is_open = false;
--- a/tests/view_world/store.rs
+++ b/tests/view_world/store.rs
@@ -1,6 +1,6 @@
 //! Store of the platform and the upstreams that write their entries to it, in virtual time.
 
-use std::collections::HashMap;
+use std::collections::BTreeMap;
 
 use bulrushslip::decide::ids::{LogOffset, LogPosition, StoreEra};
 use bulrushslip::decide::keyed_view::KeyedRecord;
@@ -49,7 +49,7 @@
 
     /// Returns the newest record of each key that is not deleted.
     pub fn newest(&self) -> Vec<KeyedRecord> {
-        let mut newest: HashMap<&str, usize> = HashMap::new();
+        let mut newest: BTreeMap<&str, usize> = BTreeMap::new();
         for (index, (key, _)) in self.records.iter().enumerate() {
             newest.insert(key, index);
         }
@@ -82,6 +82,8 @@
 /// Copy of the store from which it can come back.
 #[derive(Debug, Clone, Default)]
 pub struct StoreCopy {
+    /// Time of the copy, in milliseconds.
+    pub made_ms: u64,
     operator: Topic,
     upstream: Topic,
 }
@@ -101,6 +103,8 @@
     /// Time since which the store has been told that the run drains or is gone, in milliseconds, whether
     /// or not it still knows.
     pub ended_ms: Option<u64>,
+    /// Time at which the store was first told so of the run, in milliseconds.
+    pub first_end_ms: Option<u64>,
     accepted_ms: u64,
     /// Time of the next write, in milliseconds.
     pub due_ms: u64,
@@ -118,6 +122,7 @@
             is_listed: false,
             changed_ms: 0,
             ended_ms: None,
+            first_end_ms: None,
             accepted_ms: 0,
             due_ms: index as u64 * 150 % HEARTBEAT_MS,
             beats: 0,
@@ -129,6 +134,7 @@
         self.born += 1;
         self.beats = 0;
         self.ended_ms = None;
+        self.first_end_ms = None;
         self.is_alive = true;
         self.is_draining = false;
         self.due_ms = now_ms + 100;
@@ -140,6 +146,12 @@
         self.due_ms = now_ms;
     }
 
+    /// Notes that the store is told that the run drains or is gone.
+    fn end(&mut self, now_ms: u64) {
+        self.ended_ms.get_or_insert(now_ms);
+        self.first_end_ms.get_or_insert(now_ms);
+    }
+
     fn entry(&self) -> String {
         let state = if self.is_draining {
             "draining"
@@ -198,9 +210,17 @@
         self.operator.append("version/m", Some(target));
     }
 
+    /// Starts one more upstream, which writes its entry at once.
+    pub fn join(&mut self, now_ms: u64) {
+        let mut upstream = Upstream::new(self.upstreams.len());
+        upstream.due_ms = now_ms;
+        self.upstreams.push(upstream);
+    }
+
     /// Copies all topics.
-    pub fn copy(&self) -> StoreCopy {
+    pub fn copy(&self, made_ms: u64) -> StoreCopy {
         StoreCopy {
+            made_ms,
             operator: self.operator.clone(),
             upstream: self.upstream.clone(),
         }
@@ -236,7 +256,7 @@
                 self.upstream.append(&upstream.id, None);
                 upstream.is_listed = false;
                 upstream.changed_ms = now_ms;
-                upstream.ended_ms.get_or_insert(now_ms);
+                upstream.end(now_ms);
             }
             if !upstream.is_alive || upstream.due_ms > now_ms {
                 continue;
@@ -256,7 +276,7 @@
             }
             upstream.is_listed = true;
             if upstream.is_draining {
-                upstream.ended_ms.get_or_insert(now_ms);
+                upstream.end(now_ms);
             } else {
                 upstream.ended_ms = None;
             }
