Lose many records in the last drill of the soak

With drills, once versions are settled and nothing else is disturbed, the store now loses eight configurations and as many entries of each upstream; then a configuration is written and an upstream leaves. Entries state their sequence as the platform's do.

No leave was late: the upstreams of the soak say that they leave in their answers too.

--- a/tests/soak_world/entry.rs
+++ b/tests/soak_world/entry.rs
@@ -55,11 +55,19 @@
     }
 }
 
+/// Client of the store, and the count of the writes of one life.
+#[derive(Debug)]
+struct CountedStore {
+    client: StoreClient,
+    life: u64,
+    sequence: u64,
+}
+
 /// Writes an upstream's entry in the store; one writer at a time, each with the newest state.
 #[derive(Debug)]
 pub struct EntryWriter {
     name: String,
-    store: tokio::sync::Mutex<StoreClient>,
+    store: tokio::sync::Mutex<CountedStore>,
     /// State of the upstream.
     pub state: watch::Sender<UpstreamState>,
 }
@@ -69,7 +77,11 @@
     pub fn new(name: &str, store: SocketAddr, state: UpstreamState) -> Self {
         Self {
             name: name.to_owned(),
-            store: tokio::sync::Mutex::new(StoreClient::new(store)),
+            store: tokio::sync::Mutex::new(CountedStore {
+                client: StoreClient::new(store),
+                life: 0,
+                sequence: 0,
+            }),
             state: watch::channel(state).0,
         }
     }
@@ -84,12 +96,17 @@
             } else {
                 "ready"
             };
+            if store.life != state.life {
+                store.life = state.life;
+                store.sequence = 0;
+            }
+            store.sequence += 1;
             let entry = json!({"service": "s", "address": state.address, "zone": "near",
                 "slots": 16, "state": word, "born": state.life,
-                "models": [{"name": MODEL, "version": state.version}]});
+                "sequence": store.sequence, "models": [{"name": MODEL, "version": state.version}]});
             let record = encode_keyed(&self.name, entry.to_string().as_bytes());
             let record = record.expect("a short key");
-            if store.append(UPSTREAM_TOPIC, &record).await.is_ok() {
+            if store.client.append(UPSTREAM_TOPIC, &record).await.is_ok() {
                 return;
             }
             tokio::time::sleep(std::time::Duration::from_millis(50)).await;
--- a/tests/soak_world/mod.rs
+++ b/tests/soak_world/mod.rs
@@ -166,6 +166,7 @@
     soak.recover().await;
     soak.renew_weights().await;
     soak.await_weights().await;
+    soak.lose_records().await;
     stop.send_replace(true);
     callers.join_all().await;
     soak.configure_and_check().await;
