Test lost drains and removals at gateways that know an old heartbeat

Gateways that do not read the store get no heartbeats from the others, as those change nothing, so that they know a lower sequence of an upstream than the copy has. To them an entry that a drill brings back looks like a heartbeat after the drain or the removal. The two tests now have four gateways and write five more heartbeats before the copy.

On the code as it is both fail as before: no gateway uses the next run or the next heartbeat in 2 s.

--- a/tests/restored_views.rs
+++ b/tests/restored_views.rs
@@ -38,6 +38,9 @@
 /// Heartbeats that are lost in a drill, more than what is written after it.
 const LOST_BEATS: usize = 20;
 
+/// Heartbeats of an upstream that gateways know.
+const LATER_BEATS: usize = 5;
+
 /// Version of the last configuration that is lost.
 const LOST_VERSION: u64 = 4;
 
@@ -392,10 +395,14 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn an_upstream_whose_drain_a_drill_has_lost_gets_requests_from_its_next_run_on() {
     let (mut world, mut leaving) = DrillWorld::start_with_upstream().await;
-    world.run_gateways(3).await;
+    world.run_gateways(4).await;
     let mut steady = ListedUpstream::start("i-1").await;
     steady.beat(&world).await;
     world.assert_open(2, Instant::now()).await;
+    // Gateways that do not read the store learn of no further heartbeat.
+    for _ in 0..LATER_BEATS {
+        leaving.beat(&world).await;
+    }
     world.control("copy").await;
     for _ in 0..LOST_BEATS {
         steady.beat(&world).await;
@@ -423,10 +430,14 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn an_upstream_whose_removal_a_drill_has_lost_gets_requests_from_its_next_heartbeat_on() {
     let (mut world, mut leaving) = DrillWorld::start_with_upstream().await;
-    world.run_gateways(3).await;
+    world.run_gateways(4).await;
     let mut steady = ListedUpstream::start("i-1").await;
     steady.beat(&world).await;
     world.assert_open(2, Instant::now()).await;
+    // Gateways that do not read the store learn of no further heartbeat.
+    for _ in 0..LATER_BEATS {
+        leaving.beat(&world).await;
+    }
     world.control("copy").await;
     for _ in 0..LOST_BEATS {
         steady.beat(&world).await;
