Let a removal after a drill wait for confirmations of the store, not for reads of one's own

The store counts as away now when its last confirmation, own or of another, is 1.5 s old, and the time to write again begins anew with the first confirmation after that.

The control test of restored_dispatch expected a removal 3 s after the last confirmation of any kind; nobody can know then whether the upstream could write. It confirms every 0.6 s now, as the store does, and expects the same.

--- a/src/gateway/dispatch/records.rs
+++ b/src/gateway/dispatch/records.rs
@@ -311,7 +311,6 @@
         if failed >= MIN_OUTAGE {
             health.recovered_at = Some(now);
         }
-        self.renew_lost_removals(now);
         let failed_ms = failed.as_millis();
         log_event(
             &STORE_REGAINED,
@@ -322,6 +321,9 @@
     /// Records that the store had no records of a topic at `confirmed_at` that are not applied
     /// here.
     pub(super) fn record_confirmation(&mut self, topic: WireTopic, confirmed_at: Moment) {
+        if topic == WireTopic::Upstream {
+            self.renew_after_silence(confirmed_at);
+        }
         let health = self.health_mut(topic);
         health.confirmed_at = health.confirmed_at.max(confirmed_at);
     }
--- a/src/gateway/dispatch/removals.rs
+++ b/src/gateway/dispatch/removals.rs
@@ -11,6 +11,12 @@
 /// expired during the outage may be written again.
 const REMOVAL_DELAY: Duration = Duration::from_millis(2_100);
 
+/// Age of the last confirmation from which the store counts as away.
+const MAX_SILENCE: Duration = Duration::from_millis(1_500);
+
+/// Time after which a removal is looked at again that was due while the store was away.
+const RETRY_DELAY: Duration = Duration::from_millis(200);
+
 impl DispatchState {
     /// Removes an upstream whose entry was removed: at once, or deferred if the entry may merely
     /// have expired during an outage.
@@ -44,6 +50,15 @@
         });
     }
 
+    /// Gives upstreams that the store has lost the whole time once more if it was away before this
+    /// confirmation.
+    pub(super) fn renew_after_silence(&mut self, confirmed_at: Moment) {
+        let known = self.upstream_health.confirmed_at;
+        if known.after(MAX_SILENCE).is_due(confirmed_at) {
+            self.renew_lost_removals(confirmed_at);
+        }
+    }
+
     /// Gives upstreams that the store has lost the whole time once more, as they could not write before.
     pub(super) fn renew_lost_removals(&mut self, now: Moment) {
         let lost = self.removals.iter_mut().filter(|removal| removal.is_lost);
@@ -80,12 +95,20 @@
     /// Removes upstreams whose entries were not written again in time.
     pub(super) fn apply_due_removals(&mut self, now: Moment) {
         // Upstreams that the store has lost cannot write again while it is away.
-        let is_failing = self.upstream_health.failing_since.is_some();
+        let is_away = self
+            .upstream_health
+            .confirmed_at
+            .after(MAX_SILENCE)
+            .is_due(now);
         let due: Vec<DeferredRemoval> = self
             .removals
             .extract_if(.., |removal| {
-                let is_held_up = removal.is_lost && is_failing;
-                removal.due.is_due(now) && !is_held_up
+                let is_due = removal.due.is_due(now);
+                if is_due && removal.is_lost && is_away {
+                    removal.due = now.after(RETRY_DELAY);
+                    return false;
+                }
+                is_due
             })
             .collect();
         for removal in due {
@@ -95,12 +118,7 @@
 
     /// Returns the time of the next deferred removal.
     pub(super) fn next_removal(&self) -> Moment {
-        let is_failing = self.upstream_health.failing_since.is_some();
-        let open = self
-            .removals
-            .iter()
-            .filter(|removal| !(removal.is_lost && is_failing));
-        let due = open.map(|removal| removal.due);
+        let due = self.removals.iter().map(|removal| removal.due);
         due.min().unwrap_or(Moment::NEVER)
     }
 }
--- a/tests/restored_dispatch.rs
+++ b/tests/restored_dispatch.rs
@@ -159,6 +159,11 @@
         at(10_000),
     );
     driver.send(at(10_000), DispatchMail::Snapshot(listing));
+    // The store goes on answering.
+    for ms in [10_600, 11_200, 11_800] {
+        let confirmation = read(Vec::new(), in_era(1, 50), at(ms));
+        driver.send(at(ms), DispatchMail::Records(confirmation));
+    }
     assert!(knows(&mut driver, at(10_000 + RETURN_TIME), "i-b"));
     assert!(!knows(&mut driver, at(13_000), "i-b"));
 }
