Transfer all deletions that share a position, and keep nothing of a page that does not fit

Deletions that follow from one listing all get its last position. A page with two of them was refused, and the records before them in the page were dropped although the transfer had moved on beyond them; at the end of a page the rest was left out. The next source completed the transfer without them, and the records stayed missing until they changed. This needs no drill: a listing that misses two upstreams, and an instance that is behind, are enough.

Deletions of one position now go with one page and are taken in any number; a page that does not fit leaves the transfer where it was. Both tests of record_transfer failed before.

--- a/src/decide/record_transfer.rs
+++ b/src/decide/record_transfer.rs
@@ -71,18 +71,19 @@
     }
     let mut records = view.since(cursor.from);
     records.retain(|record| record.position >= cursor.at);
-    records.sort_unstable_by_key(|record| record.position);
+    // Deletions that follow from one listing share a position, also with a record.
+    records.sort_unstable_by_key(|record| (record.position, record.value.is_some()));
     let mut pieces = Vec::new();
     let mut room = PAGE_BYTES;
     let mut is_last = true;
     for record in records {
-        if room == 0 {
+        if !is_last || room == 0 && record.value.is_some() {
             is_last = false;
             break;
         }
         let value = record.value.as_ref();
         let size = value.map_or(0, Bytes::len);
-        let is_resumed = record.position == cursor.at;
+        let is_resumed = record.position == cursor.at && value.is_some();
         let held = usize::try_from(cursor.held).unwrap_or(usize::MAX);
         let start = if is_resumed { held.min(size) } else { 0 };
         let end = size.min(start.saturating_add(room));
@@ -150,14 +151,18 @@
         }
     }
 
-    /// Applies a page.
+    /// Applies a page; one that does not continue the transfer takes back what it has brought.
     pub fn apply(&mut self, page: RecordPage) -> TransferStep {
+        let begun_at = self.at;
         let mut records = Vec::new();
         for piece in page.pieces {
             match self.apply_piece(piece) {
                 PieceStep::Complete(record) => records.push(record),
                 PieceStep::Partial => {}
-                PieceStep::Mismatch => return TransferStep::Mismatch,
+                PieceStep::Mismatch => {
+                    self.at = begun_at;
+                    return TransferStep::Mismatch;
+                }
             }
         }
         self.as_of = self.as_of.max(page.next);
@@ -172,11 +177,13 @@
     }
 
     fn apply_piece(&mut self, piece: RecordPiece) -> PieceStep {
+        let Some(size) = piece.value_bytes else {
+            return self.apply_deletion(piece);
+        };
         // The record that was partly here may have been replaced by a newer one.
         if piece.position != self.at {
             self.partial.clear();
         }
-        let size = piece.value_bytes.unwrap_or(0);
         let held = self.partial.len() as u64;
         let is_next = piece.position >= self.at && piece.start == held;
         let end = held.saturating_add(piece.part.len() as u64);
@@ -193,7 +200,24 @@
         self.at = piece.position.following();
         PieceStep::Complete(KeyedRecord {
             key: piece.key,
-            value: piece.value_bytes.map(|_size| Bytes::from(value)),
+            value: Some(Bytes::from(value)),
+            position: piece.position,
+        })
+    }
+
+    /// Applies a deletion, after which further records may come at the same position.
+    fn apply_deletion(&mut self, piece: RecordPiece) -> PieceStep {
+        if piece.position < self.at || !piece.part.is_empty() {
+            self.partial.clear();
+            return PieceStep::Mismatch;
+        }
+        if piece.position > self.at {
+            self.partial.clear();
+        }
+        self.at = piece.position;
+        PieceStep::Complete(KeyedRecord {
+            key: piece.key,
+            value: None,
             position: piece.position,
         })
     }
--- a/tests/record_transfer.rs
+++ b/tests/record_transfer.rs
@@ -248,3 +248,59 @@
         RecordPage::try_from(wire).unwrap_err();
     }
 }
+
+/// Deletions that follow from one listing share a position.
+#[test]
+fn a_transfer_brings_all_deletions_that_share_a_position() {
+    let mut source = KeyedView::default();
+    let mut reader = KeyedView::default();
+    for view in [&mut source, &mut reader] {
+        for offset in 0..5 {
+            let key = format!("k{offset}");
+            view.apply(&record(&key, offset, Some(vec![1])));
+        }
+        view.advance(position(5));
+    }
+    source.apply(&record("large", 8, Some(vec![2; PAGE_BYTES])));
+    let listed = [record("large", 8, Some(vec![2; PAGE_BYTES]))];
+    for deletion in source.deletions_for_missing_keys(&listed, position(9)) {
+        source.apply_newest(&deletion);
+    }
+    source.apply(&record("k9", 9, Some(vec![3; PAGE_BYTES])));
+    source.advance(position(10));
+    let mut transfer = RecordTransfer::new(reader.next);
+    for _ in 0..MAX_PAGES {
+        let page = page_at(&source, transfer.cursor()).expect("a page");
+        match transfer.apply(page) {
+            TransferStep::Continue(records) => {
+                for record in &records {
+                    reader.apply_newest(record);
+                }
+            }
+            TransferStep::Complete(records, next) => {
+                for record in &records {
+                    reader.apply_newest(record);
+                }
+                reader.advance(next);
+                break;
+            }
+            TransferStep::Mismatch => panic!("a mismatch at {:?}", transfer.cursor()),
+        }
+    }
+    assert_eq!(reader.digest(), source.digest());
+    assert_eq!(reader.digest().keys, 2);
+}
+
+#[test]
+fn a_page_that_does_not_continue_a_transfer_takes_nothing_from_it() {
+    let mut source = KeyedView::default();
+    source.apply(&record("a", 0, Some(vec![1])));
+    source.apply(&record("b", 1, Some(vec![2])));
+    source.advance(position(2));
+    let mut transfer = RecordTransfer::new(position(0));
+    let begun = transfer.cursor();
+    let mut page = page_at(&source, begun).expect("a page");
+    page.pieces[1].start = 7;
+    assert_eq!(transfer.apply(page), TransferStep::Mismatch);
+    assert_eq!(transfer.cursor(), begun);
+}
