Give each probe of a configuration in the soak an identifier of its own

The soak asks whether a configuration is in force three times since, and the later probe took the place of the first in the account, so that an earlier arrival counted as sent later. The identifier has the version now; the checks are as they were.

--- a/tests/soak_world/mod.rs
+++ b/tests/soak_world/mod.rs
@@ -542,7 +542,8 @@
         let path = format!("/v{}/", self.version);
         for (index, gateway) in self.gateways.iter().enumerate() {
             loop {
-                let id = format!("n{index}-{}", confirmed.elapsed().as_millis());
+                let elapsed_ms = confirmed.elapsed().as_millis();
+                let id = format!("n{}-{index}-{elapsed_ms}", self.version);
                 let request = request(Method::POST, gateway.callers, &path)
                     .header("x-request-id", &id)
                     .header("x-api-key", "key")
