Let streams that their callers have left end before a test of software versions goes on

The streams with which the test finds out that both versions serve had been dropped right before; until the gateway notices, that upstream has a running stream and the two of v2 are idle, and each of the 12 ends before the next is placed.

--- a/tests/stream_versions.rs
+++ b/tests/stream_versions.rs
@@ -363,6 +363,8 @@
     world.join("v2", Duration::ZERO, StreamPolicy::Serve).await;
     world.join("v2", Duration::ZERO, StreamPolicy::Serve).await;
     begin_at_versions(&gateway, &["v1", "v2"], 1).await;
+    // The gateway has ended the streams that their callers have left.
+    sleep(Duration::from_millis(500)).await;
     let responses = respond_broken(&gateway).await;
     let begun =
         |(versions, _): &&(Vec<String>, bool)| versions.first().is_some_and(|first| first == "v1");
