--- a/src/decide/software.rs
+++ b/src/decide/software.rs
@@ -12,12 +12,12 @@
 /// Software versions on which a request may be placed.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub enum SoftwareChoice {
-    /// All of them.
+    /// Any listed version.
     #[default]
     Any,
-    /// Those that all instances have had time to learn of, if there are upstreams of one.
+    /// Versions that all instances have had time to list, if there are upstreams of one.
     Settled,
-    /// One of them: a stream that it has begun is resumed.
+    /// The version that began the stream which is resumed.
     Only(SoftwareVersion),
 }
 
--- a/src/decide/stream_origins.rs
+++ b/src/decide/stream_origins.rs
@@ -21,7 +21,7 @@
 /// Time since its last listing for which a version counts as present.
 const PRESENT_TIME: Duration = Duration::from_secs(1);
 
-/// Time for which instances that are in touch are told of a stream.
+/// Time for which a stream is sent to reachable instances.
 const NEWS_TIME: Duration = Duration::from_secs(1);
 
 /// Maximum number of streams in one message to another instance, times the number of instances; larger
@@ -76,9 +76,9 @@
 /// What is known of the version at which a stream began.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum StreamOrigin {
-    /// It began at this version.
+    /// The stream began at this version.
     Known(SoftwareVersion),
-    /// It may have begun at any of several.
+    /// The stream may have begun at any of several versions.
     Unknown,
 }
 
@@ -171,7 +171,7 @@
         for published in &record.listed {
             let last_listed = now.before(published.last_ago);
             let version = self.listed_version(last_listed, published.service, published.software);
-            // A record may be as old as the store keeps it, so only present versions are news.
+            // A record may be as old as the store keeps it, so only present versions count.
             if published.last_ago < PRESENT_TIME {
                 version.last_listed = now;
             }
--- a/src/gateway/dispatch/origins.rs
+++ b/src/gateway/dispatch/origins.rs
@@ -159,7 +159,7 @@
         news.map(WireStreamOrigin::from).collect()
     }
 
-    /// Applies another instance's news of the origins of streams.
+    /// Applies the origins of streams that another instance has sent.
     pub(super) fn apply_origin_news(&mut self, now: Moment, news: Vec<WireStreamOrigin>) {
         let record = OriginRecord {
             listed: Vec::new(),
--- a/src/gateway/mail.rs
+++ b/src/gateway/mail.rs
@@ -138,7 +138,7 @@
     /// Asks for what other instances have to know of the origins of streams; versions are published again
     /// after the given time.
     BuildOriginNews(Duration, ReplyTo<OriginNews>),
-    /// Applies another instance's news of the origins of streams.
+    /// Applies the origins of streams that another instance has sent.
     OriginNews(Vec<WireStreamOrigin>),
     /// Asks for the origins of streams that instances in touch have to know.
     BuildStreamNews(ReplyTo<Vec<WireStreamOrigin>>),
--- a/src/gateway/peer_connection.rs
+++ b/src/gateway/peer_connection.rs
@@ -156,7 +156,7 @@
         let _is_accepted = self.report(report).await;
     }
 
-    /// Sends news of the origins of streams on the connection of a successful exchange.
+    /// Sends the origins of recent streams on the connection of a successful exchange.
     pub async fn report_origins(&mut self, origins: Vec<WireStreamOrigin>) {
         if origins.is_empty() {
             return;
--- a/src/wire/peer_rpc.rs
+++ b/src/wire/peer_rpc.rs
@@ -279,7 +279,7 @@
     /// `None` if it reports none. Instances of builds before this call close the connection on it.
     async fn exchange_uses(call: WireUseCall) -> Option<WireUseCall>;
 
-    /// Applies news of the origins of streams. Instances of builds before this call close the connection
+    /// Applies origins of recent streams. Instances of builds before this call close the connection
     /// on it.
     async fn report_origins(origins: Vec<WireStreamOrigin>);
 }
