--- a/review/8/run.sh
+++ b/review/8/run.sh
@@ -7,4 +7,4 @@
     echo "build the deploy file's program and run review/build-2.sh first" >&2
     exit 2
 fi
-exec target/review-2/review-2 deadly "review/8"
+exec target/review-2/review-2 isolated "review/8"
--- a/review/stand-2/case_deadly.rs
+++ b/review/stand-2/case_deadly.rs
@@ -43,12 +43,20 @@
         ("X-Deadline-Ms", "5000"),
         ("X-Api-Key", "key-sese"),
     ];
-    let message = request("POST", "/query/2f", &headers, &format!("a question on {parts}"));
+    let message = request(
+        "POST",
+        "/query/2f",
+        &headers,
+        &format!("a question on {parts}"),
+    );
     let answer = Call::send(front.callers, &message, ms(6_000)).map(|mut call| {
         let is_whole = call.body().is_some();
         (call.head.status(), is_whole)
     });
-    record.note(format!("client: {id} with {parts} at {} gets {answer:?} (status, whole)", front.name));
+    record.note(format!(
+        "client: {id} with {parts} at {} gets {answer:?} (status, whole)",
+        front.name
+    ));
     matches!(answer, Ok((200, true)))
 }
 
@@ -58,7 +66,11 @@
     let listener = listen_any();
     let store_address = listener.local_addr().unwrap();
     store.serve(listener);
-    store.put("keyed.op", "config", &configuration(3, &[("sese880", "key-sese", false)]));
+    store.put(
+        "keyed.op",
+        "config",
+        &configuration(3, &[("sese880", "key-sese", false)]),
+    );
     let zones = ["caerdydd", "abertawe", "aberystwyth", "bangor"];
     let incidents: Arc<Incidents> = Arc::default();
     for number in 0..SERVERS {
@@ -68,7 +80,14 @@
     let fronts: Vec<Front> = (0..4)
         .map(|number| {
             let name = format!("front-{}-1", zones[number]);
-            Front::start(&setting.scratch, &name, zones[number], ips[number], &ips[..3], store_address)
+            Front::start(
+                &setting.scratch,
+                &name,
+                zones[number],
+                ips[number],
+                &ips[..3],
+                store_address,
+            )
         })
         .collect();
     fronts.iter().for_each(Front::wait_ready);
@@ -85,7 +104,13 @@
                 let mut number = 0;
                 while is_over.load(Ordering::SeqCst) == 0 {
                     let own = format!("a{client}{number:04}");
-                    let is_served = review(&fronts[client % 4], "q", &own, "5c1e07a2:800,91bd3f06:410", &record);
+                    let is_served = review(
+                        &fronts[client % 4],
+                        "q",
+                        &own,
+                        "5c1e07a2:800,91bd3f06:410",
+                        &record,
+                    );
                     served.fetch_add(u64::from(is_served), Ordering::SeqCst);
                     number += 1;
                     sleep_ms(100);
@@ -101,7 +126,13 @@
                 let (fronts, record) = (Arc::clone(&fronts), record.clone());
                 thread::spawn(move || {
                     let own = format!("b{batch}{number:04}");
-                    review(&fronts[number % 4], "x", &own, "5c1e07a2:800,dead0001:410", &record)
+                    review(
+                        &fronts[number % 4],
+                        "x",
+                        &own,
+                        "5c1e07a2:800,dead0001:410",
+                        &record,
+                    )
                 })
             })
             .collect();
@@ -135,7 +166,13 @@
     finish(setting, fronts, broken)
 }
 
-pub fn start_server(setting: &Setting, store: &Store, incidents: &Arc<Incidents>, number: usize, zone: &'static str) {
+pub fn start_server(
+    setting: &Setting,
+    store: &Store,
+    incidents: &Arc<Incidents>,
+    number: usize,
+    zone: &'static str,
+) {
     let server = Arc::new(Server {
         id: Mutex::new(format!("i-e{number}a")),
         running: AtomicU64::new(0),
@@ -148,19 +185,40 @@
     let opened = Port::serve(move |request, stream| {
         let own_id = serving.id.lock().unwrap().clone();
         if request.path() == "/report" {
-            let body = "{\"stage\":\"both\",\"models\":[{\"name\":\"m\",\"version\":1,\"adapters\":[]}],\
+            let body =
+                "{\"stage\":\"both\",\"models\":[{\"name\":\"m\",\"version\":1,\"adapters\":[]}],\
                         \"busy\":false,\"sequence\":0}";
             return send(stream, &response(200, &[], body.as_bytes()));
         }
         let id = request.header("x-request-id").unwrap_or("").to_owned();
         let instance = ("X-Instance-Id", own_id.clone());
-        if request.header("x-expect-instance").is_some_and(|expected| expected != own_id) {
-            return send(stream, &response(421, &[instance, ("X-Request-Id", id)], b""));
+        if request
+            .header("x-expect-instance")
+            .is_some_and(|expected| expected != own_id)
+        {
+            return send(
+                stream,
+                &response(421, &[instance, ("X-Request-Id", id)], b""),
+            );
         }
-        let is_deadly = request.header("x-prompt-prefix").unwrap_or("").contains("dead0001");
-        record.note(format!("server {own_id} runs {id}{}", if is_deadly { " with the part dead0001" } else { "" }));
+        let is_deadly = request
+            .header("x-prompt-prefix")
+            .unwrap_or("")
+            .contains("dead0001");
+        record.note(format!(
+            "server {own_id} runs {id}{}",
+            if is_deadly {
+                " with the part dead0001"
+            } else {
+                ""
+            }
+        ));
         if is_deadly {
-            incidents.arrivals.lock().unwrap().push((Instant::now(), id.clone()));
+            incidents
+                .arrivals
+                .lock()
+                .unwrap()
+                .push((Instant::now(), id.clone()));
         } else {
             serving.running.fetch_add(1, Ordering::SeqCst);
         }
@@ -174,7 +232,8 @@
                 incidents.crashes.lock().unwrap().push(Instant::now());
                 process.crash();
                 let old = own_heart.lock().unwrap().take();
-                let (serving, record, store) = (Arc::clone(&serving), record.clone(), own_store.clone());
+                let (serving, record, store) =
+                    (Arc::clone(&serving), record.clone(), own_store.clone());
                 let own_heart = Arc::clone(&own_heart);
                 thread::spawn(move || {
                     if let Some(old) = &old {
@@ -185,7 +244,8 @@
                     *serving.id.lock().unwrap() = name.clone();
                     serving.running.store(0, Ordering::SeqCst);
                     process.restart();
-                    *own_heart.lock().unwrap() = Some(Heart::start(&store, entry(&name, process.address, zone)));
+                    *own_heart.lock().unwrap() =
+                        Some(Heart::start(&store, entry(&name, process.address, zone)));
                     record.note(format!("server {name} is back"));
                     // The old entry expires after three heartbeat intervals of silence.
                     sleep_ms(3 * HEARTBEAT_MS - DOWN_MS);
@@ -204,7 +264,11 @@
         for event in 1..=10 {
             sleep_ms(20);
             let event = format!("id: {event}\ndata: token\n\n");
-            is_sent = is_sent && send(stream, format!("{:x}\r\n{event}\r\n", event.len()).as_bytes());
+            is_sent = is_sent
+                && send(
+                    stream,
+                    format!("{:x}\r\n{event}\r\n", event.len()).as_bytes(),
+                );
         }
         if !is_deadly && process.is_up() {
             serving.running.fetch_sub(1, Ordering::SeqCst);
--- a/review/stand-2/case_hup.rs
+++ b/review/stand-2/case_hup.rs
@@ -68,7 +68,11 @@
     store.serve(listener);
     let old_address = Relay::start(origin);
     let new_address = Relay::start(origin);
-    store.put("keyed.op", "config", &configuration(3, &[("sese880", "key-sese", false)]));
+    store.put(
+        "keyed.op",
+        "config",
+        &configuration(3, &[("sese880", "key-sese", false)]),
+    );
     let engines = Engines::default();
     let zones = ["caerdydd", "abertawe", "aberystwyth", "bangor"];
     for number in 0..8 {
@@ -80,7 +84,14 @@
     let ips = front_addresses(2);
     let start = |number: usize, store: std::net::SocketAddr| {
         let name = format!("front-{}-1", zones[number]);
-        Front::start(&setting.scratch, &name, zones[number], ips[number], &ips, store)
+        Front::start(
+            &setting.scratch,
+            &name,
+            zones[number],
+            ips[number],
+            &ips,
+            store,
+        )
     };
     let mut fronts = vec![start(0, old_address.address)];
     fronts.iter().for_each(Front::wait_ready);
@@ -94,7 +105,10 @@
         ));
         sleep_ms(3_000);
         old_address.close();
-        record.note(format!("the store's old address {} is closed", old_address.address));
+        record.note(format!(
+            "the store's old address {} is closed",
+            old_address.address
+        ));
     } else {
         sleep_ms(3_000);
     }
@@ -115,7 +129,9 @@
                 let id = next_id("s");
                 let sent = Call::send(first, &stream_request(&id, &part, None), ms(15_000));
                 let is_whole = match sent {
-                    Ok(mut call) if call.head.status() == 200 => read_events(&mut call, &mut outcome),
+                    Ok(mut call) if call.head.status() == 200 => {
+                        read_events(&mut call, &mut outcome)
+                    }
                     Ok(call) => {
                         record.note(format!("client: {id} is answered {}", call.head.status()));
                         true
@@ -126,7 +142,10 @@
                     }
                 };
                 if !is_whole && outcome.has_begun {
-                    record.note(format!("client: {id} breaks off after event {} of {:?}", outcome.last, outcome.versions));
+                    record.note(format!(
+                        "client: {id} breaks off after event {} of {:?}",
+                        outcome.last, outcome.versions
+                    ));
                     outcome.is_taken_up = true;
                     let again = next_id("s");
                     let before = outcome.last;
@@ -140,12 +159,19 @@
                             let status = call.head.status();
                             let body = call.body().unwrap_or_default();
                             let text = String::from_utf8_lossy(&body).into_owned();
-                            record.note(format!("client: {again} takes up {id} and is answered {status} {text}"));
+                            record.note(format!(
+                                "client: {again} takes up {id} and is answered {status} {text}"
+                            ));
+                        }
+                        Err(error) => {
+                            record.note(format!("client: {again} gets no answer: {error}"))
                         }
-                        Err(error) => record.note(format!("client: {again} gets no answer: {error}")),
                     }
                     if outcome.goes_on {
-                        record.note(format!("client: {again} takes up {id}, which goes on to event {} with {:?}", outcome.last, outcome.versions));
+                        record.note(format!(
+                            "client: {again} takes up {id}, which goes on to event {} with {:?}",
+                            outcome.last, outcome.versions
+                        ));
                     }
                 }
                 outcomes.lock().unwrap().push(outcome);
@@ -153,7 +179,11 @@
         })
         .collect();
     sleep_ms(2_500);
-    let store_address = if setting.has_trouble { new_address.address } else { old_address.address };
+    let store_address = if setting.has_trouble {
+        new_address.address
+    } else {
+        old_address.address
+    };
     fronts.push(start(1, store_address));
     record.note("a front is added");
     fronts[1].wait_ready();
@@ -170,7 +200,10 @@
                 let message = stream_request(&id, &format!("d{number:03}"), None);
                 let mut outcome = Outcome::default();
                 if let Ok(mut call) = Call::send(second, &message, ms(15_000)) {
-                    record.note(format!("client: new stream {id} is answered {}", call.head.status()));
+                    record.note(format!(
+                        "client: new stream {id} is answered {}",
+                        call.head.status()
+                    ));
                     if call.head.status() == 200 {
                         read_events(&mut call, &mut outcome);
                     }
@@ -179,14 +212,24 @@
             })
         })
         .collect();
-    let begun = newcomers.into_iter().map(|client| client.join().unwrap_or(false)).filter(|begun| *begun).count();
+    let begun = newcomers
+        .into_iter()
+        .map(|client| client.join().unwrap_or(false))
+        .filter(|begun| *begun)
+        .count();
     for client in clients {
         let _ = client.join();
     }
     let outcomes = outcomes.lock().unwrap();
-    let taken_up = outcomes.iter().filter(|outcome| outcome.is_taken_up).count();
+    let taken_up = outcomes
+        .iter()
+        .filter(|outcome| outcome.is_taken_up)
+        .count();
     let gone_on = outcomes.iter().filter(|outcome| outcome.goes_on).count();
-    let mixed = outcomes.iter().filter(|outcome| outcome.versions.len() > 1).count();
+    let mixed = outcomes
+        .iter()
+        .filter(|outcome| outcome.versions.len() > 1)
+        .count();
     record.note(format!(
         "{taken_up} streams are taken up, {gone_on} go on, {mixed} hold events of two versions; {begun} of {NEW_STREAMS} new streams begin"
     ));
@@ -196,7 +239,9 @@
     let share = gone_on as f64 / taken_up as f64;
     let share_begun = begun as f64 / NEW_STREAMS as f64;
     let broken = if mixed > 2 {
-        Some(format!("ORDER: {mixed} streams hold events of two software versions"))
+        Some(format!(
+            "ORDER: {mixed} streams hold events of two software versions"
+        ))
     } else {
         (share < share_begun / 2.0).then(|| {
             format!("LOST: {gone_on} of {taken_up} streams that were taken up go on; {begun} of {NEW_STREAMS} new streams begin")
--- a/review/stand-2/case_innermost.rs
+++ b/review/stand-2/case_innermost.rs
@@ -17,7 +17,11 @@
     let listener = listen_any();
     let store_address = listener.local_addr().unwrap();
     store.serve(listener);
-    store.put("keyed.op", "config", &configuration(3, &[("sese880", "key-sese", false)]));
+    store.put(
+        "keyed.op",
+        "config",
+        &configuration(3, &[("sese880", "key-sese", false)]),
+    );
     let zones = ["caerdydd", "abertawe"];
     let incidents: Arc<Incidents> = Arc::default();
     for number in 0..8 {
@@ -27,7 +31,14 @@
     let fronts: Vec<Front> = (0..2)
         .map(|number| {
             let name = format!("front-{}-1", zones[number]);
-            Front::start(&setting.scratch, &name, zones[number], ips[number], &ips, store_address)
+            Front::start(
+                &setting.scratch,
+                &name,
+                zones[number],
+                ips[number],
+                &ips,
+                store_address,
+            )
         })
         .collect();
     fronts.iter().for_each(Front::wait_ready);
@@ -39,7 +50,13 @@
     let mut sent = 0;
     for number in 0..46 {
         let start = Instant::now();
-        let begins = review(&fronts[number % 2], "q", &format!("a{number:04}"), SOUND, record);
+        let begins = review(
+            &fronts[number % 2],
+            "q",
+            &format!("a{number:04}"),
+            SOUND,
+            record,
+        );
         sound.push((start, begins));
         let pauses: &[u64] = match number {
             21 => &[500, 850, 1_200],
@@ -52,7 +69,13 @@
             sent += 1;
             let (fronts, record) = (Arc::clone(&fronts), record.clone());
             let client = thread::spawn(move || {
-                review(&fronts[sent % 2], "x", &format!("b{sent:04}"), DEADLY, &record);
+                review(
+                    &fronts[sent % 2],
+                    "x",
+                    &format!("b{sent:04}"),
+                    DEADLY,
+                    &record,
+                );
             });
             deadly.push(client);
         }
@@ -61,7 +84,8 @@
     for client in deadly {
         let _ = client.join();
     }
-    let share = |sent: &[bool]| sent.iter().filter(|begins| **begins).count() as f64 / sent.len() as f64;
+    let share =
+        |sent: &[bool]| sent.iter().filter(|begins| **begins).count() as f64 / sent.len() as f64;
     let before: Vec<bool> = sound[..21].iter().map(|(_, begins)| *begins).collect();
     if share(&before) < 0.9 {
         fail("too few sound requests are served");
--- a/review/stand-2/case_isolated.rs
+++ b/review/stand-2/case_isolated.rs
@@ -27,7 +27,10 @@
         }
         Err(_error) => 0,
     };
-    record.note(format!("client: {id} with key {key} at {} is answered {status}", front.name));
+    record.note(format!(
+        "client: {id} with key {key} at {} is answered {status}",
+        front.name
+    ));
     status
 }
 
@@ -37,7 +40,12 @@
     let listener = listen_any();
     let store_address = listener.local_addr().unwrap();
     store.serve(listener);
-    let tenants = |is_isolated| [("sese880", "key-sese", is_isolated), ("lani12", "key-lani", false)];
+    let tenants = |is_isolated| {
+        [
+            ("sese880", "key-sese", is_isolated),
+            ("lani12", "key-lani", false),
+        ]
+    };
     store.put("keyed.op", "config", &configuration(3, &tenants(false)));
     let engines = Engines::default();
     let servers: Vec<Arc<Engine>> = ["i-e1", "i-e2"]
@@ -52,17 +60,33 @@
     let fronts: Vec<Front> = (0..2)
         .map(|number| {
             let name = format!("front-{}-1", zones[number]);
-            Front::start(&setting.scratch, &name, zones[number], ips[number], &ips, store_address)
+            Front::start(
+                &setting.scratch,
+                &name,
+                zones[number],
+                ips[number],
+                &ips,
+                store_address,
+            )
         })
         .collect();
     fronts.iter().for_each(Front::wait_ready);
     sleep_ms(4_000);
     for number in 0..6 {
-        review(&fronts[number % 2], "key-sese", &format!("a{number}"), record);
+        review(
+            &fronts[number % 2],
+            "key-sese",
+            &format!("a{number}"),
+            record,
+        );
         sleep_ms(100);
     }
     // Without the trouble, the same version is sent, which changes no tenant.
-    store.put("keyed.op", "config", &configuration(7, &tenants(setting.has_trouble)));
+    store.put(
+        "keyed.op",
+        "config",
+        &configuration(7, &tenants(setting.has_trouble)),
+    );
     let acknowledged = Instant::now();
     record.note(format!(
         "the store acknowledges version 7 of the configuration: sese880 is isolated: {}",
@@ -72,7 +96,14 @@
     sleep_ms(4_000);
     let mut served = 0;
     for number in 0..6 {
-        served += u32::from(review(&fronts[number % 2], "key-lani", &format!("b{number}"), record) == 200);
+        served += u32::from(
+            review(
+                &fronts[number % 2],
+                "key-lani",
+                &format!("b{number}"),
+                record,
+            ) == 200,
+        );
         sleep_ms(100);
     }
     if served < 6 {
@@ -82,8 +113,12 @@
     let mut broken = 0;
     for server in &servers {
         let uses = server.foreign_uses.lock().unwrap();
-        let after = uses.iter().filter(|(at, ..)| setting.has_trouble && *at > applied);
-        broken += after.filter(|(_, user, maker, _)| user == "sese880" || maker == "sese880").count();
+        let after = uses
+            .iter()
+            .filter(|(at, ..)| setting.has_trouble && *at > applied);
+        broken += after
+            .filter(|(_, user, maker, _)| user == "sese880" || maker == "sese880")
+            .count();
     }
     let broken = (broken > 0).then(|| {
         format!("WALL: {broken} times a part that one of sese880 and lani12 made was used by the other, \
--- a/review/stand-2/case_odd_entry.rs
+++ b/review/stand-2/case_odd_entry.rs
@@ -8,7 +8,11 @@
     let listener = listen_any();
     let store_address = listener.local_addr().unwrap();
     store.serve(listener);
-    store.put("keyed.op", "config", &configuration(3, &[("sese880", "key-sese", false)]));
+    store.put(
+        "keyed.op",
+        "config",
+        &configuration(3, &[("sese880", "key-sese", false)]),
+    );
     let zones = ["caerdydd", "abertawe"];
     let clone = Application::start(record, "i-c1", "clone-api", 30);
     let audit = Application::start(record, "i-a1", "audit-api", 30);
@@ -18,7 +22,14 @@
     let fronts: Vec<Front> = (0..2)
         .map(|number| {
             let name = format!("front-{}-1", zones[number]);
-            Front::start(&setting.scratch, &name, zones[number], ips[number], &ips, store_address)
+            Front::start(
+                &setting.scratch,
+                &name,
+                zones[number],
+                ips[number],
+                &ips,
+                store_address,
+            )
         })
         .collect();
     fronts.iter().for_each(Front::wait_ready);
@@ -44,12 +55,27 @@
             ("X-Deadline-Ms", deadline),
             ("X-Api-Key", "key-sese"),
         ];
-        let message = request("POST", "/commit/2f", &headers, "push the configuration to the unit");
-        let status = Call::send(front.callers, &message, ms(2_000)).map_or(0, |call| call.head.status());
-        record.note(format!("client: {id} POST /commit/2f at {} is answered {status}", front.name));
+        let message = request(
+            "POST",
+            "/commit/2f",
+            &headers,
+            "push the configuration to the unit",
+        );
+        let status =
+            Call::send(front.callers, &message, ms(2_000)).map_or(0, |call| call.head.status());
+        record.note(format!(
+            "client: {id} POST /commit/2f at {} is answered {status}",
+            front.name
+        ));
         sleep_ms(20);
     }
-    let wrong = audit.runs.lock().unwrap().iter().filter(|run| run.path.starts_with("/commit/")).count();
+    let wrong = audit
+        .runs
+        .lock()
+        .unwrap()
+        .iter()
+        .filter(|run| run.path.starts_with("/commit/"))
+        .count();
     let own = clone.runs.lock().unwrap().len();
     if own == 0 {
         fail("no request is served");
--- a/review/stand-2/case_poison.rs
+++ b/review/stand-2/case_poison.rs
@@ -27,9 +27,16 @@
         ("X-Api-Key", "key-sese"),
     ];
     let body = if method == "POST" { id.as_str() } else { "" };
-    let status = Call::send(front.callers, &request(method, path, &headers, body), ms(3_000));
+    let status = Call::send(
+        front.callers,
+        &request(method, path, &headers, body),
+        ms(3_000),
+    );
     let status = status.map_or(0, |call| call.head.status());
-    record.note(format!("client: {id} {method} {path} at {} is answered {status}", front.name));
+    record.note(format!(
+        "client: {id} {method} {path} at {} is answered {status}",
+        front.name
+    ));
     status
 }
 
@@ -39,7 +46,11 @@
     let listener = listen_any();
     let store_address = listener.local_addr().unwrap();
     store.serve(listener);
-    store.put("keyed.op", "config", &configuration(3, &[("sese880", "key-sese", false)]));
+    store.put(
+        "keyed.op",
+        "config",
+        &configuration(3, &[("sese880", "key-sese", false)]),
+    );
     let zones = ["caerdydd", "abertawe"];
     let incidents: Arc<Incidents> = Arc::default();
     for number in 0..4 {
@@ -49,7 +60,14 @@
     let fronts: Vec<Front> = (0..2)
         .map(|number| {
             let name = format!("front-{}-1", zones[number]);
-            Front::start(&setting.scratch, &name, zones[number], ips[number], &ips, store_address)
+            Front::start(
+                &setting.scratch,
+                &name,
+                zones[number],
+                ips[number],
+                &ips,
+                store_address,
+            )
         })
         .collect();
     fronts.iter().for_each(Front::wait_ready);
@@ -96,7 +114,13 @@
     finish(setting, fronts, broken)
 }
 
-fn start_server(setting: &Setting, store: &Store, incidents: &Arc<Incidents>, number: usize, zone: &'static str) {
+fn start_server(
+    setting: &Setting,
+    store: &Store,
+    incidents: &Arc<Incidents>,
+    number: usize,
+    zone: &'static str,
+) {
     let id = Arc::new(Mutex::new(format!("i-c{number}a")));
     let port: Arc<Mutex<Option<Port>>> = Arc::default();
     let heart: Arc<Mutex<Option<Heart>>> = Arc::default();
@@ -107,19 +131,33 @@
         let name = own_id.lock().unwrap().clone();
         let id = request.header("x-request-id").unwrap_or("").to_owned();
         let instance = ("X-Instance-Id", name.clone());
-        if request.header("x-expect-instance").is_some_and(|expected| expected != name) {
-            return send(stream, &response(421, &[instance, ("X-Request-Id", id)], b""));
+        if request
+            .header("x-expect-instance")
+            .is_some_and(|expected| expected != name)
+        {
+            return send(
+                stream,
+                &response(421, &[instance, ("X-Request-Id", id)], b""),
+            );
         }
         let is_deadly = request.path() == "/status/unit-7";
         record.note(format!("server {name} runs {id} {}", request.line[1]));
         if is_deadly {
             incidents.arrivals.lock().unwrap().push(Instant::now());
         }
-        sleep_ms(if request.path().starts_with("/commit/") { 700 } else { 30 });
+        sleep_ms(if request.path().starts_with("/commit/") {
+            700
+        } else {
+            30
+        });
         let process = own_port.lock().unwrap().clone().unwrap();
         if !is_deadly || !has_trouble {
             let seal = ("X-Server-Seal", format!("seal-{name}"));
-            return process.is_up() && send(stream, &response(200, &[("X-Request-Id", id), seal], b"done"));
+            return process.is_up()
+                && send(
+                    stream,
+                    &response(200, &[("X-Request-Id", id), seal], b"done"),
+                );
         }
         if process.is_up() {
             record.note(format!("server {name} crashes as it runs {id}"));
@@ -137,7 +175,8 @@
                 let next = format!("{name}b");
                 *own_id.lock().unwrap() = next.clone();
                 process.restart();
-                *own_heart.lock().unwrap() = Some(Heart::start(&store, entry(&next, process.address, zone)));
+                *own_heart.lock().unwrap() =
+                    Some(Heart::start(&store, entry(&next, process.address, zone)));
                 record.note(format!("server {next} is back"));
                 // The old entry expires after three heartbeat intervals of silence.
                 sleep_ms(3 * HEARTBEAT_MS - DOWN_MS);
--- a/review/stand-2/kit.rs
+++ b/review/stand-2/kit.rs
@@ -91,7 +91,9 @@
     pub fn query(&self, name: &str) -> Option<&str> {
         let query = self.line[1].split_once('?')?.1;
         let mut pairs = query.split('&').filter_map(|pair| pair.split_once('='));
-        pairs.find(|(known, _)| *known == name).map(|(_, value)| value)
+        pairs
+            .find(|(known, _)| *known == name)
+            .map(|(_, value)| value)
     }
 
     pub fn status(&self) -> u16 {
@@ -182,10 +184,14 @@
             let handler = Arc::clone(&handler);
             thread::spawn(move || {
                 let _ = stream.set_nodelay(true);
-                let Ok(reading) = stream.try_clone() else { return };
+                let Ok(reading) = stream.try_clone() else {
+                    return;
+                };
                 let mut reader = BufReader::new(reading);
                 while let Some(mut message) = read_head(&mut reader) {
-                    let Some(body) = read_body(&mut reader, &message) else { return };
+                    let Some(body) = read_body(&mut reader, &message) else {
+                        return;
+                    };
                     message.body = body;
                     if !handler(&message, &mut stream) {
                         let _ = stream.shutdown(std::net::Shutdown::Both);
@@ -234,9 +240,15 @@
                     continue;
                 };
                 let _ = stream.set_nonblocking(false);
-                serving.streams.lock().unwrap().push(stream.try_clone().unwrap());
+                serving
+                    .streams
+                    .lock()
+                    .unwrap()
+                    .push(stream.try_clone().unwrap());
                 let handler = Arc::clone(&handler);
-                thread::spawn(move || serve_connection(stream, |request, stream| handler(request, stream)));
+                thread::spawn(move || {
+                    serve_connection(stream, |request, stream| handler(request, stream))
+                });
             }
         });
         port
@@ -262,10 +274,14 @@
 
 fn serve_connection(mut stream: TcpStream, handler: impl Fn(&Message, &mut TcpStream) -> bool) {
     let _ = stream.set_nodelay(true);
-    let Ok(reading) = stream.try_clone() else { return };
+    let Ok(reading) = stream.try_clone() else {
+        return;
+    };
     let mut reader = BufReader::new(reading);
     while let Some(mut message) = read_head(&mut reader) {
-        let Some(body) = read_body(&mut reader, &message) else { return };
+        let Some(body) = read_body(&mut reader, &message) else {
+            return;
+        };
         message.body = body;
         if !handler(&message, &mut stream) {
             let _ = stream.shutdown(std::net::Shutdown::Both);
@@ -546,12 +562,39 @@
     fail("no free loopback addresses");
 }
 
+/// Processes of fronts that have been started and not ended.
+static PROCESSES: Mutex<Vec<u32>> = Mutex::new(Vec::new());
+
+fn end_processes() {
+    let processes = PROCESSES
+        .lock()
+        .unwrap_or_else(|poisoned| poisoned.into_inner());
+    for process in processes.iter() {
+        // SAFETY: only sends a signal to a process that this run has started and not yet waited for.
+        unsafe { kill(*process as i32, SIGKILL) };
+    }
+}
+
 /// Ends the run because the case cannot run.
 pub fn fail(reason: &str) -> ! {
+    end_processes();
     eprintln!("the case cannot run: {reason}");
     std::process::exit(2);
 }
 
+/// Ends the run if any thread panics, or after the longest time that a script may take.
+pub fn limit_run() {
+    let print_panic = std::panic::take_hook();
+    std::panic::set_hook(Box::new(move |info| {
+        print_panic(info);
+        fail("a thread has panicked");
+    }));
+    thread::spawn(|| {
+        sleep_ms(117_000);
+        fail("it takes too long");
+    });
+}
+
 impl Front {
     /// Starts a front with the command of the deploy file and the settings of a small deployment.
     pub fn start(
@@ -617,7 +660,10 @@
     }
 
     pub fn spawn(&mut self) {
-        let log = fs::OpenOptions::new().create(true).append(true).open(&self.log);
+        let log = fs::OpenOptions::new()
+            .create(true)
+            .append(true)
+            .open(&self.log);
         let log = log.expect("the log can be opened");
         let errors = log.try_clone().expect("the log can be shared");
         let mut command = Command::new("target/release/bulrushslip-gateway");
@@ -630,7 +676,10 @@
         command.env("BULRUSHSLIP_SETTINGS", &self.settings);
         command.stdin(Stdio::null()).stdout(log).stderr(errors);
         match command.spawn() {
-            Ok(process) => self.process = Some(process),
+            Ok(process) => {
+                PROCESSES.lock().unwrap().push(process.id());
+                self.process = Some(process);
+            }
             Err(error) => fail(&format!("the gateway does not start: {error}")),
         }
     }
@@ -646,6 +695,7 @@
         if let Some(mut process) = self.process.take() {
             let _ = process.kill();
             let _ = process.wait();
+            PROCESSES.lock().unwrap().retain(|id| *id != process.id());
         }
     }
 
@@ -683,9 +733,12 @@
 impl Call {
     /// Sends a request on a new connection and reads the head of the response.
     pub fn send(to: SocketAddr, request: &Message, limit: Duration) -> Result<Self, String> {
-        let stream = TcpStream::connect_timeout(&to, ms(1_000)).map_err(|error| error.to_string())?;
+        let stream =
+            TcpStream::connect_timeout(&to, ms(1_000)).map_err(|error| error.to_string())?;
         let _ = stream.set_nodelay(true);
-        stream.set_read_timeout(Some(limit)).map_err(|error| error.to_string())?;
+        stream
+            .set_read_timeout(Some(limit))
+            .map_err(|error| error.to_string())?;
         let mut text = format!("{} {} HTTP/1.1\r\n", request.line[0], request.line[1]);
         let mut names = request.headers.iter().map(|(name, _)| name);
         if !names.any(|name| name.eq_ignore_ascii_case("host")) {
@@ -698,7 +751,9 @@
             text += &format!("Content-Length: {}\r\n", request.body.len());
         }
         let bytes = [text.as_bytes(), b"\r\n", &request.body].concat();
-        (&stream).write_all(&bytes).map_err(|error| error.to_string())?;
+        (&stream)
+            .write_all(&bytes)
+            .map_err(|error| error.to_string())?;
         let mut reader = BufReader::new(stream);
         let head = read_head(&mut reader).ok_or("no response head")?;
         Ok(Self { head, reader })
@@ -736,7 +791,9 @@
     let headers = headers.iter();
     Message {
         line: [method.to_owned(), path.to_owned(), String::new()],
-        headers: headers.map(|(name, value)| ((*name).to_owned(), (*value).to_owned())).collect(),
+        headers: headers
+            .map(|(name, value)| ((*name).to_owned(), (*value).to_owned()))
+            .collect(),
         body: body.as_bytes().to_vec(),
     }
 }
@@ -750,6 +807,7 @@
 pub struct Relay {
     pub address: SocketAddr,
     is_open: Arc<AtomicBool>,
+    is_blocked: Arc<AtomicBool>,
     streams: Arc<Mutex<Vec<TcpStream>>>,
 }
 
@@ -759,6 +817,7 @@
         let relay = Self {
             address: listener.local_addr().unwrap(),
             is_open: Arc::new(AtomicBool::new(true)),
+            is_blocked: Arc::default(),
             streams: Arc::default(),
         };
         let serving = relay.clone();
@@ -768,9 +827,14 @@
                     return;
                 }
                 let Ok(near) = stream else { continue };
+                if serving.is_blocked.load(Ordering::SeqCst) {
+                    continue;
+                }
                 let streams = Arc::clone(&serving.streams);
                 thread::spawn(move || {
-                    let Ok(far) = TcpStream::connect_timeout(&to, ms(1_000)) else { return };
+                    let Ok(far) = TcpStream::connect_timeout(&to, ms(1_000)) else {
+                        return;
+                    };
                     let _ = (near.set_nodelay(true), far.set_nodelay(true));
                     let mut kept = streams.lock().unwrap();
                     kept.extend([near.try_clone().unwrap(), far.try_clone().unwrap()]);
@@ -783,6 +847,14 @@
         relay
     }
 
+    /// Breaks all connections and closes new ones at once, until it is called with `false`.
+    pub fn block(&self, is_blocked: bool) {
+        self.is_blocked.store(is_blocked, Ordering::SeqCst);
+        if is_blocked {
+            self.cut();
+        }
+    }
+
     /// Breaks all connections; new ones are still forwarded.
     pub fn cut(&self) {
         for stream in self.streams.lock().unwrap().drain(..) {
@@ -858,7 +930,9 @@
         all.insert(address.to_string(), Arc::clone(&engine));
         drop(all);
         let serving = Arc::clone(&engine);
-        serve(listener, move |request, stream| serving.respond(request, stream));
+        serve(listener, move |request, stream| {
+            serving.respond(request, stream)
+        });
         engine
     }
 
@@ -870,14 +944,24 @@
                  \"kv-total\":162770,\"handles\":0}}"
             );
             let json = ("Content-Type", "application/json".to_owned());
-            return stream.write_all(&response(200, &[json], body.as_bytes())).is_ok();
+            return stream
+                .write_all(&response(200, &[json], body.as_bytes()))
+                .is_ok();
         }
         let id = request.header("x-request-id").unwrap_or("").to_owned();
         let own = ("X-Instance-Id", self.id.clone());
-        if request.header("x-expect-instance").is_some_and(|expected| expected != self.id) {
-            return stream.write_all(&response(421, &[own, ("X-Request-Id", id)], b"")).is_ok();
+        if request
+            .header("x-expect-instance")
+            .is_some_and(|expected| expected != self.id)
+        {
+            return stream
+                .write_all(&response(421, &[own, ("X-Request-Id", id)], b""))
+                .is_ok();
         }
-        if request.number("x-expect-version").is_some_and(|version| version != 1) {
+        if request
+            .number("x-expect-version")
+            .is_some_and(|version| version != 1)
+        {
             let weights = ("X-Weight-Versions", "1".to_owned());
             let headers = [own, weights, ("X-Request-Id", id)];
             return stream.write_all(&response(421, &headers, b"")).is_ok();
@@ -916,13 +1000,19 @@
         let tenant = request.header("x-tenant").unwrap_or("").to_owned();
         let fetched = request.header("x-kv-fetch").and_then(|from| {
             let others = self.others.lock().unwrap();
-            others.get(from).map(|other| other.cache.lock().unwrap().clone())
+            others
+                .get(from)
+                .map(|other| other.cache.lock().unwrap().clone())
         });
         let mut cache = self.cache.lock().unwrap();
         for part in request.header("x-prompt-prefix").unwrap_or("").split(',') {
             let key = (salt.clone(), part.trim().to_owned());
             let known = cache.get(&key).cloned();
-            let known = known.or_else(|| fetched.as_ref().and_then(|fetched| fetched.get(&key).cloned()));
+            let known = known.or_else(|| {
+                fetched
+                    .as_ref()
+                    .and_then(|fetched| fetched.get(&key).cloned())
+            });
             let Some(maker) = known else {
                 cache.insert(key, tenant.clone());
                 continue;
@@ -991,7 +1081,9 @@
             record: record.clone(),
         });
         let serving = Arc::clone(&application);
-        serve(listener, move |request, stream| serving.respond(request, stream));
+        serve(listener, move |request, stream| {
+            serving.respond(request, stream)
+        });
         application
     }
 
@@ -1004,8 +1096,13 @@
         if request.path() == "/healthz" {
             return stream.write_all(&response(200, &[own], b"")).is_ok();
         }
-        if request.header("x-expect-instance").is_some_and(|expected| expected != self.id) {
-            return stream.write_all(&response(421, &[own, ("X-Request-Id", id)], b"")).is_ok();
+        if request
+            .header("x-expect-instance")
+            .is_some_and(|expected| expected != self.id)
+        {
+            return stream
+                .write_all(&response(421, &[own, ("X-Request-Id", id)], b""))
+                .is_ok();
         }
         self.record.note(format!(
             "server {} of {} runs {id} {} {}",
@@ -1024,7 +1121,10 @@
         };
         sleep_ms(self.work_ms.load(Ordering::SeqCst));
         if self.has_exited.load(Ordering::SeqCst) {
-            self.record.note(format!("server {} has exited, the run of {id} is lost", self.id));
+            self.record.note(format!(
+                "server {} has exited, the run of {id} is lost",
+                self.id
+            ));
             return false;
         }
         self.runs.lock().unwrap()[number].is_complete = true;
@@ -1062,7 +1162,8 @@
              \"service\":\"{service}\",\"public\":false,{more}}}"
         )
     };
-    let stream = "\"timeout-ms\":20000,\"target-latency-ms\":1500,\"priority\":0,\"max-attempts\":2,\
+    let stream =
+        "\"timeout-ms\":20000,\"target-latency-ms\":1500,\"priority\":0,\"max-attempts\":2,\
                   \"sticky\":true,\"resumable\":true,\"gap-aim-ms\":500";
     let plain = "\"timeout-ms\":8000,\"target-latency-ms\":1000,\"priority\":0,\"max-attempts\":2,\
                  \"sticky\":false,\"resumable\":false";
