Infer the version of a stream only from a list that the store confirms

Cause: an instance without the store took its list of upstreams for current while all that it heard were without the store too. One that hears nobody, or only others in its position, cannot know that the store serves nobody. The same held for a single instance and for one that starts beside such ones.

Now only a confirmation by the store makes the list current. So that streams go on while the store is away, an instance asks those in touch for the origin of a stream that it does not know (find_origins, at the end of the interface; older builds close the connection on it). The instance at which a stream began knows its version for certain.

--- a/src/decide/stream_origins.rs
+++ b/src/decide/stream_origins.rs
@@ -212,6 +212,13 @@
         self.is_informed
     }
 
+    /// Returns the version at which a stream began, if that is recorded.
+    #[must_use]
+    pub fn recorded(&self, now: Moment, stream: StreamKey) -> Option<SoftwareVersion> {
+        let begin = self.streams.get(&stream)?;
+        is_alive(now, begin.recorded_at).then_some(begin.software)
+    }
+
     /// Returns the version at which a stream began. `is_current` tells whether the list of upstreams has
     /// every version that any instance has used.
     #[must_use]
@@ -222,9 +229,8 @@
         stream: Option<StreamKey>,
         is_current: bool,
     ) -> StreamOrigin {
-        let begin = stream.and_then(|stream| self.streams.get(&stream));
-        if let Some(begin) = begin.filter(|begin| is_alive(now, begin.recorded_at)) {
-            return StreamOrigin::Known(begin.software);
+        if let Some(software) = stream.and_then(|stream| self.recorded(now, stream)) {
+            return StreamOrigin::Known(software);
         }
         let mut versions = self.versions(now, service);
         match (versions.next(), versions.next()) {
--- a/src/gateway/dispatch/mod.rs
+++ b/src/gateway/dispatch/mod.rs
@@ -182,6 +182,10 @@
         }
         DispatchMail::OriginNews(news) => state.apply_origin_news(now, news),
         DispatchMail::BuildStreamNews(reply_to) => reply_to.send(state.stream_news(now)),
+        DispatchMail::RecordedOrigins(streams, reply_to) => {
+            reply_to.send(state.recorded_origins(now, &streams));
+        }
+        DispatchMail::OriginSources(reply_to) => reply_to.send(state.origin_sources()),
         DispatchMail::OriginsPublished(record) => {
             let origins = &mut state.stream_origins.origins;
             origins.record_published(now, &record);
--- a/src/gateway/dispatch/origins.rs
+++ b/src/gateway/dispatch/origins.rs
@@ -1,5 +1,7 @@
 //! Origins of streams: what is recorded of them here, and which software versions may run a request.
 
+use std::cmp::Reverse;
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use super::state::DispatchState;
@@ -10,11 +12,14 @@
 };
 use crate::gateway::mail::{OriginNews, OriginQuery, PlacementRequest};
 use crate::kernel::Moment;
-use crate::wire::origin_news::WireStreamOrigin;
+use crate::wire::origin_news::{WireStreamKey, WireStreamOrigin};
 
 /// Number of instances that publish versions again.
 const REPEATING_INSTANCES: usize = 2;
 
+/// Maximum number of instances that are asked for the origin of a stream.
+const MAX_ORIGIN_SOURCES: usize = 32;
+
 /// Origins of streams, and when the list of upstreams was last found to be up to date.
 #[derive(Debug, Default)]
 pub(super) struct OriginState {
@@ -52,28 +57,14 @@
         self.stream_origins.checked_at = now;
     }
 
-    /// Returns whether the list of upstreams lacks at most what was written in the last `limit`.
+    /// Returns whether the list of upstreams lacks at most what was written in the last `limit`. Only the
+    /// store can confirm that: an instance without it cannot tell whether it serves others.
     fn has_list_since(&self, now: Moment, limit: Duration) -> bool {
         let health = self.upstream_health;
         if health.confirmed_at == Moment::START {
             return false;
         }
-        now.since(health.confirmed_at) < limit || self.is_store_down(now)
-    }
-
-    /// Returns whether the store seems to serve no instance, so that none learns of an entry.
-    fn is_store_down(&self, now: Moment) -> bool {
-        let health = self.upstream_health;
-        if health.failed_at <= health.confirmed_at {
-            return false;
-        }
-        let limit = self.identity.drain_limit;
-        let peers = self.peers.values();
-        let mut in_touch = peers
-            .filter(|peer| now.since(peer.heard_at) < limit)
-            .peekable();
-        let hears_others = in_touch.peek().is_some() || self.known_fleet_size() == 1;
-        hears_others && in_touch.all(|peer| !peer.reaches_store)
+        now.since(health.confirmed_at) < limit
     }
 
     /// Records that a stream of this instance has begun.
@@ -159,6 +150,26 @@
         news.map(WireStreamOrigin::from).collect()
     }
 
+    /// Returns those of the given streams whose origins are recorded.
+    pub(super) fn recorded_origins(
+        &self,
+        now: Moment,
+        streams: &[WireStreamKey],
+    ) -> Vec<WireStreamOrigin> {
+        let origins = &self.stream_origins.origins;
+        let streams = streams.iter().map(|stream| StreamKey::from(*stream));
+        let recorded = streams.filter_map(|stream| Some((stream, origins.recorded(now, stream)?)));
+        recorded.map(WireStreamOrigin::from).collect()
+    }
+
+    /// Returns the addresses of the instances that were last in touch.
+    pub(super) fn origin_sources(&self) -> Vec<SocketAddr> {
+        let mut peers: Vec<_> = self.peers.values().collect();
+        peers.sort_unstable_by_key(|peer| Reverse(peer.heard_at));
+        let addresses = peers.into_iter().filter_map(|peer| peer.address);
+        addresses.take(MAX_ORIGIN_SOURCES).collect()
+    }
+
     /// Applies the origins of streams that another instance has sent.
     pub(super) fn apply_origin_news(&mut self, now: Moment, news: Vec<WireStreamOrigin>) {
         let record = OriginRecord {
--- a/src/gateway/mail.rs
+++ b/src/gateway/mail.rs
@@ -22,7 +22,7 @@
 use crate::platform::request_headers::BodyFraming;
 use crate::platform::settings_file::InstanceSettings;
 use crate::wire::event_scanner::StreamPosition;
-use crate::wire::origin_news::WireStreamOrigin;
+use crate::wire::origin_news::{WireStreamKey, WireStreamOrigin};
 use crate::wire::pace_news::WirePace;
 use crate::wire::peer_rpc::{
     GossipMessage, WireLoadCall, WireSegmentNews, WireTopic, WireUpstreamLimit,
@@ -47,6 +47,9 @@
     /// For the I/O task `origin-log`: reads what others have published of the origins of streams;
     /// the reply tells whether that succeeded.
     ReadOrigins(ReplyTo<bool>),
+    /// For the I/O task `origin-search`: asks other instances for the origin of a stream; the reply comes
+    /// once one has told it or all have responded.
+    SearchOrigin(StreamKey, ReplyTo<()>),
     /// For the I/O task `orders`: the store states a higher era than before.
     StoreEra(StoreEra),
 }
@@ -142,6 +145,10 @@
     OriginNews(Vec<WireStreamOrigin>),
     /// Asks for the origins of streams that instances in touch have to know.
     BuildStreamNews(ReplyTo<Vec<WireStreamOrigin>>),
+    /// Asks for those of the given streams whose origins this instance has recorded.
+    RecordedOrigins(Vec<WireStreamKey>, ReplyTo<Vec<WireStreamOrigin>>),
+    /// Asks for the addresses of the instances that may know the origin of a stream.
+    OriginSources(ReplyTo<Vec<SocketAddr>>),
     /// A record of this instance is published.
     OriginsPublished(OriginRecord),
     /// Applies what other instances have published, and the number of gaps before the read if it is
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -18,6 +18,7 @@
 pub mod order_delivery;
 pub mod orders;
 pub mod origin_log;
+pub mod origin_search;
 pub mod patience;
 pub mod peer_connection;
 pub mod peer_exchange;
--- a/src/gateway/peer_connection.rs
+++ b/src/gateway/peer_connection.rs
@@ -12,7 +12,7 @@
 
 use crate::events::{NEWS_REJECTED, log_event};
 use crate::platform::http_connection::set_tcp_options;
-use crate::wire::origin_news::WireStreamOrigin;
+use crate::wire::origin_news::{WireStreamKey, WireStreamOrigin};
 use crate::wire::pace_news::WirePace;
 use crate::wire::peer_rpc::{
     GossipMessage, PeerRpcClient, WireLoadCall, WireSegmentNews, WireUpstreamLimit,
@@ -217,6 +217,31 @@
     }
 }
 
+/// Asks an instance for the origins of streams, on the given connection if it is still open. Returns the
+/// connection for later calls.
+///
+/// # Errors
+///
+/// Returns [`ExchangeError`] when the other instance cannot be reached, does not respond in time or is of a
+/// build that has no such call; the connection is then closed.
+pub async fn find_origins(
+    client: Option<PeerRpcClient>,
+    address: SocketAddr,
+    streams: Vec<WireStreamKey>,
+) -> Result<(PeerRpcClient, Vec<WireStreamOrigin>), ExchangeError> {
+    let mut call = context::current();
+    call.deadline = Instant::now() + EXCHANGE_TIMEOUT;
+    // The other instance may have closed the connection since the last call.
+    if let Some(client) = client
+        && let Ok(found) = client.find_origins(call, streams.clone()).await
+    {
+        return Ok((client, found));
+    }
+    let client = connect(address).await?;
+    let found = client.find_origins(call, streams).await?;
+    Ok((client, found))
+}
+
 /// Connects to another instance.
 async fn connect(address: SocketAddr) -> std::io::Result<PeerRpcClient> {
     let connected = timeout(EXCHANGE_TIMEOUT, TcpStream::connect(address)).await;
--- a/src/gateway/peer_server.rs
+++ b/src/gateway/peer_server.rs
@@ -10,7 +10,7 @@
 use crate::decide::route_table::DataCentreId;
 use crate::kernel::Directory;
 use crate::platform::http_connection::set_tcp_options;
-use crate::wire::origin_news::WireStreamOrigin;
+use crate::wire::origin_news::{WireStreamKey, WireStreamOrigin};
 use crate::wire::pace_news::WirePace;
 use crate::wire::peer_rpc::{
     GossipMessage, PeerRpc, WireLoadCall, WireSegmentNews, WireUpstreamLimit,
@@ -121,6 +121,14 @@
         dispatch::tell(&self.directory, DispatchMail::OriginNews(origins));
     }
 
+    async fn find_origins(self, _: Context, streams: Vec<WireStreamKey>) -> Vec<WireStreamOrigin> {
+        let recorded = dispatch::ask(&self.directory, |reply_to| {
+            DispatchMail::RecordedOrigins(streams, reply_to)
+        });
+        // `dispatch` does not reply while the process shuts down.
+        recorded.await.unwrap_or_default()
+    }
+
     async fn report_segments(self, _: Context, news: Vec<WireSegmentNews>) {
         dispatch::tell(&self.directory, DispatchMail::SegmentNews(news));
     }
--- a/src/gateway/start.rs
+++ b/src/gateway/start.rs
@@ -13,6 +13,7 @@
 use super::metrics_server::metrics_task;
 use super::orders::orders_task;
 use super::origin_log::origin_log_task;
+use super::origin_search::origin_search_task;
 use super::peer_exchange::peers_task;
 use super::readiness::readiness_task;
 use super::record_reader::record_reader_task;
@@ -121,6 +122,7 @@
         instance.store_address,
         instance.store_limits,
     ));
+    kernel.add_task(origin_search_task());
     kernel.add_task(orders_task(identity, instance.store_address));
     kernel.add_task(callers_task(callers, limits));
     // Added last because the kernel stops tasks in reverse order: an instance that stops must first
--- a/src/gateway/stream_origin.rs
+++ b/src/gateway/stream_origin.rs
@@ -7,11 +7,15 @@
 use super::dispatch;
 use super::mail::{DispatchMail, GatewayMail, OriginQuery, PlacementRefusal};
 use super::origin_log;
+use super::origin_search;
 use super::request::CallerRequest;
 use crate::decide::software::{SoftwareChoice, SoftwareVersion};
 use crate::decide::stream_origins::StreamOrigin;
 use crate::kernel::Directory;
 
+/// Longest time to wait for the responses of other instances.
+const SEARCH_TIMEOUT: Duration = Duration::from_millis(300);
+
 /// Longest time to wait for what other instances have published.
 const READ_TIMEOUT: Duration = Duration::from_millis(600);
 
@@ -28,6 +32,13 @@
         return Ok(());
     }
     let mut known = ask_origin(directory, request, false).await;
+    if let (None, Some(stream)) = (known, request.stream) {
+        let search = directory.ask(origin_search::NAME, |reply_to| {
+            GatewayMail::SearchOrigin(stream, reply_to)
+        });
+        let _outcome = timeout(SEARCH_TIMEOUT, search).await;
+        known = ask_origin(directory, request, false).await;
+    }
     if known.is_none() {
         let read = directory.ask(origin_log::NAME, GatewayMail::ReadOrigins);
         let has_read = timeout(READ_TIMEOUT, read).await.ok().flatten();
--- a/src/wire/origin_news.rs
+++ b/src/wire/origin_news.rs
@@ -18,6 +18,44 @@
     pub software: u64,
 }
 
+impl WireStreamOrigin {
+    /// Returns the stream.
+    #[must_use]
+    pub const fn stream(&self) -> WireStreamKey {
+        WireStreamKey {
+            service: self.service,
+            request: self.request,
+        }
+    }
+}
+
+/// Stream whose origin is asked for.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct WireStreamKey {
+    /// Hash of the service's name.
+    pub service: u64,
+    /// Hash of the identifier of the request that brought the first event.
+    pub request: u64,
+}
+
+impl From<StreamKey> for WireStreamKey {
+    fn from(stream: StreamKey) -> Self {
+        Self {
+            service: stream.service.0,
+            request: stream.request,
+        }
+    }
+}
+
+impl From<WireStreamKey> for StreamKey {
+    fn from(wire: WireStreamKey) -> Self {
+        Self {
+            service: ServiceId(wire.service),
+            request: wire.request,
+        }
+    }
+}
+
 impl From<(StreamKey, SoftwareVersion)> for WireStreamOrigin {
     fn from((stream, software): (StreamKey, SoftwareVersion)) -> Self {
         Self {
--- a/src/wire/peer_rpc.rs
+++ b/src/wire/peer_rpc.rs
@@ -5,7 +5,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use super::origin_news::WireStreamOrigin;
+use super::origin_news::{WireStreamKey, WireStreamOrigin};
 use super::pace_news::WirePace;
 use super::position::WirePosition;
 use super::records_call::{WireRecordsCall, WireRecordsReply};
@@ -282,4 +282,8 @@
     /// Applies origins of recent streams. Instances of builds before this call close the connection
     /// on it.
     async fn report_origins(origins: Vec<WireStreamOrigin>);
+
+    /// Returns those of the given streams whose origins the called instance has recorded. Instances of
+    /// builds before this call close the connection on it.
+    async fn find_origins(streams: Vec<WireStreamKey>) -> Vec<WireStreamOrigin>;
 }
--- a/tests/stream_versions.rs
+++ b/tests/stream_versions.rs
@@ -610,6 +610,70 @@
     drop(second);
 }
 
+/// Guards against streams of two versions at instances that the store turns away and that have never known
+/// the others, with those that start beside them meanwhile.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_stream_taken_up_at_instances_that_know_only_each_other_is_not_joined() {
+    let mut world = VersionWorld::start(&["v1", "v1"]).await;
+    let link = CutLink::start(world.store.store()).await;
+    let other = world.gateway("g", &[]).await;
+    let cut_off = world.gateway_over(link.address, "gg", &[]).await;
+    let second = world.gateway_over(link.address, "ggg", &[&cut_off]).await;
+    begin_at_versions(&cut_off, &["v1"], 2).await;
+    link.cut();
+    let third = Gateway::start("gggg", link.address, &[cut_off.process.port("peers")]);
+    for _ in 0..4 {
+        world.join("v2", Duration::ZERO, StreamPolicy::Serve).await;
+    }
+    let streams = begin_at_versions(&other, &["v2"], STREAMS).await;
+    for _ in 0..6 {
+        for gateway in [&cut_off, &second, &third] {
+            count_taken_up(gateway, &streams).await;
+        }
+        sleep(Duration::from_secs(1)).await;
+    }
+}
+
+/// Guards against streams of two versions at the only instance in its list that the store turns away.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_stream_taken_up_at_an_instance_that_has_never_had_peers_is_not_joined() {
+    let mut world = VersionWorld::start(&["v1", "v1"]).await;
+    let link = CutLink::start(world.store.store()).await;
+    let other = world.gateway("g", &[]).await;
+    let alone = world.gateway_over(link.address, "gg", &[]).await;
+    begin_at_versions(&alone, &["v1"], 2).await;
+    link.cut();
+    join_and_take_up(&mut world, &other, &alone, &link).await;
+}
+
+/// Guards against refusing streams of instances in touch while the store serves nobody.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn streams_go_on_at_instances_in_touch_while_the_store_is_away() {
+    let world = VersionWorld::start(&["v1", "v1"]).await;
+    let link = CutLink::start(world.store.store()).await;
+    let first = world.gateway_over(link.address, "g", &[]).await;
+    let second = world.gateway_over(link.address, "gg", &[&first]).await;
+    let early = begin_at_versions(&first, &["v1"], STREAMS).await;
+    link.cut();
+    sleep(Duration::from_secs(3)).await;
+    let late = begin_at_versions(&first, &["v1"], STREAMS).await;
+    assert_eq!(count_taken_up(&second, &early).await, STREAMS);
+    assert_eq!(count_taken_up(&second, &late).await, STREAMS);
+}
+
+/// Guards against refusing streams at an instance that joins too late to be told of them.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn streams_go_on_at_an_instance_that_starts_while_the_store_is_away() {
+    let world = VersionWorld::start(&["v1", "v1", "v2", "v2"]).await;
+    let link = CutLink::start(world.store.store()).await;
+    let first = world.gateway_over(link.address, "g", &[]).await;
+    link.cut();
+    let streams = begin_at_versions(&first, &["v1", "v2"], STREAMS / 2).await;
+    sleep(Duration::from_secs(1)).await;
+    let second = world.gateway_over(link.address, "gg", &[&first]).await;
+    assert_all_go_on(&second, &streams).await;
+}
+
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn a_stream_taken_up_at_an_instance_without_peers_during_a_release_is_not_joined() {
     assert_not_joined_when_cut_off(true).await;
--- a/tests/wire_compat.rs
+++ b/tests/wire_compat.rs
@@ -10,6 +10,7 @@
     ConfigPage, ConfigSinceCall, WireEvidence, WireNumberedRecord,
 };
 use bulrushslip::wire::lease_record::{decode_lease, encode_lease};
+use bulrushslip::wire::origin_news::{WireStreamKey, WireStreamOrigin};
 use bulrushslip::wire::pace_news::{WirePace, WirePaceSearch};
 use bulrushslip::wire::peer_rpc::{
     GossipMessage, PeerRpcRequest, PeerRpcResponse, WireSegmentNews, WireSuspicion, WireTopic,
@@ -318,6 +319,38 @@
     check("unavailable", &claim(ClaimReply::Unavailable), "0503");
 }
 
+#[test]
+fn origins_of_streams_between_gateways_are_encoded_as_by_earlier_builds() {
+    let stream = WireStreamKey {
+        service: 0x11,
+        request: 0x12,
+    };
+    let origin = WireStreamOrigin {
+        service: 0x11,
+        request: 0x12,
+        software: 0x13,
+    };
+    check(
+        "ReportOrigins",
+        &PeerRpcRequest::ReportOrigins {
+            origins: vec![origin],
+        },
+        "0801111213",
+    );
+    check(
+        "FindOrigins",
+        &PeerRpcRequest::FindOrigins {
+            streams: vec![stream],
+        },
+        "09011112",
+    );
+    check(
+        "FindOrigins response",
+        &PeerRpcResponse::FindOrigins(vec![origin]),
+        "0901111213",
+    );
+}
+
 #[test]
 fn gossip_between_gateways_is_encoded_as_by_earlier_builds() {
     let gossip = GossipMessage {
