Name the isolated customers in the cache domain of the others

Cause: the domain in which engines keep KV cache followed from model and weights for all customers that are not isolated, so it stayed the same when one of them became isolated, with all that it had made. Besides, a request kept the scope of the configuration under which its route was looked up, also when it was sent again later.

Now the shared domain names the set of isolated customers, and the scope is looked up at each placement. The set follows from the configuration alone, so instances that start later agree, and a domain never holds parts of a customer that is isolated under it: those were made under other sets, or in its own domain. Fetched and saved parts and what instances tell each other are found under the same domain. With no isolated customer the domain is that of earlier builds.

Price: shared parts are read again once after a change of that set. Tests lose the field is_isolated of placements, which nothing reads any more.

--- a/src/decide/member_choice.rs
+++ b/src/decide/member_choice.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddr;
 
+use super::cache_scope::CacheScope;
 use super::fleet::{Fleet, FleetMember, MemberKey, MemberLoad};
 use super::prefix_homes::PrefixHomes;
 use super::prefix_source::{cheapest_source, stores_holding};
@@ -75,8 +76,8 @@
     pub service: ServiceId,
     /// Sizes and segments of the prompt; `None` for services that are not model engines.
     pub prompt: Option<&'a PromptShape>,
-    /// Name of the customer if it is isolated, else empty; isolated customers share no KV cache.
-    pub isolation_key: &'a str,
+    /// Customers that share KV cache with the request.
+    pub cache_scope: CacheScope<'a>,
     /// Length of the request body.
     pub body_bytes: usize,
     /// Upstreams that must not be chosen, because the request has been sent to them before.
@@ -290,7 +291,7 @@
             cost += OUTDATED_WEIGHTS_US;
         }
     }
-    let domain = CacheDomain::of(prompt.model, version, request.isolation_key);
+    let domain = CacheDomain::of(prompt.model, version, request.cache_scope);
     let prefixes = prefix_hashes(domain, prompt.shared());
     let holder = CacheState {
         member: key,
--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -4,6 +4,7 @@
 
 pub mod admission;
 pub mod cache_index;
+pub mod cache_scope;
 pub mod call_patience;
 pub mod change_check;
 pub mod claim_coordinator;
--- a/src/decide/prompt_parts.rs
+++ b/src/decide/prompt_parts.rs
@@ -3,6 +3,7 @@
 use std::collections::HashMap;
 use std::time::Duration;
 
+use super::cache_scope::CacheScope;
 use super::fleet::MemberKey;
 use super::hashing::{first_word, hash_parts};
 use super::route_table::{DataCentreId, KvStore};
@@ -75,20 +76,23 @@
     }
 }
 
-/// Set of requests that may share KV cache: equal model, weights and isolation key.
+/// Set of requests that may share KV cache: equal model, weights and scope.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
 pub struct CacheDomain(pub u64);
 
 impl CacheDomain {
-    /// Returns the domain of a request; `isolation_key` is empty if its customer is not isolated.
+    /// Returns the domain of a request.
     #[must_use]
-    pub fn of(model: u64, version: u64, isolation_key: &str) -> Self {
-        let inputs = [
-            &model.to_le_bytes()[..],
-            &version.to_le_bytes()[..],
-            isolation_key.as_bytes(),
-        ];
-        Self(first_word(&hash_parts(&inputs)))
+    pub fn of(model: u64, version: u64, scope: CacheScope<'_>) -> Self {
+        let (model, version) = (model.to_le_bytes(), version.to_le_bytes());
+        let hash = match scope {
+            CacheScope::Own(name) => hash_parts(&[&model, &version, name.as_bytes()]),
+            CacheScope::Shared(None) => hash_parts(&[&model, &version, &[]]),
+            CacheScope::Shared(Some(isolated)) => {
+                hash_parts(&[&model, &version, &[], &isolated.0.to_le_bytes()])
+            }
+        };
+        Self(first_word(&hash))
     }
 
     /// Returns the domain as it is sent to engines, which keep their caches apart by this text.
--- a/src/decide/route_table.rs
+++ b/src/decide/route_table.rs
@@ -3,6 +3,7 @@
 use std::collections::HashMap;
 use std::net::SocketAddr;
 
+use super::cache_scope::CacheScopes;
 use super::customer_quota::QuotaRule;
 use super::hashing::name_hash;
 use super::ids::Rank;
@@ -197,8 +198,6 @@
     pub has_prompts: bool,
     /// Name of the customer; `None` for requests without one.
     pub customer: Option<String>,
-    /// Whether the customer shares KV cache with no other customer.
-    pub is_isolated: bool,
     /// Size limits of the request.
     pub limits: CallerLimits,
 }
@@ -248,6 +247,8 @@
     pub limits: CallerLimits,
     /// KV stores; empty if there is none.
     pub kv_stores: Vec<KvStore>,
+    /// Which customers may share KV cache.
+    pub cache_scopes: CacheScopes,
     /// Services by identifier.
     pub services: HashMap<ServiceId, ServiceRule>,
     /// Lowest `priority` value among the routes of each service.
@@ -276,6 +277,8 @@
             by_host.entry(host).or_default().push(routes.insert(rule));
         }
         let mut customers = Arena::new();
+        let rules = configuration.customers.as_deref();
+        let cache_scopes = CacheScopes::new(rules.unwrap_or_default());
         let by_api_key = configuration.customers.map(|rules| {
             let mut by_api_key = HashMap::new();
             for rule in rules {
@@ -290,6 +293,7 @@
             version: configuration.version,
             limits: configuration.limits,
             kv_stores: configuration.kv_stores,
+            cache_scopes,
             services: services.map(|service| (service.id, service)).collect(),
             top_priority,
             routes,
@@ -333,7 +337,6 @@
                 .is_none_or(|top| rule.priority <= *top),
             has_prompts: rule.has_prompts,
             customer: customer.map(|customer| customer.name.clone()),
-            is_isolated: customer.is_some_and(|customer| customer.is_isolated),
             limits: self.limits,
         })
     }
--- a/src/gateway/attempts.rs
+++ b/src/gateway/attempts.rs
@@ -374,7 +374,6 @@
         prompt: request.prompt.clone(),
         customer: request.route.customer.clone().unwrap_or_default(),
         stated_tokens: request.stated_tokens,
-        is_isolated: request.route.is_isolated,
         body_bytes: request.body.len(),
         excluded,
         software: request.software,
--- a/src/gateway/dispatch/place.rs
+++ b/src/gateway/dispatch/place.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use super::state::{DispatchState, RunningRequest, WaitingRequest};
+use crate::decide::cache_scope::CacheScope;
 use crate::decide::fleet::FleetMember;
 use crate::decide::ids::{Rank, Ticket};
 use crate::decide::member_choice::{
@@ -206,7 +207,9 @@
         let question = ChoiceRequest {
             service: request.service,
             prompt,
-            isolation_key: isolation_key(request),
+            cache_scope: routes.map_or(CacheScope::Own(&request.customer), |routes| {
+                routes.cache_scopes.of(&request.customer)
+            }),
             body_bytes: request.body_bytes,
             excluded: &request.excluded,
             software: match request.software {
@@ -353,12 +356,3 @@
         placement
     }
 }
-
-/// Returns the name of the customer if it is isolated, else an empty string.
-fn isolation_key(request: &PlacementRequest) -> &str {
-    if request.is_isolated {
-        &request.customer
-    } else {
-        ""
-    }
-}
--- a/src/gateway/placement.rs
+++ b/src/gateway/placement.rs
@@ -26,8 +26,6 @@
     pub customer: String,
     /// Tokens of prompt and answer that the caller states, by which a quota may count.
     pub stated_tokens: Option<u64>,
-    /// Whether the customer shares KV cache with no other customer.
-    pub is_isolated: bool,
     /// Size of the body in bytes.
     pub body_bytes: usize,
     /// Upstreams on which the request must not be placed.
--- a/tests/gateway_drain.rs
+++ b/tests/gateway_drain.rs
@@ -131,7 +131,6 @@
             prompt: None,
             customer: String::new(),
             stated_tokens: None,
-            is_isolated: false,
             body_bytes: 100,
             excluded: Vec::new(),
             software: SoftwareChoice::Any,
--- a/tests/gateway_late_send.rs
+++ b/tests/gateway_late_send.rs
@@ -80,7 +80,6 @@
             is_urgent: true,
             has_prompts: false,
             customer: None,
-            is_isolated: false,
             limits: CallerLimits {
                 head_bytes: 4_096,
                 body_bytes: 1_000,
@@ -107,7 +106,6 @@
         prompt: None,
         customer: String::new(),
         stated_tokens: None,
-        is_isolated: false,
         body_bytes: 0,
         excluded: Vec::new(),
         software: SoftwareChoice::Any,
--- a/tests/gossip_scale.rs
+++ b/tests/gossip_scale.rs
@@ -44,7 +44,6 @@
         prompt: Some(Arc::new(prompt)),
         customer: String::new(),
         stated_tokens: None,
-        is_isolated: false,
         body_bytes: 17_000,
         excluded: Vec::new(),
         software: SoftwareChoice::Any,
--- a/tests/member_choice.rs
+++ b/tests/member_choice.rs
@@ -4,6 +4,7 @@
 use std::sync::LazyLock;
 use std::time::Duration;
 
+use bulrushslip::decide::cache_scope::CacheScope;
 use bulrushslip::decide::fleet::{
     EntryChange, Fleet, MemberKey, MemberLoad, MemberOutcome, MemberState, MemberWeights,
     UpstreamEntry,
@@ -105,7 +106,7 @@
     ChoiceRequest {
         service: ServiceId::of("llm"),
         prompt: Some(prompt),
-        isolation_key: "",
+        cache_scope: CacheScope::Shared(None),
         body_bytes: 34_000,
         excluded: &[],
         software: SoftwareFilter::Except(&[]),
@@ -122,7 +123,10 @@
 }
 
 fn shared_prefixes(version: u64) -> Vec<(u64, u64)> {
-    prefix_hashes(CacheDomain::of(MODEL, version, ""), review().shared())
+    prefix_hashes(
+        CacheDomain::of(MODEL, version, CacheScope::Shared(None)),
+        review().shared(),
+    )
 }
 
 #[test]
@@ -272,17 +276,21 @@
 
 #[test]
 fn prefixes_of_other_weights_or_isolated_customers_are_not_shared() {
-    let unisolated = CacheDomain::of(MODEL, 1, "");
-    assert_ne!(unisolated, CacheDomain::of(MODEL, 2, ""));
-    assert_ne!(unisolated, CacheDomain::of(MODEL, 1, "isolated"));
+    let isolated = CacheScope::Own("isolated");
+    let unisolated = CacheDomain::of(MODEL, 1, CacheScope::Shared(None));
+    assert_ne!(
+        unisolated,
+        CacheDomain::of(MODEL, 2, CacheScope::Shared(None))
+    );
+    assert_ne!(unisolated, CacheDomain::of(MODEL, 1, isolated));
     let mut fleet = Fleet::default();
     let key = added(&mut fleet, entry("n", "local", 1));
     let mut prefix_index = PrefixIndex::default();
     prefix_index.record_cached(at(0), &shared_prefixes(1), key, 0);
     let prompt = review();
-    let mut isolated = request(&prompt);
-    isolated.isolation_key = "isolated";
-    let choice = sent(choose(context(at(1), &fleet, &prefix_index), isolated));
+    let mut apart = request(&prompt);
+    apart.cache_scope = isolated;
+    let choice = sent(choose(context(at(1), &fleet, &prefix_index), apart));
     assert_eq!((choice.missing_tokens, choice.fetch_from), (13_000, None));
 }
 
--- a/tests/member_notice.rs
+++ b/tests/member_notice.rs
@@ -5,6 +5,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use bulrushslip::decide::cache_scope::CacheScope;
 use bulrushslip::decide::fleet::{Fleet, MemberKey, MemberOutcome, MemberState, UpstreamEntry};
 use bulrushslip::decide::member_choice::{ChoiceContext, ChoiceOutcome, ChoiceRequest, choose};
 use bulrushslip::decide::member_notice::{MemberNotice, UpstreamNotice};
@@ -139,7 +140,7 @@
         let request = ChoiceRequest {
             service: ServiceId::of("s"),
             prompt: None,
-            isolation_key: "",
+            cache_scope: CacheScope::Shared(None),
             body_bytes: 100,
             excluded: &[],
             software: SoftwareFilter::Except(&[]),
--- a/tests/quota_parked.rs
+++ b/tests/quota_parked.rs
@@ -63,7 +63,6 @@
         })),
         customer: "customer".to_owned(),
         stated_tokens: None,
-        is_isolated: false,
         body_bytes: 100,
         excluded: Vec::new(),
         software: SoftwareChoice::Any,
