Look for a crash after each lost request, and tell of refused ones while they are refused

Cause: a crash was noticed only if another connection failed within 1.5 s or if the same name returned with a new start; a service that is quiet and whose servers return under other names gives neither, and a connection that failed later dropped the loss. Only lost prompts were followed by a connection attempt. Besides, suspicions were told for 1.5 s, so instances that start, restart or come back later let the request through again.

Refused requests are told for as long as they are refused, with the time left (report_suspects, at the end of the interface), and an answer clears them everywhere.

--- a/src/decide/suspects.rs
+++ b/src/decide/suspects.rs
@@ -50,6 +50,9 @@
     pub poison_ms: u64,
     /// Maximum time for which a suspect runs alone on its engine, in milliseconds.
     pub solo_ms: u64,
+    /// Time within which crashes count as one, in milliseconds: upstreams that fail at the same moment may
+    /// have a common cause, and a request that is sent on from one to the next has not crashed them.
+    pub same_crash_ms: u64,
     /// Maximum number of fingerprints; beyond it the one that expires first is evicted.
     pub max_fingerprints: usize,
 }
@@ -60,6 +63,7 @@
             suspect_ms: 600_000,
             poison_ms: 3_600_000,
             solo_ms: 10_000,
+            same_crash_ms: 0,
             max_fingerprints: 4096,
         }
     }
@@ -76,6 +80,17 @@
     Poisonous,
 }
 
+/// Outcome of [`SuspectTable::merge`].
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum MergeOutcome {
+    /// The crash is news.
+    Added,
+    /// The crash is known, or the fingerprint is refused already.
+    Known,
+    /// The fingerprint has completed since the crash.
+    Cleared,
+}
+
 /// Crash history of one fingerprint.
 #[derive(Debug, Clone)]
 pub struct SuspectEntry {
@@ -83,12 +98,53 @@
     pub fingerprint: Fingerprint,
     /// Crashes that the fingerprint was seen in and not cleared of.
     pub crashes: Vec<CrashId>,
+    /// Time of each of these crashes.
+    pub times: Vec<Moment>,
     /// Crashes that the fingerprint was cleared of; delayed reports of them are ignored.
     pub cleared: Vec<CrashId>,
     /// Time at which the entry is removed.
     pub expires: Moment,
 }
 
+impl SuspectEntry {
+    /// Returns the number of crashes, where those at the same moment count as one.
+    #[must_use]
+    pub fn count(&self, policy: SuspectPolicy) -> usize {
+        let same = Duration::from_millis(policy.same_crash_ms);
+        let mut times = self.times.clone();
+        times.sort_unstable();
+        let mut counted: Option<Moment> = None;
+        let is_other = |time: &&Moment| {
+            let is_same = counted.is_some_and(|first| first.after(same) > **time);
+            if !is_same {
+                counted = Some(**time);
+            }
+            !is_same
+        };
+        times.iter().filter(is_other).count()
+    }
+
+    /// Returns whether a crash would be news.
+    fn lacks(&self, policy: SuspectPolicy, crash: CrashId) -> bool {
+        let is_full = self.count(policy) >= MAX_CRASHES || self.crashes.len() >= MAX_SEEN;
+        !is_full && !self.crashes.contains(&crash)
+    }
+
+    fn push(&mut self, crash: CrashId, at: Moment) {
+        self.crashes.push(crash);
+        self.times.push(at);
+    }
+
+    fn remove(&mut self, crashes: &[CrashId]) {
+        let known = self.crashes.iter().zip(&self.times);
+        let kept = known.filter(|(crash, _)| !crashes.contains(crash));
+        (self.crashes, self.times) = kept.map(|(crash, time)| (*crash, *time)).unzip();
+    }
+}
+
+/// Maximum number of crashes kept for one fingerprint.
+const MAX_SEEN: usize = 8;
+
 /// Maximum number of cleared crashes kept for one fingerprint; the oldest is dropped first.
 const MAX_CLEARED: usize = 8;
 
@@ -117,15 +173,43 @@
     pub fn report(&mut self, now: Moment, fingerprint: Fingerprint, crash: CrashId) -> bool {
         let policy = self.policy;
         let entry = self.entry(now, fingerprint);
-        let is_known = entry.crashes.contains(&crash) || entry.cleared.contains(&crash);
-        if is_known || entry.crashes.len() >= MAX_CRASHES {
+        if entry.cleared.contains(&crash) || !entry.lacks(policy, crash) {
             return false;
         }
-        entry.crashes.push(crash);
-        entry.expires = now.after(lifetime(policy, entry.crashes.len()));
+        entry.push(crash, now);
+        entry.expires = now.after(lifetime(policy, entry.count(policy)));
         true
     }
 
+    /// Merges a crash of which another process tells that refuses the fingerprint for `left`. The entry does
+    /// not outlast that, so that processes that tell each other forget it at the same time.
+    pub fn merge(
+        &mut self,
+        now: Moment,
+        fingerprint: Fingerprint,
+        (crash, at): (CrashId, Moment),
+        left: Duration,
+    ) -> MergeOutcome {
+        let policy = self.policy;
+        let entry = self.entry(now, fingerprint);
+        if entry.cleared.contains(&crash) {
+            return MergeOutcome::Cleared;
+        }
+        if !entry.lacks(policy, crash) {
+            return MergeOutcome::Known;
+        }
+        entry.push(crash, at);
+        let lifetime = lifetime(policy, entry.count(policy));
+        entry.expires = now.after(lifetime.min(left));
+        MergeOutcome::Added
+    }
+
+    /// Iterates over the fingerprints that are refused.
+    pub fn poisonous(&self, now: Moment) -> impl Iterator<Item = &SuspectEntry> {
+        self.iter(now)
+            .filter(|entry| entry.count(self.policy) >= MAX_CRASHES)
+    }
+
     /// Clears a fingerprint of the crashes because it has completed since.
     pub fn clear(&mut self, now: Moment, fingerprint: Fingerprint, crashes: &[CrashId]) {
         if crashes.is_empty() {
@@ -133,7 +217,7 @@
         }
         let policy = self.policy;
         let entry = self.entry(now, fingerprint);
-        entry.crashes.retain(|crash| !crashes.contains(crash));
+        entry.remove(crashes);
         for crash in crashes {
             if !entry.cleared.contains(crash) {
                 entry.cleared.push(*crash);
@@ -141,13 +225,14 @@
         }
         let excess = entry.cleared.len().saturating_sub(MAX_CLEARED);
         entry.cleared.drain(..excess);
-        entry.expires = now.after(lifetime(policy, entry.crashes.len()));
+        entry.expires = now.after(lifetime(policy, entry.count(policy)));
     }
 
     /// Returns how a request with the fingerprint may run.
     #[must_use]
     pub fn verdict(&self, now: Moment, fingerprint: Fingerprint) -> SuspectVerdict {
-        match self.crashes(now, fingerprint).len() {
+        let entry = self.live_entry(now, fingerprint);
+        match entry.map_or(0, |entry| entry.count(self.policy)) {
             0 => SuspectVerdict::Free,
             count if count < MAX_CRASHES => SuspectVerdict::Solo,
             _ => SuspectVerdict::Poisonous,
@@ -157,12 +242,13 @@
     /// Returns the crashes that a fingerprint was seen in and not cleared of.
     #[must_use]
     pub fn crashes(&self, now: Moment, fingerprint: Fingerprint) -> &[CrashId] {
-        let key = self.by_fingerprint.get(&fingerprint);
-        let entry = key.and_then(|key| self.entries.get(*key));
-        match entry {
-            Some(entry) if !entry.expires.is_due(now) => &entry.crashes,
-            _ => &[],
-        }
+        let entry = self.live_entry(now, fingerprint);
+        entry.map_or(&[], |entry| &entry.crashes)
+    }
+
+    fn live_entry(&self, now: Moment, fingerprint: Fingerprint) -> Option<&SuspectEntry> {
+        let entry = self.entries.get(*self.by_fingerprint.get(&fingerprint)?)?;
+        (!entry.expires.is_due(now)).then_some(entry)
     }
 
     /// Iterates over the suspects, for transfer to a process that has just started.
@@ -227,6 +313,7 @@
         let key = self.entries.insert(SuspectEntry {
             fingerprint,
             crashes: Vec::new(),
+            times: Vec::new(),
             cleared: Vec::new(),
             expires: now.after(lifetime(self.policy, 0)),
         });
--- a/src/gateway/attempts.rs
+++ b/src/gateway/attempts.rs
@@ -228,9 +228,9 @@
         );
     }
 
-    /// Looks for a crash of an upstream that has lost a prompt.
+    /// Looks for a crash of an upstream that has lost the request.
     async fn probe_if_lost(&self, outcome: MemberOutcome, at: &Placement) {
-        if outcome == MemberOutcome::Lost && self.request.prompt.is_some() {
+        if outcome == MemberOutcome::Lost {
             probe_after_loss(self.directory, at.member, at.address).await;
         }
     }
--- a/src/gateway/dispatch/crashes.rs
+++ b/src/gateway/dispatch/crashes.rs
@@ -6,16 +6,17 @@
 
 use super::start_deadline::CancelReason;
 use super::state::{DispatchState, LostRequest, RunningRequest};
-use crate::decide::fleet::{FleetMember, MemberKey, MemberOutcome};
+use super::suspicions::NEWS_REPEAT_TIME;
+use crate::decide::fleet::{FleetMember, MemberKey, MemberOutcome, MemberState};
 use crate::decide::ids::{EngineEpoch, Incarnation, Ticket};
 use crate::decide::prompt_parts::PromptShape;
 use crate::decide::segment_entry::SegmentKey;
 use crate::decide::segment_suspects::{SegmentCrash, SegmentVerdict, shared_segments};
-use crate::decide::suspects::{CrashId, Fingerprint, SuspectVerdict};
+use crate::decide::suspects::{CrashId, SuspectVerdict};
 use crate::events::{EventKind, SEGMENT_CLEARED, SEGMENT_REFUSED, UPSTREAM_CRASHED, log_event};
 use crate::gateway::mail::{PlacementRefusal, PlacementRequest};
 use crate::kernel::{Moment, whole_ms};
-use crate::wire::peer_rpc::{WireSegmentNews, WireSuspicion};
+use crate::wire::peer_rpc::WireSegmentNews;
 
 /// Time within which a failed connection attempt shows that an earlier lost request was lost to a
 /// crash of the upstream.
@@ -28,9 +29,6 @@
 /// Maximum number of lost requests that are remembered until a crash is detected or ruled out.
 const MAX_LOST_REQUESTS: usize = 512;
 
-/// Maximum number of suspicions that are kept for gossip.
-const MAX_SUSPICIONS: usize = 256;
-
 /// Maximum number of news of segments that are kept for gossip.
 const MAX_SEGMENT_NEWS: usize = 512;
 
@@ -41,9 +39,6 @@
 /// Maximum number of crashes of refused segments in one message.
 const MAX_REFUSED_NEWS: usize = 128;
 
-/// Time for which news is sent to others; it reaches all instances within a few exchanges.
-const NEWS_REPEAT_TIME: Duration = Duration::from_millis(1_500);
-
 /// What an instance tells others of a segment.
 #[derive(Debug, Clone, Copy)]
 pub enum SegmentNews {
@@ -60,6 +55,8 @@
     Unreachable,
     /// The upstream's next run is listed.
     Restarted,
+    /// Another upstream is listed at its address, though it has not said that it leaves.
+    Replaced,
 }
 
 impl DispatchState {
@@ -105,8 +102,7 @@
     /// Clears what a complete answer shows to be sound: the request, its segments and its upstream.
     fn record_answer(&mut self, now: Moment, running: &RunningRequest) {
         if !self.suspects.is_empty() {
-            let crashes = self.suspects.crashes(now, running.fingerprint).to_vec();
-            self.suspects.clear(now, running.fingerprint, &crashes);
+            self.clear_request(now, running.fingerprint);
         }
         if self.segments.is_empty() {
             return;
@@ -124,6 +120,22 @@
         }
     }
 
+    /// Records the crash of a run whose address a new upstream has taken over. A run that is draining has
+    /// left.
+    pub(super) fn record_replacement(&mut self, now: Moment, new: MemberKey) {
+        let Some(entry) = self.fleet.get(new).map(|member| &member.entry) else {
+            return;
+        };
+        let address = entry.address;
+        let replaced = self.fleet.iter().find(|(key, member)| {
+            let entry = &member.entry;
+            *key != new && entry.address == address && entry.state == MemberState::Ready
+        });
+        if let Some((old, _)) = replaced {
+            self.record_crash(now, old, CrashSign::Replaced);
+        }
+    }
+
     /// Reports as suspects the requests that were lost at an upstream shortly before it was found
     /// to be down, and their segments.
     pub(super) fn record_crash(&mut self, now: Moment, member: MemberKey, sign: CrashSign) {
@@ -132,7 +144,7 @@
         };
         let window = match sign {
             CrashSign::Unreachable => CRASH_DETECTION_WINDOW,
-            CrashSign::Restarted => RESTART_DETECTION_WINDOW,
+            CrashSign::Restarted | CrashSign::Replaced => RESTART_DETECTION_WINDOW,
         };
         let crash = crash_of(crashed);
         let upstream = crashed.entry.id.clone();
@@ -144,7 +156,11 @@
             .filter(|lost| now.since(lost.at) < window)
             .cloned()
             .collect();
-        self.lost_requests.retain(|lost| lost.member != member);
+        // An older loss is not explained by this sign, but may be by the next run.
+        self.lost_requests.retain(|lost| {
+            let age = now.since(lost.at);
+            age < RESTART_DETECTION_WINDOW && (lost.member != member || age >= window)
+        });
         if lost.is_empty() {
             return;
         }
@@ -216,27 +232,6 @@
         log_event(kind, &fields);
     }
 
-    /// Records that a request was running in a crash, and queues what is new for the other instances.
-    pub(super) fn record_suspicion(
-        &mut self,
-        now: Moment,
-        fingerprint: Fingerprint,
-        crash: CrashId,
-    ) {
-        if !self.suspects.report(now, fingerprint, crash) {
-            return;
-        }
-        let suspicion = WireSuspicion {
-            fingerprint: fingerprint.0,
-            upstream: crash.sidecar.0,
-            born: crash.epoch.0,
-        };
-        self.recent_suspicions.push_back((now, suspicion));
-        if self.recent_suspicions.len() > MAX_SUSPICIONS {
-            self.recent_suspicions.pop_front();
-        }
-    }
-
     fn queue_segment_news(&mut self, now: Moment, news: SegmentNews) {
         self.segment_news.push_back((now, news));
         if self.segment_news.len() > MAX_SEGMENT_NEWS {
@@ -244,15 +239,6 @@
         }
     }
 
-    /// Drops suspicions that have expired and news that all instances have received.
-    pub(super) fn expire_suspicions(&mut self, now: Moment) {
-        self.suspects.expire(now);
-        self.segments.expire(now);
-        let is_old = |at: &Moment| now.since(*at) >= NEWS_REPEAT_TIME;
-        self.recent_suspicions.retain(|(at, _)| !is_old(at));
-        self.segment_news.retain(|(at, _)| !is_old(at));
-    }
-
     /// Returns whether a request must not be sent, because requests like it crash upstreams.
     pub(super) fn is_poisonous(&self, now: Moment, request: &PlacementRequest) -> bool {
         if self.suspects.verdict(now, request.fingerprint) == SuspectVerdict::Poisonous {
--- a/src/gateway/dispatch/mod.rs
+++ b/src/gateway/dispatch/mod.rs
@@ -25,6 +25,7 @@
 mod send_check;
 mod start_deadline;
 mod state;
+mod suspicions;
 mod transfers;
 mod view_check;
 mod weights;
@@ -173,6 +174,8 @@
         DispatchMail::BuildPaceNews(reply_to) => reply_to.send(state.pace_news(now)),
         DispatchMail::SegmentNews(news) => state.apply_segment_news(now, &news),
         DispatchMail::BuildSegmentNews(reply_to) => reply_to.send(state.segment_news(now)),
+        DispatchMail::SuspectNews(news) => state.apply_suspect_news(now, &news),
+        DispatchMail::BuildSuspectNews(reply_to) => reply_to.send(state.suspect_news(now)),
         DispatchMail::StreamBegan(stream, software) => state.record_stream(now, stream, software),
         DispatchMail::FindOrigin(query, reply_to) => {
             reply_to.send(state.find_origin(now, query));
--- a/src/gateway/dispatch/records.rs
+++ b/src/gateway/dispatch/records.rs
@@ -259,6 +259,7 @@
             EntryChange::Same(_) => return,
             EntryChange::Added(key) => {
                 self.record_software(now, key);
+                self.record_replacement(now, key);
                 self.pace_new_entry(now, key);
                 (key, "added")
             }
--- a/src/gateway/dispatch/state.rs
+++ b/src/gateway/dispatch/state.rs
@@ -27,7 +27,7 @@
 use crate::decide::route_table::{RouteTable, ServiceId};
 use crate::decide::segment_entry::SegmentPolicy;
 use crate::decide::segment_suspects::SegmentSuspects;
-use crate::decide::suspects::{SuspectPolicy, SuspectTable};
+use crate::decide::suspects::{CrashId, Fingerprint, SuspectPolicy, SuspectTable};
 use crate::decide::version_deadlines::VersionDeadlines;
 use crate::gateway::counters::GatewayCounters;
 use crate::gateway::identity::InstanceIdentity;
@@ -38,6 +38,10 @@
 use crate::platform::upstream_entry::{entry_meaning, entry_stamp};
 use crate::wire::peer_rpc::{WireSegment, WireSuspicion, WireTopic};
 
+/// Time within which crashes of upstreams count as one for a request, in milliseconds. A request that is lost at
+/// one upstream is sent to the next within it.
+const SAME_CRASH_MS: u64 = 1_000;
+
 /// Version of a model's weights that operators want upstreams to run.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct TargetVersion {
@@ -118,6 +122,8 @@
     pub(super) suspects: SuspectTable,
     /// Suspicions that are sent to other instances, each with the time at which it was added.
     pub(super) recent_suspicions: VecDeque<(Moment, WireSuspicion)>,
+    /// Requests that were answered after crashes in which they were running, each with the time of the answer.
+    pub(super) cleared_requests: VecDeque<(Moment, Fingerprint, CrashId)>,
     /// Requests that may have been lost to a crash, oldest first.
     pub(super) lost_requests: VecDeque<LostRequest>,
     /// Longest time for which an upstream may ask to get no requests.
@@ -191,8 +197,12 @@
             unstarted: HashMap::new(),
             next_cancellation: Moment::NEVER,
             budgets: HashMap::new(),
-            suspects: SuspectTable::new(SuspectPolicy::default()),
+            suspects: SuspectTable::new(SuspectPolicy {
+                same_crash_ms: SAME_CRASH_MS,
+                ..SuspectPolicy::default()
+            }),
             recent_suspicions: VecDeque::new(),
+            cleared_requests: VecDeque::new(),
             lost_requests: VecDeque::new(),
             segments: SegmentSuspects::new(SegmentPolicy::default()),
             segment_news: VecDeque::new(),
--- a/src/gateway/mail.rs
+++ b/src/gateway/mail.rs
@@ -29,6 +29,7 @@
 };
 use crate::wire::records_call::{WireRecordsCall, WireRecordsReply};
 use crate::wire::site_digest::WireDigestCall;
+use crate::wire::suspect_news::WireSuspectNews;
 use crate::wire::use_news::WireUseCall;
 
 /// Message to a service or I/O task of the gateway; the variant names the receiver.
@@ -134,6 +135,10 @@
     SegmentNews(Vec<WireSegmentNews>),
     /// Asks for the news of such segments that other instances have to know.
     BuildSegmentNews(ReplyTo<Vec<WireSegmentNews>>),
+    /// Applies another instance's news of requests that are refused because they crash upstreams.
+    SuspectNews(Vec<WireSuspectNews>),
+    /// Asks for the news of such requests that other instances have to know.
+    BuildSuspectNews(ReplyTo<Vec<WireSuspectNews>>),
     /// A stream has begun at an upstream of this software version.
     StreamBegan(StreamKey, SoftwareVersion),
     /// Asks for the software version at which a stream of a service began.
--- a/src/gateway/peer_connection.rs
+++ b/src/gateway/peer_connection.rs
@@ -19,6 +19,7 @@
 };
 use crate::wire::records_call::{WireRecordsCall, WireRecordsReply};
 use crate::wire::site_digest::WireDigestCall;
+use crate::wire::suspect_news::WireSuspectNews;
 use crate::wire::transport;
 use crate::wire::use_news::WireUseCall;
 
@@ -138,6 +139,15 @@
         let _is_accepted = self.report(report).await;
     }
 
+    /// Sends news of requests that crash upstreams on the connection of a successful exchange.
+    pub async fn report_suspects(&mut self, news: Vec<WireSuspectNews>) {
+        if news.is_empty() {
+            return;
+        }
+        let report = async |client: &PeerRpcClient, call| client.report_suspects(call, news).await;
+        let _is_accepted = self.report(report).await;
+    }
+
     /// Sends news of the limits of upstreams on the connection of a successful exchange.
     pub async fn report_limits(&mut self, limits: Vec<WireUpstreamLimit>) {
         if limits.is_empty() {
--- a/src/gateway/peer_news.rs
+++ b/src/gateway/peer_news.rs
@@ -11,6 +11,7 @@
 use crate::wire::pace_news::WirePace;
 use crate::wire::peer_rpc::{GossipMessage, WireSegmentNews, WireUpstreamLimit};
 use crate::wire::site_digest::WireDigestCall;
+use crate::wire::suspect_news::WireSuspectNews;
 use crate::wire::use_news::WireUseCall;
 
 /// News that go to each instance of a round.
@@ -20,6 +21,7 @@
     limits: Vec<WireUpstreamLimit>,
     paces: Vec<WirePace>,
     origins: Vec<WireStreamOrigin>,
+    suspects: Vec<WireSuspectNews>,
 }
 
 impl PeerNews {
@@ -29,11 +31,13 @@
         let limits = dispatch::ask(directory, DispatchMail::BuildLimitNews).await;
         let paces = dispatch::ask(directory, DispatchMail::BuildPaceNews).await;
         let origins = dispatch::ask(directory, DispatchMail::BuildStreamNews).await;
+        let suspects = dispatch::ask(directory, DispatchMail::BuildSuspectNews).await;
         Self {
             segments: segments.unwrap_or_default(),
             limits: limits.unwrap_or_default(),
             paces: paces.unwrap_or_default(),
             origins: origins.unwrap_or_default(),
+            suspects: suspects.unwrap_or_default(),
         }
     }
 
@@ -43,6 +47,7 @@
         connection.report_limits(self.limits).await;
         connection.report_paces(self.paces).await;
         connection.report_origins(self.origins).await;
+        connection.report_suspects(self.suspects).await;
     }
 }
 
--- a/src/gateway/peer_server.rs
+++ b/src/gateway/peer_server.rs
@@ -17,6 +17,7 @@
 };
 use crate::wire::records_call::{WireRecordsCall, WireRecordsReply};
 use crate::wire::site_digest::WireDigestCall;
+use crate::wire::suspect_news::WireSuspectNews;
 use crate::wire::transport;
 use crate::wire::use_news::WireUseCall;
 
@@ -129,6 +130,10 @@
         recorded.await.unwrap_or_default()
     }
 
+    async fn report_suspects(self, _: Context, news: Vec<WireSuspectNews>) {
+        dispatch::tell(&self.directory, DispatchMail::SuspectNews(news));
+    }
+
     async fn report_segments(self, _: Context, news: Vec<WireSegmentNews>) {
         dispatch::tell(&self.directory, DispatchMail::SegmentNews(news));
     }
--- a/src/wire/mod.rs
+++ b/src/wire/mod.rs
@@ -28,6 +28,7 @@
 pub mod rpc;
 pub mod site_digest;
 pub mod sse;
+pub mod suspect_news;
 pub mod suspect_rpc;
 pub mod transport;
 pub mod use_news;
--- a/src/wire/peer_rpc.rs
+++ b/src/wire/peer_rpc.rs
@@ -10,6 +10,7 @@
 use super::position::WirePosition;
 use super::records_call::{WireRecordsCall, WireRecordsReply};
 use super::site_digest::WireDigestCall;
+use super::suspect_news::WireSuspectNews;
 use super::use_news::WireUseCall;
 use crate::decide::fleet::MemberLoad;
 use crate::decide::route_table::DataCentreId;
@@ -286,4 +287,8 @@
     /// Returns those of the given streams whose origins the called instance has recorded. Instances of
     /// builds before this call close the connection on it.
     async fn find_origins(streams: Vec<WireStreamKey>) -> Vec<WireStreamOrigin>;
+
+    /// Applies news of requests that are refused because they crash upstreams. Instances of builds before
+    /// this call close the connection on it.
+    async fn report_suspects(news: Vec<WireSuspectNews>);
 }
--- a/tests/wire_compat.rs
+++ b/tests/wire_compat.rs
@@ -25,6 +25,7 @@
     SidecarRpcRequest, SidecarRpcResponse, StreamItem, SubmitCall, SubmitReply, SubmitVerdict,
     WireRank, WireRefusalReason, WireStreamEnd, WireTicket, WithdrawReply, WithdrawVerdict,
 };
+use bulrushslip::wire::suspect_news::WireSuspectNews;
 use bulrushslip::wire::suspect_rpc::{WireCrash, WireSuspectUpdate};
 use serde::{Deserialize, Serialize};
 use tarpc::tokio_serde::Serializer;
@@ -319,6 +320,22 @@
     check("unavailable", &claim(ClaimReply::Unavailable), "0503");
 }
 
+#[test]
+fn refused_requests_between_gateways_are_encoded_as_by_earlier_builds() {
+    let news = WireSuspectNews {
+        fingerprint: 0x11,
+        upstream: 0x12,
+        born: 0x13,
+        ago_ms: 0x14,
+        refused_ms: Some(0x15),
+    };
+    check(
+        "ReportSuspects",
+        &PeerRpcRequest::ReportSuspects { news: vec![news] },
+        "0a01111213140115",
+    );
+}
+
 #[test]
 fn origins_of_streams_between_gateways_are_encoded_as_by_earlier_builds() {
     let stream = WireStreamKey {
