Skip an entry of an upstream that lacks a field

Cause: the decoder of entries required only the fields that it needs, so a record without version, cold-left-ms and sequence passed for a new run of the server at the service that it names.

The entries of all tests have all fields.

--- a/src/decide/software.rs
+++ b/src/decide/software.rs
@@ -4,11 +4,6 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord)]
 pub struct SoftwareVersion(pub u64);
 
-impl SoftwareVersion {
-    /// Version of all upstreams whose entries name none.
-    pub const UNNAMED: Self = Self(0);
-}
-
 /// Software versions on which a request may be placed.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub enum SoftwareChoice {
--- a/src/platform/upstream_entry.rs
+++ b/src/platform/upstream_entry.rs
@@ -16,6 +16,8 @@
 /// overflow.
 const MAX_SLOTS: u32 = 65_536;
 
+/// Entry with all fields that an upstream writes, also those that are not used: one without them comes from
+/// another writer and names no upstream.
 #[derive(Debug, Deserialize)]
 #[serde(rename_all = "kebab-case")]
 struct WireEntry {
@@ -26,7 +28,13 @@
     slots: u32,
     state: String,
     /// Version of the software that the upstream runs.
-    version: Option<WireVersion>,
+    version: WireVersion,
+    /// How much longer the upstream is slow after its start, in milliseconds.
+    #[serde(rename = "cold-left-ms")]
+    _cold_left: Number,
+    /// Count of heartbeats.
+    #[serde(rename = "sequence")]
+    _sequence: u64,
     /// Models that the upstream serves, with the versions of their weights.
     #[serde(default)]
     models: Vec<WireModel>,
@@ -69,7 +77,7 @@
 ///
 /// # Errors
 ///
-/// Returns the reason when the entry is malformed, its state is unknown, the upstream has no slots or
+/// Returns the reason when the entry is malformed or lacks a field, its state is unknown, the upstream has no slots or
 /// more than [`MAX_SLOTS`], or its name cannot be sent in a header.
 pub fn decode_entry(id: &str, bytes: &[u8]) -> Result<UpstreamEntry, String> {
     if HeaderValue::from_str(id).is_err() {
@@ -95,9 +103,7 @@
         slots: wire.slots,
         state,
         started_unix_ms: wire.born.unwrap_or_default(),
-        software: wire
-            .version
-            .map_or(SoftwareVersion::UNNAMED, SoftwareVersion::from),
+        software: wire.version.into(),
         weights: wire.models.first().map(|model| MemberWeights {
             model: name_hash(&model.name),
             version: model.version,
--- a/tests/crashing_upstream/mod.rs
+++ b/tests/crashing_upstream/mod.rs
@@ -64,7 +64,7 @@
 impl Engine {
     /// Writes the engine's entry for its `run`-th start.
     async fn announce(&self, address: SocketAddr, run: u64) {
-        let entry = json!({"service": "s", "address": address, "zone": "near", "slots": 8,
+        let entry = json!({"service": "s", "address": address, "zone": "near", "slots": 8, "version": "v1", "cold-left-ms": 0, "sequence": 0,
             "state": "ready", "born": run, "models": [{"name": "m", "version": 1}]});
         let length = u8::try_from(self.id.len()).expect("a short id");
         let value = entry.to_string();
--- a/tests/deadly_requests.rs
+++ b/tests/deadly_requests.rs
@@ -85,7 +85,7 @@
     }
 
     async fn announce(&self, address: SocketAddr, run: u64) {
-        let entry = json!({"service": "s", "address": address, "zone": "near", "slots": 8,
+        let entry = json!({"service": "s", "address": address, "zone": "near", "slots": 8, "version": "v1", "cold-left-ms": 0, "sequence": 0,
             "state": "ready", "born": run + 1, "models": []});
         self.put(&self.name(run), &entry.to_string()).await;
     }
--- a/tests/endless_bytes.rs
+++ b/tests/endless_bytes.rs
@@ -342,7 +342,7 @@
     let world = TestEnvironment::start();
     world.configure(1, &routes()).await;
     let mut endless = EndlessUpstream::start(response).await;
-    let entry = json!({"service": "s", "address": endless.address, "zone": "near", "slots": 8,
+    let entry = json!({"service": "s", "address": endless.address, "zone": "near", "slots": 8, "version": "v1", "cold-left-ms": 0, "sequence": 0,
         "state": "ready", "born": 1, "models": [{"name": "m", "version": 1, "adapters": []}]});
     put(&world, UPSTREAM_TOPIC, "i-0", &entry).await;
     let version = json!({"model": "m", "version": 2});
--- a/tests/endless_many.rs
+++ b/tests/endless_many.rs
@@ -67,7 +67,7 @@
                 json!([])
             };
             let entry = json!({"service": format!("s{number}"), "address": upstream.address,
-                "zone": "near", "slots": 64, "state": "ready", "born": 1, "models": models});
+                "zone": "near", "slots": 64, "version": "v1", "cold-left-ms": 0, "sequence": 0, "state": "ready", "born": 1, "models": models});
             let id = format!("i-{number}");
             environment
                 .put(UPSTREAM_TOPIC, &id, &entry.to_string())
@@ -75,7 +75,7 @@
             endless.push(upstream);
         }
         let entry = json!({"service": "sound", "address": sound_upstream().await, "zone": "near",
-            "slots": 64, "state": "ready", "born": 1, "models": []});
+            "slots": 64, "version": "v1", "cold-left-ms": 0, "sequence": 0, "state": "ready", "born": 1, "models": []});
         environment
             .put(UPSTREAM_TOPIC, "sound", &entry.to_string())
             .await;
@@ -297,7 +297,7 @@
     let environment = TestEnvironment::start();
     configure(&environment, 0, false).await;
     let entry = json!({"service": "sound", "address": sound_upstream().await, "zone": "near",
-        "slots": 64, "state": "ready", "born": 1, "models": []});
+        "slots": 64, "version": "v1", "cold-left-ms": 0, "sequence": 0, "state": "ready", "born": 1, "models": []});
     environment
         .put(UPSTREAM_TOPIC, "sound", &entry.to_string())
         .await;
--- a/tests/gateway_drain.rs
+++ b/tests/gateway_drain.rs
@@ -27,7 +27,7 @@
 /// Time between two reads of the store, in milliseconds.
 const READ_INTERVAL_MS: usize = 400;
 
-const READY: &str = r#"{"service":"plain","address":"127.0.0.1:2","zone":"near","slots":8,
+const READY: &str = r#"{"service":"plain","address":"127.0.0.1:2","zone":"near","slots":8,"version":"v1","cold-left-ms":0,"sequence":0,
     "state":"ready","born":1}"#;
 
 fn at(ms: u64) -> Moment {
--- a/tests/gateway_gossip.rs
+++ b/tests/gateway_gossip.rs
@@ -26,7 +26,7 @@
     fn new(id: u64) -> Self {
         let driver = DispatchDriver::new(dispatch_settings(id));
         let mut instance = Self { driver };
-        let entry = r#"{"service":"llm","address":"127.0.0.1:2","zone":"near","slots":8,
+        let entry = r#"{"service":"llm","address":"127.0.0.1:2","zone":"near","slots":8,"version":"v1","cold-left-ms":0,"sequence":0,
             "state":"ready","born":1,"models":[{"name":"m","version":1}]}"#;
         let record = |key: &str, value: &str| KeyedRecord {
             key: key.to_owned(),
@@ -167,7 +167,7 @@
     let gossip = holder.gossip(at(0));
     remote.send(at(0), DispatchMail::Gossip(Box::new(gossip)));
     assert!(!remote.upstream_view(at(1_000)).0);
-    let entry = r#"{"service":"llm","address":"127.0.0.1:2","zone":"near","slots":8,
+    let entry = r#"{"service":"llm","address":"127.0.0.1:2","zone":"near","slots":8,"version":"v1","cold-left-ms":0,"sequence":0,
         "state":"ready","born":1,"models":[{"name":"m","version":2}]}"#;
     let records = TopicRecords {
         topic: WireTopic::Upstream,
--- a/tests/gateway_large_records.rs
+++ b/tests/gateway_large_records.rs
@@ -168,7 +168,7 @@
     let fleet = SlowFleet::start(4).await;
     for number in 0..770 {
         let (key, padding) = (format!("i-{number}"), "x".repeat(300));
-        let entry = json!({"service": "s", "address": "127.0.0.1:9", "zone": "near", "slots": 8,
+        let entry = json!({"service": "s", "address": "127.0.0.1:9", "zone": "near", "slots": 8, "version": "v1", "cold-left-ms": 0, "sequence": 0,
             "state": "ready", "born": 1, "padding": padding});
         let entry = entry.to_string();
         fleet.write(0, WireTopic::Upstream, &key, &entry, number);
--- a/tests/gateway_late_send.rs
+++ b/tests/gateway_late_send.rs
@@ -38,7 +38,7 @@
 /// Passes the entry of the upstream to `dispatch` as if it had been read from the store.
 fn announce(directory: &Directory<GatewayMail>, upstream: &Upstream, offset: u64, state: &str) {
     let entry = format!(
-        r#"{{"service":"s","address":"{}","zone":"near","slots":8,"state":"{state}","born":1}}"#,
+        r#"{{"service":"s","address":"{}","zone":"near","slots":8,"version":"v1","cold-left-ms":0,"sequence":0,"state":"{state}","born":1}}"#,
         upstream.address
     );
     let records = TopicRecords {
--- a/tests/gateway_world/mod.rs
+++ b/tests/gateway_world/mod.rs
@@ -360,14 +360,14 @@
     /// Writes the entry of an upstream at the given address.
     pub async fn announce_at(&self, id: &str, address: SocketAddr, state: &str) {
         let entry = json!({"service": "s", "address": address, "zone": "near",
-            "slots": 8, "state": state, "born": 1, "models": []});
+            "slots": 8, "version": "v1", "cold-left-ms": 0, "sequence": 0, "state": state, "born": 1, "models": []});
         self.put(UPSTREAM_TOPIC, id, &entry.to_string()).await;
     }
 
     /// Writes the entry of an engine that runs a version of the model `m`.
     pub async fn announce_engine(&self, id: &str, upstream: &Upstream, version: u64) {
         let entry = json!({"service": "s", "address": upstream.address, "zone": "near",
-            "slots": 8, "state": "ready", "born": 1, "models": [{"name": "m", "version": version}]});
+            "slots": 8, "version": "v1", "cold-left-ms": 0, "sequence": 0, "state": "ready", "born": 1, "models": [{"name": "m", "version": version}]});
         self.put(UPSTREAM_TOPIC, id, &entry.to_string()).await;
     }
 
--- a/tests/gossip_world/mod.rs
+++ b/tests/gossip_world/mod.rs
@@ -89,7 +89,7 @@
                 key: format!("i-{upstream}"),
                 value: Some(
                     format!(
-                        r#"{{"service":"llm","address":"127.0.0.1:{}","zone":"dc-{}","slots":12,
+                        r#"{{"service":"llm","address":"127.0.0.1:{}","zone":"dc-{}","slots":12,"version":"v1","cold-left-ms":0,"sequence":0,
                         "state":"ready","born":1,"models":[{{"name":"m","version":1}}]}}"#,
                         upstream + 1,
                         upstream % sites
--- a/tests/late_orders.rs
+++ b/tests/late_orders.rs
@@ -156,7 +156,7 @@
     let upstream = LateUpstream::start(lateness).await;
     environment.configure_engines(1, &[]).await;
     let entry = json!({"service": "s", "address": upstream.address, "zone": "near",
-        "slots": 8, "state": "ready", "born": 1, "models": [{"name": "m", "version": 1}]});
+        "slots": 8, "version": "v1", "cold-left-ms": 0, "sequence": 0, "state": "ready", "born": 1, "models": [{"name": "m", "version": 1}]});
     environment
         .put(UPSTREAM_TOPIC, "i-0", &entry.to_string())
         .await;
--- a/tests/member_choice.rs
+++ b/tests/member_choice.rs
@@ -44,7 +44,7 @@
         slots: 32,
         state: MemberState::Ready,
         started_unix_ms: 1,
-        software: SoftwareVersion::UNNAMED,
+        software: SoftwareVersion(0),
         weights: Some(MemberWeights {
             model: MODEL,
             version,
@@ -561,10 +561,7 @@
         software: SoftwareFilter::Only(software),
         ..request(&prompt)
     };
-    let choice = choose(
-        context(at(0), &fleet, &parts),
-        resumed(SoftwareVersion::UNNAMED),
-    );
+    let choice = choose(context(at(0), &fleet, &parts), resumed(SoftwareVersion(0)));
     assert_eq!(sent(choice).member, old);
     let choice = choose(context(at(0), &fleet, &parts), resumed(SoftwareVersion(3)));
     assert_eq!(choice, ChoiceOutcome::NoUpstream);
--- a/tests/member_notice.rs
+++ b/tests/member_notice.rs
@@ -55,7 +55,7 @@
         slots: 8,
         state: MemberState::Ready,
         started_unix_ms: born,
-        software: SoftwareVersion::UNNAMED,
+        software: SoftwareVersion(0),
         weights: None,
     }
 }
--- a/tests/odd_entries.rs
+++ b/tests/odd_entries.rs
@@ -36,7 +36,7 @@
         assert!(is_served(&gateway, "r0").await);
         let entry = |field: &str, value: serde_json::Value| {
             let mut entry = json!({"service": "s", "address": sound.address, "zone": "near",
-                "slots": 8, "state": "ready", "born": 1, "sequence": 1,
+                "slots": 8, "version": "v1", "cold-left-ms": 0, "state": "ready", "born": 1, "sequence": 1,
                 "models": [{"name": "m", "version": 1}]});
             entry[field] = value;
             entry.to_string()
--- a/tests/platform_formats.rs
+++ b/tests/platform_formats.rs
@@ -5,7 +5,6 @@
 use bulrushslip::decide::ids::{LogOffset, LogPosition, StoreEra};
 use bulrushslip::decide::request_limit::{LimitNotice, LimitRate};
 use bulrushslip::decide::route_table::{DataCentreId, RouteKind, ServiceId};
-use bulrushslip::decide::software::SoftwareVersion;
 use bulrushslip::platform::config_document::decode_configuration;
 use bulrushslip::platform::engine_calls::{OrderReply, WeightsOrder, order_request};
 use bulrushslip::platform::request_headers::{
@@ -110,7 +109,8 @@
 fn entries_state_the_version_of_the_software_as_text_or_number() {
     let decode = |version: &str| {
         let text = format!(
-            r#"{{"service":"s","address":"127.0.0.1:1","zone":"z","slots":3,"state":"ready"{version}}}"#
+            r#"{{"service":"s","address":"127.0.0.1:1","zone":"z","slots":3,"state":"ready",
+            "cold-left-ms":0,"sequence":1{version}}}"#
         );
         let entry = decode_entry("i-1", text.as_bytes());
         (
@@ -118,8 +118,7 @@
             entry_meaning(text.as_bytes()),
         )
     };
-    let (unnamed, _) = decode("");
-    assert_eq!(unnamed, Ok(SoftwareVersion::UNNAMED));
+    decode("").0.expect_err("no version");
     let (first, first_meaning) = decode(r#","version":"v1""#);
     let (second, second_meaning) = decode(r#","version":"v1.1""#);
     assert_ne!(first, second);
@@ -133,7 +132,7 @@
 #[test]
 fn malformed_upstream_entries_are_rejected() {
     let good = r#"{"service":"s","address":"127.0.0.1:1","zone":"z","slots":3,"state":"draining",
-        "models":[{"name":"m","version":4}],"born":17,"sequence":9}"#;
+        "models":[{"name":"m","version":4}],"born":17,"version":"v1","cold-left-ms":0,"sequence":9}"#;
     let entry = decode_entry("i-1", good.as_bytes()).expect("an entry");
     assert_eq!(entry.state, MemberState::Draining);
     assert_eq!(
@@ -147,6 +146,12 @@
         good.replace("\"slots\":3", "\"slots\":0"),
         good.replace("\"slots\":3", "\"slots\":\"3\""),
         good.replace("\"service\":\"s\",", ""),
+        good.replace("\"zone\":\"z\",", ""),
+        good.replace("\"version\":\"v1\",", ""),
+        good.replace("\"cold-left-ms\":0,", ""),
+        good.replace(",\"sequence\":9", ""),
+        good.replace("\"cold-left-ms\":0", "\"cold-left-ms\":\"0\""),
+        good.replace("\"sequence\":9", "\"sequence\":\"9\""),
         "\u{0}\u{1}".to_owned(),
     ];
     for text in bad {
--- a/tests/quota_parked.rs
+++ b/tests/quota_parked.rs
@@ -92,7 +92,7 @@
         json!([{"name": "customer", "unit": "requests", "rate-per-s": 1, "burst": BURST}]);
     let entry = |port: u16| {
         json!({"service": "s", "address": format!("127.0.0.1:{port}"), "zone": "near",
-            "slots": 64, "state": "ready", "born": 1, "models": [{"name": "m", "version": 1}]})
+            "slots": 64, "version": "v1", "cold-left-ms": 0, "sequence": 0, "state": "ready", "born": 1, "models": [{"name": "m", "version": 1}]})
     };
     let (operator, upstream) = (WireTopic::Operator, WireTopic::Upstream);
     // A limit starts full if it comes with a later configuration than the first.
--- a/tests/restored_dispatch.rs
+++ b/tests/restored_dispatch.rs
@@ -33,7 +33,7 @@
 
 fn entry(id: &str, sequence: u64, position: LogPosition) -> KeyedRecord {
     let value = format!(
-        r#"{{"service":"a","address":"127.0.0.1:2","zone":"near","slots":8,"state":"ready",
+        r#"{{"service":"a","address":"127.0.0.1:2","zone":"near","slots":8,"version":"v1","cold-left-ms":0,"state":"ready",
         "born":1,"sequence":{sequence},"models":[]}}"#
     );
     KeyedRecord {
--- a/tests/restored_views.rs
+++ b/tests/restored_views.rs
@@ -77,7 +77,7 @@
     async fn beat(&mut self, world: &DrillWorld) -> Instant {
         self.sequence += 1;
         let entry = json!({"service": self.service, "address": self.upstream.address, "zone": "near",
-            "slots": 8, "state": self.state, "born": self.born, "sequence": self.sequence,
+            "slots": 8, "version": "v1", "cold-left-ms": 0, "state": self.state, "born": self.born, "sequence": self.sequence,
             "models": []});
         world.put(UPSTREAM_TOPIC, self.id, &entry.to_string()).await
     }
@@ -498,7 +498,7 @@
     let mut world = DrillWorld::start().await;
     let engines = OrderWatch::start(1).await;
     let entry = json!({"service": "s", "address": engines.addresses[0], "zone": "near",
-        "slots": 8, "state": "ready", "born": 1, "models": [{"name": "m", "version": 1}]});
+        "slots": 8, "version": "v1", "cold-left-ms": 0, "sequence": 0, "state": "ready", "born": 1, "models": [{"name": "m", "version": 1}]});
     let entry = entry.to_string();
     world.put(UPSTREAM_TOPIC, "i-0", &entry).await;
     world.run_gateways(2).await;
--- a/tests/rollout.rs
+++ b/tests/rollout.rs
@@ -31,7 +31,7 @@
             slots: 8,
             state: MemberState::Ready,
             started_unix_ms: 1,
-            software: SoftwareVersion::UNNAMED,
+            software: SoftwareVersion(0),
             weights: Some(MemberWeights {
                 model: 1,
                 version: *version,
--- a/tests/soak_world/entry.rs
+++ b/tests/soak_world/entry.rs
@@ -102,7 +102,7 @@
             }
             store.sequence += 1;
             let entry = json!({"service": "s", "address": state.address, "zone": "near",
-                "slots": 16, "state": word, "born": state.life,
+                "slots": 16, "version": "v1", "cold-left-ms": 0, "state": word, "born": state.life,
                 "sequence": store.sequence, "models": [{"name": MODEL, "version": state.version}]});
             let record = encode_keyed(&self.name, entry.to_string().as_bytes());
             let record = record.expect("a short key");
--- a/tests/store_eras.rs
+++ b/tests/store_eras.rs
@@ -50,7 +50,7 @@
 
     async fn announce(&self) {
         let entry = json!({"service": "s", "address": self.engines.addresses[0], "zone": "near",
-            "slots": 8, "state": "ready", "born": 1, "models": [{"name": "m", "version": 1}]});
+            "slots": 8, "version": "v1", "cold-left-ms": 0, "sequence": 0, "state": "ready", "born": 1, "models": [{"name": "m", "version": 1}]});
         let entry = entry.to_string();
         self.environment.put(UPSTREAM_TOPIC, "i-0", &entry).await;
     }
--- a/tests/stream_versions.rs
+++ b/tests/stream_versions.rs
@@ -92,7 +92,7 @@
         let now = SystemTime::now().duration_since(UNIX_EPOCH);
         let born = now.expect("a time after 1970").saturating_sub(age);
         let entry = json!({"service": "s", "address": address, "zone": "near", "version": version,
-            "slots": 32, "state": "ready", "born": u64::try_from(born.as_millis()).expect("a small number"),
+            "slots": 32, "cold-left-ms": 0, "state": "ready", "born": u64::try_from(born.as_millis()).expect("a small number"),
             "models": [], "sequence": 1});
         self.store.put(UPSTREAM_TOPIC, id, &entry.to_string()).await;
     }
--- a/tests/unsure_claims.rs
+++ b/tests/unsure_claims.rs
@@ -100,7 +100,7 @@
     environment.configure_engines(1, &[]).await;
     for (index, address) in engines.addresses.iter().enumerate() {
         let entry = json!({"service": "s", "address": address, "zone": "near",
-            "slots": 8, "state": "ready", "born": 1, "models": [{"name": "m", "version": 1}]});
+            "slots": 8, "version": "v1", "cold-left-ms": 0, "sequence": 0, "state": "ready", "born": 1, "models": [{"name": "m", "version": 1}]});
         let id = format!("i-{index}");
         environment
             .put(UPSTREAM_TOPIC, &id, &entry.to_string())
--- a/tests/upstream_notices.rs
+++ b/tests/upstream_notices.rs
@@ -144,7 +144,7 @@
         }
         assert_eq!(upstreams[0].received(), [""; 0], "{text}");
         let entry = format!(
-            r#"{{"service": "s", "address": "{}", "zone": "near", "slots": 8, "state": "ready",
+            r#"{{"service": "s", "address": "{}", "zone": "near", "slots": 8, "version": "v1", "cold-left-ms": 0, "sequence": 0, "state": "ready",
                  "born": 2, "models": []}}"#,
             upstreams[0].address
         );
--- a/tests/upstream_pace.rs
+++ b/tests/upstream_pace.rs
@@ -103,7 +103,7 @@
         slots: SLOTS,
         state: MemberState::Ready,
         started_unix_ms: 1,
-        software: SoftwareVersion::UNNAMED,
+        software: SoftwareVersion(0),
         weights: None,
     };
     for number in 0..servers {
--- a/tests/upstream_pace_news.rs
+++ b/tests/upstream_pace_news.rs
@@ -25,7 +25,7 @@
 
 /// Passes the entry of an upstream to the instance.
 fn list(driver: &mut DispatchDriver, now: Moment, id: &str, offset: u64) {
-    let value = r#"{"service":"a","address":"127.0.0.1:2","zone":"near","slots":8,"state":"ready",
+    let value = r#"{"service":"a","address":"127.0.0.1:2","zone":"near","slots":8,"version":"v1","cold-left-ms":0,"sequence":0,"state":"ready",
         "born":1,"models":[]}"#;
     let record = KeyedRecord {
         key: id.to_owned(),
--- a/tests/view_check.rs
+++ b/tests/view_check.rs
@@ -43,7 +43,7 @@
 
 fn entry(service: &str, offset: u64) -> KeyedRecord {
     let value = format!(
-        r#"{{"service":"{service}","address":"127.0.0.1:2","zone":"near","slots":8,"state":"ready",
+        r#"{{"service":"{service}","address":"127.0.0.1:2","zone":"near","slots":8,"version":"v1","cold-left-ms":0,"sequence":0,"state":"ready",
         "born":1,"models":[]}}"#
     );
     KeyedRecord {
--- a/tests/view_world/store.rs
+++ b/tests/view_world/store.rs
@@ -159,7 +159,7 @@
             "ready"
         };
         format!(
-            r#"{{"service":"llm","address":"127.0.0.1:9","zone":"dc-0","slots":12,"state":"{state}",
+            r#"{{"service":"llm","address":"127.0.0.1:9","zone":"dc-0","slots":12,"version":"v1","cold-left-ms":0,"state":"{state}",
             "born":{},"sequence":{},"models":[{{"name":"m","version":1}}]}}"#,
             self.born, self.beats
         )
--- a/tests/wrong_weights.rs
+++ b/tests/wrong_weights.rs
@@ -156,7 +156,7 @@
         .await;
     world.name_version(newest).await;
     let upstream = ScriptedUpstream::start_in_turn(responses).await;
-    let entry = json!({"service": "s", "address": upstream.address, "zone": "near", "slots": 8,
+    let entry = json!({"service": "s", "address": upstream.address, "zone": "near", "slots": 8, "version": "v1", "cold-left-ms": 0, "sequence": 0,
         "state": "ready", "born": 1, "models": [{"name": "m", "version": 1}]});
     world.announce_invalid("i-0", &entry.to_string()).await;
     let gateway = Gateway::start_with("g", world.store(), &[], "heartbeat-ms=200\n");
