Count a third crash at the same moment for a request

Cause: the coincidence to be forgiven is that of a request which is sent on from one failing server to another, that is of two. Three servers that crash with it are none.

Now two crashes within a second count as one, three as two, so that the request is refused from the third crash on.

--- a/src/decide/suspects.rs
+++ b/src/decide/suspects.rs
@@ -50,8 +50,8 @@
     pub poison_ms: u64,
     /// Maximum time for which a suspect runs alone on its engine, in milliseconds.
     pub solo_ms: u64,
-    /// Time within which crashes count as one, in milliseconds: upstreams that fail at the same moment may
-    /// have a common cause, and a request that is sent on from one to the next has not crashed them.
+    /// Time within which two crashes count as one, in milliseconds: upstreams that fail at the same moment
+    /// may have a common cause, and a request that is sent on from one to the next has not crashed them.
     pub same_crash_ms: u64,
     /// Maximum number of fingerprints; beyond it the one that expires first is evicted.
     pub max_fingerprints: usize,
@@ -107,7 +107,8 @@
 }
 
 impl SuspectEntry {
-    /// Returns the number of crashes, where those at the same moment count as one.
+    /// Returns the number of crashes, where two at the same moment count as one. A third one at that moment is
+    /// no coincidence: the request was sent to three upstreams.
     #[must_use]
     pub fn count(&self, policy: SuspectPolicy) -> usize {
         let same = Duration::from_millis(policy.same_crash_ms);
@@ -121,7 +122,8 @@
             }
             !is_same
         };
-        times.iter().filter(is_other).count()
+        let moments = times.iter().filter(is_other).count();
+        moments.max(self.times.len().saturating_sub(1))
     }
 
     /// Returns whether a crash would be news.
--- a/src/gateway/dispatch/state.rs
+++ b/src/gateway/dispatch/state.rs
@@ -38,7 +38,7 @@
 use crate::platform::upstream_entry::{entry_meaning, entry_stamp};
 use crate::wire::peer_rpc::{WireSegment, WireSuspicion, WireTopic};
 
-/// Time within which crashes of upstreams count as one for a request, in milliseconds. A request that is lost at
+/// Time within which two crashes of upstreams count as one for a request, in milliseconds. A request that is lost at
 /// one upstream is sent to the next within it.
 const SAME_CRASH_MS: u64 = 1_000;
 
--- a/tests/deadly_requests.rs
+++ b/tests/deadly_requests.rs
@@ -240,6 +240,34 @@
     assert_refused(ServerReturn::SameName).await;
 }
 
+/// Guards against equal requests that arrive together at all gateways, and crash servers with each batch.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn equal_requests_that_arrive_together_and_crash_servers_are_refused() {
+    let world = TestEnvironment::start();
+    world.configure(1, &[route("/", "idempotent", 2)]).await;
+    let record = start_servers(&world, ServerReturn::OtherName).await;
+    let first = start_gateway(&world, "g", &[]).await;
+    let second = start_gateway(&world, "gg", std::slice::from_ref(&first)).await;
+    let gateways = [first, second];
+    for batch in 0..4 {
+        let requests = (0..8).map(|number| {
+            let gateway = &gateways[number % 2];
+            async move { send(gateway, &format!("b{batch}n{number}"), DEADLY).await }
+        });
+        futures::future::join_all(requests).await;
+        sleep(STABLE_WINDOW + PAUSE / 2).await;
+    }
+    let record = record.borrow().clone();
+    let third = record.crashes[CRASH_LIMIT - 1];
+    let is_late = |at: &&Instant| **at > third + STABLE_WINDOW;
+    let late = record.arrivals.iter().filter(is_late).count();
+    assert!(
+        late <= MAX_LATE_ARRIVALS,
+        "{late} late arrivals, {} crashes",
+        record.crashes.len()
+    );
+}
+
 /// Guards against refusing a request whose connections break at servers that go on.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn a_request_whose_connections_break_at_sound_servers_is_not_refused() {
--- a/tests/suspect_news.rs
+++ b/tests/suspect_news.rs
@@ -133,12 +133,20 @@
     let mut table = table();
     assert!(table.report(at(0), REQUEST, crash(1)));
     assert!(table.report(at(100), REQUEST, crash(2)));
-    assert!(table.report(at(999), REQUEST, crash(3)));
     assert_eq!(table.verdict(at(999), REQUEST), SuspectVerdict::Solo);
-    assert!(table.report(at(1_000), REQUEST, crash(4)));
+    assert!(table.report(at(1_000), REQUEST, crash(3)));
     assert_eq!(table.verdict(at(1_000), REQUEST), SuspectVerdict::Poisonous);
-    assert!(
-        !table.report(at(5_000), REQUEST, crash(5)),
-        "refused already"
-    );
+    let is_news = table.report(at(5_000), REQUEST, crash(4));
+    assert!(!is_news, "refused already");
+}
+
+/// Guards against equal requests that arrive together and crash servers with each batch.
+#[test]
+fn a_third_crash_at_the_same_moment_is_no_coincidence() {
+    let mut table = table();
+    for upstream in 1..=3 {
+        assert_ne!(table.verdict(at(0), REQUEST), SuspectVerdict::Poisonous);
+        assert!(table.report(at(0), REQUEST, crash(upstream)));
+    }
+    assert_eq!(table.verdict(at(0), REQUEST), SuspectVerdict::Poisonous);
 }
